Answers are whole and once over streams that break, repeat and reorder

Cause: an engine that always swaps two chunks made the relay resume for ever at the same gap and then give the answer up; a whole answer that broke twice was run on every engine. Ruled out: a fault of the stand-in; resuming cannot help when the engine reorders again each time. Change: early chunks wait for those before them (16 at the most); a run that gave no answer is asked for by name for a while before another engine runs it.

--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -62,7 +62,9 @@
 	decoder := yaml.NewDecoder(bytes.NewReader(source))
 	decoder.KnownFields(true)
 	var faults []Fault
-	if err := decoder.Decode(file); err != nil {
+	if err := decoder.Decode(file); errors.Is(err, io.EOF) {
+		return nil, &InvalidError{faults: decoderFaults(err)}
+	} else if err != nil {
 		faults = decoderFaults(err)
 	}
 	file.setDefaults()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,8 +74,12 @@
 	background context.Context
 	stop       context.CancelFunc
 	loops      sync.WaitGroup
-	// callerAddress is set once the caller port is open.
-	callerAddress atomic.Pointer[string]
+	ports      ports
+}
+
+// ports are the open ports of a box.
+type ports struct {
+	caller, admin, peer net.Listener
 }
 
 // New assembles a daemon; it does nothing before Run.
@@ -89,7 +93,39 @@
 	if err := d.loadTLS(); err != nil {
 		return nil, err
 	}
-	return d, d.assemble()
+	if err := d.openPorts(); err != nil {
+		return nil, err
+	}
+	if err := d.assemble(); err != nil {
+		d.closePorts()
+		return nil, err
+	}
+	return d, nil
+}
+
+// openPorts opens all ports before anything else runs, so that a port that is
+// taken is one clear error.
+func (d *Daemon) openPorts() error {
+	for _, port := range []struct {
+		address  string
+		listener *net.Listener
+	}{{d.settings.Listen, &d.ports.caller}, {d.settings.Admin, &d.ports.admin}, {d.settings.Peer, &d.ports.peer}} {
+		listener, err := net.Listen("tcp", port.address)
+		if err != nil {
+			d.closePorts()
+			return merry.Prepend(err, "open port")
+		}
+		*port.listener = listener
+	}
+	return nil
+}
+
+func (d *Daemon) closePorts() {
+	for _, listener := range []net.Listener{d.ports.caller, d.ports.admin, d.ports.peer} {
+		if listener != nil {
+			_ = listener.Close() // nothing has used it
+		}
+	}
 }
 
 func (d *Daemon) loadTLS() error {
@@ -172,7 +208,7 @@
 func (d *Daemon) peerConfig() peer.Config {
 	cfg := peer.Config{
 		Self:    peer.Status{Box: d.settings.Box, Zone: d.settings.Zone, Incarnation: d.incarnation},
-		Address: d.settings.Peer, Seeds: d.settings.Seeds, Boxes: boxlist.Static(nil),
+		Address: d.PeerAddress(), Seeds: d.settings.Seeds, Boxes: boxlist.Static(nil),
 		Source: d.follower, Logger: d.logger,
 	}
 	if d.settings.BoxList != "" {
@@ -235,19 +271,11 @@
 	}
 }
 
-// CallerAddress gives the address of the caller port once it is open.
-func (d *Daemon) CallerAddress() string {
-	if address := d.callerAddress.Load(); address != nil {
-		return *address
-	}
-	return ""
-}
+// CallerAddress gives the address of the callers' port.
+func (d *Daemon) CallerAddress() string { return d.ports.caller.Addr().String() }
 
-// listen opens a port.
-func listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, merry.Prepend(err, "open port")
-	}
-	return listener, nil
-}
+// AdminAddress gives the address of the operators' port.
+func (d *Daemon) AdminAddress() string { return d.ports.admin.Addr().String() }
+
+// PeerAddress gives the address of the other entry boxes' port.
+func (d *Daemon) PeerAddress() string { return d.ports.peer.Addr().String() }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -11,28 +11,14 @@
 	"github.com/cometlock/cometlock/internal/version"
 )
 
-// Run opens the ports and serves until ctx ends or an operator drains the box,
+// Run serves until ctx ends or an operator drains the box,
 // and then until the last request in flight has its answer.
 func (d *Daemon) Run(ctx context.Context) error {
-	caller, err := listen(d.settings.Listen)
-	if err != nil {
-		return err
-	}
-	operators, err := listen(d.settings.Admin)
-	if err != nil {
-		return err
-	}
-	peers, err := listen(d.settings.Peer)
-	if err != nil {
-		return err
-	}
-	address := caller.Addr().String()
-	d.callerAddress.Store(&address)
-	d.startLoops(peers)
-	d.serve(d.admin, operators)
-	d.serve(d.caller, caller)
-	d.logger.Info().Str("version", version.Version).Str("callers", address).Str("admin", operators.Addr().String()).
-		Str("peers", peers.Addr().String()).Str("incarnation", d.incarnation).Msg("started")
+	d.startLoops()
+	d.serve(d.admin, d.ports.admin)
+	d.serve(d.caller, d.ports.caller)
+	d.logger.Info().Str("version", version.Version).Str("callers", d.CallerAddress()).Str("admin", d.AdminAddress()).
+		Str("peers", d.PeerAddress()).Str("incarnation", d.incarnation).Msg("started")
 	select {
 	case <-ctx.Done():
 		d.beginDrain()
@@ -42,12 +28,12 @@
 }
 
 // startLoops starts one goroutine for each duty.
-func (d *Daemon) startLoops(peers net.Listener) {
+func (d *Daemon) startLoops() {
 	d.pipeline.Start(d.background)
 	for _, loop := range []func(context.Context){d.follower.Loop, d.exchange.Loop, d.settle.Loop} {
 		d.loops.Go(func() { loop(d.background) })
 	}
-	d.loops.Go(func() { d.exchange.Serve(d.background, peers) })
+	d.loops.Go(func() { d.exchange.Serve(d.background, d.ports.peer) })
 	d.claims.Warm()
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -115,7 +115,7 @@
 	if !errors.Is(err, engine.ErrNoAnswer) || ctx.Err() != nil {
 		return stream, err
 	}
-	resumed, resumeErr := d.engines.Resume(ctx, attempt.Server.Address, attempt.Run, -1)
+	resumed, resumeErr := d.engines.ResumeSoon(ctx, attempt.Server.Address, attempt.Run, -1)
 	if resumeErr != nil {
 		return nil, err
 	}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -46,6 +46,8 @@
 	data []byte
 	// long collects a line that is larger than the reader's buffer.
 	long []byte
+	// early holds chunks that came before their turn, by index.
+	early map[int][]byte
 	// last is set once the answer is whole.
 	last bool
 }
@@ -77,8 +79,9 @@
 // Next gives the next chunk. The error is io.EOF after the last chunk,
 // ErrBroken, ErrGap, or ErrRubbish.
 //
-// Chunks that came before are dropped, since engines repeat some after a
-// hiccup: of indexes 0 1 1 0 2, the caller sees 0 1 2.
+// Chunks that came before are dropped, and ones that come early wait for those
+// before them, since engines repeat and reorder some after a hiccup: of indexes
+// 0 2 1 1 3, the caller sees 0 1 2 3.
 func (s *Stream) Next() (Chunk, error) {
 	if s.last {
 		return Chunk{}, io.EOF
@@ -87,25 +90,48 @@
 		return s.readWhole()
 	}
 	for {
+		if data, ok := s.early[s.next]; ok {
+			delete(s.early, s.next)
+			return s.give(data)
+		}
 		index, err := s.readEvent()
 		if err != nil {
 			return Chunk{}, err
 		}
-		if index < s.next {
-			continue
+		if index == s.next {
+			return s.give(s.data)
 		}
-		if index > s.next {
+		if index > s.next && !s.keep(index) {
 			return Chunk{}, ErrGap
 		}
-		s.last = bytes.Equal(s.data, doneData)
-		if !s.last && !json.Valid(s.data) {
-			return Chunk{}, merry.Wrap(ErrRubbish, merry.AppendMessage("a chunk that is not JSON"))
-		}
-		s.next++
-		return Chunk{Index: index, Data: s.data, Last: s.last}, nil
 	}
 }
 
+// maxEarly bounds the chunks that wait for an earlier one.
+const maxEarly = 16
+
+// keep holds an early chunk, and reports whether there was room.
+func (s *Stream) keep(index int) bool {
+	if len(s.early) >= maxEarly {
+		return false
+	}
+	if s.early == nil {
+		s.early = map[int][]byte{}
+	}
+	s.early[index] = bytes.Clone(s.data)
+	return true
+}
+
+func (s *Stream) give(data []byte) (Chunk, error) {
+	s.last = bytes.Equal(data, doneData)
+	if !s.last && !json.Valid(data) {
+		return Chunk{}, merry.Wrap(ErrRubbish, merry.AppendMessage("a chunk that is not JSON"))
+	}
+	index := s.next
+	s.next++
+	return Chunk{Index: index, Data: data, Last: s.last}, nil
+}
+
 func (s *Stream) readWhole() (Chunk, error) {
 	data, err := io.ReadAll(io.LimitReader(s.reader, s.maxBytes+1))
 	if err != nil {
@@ -199,6 +225,16 @@
 	}
 }
 
-// Buffered reports whether more of the stream has come already, so that a
-// relay can write several chunks before it flushes.
-func (s *Stream) Buffered() bool { return s.reader.Buffered() > 0 }
+// eventEnd is the end of an event's last line and the blank line after it.
+var eventEnd = []byte("\n\n")
+
+// Buffered reports whether the next chunk is here already, so that a relay can
+// write several chunks before it flushes. Part of an event does not count: the
+// rest may be long in coming.
+func (s *Stream) Buffered() bool {
+	if _, ok := s.early[s.next]; ok {
+		return true
+	}
+	waiting, err := s.reader.Peek(s.reader.Buffered())
+	return err == nil && bytes.Contains(waiting, eventEnd)
+}
--- a/internal/fakeengine/handler.go
+++ b/internal/fakeengine/handler.go
@@ -164,6 +164,7 @@
 			if e.takeBreak(1) {
 				w.Header().Set("Content-Length", strconv.Itoa(len(started.whole)))
 				_, _ = w.Write(started.whole[:len(started.whole)/2])
+				(&sender{w: w}).flush()
 				panic(http.ErrAbortHandler)
 			}
 			_, _ = w.Write(started.whole)
--- a/internal/fakeplatform/fakeplatform.go
+++ b/internal/fakeplatform/fakeplatform.go
@@ -6,9 +6,12 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/cometlock/cometlock/internal/boxlist"
 )
 
@@ -19,6 +22,7 @@
 
 	mu     sync.Mutex
 	boxes  []boxlist.Box // all that were ever added
+	down   bool
 	states map[string]boxlist.State
 }
 
@@ -41,8 +45,28 @@
 	}
 }
 
+// Add puts a box under the platform's eye.
+func (l *List) Add(box boxlist.Box) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.boxes = append(l.boxes, box)
+}
+
+// SetDown makes the list unreadable, or readable again.
+func (l *List) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *List) added() []boxlist.Box {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.boxes)
+}
+
 func (l *List) look(ctx context.Context) {
-	for _, box := range l.boxes {
+	for _, box := range l.added() {
 		state := l.probe(ctx, box.Admin)
 		l.mu.Lock()
 		l.states[box.Name] = state
@@ -71,6 +95,9 @@
 func (l *List) Boxes(context.Context) ([]boxlist.Box, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.down {
+		return nil, merry.New("the list is down")
+	}
 	listed := []boxlist.Box{}
 	for _, box := range l.boxes {
 		if state := l.states[box.Name]; state != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,8 +12,6 @@
 	"errors"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"github.com/cometlock/cometlock/internal/apierror"
 	"github.com/cometlock/cometlock/internal/config"
 	"github.com/cometlock/cometlock/internal/dispatch"
@@ -21,13 +19,8 @@
 	"github.com/cometlock/cometlock/internal/flow"
 )
 
-// Limits of taking a run up again.
-const (
-	maxResumes    = 6
-	firstWait     = 20 * time.Millisecond
-	maxWait       = 500 * time.Millisecond
-	cancelTimeout = time.Second
-)
+// cancelTimeout bounds the telling of an engine that nobody waits.
+const cancelTimeout = time.Second
 
 // Sink takes an answer on its way to the caller.
 type Sink interface {
@@ -86,8 +79,8 @@
 			result.Failure = callerGone(result.Chunks)
 			return result
 		}
-		stream, resumeErr := r.resume(request.Context(), attempt, next)
-		if resumeErr == nil && barren >= maxResumes {
+		stream, resumeErr := r.engines.ResumeSoon(request.Context(), attempt.Server.Address, attempt.Run, next-1)
+		if resumeErr == nil && barren >= engine.MaxResumes {
 			_ = stream.Close() // the engine answers, but never with a chunk
 			resumeErr = err
 		}
@@ -139,20 +132,6 @@
 	}
 }
 
-// resume takes a run up at an index, trying for a while.
-func (r *Relay) resume(ctx context.Context, attempt *dispatch.Attempt, next int) (*engine.Stream, error) {
-	waits := backoff.NewExponentialBackOff()
-	waits.InitialInterval = firstWait
-	waits.MaxInterval = maxWait
-	return backoff.Retry(ctx, func() (*engine.Stream, error) {
-		stream, err := r.engines.Resume(ctx, attempt.Server.Address, attempt.Run, next-1)
-		if errors.Is(err, engine.ErrUnknownRun) || errors.Is(err, engine.ErrWrongWeights) {
-			return nil, backoff.Permanent(err)
-		}
-		return stream, err
-	}, backoff.WithBackOff(waits), backoff.WithMaxTries(maxResumes))
-}
-
 // Resume passes an answer on that another box, or another connection, began.
 func (r *Relay) Resume(request *flow.Request, server *config.BackendServer, run engine.Run, after int, sink Sink) Result {
 	// The caller has part of this very run; another run is no substitute.
--- a/internal/standins/standins.go
+++ b/internal/standins/standins.go
@@ -35,11 +35,21 @@
 	BoxListLag time.Duration
 	// Engine is the model of every engine; weights and slots come from File.
 	Engine fakeengine.Config
+	// AnyPort serves everything on ports of the system's choice and writes them
+	// into File; tests use it to run beside each other.
+	AnyPort bool
 }
 
+// anyPort asks the system for a free port.
+const anyPort = "127.0.0.1:0"
+
 // Set is a running set of stand-ins.
 type Set struct {
+	file     *config.File
 	log      *fakelog.Log
+	list     *fakeplatform.List
+	logAt    string
+	listAt   string
 	engines  map[string]*fakeengine.Engine
 	services map[string]*fakeservice.Service
 	servers  []*http.Server
@@ -49,7 +59,7 @@
 // Start starts all stand-ins. They run until Close.
 func Start(cfg Config) (*Set, error) {
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Set{log: fakelog.New(), engines: map[string]*fakeengine.Engine{}, services: map[string]*fakeservice.Service{}, stop: stop}
+	s := &Set{file: cfg.File, log: fakelog.New(), engines: map[string]*fakeengine.Engine{}, services: map[string]*fakeservice.Service{}, stop: stop}
 	if err := s.start(ctx, cfg); err != nil {
 		s.Close()
 		return nil, err
@@ -57,25 +67,36 @@
 	return s, nil
 }
 
-func (s *Set) start(ctx context.Context, cfg Config) error {
-	if err := s.serve(cfg.LogAddress, s.log.Handler()); err != nil {
+func (s *Set) start(ctx context.Context, cfg Config) (err error) {
+	if cfg.AnyPort {
+		cfg.LogAddress, cfg.BoxListAddress = anyPort, anyPort
+	}
+	if s.logAt, err = s.serve(cfg.LogAddress, s.log.Handler()); err != nil {
 		return err
 	}
-	list := fakeplatform.New(max(cfg.BoxListLag, 100*time.Millisecond), cfg.Boxes)
-	go list.Loop(ctx)
-	if err := s.serve(cfg.BoxListAddress, list.Handler()); err != nil {
+	s.list = fakeplatform.New(max(cfg.BoxListLag, minBoxListLag), cfg.Boxes)
+	go s.list.Loop(ctx)
+	if s.listAt, err = s.serve(cfg.BoxListAddress, s.list.Handler()); err != nil {
 		return err
 	}
 	store := &fakeengine.WeightStore{Limit: cfg.File.WeightStore.ParallelLoads}
-	for _, server := range cfg.File.BackendServers {
-		if err := s.startServer(cfg, server, store); err != nil {
+	for i := range cfg.File.BackendServers {
+		server := &cfg.File.BackendServers[i]
+		if cfg.AnyPort {
+			server.Address = anyPort
+		}
+		if server.Address, err = s.startServer(cfg, server, store); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Set) startServer(cfg Config, server config.BackendServer, store *fakeengine.WeightStore) error {
+// minBoxListLag keeps the list from looking at the boxes all the time.
+const minBoxListLag = 100 * time.Millisecond
+
+// startServer starts the stand-in of a backend server and gives its address.
+func (s *Set) startServer(cfg Config, server *config.BackendServer, store *fakeengine.WeightStore) (string, error) {
 	switch server.Role {
 	case config.RoleRunner:
 		engineConfig := cfg.Engine
@@ -89,11 +110,11 @@
 		s.services[server.Name] = started
 		return s.serve(server.Address, started.Handler())
 	default:
-		return nil
+		return server.Address, nil
 	}
 }
 
-func weightsOf(file *config.File, server config.BackendServer) []engine.LoadedWeights {
+func weightsOf(file *config.File, server *config.BackendServer) []engine.LoadedWeights {
 	var weights []engine.LoadedWeights
 	for _, name := range server.Models {
 		for _, model := range file.Models {
@@ -108,18 +129,19 @@
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 10 * time.Second
 
-func (s *Set) serve(address string, handler http.Handler) error {
+// serve serves a stand-in and gives the address it has.
+func (s *Set) serve(address string, handler http.Handler) (string, error) {
 	if address == "" {
-		return nil
+		return "", nil
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return merry.Prepend(err, "start a stand-in")
+		return "", merry.Prepend(err, "start a stand-in")
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(listener) }() // ends with Close
-	return nil
+	return listener.Addr().String(), nil
 }
 
 // Close ends all stand-ins.
@@ -141,3 +163,15 @@
 
 // Service gives a plain service by the name of its backend server.
 func (s *Set) Service(name string) *fakeservice.Service { return s.services[name] }
+
+// File gives the configuration with the addresses that the stand-ins have.
+func (s *Set) File() *config.File { return s.file }
+
+// Boxes gives the list of boxes.
+func (s *Set) Boxes() *fakeplatform.List { return s.list }
+
+// LogAddress gives where the log is served.
+func (s *Set) LogAddress() string { return s.logAt }
+
+// BoxListAddress gives where the list of boxes is served.
+func (s *Set) BoxListAddress() string { return s.listAt }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -45,7 +46,9 @@
 
 // NewMetrics makes the root, with the zone and box as tags of every metric.
 func NewMetrics(box, zone string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own keeps two boxes in one test process apart.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "cometlock", Tags: map[string]string{"box": box, "zone": zone},
 		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
--- /dev/null
+++ b/internal/testfleet/testfleet.go
@@ -0,0 +1,250 @@
+// Package testfleet runs a small fleet inside a test: stand-ins for everything
+// outside, and entry boxes that talk to them and to each other over loopback.
+package testfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/boxlist"
+	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/configlog"
+	"github.com/cometlock/cometlock/internal/daemon"
+	"github.com/cometlock/cometlock/internal/fakeengine"
+	"github.com/cometlock/cometlock/internal/settings"
+	"github.com/cometlock/cometlock/internal/standins"
+)
+
+// The organisations of examples/local.yaml and their keys.
+const (
+	KeyNordlys = "sk-fjordlinje-demo"
+	KeyLot     = "sk-lot-demo"
+)
+
+// Config sets up a Fleet.
+type Config struct {
+	// Engine is the behaviour of every engine.
+	Engine fakeengine.Config
+	// Zones is the zone of each entry box to start.
+	Zones []string
+	// Change alters the configuration before it is applied.
+	Change func(*config.File)
+	// Unapplied leaves the log without any configuration.
+	Unapplied bool
+	// Log takes the boxes' logs; nil drops them.
+	Log io.Writer
+	// Settings alters the settings of every box.
+	Settings func(*settings.Settings)
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	cfg    Config
+	set    *standins.Set
+	logger zerolog.Logger
+
+	mu    sync.Mutex
+	boxes []*Box
+}
+
+// Box is one running entry box.
+type Box struct {
+	*daemon.Daemon
+	cancel context.CancelFunc
+	ended  chan struct{}
+	err    error
+}
+
+// answerKey is the key that all boxes authenticate answer names with.
+var answerKey = []byte("0123456789abcdef0123456789abcdef")
+
+// Start starts a fleet with the sample configuration.
+func Start(cfg Config) (*Fleet, error) {
+	source, err := os.ReadFile("../../examples/local.yaml")
+	if err != nil {
+		return nil, err
+	}
+	file, err := config.Parse(source)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Change != nil {
+		cfg.Change(file)
+	}
+	set, err := standins.Start(standins.Config{File: file, AnyPort: true, Engine: cfg.Engine})
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{cfg: cfg, set: set, logger: zerolog.Nop()}
+	if cfg.Log != nil {
+		f.logger = zerolog.New(zerolog.ConsoleWriter{Out: cfg.Log, NoColor: true})
+	}
+	if !cfg.Unapplied {
+		if _, err := f.Apply(file); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	for _, zone := range cfg.Zones {
+		if _, err := f.AddBox(zone); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Apply puts a file into force.
+func (f *Fleet) Apply(file *config.File) (int64, error) {
+	return configlog.Apply(context.Background(), configlog.ApplyConfig{Log: f.set.Log(), ApplyID: uuid.NewString(), LookFor: 5 * time.Second}, file)
+}
+
+// AddBox starts one more entry box.
+func (f *Fleet) AddBox(zone string) (*Box, error) {
+	f.mu.Lock()
+	name := fmt.Sprintf("box-%d", len(f.boxes)+1)
+	f.mu.Unlock()
+	cfg := settings.Settings{
+		Box: name, Zone: zone, Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: "127.0.0.1:0",
+		Log: f.set.LogAddress(), BoxList: f.set.BoxListAddress(), AnswerKeys: [][]byte{answerKey},
+		LogRetention: 24 * time.Hour, StopTimeout: time.Minute, RingCapacity: 1024,
+	}
+	if f.cfg.Settings != nil {
+		f.cfg.Settings(&cfg)
+	}
+	started, err := daemon.New(cfg, f.logger)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	box := &Box{Daemon: started, cancel: cancel, ended: make(chan struct{})}
+	go box.run(ctx)
+	f.set.Boxes().Add(boxlist.Box{
+		Name: name, Zone: zone, Peer: started.PeerAddress(), Admin: started.AdminAddress(), Caller: started.CallerAddress(),
+	})
+	f.mu.Lock()
+	f.boxes = append(f.boxes, box)
+	f.mu.Unlock()
+	return box, nil
+}
+
+func (b *Box) run(ctx context.Context) {
+	defer close(b.ended)
+	b.err = b.Run(ctx)
+}
+
+// Stop begins a planned stop, as SIGTERM does.
+func (b *Box) Stop() { b.cancel() }
+
+// Wait waits for the end of a planned stop.
+func (b *Box) Wait() error {
+	select {
+	case <-b.ended:
+		return b.err
+	case <-time.After(time.Minute):
+		return errors.New("the box did not stop within a minute")
+	}
+}
+
+// Set gives the stand-ins.
+func (f *Fleet) Set() *standins.Set { return f.set }
+
+// Box gives a box by the order of its start, from 0.
+func (f *Fleet) Box(i int) *Box {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.boxes[i]
+}
+
+// Close stops everything.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	boxes := f.boxes
+	f.mu.Unlock()
+	for _, box := range boxes {
+		box.Stop()
+	}
+	for _, box := range boxes {
+		<-box.ended
+	}
+	f.set.Close()
+}
+
+// Call is one HTTP call of a box.
+type Call struct {
+	Method string // POST where there is a body, else GET
+	Path   string
+	Key    string // KeyNordlys where empty
+	Body   string
+	Header map[string]string
+}
+
+// Answer is the answer to a call.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+	// Broken says that the body broke off.
+	Broken bool
+}
+
+// client keeps no connections, so that a test's end leaves none behind.
+var client = &http.Client{Timeout: time.Minute, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Do makes a call of the box and reads the whole answer.
+func (b *Box) Do(call Call) (Answer, error) {
+	response, err := b.Begin(context.Background(), call)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: string(body), Broken: err != nil}, nil
+}
+
+// Begin makes a call and leaves its answer to be read.
+func (b *Box) Begin(ctx context.Context, call Call) (*http.Response, error) {
+	if call.Method == "" {
+		call.Method = http.MethodGet
+		if call.Body != "" {
+			call.Method = http.MethodPost
+		}
+	}
+	if call.Key == "" {
+		call.Key = KeyNordlys
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+b.CallerAddress()+call.Path, strings.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+call.Key)
+	for name, value := range call.Header {
+		request.Header.Set(name, value)
+	}
+	return client.Do(request)
+}
+
+// EventData gives the data of the events of a stream, one a line, without the
+// event that ends it.
+func EventData(body string) []string {
+	var data []string
+	for line := range strings.SplitSeq(body, "\n") {
+		if text, ok := strings.CutPrefix(line, "data: "); ok && text != "[DONE]" {
+			data = append(data, text)
+		}
+	}
+	return data
+}
+
+// Whole reports whether a stream came to its end.
+func Whole(body string) bool { return strings.HasSuffix(body, "data: [DONE]\n\n") }
