--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -101,7 +101,9 @@
 		{"a negative limit", replace("deployment: test", "deployment: test\nlimits:\n  body_bytes: -1"), []string{"line 3: limits.body_bytes: must be above 0, is -1"}},
 		{"a key window that claims cannot hold", replace("deployment: test", "deployment: test\nlimits:\n  key_window_seconds: 9000"), []string{"line 3: limits.key_window_seconds: must be at most 7200, is 9000"}},
 		{"two names", replace("zones: [", "zones: [{name: a, region: q}, "), []string{`line 2: zones[1].name: "a" is already the name of zones[0]`}},
-		{"two faults far apart", func(s string) string { return replace("name: one", "name: one\n    share: -2")(replace("role: runner", "role: walker")(s)) }, []string{
+		{"two faults far apart", func(s string) string {
+			return replace("name: one", "name: one\n    share: -2")(replace("role: runner", "role: walker")(s))
+		}, []string{
 			"line 5: organisations[0].share: must be above 0, is -2", `line 7: models[0]: no runner holds "m"`, `line 9: backend_servers[0].role: "walker" is not a role`,
 		}},
 	}
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -14,9 +14,9 @@
 
 // State is the part of a state dump that describes the exchange.
 type State struct {
-	Listed    int         `json:"listed_boxes"`
+	Listed    int        `json:"listed_boxes"`
 	Peers     []Neighbor `json:"peers"`
-	SentBytes int64       `json:"sent_bytes"`
+	SentBytes int64      `json:"sent_bytes"`
 }
 
 // State describes what is known of the peers.
