--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -123,7 +123,7 @@
 	defer ticker.Stop()
 	var lookedAt time.Time
 	for {
-		if time.Since(lookedAt) >= listEvery {
+		if time.Since(lookedAt) >= listEvery || x.alone() {
 			lookedAt = time.Now()
 			x.look(ctx)
 		}
@@ -137,6 +137,14 @@
 	}
 }
 
+// alone reports whether no peer has been heard of yet. The list lags, so a box
+// that starts into an empty one looks again in every round.
+func (x *Exchange) alone() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.peers) == 0
+}
+
 // look reads the platform's list. A list that cannot be read leaves the last.
 func (x *Exchange) look(ctx context.Context) {
 	boxes, err := x.cfg.Boxes.Boxes(ctx)
--- a/internal/testfleet/testfleet.go
+++ b/internal/testfleet/testfleet.go
@@ -110,13 +110,21 @@
 }
 
 // AddBox starts one more entry box.
-func (f *Fleet) AddBox(zone string) (*Box, error) {
+func (f *Fleet) AddBox(zone string) (*Box, error) { return f.addBox(zone, f.set.LogAddress()) }
+
+// nowhere is an address at which nothing listens.
+const nowhere = "127.0.0.1:1"
+
+// AddBoxWithoutLog starts an entry box that is cut off from the log.
+func (f *Fleet) AddBoxWithoutLog(zone string) (*Box, error) { return f.addBox(zone, nowhere) }
+
+func (f *Fleet) addBox(zone, logAddress string) (*Box, error) {
 	f.mu.Lock()
 	name := fmt.Sprintf("box-%d", len(f.boxes)+1)
 	f.mu.Unlock()
 	cfg := settings.Settings{
 		Box: name, Zone: zone, Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: "127.0.0.1:0",
-		Log: f.set.LogAddress(), BoxList: f.set.BoxListAddress(), AnswerKeys: [][]byte{answerKey},
+		Log: logAddress, BoxList: f.set.BoxListAddress(), AnswerKeys: [][]byte{answerKey},
 		LogRetention: 24 * time.Hour, StopTimeout: time.Minute, RingCapacity: 1024,
 	}
 	if f.cfg.Settings != nil {
