Reviews that can wait, each arriving exactly once; no request outlives the stages

Cause: long reviews had no way in. While proving them, one run in two or so hung for ever: a request that waited in a stage when the box ended was never decided. Ruled out: the log and the engines; the dump showed RunReview waiting for stages whose loops had ended. Change: /v1/responses with background: true, kept in the log stream of reviews (package review), followed by every box; the end of the stages' loops now ends the requests in them as not run. Mutations by hand: no repetition before expiry, an end before a repeated request, first end ignored, an append without an answer called not accepted; each fails a test.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 test: format lint unit
 
 unit:
-	go test -race -timeout 10m $(PACKAGES)
+	go test -race -timeout 5m $(PACKAGES)
 
 lint:
 	go vet $(PACKAGES)
--- a/internal/api/models.go
+++ b/internal/api/models.go
@@ -112,6 +112,10 @@
 // refuse ends a request that was not handed to a backend server.
 func (s *Server) refuse(w http.ResponseWriter, request *flow.Request, refusal *apierror.Error) {
 	writeError(w, refusal)
+	s.settleRefused(request, refusal)
+}
+
+func (s *Server) settleRefused(request *flow.Request, refusal *apierror.Error) {
 	record := settle.NewRecord(request)
 	record.Failure = refusal
 	s.settle.Settle(request, record)
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -26,6 +26,7 @@
 	"github.com/cometlock/cometlock/internal/plainservice"
 	"github.com/cometlock/cometlock/internal/relay"
 	"github.com/cometlock/cometlock/internal/retrybudget"
+	"github.com/cometlock/cometlock/internal/review"
 	"github.com/cometlock/cometlock/internal/settle"
 	"github.com/cometlock/cometlock/internal/zone"
 )
@@ -40,6 +41,7 @@
 	Relay      *relay.Relay
 	Settle     *settle.Stage
 	Claims     *claim.Service
+	Reviews    *review.Service
 	Services   *plainservice.Client
 	Zone       *zone.Knowledge
 	Budget     *retrybudget.Budget
@@ -56,6 +58,7 @@
 	relay       *relay.Relay
 	settle      *settle.Stage
 	claims      *claim.Service
+	reviews     *review.Service
 	services    *plainservice.Client
 	zone        *zone.Knowledge
 	budget      *retrybudget.Budget
@@ -73,7 +76,7 @@
 	}
 	return &Server{
 		snapshot: cfg.Snapshot, keys: cfg.Keys, pipeline: cfg.Pipeline, dispatcher: cfg.Dispatcher, relay: cfg.Relay,
-		settle: cfg.Settle, claims: cfg.Claims, services: cfg.Services, zone: cfg.Zone, budget: cfg.Budget, bodyTimeout: cfg.BodyTimeout,
+		settle: cfg.Settle, claims: cfg.Claims, reviews: cfg.Reviews, services: cfg.Services, zone: cfg.Zone, budget: cfg.Budget, bodyTimeout: cfg.BodyTimeout,
 	}
 }
 
@@ -87,6 +90,10 @@
 	router.GET("/v1/models", s.serveModels)
 	router.GET("/v1/answers/:id", s.serveAnswer)
 	router.DELETE("/v1/answers/:id", s.serveCancelAnswer)
+	router.POST("/v1/responses", s.serveCreateResponse)
+	router.GET("/v1/responses/:id", s.serveGetResponse)
+	router.POST("/v1/responses/:id/cancel", s.serveCancelResponse)
+	router.DELETE("/v1/responses/:id", s.serveDeleteResponse)
 	router.Any("/services/:name", s.serveService)
 	router.Any("/services/:name/*", s.serveService)
 	return router
--- a/internal/authenticate/authenticate.go
+++ b/internal/authenticate/authenticate.go
@@ -28,13 +28,15 @@
 
 // Check finds the organisation of a request and the thing it asks for.
 func Check(request *flow.Request) *apierror.Error {
-	organisation, err := Organisation(request.Snapshot, request.Key)
-	if err != nil {
-		return err
+	if request.Organisation == nil { // reviews come with theirs, out of the log
+		organisation, err := Organisation(request.Snapshot, request.Key)
+		if err != nil {
+			return err
+		}
+		request.Organisation = organisation
 	}
-	request.Organisation = organisation
 	if request.Priority == "" {
-		request.Priority = organisation.Priority
+		request.Priority = request.Organisation.Priority
 	}
 	if request.Kind == flow.KindService {
 		return nil // accept has found the service already
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/cometlock/cometlock/internal/logservice"
+	"github.com/cometlock/cometlock/internal/tail"
 )
 
 // Config sets up a Service.
@@ -33,8 +34,6 @@
 // Defaults of Config.
 const (
 	DefaultBatchDelay = 5 * time.Millisecond
-	DefaultPollWait   = 10 * time.Second
-	DefaultRetryDelay = 200 * time.Millisecond
 	DefaultRetention  = 24 * time.Hour
 )
 
@@ -53,8 +52,7 @@
 // at once by Warm.
 func New(cfg Config) *Service {
 	setDefault(&cfg.BatchDelay, DefaultBatchDelay)
-	setDefault(&cfg.PollWait, DefaultPollWait)
-	setDefault(&cfg.RetryDelay, DefaultRetryDelay)
+	setDefault(&cfg.RetryDelay, tail.DefaultRetryDelay)
 	setDefault(&cfg.Retention, DefaultRetention)
 	life, stop := context.WithCancel(context.Background())
 	return &Service{cfg: cfg, life: life, stop: stop}
@@ -86,7 +84,10 @@
 		opened := newStream(number, s.cfg)
 		s.streams[number] = opened
 		s.ended.Go(func() { opened.loopAppend(s.life) })
-		s.ended.Go(func() { opened.loopFollow(s.life) })
+		following := tail.New(tail.Config{
+			Log: s.cfg.Log, Stream: opened.name, Sink: opened, PollWait: s.cfg.PollWait, RetryDelay: s.cfg.RetryDelay,
+		})
+		s.ended.Go(func() { following.Loop(s.life) })
 	}
 	return s.streams[number]
 }
@@ -170,7 +171,7 @@
 // or ctx ends. Callers that ask again get the answer only if it got there.
 func (s *Service) Drain(ctx context.Context) {
 	for s.unwritten() > 0 && ctx.Err() == nil {
-		pause(ctx, drainTick)
+		tail.Pause(ctx, drainTick)
 	}
 }
 
--- a/internal/claim/stream.go
+++ b/internal/claim/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/cometlock/cometlock/internal/logservice"
 	"github.com/cometlock/cometlock/internal/ring"
+	"github.com/cometlock/cometlock/internal/tail"
 )
 
 // Errors of a claim. All but ErrUnknown mean that the request was not run.
@@ -30,7 +31,7 @@
 )
 
 // stream writes and follows one claim stream. Two duties share it: loopAppend
-// writes batches, loopFollow folds the log; mu guards what both touch.
+// writes batches, a tail folds the log; mu guards what both touch.
 type stream struct {
 	name    string
 	cfg     Config
@@ -196,19 +197,13 @@
 		s.keepFinal(ctx, entries)
 	}
 	// An append without an answer may have taken effect. It is never sent
-	// again; loopFollow sees it if it is there.
+	// again; the tail sees it if it is there.
 }
 
 // keepFinal holds on to statements about finished runs, which must reach the
 // log some time: without them the key stays "unknown".
 func (s *stream) keepFinal(ctx context.Context, entries []Entry) {
-	timer := time.NewTimer(s.cfg.RetryDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return
-	}
+	tail.Pause(ctx, s.cfg.RetryDelay)
 	for _, entry := range entries {
 		if entry.Kind != KindClaim {
 			_ = s.entries.TryPush(entry)
@@ -234,69 +229,31 @@
 	}
 }
 
-// loopFollow folds the log until ctx ends.
-func (s *stream) loopFollow(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := s.follow(ctx); err != nil {
-			pause(ctx, s.cfg.RetryDelay)
-		}
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// follow reads one page.
-func (s *stream) follow(ctx context.Context) error {
-	s.mu.Lock()
-	from, wait := s.next, s.cfg.PollWait
-	if !s.ready {
-		wait = 0
-	}
-	s.mu.Unlock()
-	began := time.Now()
-	page, err := s.cfg.Log.Read(ctx, s.name, logservice.ReadOptions{From: from, Wait: wait})
-	if expired, ok := errors.AsType[*logservice.ExpiredError](err); ok {
-		s.restart(expired.Earliest, began)
-		return nil
-	}
-	if err != nil {
-		return err
-	}
+// AtEnd implements tail.Sink.
+func (s *stream) AtEnd() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, record := range page.Records {
-		s.next = record.Offset + 1
-		s.take(record)
-	}
-	if s.next >= page.Next {
-		s.ready = true
-	}
-	return nil
+	s.ready = true
 }
 
-// restart begins again at the earliest held record, after records this process
-// has not seen have expired. What was under way can no longer be decided.
-func (s *stream) restart(earliest int64, now time.Time) {
+// Restart implements tail.Sink. Records that this process has not seen have
+// expired, so what was under way can no longer be decided.
+func (s *stream) Restart(_ int64, began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for claimID := range s.pending {
 		s.settle(claimID, result{err: ErrUnknown})
 	}
 	s.fold = newFold()
-	s.next = earliest
 	s.ready = false
-	s.covered = now.Add(Skew - s.cfg.Retention)
+	s.covered = began.Add(Skew - s.cfg.Retention)
 }
 
-// take folds one record. The caller holds mu.
-func (s *stream) take(record logservice.Record) {
+// Take implements tail.Sink.
+func (s *stream) Take(record logservice.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next = record.Offset + 1
 	entries, err := Decode(record.Data)
 	if err != nil {
 		return // a record that is damaged for one reader is so for all
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,7 @@
 	"github.com/cometlock/cometlock/internal/plainservice"
 	"github.com/cometlock/cometlock/internal/relay"
 	"github.com/cometlock/cometlock/internal/retrybudget"
+	"github.com/cometlock/cometlock/internal/review"
 	"github.com/cometlock/cometlock/internal/settings"
 	"github.com/cometlock/cometlock/internal/settle"
 	"github.com/cometlock/cometlock/internal/telemetry"
@@ -62,6 +63,7 @@
 	pipeline  *pipeline.Pipeline
 	settle    *settle.Stage
 	claims    *claim.Service
+	reviews   *review.Service
 	budget    *retrybudget.Budget
 	caller    *http.Server
 	admin     *http.Server
@@ -174,9 +176,16 @@
 	d.settle = settle.New(settle.Config{Logger: d.logger, Scope: d.metrics.Scope()})
 	d.claims = claim.New(claim.Config{Log: log, Claimer: d.incarnation, Window: d.keyWindow, Retention: d.settings.LogRetention})
 
-	server := api.New(api.Config{
+	// Reviews run through the server, and the server answers for them.
+	var server *api.Server
+	d.reviews = review.New(review.Config{
+		Log: log, Logger: d.logger, Box: d.settings.Box, Live: d.exchange.Live, Retention: d.settings.LogRetention,
+		KeepAnswers: d.keepAnswers, Parallel: d.parallelReviews,
+		Run: func(ctx context.Context, task review.Task) ([]byte, error) { return server.RunReview(ctx, task) },
+	})
+	server = api.New(api.Config{
 		Snapshot: d.follower.Snapshot, Keys: keys, Pipeline: d.pipeline, Dispatcher: dispatcher, Relay: relaying,
-		Settle: d.settle, Claims: d.claims, Services: plainservice.NewClient(plainservice.ClientConfig{}),
+		Settle: d.settle, Claims: d.claims, Reviews: d.reviews, Services: plainservice.NewClient(plainservice.ClientConfig{}),
 		Zone: d.knowledge, Budget: d.budget,
 	})
 	d.caller = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
@@ -254,6 +263,23 @@
 	return time.Duration(snapshot.File().Limits.KeyWindowSeconds) * time.Second
 }
 
+func (d *Daemon) keepAnswers() time.Duration {
+	snapshot := d.follower.Snapshot()
+	if snapshot == nil {
+		return d.settings.LogRetention
+	}
+	return time.Duration(snapshot.File().Limits.ReviewRetentionSeconds) * time.Second
+}
+
+// parallelReviews is how many reviews this box runs at once: none while it is
+// about to stop, so that those in flight finish and the others go elsewhere.
+func (d *Daemon) parallelReviews() int {
+	if d.leaving.Load() || d.follower.Snapshot() == nil {
+		return 0
+	}
+	return d.room()
+}
+
 // unreadyReason says why the balancer should send no callers, or nothing.
 func (d *Daemon) unreadyReason() string {
 	if d.leaving.Load() {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -35,6 +35,8 @@
 	}
 	d.loops.Go(func() { d.exchange.Serve(d.background, d.ports.peer) })
 	d.claims.Warm()
+	d.reviews.Start()
+	d.loops.Go(func() { d.loopGauges(d.background) })
 }
 
 func (d *Daemon) serve(server *http.Server, listener net.Listener) {
@@ -48,6 +50,15 @@
 	})
 }
 
+// Abort ends the box at once, as a crash does; tests use it.
+func (d *Daemon) Abort() {
+	d.stop()
+	d.reviews.Close()
+	_ = d.caller.Close()
+	_ = d.admin.Close()
+	d.beginDrain()
+}
+
 // shutDown is a planned stop: turn unready and wait for the balancer to see it,
 // take no new connection, finish what is in flight, then end.
 func (d *Daemon) shutDown() error {
@@ -60,14 +71,51 @@
 	if err != nil {
 		d.logger.Error().Str("error", err.Error()).Msg("requests_cut_off")
 	}
+	d.reviews.Drain(ctx)
 	d.claims.Drain(ctx)
 	d.stop()
 	_ = d.admin.Close() // probes may be cut off
 	d.pipeline.Wait()
 	d.watcher.Wait()
 	d.claims.Close()
+	d.reviews.Close()
 	d.loops.Wait()
 	_ = d.metrics.Close() // a collector that missed the last second
 	d.logger.Info().Int64("settled", d.settle.Settled()).Msg("stopped")
 	return err
 }
+
+// gaugeInterval is the time between two looks at what gauges show.
+const gaugeInterval = time.Second
+
+// loopGauges keeps the gauges that no event updates.
+func (d *Daemon) loopGauges(ctx context.Context) {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	scope := d.metrics.Scope()
+	for {
+		reviews := d.reviews.State()
+		scope.Gauge("reviews_waiting").Update(float64(len(reviews.Waiting)))
+		scope.Gauge("reviews_at_risk").Update(float64(reviews.AtRisk))
+		scope.Gauge("reviews_missed").Update(float64(reviews.Missed))
+		scope.Gauge("reviews_oldest_seconds").Update(reviews.OldestSeconds)
+		admitted := d.admit.State()
+		scope.Gauge("requests_waiting").Update(float64(admitted.Waiting))
+		scope.Gauge("requests_in_flight").Update(float64(admitted.InFlight))
+		config := d.follower.Status()
+		scope.Gauge("config_version").Update(float64(config.Version))
+		scope.Gauge("log_reachable").Update(boolGauge(config.LogReachable))
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func boolGauge(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -9,6 +9,7 @@
 	"github.com/cometlock/cometlock/internal/follow"
 	"github.com/cometlock/cometlock/internal/peer"
 	"github.com/cometlock/cometlock/internal/retrybudget"
+	"github.com/cometlock/cometlock/internal/review"
 	"github.com/cometlock/cometlock/internal/ring"
 	"github.com/cometlock/cometlock/internal/version"
 	"github.com/cometlock/cometlock/internal/zone"
@@ -32,6 +33,7 @@
 	Admit       admit.State         `json:"admit"`
 	Retries     retrybudget.State   `json:"retries"`
 	Claims      []claim.StreamState `json:"claims"`
+	Reviews     review.State        `json:"reviews"`
 	ServersOf   zone.State          `json:"known_zone"`
 	Peers       peer.State          `json:"peers"`
 }
@@ -46,6 +48,6 @@
 		Uptime: time.Since(d.started).Round(time.Millisecond).String(), Ready: reason == "", Unready: reason, Leaving: d.leaving.Load(),
 		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc, Settled: d.settle.Settled(),
 		Config: d.follower.Status(), Rings: append(d.pipeline.State(), d.settle.Ring()), Admit: d.admit.State(),
-		Retries: d.budget.State(), Claims: d.claims.State(), ServersOf: d.knowledge.State(), Peers: d.exchange.State(),
+		Retries: d.budget.State(), Claims: d.claims.State(), Reviews: d.reviews.State(), ServersOf: d.knowledge.State(), Peers: d.exchange.State(),
 	}
 }
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -116,9 +116,9 @@
 	r.done <- err
 }
 
-// Wait waits for the computing stages to pass or refuse the request. Nothing
-// runs for a caller that goes away while it waits.
-func (r *Request) Wait() *apierror.Error { return <-r.done }
+// Decided brings the refusal of the computing stages, or nil when they passed
+// the request.
+func (r *Request) Decided() <-chan *apierror.Error { return r.done }
 
 // OnRelease sets how admit gets back the room the request takes.
 func (r *Request) OnRelease(release func()) { r.release = release }
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -31,6 +31,8 @@
 	stages []flow.Stage
 	rings  []*ring.Ring[*flow.Request]
 	ended  sync.WaitGroup
+	// stopped is closed once all loops have ended.
+	stopped chan struct{}
 }
 
 // New joins the stages; they do nothing before Start.
@@ -38,7 +40,7 @@
 	if cfg.Capacity == 0 {
 		cfg.Capacity = DefaultCapacity
 	}
-	p := &Pipeline{stages: cfg.Stages}
+	p := &Pipeline{stages: cfg.Stages, stopped: make(chan struct{})}
 	for _, stage := range cfg.Stages {
 		p.rings = append(p.rings, ring.New[*flow.Request](ring.Config{Name: stage.Name(), Capacity: cfg.Capacity}))
 	}
@@ -50,10 +52,17 @@
 	for i, stage := range p.stages {
 		p.ended.Go(func() { stage.Loop(ctx, p.rings[i], p.next(i)) })
 	}
+	go p.loopEnd()
+}
+
+// loopEnd waits for the end of all loops.
+func (p *Pipeline) loopEnd() {
+	p.ended.Wait()
+	close(p.stopped)
 }
 
 // Wait waits until all stages have ended.
-func (p *Pipeline) Wait() { p.ended.Wait() }
+func (p *Pipeline) Wait() { <-p.stopped }
 
 // next gives the function that hands a request from a stage to the one after.
 func (p *Pipeline) next(stage int) func(*flow.Request) {
@@ -73,7 +82,19 @@
 // the request may be dispatched.
 func (p *Pipeline) Run(request *flow.Request) *apierror.Error {
 	p.offer(0, request)
-	return request.Wait()
+	select {
+	case refusal := <-request.Decided():
+		return refusal
+	case <-p.stopped:
+	}
+	// All loops have ended, so nobody decides on the request any more; it may
+	// have been decided just before.
+	select {
+	case refusal := <-request.Decided():
+		return refusal
+	default:
+		return apierror.NotReady("stopping", time.Second, "this entry box is stopping")
+	}
 }
 
 // State describes the rings.
--- /dev/null
+++ b/internal/review/fold_test.go
@@ -0,0 +1,128 @@
+package review
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// step is one record in a table of the fold.
+type step struct {
+	offset  int64
+	kind    Kind
+	repeats int64
+	after   time.Duration
+}
+
+func play(steps []step) *entry {
+	f := newFold()
+	begin := time.Unix(1_000_000, 0)
+	for _, s := range steps {
+		meta := Meta{ID: "r", Organisation: "one", Accepted: begin}
+		for _, record := range split(s.kind, meta, s.repeats, nil) {
+			data, err := record.encode()
+			if err != nil {
+				panic(err)
+			}
+			f.apply(s.offset, begin.Add(s.after), data)
+		}
+	}
+	return f.reviews["r"]
+}
+
+func TestTheFirstEndInLogOrderCounts(t *testing.T) {
+	const none = original
+	cases := []struct {
+		name  string
+		steps []step
+		want  Status
+		// ended is the offset where the end's content lies.
+		ended int64
+	}{
+		{"waiting", []step{{0, KindAccepted, none, 0}}, StatusQueued, -1},
+		{"completed", []step{{0, KindAccepted, none, 0}, {1, KindCompleted, none, 0}}, StatusCompleted, 1},
+		{"completed twice", []step{{0, KindAccepted, none, 0}, {1, KindCompleted, none, 0}, {2, KindCompleted, none, 0}}, StatusCompleted, 1},
+		{"completed and then cancelled", []step{{0, KindAccepted, none, 0}, {1, KindCompleted, none, 0}, {2, KindCancelled, none, 0}}, StatusCompleted, 1},
+		{"cancelled and then completed", []step{{0, KindAccepted, none, 0}, {1, KindCancelled, none, 0}, {2, KindCompleted, none, 0}}, StatusCancelled, 1},
+		{"the first is held only as a repetition that comes later", []step{{5, KindFailed, none, 0}, {7, KindCompleted, 1, 0}}, StatusCompleted, 7},
+		{"a repetition moves the content", []step{{1, KindCompleted, none, 0}, {7, KindCompleted, 1, 0}}, StatusCompleted, 7},
+		{"an end without the request", []step{{9, KindCompleted, 1, 0}}, StatusCompleted, 9},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := play(c.steps)
+			g.Expect(e.status()).To(Equal(c.want))
+			if c.ended >= 0 {
+				g.Expect(e.ended.last()).To(Equal(c.ended))
+			}
+		})
+	}
+}
+
+func TestWhatIsStillNeededIsAppendedAgainInTime(t *testing.T) {
+	const none, day = original, 24 * time.Hour
+	cases := []struct {
+		name  string
+		steps []step
+		now   time.Duration
+		want  Kind
+	}{
+		{"a young one", []step{{0, KindAccepted, none, 0}}, day / 4, 0},
+		{"a waiting one at half of the retention", []step{{0, KindAccepted, none, 0}}, day/2 + time.Minute, KindAccepted},
+		{"one that was appended again", []step{{0, KindAccepted, none, 0}, {3, KindAccepted, 0, day / 2}}, day * 3 / 4, 0},
+		{"an ended one", []step{{0, KindAccepted, none, 0}, {1, KindCompleted, none, 0}}, day/2 + time.Minute, KindCompleted},
+		{"an end that lies before a repeated request", []step{{0, KindAccepted, none, 0}, {1, KindCompleted, none, 0}, {2, KindAccepted, 0, 0}}, 0, KindCompleted},
+		{"a deletion that lies before a repeated request", []step{{0, KindAccepted, none, 0}, {1, KindDeleted, none, 0}, {2, KindAccepted, 0, 0}}, 0, KindDeleted},
+		{"a deleted one", []step{{0, KindAccepted, none, 0}, {1, KindCompleted, none, 0}, {2, KindDeleted, none, 0}}, day / 4, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(play(c.steps).due(time.Unix(1_000_000, 0).Add(c.now), day)).To(Equal(c.want))
+		})
+	}
+}
+
+func TestNothingIsForgottenWhileARecordCouldBringItBack(t *testing.T) {
+	g := NewWithT(t)
+	const day = 24 * time.Hour
+	begin := time.Unix(1_000_000, 0)
+	ended := play([]step{{0, KindAccepted, original, 0}, {1, KindCompleted, original, time.Hour}})
+	g.Expect(ended.forgettable(begin.Add(2*time.Hour), time.Minute, day)).To(BeFalse(), "the request is still held")
+	g.Expect(ended.forgettable(begin.Add(25*time.Hour), time.Minute, day)).To(BeTrue())
+	g.Expect(ended.forgettable(begin.Add(25*time.Hour), 2*day, day)).To(BeFalse(), "the answer is still kept")
+	waiting := play([]step{{0, KindAccepted, original, 0}})
+	g.Expect(waiting.forgettable(begin.Add(100*day), time.Minute, day)).To(BeFalse())
+}
+
+func TestContentsTravelInParts(t *testing.T) {
+	g := NewWithT(t)
+	content := make([]byte, 3*partBytes+5)
+	records := split(KindAccepted, Meta{ID: "r", Organisation: "one"}, original, content)
+	g.Expect(records).To(HaveLen(4))
+	f := newFold()
+	for i, record := range records {
+		data, err := record.encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		e := f.apply(int64(10+2*i), time.Unix(0, 0), data)
+		g.Expect(e != nil).To(Equal(i == 3), "part %d", i)
+	}
+	g.Expect(f.reviews["r"].accepted.offsets).To(Equal([]int64{10, 12, 14, 16}))
+}
+
+func FuzzFold(f *testing.F) {
+	data, err := split(KindAccepted, Meta{ID: "r"}, original, nil)[0].encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		folded := newFold()
+		if e := folded.apply(0, time.Unix(0, 0), data); e != nil {
+			e.due(time.Unix(1, 0), time.Hour)
+			e.status()
+		}
+	})
+}
--- a/internal/testfleet/testfleet.go
+++ b/internal/testfleet/testfleet.go
@@ -154,6 +154,9 @@
 // Stop begins a planned stop, as SIGTERM does.
 func (b *Box) Stop() { b.cancel() }
 
+// Kill ends the box as a crash does: no port answers and no duty goes on.
+func (b *Box) Kill() { b.Abort() }
+
 // Wait waits for the end of a planned stop.
 func (b *Box) Wait() error {
 	select {
