--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LDFLAGS := -X github.com/cometlock/cometlock/internal/version.Version=$(VERSION)
 PACKAGES := ./...
 
-.PHONY: all build run fleet test unit lint format generate bench policy clean
+.PHONY: all build run fleet test fuzz unit lint format generate bench policy clean
 
 all: build
 
@@ -21,7 +21,12 @@
 	./scripts/fleet.sh
 
 # Everything that CI checks.
-test: format lint unit
+test: format lint unit fuzz
+
+# Every decoder of bytes from outside, on a fixed number of inputs each.
+FUZZ_INPUTS ?= 3000
+fuzz:
+	./scripts/fuzz.sh $(FUZZ_INPUTS)
 
 unit:
 	go test -race -timeout 5m $(PACKAGES)
--- /dev/null
+++ b/internal/api/accept_test.go
@@ -0,0 +1,63 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/flow"
+	"github.com/cometlock/cometlock/internal/prefix"
+)
+
+func TestTheEngineGetsThePromptThatPlaceHashed(t *testing.T) {
+	g := NewWithT(t)
+	request := flow.NewRequest(context.Background())
+	body := `{"model":"m","messages":[ {"role":"user", "content":"a < b & c > d \u00e9"} ],"cache_salt":"mine","priority":0,"service_tier":"flex","temperature":0.5}`
+	parsed, refusal := parseModelRequest([]byte(body), fieldMessages, request)
+	g.Expect(refusal).To(BeNil())
+	request.Salt = prefix.NewSalt("o", "m", "v")
+	sent, refusal := engineBody(parsed, request)
+	g.Expect(refusal).To(BeNil())
+	var got map[string]json.RawMessage
+	g.Expect(json.Unmarshal(sent, &got)).To(Succeed())
+	g.Expect(string(got["messages"])).To(Equal(string(request.Prompt)))
+	g.Expect(string(got["cache_salt"])).To(Equal(`"` + request.Salt.String() + `"`), "a caller's own salt counts for nothing")
+	g.Expect(string(got["priority"])).To(Equal("20"))
+	g.Expect(string(got["temperature"])).To(Equal("0.5"))
+	g.Expect(got).NotTo(HaveKey("service_tier"))
+	g.Expect(strings.Count(string(sent), "cache_salt")).To(Equal(1))
+}
+
+func FuzzParseModelRequest(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[1],"stream":true}`))
+	f.Add([]byte(`{"model":"m","prompt":{"a":[null]}}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		for _, field := range []string{fieldMessages, fieldPrompt} {
+			request := flow.NewRequest(context.Background())
+			parsed, refusal := parseModelRequest(body, field, request)
+			if refusal != nil {
+				continue
+			}
+			sent, refusal := engineBody(parsed, request)
+			if refusal != nil {
+				t.Fatalf("accepted but not passed on: %v", refusal)
+			}
+			if !json.Valid(sent) {
+				t.Fatalf("the engine would get %q", sent)
+			}
+		}
+	})
+}
+
+func FuzzAcceptReview(f *testing.F) {
+	f.Add([]byte(`{"model":"m","background":true,"input":[{"role":"user","content":[{"type":"input_text","text":"x"}]}]}`))
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		var parsed responseRequest
+		if json.Unmarshal(body, &parsed) == nil {
+			_, _ = parsed.chat()
+		}
+	})
+}
--- a/internal/configlog/apply.go
+++ b/internal/configlog/apply.go
@@ -23,6 +23,9 @@
 
 // Error implements the error interface.
 func (e *BeatenError) Error() string {
+	if e.ApplyID == "" {
+		return fmt.Sprintf("version %d is in force, which is not the one that was planned against", e.Version)
+	}
 	return fmt.Sprintf("another change came first: version %d by apply %s is in force", e.Version, e.ApplyID)
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -115,8 +115,12 @@
 	defer cancel()
 	f.mu.Lock()
 	f.interrupt = cancel
+	wait := f.cfg.PollWait
+	if f.reachable.IsZero() || f.logError != "" {
+		wait = 0 // find out first whether the log answers
+	}
 	f.mu.Unlock()
-	atEnd, err := f.reader.Poll(pollCtx, f.cfg.PollWait, f.see)
+	atEnd, err := f.reader.Poll(pollCtx, wait, f.see)
 	interrupted := pollCtx.Err() != nil
 	f.noteLog(err, interrupted)
 	f.publish(SourceLog)
--- /dev/null
+++ b/internal/schemagen/generate.go
@@ -0,0 +1,3 @@
+package schemagen
+
+//go:generate go run ./write ../../schema/cometlock.schema.json
--- /dev/null
+++ b/internal/schemagen/write/main.go
@@ -0,0 +1,20 @@
+// Command write writes the schema into the file that is its argument.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cometlock/cometlock/internal/schemagen"
+)
+
+func main() {
+	data, err := schemagen.Generate()
+	if err == nil {
+		err = os.WriteFile(os.Args[1], data, 0o644)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/scripts/fuzz.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs every fuzz target of the repository on a fixed number of inputs.
+set -eu
+cd "$(dirname "$0")/.."
+inputs=$1
+mkdir -p bin
+grep -rlE '^func Fuzz' --include='*_test.go' internal | sort | while read -r file; do
+  package=./$(dirname "$file")
+  grep -oE '^func Fuzz[A-Za-z]+' "$file" | sed 's/func //' | while read -r target; do
+    echo "fuzz $package $target: $inputs inputs"
+    go test -run '^$' -fuzz "^$target\$" -fuzztime "${inputs}x" -parallel 4 "$package" >bin/fuzz.log 2>&1 </dev/null ||
+      { cat bin/fuzz.log; exit 1; }
+  done
+done
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -8,6 +8,7 @@
   --log 127.0.0.1:8083 --box-list 127.0.0.1:8084 --drain-delay 0s &
 daemon=$!
 trap 'kill -TERM "$daemon" 2>/dev/null; wait "$daemon"' EXIT
+trap 'exit 143' INT TERM
 for _ in $(seq 100); do
   if ./bin/cometlock status --boxes 127.0.0.1:8081 >/dev/null 2>&1 &&
     ./bin/cometlock status --boxes 127.0.0.1:8081 -o json | grep -q '"ready": true'; then
