--- a/internal/api/accept_test.go
+++ b/internal/api/accept_test.go
@@ -24,7 +24,7 @@
 	var got map[string]json.RawMessage
 	g.Expect(json.Unmarshal(sent, &got)).To(Succeed())
 	g.Expect(string(got["messages"])).To(Equal(string(request.Prompt)))
-	g.Expect(string(got["cache_salt"])).To(Equal(`"` + request.Salt.String() + `"`), "a caller's own salt counts for nothing")
+	g.Expect(string(got["cache_salt"])).To(Equal(`"`+request.Salt.String()+`"`), "a caller's own salt counts for nothing")
 	g.Expect(string(got["priority"])).To(Equal("20"))
 	g.Expect(string(got["temperature"])).To(Equal("0.5"))
 	g.Expect(got).NotTo(HaveKey("service_tier"))
--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,96 @@
+// Package bench measures cometlock on one machine and prints the figures that
+// docs/ quotes.
+//
+// Wall-clock figures are only worth something beside others of the same run, so
+// every one is measured together with its baseline: the same client straight to
+// the same stand-in. Slopes (what one more organisation, runner or kept context
+// costs) feed docs/CAPACITY.md through `cometlock capacity`.
+package bench
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cometlock/cometlock/internal/policybench"
+	"github.com/cometlock/cometlock/internal/version"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// section is one part of the run.
+type section struct {
+	name string
+	help string
+	run  func(out io.Writer) error
+}
+
+func sections() []section {
+	return []section{
+		{"overhead", "time and CPU added to a streamed request", overhead},
+		{"streams", "memory of open streams", openStreams},
+		{"apply", "time from apply to in force on eight entry boxes", applyTime},
+		{"claims", "claims a second and their latency at a log of 200 appends a second", claims},
+		{"slopes", "what one more of everything costs", printSlopes},
+		{"policy", "placement policies on the loads of both deployments", policybench.Run},
+	}
+}
+
+// Main runs the sections that are named, or all.
+func Main(args []string, out, errOut io.Writer) int {
+	parser := flaggy.NewParser("cometlock-bench")
+	parser.Description = "Measure cometlock. Without a command, everything."
+	parser.Version = version.Version
+	parser.ShowCompletion = false
+	rows := sections()
+	subcommands := make([]*flaggy.Subcommand, len(rows))
+	for i, row := range rows {
+		subcommands[i] = flaggy.NewSubcommand(row.name)
+		subcommands[i].Description = row.help
+		parser.AttachSubcommand(subcommands[i], 1)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(errOut, "cometlock-bench:", err)
+		return exitUsage
+	}
+	fmt.Fprintf(out, "# cometlock %s, %s, %d cores\n", version.Version, runtime.Version(), runtime.NumCPU())
+	for i, row := range rows {
+		if len(args) > 0 && !subcommands[i].Used {
+			continue
+		}
+		fmt.Fprintf(out, "\n## %s: %s\n", row.name, row.help)
+		if err := row.run(out); err != nil {
+			fmt.Fprintln(errOut, "cometlock-bench:", row.name+":", err)
+			return exitFailed
+		}
+	}
+	return exitOK
+}
+
+// cpuTime is the processor time that this process has used.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// sampleFile is the configuration that the fleets of the bench use.
+const sampleFile = "examples/local.yaml"
+
+// inRepository reports whether the sample file is there.
+func inRepository() error {
+	_, err := os.Stat(sampleFile)
+	return err
+}
--- /dev/null
+++ b/internal/bench/streams.go
@@ -0,0 +1,163 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/fakeengine"
+	"github.com/cometlock/cometlock/internal/testfleet"
+)
+
+// Files that an open stream takes in this process: both ends of the caller's
+// connection and both ends of the engine's.
+const (
+	filesPerStream = 4
+	spareFiles     = 500
+	wantedStreams  = 10_000
+)
+
+// openStreams holds many streams open at once and measures what they take.
+func openStreams(out io.Writer) error {
+	if err := inRepository(); err != nil {
+		return err
+	}
+	streams, files := possibleStreams()
+	straight, err := heldMemory(streams, false)
+	if err != nil {
+		return err
+	}
+	boxed, err := heldMemory(streams, true)
+	if err != nil {
+		return err
+	}
+	perStream := float64(boxed-straight) / float64(streams)
+	fmt.Fprintf(out, "%d open streams (the rig's limit: %d open files in one process, %d a stream with client and engine)\n", streams, files, filesPerStream)
+	fmt.Fprintf(out, "  straight to the engine: %d KiB a stream; through an entry box: %d KiB; the entry box alone: %.1f KiB\n",
+		straight/uint64(streams)>>10, boxed/uint64(streams)>>10, perStream/1024)
+	fmt.Fprintf(out, "  %d streams at that rate: %.0f MB\n", wantedStreams, perStream*wantedStreams/1e6)
+	return nil
+}
+
+func possibleStreams() (streams, files int) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return wantedStreams / filesPerStream, 0
+	}
+	files = int(min(limit.Cur, 1<<20))
+	return min(wantedStreams, (files-spareFiles)/filesPerStream), files
+}
+
+// heldMemory opens streams, straight or through an entry box, and gives the heap
+// and stacks that they take.
+func heldMemory(streams int, throughBox bool) (uint64, error) {
+	fleet, err := testfleet.Start(testfleet.Config{
+		File: sampleFile, Zones: []string{"zone-a"},
+		Engine: fakeengine.Config{DecodeInterval: time.Hour, PrefillTokensPerSecond: 0},
+		Change: func(file *config.File) { widen(file, streams) },
+	})
+	if err != nil {
+		return 0, err
+	}
+	defer fleet.Close()
+	if err := waitReady(fleet.Box(0)); err != nil {
+		return 0, err
+	}
+	at := target{url: "http://" + fleet.Box(0).CallerAddress() + "/v1/chat/completions", header: http.Header{"Authorization": {"Bearer " + testfleet.KeyNordlys}}}
+	if !throughBox {
+		at = target{url: "http://" + engineAddress(fleet) + "/v1/chat/completions", header: http.Header{}}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	before := settledMemory()
+	if err := openMany(ctx, fleet, at, streams); err != nil {
+		return 0, err
+	}
+	return settledMemory() - before, nil
+}
+
+// widen makes room for all streams at once.
+func widen(file *config.File, streams int) {
+	for i := range file.BackendServers {
+		if file.BackendServers[i].Role == config.RoleRunner {
+			file.BackendServers[i].Slots = 2 * streams
+		}
+	}
+	for i := range file.Organisations {
+		file.Organisations[i].MaxInFlight = 2 * streams
+	}
+	file.Limits.QueueLength = 2 * streams
+}
+
+// openMany opens streams and waits until the engines have them all. The answers
+// have not begun, so each takes what a waiting stream takes.
+func openMany(ctx context.Context, fleet *testfleet.Fleet, at target, streams int) error {
+	client := &http.Client{Transport: &http.Transport{}}
+	var ended sync.WaitGroup
+	gate := make(chan struct{}, 64)
+	for i := range streams {
+		gate <- struct{}{}
+		held := &heldStream{client: client, at: at, text: fmt.Sprint("stream ", i), gate: gate}
+		go held.loop(ctx)
+	}
+	ended.Wait()
+	for range 2000 {
+		if runsAtEngines(fleet) >= streams {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return errors.New("not all streams reached the engines")
+}
+
+func runsAtEngines(fleet *testfleet.Fleet) int {
+	runs := 0
+	for _, server := range fleet.Set().File().BackendServers {
+		if server.Role == config.RoleRunner {
+			runs += len(fleet.Set().Engine(server.Name).Ledger().Starts)
+		}
+	}
+	return runs
+}
+
+// heldStream is one request that is left open.
+type heldStream struct {
+	client *http.Client
+	at     target
+	text   string
+	gate   chan struct{}
+}
+
+func (h *heldStream) loop(ctx context.Context) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, h.at.url, newBody(h.text))
+	if err != nil {
+		return
+	}
+	for name, values := range h.at.header {
+		request.Header[name] = values
+	}
+	time.AfterFunc(20*time.Millisecond, func() { <-h.gate })
+	response, err := h.client.Do(request)
+	if err == nil {
+		_, _ = io.Copy(io.Discard, response.Body) // until the bench ends
+		_ = response.Body.Close()
+	}
+}
+
+// settledMemory is the heap and stack in use after the collector has run.
+func settledMemory() uint64 {
+	var memory runtime.MemStats
+	for range 3 {
+		runtime.GC()
+		time.Sleep(50 * time.Millisecond)
+	}
+	runtime.ReadMemStats(&memory)
+	return memory.HeapInuse + memory.StackInuse
+}
--- /dev/null
+++ b/internal/capacity/capacity.go
@@ -0,0 +1,178 @@
+// Package capacity works out what a deployment of a given size takes, from
+// slopes that the bench measured: what one more organisation, runner, kept
+// context, claim or box costs.
+package capacity
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+)
+
+//go:embed slopes.json
+var measuredSlopes []byte
+
+// Slopes are what one more of something costs, as `make slopes` measured it.
+type Slopes struct {
+	// Configuration.
+	OrganisationBytes      float64 `json:"organisation_bytes"`     // memory
+	OrganisationLogBytes   float64 `json:"organisation_log_bytes"` // in a packed checkpoint
+	ChangeBytes            float64 `json:"change_bytes"`           // a change of one organisation
+	ChangeNanos            float64 `json:"change_nanos"`           // fold and index, at 10,000 organisations
+	ChangeNanosPerEntry    float64 `json:"change_nanos_per_entry"` // the same, by entry
+	StatusBytes            float64 `json:"status_bytes"`           // one message between boxes
+	StatusNanos            float64 `json:"status_nanos"`           // to write and read it
+	DecisionNanosPerRunner float64 `json:"decision_nanos_per_runner"`
+	DecisionNanos          float64 `json:"decision_nanos"` // at 82 runners and 65,000 contexts
+	ContextBytes           float64 `json:"context_bytes"`  // memory of a known context
+	EventNanos             float64 `json:"event_nanos"`    // to fold one cache event
+	ReportNanos            float64 `json:"report_nanos"`   // to read and fold a load report
+	ReportBytes            float64 `json:"report_bytes"`
+	EventBytes             float64 `json:"event_bytes"` // one cache event on the wire
+	ClaimBytes             float64 `json:"claim_bytes"` // memory of an open claim
+	ClaimLogBytes          float64 `json:"claim_log_bytes"`
+	ReviewBytes            float64 `json:"review_bytes"` // memory of a waiting review
+}
+
+// Measured gives the slopes that are built into the program.
+func Measured() (Slopes, error) {
+	var slopes Slopes
+	if err := json.Unmarshal(measuredSlopes, &slopes); err != nil {
+		return Slopes{}, merry.Prepend(err, "read the measured slopes")
+	}
+	return slopes, nil
+}
+
+// Size is the size of a deployment.
+type Size struct {
+	Nodes           int
+	Zones           int
+	Runners         int
+	Organisations   int
+	Contexts        int
+	ChangesPerDay   int
+	RequestsPerSec  float64
+	TokensPerSec    float64
+	ClaimPart       float64 // part of the requests that carry a key
+	ReviewsWaiting  int
+	BlocksPerPrompt int // whole blocks of a typical context
+	NewBlocksPerReq float64
+	Restarts        int // boxes replaced a day
+}
+
+// TwoYears is the size of the users' first letter.
+func TwoYears() Size {
+	return Size{
+		Nodes: 360, Zones: 17, Runners: 1400, Organisations: 10_000, Contexts: 1_100_000, ChangesPerDay: 3400,
+		RequestsPerSec: 1900, TokensPerSec: 590_000, ClaimPart: 0.05, ReviewsWaiting: 20_000, BlocksPerPrompt: 40,
+		NewBlocksPerReq: 6, Restarts: 450 + 26,
+	}
+}
+
+// Limits are what the users grant control on a node.
+type Limits struct {
+	CorePercent float64
+	MemoryMB    float64
+	BytesPerSec float64
+	LogAppends  float64
+}
+
+// UsersLimits are the limits of the users' first letter.
+func UsersLimits() Limits {
+	return Limits{CorePercent: 2.3, MemoryMB: 256, BytesPerSec: 4000, LogAppends: 300}
+}
+
+// Row is one line of the table: what one mechanism takes on one node.
+type Row struct {
+	Role      string  `json:"role"`
+	Mechanism string  `json:"mechanism"`
+	State     string  `json:"state"`
+	MemoryMB  float64 `json:"memory_mb"`
+	CorePart  float64 `json:"core_percent"`
+	Bytes     float64 `json:"bytes_per_second"`
+	Appends   float64 `json:"log_appends_per_second"`
+}
+
+// Pace of the mechanisms, as the daemon has it by default.
+const (
+	statusFanout    = 3.0 // exchanges a second, each a message both ways, and the same again received
+	reportsPerSec   = 2.0 // looks at each runner a second
+	claimKeepHours  = 2.0
+	batchSeconds    = 0.005
+	checkpointEvery = 200.0
+	day             = 86_400.0
+	mega            = 1e6
+	percent         = 100.0
+	nanos           = 1e-9
+)
+
+// Table works the rows out for one node of a deployment.
+func Table(size Size, s Slopes) []Row {
+	nodesInZone := float64(size.Nodes) / float64(size.Zones)
+	runners := float64(size.Runners) / float64(size.Zones)
+	requests := size.RequestsPerSec / float64(size.Nodes)
+	zoneRequests := size.RequestsPerSec / float64(size.Zones)
+	contexts := float64(size.Contexts) / float64(size.Zones)
+	changes := float64(size.ChangesPerDay) / day
+	entries := float64(size.Organisations + size.Runners)
+	claims := size.RequestsPerSec * size.ClaimPart
+	events := zoneRequests * size.NewBlocksPerReq * 2 // stored and evicted
+	rows := []Row{
+		{
+			Role: "entry box", Mechanism: "configuration by log tail", State: "all organisations and servers",
+			MemoryMB: entries * s.OrganisationBytes / mega, CorePart: percent * changes * s.ChangeNanosPerEntry * entries * nanos,
+			Bytes:   changes * (s.ChangeBytes + entries*s.OrganisationLogBytes/checkpointEvery),
+			Appends: changes / checkpointEvery,
+		},
+		{
+			Role: "entry box", Mechanism: "exchange between boxes", State: "one status a peer heard of",
+			MemoryMB: float64(size.Nodes) * s.StatusBytes / mega, CorePart: percent * 2 * statusFanout * s.StatusNanos * nanos,
+			Bytes: 2 * statusFanout * 2 * s.StatusBytes,
+		},
+		{
+			Role: "entry box", Mechanism: "load reports of the zone's runners", State: "one report a runner",
+			CorePart: percent * runners * reportsPerSec * s.ReportNanos * nanos, Bytes: runners * reportsPerSec * s.ReportBytes,
+		},
+		{
+			Role: "entry box", Mechanism: "cache events of the zone's runners", State: "landmark blocks of the zone's contexts",
+			MemoryMB: contexts * s.ContextBytes / mega, CorePart: percent * events * s.EventNanos * nanos, Bytes: events * s.EventBytes,
+		},
+		{
+			Role: "entry box", Mechanism: "placement", State: "scratch space", CorePart: percent * requests * s.DecisionNanos * nanos,
+		},
+		{
+			Role: "entry box", Mechanism: "claims, all streams followed by all boxes (today)", State: "keys of two hours",
+			MemoryMB: claims * claimKeepHours * 3600 * s.ClaimBytes / mega, Bytes: claims * 2 * s.ClaimLogBytes,
+			Appends: min(claims, float64(size.Nodes)/batchSeconds) * 2 / float64(size.Nodes),
+		},
+		{
+			Role: "entry box", Mechanism: "claims, two writers a zone and stream (planned)", State: "keys of two hours of the own streams",
+			MemoryMB: claims * claimKeepHours * 3600 * s.ClaimBytes / mega * 2 / nodesInZone, Bytes: claims * 2 * s.ClaimLogBytes * 2 / nodesInZone,
+			Appends: 2 / (batchSeconds * 4) / nodesInZone,
+		},
+		{
+			Role: "entry box", Mechanism: "reviews by log tail", State: "waiting reviews, without their requests",
+			MemoryMB: float64(size.ReviewsWaiting) * s.ReviewBytes / mega,
+		},
+	}
+	return rows
+}
+
+// Print writes the table, its sums and where a limit is passed.
+func Print(out io.Writer, size Size, rows []Row, limits Limits) {
+	fmt.Fprintf(out, "one entry box of %d in %d zones, before %d runners, %d organisations, %d contexts, %.0f requests/s, %d changes a day\n\n",
+		size.Nodes, size.Zones, size.Runners, size.Organisations, size.Contexts, size.RequestsPerSec, size.ChangesPerDay)
+	fmt.Fprintf(out, "| mechanism | state | memory MB | core %% | bytes/s | appends/s |\n|---|---|---:|---:|---:|---:|\n")
+	for _, r := range rows {
+		fmt.Fprintf(out, "| %s | %s | %.2f | %.4f | %.0f | %.3f |\n", r.Mechanism, r.State, r.MemoryMB, r.CorePart, r.Bytes, r.Appends)
+	}
+	fmt.Fprintf(out, "\nlimits a node: %.0f MB, %.1f%% of a core, %.0f bytes/s\n", limits.MemoryMB, limits.CorePercent, limits.BytesPerSec)
+	for _, r := range rows {
+		if r.MemoryMB > limits.MemoryMB || r.CorePart > limits.CorePercent || r.Bytes > limits.BytesPerSec {
+			fmt.Fprintf(out, "over a limit by itself: %s\n", r.Mechanism)
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/capacity.go
@@ -0,0 +1,38 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cometlock/cometlock/internal/capacity"
+)
+
+// sizeFlags adds the flags that describe a deployment; their defaults are the
+// size to design for.
+func (t *tool) sizeFlags(sub *flaggy.Subcommand) {
+	size := &t.options.size
+	sub.Int(&size.Nodes, "", "nodes", "entry boxes (number)")
+	sub.Int(&size.Zones, "", "zones", "availability zones (number)")
+	sub.Int(&size.Runners, "", "runners", "model runners (number)")
+	sub.Int(&size.Organisations, "", "organisations", "organisations (number)")
+	sub.Int(&size.Contexts, "", "contexts", "contexts that return (number)")
+	sub.Int(&size.ChangesPerDay, "", "changes", "configuration changes (a day)")
+	sub.Float64(&size.RequestsPerSec, "", "requests", "requests (a second)")
+	sub.Float64(&size.ClaimPart, "", "claim-part", "part of the requests that carry an idempotency key (0 to 1)")
+	sub.Int(&size.ReviewsWaiting, "", "reviews", "waiting reviews (number)")
+}
+
+// capacity prints what one entry box takes at a size.
+func (t *tool) capacity(context.Context, string) error {
+	slopes, err := capacity.Measured()
+	if err != nil {
+		return err
+	}
+	rows := capacity.Table(t.options.size, slopes)
+	if t.json() {
+		return t.printJSON(rows)
+	}
+	capacity.Print(t.out, t.options.size, rows, capacity.UsersLimits())
+	return nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -20,6 +20,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/cometlock/cometlock/internal/boxlist"
+	"github.com/cometlock/cometlock/internal/capacity"
 	"github.com/cometlock/cometlock/internal/config"
 	"github.com/cometlock/cometlock/internal/configlog"
 	"github.com/cometlock/cometlock/internal/logservice"
@@ -56,6 +57,7 @@
 	waitTimeout time.Duration
 	lookFor     time.Duration
 	base        string
+	size        capacity.Size
 }
 
 // tool runs one command.
@@ -83,6 +85,7 @@
 		{"requests", "", false, "list the reviews that wait or run, with age and deadline", (*tool).requests},
 		{"dump", "box", true, "print the whole state of one entry box, or of all, as JSON", (*tool).dump},
 		{"drain", "box", false, "begin a planned stop of an entry box", (*tool).drain},
+		{"capacity", "", false, "work out what an entry box takes at a size, from measured slopes", (*tool).capacity},
 	}
 }
 
@@ -91,6 +94,7 @@
 	t := &tool{out: out, err: errOut, options: options{
 		log: getenv("COMETLOCK_LOG"), boxList: getenv("COMETLOCK_BOX_LIST"), boxes: getenv("COMETLOCK_BOXES"),
 		operatorKey: getenv("COMETLOCK_OPERATOR_KEY"), output: "text", waitTimeout: 30 * time.Second, lookFor: 10 * time.Second,
+		size: capacity.TwoYears(),
 	}}
 	chosen, argument, err := t.parse(args)
 	if err != nil {
@@ -132,6 +136,9 @@
 			sub.Duration(&t.options.lookFor, "", "look-for", "how long to look for a change whose append got no answer (duration)")
 			sub.String(&t.options.base, "", "base", "apply only if this version is in force, as plan showed it")
 		}
+		if row.name == "capacity" {
+			t.sizeFlags(sub)
+		}
 		parser.AttachSubcommand(sub, 1)
 		subcommands[i] = sub
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,7 +166,10 @@
 	// The way of a request.
 	d.budget = retrybudget.New(retrybudget.Config{})
 	d.admit = admit.New(admit.Config{Room: d.room})
-	placing := place.New(place.Config[decide.Cheapest]{Knowledge: d.knowledge})
+	placing := place.New(place.Config[decide.TwoHomes]{
+		Knowledge: d.knowledge,
+		Policy:    decide.TwoHomes{Spare: decide.DefaultSpare, Factor: decide.DefaultFactor},
+	})
 	d.pipeline = pipeline.New(pipeline.Config{
 		Capacity: d.settings.RingCapacity,
 		Stages:   []flow.Stage{authenticate.New(), d.admit, placing},
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -51,3 +51,6 @@
 		Retries: d.budget.State(), Claims: d.claims.State(), Reviews: d.reviews.State(), ServersOf: d.knowledge.State(), Peers: d.exchange.State(),
 	}
 }
+
+// ConfigVersion gives the version of the configuration in force.
+func (d *Daemon) ConfigVersion() int64 { return d.follower.State().Version }
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -81,8 +81,8 @@
 	Choose(query Query, runners []Runner) Decision
 }
 
-// Cheapest is the policy in use: the lowest cost over all runners, with and
-// without a fetch.
+// Cheapest takes the lowest cost over all runners, with and without a fetch. It
+// is right for prompts that share nothing; for others see TwoHomes.
 type Cheapest struct{}
 
 // Choose implements Policy.
--- /dev/null
+++ b/internal/decide/twohomes.go
@@ -0,0 +1,102 @@
+package decide
+
+import "math"
+
+// TwoHomes is the policy in use. Rendezvous hashing gives every prompt a first
+// and a second home; a request leaves its first home only for capacity that
+// would lie idle.
+//
+// Cheapest looks better at every single choice and is far worse over time: under
+// load it recomputes a context wherever the queue is short, the copies push
+// other contexts out of the caches, those are recomputed elsewhere too, and the
+// work that this makes keeps the queues long (docs/design/placement.md has the
+// figures). Two rules break the circle. A context has at most two places, so
+// copies are few; and a request moves only to a runner whose wait is below Spare,
+// so when nothing is idle nobody moves, and overload adds no work.
+type TwoHomes struct {
+	// Spare is the wait in seconds below which a runner counts as idle.
+	Spare float64
+	// Factor is how many seconds of waiting one second of recomputing is worth,
+	// for a deployment that weighs both alike.
+	Factor float64
+}
+
+// Defaults of TwoHomes, from the policy bench.
+const (
+	DefaultSpare  = 1.0
+	DefaultFactor = 4.0
+)
+
+// shortTokens is the length up to which a prompt is not worth keeping together
+// with others: it takes the better of its two places, idle or not. It does not
+// take the best of all, since load reports are the same for every entry box and
+// lag: all boxes would send to the runner that was idle when it reported.
+const shortTokens = 1024
+
+// Choose implements Policy.
+func (t TwoHomes) Choose(query Query, runners []Runner) Decision {
+	first, second, warmest := homes(query, runners)
+	if first == NoRunner {
+		return Decision{Runner: NoRunner}
+	}
+	best := t.weigh(query, runners, first)
+	short := query.Tokens <= shortTokens
+	for _, other := range [...]int{second, warmest} {
+		if other == NoRunner || other == first || (!short && wait(&runners[other]) > t.Spare) {
+			continue
+		}
+		if candidate := t.weigh(query, runners, other); candidate.Cost < best.Cost {
+			best = candidate
+		}
+	}
+	return best
+}
+
+// homes finds the two eligible runners of lowest home rank, and the one that
+// holds the most of the prompt if that is more than half: after a runner has
+// gone or come, context may be warm where its home no longer is. A smaller part,
+// such as the beginning that all contexts of an organisation share, is no reason
+// to go anywhere; it would draw an organisation's new contexts to one runner.
+func homes(query Query, runners []Runner) (first, second, warmest int) {
+	first, second, warmest = NoRunner, NoRunner, NoRunner
+	most := query.Tokens / 2
+	for i := range runners {
+		runner := &runners[i]
+		if !runner.Eligible {
+			continue
+		}
+		switch {
+		case first == NoRunner || runner.Home < runners[first].Home:
+			first, second = i, first
+		case second == NoRunner || runner.Home < runners[second].Home:
+			second = i
+		}
+		held := min(runner.WarmTokens, query.Tokens)
+		if held > most || (held == most && warmest != NoRunner && runner.Home < runners[warmest].Home) {
+			warmest, most = i, held
+		}
+	}
+	return first, second, warmest
+}
+
+// weigh gives the better of running a query on a runner with and without a
+// fetch, by a cost in seconds of waiting.
+func (t TwoHomes) weigh(query Query, runners []Runner, at int) Decision {
+	runner := &runners[at]
+	best := t.cost(query, runner, false)
+	if runner.Fetch.Tokens > runner.WarmTokens {
+		if fetched := t.cost(query, runner, true); fetched.Cost < best.Cost {
+			best = fetched
+		}
+	}
+	best.Runner = at
+	return best
+}
+
+func (t TwoHomes) cost(query Query, runner *Runner, fetched bool) Decision {
+	decision := Estimate(query, runner, fetched)
+	factor := t.Factor * math.Max(1, query.RecomputeWeight/query.FirstTokenWeight)
+	prefill := float64(decision.Recomputed) / runner.PrefillRate
+	decision.Cost = decision.FirstToken - prefill + factor*prefill
+	return decision
+}
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -52,6 +52,8 @@
 	Waiting int `json:"waiting"`
 	// QueuedTokens is the prompt work not yet prefilled, in tokens.
 	QueuedTokens int `json:"queued_tokens"`
+	// QueuedInstantTokens is the part of it that goes before all else.
+	QueuedInstantTokens int `json:"queued_instant_tokens"`
 	// Weights is the loaded version of each model.
 	Weights []LoadedWeights `json:"weights"`
 	// Leaving says that the engine is about to stop and wants no new work.
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -94,6 +94,7 @@
 	loading  map[string]string
 	fence    int64
 	queued   int
+	instant  int // part of queued that is instant
 	reports  []timedStatus
 	sequence int64
 }
@@ -235,6 +236,9 @@
 	}
 	e.runs[r.id] = r
 	e.queued += r.chain.Tokens()
+	if r.priority <= engine.PriorityInstant {
+		e.instant += r.chain.Tokens()
+	}
 	e.mu.Unlock()
 	go r.loop(ctx, e)
 }
@@ -301,6 +305,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.queued -= r.chain.Tokens()
+	if r.priority <= engine.PriorityInstant {
+		e.instant -= r.chain.Tokens()
+	}
 	if computed {
 		e.ledger.PrefilledTokens += r.chain.Tokens() - cached
 		e.ledger.CachedTokens += cached
--- a/internal/fakeengine/handler.go
+++ b/internal/fakeengine/handler.go
@@ -260,7 +260,7 @@
 	e.sequence++
 	status := engine.Status{
 		Incarnation: e.incarnation, Sequence: e.sequence, Waiting: waiting,
-		QueuedTokens: e.queued, Leaving: e.faults.Leaving, LastEvent: last,
+		QueuedTokens: e.queued, QueuedInstantTokens: e.instant, Leaving: e.faults.Leaving, LastEvent: last,
 	}
 	for _, r := range e.runs {
 		if !r.isDone() {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -5,7 +5,10 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cometlock/cometlock/internal/apierror"
+	"github.com/cometlock/cometlock/internal/config"
 	"github.com/cometlock/cometlock/internal/decide"
 	"github.com/cometlock/cometlock/internal/flow"
 	"github.com/cometlock/cometlock/internal/prefix"
@@ -60,6 +63,7 @@
 func (s *Stage[P]) Choose(request *flow.Request, exclude []string) *apierror.Error {
 	choice, ok := zone.Choose(s.knowledge, s.policy, zone.Query{
 		Model: request.Model, Weights: request.Weights, Chain: request.Chain, Exclude: exclude,
+		Instant: request.Priority == config.PriorityInstant, Spread: xxhash.Sum64String(request.ID),
 	})
 	if !ok {
 		return apierror.NotReady("no_runner", time.Second, "no runner of the availability zone can serve %q now", request.Model)
--- /dev/null
+++ b/internal/policybench/load.go
@@ -0,0 +1,250 @@
+// Package policybench compares placement policies in virtual time: the real
+// decision code against fakes of runners, with no processes, no network and no
+// membership. The loads are small files beside this one, and a seed decides the
+// rest, so every figure can be had again.
+//
+// Nothing outside this package depends on it but the bench program; the users'
+// own bench will take its place.
+package policybench
+
+import (
+	"embed"
+	"encoding/json"
+	"math/rand/v2"
+	"sort"
+
+	"github.com/ansel1/merry/v2"
+)
+
+//go:embed loads/*.json
+var loadFiles embed.FS
+
+// Load describes what the callers of a deployment send and what serves it.
+type Load struct {
+	Deployment       string  `json:"deployment"`
+	FirstTokenWeight float64 `json:"first_token_weight"`
+	RecomputeWeight  float64 `json:"recompute_weight"`
+	Runners          int     `json:"runners"`
+	Boxes            int     `json:"boxes"`
+	Slots            int     `json:"slots"`
+	PrefillRate      float64 `json:"prefill_tokens_per_second"`
+	DecodeRate       float64 `json:"decode_tokens_per_second"`
+	CacheTokens      int     `json:"cache_tokens"`
+	ReportLag        float64 `json:"report_lag_seconds"`
+	// Organisations holds the part of the requests of each, in percent.
+	Organisations []float64 `json:"organisations"`
+	// SharedTokens is the length of the prefix that all contexts of an
+	// organisation share; ContextTokens that of what follows it.
+	SharedTokens   int    `json:"shared_tokens"`
+	ContextTokens  [2]int `json:"context_tokens"`
+	QuestionTokens [2]int `json:"question_tokens"`
+	InstantTokens  [2]int `json:"instant_tokens"`
+	OutputTokens   [2]int `json:"output_tokens"`
+	// NewContextPart is the part of the long requests whose context is new.
+	NewContextPart float64 `json:"new_context_part"`
+	// InstantPart is the part of the requests that are short and instant.
+	InstantPart float64 `json:"instant_part"`
+	// Every BurstEvery requests, BurstSize come at once.
+	BurstEvery int `json:"burst_every"`
+	BurstSize  int `json:"burst_size"`
+	Requests   int `json:"requests"`
+}
+
+// Loads reads the load files.
+func Loads() ([]Load, error) {
+	entries, err := loadFiles.ReadDir("loads")
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	var loads []Load
+	for _, entry := range entries {
+		data, err := loadFiles.ReadFile("loads/" + entry.Name())
+		if err != nil {
+			return nil, merry.Wrap(err)
+		}
+		var load Load
+		if err := json.Unmarshal(data, &load); err != nil {
+			return nil, merry.Prepend(err, entry.Name())
+		}
+		loads = append(loads, load)
+	}
+	return loads, nil
+}
+
+// segment is a piece of context that is cached as a whole.
+type segment struct {
+	id     int
+	tokens int
+}
+
+// request is one request of a load.
+type request struct {
+	at           float64 // seconds
+	organisation int
+	instant      bool
+	// segments are the prefix, in order; question is never cached.
+	segments []segment
+	question int
+	output   int
+	home     uint64
+}
+
+func (r *request) tokens() int {
+	total := r.question
+	for _, s := range r.segments {
+		total += s.tokens
+	}
+	return total
+}
+
+// generator makes the requests of a load from a seed.
+type generator struct {
+	load     Load
+	random   *rand.Rand
+	shared   []segment
+	contexts [][][]segment // of each organisation, in the order they came up
+	nextID   int
+}
+
+// generate makes the requests of a load with times of unit rate; see scale.
+func generate(load Load, seed uint64) []request {
+	g := &generator{load: load, random: rand.New(rand.NewPCG(seed, 1))}
+	for range load.Organisations {
+		g.shared = append(g.shared, g.segment(load.SharedTokens))
+		g.contexts = append(g.contexts, nil)
+	}
+	requests := make([]request, load.Requests)
+	at := 0.0
+	for i := range requests {
+		if i%load.BurstEvery >= load.BurstSize {
+			at += g.random.ExpFloat64()
+		}
+		requests[i] = g.request(at)
+	}
+	return requests
+}
+
+func (g *generator) segment(tokens int) segment {
+	g.nextID++
+	return segment{id: g.nextID, tokens: tokens}
+}
+
+func (g *generator) between(bounds [2]int) int {
+	return bounds[0] + g.random.IntN(bounds[1]-bounds[0]+1)
+}
+
+func (g *generator) request(at float64) request {
+	r := request{at: at, organisation: g.organisation(), output: g.between(g.load.OutputTokens), home: g.random.Uint64()}
+	if g.random.Float64() < g.load.InstantPart {
+		r.instant = true
+		r.question = g.between(g.load.InstantTokens)
+		return r
+	}
+	r.segments = g.context(r.organisation)
+	r.home = uint64(r.segments[len(r.segments)-1].id) * 0x9e3779b97f4a7c15
+	r.question = g.between(g.load.QuestionTokens)
+	return r
+}
+
+func (g *generator) organisation() int {
+	at := g.random.Float64() * 100
+	for i, part := range g.load.Organisations {
+		if at -= part; at < 0 {
+			return i
+		}
+	}
+	return len(g.load.Organisations) - 1
+}
+
+// context gives a new context, or one that returns: of an organisation's
+// contexts any may come back, so gaps reach from moments to the whole load.
+func (g *generator) context(organisation int) []segment {
+	known := g.contexts[organisation]
+	if len(known) > 0 && g.random.Float64() >= g.load.NewContextPart {
+		return known[g.random.IntN(len(known))]
+	}
+	fresh := []segment{g.shared[organisation], g.segment(g.between(g.load.ContextTokens))}
+	g.contexts[organisation] = append(known, fresh)
+	return fresh
+}
+
+// bound is what a clairvoyant with one cache of the size of all together would
+// have to compute, in tokens, and the part of it that nobody has seen before.
+type bound struct {
+	total, computed, unseen int
+}
+
+// clairvoyant works the bound out. It keeps the segments whose next use is
+// nearest (Belady's rule), which for whole segments of different sizes is a
+// good bound rather than the exact one.
+func clairvoyant(load Load, requests []request) bound {
+	uses := map[int][]int{}
+	for i := range requests {
+		for _, s := range requests[i].segments {
+			uses[s.id] = append(uses[s.id], i)
+		}
+	}
+	capacity := load.CacheTokens * load.Runners
+	held, size := map[int]segment{}, 0
+	seen := map[int]bool{}
+	var b bound
+	for i := range requests {
+		b.total += requests[i].tokens()
+		b.computed += requests[i].question
+		b.unseen += requests[i].question
+		for _, s := range requests[i].segments {
+			if !seen[s.id] {
+				b.unseen += s.tokens
+				seen[s.id] = true
+			}
+			uses[s.id] = uses[s.id][1:]
+			if _, ok := held[s.id]; ok {
+				continue
+			}
+			b.computed += s.tokens
+			held[s.id] = s
+			size += s.tokens
+		}
+		if size > capacity {
+			size = evictFarthest(held, uses, size, capacity)
+		}
+	}
+	return b
+}
+
+func evictFarthest(held map[int]segment, uses map[int][]int, size, capacity int) int {
+	order := make([]segment, 0, len(held))
+	for _, s := range held {
+		order = append(order, s)
+	}
+	next := func(s segment) int {
+		if len(uses[s.id]) == 0 {
+			return 1 << 30
+		}
+		return uses[s.id][0]
+	}
+	sort.Slice(order, func(i, j int) bool {
+		if next(order[i]) != next(order[j]) {
+			return next(order[i]) > next(order[j])
+		}
+		return order[i].id < order[j].id
+	})
+	for _, s := range order {
+		if size <= capacity {
+			break
+		}
+		delete(held, s.id)
+		size -= s.tokens
+	}
+	return size
+}
+
+// scale stretches the times of requests so that what the clairvoyant computes
+// takes a part of all runners' prefill time: that part is the load.
+func scale(load Load, requests []request, b bound, part float64) {
+	last := requests[len(requests)-1].at
+	wanted := float64(b.computed) / (float64(load.Runners) * load.PrefillRate * part)
+	for i := range requests {
+		requests[i].at *= wanted / last
+	}
+}
--- /dev/null
+++ b/internal/policybench/simulate.go
@@ -0,0 +1,320 @@
+package policybench
+
+import (
+	"container/heap"
+	"container/list"
+	"math"
+	"slices"
+
+	"github.com/cometlock/cometlock/internal/decide"
+)
+
+// cache is a runner's prefix cache: least recently used segments go first.
+type cache struct {
+	capacity, size int
+	held           map[int]*list.Element
+	recent         *list.List
+}
+
+func newCache(capacity int) *cache {
+	return &cache{capacity: capacity, held: map[int]*list.Element{}, recent: list.New()}
+}
+
+// warm gives the tokens of the prefix that are there.
+func (c *cache) warm(segments []segment) int {
+	tokens := 0
+	for _, s := range segments {
+		if c.held[s.id] == nil {
+			break
+		}
+		tokens += s.tokens
+	}
+	return tokens
+}
+
+func (c *cache) store(segments []segment) {
+	for i := len(segments) - 1; i >= 0; i-- {
+		s := segments[i]
+		if element := c.held[s.id]; element != nil {
+			c.recent.MoveToFront(element)
+			continue
+		}
+		c.held[s.id] = c.recent.PushFront(s)
+		c.size += s.tokens
+	}
+	for c.size > c.capacity {
+		last, ok := c.recent.Remove(c.recent.Back()).(segment)
+		if !ok {
+			return
+		}
+		delete(c.held, last.id)
+		c.size -= last.tokens
+	}
+}
+
+// runner is a fake of a model runner.
+type runner struct {
+	cache   *cache
+	queue   []*job // instant ones first
+	filling bool
+	decodes int
+	// queued is the prompt work not yet prefilled, by class.
+	queued [classes]int
+	// reported is what the last load report said.
+	reported        [classes]int
+	reportedRunning int
+}
+
+// classes are the urgencies that a runner tells apart: instant, and all others.
+const classes = 2
+
+func classOf(req *request) int {
+	if req.instant {
+		return 0
+	}
+	return 1
+}
+
+// job is a request at a runner.
+type job struct {
+	request  *request
+	box      int
+	expected int // prefill tokens that the box expected
+	arrived  float64
+	// begun says that the job has its slot, and left is what is not prefilled.
+	begun bool
+	left  int
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    float64
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].order < e[j].order
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) {
+	if item, ok := x.(event); ok {
+		*e = append(*e, item)
+	}
+}
+
+func (e *events) Pop() any {
+	old := *e
+	item := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return item
+}
+
+// box is what one entry box knows by itself.
+type box struct {
+	// sent is the prefill work it sent and has seen no first token of, and
+	// sentAtReport what that was at the last report.
+	sent, sentAtReport [][classes]int
+	running            []int
+}
+
+// simulation plays a load against a policy.
+type simulation struct {
+	load     Load
+	policy   decide.Policy
+	now      float64
+	pending  events
+	order    int
+	runners  []*runner
+	boxes    []*box
+	reportAt float64
+	scratch  []decide.Runner
+	result   Result
+	offered  []float64
+	served   []float64
+}
+
+// Deadlines within which a first token counts as good, in seconds.
+const (
+	instantDeadline = 2.0
+	otherDeadline   = 30.0
+)
+
+// simulate plays requests, whose times are scaled, against a policy.
+func simulate(load Load, requests []request, policy decide.Policy) Result {
+	s := &simulation{load: load, policy: policy, offered: make([]float64, len(load.Organisations)), served: make([]float64, len(load.Organisations))}
+	for range load.Runners {
+		s.runners = append(s.runners, &runner{cache: newCache(load.CacheTokens)})
+	}
+	for range load.Boxes {
+		s.boxes = append(s.boxes, &box{sent: make([][classes]int, load.Runners), sentAtReport: make([][classes]int, load.Runners), running: make([]int, load.Runners)})
+	}
+	s.scratch = make([]decide.Runner, load.Runners)
+	for i := range requests {
+		s.at(requests[i].at, func() { s.arrive(&requests[i], i%load.Boxes) })
+	}
+	last := requests[len(requests)-1].at
+	for at := 0.0; at < last; at += load.ReportLag {
+		s.at(at, s.report)
+	}
+	for len(s.pending) > 0 {
+		next, ok := heap.Pop(&s.pending).(event)
+		if !ok {
+			break
+		}
+		s.now = next.at
+		next.do()
+	}
+	s.result.finish(s.offered, s.served)
+	return s.result
+}
+
+func (s *simulation) at(at float64, do func()) {
+	s.order++
+	heap.Push(&s.pending, event{at: at, order: s.order, do: do})
+}
+
+// report brings all boxes the load of all runners, as it is now.
+func (s *simulation) report() {
+	s.reportAt = s.now
+	for i, r := range s.runners {
+		r.reported, r.reportedRunning = r.queued, len(r.queue)+r.decodes
+		for _, b := range s.boxes {
+			b.sentAtReport[i] = b.sent[i]
+		}
+	}
+}
+
+// describe gives what a box knows of the runners, as package zone works it out.
+func (s *simulation) describe(req *request, b *box) []decide.Runner {
+	age := s.now - s.reportAt
+	for i, r := range s.runners {
+		var own, others float64
+		for class := 0; class <= classOf(req); class++ {
+			own += float64(b.sent[i][class])
+			others += float64(r.reported[class] - b.sentAtReport[i][class])
+		}
+		s.scratch[i] = decide.Runner{
+			Eligible: true, PrefillRate: s.load.PrefillRate, Slots: s.load.Slots,
+			QueuedTokens: own + math.Max(0, others-s.load.PrefillRate*age),
+			Running:      max(b.running[i], r.reportedRunning),
+			RunSeconds:   float64(s.load.OutputTokens[0]+s.load.OutputTokens[1]) / 2 / s.load.DecodeRate,
+			WarmTokens:   r.cache.warm(req.segments),
+			Home:         mix(req.home ^ mix(uint64(i)+1)),
+		}
+	}
+	return s.scratch
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (s *simulation) arrive(req *request, at int) {
+	b := s.boxes[at]
+	s.offered[req.organisation]++
+	s.result.total += req.tokens()
+	decision := s.policy.Choose(decide.Query{
+		Tokens: req.tokens(), FirstTokenWeight: s.load.FirstTokenWeight, RecomputeWeight: s.load.RecomputeWeight,
+	}, s.describe(req, b))
+	if decision.FirstToken > deadline(req) {
+		s.result.Refused++
+		s.result.total -= req.tokens()
+		return
+	}
+	chosen := decision.Runner
+	b.sent[chosen][classOf(req)] += decision.Recomputed
+	b.running[chosen]++
+	s.runners[chosen].add(&job{request: req, box: at, expected: decision.Recomputed, arrived: s.now})
+	s.advance(chosen)
+}
+
+func deadline(req *request) float64 {
+	if req.instant {
+		return instantDeadline
+	}
+	return otherDeadline
+}
+
+// add queues a job, instant ones before all others.
+func (r *runner) add(j *job) {
+	r.queued[classOf(j.request)] += j.expected
+	if !j.request.instant {
+		r.queue = append(r.queue, j)
+		return
+	}
+	at := 0
+	for at < len(r.queue) && r.queue[at].request.instant {
+		at++
+	}
+	r.queue = slices.Insert(r.queue, at, j)
+}
+
+// chunkTokens is how much prompt an engine prefills before it looks again at
+// what is most urgent.
+const chunkTokens = 2048
+
+// advance prefills the next chunk of the most urgent job of a runner.
+func (s *simulation) advance(at int) {
+	r := s.runners[at]
+	if r.filling || len(r.queue) == 0 {
+		return
+	}
+	next := r.queue[0]
+	if !next.begun {
+		if r.decodes >= s.load.Slots {
+			return
+		}
+		next.begun = true
+		r.decodes++
+		next.left = next.request.tokens() - r.cache.warm(next.request.segments)
+		s.result.computed += next.left
+	}
+	r.filling = true
+	chunk := min(next.left, chunkTokens)
+	next.left -= chunk
+	s.at(s.now+float64(chunk)/s.load.PrefillRate, func() { s.chunkDone(at, next) })
+}
+
+func (s *simulation) chunkDone(at int, j *job) {
+	r := s.runners[at]
+	r.filling = false
+	if j.left == 0 {
+		r.queue = slices.Delete(r.queue, slices.Index(r.queue, j), slices.Index(r.queue, j)+1)
+		s.firstToken(at, j)
+	}
+	s.advance(at)
+}
+
+func (s *simulation) firstToken(at int, j *job) {
+	r := s.runners[at]
+	r.cache.store(j.request.segments)
+	class := classOf(j.request)
+	r.queued[class] -= j.expected
+	b := s.boxes[j.box]
+	b.sent[at][class] -= j.expected
+	b.sentAtReport[at][class] = max(0, b.sentAtReport[at][class]-j.expected)
+	s.result.add(j.request, s.now-j.arrived)
+	if s.now-j.arrived <= deadline(j.request) {
+		s.served[j.request.organisation]++
+	}
+	s.at(s.now+float64(j.request.output)/s.load.DecodeRate, func() {
+		r.decodes--
+		b.running[at]--
+		s.advance(at)
+	})
+}
--- /dev/null
+++ b/internal/review/measure.go
@@ -0,0 +1,28 @@
+package review
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+)
+
+// MemoryPerReview gives the memory, in bytes, that each of so many waiting
+// reviews takes. The bench prints it and docs/CAPACITY.md multiplies it.
+func MemoryPerReview(reviews int) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	f := newFold()
+	for i := range reviews {
+		meta := Meta{ID: fmt.Sprintf("resp_%032d", i), Organisation: "an organisation", Model: "a model", Accepted: time.Now(), Deadline: time.Now()}
+		for _, record := range split(KindAccepted, meta, original, []byte("request")) {
+			if data, err := record.encode(); err == nil {
+				f.apply(int64(i), meta.Accepted, data)
+			}
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(f)
+	return (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / float64(reviews)
+}
--- a/internal/testfleet/testfleet.go
+++ b/internal/testfleet/testfleet.go
@@ -39,6 +39,9 @@
 	Zones []string
 	// Change alters the configuration before it is applied.
 	Change func(*config.File)
+	// File is the configuration file; empty is the sample one, as seen from a
+	// package of internal/.
+	File string
 	// Unapplied leaves the log without any configuration.
 	Unapplied bool
 	// Log takes the boxes' logs; nil drops them.
@@ -70,7 +73,10 @@
 
 // Start starts a fleet with the sample configuration.
 func Start(cfg Config) (*Fleet, error) {
-	source, err := os.ReadFile("../../examples/local.yaml")
+	if cfg.File == "" {
+		cfg.File = "../../examples/local.yaml"
+	}
+	source, err := os.ReadFile(cfg.File)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/zone/state.go
+++ b/internal/zone/state.go
@@ -44,7 +44,7 @@
 		}
 		entry := ServerState{
 			Name: known.config.Name, Role: known.config.Role, Address: known.config.Address,
-			Leaving: known.leaving, Failed: known.coolingDown(now), Sent: known.sent, SentTokens: known.sentTokens,
+			Leaving: known.leaving, Failed: known.coolingDown(now), Sent: known.sent, SentTokens: known.sentTokens.ahead(classOther),
 			Running: known.status.Running, Waiting: known.status.Waiting, QueuedTokens: known.status.QueuedTokens,
 			EventsTo: known.eventsTo, RunSeconds: known.runSeconds,
 		}
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -69,10 +69,10 @@
 	// sent counts the runs that this box has sent and that are not finished,
 	// sentTokens their prompt work that has not led to a first token yet.
 	sent       int
-	sentTokens int
+	sentTokens work
 	// sentAtReport is what sentTokens was when the last report came: the part
 	// of the report that this box counts itself.
-	sentAtReport int
+	sentAtReport work
 	// eventsTo is the sequence number up to which cache events are folded.
 	eventsTo    int64
 	incarnation string
@@ -81,6 +81,32 @@
 	rates      map[string]float64 // prefill tokens per second of each model
 }
 
+// work is prompt work in tokens, by class: an engine prefills instant requests
+// before all others, so only theirs is ahead of another instant one.
+type work [classes]int
+
+const (
+	classInstant = iota
+	classOther
+	classes
+)
+
+func classOf(instant bool) int {
+	if instant {
+		return classInstant
+	}
+	return classOther
+}
+
+// ahead sums the work that goes before a new request of a class.
+func (w work) ahead(class int) int {
+	tokens := 0
+	for _, part := range w[:class+1] {
+		tokens += part
+	}
+	return tokens
+}
+
 // New makes a knowledge of nothing.
 func New(cfg Config) *Knowledge {
 	return &Knowledge{zone: cfg.Zone, byName: map[string]*server{}, index: NewIndex()}
@@ -242,6 +268,7 @@
 	// tokens is the prompt work that the decision expected; counted says that
 	// it is still part of the server's sentTokens.
 	tokens  int
+	class   int
 	counted bool
 	// idle says that nothing was ahead, so that the time to first token is the
 	// time of the prefill alone.
@@ -263,6 +290,11 @@
 	Model   string
 	Weights string
 	Chain   prefix.Chain
+	// Instant says that the request goes before those that are not.
+	Instant bool
+	// Spread gives a prompt without a whole block its homes; it differs from
+	// request to request.
+	Spread uint64
 	// Exclude names servers that were tried already.
 	Exclude []string
 }
@@ -287,11 +319,11 @@
 	}
 	chosen := k.servers[decision.Runner]
 	handle := &Handle{
-		knowledge: k, server: chosen, model: query.Model, tokens: decision.Recomputed, counted: true,
+		knowledge: k, server: chosen, model: query.Model, tokens: decision.Recomputed, class: classOf(query.Instant), counted: true,
 		idle: k.runners[decision.Runner].QueuedTokens == 0 && !decision.Fetched, since: time.Now(),
 	}
 	chosen.sent++
-	chosen.sentTokens += decision.Recomputed
+	chosen.sentTokens[handle.class] += decision.Recomputed
 	k.index.Expect(chosen.place, query.Chain)
 	return Choice{Server: chosen.config, Decision: decision, Warm: k.warm[decision.Runner], Handle: handle}, true
 }
@@ -305,14 +337,14 @@
 	k.runners = k.runners[:len(k.servers)]
 	k.warm = k.warm[:len(k.servers)]
 	k.index.Warm(query.Chain, k.warm)
-	home := homeOf(query.Chain)
+	home := homeOf(query)
 	now := time.Now()
 	for place, known := range k.servers {
 		k.runners[place] = decide.Runner{}
 		if known == nil || !known.eligible(query, now) {
 			continue
 		}
-		k.runners[place] = known.describe(k.rate(known, query.Model), k.warm[place], home, now)
+		k.runners[place] = known.describe(k.rate(known, query.Model), classOf(query.Instant), k.warm[place], home, now)
 	}
 }
 
@@ -320,10 +352,10 @@
 // share their first thousands of tokens share a home.
 const homeDepth = 8
 
-func homeOf(chain prefix.Chain) uint64 {
-	keys := chain.Keys()
+func homeOf(query Query) uint64 {
+	keys := query.Chain.Keys()
 	if len(keys) == 0 {
-		return 0
+		return query.Spread
 	}
 	return keys[min(homeDepth, len(keys))-1].Short()
 }
@@ -375,14 +407,15 @@
 	return config.DefaultPrefillTokensPerSecond
 }
 
-func (s *server) describe(rate float64, warm int, home uint64, now time.Time) decide.Runner {
+func (s *server) describe(rate float64, class, warm int, home uint64, now time.Time) decide.Runner {
 	age := now.Sub(s.reportedAt)
-	queued := float64(s.sentTokens)
+	queued := float64(s.sentTokens.ahead(class))
 	running := s.sent
 	if age < staleAfter {
 		// The report counts the work of all entry boxes, also this one's, and
 		// what it counted has been worked on since.
-		others := float64(s.status.QueuedTokens - s.sentAtReport)
+		reported := work{s.status.QueuedInstantTokens, s.status.QueuedTokens - s.status.QueuedInstantTokens}
+		others := float64(reported.ahead(class) - s.sentAtReport.ahead(class))
 		queued += max(0, others-rate*age.Seconds())
 		running = max(running, s.status.Running+s.status.Waiting)
 	}
@@ -423,8 +456,8 @@
 func (h *Handle) uncount() {
 	if h.counted {
 		h.counted = false
-		h.server.sentTokens -= h.tokens
-		h.server.sentAtReport = max(0, h.server.sentAtReport-h.tokens)
+		h.server.sentTokens[h.class] -= h.tokens
+		h.server.sentAtReport[h.class] = max(0, h.server.sentAtReport[h.class]-h.tokens)
 	}
 }
 
--- /dev/null
+++ b/internal/zone/zone_test.go
@@ -0,0 +1,227 @@
+package zone
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/decide"
+	"github.com/cometlock/cometlock/internal/engine"
+	"github.com/cometlock/cometlock/internal/prefix"
+)
+
+// newKnowledge knows a zone with so many runners of one model.
+func newKnowledge(runners int) *Knowledge {
+	file := &config.File{
+		Objectives: config.Objectives{FirstTokenWeight: 1, RecomputeWeight: 1},
+		Models:     []config.Model{{Name: "m", Weights: "v1", PrefillTokensPerSecond: 8000}},
+	}
+	for i := range runners {
+		file.BackendServers = append(file.BackendServers, config.BackendServer{
+			Name: fmt.Sprintf("r%03d", i), Zone: "a", Role: config.RoleRunner, Models: []string{"m"}, Slots: 16, Address: fmt.Sprint(i),
+		})
+	}
+	entries, err := file.Entries()
+	if err != nil {
+		panic(err)
+	}
+	snapshot, err := config.NewSnapshot(0, entries)
+	if err != nil {
+		panic(err)
+	}
+	k := New(Config{Zone: "a"})
+	k.Configure(snapshot)
+	return k
+}
+
+func chainOf(text string, blocks int) prefix.Chain {
+	prompt := make([]byte, blocks*prefix.BlockBytes)
+	copy(prompt, text)
+	return prefix.NewChain(prefix.NewSalt("o", "m", "v1"), prompt)
+}
+
+func choose(k *Knowledge, chain prefix.Chain) Choice {
+	policy := decide.TwoHomes{Spare: decide.DefaultSpare, Factor: decide.DefaultFactor}
+	choice, ok := Choose(k, policy, Query{Model: "m", Weights: "v1", Chain: chain})
+	if !ok {
+		panic("no runner")
+	}
+	return choice
+}
+
+func stored(chain prefix.Chain, from int64) engine.CacheEvents {
+	events := engine.CacheEvents{Incarnation: "i", Last: from}
+	for i, key := range chain.Keys() {
+		events.Last++
+		events.Events = append(events.Events, engine.CacheEvent{Sequence: events.Last, Kind: engine.BlockStored, Key: key, Depth: i + 1})
+	}
+	return events
+}
+
+func TestAReturningPromptGoesWhereItIsWarm(t *testing.T) {
+	g := NewWithT(t)
+	k := newKnowledge(8)
+	chain := chainOf("rulebook", 100)
+	first := choose(k, chain)
+	g.Expect(first.Decision.Recomputed).To(Equal(chain.Tokens()))
+	first.Handle.FirstToken()
+	first.Handle.Done(true)
+	again := choose(k, chain)
+	g.Expect(again.Server.Name).To(Equal(first.Server.Name))
+	g.Expect(again.Warm).To(Equal(96*prefix.BlockTokens), "the deepest landmark within 100 blocks")
+}
+
+func TestGapsInTheEventsLeadToASnapshot(t *testing.T) {
+	g := NewWithT(t)
+	k := newKnowledge(2)
+	chain := chainOf("a", 8)
+	k.Report("r000", engine.Status{Incarnation: "i", Weights: []engine.LoadedWeights{{Model: "m", Version: "v1"}}})
+	events := stored(chain, 0)
+	k.Fold("r000", events)
+	g.Expect(k.EventsTo("r000")).To(Equal(int64(8)))
+	lost := engine.CacheEvents{Incarnation: "i", Last: 12, Events: []engine.CacheEvent{{Sequence: 9, Kind: engine.BlockRemoved, Key: chain.Keys()[7], Depth: 8}, {Sequence: 11, Kind: engine.BlockStored, Depth: 1}}}
+	k.Fold("r000", lost)
+	g.Expect(k.EventsTo("r000")).To(Equal(int64(snapshotWanted)))
+	g.Expect(k.State().Gaps).To(Equal(uint64(1)))
+	snapshot := stored(chainOf("b", 4), 0)
+	snapshot.Snapshot, snapshot.Last = true, 40
+	k.Fold("r000", snapshot)
+	g.Expect(k.EventsTo("r000")).To(Equal(int64(40)))
+	warm := make([]int, 2)
+	k.index.Warm(chain, warm)
+	g.Expect(warm).To(Equal([]int{0, 0}), "what was known before the gap is forgotten")
+}
+
+func TestARestartedEngineHasLostItsCache(t *testing.T) {
+	g := NewWithT(t)
+	k := newKnowledge(1)
+	chain := chainOf("a", 8)
+	k.Fold("r000", stored(chain, 0))
+	k.Report("r000", engine.Status{Incarnation: "another"})
+	g.Expect(k.State().Blocks).To(BeZero())
+	g.Expect(k.EventsTo("r000")).To(BeZero())
+}
+
+func TestServersThatLeaveFailOrHoldOtherWeightsGetNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		k := newKnowledge(4)
+		loaded := func(version string) engine.Status {
+			return engine.Status{Incarnation: "i", Weights: []engine.LoadedWeights{{Model: "m", Version: version}}}
+		}
+		k.Report("r000", engine.Status{Incarnation: "i", Leaving: true, Weights: loaded("v1").Weights})
+		k.Report("r001", loaded("v2"))
+		k.Report("r002", loaded("v1"))
+		k.Report("r003", loaded("v1"))
+		k.Failed("r002")
+		for range 20 {
+			g.Expect(choose(k, chainOf("x", 1)).Server.Name).To(Equal("r003"))
+		}
+		time.Sleep(coolDown)
+		seen := map[string]bool{}
+		for range 50 {
+			seen[choose(k, chainOf("x", 1)).Server.Name] = true
+		}
+		g.Expect(seen).To(Equal(map[string]bool{"r002": true, "r003": true}))
+	})
+}
+
+// Herding: with reports that lag, a box that trusts them alone sends everything
+// to the runner that was idle when they were made.
+func TestStaleReportsDoNotMakeAHerd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		k := newKnowledge(10)
+		for i := range 10 {
+			status := engine.Status{Incarnation: "i", Weights: []engine.LoadedWeights{{Model: "m", Version: "v1"}}, QueuedTokens: 5000}
+			if i == 3 {
+				status.QueuedTokens = 0 // was idle a while ago
+			}
+			k.Report(fmt.Sprintf("r%03d", i), status)
+		}
+		sent := map[string]int{}
+		for i := range 200 {
+			sent[choose(k, chainOf(fmt.Sprint("prompt ", i), 8)).Server.Name]++
+		}
+		most := 0
+		for _, count := range sent {
+			most = max(most, count)
+		}
+		t.Logf("200 requests on reports that never change: the busiest of 10 runners got %d", most)
+		g.Expect(most).To(BeNumerically("<=", 40), "twice the mean")
+	})
+}
+
+func TestWhatABoxSentItselfIsNotCountedTwice(t *testing.T) {
+	g := NewWithT(t)
+	k := newKnowledge(1)
+	choice := choose(k, chainOf("a", 40))
+	tokens := choice.Decision.Recomputed
+	k.Report("r000", engine.Status{Incarnation: "i", QueuedTokens: tokens, Weights: []engine.LoadedWeights{{Model: "m", Version: "v1"}}})
+	k.fill(Query{Model: "m", Weights: "v1"})
+	g.Expect(k.runners[0].QueuedTokens).To(Equal(float64(tokens)))
+	choice.Handle.FirstToken()
+	choice.Handle.Done(true)
+	k.fill(Query{Model: "m", Weights: "v1"})
+	g.Expect(k.runners[0].QueuedTokens).To(BeNumerically("<=", float64(tokens)))
+	g.Expect(k.State().Servers[0].SentTokens).To(BeZero())
+}
+
+// The index against a plain map of sets.
+func TestTheIndexMatchesANaiveOne(t *testing.T) {
+	const seed = 20261202
+	random := rand.New(rand.NewPCG(seed, 0))
+	index := NewIndex()
+	naive := map[int]map[prefix.Key]bool{}
+	chains := make([]prefix.Chain, 30)
+	for i := range chains {
+		chains[i] = chainOf(fmt.Sprint(i%7), 1+random.IntN(60))
+	}
+	for range 5000 {
+		runner, chain := random.IntN(MaxRunners), chains[random.IntN(len(chains))]
+		if naive[runner] == nil {
+			naive[runner] = map[prefix.Key]bool{}
+		}
+		kind := engine.BlockStored
+		if random.IntN(3) == 0 {
+			kind = engine.BlockRemoved
+		}
+		for i, key := range chain.Keys() {
+			index.Fold(runner, engine.CacheEvent{Kind: kind, Key: key, Depth: i + 1})
+			naive[runner][key] = kind == engine.BlockStored
+		}
+		query := chains[random.IntN(len(chains))]
+		warm := make([]int, MaxRunners)
+		index.Warm(query, warm)
+		for r := range warm {
+			if want := naiveWarm(naive[r], query); warm[r] != want {
+				t.Fatalf("seed %d: runner %d has %d warm tokens, want %d", seed, r, warm[r], want)
+			}
+		}
+	}
+}
+
+func naiveWarm(blocks map[prefix.Key]bool, chain prefix.Chain) int {
+	for depth := len(chain.Keys()); depth > 0; depth-- {
+		if prefix.Landmark(depth) && blocks[chain.Keys()[depth-1]] {
+			return depth * prefix.BlockTokens
+		}
+	}
+	return 0
+}
+
+func TestPlacingAllocatesOnlyItsHandle(t *testing.T) {
+	g := NewWithT(t)
+	k := newKnowledge(82)
+	chain := chainOf("a", 100)
+	allocations := testing.AllocsPerRun(200, func() {
+		choice, _ := Choose(k, decide.Cheapest{}, Query{Model: "m", Weights: "v1", Chain: chain})
+		choice.Handle.Done(true)
+	})
+	g.Expect(allocations).To(BeNumerically("<=", 1))
+}
