Bring new weights to runners under load; the engine's body follows the version

Cause: a new weight version in the configuration left every request without a runner, since nobody gave orders. While adding them: a request that moved to another version between two tries kept the cache salt of the first. Change: package rollout (one load a zone at a time, loads shared out among zones by turns, the configuration's version as fence); models may accept older versions until the new one is loaded; the engine's body is written anew when the salt changes.

--- a/internal/api/accept.go
+++ b/internal/api/accept.go
@@ -194,16 +194,16 @@
 // engineBody writes the body that the engine gets. Priority and cache salt are
 // set here and nowhere else: a caller that sends a salt of its own must not get
 // at another organisation's context.
-func engineBody(parsed fields, request *flow.Request) ([]byte, *apierror.Error) {
+func engineBody(parsed fields, request *flow.Request) []byte {
 	parsed[fieldPriority] = json.RawMessage(strconv.Itoa(enginePriority(request.Priority)))
 	parsed[fieldCacheSalt] = json.RawMessage(strconv.Quote(request.Salt.String()))
 	var body bytes.Buffer
 	encoder := json.NewEncoder(&body)
 	encoder.SetEscapeHTML(false) // the engine must hash the same bytes as place
 	if err := encoder.Encode(parsed); err != nil {
-		return nil, apierror.BadRequest("invalid_json", "the body cannot be passed on")
+		return nil // each field was read as JSON, so it can be written as JSON
 	}
-	return body.Bytes(), nil
+	return body.Bytes()
 }
 
 func enginePriority(priority config.Priority) int {
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -101,6 +101,9 @@
 	Name string `yaml:"name" json:"name"`
 	// Weights is the weight version in force.
 	Weights string `yaml:"weights" json:"weights" jsonschema:"description=Weight version in force."`
+	// AcceptWeights lists versions that may still answer new requests while no
+	// runner of the zone has loaded the one in force.
+	AcceptWeights []string `yaml:"accept_weights,omitempty" json:"accept_weights,omitempty" jsonschema:"description=Versions that may answer until the one in force is loaded."`
 	// MaxPromptTokens bounds a prompt, in tokens.
 	MaxPromptTokens int `yaml:"max_prompt_tokens" json:"max_prompt_tokens"`
 	// PrefillTokensPerSecond is a first guess that measurement replaces.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,6 +39,7 @@
 	"github.com/cometlock/cometlock/internal/relay"
 	"github.com/cometlock/cometlock/internal/retrybudget"
 	"github.com/cometlock/cometlock/internal/review"
+	"github.com/cometlock/cometlock/internal/rollout"
 	"github.com/cometlock/cometlock/internal/settings"
 	"github.com/cometlock/cometlock/internal/settle"
 	"github.com/cometlock/cometlock/internal/telemetry"
@@ -59,6 +60,7 @@
 	exchange  *peer.Exchange
 	knowledge *zone.Knowledge
 	watcher   *watch.Watcher
+	rollout   *rollout.Rollout
 	admit     *admit.Stage
 	pipeline  *pipeline.Pipeline
 	settle    *settle.Stage
@@ -163,6 +165,11 @@
 	d.follower = follow.New(follow.Config{Log: log, Logger: d.logger, Changed: d.configure})
 	d.exchange = peer.New(d.peerConfig())
 
+	d.rollout = rollout.New(rollout.Config{
+		Engines: engines, Logger: d.logger, Zone: d.settings.Zone, Snapshot: d.follower.Snapshot,
+		Reports: d.knowledge.Reports, Mine: d.exchange.FirstInZone,
+	})
+
 	// The way of a request.
 	d.budget = retrybudget.New(retrybudget.Config{})
 	d.admit = admit.New(admit.Config{Room: d.room})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -103,7 +103,7 @@
 
 func newRun(request *flow.Request) engine.Run {
 	return engine.Run{
-		ID: uuid.NewString(), Path: request.Path, Body: request.Body,
+		ID: uuid.NewString(), Path: request.Path, Body: request.EngineBody(),
 		Weights: request.Weights, Stream: request.Stream,
 	}
 }
--- a/internal/fakeengine/handler.go
+++ b/internal/fakeengine/handler.go
@@ -58,7 +58,7 @@
 		refuse(w, http.StatusBadRequest, "the body is not a request")
 		return
 	}
-	weights := e.loaded(b.Model)
+	weights := e.Loaded(b.Model)
 	if weights == "" || (r.Header.Get(engine.HeaderWeights) != "" && r.Header.Get(engine.HeaderWeights) != weights) {
 		refuse(w, http.StatusConflict, "the wanted weights are not loaded")
 		return
--- a/internal/fakeengine/weights.go
+++ b/internal/fakeengine/weights.go
@@ -7,7 +7,8 @@
 	"github.com/cometlock/cometlock/internal/engine"
 )
 
-// WeightStore slows loads down when too many run at once, and counts them.
+// WeightStore slows loads down when too many runners load at once, and counts
+// them.
 type WeightStore struct {
 	// Limit is how many loads run at full speed.
 	Limit int
@@ -56,17 +57,22 @@
 		return false
 	}
 	e.fence = order.Fence
+	var changed []engine.LoadedWeights
 	for _, wanted := range order.Weights {
 		if e.weights[wanted.Model] == wanted.Version || e.loading[wanted.Model] == wanted.Version {
 			continue
 		}
 		e.loading[wanted.Model] = wanted.Version
-		go e.load(wanted)
+		changed = append(changed, wanted)
+	}
+	if len(changed) > 0 {
+		go e.load(changed)
 	}
 	return true
 }
 
-func (e *Engine) load(wanted engine.LoadedWeights) {
+// load loads weights, all in one go; until it has ended the old ones answer.
+func (e *Engine) load(changed []engine.LoadedWeights) {
 	slower := e.cfg.WeightStore.begin()
 	defer e.cfg.WeightStore.end()
 	if !sleep(e.life, e.cfg.LoadTime*time.Duration(slower)) {
@@ -74,15 +80,16 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.loading[wanted.Model] != wanted.Version {
-		return
+	for _, wanted := range changed {
+		if e.loading[wanted.Model] == wanted.Version {
+			delete(e.loading, wanted.Model)
+			e.weights[wanted.Model] = wanted.Version
+		}
 	}
-	delete(e.loading, wanted.Model)
-	e.weights[wanted.Model] = wanted.Version
 }
 
-// loaded gives the version that answers for a model now.
-func (e *Engine) loaded(model string) string {
+// Loaded gives the version that answers for a model now.
+func (e *Engine) Loaded(model string) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.weights[model]
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -40,7 +40,6 @@
 	Model       string
 	Service     string
 	Method      string
-	Body        []byte // body for the engine
 	Prompt      []byte // the part of the body that the engine prefills
 	Stream      bool
 	Priority    config.Priority
@@ -64,6 +63,10 @@
 
 	ctx  context.Context
 	done chan *apierror.Error
+	// encode writes the engine's body; body is what it wrote for bodySalt.
+	encode   func() []byte
+	body     []byte
+	bodySalt prefix.Salt
 }
 
 // Placement is where a request runs.
@@ -107,6 +110,19 @@
 // Gone reports whether the caller has gone away.
 func (r *Request) Gone() bool { return r.ctx.Err() != nil }
 
+// OnEncode sets how the engine's body is written, from what the stages found.
+func (r *Request) OnEncode(encode func() []byte) { r.encode = encode }
+
+// EngineBody gives the body for the engine that the request is placed on. The
+// body names the salt of the kept context that the engine may use, so it is
+// written anew when the request has moved to another weight version.
+func (r *Request) EngineBody() []byte {
+	if r.body == nil || r.bodySalt != r.Salt {
+		r.body, r.bodySalt = r.encode(), r.Salt
+	}
+	return r.body
+}
+
 // Pass ends the way through the computing stages: the request may run.
 func (r *Request) Pass() { r.done <- nil }
 
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -62,3 +62,20 @@
 	slices.Sort(live)
 	return live
 }
+
+// FirstInZone reports whether this box is the first by name of the boxes of its
+// zone that are believed to be live. Two boxes may both believe it for a while.
+func (x *Exchange) FirstInZone() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.leaving {
+		return false
+	}
+	for name, peer := range x.peers {
+		live := !peer.status.Leaving && time.Since(peer.heardAt) < forgetAfter
+		if live && peer.status.Zone == x.cfg.Self.Zone && name < x.cfg.Self.Box {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -47,32 +47,61 @@
 	if request.Kind == flow.KindService {
 		return nil // dispatch tries the service's servers in turn
 	}
-	request.Salt = prefix.NewSalt(request.Organisation.Name, request.Model, request.Weights)
-	request.Chain = prefix.NewChain(request.Salt, request.Prompt)
 	model, ok := request.Snapshot.Model(request.Model)
-	if ok && request.Chain.Tokens() > model.MaxPromptTokens {
-		return apierror.BadRequest("context_length_exceeded", "the prompt has about %d tokens, the model takes %d", request.Chain.Tokens(), model.MaxPromptTokens)
+	if !ok {
+		return apierror.Missing("model_not_found", "there is no model %q", request.Model)
 	}
 	if refusal := s.Choose(request, nil); refusal != nil {
 		return refusal
 	}
+	if request.Chain.Tokens() > model.MaxPromptTokens {
+		request.Placement.Handle.Done(false)
+		return apierror.BadRequest("context_length_exceeded", "the prompt has about %d tokens, the model takes %d", request.Chain.Tokens(), model.MaxPromptTokens)
+	}
 	return refuseLate(request)
 }
 
-// Choose places a request anew, on none of the excluded servers.
+// Choose places a request anew, on none of the excluded servers. It takes the
+// weight version in force, or while no runner of the zone has it yet, one that
+// the operators accept meanwhile. The chain is seeded with the version, so kept
+// context of one version is never taken for that of another.
 func (s *Stage[P]) Choose(request *flow.Request, exclude []string) *apierror.Error {
+	model, ok := request.Snapshot.Model(request.Model)
+	if !ok {
+		return apierror.Missing("model_not_found", "there is no model %q", request.Model)
+	}
+	for _, version := range append([]string{model.Weights}, model.AcceptWeights...) {
+		s.setWeights(request, version)
+		if s.choose(request, exclude) {
+			return nil
+		}
+	}
+	return apierror.NotReady("no_runner", time.Second, "no runner of the availability zone can serve %q now", request.Model)
+}
+
+// setWeights seeds the request's chain anew when its version changes.
+func (s *Stage[P]) setWeights(request *flow.Request, version string) {
+	salt := prefix.NewSalt(request.Organisation.Name, request.Model, version)
+	if salt == request.Salt {
+		return
+	}
+	request.Weights, request.Salt = version, salt
+	request.Chain = prefix.NewChain(salt, request.Prompt)
+}
+
+func (s *Stage[P]) choose(request *flow.Request, exclude []string) bool {
 	choice, ok := zone.Choose(s.knowledge, s.policy, zone.Query{
 		Model: request.Model, Weights: request.Weights, Chain: request.Chain, Exclude: exclude,
 		Instant: request.Priority == config.PriorityInstant, Spread: xxhash.Sum64String(request.ID),
 	})
 	if !ok {
-		return apierror.NotReady("no_runner", time.Second, "no runner of the availability zone can serve %q now", request.Model)
+		return false
 	}
 	request.Placement = flow.Placement{
 		Server: choice.Server, WarmTokens: choice.Warm, Handle: choice.Handle,
 		FirstToken: time.Duration(choice.Decision.FirstToken * float64(time.Second)),
 	}
-	return nil
+	return true
 }
 
 // refuseLate refuses a request whose first token would come after its deadline:
--- a/internal/zone/state.go
+++ b/internal/zone/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/rollout"
 )
 
 // ServerState is the part of a state dump that describes one backend server.
@@ -69,6 +70,19 @@
 	return runners
 }
 
+// Reports gives the last load report of each runner that has sent one.
+func (k *Knowledge) Reports() []rollout.Report {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var reports []rollout.Report
+	for _, known := range k.servers {
+		if known != nil && known.config.Role == config.RoleRunner && !known.reportedAt.IsZero() {
+			reports = append(reports, rollout.Report{Server: known.config, Weights: known.status.Weights, Leaving: known.leaving})
+		}
+	}
+	return reports
+}
+
 // Slots sums the batch slots of the runners that may get new work.
 func (k *Knowledge) Slots() int {
 	k.mu.Lock()
