Keep contexts in store boxes and fetch them back when that is quicker

Cause: contexts return after gaps longer than accelerator memory holds them, and nothing kept them; the stand-ins had no store boxes. Change: package storebox (write, seal, name; readers check generation, length and digest), package kept (exports within a part of the link's budget, fetches when placement finds them cheaper), import and export in the stand-in engine, store boxes among the stand-ins. Ruled out: dropping an export that finds the link busy; the first then was always dropped.

--- a/internal/api/models.go
+++ b/internal/api/models.go
@@ -94,7 +94,11 @@
 	if failure != nil {
 		return relay.Result{Failure: failure}
 	}
-	return s.relay.Copy(request, attempt, sink)
+	result := s.relay.Copy(request, attempt, sink)
+	if model, ok := request.Snapshot.Model(request.Model); ok && result.Failure == nil {
+		s.keeper.Offer(request.Placement.Server, request.Chain, model.KVBytesPerToken)
+	}
+	return result
 }
 
 func (s *Server) settleRun(request *flow.Request, result relay.Result) {
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -22,6 +22,7 @@
 	"github.com/cometlock/cometlock/internal/claim"
 	"github.com/cometlock/cometlock/internal/config"
 	"github.com/cometlock/cometlock/internal/dispatch"
+	"github.com/cometlock/cometlock/internal/kept"
 	"github.com/cometlock/cometlock/internal/pipeline"
 	"github.com/cometlock/cometlock/internal/plainservice"
 	"github.com/cometlock/cometlock/internal/relay"
@@ -44,6 +45,7 @@
 	Reviews    *review.Service
 	Services   *plainservice.Client
 	Zone       *zone.Knowledge
+	Keeper     *kept.Keeper
 	Budget     *retrybudget.Budget
 	// BodyTimeout is how long a caller may take to send a body; 0 means 30 s.
 	BodyTimeout time.Duration
@@ -61,6 +63,7 @@
 	reviews     *review.Service
 	services    *plainservice.Client
 	zone        *zone.Knowledge
+	keeper      *kept.Keeper
 	budget      *retrybudget.Budget
 	bodyTimeout time.Duration
 	turn        atomic.Int64
@@ -76,7 +79,7 @@
 	}
 	return &Server{
 		snapshot: cfg.Snapshot, keys: cfg.Keys, pipeline: cfg.Pipeline, dispatcher: cfg.Dispatcher, relay: cfg.Relay,
-		settle: cfg.Settle, claims: cfg.Claims, reviews: cfg.Reviews, services: cfg.Services, zone: cfg.Zone, budget: cfg.Budget, bodyTimeout: cfg.BodyTimeout,
+		settle: cfg.Settle, claims: cfg.Claims, reviews: cfg.Reviews, services: cfg.Services, zone: cfg.Zone, keeper: cfg.Keeper, budget: cfg.Budget, bodyTimeout: cfg.BodyTimeout,
 	}
 }
 
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -20,6 +20,7 @@
 	DefaultPrefillTokensPerSecond = 8000
 	DefaultMaxPromptTokens        = 128 << 10
 	DefaultParallelLoads          = 2
+	DefaultKVBytesPerToken        = 64 << 10
 	// MaxKeyWindowSeconds is for how long claims are remembered at the most.
 	MaxKeyWindowSeconds = 2 * 3600
 )
@@ -41,6 +42,7 @@
 	for i := range f.Models {
 		setDefault(&f.Models[i].PrefillTokensPerSecond, DefaultPrefillTokensPerSecond)
 		setDefault(&f.Models[i].MaxPromptTokens, DefaultMaxPromptTokens)
+		setDefault(&f.Models[i].KVBytesPerToken, DefaultKVBytesPerToken)
 	}
 	for i := range f.BackendServers {
 		if f.BackendServers[i].Role == RoleRunner {
@@ -193,6 +195,7 @@
 		}
 		c.checkPositive(field+".max_prompt_tokens", float64(model.MaxPromptTokens))
 		c.checkPositive(field+".prefill_tokens_per_second", model.PrefillTokensPerSecond)
+		c.checkPositive(field+".kv_bytes_per_token", float64(model.KVBytesPerToken))
 		held := slices.ContainsFunc(c.file.BackendServers, func(s BackendServer) bool {
 			return s.Role == RoleRunner && slices.Contains(s.Models, model.Name)
 		})
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -108,6 +108,8 @@
 	MaxPromptTokens int `yaml:"max_prompt_tokens" json:"max_prompt_tokens"`
 	// PrefillTokensPerSecond is a first guess that measurement replaces.
 	PrefillTokensPerSecond float64 `yaml:"prefill_tokens_per_second" json:"prefill_tokens_per_second"`
+	// KVBytesPerToken is the size of kept context, for the links' budgets.
+	KVBytesPerToken int `yaml:"kv_bytes_per_token,omitempty" json:"kv_bytes_per_token,omitempty" jsonschema:"description=Bytes of kept context for each token."`
 }
 
 // BackendServer is one server behind the entry boxes.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/cometlock/cometlock/internal/engine"
 	"github.com/cometlock/cometlock/internal/flow"
 	"github.com/cometlock/cometlock/internal/follow"
+	"github.com/cometlock/cometlock/internal/kept"
 	"github.com/cometlock/cometlock/internal/logservice"
 	"github.com/cometlock/cometlock/internal/peer"
 	"github.com/cometlock/cometlock/internal/pipeline"
@@ -42,6 +43,7 @@
 	"github.com/cometlock/cometlock/internal/rollout"
 	"github.com/cometlock/cometlock/internal/settings"
 	"github.com/cometlock/cometlock/internal/settle"
+	"github.com/cometlock/cometlock/internal/storebox"
 	"github.com/cometlock/cometlock/internal/telemetry"
 	"github.com/cometlock/cometlock/internal/tlsfiles"
 	"github.com/cometlock/cometlock/internal/watch"
@@ -61,6 +63,7 @@
 	knowledge *zone.Knowledge
 	watcher   *watch.Watcher
 	rollout   *rollout.Rollout
+	keeper    *kept.Keeper
 	admit     *admit.Stage
 	pipeline  *pipeline.Pipeline
 	settle    *settle.Stage
@@ -165,6 +168,9 @@
 	d.follower = follow.New(follow.Config{Log: log, Logger: d.logger, Changed: d.configure})
 	d.exchange = peer.New(d.peerConfig())
 
+	d.keeper = kept.New(kept.Config{
+		Engines: engines, Stores: storebox.NewClient(storebox.ClientConfig{}), Logger: d.logger, Zone: d.settings.Zone,
+	})
 	d.rollout = rollout.New(rollout.Config{
 		Engines: engines, Logger: d.logger, Zone: d.settings.Zone, Snapshot: d.follower.Snapshot,
 		Reports: d.knowledge.Reports, Mine: d.exchange.FirstInZone,
@@ -175,6 +181,7 @@
 	d.admit = admit.New(admit.Config{Room: d.room})
 	placing := place.New(place.Config[decide.TwoHomes]{
 		Knowledge: d.knowledge,
+		Keeper:    d.keeper,
 		Policy:    decide.TwoHomes{Spare: decide.DefaultSpare, Factor: decide.DefaultFactor},
 	})
 	d.pipeline = pipeline.New(pipeline.Config{
@@ -196,7 +203,7 @@
 	server = api.New(api.Config{
 		Snapshot: d.follower.Snapshot, Keys: keys, Pipeline: d.pipeline, Dispatcher: dispatcher, Relay: relaying,
 		Settle: d.settle, Claims: d.claims, Reviews: d.reviews, Services: plainservice.NewClient(plainservice.ClientConfig{}),
-		Zone: d.knowledge, Budget: d.budget,
+		Zone: d.knowledge, Keeper: d.keeper, Budget: d.budget,
 	})
 	d.caller = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	d.admin = &http.Server{Handler: d.adminServer().Handler(), ReadHeaderTimeout: headerTimeout}
@@ -249,6 +256,7 @@
 // configure takes over a new configuration.
 func (d *Daemon) configure(snapshot *config.Snapshot) {
 	d.knowledge.Configure(snapshot)
+	d.keeper.Configure(snapshot)
 	d.watcher.Configure(d.background)
 	d.metrics.Scope().Gauge("config_version").Update(float64(snapshot.Version()))
 }
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -7,6 +7,7 @@
 	"github.com/cometlock/cometlock/internal/admit"
 	"github.com/cometlock/cometlock/internal/claim"
 	"github.com/cometlock/cometlock/internal/follow"
+	"github.com/cometlock/cometlock/internal/kept"
 	"github.com/cometlock/cometlock/internal/peer"
 	"github.com/cometlock/cometlock/internal/retrybudget"
 	"github.com/cometlock/cometlock/internal/review"
@@ -34,6 +35,7 @@
 	Retries     retrybudget.State   `json:"retries"`
 	Claims      []claim.StreamState `json:"claims"`
 	Reviews     review.State        `json:"reviews"`
+	Kept        kept.State          `json:"kept"`
 	ServersOf   zone.State          `json:"known_zone"`
 	Peers       peer.State          `json:"peers"`
 }
@@ -48,7 +50,7 @@
 		Uptime: time.Since(d.started).Round(time.Millisecond).String(), Ready: reason == "", Unready: reason, Leaving: d.leaving.Load(),
 		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc, Settled: d.settle.Settled(),
 		Config: d.follower.Status(), Rings: append(d.pipeline.State(), d.settle.Ring()), Admit: d.admit.State(),
-		Retries: d.budget.State(), Claims: d.claims.State(), Reviews: d.reviews.State(), ServersOf: d.knowledge.State(), Peers: d.exchange.State(),
+		Retries: d.budget.State(), Claims: d.claims.State(), Reviews: d.reviews.State(), Kept: d.keeper.State(), ServersOf: d.knowledge.State(), Peers: d.exchange.State(),
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -86,6 +86,9 @@
 		server := request.Placement.Server
 		tried = append(tried, server.Name)
 		attempt := &Attempt{Server: server, Run: newRun(request), tried: tried}
+		if request.Placement.Prepare != nil {
+			request.Placement.Prepare(request.Context())
+		}
 		stream, err := d.start(request.Context(), attempt)
 		if err == nil {
 			attempt.Stream = stream
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -18,6 +18,7 @@
 
 	"github.com/cometlock/cometlock/internal/engine"
 	"github.com/cometlock/cometlock/internal/prefix"
+	"github.com/cometlock/cometlock/internal/storebox"
 )
 
 // Config sets up an Engine.
@@ -82,6 +83,7 @@
 	slots       *gate
 	prefill     *gate
 	cache       *cache
+	stores      *storebox.Client
 	life        context.Context
 	stop        context.CancelFunc
 
@@ -114,6 +116,9 @@
 	// PrefilledTokens and CachedTokens count prompt work done and spared.
 	PrefilledTokens int `json:"prefilled_tokens"`
 	CachedTokens    int `json:"cached_tokens"`
+	// WrongBlocks counts blocks of kept context that were not what their name
+	// says; it must stay 0.
+	WrongBlocks int `json:"wrong_blocks"`
 	// AfterLeaving counts runs started after the engine announced its leaving.
 	AfterLeaving int `json:"after_leaving"`
 }
@@ -143,6 +148,7 @@
 		slots:       newGate(cfg.Slots),
 		prefill:     newGate(1),
 		cache:       newCache(cfg.CacheBlocks),
+		stores:      storebox.NewClient(storebox.ClientConfig{}),
 		life:        life,
 		stop:        stop,
 		faults:      cfg.Faults,
--- a/internal/fakeengine/handler.go
+++ b/internal/fakeengine/handler.go
@@ -31,6 +31,8 @@
 	mux.HandleFunc("GET /control/status", e.serveStatus)
 	mux.HandleFunc("GET /control/cache-events", e.serveCacheEvents)
 	mux.HandleFunc("POST /control/orders", e.serveOrder)
+	mux.HandleFunc("POST /control/kv/import", e.serveImport)
+	mux.HandleFunc("POST /control/kv/export", e.serveExport)
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Ledger()) })
 	mux.HandleFunc("PUT /faults", e.serveFaults)
 	return mux
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -75,6 +75,8 @@
 	Server *config.BackendServer
 	// WarmTokens is how much of the prompt is thought to be there already.
 	WarmTokens int
+	// Prepare, when set, is run before the request is handed over.
+	Prepare func(ctx context.Context)
 	// Handle is the request's hold on the server.
 	Handle Hold
 	// FirstToken is the estimated time to first token.
--- /dev/null
+++ b/internal/kept/kept.go
@@ -0,0 +1,388 @@
+// Package kept looks after contexts that no longer fit the runners' memory but
+// will return: it has runners put them into store boxes, and fetch them back
+// when that is quicker than computing them anew.
+//
+// Every transfer takes from the budget of its link. A fetch for a waiting request
+// always goes before an export: exports have a part of the budget and wait for
+// it, and are dropped when too many wait.
+//
+// What this box knows of the store boxes is a hint, like all it knows: a block
+// that is not there is a miss, and the runner computes it.
+package kept
+
+import (
+	"container/list"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/decide"
+	"github.com/cometlock/cometlock/internal/engine"
+	"github.com/cometlock/cometlock/internal/prefix"
+	"github.com/cometlock/cometlock/internal/ring"
+	"github.com/cometlock/cometlock/internal/storebox"
+)
+
+// Config sets up a Keeper.
+type Config struct {
+	Engines *engine.Client
+	Stores  *storebox.Client
+	Logger  zerolog.Logger
+	// Zone is the availability zone of this entry box.
+	Zone string
+	// MinTokens is the least length of a context that is worth keeping.
+	MinTokens int
+	// MaxContexts bounds what is remembered.
+	MaxContexts int
+}
+
+// Defaults of Config.
+const (
+	DefaultMinTokens   = 2048
+	DefaultMaxContexts = 100_000
+	exportsCapacity    = 256
+)
+
+// exportPart is the part of a link's budget that exports may take.
+const exportPart = 0.3
+
+// Keeper looks after kept contexts.
+type Keeper struct {
+	cfg     Config
+	exports *ring.Ring[export]
+
+	mu     sync.Mutex
+	stores map[string]*store
+	held   map[prefix.Key]*list.Element // the last block of each kept context
+	recent *list.List                   // of context, most recently used first
+	counts Counts
+}
+
+// store is a store box with the link to it.
+type store struct {
+	server *config.BackendServer
+	// bytesPerSecond is the link's budget; busyUntil is when all that was
+	// taken from it has gone through.
+	bytesPerSecond float64
+	busyUntil      time.Time
+	exports        *rate.Limiter
+	failedAt       time.Time
+}
+
+// keptContext is a context in a store box: where it is, and which blocks it has.
+type keptContext struct {
+	last  prefix.Key
+	keys  []prefix.Key
+	store string
+}
+
+// export is a context that a runner is to put into a store box.
+type export struct {
+	server *config.BackendServer
+	keys   []prefix.Key
+	bytes  int64
+}
+
+// Counts counts what the keeper did.
+type Counts struct {
+	Exports        int64 `json:"exports"`
+	ExportsDropped int64 `json:"exports_dropped"`
+	Fetches        int64 `json:"fetches"`
+	FetchMisses    int64 `json:"fetch_misses"`
+	FetchedBlocks  int64 `json:"fetched_blocks"`
+}
+
+// New makes a keeper that knows no store boxes.
+func New(cfg Config) *Keeper {
+	if cfg.MinTokens == 0 {
+		cfg.MinTokens = DefaultMinTokens
+	}
+	if cfg.MaxContexts == 0 {
+		cfg.MaxContexts = DefaultMaxContexts
+	}
+	return &Keeper{
+		cfg: cfg, exports: ring.New[export](ring.Config{Name: "exports", Capacity: exportsCapacity}),
+		stores: map[string]*store{}, held: map[prefix.Key]*list.Element{}, recent: list.New(),
+	}
+}
+
+// Configure takes over the store boxes that have a link to this zone.
+func (k *Keeper) Configure(snapshot *config.Snapshot) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	known := k.stores
+	k.stores = map[string]*store{}
+	for _, link := range snapshot.File().Links {
+		server, ok := snapshot.Server(link.From)
+		if !ok || server.Role != config.RoleStoreBox || link.To != k.cfg.Zone {
+			continue
+		}
+		kept, ok := known[server.Name]
+		if !ok || kept.bytesPerSecond != float64(link.BytesPerSecond) {
+			kept = newStore(float64(link.BytesPerSecond))
+		}
+		kept.server = server
+		k.stores[server.Name] = kept
+	}
+}
+
+// newStore makes a store box with the budget of its link.
+func newStore(bytesPerSecond float64) *store {
+	return &store{bytesPerSecond: bytesPerSecond, exports: rate.NewLimiter(rate.Limit(exportPart*bytesPerSecond), int(bytesPerSecond))}
+}
+
+// storePause is for how long a store box that failed is left alone.
+const storePause = 5 * time.Second
+
+func (s *store) usable(now time.Time) bool {
+	return s.failedAt.IsZero() || now.Sub(s.failedAt) > storePause
+}
+
+// Option is a way to fetch kept context.
+type Option struct {
+	Fetch decide.Fetch
+	// Store is where from, Keys the blocks in prompt order, Bytes their size.
+	Store string
+	Keys  []prefix.Key
+	Bytes int64
+}
+
+// Find gives the best way to fetch a prompt's context: the longest part that is
+// kept, and how long the link takes for it.
+func (k *Keeper) Find(chain prefix.Chain, bytesPerToken int) (Option, bool) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	keys := chain.Keys()
+	for depth := len(keys); depth > 0; depth-- {
+		element, ok := k.held[keys[depth-1]]
+		if !ok {
+			continue
+		}
+		found, ok := element.Value.(keptContext)
+		if !ok {
+			continue
+		}
+		from, ok := k.stores[found.store]
+		if !ok || !from.usable(now) {
+			continue
+		}
+		k.recent.MoveToFront(element)
+		size := int64(depth) * prefix.BlockTokens * int64(bytesPerToken)
+		wait := max(0, from.busyUntil.Sub(now)).Seconds()
+		return Option{
+			Fetch: decide.Fetch{Tokens: depth * prefix.BlockTokens, Seconds: wait + float64(size)/from.bytesPerSecond},
+			Store: found.store, Keys: keys[:depth], Bytes: size,
+		}, true
+	}
+	return Option{}, false
+}
+
+// reserve takes a transfer from a link's budget.
+func (k *Keeper) reserve(name string, size int64) (address string, ok bool) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	from, ok := k.stores[name]
+	if !ok {
+		return "", false
+	}
+	if from.busyUntil.Before(now) {
+		from.busyUntil = now
+	}
+	from.busyUntil = from.busyUntil.Add(time.Duration(float64(size) / from.bytesPerSecond * float64(time.Second)))
+	return from.server.Address, true
+}
+
+// fetchSlack is how much longer than estimated a fetch may take; a link that is
+// slower than that is given up, and the runner computes.
+const (
+	fetchSlack = 2
+	fetchGrace = 200 * time.Millisecond
+)
+
+// Fetch has a runner fetch kept context. A failure is a miss: the runner computes
+// what did not come.
+func (k *Keeper) Fetch(ctx context.Context, server *config.BackendServer, option Option) {
+	address, ok := k.reserve(option.Store, option.Bytes)
+	if !ok {
+		return
+	}
+	limit := fetchSlack*time.Duration(option.Fetch.Seconds*float64(time.Second)) + fetchGrace
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	answer, err := k.cfg.Engines.Import(ctx, server.Address, engine.Transfer{Store: address, Keys: option.Keys})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counts.Fetches++
+	k.counts.FetchedBlocks += int64(answer.Blocks)
+	if err == nil && answer.Blocks == len(option.Keys) {
+		return
+	}
+	k.counts.FetchMisses++
+	k.forget(option.Keys[len(option.Keys)-1])
+	if from, ok := k.stores[option.Store]; ok && err != nil {
+		from.failedAt = time.Now()
+	}
+}
+
+// forget drops a context. The caller holds mu.
+func (k *Keeper) forget(last prefix.Key) {
+	if element, ok := k.held[last]; ok {
+		k.recent.Remove(element)
+		delete(k.held, last)
+	}
+}
+
+// Offer hands over a context that a runner has just computed. It never waits.
+func (k *Keeper) Offer(server *config.BackendServer, chain prefix.Chain, bytesPerToken int) {
+	keys := chain.Keys()
+	if len(keys)*prefix.BlockTokens < k.cfg.MinTokens || k.knows(keys[len(keys)-1]) {
+		return
+	}
+	offered := export{server: server, keys: keys, bytes: int64(len(keys)) * prefix.BlockTokens * int64(bytesPerToken)}
+	if !k.exports.TryPush(offered) {
+		k.drop()
+	}
+}
+
+func (k *Keeper) knows(last prefix.Key) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.held[last]
+	return ok || len(k.stores) == 0
+}
+
+func (k *Keeper) drop() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counts.ExportsDropped++
+}
+
+// Loop exports contexts until ctx ends.
+func (k *Keeper) Loop(ctx context.Context) {
+	for {
+		next, err := k.exports.Pop(ctx)
+		if err != nil {
+			return
+		}
+		k.export(ctx, next)
+	}
+}
+
+// export has a runner put a context into the store box of its home. Blocks that
+// are there already, such as a beginning that several contexts share, are kept
+// once: they have the same names.
+func (k *Keeper) export(ctx context.Context, offered export) {
+	to := k.home(offered.keys[len(offered.keys)-1])
+	if to == nil || !to.awaitBudget(ctx, offered.bytes) {
+		k.drop()
+		return
+	}
+	answer, err := k.cfg.Engines.Export(ctx, offered.server.Address, engine.Transfer{Store: to.server.Address, Keys: offered.keys})
+	whole := err == nil && answer.Blocks == len(offered.keys)
+	if !whole {
+		k.makeRoom(ctx, to)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counts.Exports++
+	if !whole {
+		k.counts.ExportsDropped++
+		return
+	}
+	for len(k.held) >= k.cfg.MaxContexts {
+		if oldest, ok := k.recent.Back().Value.(keptContext); ok {
+			k.forget(oldest.last)
+		}
+	}
+	kept := keptContext{last: offered.keys[len(offered.keys)-1], keys: offered.keys, store: to.server.Name}
+	k.held[kept.last] = k.recent.PushFront(kept)
+}
+
+// maxExportWait is how long an export may wait for its link. Meanwhile others
+// queue up behind it, and those that find no room are dropped.
+const maxExportWait = 5 * time.Second
+
+// awaitBudget waits until the link has room for an export.
+func (s *store) awaitBudget(ctx context.Context, size int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxExportWait)
+	defer cancel()
+	return s.exports.WaitN(ctx, int(size)) == nil
+}
+
+// home gives the store box of a context, by rendezvous hashing.
+func (k *Keeper) home(last prefix.Key) *store {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var best *store
+	var highest uint64
+	for name, candidate := range k.stores {
+		if !candidate.usable(now) {
+			continue
+		}
+		if rank := rankOf(name, last); best == nil || rank > highest {
+			best, highest = candidate, rank
+		}
+	}
+	return best
+}
+
+// rankOf ranks a store box for a context.
+func rankOf(name string, last prefix.Key) uint64 {
+	return xxhash.Sum64String(name + last.String())
+}
+
+// maxFreed bounds the contexts that make room for one.
+const maxFreed = 4
+
+// makeRoom frees the contexts of a full store box that were used least lately.
+func (k *Keeper) makeRoom(ctx context.Context, in *store) {
+	for _, old := range k.oldest(in.server.Name) {
+		// The last block goes first: without it nobody finds the others, and
+		// the shared ones at the beginning stay for other contexts.
+		if err := k.cfg.Stores.Free(ctx, in.server.Address, old.last); err != nil {
+			return
+		}
+	}
+}
+
+func (k *Keeper) oldest(name string) []keptContext {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var old []keptContext
+	for element := k.recent.Back(); element != nil && len(old) < maxFreed; {
+		previous := element.Prev()
+		if candidate, ok := element.Value.(keptContext); ok && candidate.store == name {
+			old = append(old, candidate)
+			k.forget(candidate.last)
+		}
+		element = previous
+	}
+	return old
+}
+
+// State is the part of a state dump that describes the keeper.
+type State struct {
+	Counts
+	Contexts int        `json:"contexts"`
+	Stores   []string   `json:"stores"`
+	Queue    ring.State `json:"queue"`
+}
+
+// State describes what is kept, as far as this box knows.
+func (k *Keeper) State() State {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	state := State{Counts: k.counts, Contexts: len(k.held), Stores: []string{}, Queue: k.exports.State()}
+	for name := range k.stores {
+		state.Stores = append(state.Stores, name)
+	}
+	return state
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -11,6 +11,7 @@
 	"github.com/cometlock/cometlock/internal/config"
 	"github.com/cometlock/cometlock/internal/decide"
 	"github.com/cometlock/cometlock/internal/flow"
+	"github.com/cometlock/cometlock/internal/kept"
 	"github.com/cometlock/cometlock/internal/prefix"
 	"github.com/cometlock/cometlock/internal/ring"
 	"github.com/cometlock/cometlock/internal/zone"
@@ -22,17 +23,20 @@
 	Knowledge *zone.Knowledge
 	// Policy chooses among the runners.
 	Policy P
+	// Keeper knows what is kept in store boxes; nil where there are none.
+	Keeper *kept.Keeper
 }
 
 // Stage places requests by a policy.
 type Stage[P decide.Policy] struct {
 	knowledge *zone.Knowledge
 	policy    P
+	keeper    *kept.Keeper
 }
 
 // New makes the stage.
 func New[P decide.Policy](cfg Config[P]) *Stage[P] {
-	return &Stage[P]{knowledge: cfg.Knowledge, policy: cfg.Policy}
+	return &Stage[P]{knowledge: cfg.Knowledge, policy: cfg.Policy, keeper: cfg.Keeper}
 }
 
 // Name implements flow.Stage.
@@ -72,7 +76,7 @@
 	}
 	for _, version := range append([]string{model.Weights}, model.AcceptWeights...) {
 		s.setWeights(request, version)
-		if s.choose(request, exclude) {
+		if s.choose(request, model, exclude) {
 			return nil
 		}
 	}
@@ -89,9 +93,10 @@
 	request.Chain = prefix.NewChain(salt, request.Prompt)
 }
 
-func (s *Stage[P]) choose(request *flow.Request, exclude []string) bool {
+func (s *Stage[P]) choose(request *flow.Request, model *config.Model, exclude []string) bool {
+	option, _ := s.find(request, model)
 	choice, ok := zone.Choose(s.knowledge, s.policy, zone.Query{
-		Model: request.Model, Weights: request.Weights, Chain: request.Chain, Exclude: exclude,
+		Model: request.Model, Weights: request.Weights, Chain: request.Chain, Exclude: exclude, Fetch: option.Fetch,
 		Instant: request.Priority == config.PriorityInstant, Spread: xxhash.Sum64String(request.ID),
 	})
 	if !ok {
@@ -101,9 +106,21 @@
 		Server: choice.Server, WarmTokens: choice.Warm, Handle: choice.Handle,
 		FirstToken: time.Duration(choice.Decision.FirstToken * float64(time.Second)),
 	}
+	if choice.Decision.Fetched {
+		server := choice.Server
+		request.Placement.Prepare = func(ctx context.Context) { s.keeper.Fetch(ctx, server, option) }
+	}
 	return true
 }
 
+// find gives the best way to fetch the request's context from a store box.
+func (s *Stage[P]) find(request *flow.Request, model *config.Model) (kept.Option, bool) {
+	if s.keeper == nil {
+		return kept.Option{}, false
+	}
+	return s.keeper.Find(request.Chain, model.KVBytesPerToken)
+}
+
 // refuseLate refuses a request whose first token would come after its deadline:
 // to run it would take room from those that can still make theirs.
 func refuseLate(request *flow.Request) *apierror.Error {
--- a/internal/standins/standins.go
+++ b/internal/standins/standins.go
@@ -19,6 +19,7 @@
 	"github.com/cometlock/cometlock/internal/fakelog"
 	"github.com/cometlock/cometlock/internal/fakeplatform"
 	"github.com/cometlock/cometlock/internal/fakeservice"
+	"github.com/cometlock/cometlock/internal/fakestore"
 )
 
 // Config sets up a Set.
@@ -53,6 +54,7 @@
 	engines  map[string]*fakeengine.Engine
 	services map[string]*fakeservice.Service
 	store    *fakeengine.WeightStore
+	stores   map[string]*fakestore.Store
 	servers  []*http.Server
 	stop     context.CancelFunc
 }
@@ -60,7 +62,7 @@
 // Start starts all stand-ins. They run until Close.
 func Start(cfg Config) (*Set, error) {
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Set{file: cfg.File, log: fakelog.New(), engines: map[string]*fakeengine.Engine{}, services: map[string]*fakeservice.Service{}, stop: stop}
+	s := &Set{file: cfg.File, log: fakelog.New(), engines: map[string]*fakeengine.Engine{}, services: map[string]*fakeservice.Service{}, stores: map[string]*fakestore.Store{}, stop: stop}
 	if err := s.start(ctx, cfg); err != nil {
 		s.Close()
 		return nil, err
@@ -110,6 +112,10 @@
 		started := fakeservice.New(server.Name)
 		s.services[server.Name] = started
 		return s.serve(server.Address, started.Handler())
+	case config.RoleStoreBox:
+		started := fakestore.New(server.MemoryBytes)
+		s.stores[server.Name] = started
+		return s.serve(server.Address, started.Handler())
 	default:
 		return server.Address, nil
 	}
@@ -179,3 +185,6 @@
 
 // WeightStore gives the weight store that all engines share.
 func (s *Set) WeightStore() *fakeengine.WeightStore { return s.store }
+
+// Store gives a store box by the name of its backend server.
+func (s *Set) Store(name string) *fakestore.Store { return s.stores[name] }
--- /dev/null
+++ b/internal/storebox/storebox.go
@@ -0,0 +1,172 @@
+// Package storebox is the adapter to store boxes, which keep blocks of context
+// in memory and on disk.
+//
+// A block that is freed or only partly written must never be read. So a block is
+// written, then sealed, then named, in that order, and a reader checks all it
+// was told when it looked the name up:
+//
+//	POST   /v1/blocks                     → slot and generation
+//	PUT    /v1/blocks/{slot}?generation=G   the bytes
+//	POST   /v1/blocks/{slot}/seal           length and digest, refused if the bytes differ
+//	PUT    /v1/names/{key}                  slot, generation, length, digest
+//	GET    /v1/names/{key}                → the same
+//	GET    /v1/blocks/{slot}?generation=G → the bytes, refused for another generation
+//	DELETE /v1/names/{key}                  the generation goes up before the slot is free
+//
+// The box refuses what it can, and the reader checks length and digest again,
+// since a box may be wrong. Whatever fails is a miss, never an answer.
+package storebox
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cometlock/cometlock/internal/prefix"
+)
+
+// Errors of a store box.
+var (
+	// ErrMiss says that the block is not to be had, for whatever reason.
+	ErrMiss = merry.Sentinel("the store box does not have the block")
+	// ErrFull says that there is no room for the block.
+	ErrFull = merry.Sentinel("the store box is full")
+)
+
+// Digest identifies the bytes of a block.
+type Digest [sha256.Size]byte
+
+// Slot is a place for a block.
+type Slot struct {
+	Slot       int64 `json:"slot"`
+	Generation int64 `json:"generation"`
+}
+
+// Name says where a named block is and what it must be.
+type Name struct {
+	Slot
+	Length int64  `json:"length"`
+	Digest []byte `json:"digest"`
+}
+
+// ClientConfig sets up a Client.
+type ClientConfig struct {
+	// Timeout bounds one call.
+	Timeout time.Duration
+}
+
+// DefaultTimeout is the Timeout where none is given.
+const DefaultTimeout = 2 * time.Second
+
+// Client reads and writes blocks.
+type Client struct {
+	http http.Client
+}
+
+// NewClient makes a client; it connects on first use.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	return &Client{http: http.Client{Timeout: cfg.Timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+}
+
+// Put writes a block and names it. A block that has the name already is kept.
+func (c *Client) Put(ctx context.Context, address string, key prefix.Key, data []byte) error {
+	base := "http://" + address
+	var slot Slot
+	if err := c.call(ctx, http.MethodPost, base+"/v1/blocks", nil, &slot); err != nil {
+		return err
+	}
+	block := fmt.Sprintf("%s/v1/blocks/%d", base, slot.Slot)
+	if err := c.call(ctx, http.MethodPut, fmt.Sprintf("%s?generation=%d", block, slot.Generation), data, nil); err != nil {
+		return err
+	}
+	digest := sha256.Sum256(data)
+	name := Name{Slot: slot, Length: int64(len(data)), Digest: digest[:]}
+	body, err := json.Marshal(name)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	if err := c.call(ctx, http.MethodPost, block+"/seal", body, nil); err != nil {
+		return err
+	}
+	return c.call(ctx, http.MethodPut, base+"/v1/names/"+key.String(), body, nil)
+}
+
+// Get reads a block. The error is ErrMiss unless the block is whole and the one
+// that has the name.
+func (c *Client) Get(ctx context.Context, address string, key prefix.Key) ([]byte, error) {
+	base := "http://" + address
+	var name Name
+	if err := c.call(ctx, http.MethodGet, base+"/v1/names/"+key.String(), nil, &name); err != nil {
+		return nil, merry.Wrap(ErrMiss, merry.AppendMessage(err.Error()))
+	}
+	data, err := c.read(ctx, fmt.Sprintf("%s/v1/blocks/%d?generation=%d", base, name.Slot.Slot, name.Generation))
+	if err != nil {
+		return nil, merry.Wrap(ErrMiss, merry.AppendMessage(err.Error()))
+	}
+	digest := sha256.Sum256(data)
+	if int64(len(data)) != name.Length || !bytes.Equal(digest[:], name.Digest) {
+		return nil, merry.Wrap(ErrMiss, merry.AppendMessage("the bytes are not those of the name"))
+	}
+	return data, nil
+}
+
+// Free takes a block's name and room away.
+func (c *Client) Free(ctx context.Context, address string, key prefix.Key) error {
+	return c.call(ctx, http.MethodDelete, "http://"+address+"/v1/names/"+key.String(), nil, nil)
+}
+
+// maxBlockBytes bounds a block.
+const maxBlockBytes = 64 << 20
+
+func (c *Client) call(ctx context.Context, method, target string, body []byte, answer any) error {
+	data, err := c.do(ctx, method, target, body)
+	if err != nil || answer == nil {
+		return err
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return merry.Prepend(err, "the store box answers something else")
+	}
+	return nil
+}
+
+func (c *Client) read(ctx context.Context, target string) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, target, nil)
+}
+
+func (c *Client) do(ctx context.Context, method, target string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBlockBytes))
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusNoContent:
+		return data, nil
+	case http.StatusInsufficientStorage:
+		return nil, ErrFull
+	default:
+		return nil, merry.Errorf("the store box answers with status %d", response.StatusCode)
+	}
+}
+
+// IsFull reports whether an error says that a store box has no room.
+func IsFull(err error) bool { return errors.Is(err, ErrFull) }
--- /dev/null
+++ b/internal/storebox/storebox_test.go
@@ -0,0 +1,126 @@
+package storebox_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/fakestore"
+	"github.com/cometlock/cometlock/internal/prefix"
+	"github.com/cometlock/cometlock/internal/storebox"
+)
+
+type box struct {
+	store   *fakestore.Store
+	client  *storebox.Client
+	address string
+}
+
+func newBox(t *testing.T, capacity int64) box {
+	store := fakestore.New(capacity)
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+	return box{store: store, client: storebox.NewClient(storebox.ClientConfig{}), address: server.Listener.Addr().String()}
+}
+
+func keyOf(i int) prefix.Key {
+	return prefix.NewChain(prefix.NewSalt("o", "m", fmt.Sprint(i)), make([]byte, prefix.BlockBytes)).Keys()[0]
+}
+
+// block is what a key's block must hold: no other's bytes will do.
+func block(i int) []byte { return bytes.Repeat([]byte(fmt.Sprintf("block %d ", i)), 50) }
+
+func TestOnlyAWholeBlockOfTheNameIsRead(t *testing.T) {
+	ctx := context.Background()
+	cases := []struct {
+		name   string
+		write  fakestore.Faults
+		read   fakestore.Faults
+		freed  bool
+		reused bool
+		hit    bool
+	}{
+		{name: "whole", hit: true},
+		{name: "a torn write that the box notices", write: fakestore.Faults{Torn: true}},
+		{name: "a torn write that it does not", write: fakestore.Faults{Torn: true, NoChecks: true}},
+		{name: "wrong bytes", read: fakestore.Faults{WrongBytes: true}},
+		{name: "freed", freed: true},
+		{name: "freed, and the box still tells the name", freed: true, read: fakestore.Faults{StaleNames: true}},
+		{name: "freed and used for another block", freed: true, reused: true, read: fakestore.Faults{StaleNames: true}},
+		{name: "the same from a box that checks nothing", freed: true, reused: true, read: fakestore.Faults{StaleNames: true, NoChecks: true}},
+		{name: "a box that is gone", read: fakestore.Faults{Down: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newBox(t, 1<<20)
+			b.store.SetFaults(c.write)
+			_ = b.client.Put(ctx, b.address, keyOf(1), block(1)) // its failure is part of some cases
+			b.store.SetFaults(fakestore.Faults{})
+			if c.freed {
+				g.Expect(b.client.Free(ctx, b.address, keyOf(1))).To(Succeed())
+			}
+			if c.reused {
+				g.Expect(b.client.Put(ctx, b.address, keyOf(2), block(2))).To(Succeed())
+			}
+			b.store.SetFaults(c.read)
+			data, err := b.client.Get(ctx, b.address, keyOf(1))
+			if c.hit {
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(data).To(Equal(block(1)))
+				return
+			}
+			g.Expect(err).To(MatchError(storebox.ErrMiss))
+			g.Expect(data).To(BeNil())
+		})
+	}
+}
+
+func TestAFullBoxSaysSo(t *testing.T) {
+	g := NewWithT(t)
+	b := newBox(t, 400)
+	ctx := context.Background()
+	g.Expect(b.client.Put(ctx, b.address, keyOf(1), block(1))).To(Succeed())
+	g.Expect(storebox.IsFull(b.client.Put(ctx, b.address, keyOf(2), block(2)))).To(BeTrue())
+	g.Expect(b.client.Free(ctx, b.address, keyOf(1))).To(Succeed())
+	g.Expect(b.client.Put(ctx, b.address, keyOf(2), block(2))).To(Succeed())
+}
+
+// Readers, writers and frees at once, on a box that checks nothing: every read
+// is a miss or exactly the block of its name.
+func TestReadsDuringFreesAreMissesOrRight(t *testing.T) {
+	b := newBox(t, 1<<20)
+	b.store.SetFaults(fakestore.Faults{NoChecks: true, StaleNames: true})
+	ctx := context.Background()
+	const keys, rounds = 5, 60
+	var ended sync.WaitGroup
+	var mu sync.Mutex
+	hits, misses := 0, 0
+	for worker := range 4 {
+		ended.Go(func() {
+			for round := range rounds {
+				i := (worker + round) % keys
+				if worker%2 == 0 {
+					_ = b.client.Put(ctx, b.address, keyOf(i), block(i))
+					_ = b.client.Free(ctx, b.address, keyOf((i+1)%keys))
+					continue
+				}
+				data, err := b.client.Get(ctx, b.address, keyOf(i))
+				mu.Lock()
+				if err != nil {
+					misses++
+				} else if hits++; !bytes.Equal(data, block(i)) {
+					t.Errorf("key %d gave another block", i)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	ended.Wait()
+	t.Logf("%d hits, %d misses, 0 wrong", hits, misses)
+}
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -295,6 +295,8 @@
 	// Spread gives a prompt without a whole block its homes; it differs from
 	// request to request.
 	Spread uint64
+	// Fetch is the best way to bring kept context to any runner of the zone.
+	Fetch decide.Fetch
 	// Exclude names servers that were tried already.
 	Exclude []string
 }
@@ -345,6 +347,7 @@
 			continue
 		}
 		k.runners[place] = known.describe(k.rate(known, query.Model), classOf(query.Instant), k.warm[place], home, now)
+		k.runners[place].Fetch = query.Fetch
 	}
 }
 
