Soak: 100,000 requests under mixed faults against the ledgers

Cause: the issue asks for duplicate runs and lost reviews over 100,000 requests. Change: cometlock-bench soak. Conclusion: kept as a section of make bench.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -41,6 +41,7 @@
 		{"streams", "memory of open streams", openStreams},
 		{"apply", "time from apply to in force on eight entry boxes", applyTime},
 		{"claims", "claims a second and their latency at a log of 200 appends a second", claims},
+		{"soak", "100,000 requests under faults, held against the stand-ins' ledgers", runSoak},
 		{"slopes", "what one more of everything costs", printSlopes},
 		{"policy", "placement policies on the loads of both deployments", policybench.Run},
 	}
