Split three large files by duty

Change: choosing apart from knowing, exports apart from fetches, an organisation's decisions apart from the log's; no behaviour changes.

--- /dev/null
+++ b/internal/kept/export.go
@@ -0,0 +1,117 @@
+package kept
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cometlock/cometlock/internal/engine"
+	"github.com/cometlock/cometlock/internal/prefix"
+)
+
+// Exports: contexts on their way from a runner into a store box, and the room
+// that is made for them.
+
+// Loop exports contexts until ctx ends.
+func (k *Keeper) Loop(ctx context.Context) {
+	for {
+		next, err := k.exports.Pop(ctx)
+		if err != nil {
+			return
+		}
+		k.export(ctx, next)
+	}
+}
+
+// export has a runner put a context into the store box of its home. Blocks that
+// are there already, such as a beginning that several contexts share, are kept
+// once: they have the same names.
+func (k *Keeper) export(ctx context.Context, offered export) {
+	to := k.home(offered.keys[len(offered.keys)-1])
+	if to == nil || !to.awaitBudget(ctx, offered.bytes) {
+		k.drop()
+		return
+	}
+	answer, err := k.cfg.Engines.Export(ctx, offered.server.Address, engine.Transfer{Store: to.server.Address, Keys: offered.keys})
+	whole := err == nil && answer.Blocks == len(offered.keys)
+	if !whole {
+		k.makeRoom(ctx, to)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counts.Exports++
+	if !whole {
+		k.counts.ExportsDropped++
+		return
+	}
+	for len(k.held) >= k.cfg.MaxContexts {
+		if oldest, ok := k.recent.Back().Value.(keptContext); ok {
+			k.forget(oldest.last)
+		}
+	}
+	kept := keptContext{last: offered.keys[len(offered.keys)-1], keys: offered.keys, store: to.server.Name}
+	k.held[kept.last] = k.recent.PushFront(kept)
+}
+
+// maxExportWait is how long an export may wait for its link. Meanwhile others
+// queue up behind it, and those that find no room are dropped.
+const maxExportWait = 5 * time.Second
+
+// awaitBudget waits until the link has room for an export.
+func (s *store) awaitBudget(ctx context.Context, size int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxExportWait)
+	defer cancel()
+	return s.exports.WaitN(ctx, int(size)) == nil
+}
+
+// home gives the store box of a context, by rendezvous hashing.
+func (k *Keeper) home(last prefix.Key) *store {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var best *store
+	var highest uint64
+	for name, candidate := range k.stores {
+		if !candidate.usable(now) {
+			continue
+		}
+		if rank := rankOf(name, last); best == nil || rank > highest {
+			best, highest = candidate, rank
+		}
+	}
+	return best
+}
+
+// rankOf ranks a store box for a context.
+func rankOf(name string, last prefix.Key) uint64 {
+	return xxhash.Sum64String(name + last.String())
+}
+
+// maxFreed bounds the contexts that make room for one.
+const maxFreed = 4
+
+// makeRoom frees the contexts of a full store box that were used least lately.
+func (k *Keeper) makeRoom(ctx context.Context, in *store) {
+	for _, old := range k.oldest(in.server.Name) {
+		// The last block goes first: without it nobody finds the others, and
+		// the shared ones at the beginning stay for other contexts.
+		if err := k.cfg.Stores.Free(ctx, in.server.Address, old.last); err != nil {
+			return
+		}
+	}
+}
+
+func (k *Keeper) oldest(name string) []keptContext {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var old []keptContext
+	for element := k.recent.Back(); element != nil && len(old) < maxFreed; {
+		previous := element.Prev()
+		if candidate, ok := element.Value.(keptContext); ok && candidate.store == name {
+			old = append(old, candidate)
+			k.forget(candidate.last)
+		}
+		element = previous
+	}
+	return old
+}
--- /dev/null
+++ b/internal/review/decide.go
@@ -0,0 +1,100 @@
+package review
+
+import "context"
+
+// Reading a review and deciding on it: what its organisation asks for.
+
+// Get gives an organisation's review.
+func (s *Service) Get(organisation, id string) (Review, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, err := s.find(organisation, id)
+	if err != nil {
+		return Review{}, err
+	}
+	return s.describe(e), nil
+}
+
+// find gives an organisation's review. The caller holds mu.
+func (s *Service) find(organisation, id string) (*entry, error) {
+	e, ok := s.fold.reviews[id]
+	if ok && e.meta.Organisation == organisation && !e.deleted && (e.accepted.known() || e.end != 0) {
+		return e, nil
+	}
+	if !s.ready {
+		return nil, ErrNotReady
+	}
+	return nil, ErrMissing
+}
+
+// Answer gives the answer of a completed review, out of the log.
+func (s *Service) Answer(ctx context.Context, organisation, id string) ([]byte, error) {
+	s.mu.Lock()
+	e, err := s.find(organisation, id)
+	if err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	lies := e.ended
+	s.mu.Unlock()
+	return s.content(ctx, lies)
+}
+
+// AwaitEnd waits until a review has ended or ctx ends.
+func (s *Service) AwaitEnd(ctx context.Context, organisation, id string) (Review, error) {
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		known, err := s.Get(organisation, id)
+		if err != nil || known.Status.Ended() {
+			return known, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return known, ctx.Err()
+		}
+	}
+}
+
+// Cancel ends a review that waits or runs; Delete has it forgotten.
+func (s *Service) Cancel(ctx context.Context, organisation, id string) (Review, error) {
+	return s.decide(ctx, organisation, id, KindCancelled, func(e *entry) bool { return e.end != 0 })
+}
+
+// Delete has a review forgotten, whatever its status.
+func (s *Service) Delete(ctx context.Context, organisation, id string) (Review, error) {
+	return s.decide(ctx, organisation, id, KindDeleted, func(e *entry) bool { return e.deleted })
+}
+
+// decide appends a statement of the review's organisation and waits until it, or
+// an earlier one, is in force.
+func (s *Service) decide(ctx context.Context, organisation, id string, kind Kind, decided func(*entry) bool) (Review, error) {
+	s.mu.Lock()
+	e, err := s.find(organisation, id)
+	if err != nil {
+		s.mu.Unlock()
+		return Review{}, err
+	}
+	meta, already := e.meta, decided(e)
+	s.mu.Unlock()
+	if !already {
+		if err := s.append(ctx, split(kind, meta, original, nil)); err != nil {
+			return Review{}, err
+		}
+	}
+	for {
+		s.mu.Lock()
+		changed, known, done := s.changed, s.describe(e), decided(e)
+		s.mu.Unlock()
+		if done {
+			return known, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Review{}, ErrUnknown
+		}
+	}
+}
--- a/internal/review/service.go
+++ b/internal/review/service.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -242,101 +240,6 @@
 	}
 }
 
-// Get gives an organisation's review.
-func (s *Service) Get(organisation, id string) (Review, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e, err := s.find(organisation, id)
-	if err != nil {
-		return Review{}, err
-	}
-	return s.describe(e), nil
-}
-
-// find gives an organisation's review. The caller holds mu.
-func (s *Service) find(organisation, id string) (*entry, error) {
-	e, ok := s.fold.reviews[id]
-	if ok && e.meta.Organisation == organisation && !e.deleted && (e.accepted.known() || e.end != 0) {
-		return e, nil
-	}
-	if !s.ready {
-		return nil, ErrNotReady
-	}
-	return nil, ErrMissing
-}
-
-// Answer gives the answer of a completed review, out of the log.
-func (s *Service) Answer(ctx context.Context, organisation, id string) ([]byte, error) {
-	s.mu.Lock()
-	e, err := s.find(organisation, id)
-	if err != nil {
-		s.mu.Unlock()
-		return nil, err
-	}
-	lies := e.ended
-	s.mu.Unlock()
-	return s.content(ctx, lies)
-}
-
-// AwaitEnd waits until a review has ended or ctx ends.
-func (s *Service) AwaitEnd(ctx context.Context, organisation, id string) (Review, error) {
-	for {
-		s.mu.Lock()
-		changed := s.changed
-		s.mu.Unlock()
-		known, err := s.Get(organisation, id)
-		if err != nil || known.Status.Ended() {
-			return known, err
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return known, ctx.Err()
-		}
-	}
-}
-
-// Cancel ends a review that waits or runs; Delete has it forgotten.
-func (s *Service) Cancel(ctx context.Context, organisation, id string) (Review, error) {
-	return s.decide(ctx, organisation, id, KindCancelled, func(e *entry) bool { return e.end != 0 })
-}
-
-// Delete has a review forgotten, whatever its status.
-func (s *Service) Delete(ctx context.Context, organisation, id string) (Review, error) {
-	return s.decide(ctx, organisation, id, KindDeleted, func(e *entry) bool { return e.deleted })
-}
-
-// decide appends a statement of the review's organisation and waits until it, or
-// an earlier one, is in force.
-func (s *Service) decide(ctx context.Context, organisation, id string, kind Kind, decided func(*entry) bool) (Review, error) {
-	s.mu.Lock()
-	e, err := s.find(organisation, id)
-	if err != nil {
-		s.mu.Unlock()
-		return Review{}, err
-	}
-	meta, already := e.meta, decided(e)
-	s.mu.Unlock()
-	if !already {
-		if err := s.append(ctx, split(kind, meta, original, nil)); err != nil {
-			return Review{}, err
-		}
-	}
-	for {
-		s.mu.Lock()
-		changed, known, done := s.changed, s.describe(e), decided(e)
-		s.mu.Unlock()
-		if done {
-			return known, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return Review{}, ErrUnknown
-		}
-	}
-}
-
 // content reads the parts of a content out of the log.
 func (s *Service) content(ctx context.Context, lies place) ([]byte, error) {
 	var packed bytes.Buffer
@@ -361,61 +264,3 @@
 
 // readTries bounds the tries to read one record.
 const readTries = 3
-
-// Review is a review as its organisation sees it.
-type Review struct {
-	Meta   Meta
-	Status Status
-	// AtRisk says that the deadline will probably be missed, Missed that it was.
-	AtRisk  bool
-	Missed  bool
-	EndedAt time.Time
-}
-
-// Ended reports whether a status is final.
-func (s Status) Ended() bool {
-	return s == StatusCompleted || s == StatusFailed || s == StatusCancelled
-}
-
-// describe gives a review as its organisation sees it. The caller holds mu.
-func (s *Service) describe(e *entry) Review {
-	described := Review{Meta: e.meta, Status: e.status(), EndedAt: e.endedAt}
-	if _, here := s.running[e.meta.ID]; here && e.waiting() {
-		described.Status = StatusRunning
-	}
-	if e.waiting() {
-		described.AtRisk = s.atRisk(e, time.Now())
-	}
-	ended := time.Now()
-	if e.end != 0 {
-		ended = e.endedAt
-	}
-	described.Missed = !e.meta.Deadline.IsZero() && ended.After(e.meta.Deadline)
-	return described
-}
-
-// Waiting lists the reviews without an end, the most pressing first.
-func (s *Service) Waiting() []Review {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var reviews []Review
-	for _, e := range s.pressing() {
-		reviews = append(reviews, s.describe(e))
-	}
-	return reviews
-}
-
-// pressing lists the waiting reviews, the most pressing first. The caller
-// holds mu.
-func (s *Service) pressing() []*entry {
-	var waiting []*entry
-	for _, e := range s.fold.reviews {
-		if e.waiting() {
-			waiting = append(waiting, e)
-		}
-	}
-	slices.SortFunc(waiting, func(a, b *entry) int {
-		return cmp.Or(dueTime(a).Compare(dueTime(b)), cmp.Compare(a.meta.ID, b.meta.ID))
-	})
-	return waiting
-}
--- /dev/null
+++ b/internal/zone/choose.go
@@ -0,0 +1,233 @@
+package zone
+
+import (
+	"time"
+
+	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/decide"
+	"github.com/cometlock/cometlock/internal/prefix"
+)
+
+// Choosing: what is known of each server is written down as plain data, the
+// policy decides on it, and the request is counted where it goes.
+
+// Handle is a request's hold on a server; Done gives it back.
+type Handle struct {
+	knowledge *Knowledge
+	server    *server
+	model     string
+	// tokens is the prompt work that the decision expected; counted says that
+	// it is still part of the server's sentTokens.
+	tokens  int
+	class   int
+	counted bool
+	// idle says that nothing was ahead, so that the time to first token is the
+	// time of the prefill alone.
+	idle  bool
+	since time.Time
+	done  bool
+}
+
+// Choice is a decision about servers instead of indexes.
+type Choice struct {
+	Server   *config.BackendServer
+	Decision decide.Decision
+	Warm     int
+	Handle   *Handle
+}
+
+// Query is a request for a runner.
+type Query struct {
+	Model   string
+	Weights string
+	Chain   prefix.Chain
+	// Instant says that the request goes before those that are not.
+	Instant bool
+	// Spread gives a prompt without a whole block its homes; it differs from
+	// request to request.
+	Spread uint64
+	// Fetch is the best way to bring kept context to any runner of the zone.
+	Fetch decide.Fetch
+	// Exclude names servers that were tried already.
+	Exclude []string
+}
+
+// Choose decides by a policy where a request runs, and counts it there. It
+// reports false when no runner can take it.
+func Choose[P decide.Policy](k *Knowledge, policy P, query Query) (Choice, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.snapshot == nil {
+		return Choice{}, false
+	}
+	k.fill(query)
+	objectives := k.snapshot.File().Objectives
+	decision := policy.Choose(decide.Query{
+		Tokens:           query.Chain.Tokens(),
+		FirstTokenWeight: objectives.FirstTokenWeight,
+		RecomputeWeight:  objectives.RecomputeWeight,
+	}, k.runners)
+	if decision.Runner == decide.NoRunner {
+		return Choice{}, false
+	}
+	chosen := k.servers[decision.Runner]
+	handle := &Handle{
+		knowledge: k, server: chosen, model: query.Model, tokens: decision.Recomputed, class: classOf(query.Instant), counted: true,
+		idle: k.runners[decision.Runner].QueuedTokens == 0 && !decision.Fetched, since: time.Now(),
+	}
+	chosen.sent++
+	chosen.sentTokens[handle.class] += decision.Recomputed
+	k.index.Expect(chosen.place, query.Chain)
+	return Choice{Server: chosen.config, Decision: decision, Warm: k.warm[decision.Runner], Handle: handle}, true
+}
+
+// fill writes what is known of each server for one query into the scratch space.
+func (k *Knowledge) fill(query Query) {
+	if cap(k.runners) < len(k.servers) {
+		k.runners = make([]decide.Runner, MaxRunners)
+		k.warm = make([]int, MaxRunners)
+	}
+	k.runners = k.runners[:len(k.servers)]
+	k.warm = k.warm[:len(k.servers)]
+	k.index.Warm(query.Chain, k.warm)
+	home := homeOf(query)
+	now := time.Now()
+	for place, known := range k.servers {
+		k.runners[place] = decide.Runner{}
+		if known == nil || !known.eligible(query, now) {
+			continue
+		}
+		k.runners[place] = known.describe(k.rate(known, query.Model), classOf(query.Instant), k.warm[place], home, now)
+		k.runners[place].Fetch = query.Fetch
+	}
+}
+
+// homeDepth is the depth of the block that gives a prompt its home. Prompts that
+// share their first thousands of tokens share a home.
+const homeDepth = 8
+
+func homeOf(query Query) uint64 {
+	keys := query.Chain.Keys()
+	if len(keys) == 0 {
+		return query.Spread
+	}
+	return keys[min(homeDepth, len(keys))-1].Short()
+}
+
+func (s *server) eligible(query Query, now time.Time) bool {
+	if s.config.Role != config.RoleRunner || s.leaving || s.coolingDown(now) {
+		return false
+	}
+	for _, name := range query.Exclude {
+		if name == s.config.Name {
+			return false
+		}
+	}
+	return s.holds(query.Model, query.Weights)
+}
+
+func (s *server) coolingDown(now time.Time) bool {
+	return !s.failedAt.IsZero() && now.Sub(s.failedAt) < coolDown
+}
+
+// holds reports whether the server has the wanted weights. Before the first
+// report the configuration is believed: the engine checks for itself.
+func (s *server) holds(model, weights string) bool {
+	if s.reportedAt.IsZero() {
+		for _, name := range s.config.Models {
+			if name == model {
+				return true
+			}
+		}
+		return false
+	}
+	for _, loaded := range s.status.Weights {
+		if loaded.Model == model {
+			return loaded.Version == weights
+		}
+	}
+	return false
+}
+
+// rate gives the prefill rate of a model on a server: what was learnt, or the
+// operators' first guess.
+func (k *Knowledge) rate(known *server, model string) float64 {
+	if rate := known.rates[model]; rate > 0 {
+		return rate
+	}
+	if entry, ok := k.snapshot.Model(model); ok {
+		return entry.PrefillTokensPerSecond
+	}
+	return config.DefaultPrefillTokensPerSecond
+}
+
+func (s *server) describe(rate float64, class, warm int, home uint64, now time.Time) decide.Runner {
+	age := now.Sub(s.reportedAt)
+	queued := float64(s.sentTokens.ahead(class))
+	running := s.sent
+	if age < staleAfter {
+		// The report counts the work of all entry boxes, also this one's, and
+		// what it counted has been worked on since.
+		reported := work{s.status.QueuedInstantTokens, s.status.QueuedTokens - s.status.QueuedInstantTokens}
+		others := float64(reported.ahead(class) - s.sentAtReport.ahead(class))
+		queued += max(0, others-rate*age.Seconds())
+		running = max(running, s.status.Running+s.status.Waiting)
+	}
+	return decide.Runner{
+		Eligible: true, QueuedTokens: queued, Running: running, Slots: s.config.Slots,
+		PrefillRate: rate, RunSeconds: s.runSeconds, WarmTokens: warm,
+		// Rendezvous hashing: every pair of prompt and server has a rank.
+		Home: mix(home ^ s.hash),
+	}
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// minLearningTokens is the least prefill work that says something of the rate.
+const minLearningTokens = 4 * prefix.BlockTokens
+
+// FirstToken notes that the prefill is done, and learns its rate.
+func (h *Handle) FirstToken() {
+	h.knowledge.mu.Lock()
+	defer h.knowledge.mu.Unlock()
+	h.uncount()
+	seconds := time.Since(h.since).Seconds()
+	if !h.idle || h.tokens < minLearningTokens || seconds <= 0 {
+		return
+	}
+	seen := float64(h.tokens) / seconds
+	known := h.knowledge.rate(h.server, h.model)
+	h.server.rates[h.model] = known + learning*(seen-known)
+}
+
+func (h *Handle) uncount() {
+	if h.counted {
+		h.counted = false
+		h.server.sentTokens[h.class] -= h.tokens
+		h.server.sentAtReport[h.class] = max(0, h.server.sentAtReport[h.class]-h.tokens)
+	}
+}
+
+// Done gives back the hold on a server. A run that went through teaches how
+// long runs take.
+func (h *Handle) Done(ran bool) {
+	h.knowledge.mu.Lock()
+	defer h.knowledge.mu.Unlock()
+	if h.done {
+		return
+	}
+	h.done = true
+	h.uncount()
+	h.server.sent--
+	if ran {
+		seconds := time.Since(h.since).Seconds()
+		h.server.runSeconds += learning * (seconds - h.server.runSeconds)
+	}
+}
