Servers that the platform lists as leaving get nothing new

Cause: the list was read for peers only; a plain service has no other way to say that it leaves. Change: a server is out if it or the list says so; a list never brings one back. Measured: go test ./internal/zone: a listed server is not chosen, also after a report that calls it live; before, SetLeaving had no caller.

--- a/internal/boxlist/boxlist.go
+++ b/internal/boxlist/boxlist.go
@@ -25,7 +25,8 @@
 	Leaving State = "leaving"
 )
 
-// Box is one entry box of the list.
+// Box is one box of the list: an entry box, or a backend server, which has a name
+// and a state only.
 type Box struct {
 	Name  string `json:"name"`
 	Zone  string `json:"zone"`
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,6 +12,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -200,5 +201,10 @@
 	if t.options.boxList == "" {
 		return nil, merry.Wrap(errUsage, merry.AppendMessage("--box-list, COMETLOCK_BOX_LIST or --boxes is needed"))
 	}
-	return boxlist.NewClient(t.options.boxList).Boxes(ctx)
+	listed, err := boxlist.NewClient(t.options.boxList).Boxes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	// Backend servers stand in the list too, without an admin port.
+	return slices.DeleteFunc(listed, func(box boxlist.Box) bool { return box.Admin == "" }), nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -235,7 +235,7 @@
 	cfg := peer.Config{
 		Self:    peer.Status{Box: d.settings.Box, Zone: d.settings.Zone, Incarnation: d.incarnation},
 		Address: d.PeerAddress(), Seeds: d.settings.Seeds, Boxes: boxlist.Static(nil),
-		Source: d.follower, Logger: d.logger,
+		Source: d.follower, Logger: d.logger, Listed: d.takeList,
 	}
 	if d.settings.BoxList != "" {
 		cfg.Boxes = boxlist.NewClient(d.settings.BoxList)
@@ -253,6 +253,17 @@
 	})
 }
 
+// takeList takes over which backend servers the platform lists as leaving.
+func (d *Daemon) takeList(boxes []boxlist.Box) {
+	var leaving []string
+	for _, box := range boxes {
+		if box.State == boxlist.Leaving {
+			leaving = append(leaving, box.Name)
+		}
+	}
+	d.knowledge.SetListed(leaving)
+}
+
 // configure takes over a new configuration.
 func (d *Daemon) configure(snapshot *config.Snapshot) {
 	d.knowledge.Configure(snapshot)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -40,6 +40,8 @@
 	Seeds []string
 	// Boxes is the platform's list.
 	Boxes boxlist.List
+	// Listed is told of each reading of the list.
+	Listed func([]boxlist.Box)
 	// Source is the configuration in force.
 	Source Source
 	Logger zerolog.Logger
@@ -152,6 +154,9 @@
 		x.cfg.Logger.Warn().Str("error", err.Error()).Msg("box_list_lost")
 		return
 	}
+	if x.cfg.Listed != nil {
+		x.cfg.Listed(boxes)
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.listed = boxes
--- a/internal/zone/choose.go
+++ b/internal/zone/choose.go
@@ -115,7 +115,7 @@
 }
 
 func (s *server) eligible(query Query, now time.Time) bool {
-	if s.config.Role != config.RoleRunner || s.leaving || s.coolingDown(now) {
+	if s.config.Role != config.RoleRunner || s.leaves() || s.coolingDown(now) {
 		return false
 	}
 	for _, name := range query.Exclude {
@@ -126,6 +126,8 @@
 	return s.holds(query.Model, query.Weights)
 }
 
+func (s *server) leaves() bool { return s.leaving || s.listedLeaving }
+
 func (s *server) coolingDown(now time.Time) bool {
 	return !s.failedAt.IsZero() && now.Sub(s.failedAt) < coolDown
 }
--- a/internal/zone/state.go
+++ b/internal/zone/state.go
@@ -45,7 +45,7 @@
 		}
 		entry := ServerState{
 			Name: known.config.Name, Role: known.config.Role, Address: known.config.Address,
-			Leaving: known.leaving, Failed: known.coolingDown(now), Sent: known.sent, SentTokens: known.sentTokens.ahead(classOther),
+			Leaving: known.leaves(), Failed: known.coolingDown(now), Sent: known.sent, SentTokens: known.sentTokens.ahead(classOther),
 			Running: known.status.Running, Waiting: known.status.Waiting, QueuedTokens: known.status.QueuedTokens,
 			EventsTo: known.eventsTo, RunSeconds: known.runSeconds,
 		}
@@ -77,7 +77,7 @@
 	var reports []rollout.Report
 	for _, known := range k.servers {
 		if known != nil && known.config.Role == config.RoleRunner && !known.reportedAt.IsZero() {
-			reports = append(reports, rollout.Report{Server: known.config, Weights: known.status.Weights, Leaving: known.leaving})
+			reports = append(reports, rollout.Report{Server: known.config, Weights: known.status.Weights, Leaving: known.leaves()})
 		}
 	}
 	return reports
@@ -90,7 +90,7 @@
 	slots := 0
 	now := time.Now()
 	for _, known := range k.servers {
-		if known != nil && known.config.Role == config.RoleRunner && !known.leaving && !known.coolingDown(now) {
+		if known != nil && known.config.Role == config.RoleRunner && !known.leaves() && !known.coolingDown(now) {
 			slots += known.config.Slots
 		}
 	}
@@ -102,5 +102,5 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	known, ok := k.byName[name]
-	return ok && !known.leaving && !known.coolingDown(time.Now())
+	return ok && !known.leaves() && !known.coolingDown(time.Now())
 }
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -9,6 +9,7 @@
 package zone
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +64,10 @@
 	status     engine.Status
 	reportedAt time.Time
 	failedAt   time.Time
-	leaving    bool
+	// leaving is what the server said itself, listedLeaving what the platform
+	// lists; either takes it out.
+	leaving       bool
+	listedLeaving bool
 
 	// sent counts the runs that this box has sent and that are not finished,
 	// sentTokens their prompt work that has not led to a first token yet.
@@ -199,13 +203,16 @@
 	}
 }
 
-// SetLeaving notes that a server leaves. A list may only take servers out; it
-// never brings back one that said itself that it leaves.
-func (k *Knowledge) SetLeaving(name string) {
+// SetListed takes over which servers the platform lists as leaving. The list may
+// only take servers out: one that says itself that it leaves stays out, whatever
+// the list says, and one that the list calls live gets nothing for that.
+func (k *Knowledge) SetListed(leaving []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if known, ok := k.byName[name]; ok {
-		known.leaving = true
+	for _, known := range k.servers {
+		if known != nil {
+			known.listedLeaving = slices.Contains(leaving, known.config.Name)
+		}
 	}
 }
 
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -131,6 +131,32 @@
 	})
 }
 
+func TestTheListOnlyTakesServersOut(t *testing.T) {
+	g := NewWithT(t)
+	k := newKnowledge(2)
+	status := engine.Status{Incarnation: "i", Weights: []engine.LoadedWeights{{Model: "m", Version: "v1"}}}
+	leaving := status
+	leaving.Leaving = true
+	k.Report("r000", status)
+	k.Report("r001", leaving)
+	only := func() string {
+		names := map[string]bool{}
+		for range 10 {
+			if choice, ok := Choose(k, decide.Cheapest{}, Query{Model: "m", Weights: "v1", Chain: chainOf("x", 1)}); ok {
+				names[choice.Server.Name] = true
+			}
+		}
+		return fmt.Sprint(names)
+	}
+	g.Expect(only()).To(Equal("map[r000:true]"))
+	k.SetListed([]string{"r000"})
+	g.Expect(only()).To(Equal("map[]"), "a list that calls r001 live does not bring it back")
+	k.Report("r000", status)
+	g.Expect(only()).To(Equal("map[]"), "nor does a report bring back what the list takes out")
+	k.SetListed(nil)
+	g.Expect(only()).To(Equal("map[r000:true]"))
+}
+
 // Herding: with reports that lag, a box that trusts them alone sends everything
 // to the runner that was idle when they were made.
 func TestStaleReportsDoNotMakeAHerd(t *testing.T) {
