--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,223 @@
+package admit_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/admit"
+	"github.com/cometlock/cometlock/internal/apierror"
+	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/flow"
+	"github.com/cometlock/cometlock/internal/ring"
+)
+
+// gate runs the stage and notes who passes, in order.
+type gate struct {
+	stage  *admit.Stage
+	in     *ring.Ring[*flow.Request]
+	passed []*flow.Request
+	room   int
+	stop   context.CancelFunc
+}
+
+func newGate(room int) *gate {
+	g := &gate{in: ring.New[*flow.Request](ring.Config{Capacity: 1000}), room: room}
+	g.stage = admit.New(admit.Config{Room: func() int { return g.room }})
+	ctx, stop := context.WithCancel(context.Background())
+	g.stop = stop
+	go g.stage.Loop(ctx, g.in, func(request *flow.Request) { g.passed = append(g.passed, request) })
+	return g
+}
+
+var snapshot = func() *config.Snapshot {
+	entries, err := (&config.File{Limits: config.Limits{QueueLength: 50}}).Entries()
+	if err != nil {
+		panic(err)
+	}
+	made, err := config.NewSnapshot(0, entries)
+	if err != nil {
+		panic(err)
+	}
+	return made
+}()
+
+func organisation(name string, share int) *config.Organisation {
+	return &config.Organisation{Name: name, Share: share, MaxInFlight: 100}
+}
+
+func (g *gate) send(ctx context.Context, of *config.Organisation, priority config.Priority) *flow.Request {
+	request := flow.NewRequest(ctx)
+	request.Kind, request.Organisation, request.Priority, request.Snapshot = flow.KindModel, of, priority, snapshot
+	g.in.TryPush(request)
+	return request
+}
+
+// order names who passed, one letter each.
+func (g *gate) order() string {
+	var names strings.Builder
+	for _, request := range g.passed {
+		names.WriteString(request.Organisation.Name)
+	}
+	return names.String()
+}
+
+// finish gives room for one more, one after the other.
+func (g *gate) finish(count int) {
+	for i := range count {
+		g.passed[i].Release()
+		synctest.Wait()
+	}
+}
+
+func TestSharesAndUrgencyDecideWhoGoesNext(t *testing.T) {
+	type sent struct {
+		name     string
+		share    int
+		priority config.Priority
+		count    int
+	}
+	cases := []struct {
+		name string
+		sent []sent
+		want string
+	}{
+		{"first come, first served in one organisation", []sent{{"a", 1, config.PriorityNormal, 3}}, "aaa"},
+		{"shares 2 to 1", []sent{{"a", 2, config.PriorityNormal, 6}, {"b", 1, config.PriorityNormal, 3}}, "abaabaaba"},
+		{"a large one cannot push a small one's instant request out", []sent{{"a", 8, config.PriorityNormal, 6}, {"b", 1, config.PriorityInstant, 1}}, "baaaaaa"},
+		{"reviews last", []sent{{"r", 8, config.PriorityReview, 2}, {"a", 1, config.PriorityNormal, 2}, {"i", 1, config.PriorityInstant, 1}}, "iaarr"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGate(1)
+				defer g.stop()
+				ctx := t.Context()
+				blocker := g.send(ctx, organisation("-", 1), config.PriorityInstant)
+				synctest.Wait()
+				total := 0
+				for _, s := range c.sent {
+					for range s.count {
+						g.send(ctx, organisation(s.name, s.share), s.priority)
+						total++
+					}
+				}
+				synctest.Wait()
+				blocker.Release()
+				synctest.Wait()
+				for i := 1; i < total; i++ {
+					g.passed[i].Release()
+					synctest.Wait()
+				}
+				NewWithT(t).Expect(g.order()).To(Equal("-" + c.want))
+			})
+		})
+	}
+}
+
+func TestAShareIsNotSavedUpWhileIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1)
+		defer g.stop()
+		a, b := organisation("a", 1), organisation("b", 1)
+		for range 10 {
+			g.send(t.Context(), a, config.PriorityNormal)
+		}
+		synctest.Wait()
+		g.finish(6)
+		for range 4 {
+			g.send(t.Context(), b, config.PriorityNormal)
+		}
+		synctest.Wait()
+		for i := 6; i < 13; i++ {
+			g.passed[i].Release()
+			synctest.Wait()
+		}
+		NewWithT(t).Expect(g.order()[7:]).To(Equal("bababab"), "b gets every second place, not the next four")
+	})
+}
+
+func TestReviewsLeaveRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWithT(t)
+		g := newGate(10)
+		defer g.stop()
+		reviews, people := organisation("r", 1), organisation("p", 1)
+		for range 20 {
+			g.send(t.Context(), reviews, config.PriorityReview)
+		}
+		synctest.Wait()
+		w.Expect(g.order()).To(Equal("rrrrrrrr"), "reviews take 8 of 10 places")
+		g.send(t.Context(), people, config.PriorityInstant)
+		synctest.Wait()
+		w.Expect(g.order()).To(HaveSuffix("p"))
+	})
+}
+
+func TestReviewsDoNotStarve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1)
+		defer g.stop()
+		people := organisation("p", 1)
+		g.send(t.Context(), people, config.PriorityNormal)
+		synctest.Wait()
+		g.send(t.Context(), organisation("r", 1), config.PriorityReview)
+		// Normal requests without end: there is always one that waits.
+		g.send(t.Context(), people, config.PriorityNormal)
+		for next := range 100 {
+			g.send(t.Context(), people, config.PriorityNormal)
+			time.Sleep(time.Second)
+			g.passed[next].Release()
+			synctest.Wait()
+		}
+		NewWithT(t).Expect(g.order()).To(ContainSubstring("r"))
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWithT(t)
+		g := newGate(1)
+		defer g.stop()
+		small := organisation("s", 1)
+		small.MaxInFlight = 2
+		var requests []*flow.Request
+		for range 3 {
+			requests = append(requests, g.send(t.Context(), small, config.PriorityNormal))
+		}
+		synctest.Wait()
+		refusal := <-requests[2].Decided()
+		w.Expect(refusal.Code).To(Equal("organisation_limit"))
+		w.Expect(refusal.Outcome).To(Equal(apierror.NotRun))
+		w.Expect(refusal.RetryAfterSeconds()).To(BeNumerically(">=", 1))
+		for range 60 {
+			requests = append(requests, g.send(t.Context(), organisation("l", 1), config.PriorityNormal))
+		}
+		synctest.Wait()
+		last := <-requests[len(requests)-1].Decided()
+		w.Expect(last.Code).To(Equal("queue_full"))
+	})
+}
+
+func TestCallersThatGoAwayTakeNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWithT(t)
+		g := newGate(1)
+		defer g.stop()
+		ctx, goAway := context.WithCancel(t.Context())
+		g.send(t.Context(), organisation("a", 1), config.PriorityNormal)
+		gone := g.send(ctx, organisation("b", 1), config.PriorityNormal)
+		g.send(t.Context(), organisation("c", 1), config.PriorityNormal)
+		synctest.Wait()
+		goAway()
+		g.passed[0].Release()
+		synctest.Wait()
+		w.Expect(g.order()).To(Equal("ac"))
+		w.Expect((<-gone.Decided()).Code).To(Equal("caller_gone"))
+		w.Expect(g.stage.State().InFlight).To(Equal(1))
+	})
+}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -161,6 +161,53 @@
 	return rows
 }
 
+// Event is what something that happens costs.
+type Event struct {
+	Name string `json:"event"`
+	// PerDay is how often it happens; 0 where that is not known.
+	PerDay float64 `json:"per_day"`
+	// Messages and Bytes are what control sends for one.
+	Messages float64 `json:"messages"`
+	Bytes    float64 `json:"bytes"`
+	// Tokens is the prompt work that one makes necessary again.
+	Tokens float64 `json:"recomputed_tokens"`
+}
+
+// Assumptions about what an event hits.
+const (
+	runnerCacheTokens = 300_000.0 // kept context that a runner's memory holds
+	retentionSeconds  = day       // of the log
+	tokensPerBlock    = 256.0
+	claimStreams      = 16.0
+	recordsPerRead    = 1000.0
+)
+
+// Events works out what failures and replacements cost.
+func Events(size Size, s Slopes) []Event {
+	runners := float64(size.Runners) / float64(size.Zones)
+	contexts := float64(size.Contexts) / float64(size.Zones)
+	entries := float64(size.Organisations + size.Runners)
+	claims := size.RequestsPerSec * size.ClaimPart * retentionSeconds
+	blocks := runners * runnerCacheTokens / tokensPerBlock
+	returning := contexts * float64(size.BlocksPerPrompt) * tokensPerBlock
+	start := entries*s.OrganisationLogBytes + blocks*s.EventBytes
+	return []Event{
+		{Name: "an entry box starts: configuration, cache snapshots of the zone", PerDay: float64(size.Restarts), Messages: 1 + 2*runners, Bytes: start},
+		{Name: "an entry box starts: claims read back (all streams, today)", PerDay: float64(size.Restarts), Messages: claims/recordsPerRead + claimStreams, Bytes: claims * 2 * s.ClaimLogBytes},
+		{Name: "a runner fails", PerDay: 26 * float64(size.Runners) / float64(size.Runners+size.Nodes), Messages: 2, Tokens: runnerCacheTokens},
+		{Name: "a zone is lost, and its contexts return elsewhere", Messages: 0, Tokens: returning},
+		{Name: "an hour without another region", Messages: 0, Bytes: 0, Tokens: 0},
+	}
+}
+
+// PrintEvents writes what failures and replacements cost.
+func PrintEvents(out io.Writer, events []Event) {
+	fmt.Fprintf(out, "\n| event | a day | messages | MB | recomputed tokens |\n|---|---:|---:|---:|---:|\n")
+	for _, e := range events {
+		fmt.Fprintf(out, "| %s | %.0f | %.0f | %.2f | %.0f |\n", e.Name, e.PerDay, e.Messages, e.Bytes/mega, e.Tokens)
+	}
+}
+
 // Print writes the table, its sums and where a limit is passed.
 func Print(out io.Writer, size Size, rows []Row, limits Limits) {
 	fmt.Fprintf(out, "one entry box of %d in %d zones, before %d runners, %d organisations, %d contexts, %.0f requests/s, %d changes a day\n\n",
--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -34,5 +34,6 @@
 		return t.printJSON(rows)
 	}
 	capacity.Print(t.out, t.options.size, rows, capacity.UsersLimits())
+	capacity.PrintEvents(t.out, capacity.Events(t.options.size, slopes))
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/integrii/flaggy"
 
+	"github.com/cometlock/cometlock/internal/claim"
 	"github.com/cometlock/cometlock/internal/version"
 )
 
@@ -121,6 +122,10 @@
 	return settings, settings.complete()
 }
 
+// minLogRetention is twice the time for which a key can be claimed, so that the
+// first claim of a key is still held when the last timely one is judged.
+const minLogRetention = 2 * claim.MaxWindow
+
 // complete fills in what depends on other settings.
 func (s *Settings) complete() error {
 	if s.Box == "" {
@@ -134,6 +139,9 @@
 		}
 		s.Box = host + "-" + port
 	}
+	if s.LogRetention < minLogRetention {
+		return merry.Errorf("--log-retention (COMETLOCK_LOG_RETENTION): must be at least %s, is %s", minLogRetention, s.LogRetention)
+	}
 	if s.PeerTLS.Set() && (s.PeerTLS.Certificate == "" || s.PeerTLS.Key == "" || s.PeerTLS.Authority == "") {
 		return merry.New("--peer-tls-cert, --peer-tls-key and --peer-tls-ca go together")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,6 +37,7 @@
 		{"a duration without a unit", []string{"--zone", "a", "--log", "127.0.0.1:1", "--drain-delay", "5"}, `--drain-delay (COMETLOCK_DRAIN_DELAY): "5" is not a duration such as 1m30s`},
 		{"a key that is no key", []string{"--zone", "a", "--log", "127.0.0.1:1", "--answer-keys", "secret"}, "--answer-keys (COMETLOCK_ANSWER_KEYS): key 1 is not hexadecimal"},
 		{"half of TLS", []string{"--zone", "a", "--log", "127.0.0.1:1", "--peer-tls-cert", "x"}, "--peer-tls-cert, --peer-tls-key and --peer-tls-ca go together"},
+		{"a log that forgets too soon", []string{"--zone", "a", "--log", "127.0.0.1:1", "--log-retention", "1h"}, "--log-retention (COMETLOCK_LOG_RETENTION): must be at least 4h0m0s, is 1h0m0s"},
 		{"no capacity", []string{"--zone", "a", "--log", "127.0.0.1:1", "--ring-capacity", "0"}, `--ring-capacity (COMETLOCK_RING_CAPACITY): "0" is not a number above 0`},
 		{"an operators' key instead of its hash", []string{"--zone", "a", "--log", "127.0.0.1:1", "--operator-key-hash", "secret"}, "--operator-key-hash (COMETLOCK_OPERATOR_KEY_HASH): is not a SHA-256 in hexadecimal"},
 	}
--- a/internal/settle/settle.go
+++ b/internal/settle/settle.go
@@ -34,6 +34,8 @@
 	Resumes      int
 	Reruns       int
 	Failure      *apierror.Error
+	// Target is the deployment's wanted time to first token; 0 if unknown.
+	Target time.Duration
 }
 
 // NewRecord takes from a request what its record needs.
@@ -42,6 +44,9 @@
 		RequestID: request.ID, Kind: request.Kind, Model: request.Model, Priority: request.Priority,
 		Arrived: request.Arrived, PromptTokens: request.Chain.Tokens(), WarmTokens: request.Placement.WarmTokens,
 	}
+	if request.Snapshot != nil {
+		record.Target = time.Duration(request.Snapshot.File().Objectives.FirstTokenTargetMillis) * time.Millisecond
+	}
 	if request.Organisation != nil {
 		record.Organisation = request.Organisation.Name
 	}
@@ -125,6 +130,9 @@
 	scope.Counter("prompt_tokens").Inc(int64(record.PromptTokens))
 	scope.Counter("warm_tokens").Inc(int64(min(record.WarmTokens, record.PromptTokens)))
 	if !record.FirstChunk.IsZero() {
+		if record.Target > 0 && record.FirstChunk.Sub(record.Arrived) > record.Target {
+			scope.Counter("first_chunks_over_target").Inc(1)
+		}
 		scope.Histogram("first_chunk_seconds", telemetry.LatencyBuckets()).RecordDuration(record.FirstChunk.Sub(record.Arrived))
 	}
 }
