Let go of prompts once an answer has begun

Cause: an open stream kept its prompt four times over (parsed body, prompt, engine's body, the HTTP library's hold on the request) for as long as it lasted; the measurement had used prompts of a few bytes and streams without a chunk. Change: the request forgets what only a hand-over needs at the first chunk; the body's reader lets go of what was read; the bench opens streams that have begun, with prompts of 20 bytes and of 64 KiB.

--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -194,4 +194,5 @@
 	return took, nil
 }
 
-func newBody(text string) io.Reader { return bytes.NewReader(requestBody(1, text)) }
+// newBody makes the body of a request for two chunks.
+func newBody(text string) io.Reader { return bytes.NewReader(requestBody(2, text)) }
--- a/internal/bench/streams.go
+++ b/internal/bench/streams.go
@@ -28,16 +28,36 @@
 		return err
 	}
 	streams, files := possibleStreams()
-	straight, err := heldMemory(streams, false)
+	fmt.Fprintf(out, "the rig's limit: %d open files in one process, %d a stream with client and engine; each stream has had its first chunk\n", files, filesPerStream)
+	for _, promptBytes := range []int{shortPrompt, longPrompt} {
+		if promptBytes == longPrompt {
+			streams = longStreams
+		}
+		if err := printHeld(out, streams, promptBytes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Prompts of the open streams, in bytes, and how many have the long one.
+const (
+	shortPrompt = 20
+	longPrompt  = 64 << 10
+	longStreams = 1000
+)
+
+func printHeld(out io.Writer, streams, promptBytes int) error {
+	straight, err := heldMemory(streams, promptBytes, false)
 	if err != nil {
 		return err
 	}
-	boxed, err := heldMemory(streams, true)
+	boxed, err := heldMemory(streams, promptBytes, true)
 	if err != nil {
 		return err
 	}
-	perStream := float64(boxed-straight) / float64(streams)
-	fmt.Fprintf(out, "%d open streams (the rig's limit: %d open files in one process, %d a stream with client and engine)\n", streams, files, filesPerStream)
+	perStream := (float64(boxed) - float64(straight)) / float64(streams)
+	fmt.Fprintf(out, "%d open streams with prompts of %d bytes\n", streams, promptBytes)
 	fmt.Fprintf(out, "  straight to the engine: %d KiB a stream; through an entry box: %d KiB; the entry box alone: %.1f KiB\n",
 		straight/uint64(streams)>>10, boxed/uint64(streams)>>10, perStream/1024)
 	fmt.Fprintf(out, "  %d streams at that rate: %.0f MB\n", wantedStreams, perStream*wantedStreams/1e6)
@@ -55,10 +75,10 @@
 
 // heldMemory opens streams, straight or through an entry box, and gives the heap
 // and stacks that they take.
-func heldMemory(streams int, throughBox bool) (uint64, error) {
+func heldMemory(streams, promptBytes int, throughBox bool) (uint64, error) {
 	fleet, err := testfleet.Start(testfleet.Config{
 		File: sampleFile, Zones: []string{"zone-a"},
-		Engine: fakeengine.Config{DecodeInterval: time.Hour, PrefillTokensPerSecond: 0},
+		Engine: fakeengine.Config{DecodeInterval: time.Hour, FirstAtOnce: true},
 		Change: func(file *config.File) { widen(file, streams) },
 	})
 	if err != nil {
@@ -75,7 +95,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	before := settledMemory()
-	if err := openMany(ctx, fleet, at, streams); err != nil {
+	if err := openMany(ctx, fleet, at, streams, promptBytes); err != nil {
 		return 0, err
 	}
 	return settledMemory() - before, nil
@@ -94,14 +114,13 @@
 	file.Limits.QueueLength = 2 * streams
 }
 
-// openMany opens streams and waits until the engines have them all. The answers
-// have not begun, so each takes what a waiting stream takes.
-func openMany(ctx context.Context, fleet *testfleet.Fleet, at target, streams int) error {
+// openMany opens streams and waits until the engines have them all.
+func openMany(ctx context.Context, fleet *testfleet.Fleet, at target, streams, promptBytes int) error {
 	client := &http.Client{Transport: &http.Transport{}}
 	gate := make(chan struct{}, 64)
 	for i := range streams {
 		gate <- struct{}{}
-		held := &heldStream{client: client, at: at, text: fmt.Sprint("stream ", i), gate: gate}
+		held := &heldStream{client: client, at: at, text: fmt.Sprintf("%0*d", promptBytes, i), gate: gate}
 		go held.loop(ctx)
 	}
 	for range 2000 {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -90,12 +90,13 @@
 // Start hands a run to an engine, once, and gives its stream. The error is
 // ErrNotHanded, ErrNoAnswer, ErrWrongWeights, ErrRubbish or a *RefusedError.
 func (c *Client) Start(ctx context.Context, address string, run Run) (*Stream, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+run.Path, bytes.NewReader(run.Body))
+	// A reader that the HTTP library does not know comes without GetBody, so it
+	// cannot hand the run over a second time.
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+run.Path, &onceReader{rest: run.Body})
 	if err != nil {
 		return nil, merry.Wrap(ErrNotHanded, merry.WithCause(err))
 	}
-	// Without GetBody the HTTP library cannot hand the run over a second time.
-	request.GetBody = nil
+	request.ContentLength = int64(len(run.Body))
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(HeaderRunID, run.ID)
 	request.Header.Set(HeaderWeights, run.Weights)
@@ -106,6 +107,22 @@
 	return c.open(response, run.Weights, run.Stream, 0)
 }
 
+// onceReader reads bytes and lets go of them. The HTTP library holds on to a
+// request's body until the answer has ended, which may take minutes.
+type onceReader struct {
+	rest []byte
+}
+
+// Read implements io.Reader.
+func (r *onceReader) Read(into []byte) (int, error) {
+	n := copy(into, r.rest)
+	if r.rest = r.rest[n:]; len(r.rest) > 0 {
+		return n, nil
+	}
+	r.rest = nil // an empty rest would still hold all that was read
+	return n, io.EOF
+}
+
 // Resume takes up a run after the chunk with index after; -1 begins at the first
 // chunk. The error is as for Start, or ErrUnknownRun.
 func (c *Client) Resume(ctx context.Context, address string, run Run, after int) (*Stream, error) {
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -35,6 +35,8 @@
 	PrefillTokensPerSecond float64
 	// DecodeInterval is the time between chunks; 0 takes no time.
 	DecodeInterval time.Duration
+	// FirstAtOnce lets the first chunk come without the interval.
+	FirstAtOnce bool
 	// LoadTime is how long one load of weights takes when few load at once.
 	LoadTime time.Duration
 	// WeightStore is shared by the engines of a deployment; nil never slows.
@@ -279,7 +281,7 @@
 		return
 	}
 	for i := range r.tokens {
-		if !sleep(ctx, e.cfg.DecodeInterval) {
+		if at := i == 0 && e.cfg.FirstAtOnce; !at && !sleep(ctx, e.cfg.DecodeInterval) {
 			return
 		}
 		r.add(r.chunk(i, cached))
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -125,6 +125,11 @@
 	return r.body
 }
 
+// Forget drops what is needed only to hand the request over. Once part of an
+// answer has been passed on, the request is never handed over again, and an
+// answer may take minutes: a prompt of 64 KiB must not stay for all of them.
+func (r *Request) Forget() { r.Prompt, r.body, r.encode = nil, nil, nil }
+
 // Pass ends the way through the computing stages: the request may run.
 func (r *Request) Pass() { r.done <- nil }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -120,6 +120,8 @@
 		if result.Chunks == 0 {
 			result.FirstChunk = time.Now()
 			request.Placement.Handle.FirstToken()
+			request.Forget()
+			attempt.Run.Body = nil
 			sink.Begin(attempt.Server, attempt.Run)
 		}
 		if err := sink.Write(chunk, attempt.Stream.Buffered()); err != nil {
