--- a/internal/review/runner.go
+++ b/internal/review/runner.go
@@ -168,7 +168,10 @@
 func (s *Service) endSeen(ctx context.Context, meta Meta) bool {
 	ctx, cancel := context.WithTimeout(ctx, endWait)
 	defer cancel()
-	known, err := s.AwaitEnd(ctx, meta.Organisation, meta.ID)
+	// The end that comes also ends this run's context, so what AwaitEnd saw last
+	// may be older than it.
+	_, _ = s.AwaitEnd(ctx, meta.Organisation, meta.ID)
+	known, err := s.Get(meta.Organisation, meta.ID)
 	return errors.Is(err, ErrMissing) || known.Status.Ended()
 }
 
