End-to-end specs wait for events instead of sleeping

Cause: two specs slept; one of them longer than the promise it tests. Change: the spec of a leaving runner waits until the box knows, within 3 s, and counts at the server from then on; the review's waits on what its caller sees.

--- a/internal/e2e/reviews_test.go
+++ b/internal/e2e/reviews_test.go
@@ -108,7 +108,9 @@
 		accepted := readReview(do(fleet.Box(0), newReview("A long brief", nil)))
 		Eventually(func() int { return fleet.Box(0).State().Reviews.Running }, "20s", "5ms").Should(Equal(1))
 		fleet.Set().Log().SetFaults(fakelog.Faults{Down: true})
-		time.Sleep(500 * time.Millisecond)
+		Consistently(func() string {
+			return readReview(do(fleet.Box(0), testfleet.Call{Path: reviewsPath + "/" + accepted.ID})).Status
+		}, "500ms", "50ms").ShouldNot(Equal("completed"), "an end that is not in the log is none")
 		fleet.Set().Log().SetFaults(fakelog.Faults{})
 		eventuallyCompleted(fleet.Box(0), accepted.ID)
 	})
--- a/internal/e2e/stops_test.go
+++ b/internal/e2e/stops_test.go
@@ -51,7 +51,14 @@
 		fleet := start(testfleet.Config{})
 		leaving := fleet.Set().Engine("runner-zone-a-2")
 		leaving.SetFaults(fakeengine.Faults{Leaving: true})
-		time.Sleep(3 * time.Second)
+		Eventually(func() bool {
+			for _, server := range fleet.Box(0).State().ServersOf.Servers {
+				if server.Name == "runner-zone-a-2" {
+					return server.Leaving
+				}
+			}
+			return false
+		}, "3s", "5ms").Should(BeTrue())
 		before := leaving.Ledger().AfterLeaving
 		for i := range 60 {
 			answer := do(fleet.Box(0), testfleet.Call{Path: completions, Body: chat(string(rune('a'+i%26)), 2, true)})
