--- a/internal/cli/boxes.go
+++ b/internal/cli/boxes.go
@@ -37,14 +37,14 @@
 func (t *tool) admin(ctx context.Context, method, address, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	request, err := http.NewRequestWithContext(ctx, method, t.scheme+"://"+address+path, nil)
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
 	if t.options.operatorKey != "" {
 		request.Header.Set("Authorization", "Bearer "+t.options.operatorKey)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := t.client.Do(request)
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,9 +7,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"slices"
@@ -53,6 +56,7 @@
 	boxList     string
 	boxes       string
 	operatorKey string
+	authority   string
 	output      string
 	wait        bool
 	waitTimeout time.Duration
@@ -64,8 +68,11 @@
 // tool runs one command.
 type tool struct {
 	options options
-	out     io.Writer
-	err     io.Writer
+	// scheme and client reach the admin ports.
+	scheme string
+	client http.Client
+	out    io.Writer
+	err    io.Writer
 }
 
 // command is one row of the table of commands.
@@ -94,7 +101,7 @@
 func Main(args []string, getenv func(string) string, out, errOut io.Writer) int {
 	t := &tool{out: out, err: errOut, options: options{
 		log: getenv("COMETLOCK_LOG"), boxList: getenv("COMETLOCK_BOX_LIST"), boxes: getenv("COMETLOCK_BOXES"),
-		operatorKey: getenv("COMETLOCK_OPERATOR_KEY"), output: "text", waitTimeout: 30 * time.Second, lookFor: 10 * time.Second,
+		operatorKey: getenv("COMETLOCK_OPERATOR_KEY"), authority: getenv("COMETLOCK_TLS_CA"), output: "text", waitTimeout: 30 * time.Second, lookFor: 10 * time.Second,
 		size: capacity.TwoYears(),
 	}}
 	chosen, argument, err := t.parse(args)
@@ -121,6 +128,7 @@
 	parser.String(&t.options.log, "", "log", "IP address and port of the platform's log [COMETLOCK_LOG]")
 	parser.String(&t.options.boxList, "", "box-list", "IP address and port of the list of boxes [COMETLOCK_BOX_LIST]")
 	parser.String(&t.options.boxes, "", "boxes", "admin addresses of the boxes, instead of the list [COMETLOCK_BOXES]")
+	parser.String(&t.options.authority, "", "tls-ca", "file of the authority of the boxes' certificates; empty: admin ports without TLS [COMETLOCK_TLS_CA]")
 	parser.String(&t.options.output, "o", "output", "text or json")
 	rows := commands()
 	arguments := make([]string, len(rows))
@@ -149,6 +157,9 @@
 	if t.options.output != "text" && t.options.output != "json" {
 		return command{}, "", merry.Errorf("-o is text or json, not %q", t.options.output)
 	}
+	if err := t.setClient(); err != nil {
+		return command{}, "", err
+	}
 	for i, sub := range subcommands {
 		if sub.Used {
 			return rows[i], arguments[i], nil
@@ -157,6 +168,25 @@
 	return command{}, "", merry.New("a command is needed; see --help")
 }
 
+// setClient chooses how to reach the admin ports.
+func (t *tool) setClient() error {
+	t.scheme = "http"
+	if t.options.authority == "" {
+		return nil
+	}
+	text, err := os.ReadFile(t.options.authority)
+	if err != nil {
+		return merry.Prepend(err, "--tls-ca")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return merry.Errorf("--tls-ca: %s holds no certificate", t.options.authority)
+	}
+	t.scheme = "https"
+	t.client.Transport = &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}}
+	return nil
+}
+
 // exitCode maps errors to exit codes.
 func exitCode(err error) int {
 	if _, ok := errors.AsType[*config.InvalidError](err); ok {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -12,6 +14,8 @@
 
 	"github.com/cometlock/cometlock/internal/cli"
 	"github.com/cometlock/cometlock/internal/fakelog"
+	"github.com/cometlock/cometlock/internal/settings"
+	"github.com/cometlock/cometlock/internal/testcerts"
 	"github.com/cometlock/cometlock/internal/testfleet"
 )
 
@@ -130,6 +134,25 @@
 	g.Expect(got.out).To(ContainSubstring("accepted as version 1"))
 }
 
+func TestAdminPortsWithTLSAndAKey(t *testing.T) {
+	g := NewWithT(t)
+	written := testcerts.New(g).Write(g, t.TempDir(), 1)
+	sum := sha256.Sum256([]byte("the operators' key"))
+	fleet, err := testfleet.Start(testfleet.Config{Zones: []string{"zone-a"}, Settings: func(s *settings.Settings) {
+		s.CallerTLS = settings.TLSFiles{Certificate: written.Certificate, Key: written.Key}
+		s.OperatorKey = hex.EncodeToString(sum[:])
+	}})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(fleet.Close)
+	env := map[string]string{"COMETLOCK_BOXES": fleet.Box(0).AdminAddress(), "COMETLOCK_OPERATOR_KEY": "the operators' key", "COMETLOCK_TLS_CA": written.Authority}
+	g.Expect(run(env, "status").out).To(ContainSubstring("box-1"))
+	env["COMETLOCK_OPERATOR_KEY"] = "another"
+	g.Expect(run(env, "status").out).To(ContainSubstring("status 401"))
+	delete(env, "COMETLOCK_TLS_CA")
+	g.Expect(run(env, "status").out).To(ContainSubstring("no answer"))
+	g.Expect(run(env, "status", "--tls-ca", "nowhere").code).To(Equal(cli.ExitUsage))
+}
+
 func TestCapacityPrintsTheTable(t *testing.T) {
 	g := NewWithT(t)
 	got := run(nil, "capacity", "--nodes", "8", "--runners", "18")
--- a/internal/tlsfiles/tlsfiles_test.go
+++ b/internal/tlsfiles/tlsfiles_test.go
@@ -1,70 +1,21 @@
 package tlsfiles_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/cometlock/cometlock/internal/testcerts"
 	"github.com/cometlock/cometlock/internal/tlsfiles"
 )
 
-// authority signs certificates for a test.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-}
-
-func newAuthority(g *WithT) authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	g.Expect(err).NotTo(HaveOccurred())
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	g.Expect(err).NotTo(HaveOccurred())
-	certificate, err := x509.ParseCertificate(der)
-	g.Expect(err).NotTo(HaveOccurred())
-	return authority{certificate: certificate, key: key}
-}
-
-// write writes a certificate and its key, and the authority, into a folder.
-func (a authority) write(g *WithT, folder string, serial int64) tlsfiles.Config {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	g.Expect(err).NotTo(HaveOccurred())
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "entry box"}, NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
-	g.Expect(err).NotTo(HaveOccurred())
-	keyBytes, err := x509.MarshalECPrivateKey(key)
-	g.Expect(err).NotTo(HaveOccurred())
-	cfg := tlsfiles.Config{Certificate: filepath.Join(folder, "cert.pem"), Key: filepath.Join(folder, "key.pem"), Authority: filepath.Join(folder, "ca.pem")}
-	for _, file := range []struct {
-		name, kind string
-		data       []byte
-	}{{cfg.Certificate, "CERTIFICATE", der}, {cfg.Key, "EC PRIVATE KEY", keyBytes}, {cfg.Authority, "CERTIFICATE", a.certificate.Raw}} {
-		text := pem.EncodeToMemory(&pem.Block{Type: file.kind, Bytes: file.data})
-		g.Expect(os.WriteFile(file.name, text, 0o600)).To(Succeed())
-	}
-	return cfg
-}
-
 func load(g *WithT, cfg tlsfiles.Config) *tlsfiles.Files {
 	files, err := tlsfiles.Load(cfg)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -104,9 +55,9 @@
 
 func TestPeersNeedACertificateOfTheAuthority(t *testing.T) {
 	g := NewWithT(t)
-	ours, other := newAuthority(g), newAuthority(g)
-	box := load(g, ours.write(g, t.TempDir(), 7))
-	stranger := load(g, other.write(g, t.TempDir(), 8))
+	ours, other := testcerts.New(g), testcerts.New(g)
+	box := load(g, ours.Write(g, t.TempDir(), 7))
+	stranger := load(g, other.Write(g, t.TempDir(), 8))
 	serial, err := shake(box.Server(), box.Client())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(serial).To(Equal(int64(7)))
@@ -122,8 +73,8 @@
 	folder := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		ours := newAuthority(g)
-		cfg := ours.write(g, folder, 1)
+		ours := testcerts.New(g)
+		cfg := ours.Write(g, folder, 1)
 		files := load(g, cfg)
 		serial := func() int64 {
 			current, err := files.Server().GetConfigForClient(nil)
@@ -138,7 +89,7 @@
 		g.Expect(os.Chtimes(cfg.Key, later, later)).To(Succeed())
 		time.Sleep(2 * time.Second)
 		g.Expect(serial()).To(Equal(int64(1)), "files that cannot be used change nothing")
-		ours.write(g, folder, 2)
+		ours.Write(g, folder, 2)
 		g.Expect(os.Chtimes(cfg.Certificate, later.Add(time.Minute), later.Add(time.Minute))).To(Succeed())
 		time.Sleep(2 * time.Second)
 		g.Expect(serial()).To(Equal(int64(2)))
