Drop parts of reviews whose sender died

Cause: parts of a content that never became whole stayed in memory until the stream was read anew. Change: parts are dropped ten minutes of log time after the last of their set. Measured: go test ./internal/review: the map of parts was left with 1 set before, empty after.

--- a/internal/review/fold.go
+++ b/internal/review/fold.go
@@ -66,11 +66,22 @@
 type fold struct {
 	reviews map[string]*entry
 	// parts collects contents of which not all parts have come.
-	parts map[uuid.UUID][]int64
+	parts map[uuid.UUID]partial
 }
 
+// partial is a content of which not all parts have come.
+type partial struct {
+	offsets []int64
+	at      time.Time
+}
+
+// maxPartAge is the time, by the log, after which the rest of a content is no
+// longer expected: its sender has died. Should it come all the same, the content
+// is not whole, as if its beginning had expired, and nobody was told otherwise.
+const maxPartAge = 10 * time.Minute
+
 func newFold() *fold {
-	return &fold{reviews: map[string]*entry{}, parts: map[uuid.UUID][]int64{}}
+	return &fold{reviews: map[string]*entry{}, parts: map[uuid.UUID]partial{}}
 }
 
 // apply takes over one record that the log took at an offset and time. It gives
@@ -105,19 +116,28 @@
 	if record.Parts == 1 {
 		return place{offsets: []int64{offset}, at: at}, true
 	}
-	offsets := f.parts[record.Set]
+	f.dropOldParts(at)
+	offsets := f.parts[record.Set].offsets
 	if len(offsets) != record.Part {
 		return place{}, false // a part is missing: it has expired
 	}
 	offsets = append(offsets, offset)
 	if len(offsets) < record.Parts {
-		f.parts[record.Set] = offsets
+		f.parts[record.Set] = partial{offsets: offsets, at: at}
 		return place{}, false
 	}
 	delete(f.parts, record.Set)
 	return place{offsets: offsets, at: at}, true
 }
 
+func (f *fold) dropOldParts(now time.Time) {
+	for set, begun := range f.parts {
+		if now.Sub(begun.at) > maxPartAge {
+			delete(f.parts, set)
+		}
+	}
+}
+
 func (f *fold) state(e *entry, record Record, lies place, first int64) {
 	switch {
 	case record.Kind == KindAccepted:
--- a/internal/review/fold_test.go
+++ b/internal/review/fold_test.go
@@ -112,6 +112,26 @@
 	g.Expect(f.reviews["r"].accepted.offsets).To(Equal([]int64{10, 12, 14, 16}))
 }
 
+func TestPartsOfASenderThatDiedAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	f := newFold()
+	begin := time.Unix(0, 0)
+	content := make([]byte, partBytes+1)
+	first := split(KindAccepted, Meta{ID: "dead", Organisation: "one"}, original, content)[0]
+	data, err := first.encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	f.apply(0, begin, data)
+	g.Expect(f.parts).To(HaveLen(1))
+	for i, record := range split(KindAccepted, Meta{ID: "alive", Organisation: "one"}, original, content) {
+		data, err := record.encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		f.apply(int64(i+1), begin.Add(maxPartAge+time.Second), data)
+	}
+	g.Expect(f.parts).To(BeEmpty())
+	g.Expect(f.reviews).To(HaveKey("alive"))
+	g.Expect(f.reviews).NotTo(HaveKey("dead"))
+}
+
 func FuzzFold(f *testing.F) {
 	data, err := split(KindAccepted, Meta{ID: "r"}, original, nil)[0].encode()
 	if err != nil {
