A request that may have run on one engine is never refused as not run

Cause: when no engine took a request, the outcome came from the last try alone: an engine that took the run and went silent, followed by one that refuses, was answered with not-run. Ruled out: requests that may not be repeated; those end at the first such try. Change: the dispatcher remembers over all tries whether one may have run.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,23 +65,25 @@
 // as that is allowed. It counts as a first try.
 func (d *Dispatcher) Open(request *flow.Request) (*Attempt, *apierror.Error) {
 	d.budget.Earn()
-	return d.open(request, nil)
+	return d.open(request, nil, false)
 }
 
 // Reopen runs a request on another server after its run was lost. The caller
 // vouches that nothing of the answer was passed on.
-func (d *Dispatcher) Reopen(request *flow.Request, lost *Attempt, cause error) (*Attempt, *apierror.Error) {
+func (d *Dispatcher) Reopen(request *flow.Request, lost *Attempt) (*Attempt, *apierror.Error) {
 	request.Placement.Handle.Done(false)
 	if !request.Repeatable {
 		return nil, apierror.Failed("run_lost", apierror.Unknown, "the run was lost and may not be repeated")
 	}
-	if refusal := d.moveOn(request, lost.tried, cause); refusal != nil {
-		return nil, refusal
+	if !d.moveOn(request, lost.tried) {
+		return nil, exhausted(true)
 	}
-	return d.open(request, lost.tried)
+	return d.open(request, lost.tried, true)
 }
 
-func (d *Dispatcher) open(request *flow.Request, tried []string) (*Attempt, *apierror.Error) {
+// open hands the request over, to one server after the other. MayHaveRun says
+// that an earlier try may have run; then no later refusal makes it "not run".
+func (d *Dispatcher) open(request *flow.Request, tried []string, mayHaveRun bool) (*Attempt, *apierror.Error) {
 	for {
 		server := request.Placement.Server
 		tried = append(tried, server.Name)
@@ -95,11 +97,12 @@
 			return attempt, nil
 		}
 		request.Placement.Handle.Done(false)
+		mayHaveRun = mayHaveRun || !provesNotRun(err)
 		if failure := d.judge(request, server.Name, err); failure != nil {
-			return nil, failure
+			return nil, honest(failure, mayHaveRun)
 		}
-		if refusal := d.moveOn(request, tried, err); refusal != nil {
-			return nil, refusal
+		if !d.moveOn(request, tried) {
+			return nil, exhausted(mayHaveRun)
 		}
 	}
 }
@@ -148,26 +151,33 @@
 	return apierror.Failed("no_answer", outcome, "the request was handed to a backend server and may not be repeated")
 }
 
-// moveOn places the request on a server that was not tried.
-func (d *Dispatcher) moveOn(request *flow.Request, tried []string, cause error) *apierror.Error {
-	if len(tried) >= maxTries || !d.budget.Take() {
-		return exhausted(cause)
-	}
-	if refusal := d.choose(request, tried); refusal != nil {
-		return exhausted(cause)
+// moveOn places the request on a server that was not tried, and reports whether
+// there is one and the budget allows it.
+func (d *Dispatcher) moveOn(request *flow.Request, tried []string) bool {
+	return len(tried) < maxTries && d.budget.Take() && d.choose(request, tried) == nil
+}
+
+// provesNotRun reports whether a failed try certainly had no effect: the engine
+// itself refused, or no connection was made.
+func provesNotRun(err error) bool {
+	_, refused := errors.AsType[*engine.RefusedError](err)
+	return refused || errors.Is(err, engine.ErrNotHanded)
+}
+
+// honest takes "not run" back from a failure when an earlier try may have run.
+func honest(failure *apierror.Error, mayHaveRun bool) *apierror.Error {
+	if mayHaveRun && failure.Outcome == apierror.NotRun {
+		failure.Outcome = apierror.Unknown
 	}
-	return nil
+	return failure
 }
 
-// exhausted is the answer when no further server is to be tried. Repeatable
-// requests may have run in part; only a refusal or a connection that was never
-// made proves otherwise.
-func exhausted(cause error) *apierror.Error {
-	_, refused := errors.AsType[*engine.RefusedError](cause)
-	if refused || errors.Is(cause, engine.ErrNotHanded) {
-		return apierror.NotReady("no_runner", time.Second, "no runner took the request")
+// exhausted is the answer when no further server is to be tried.
+func exhausted(mayHaveRun bool) *apierror.Error {
+	if mayHaveRun {
+		return apierror.Failed("engine_failed", apierror.Unknown, "the engine failed and no other took the request")
 	}
-	return apierror.Failed("engine_failed", apierror.Unknown, "the engine failed and no other took the request")
+	return apierror.NotReady("no_runner", time.Second, "no runner took the request")
 }
 
 // passRefusal gives the caller the engine's own refusal, which is about the
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,89 @@
+package dispatch_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/apierror"
+	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/dispatch"
+	"github.com/cometlock/cometlock/internal/engine"
+	"github.com/cometlock/cometlock/internal/flow"
+	"github.com/cometlock/cometlock/internal/retrybudget"
+)
+
+// A way in which an engine deals with a run.
+const (
+	gone    = "gone"    // nothing listens
+	refuses = "refuses" // answers 503
+	rejects = "rejects" // answers 400
+	drops   = "drops"   // takes the run and closes the connection
+)
+
+func serverThat(t *testing.T, way string) *config.BackendServer {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodGet:
+			w.WriteHeader(http.StatusNotFound) // it knows no run by name
+		case way == refuses:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case way == rejects:
+			w.WriteHeader(http.StatusBadRequest)
+		default:
+			panic(http.ErrAbortHandler)
+		}
+	}
+	server := httptest.NewServer(http.HandlerFunc(handler))
+	t.Cleanup(server.Close)
+	if way == gone {
+		server.Close()
+	}
+	return &config.BackendServer{Name: way, Address: server.Listener.Addr().String()}
+}
+
+// What a caller is told when no engine takes the request hangs on all tries, not
+// on the last one alone.
+func TestWhatIsSaidOfARequestThatNoEngineAnswers(t *testing.T) {
+	cases := []struct {
+		name       string
+		ways       []string
+		repeatable bool
+		want       apierror.Outcome
+	}{
+		{"all gone", []string{gone, gone, gone}, true, apierror.NotRun},
+		{"all refuse", []string{refuses, refuses, refuses}, true, apierror.NotRun},
+		{"the first may have run it, the others refuse", []string{drops, refuses, refuses}, true, apierror.Unknown},
+		{"the first may have run it, the others are gone", []string{drops, gone, gone}, true, apierror.Unknown},
+		{"the first may have run it, the next rejects it", []string{drops, rejects}, true, apierror.Unknown},
+		{"the last may have run it", []string{refuses, gone, drops}, true, apierror.Unknown},
+		{"it may not be repeated, and the first may have run it", []string{drops, refuses}, false, apierror.Unknown},
+		{"it may not be repeated, and nobody took it", []string{gone, refuses, gone}, false, apierror.NotRun},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			request := flow.NewRequest(t.Context())
+			request.Path, request.Repeatable = "/v1/completions", c.repeatable
+			request.OnEncode(func() []byte { return []byte("{}") })
+			tried := 0
+			choose := func(request *flow.Request, _ []string) *apierror.Error {
+				if tried == len(c.ways) {
+					return apierror.NotReady("none", 0, "no more")
+				}
+				request.Placement.Server = serverThat(t, c.ways[tried])
+				tried++
+				return nil
+			}
+			g.Expect(choose(request, nil)).To(BeNil())
+			d := dispatch.New(dispatch.Config{
+				Engines: engine.NewClient(engine.ClientConfig{}), Choose: choose, Failed: func(string) {}, Budget: retrybudget.New(retrybudget.Config{}),
+			})
+			_, failure := d.Open(request)
+			g.Expect(failure).NotTo(BeNil())
+			g.Expect(failure.Outcome).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,13 +34,13 @@
 type Config struct {
 	Engines *engine.Client
 	// Reopen runs a lost request on another server.
-	Reopen func(request *flow.Request, lost *dispatch.Attempt, cause error) (*dispatch.Attempt, *apierror.Error)
+	Reopen func(request *flow.Request, lost *dispatch.Attempt) (*dispatch.Attempt, *apierror.Error)
 }
 
 // Relay passes answers on.
 type Relay struct {
 	engines *engine.Client
-	reopen  func(request *flow.Request, lost *dispatch.Attempt, cause error) (*dispatch.Attempt, *apierror.Error)
+	reopen  func(request *flow.Request, lost *dispatch.Attempt) (*dispatch.Attempt, *apierror.Error)
 }
 
 // New makes a relay.
@@ -98,7 +98,7 @@
 			result.Failure = apierror.Failed("answer_lost", apierror.Ran, "the engine lost the run after %d chunks", result.Chunks)
 			return result
 		}
-		again, failure := r.reopen(request, attempt, err)
+		again, failure := r.reopen(request, attempt)
 		if failure != nil {
 			result.Failure = failure
 			return result
