A caller cannot have its organisation's name removed on the way to a service

Cause: headers that a caller lists in Connection were removed after ours had been added, so "Connection: X-Organisation" hid from a plain service whose call it got. Change: hop-by-hop headers go first, ours are added to what is left; an answer's headers that begin with Cometlock- are dropped. Measured: the spec got "organisation=" before, "organisation=lot-central" after.

--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -23,6 +23,9 @@
 // stays here.
 const headerOrganisation = "X-Organisation"
 
+// ourHeaders begins the names of the headers that only an entry box writes.
+const ourHeaders = "Cometlock-"
+
 // serviceCall is one call of a plain service on its way.
 type serviceCall struct {
 	request *flow.Request
@@ -86,7 +89,7 @@
 	if r.URL.RawQuery != "" {
 		target += "?" + r.URL.RawQuery
 	}
-	call := &serviceCall{request: request, service: service, target: target, header: r.Header.Clone(), length: r.ContentLength}
+	call := &serviceCall{request: request, service: service, target: target, header: plainservice.ForwardHeader(r.Header), length: r.ContentLength}
 	call.header.Del("Authorization")
 	limit := request.Snapshot.File().Limits.BodyBytes
 	if request.Repeatable || request.Idempotency == "" {
@@ -193,7 +196,9 @@
 // reports whether it was whole.
 func passResponse(w http.ResponseWriter, response *http.Response, kept *keeper) bool {
 	for name, values := range response.Header {
-		w.Header()[name] = values
+		if !strings.HasPrefix(name, ourHeaders) { // a service does not speak for us
+			w.Header()[name] = values
+		}
 	}
 	controller := http.NewResponseController(w)
 	// Writers without full duplex are those of tests.
--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -200,6 +200,15 @@
 		Expect(answer.Body).To(Equal("booking-zone-a-1 PUT /receipts/7 organisation=lot-central run=1\nhello"))
 	})
 
+	It("always learns the organisation, whatever headers the caller calls hop-by-hop", func() {
+		fleet := start(testfleet.Config{})
+		answer := do(fleet.Box(0), testfleet.Call{
+			Path: "/services/booking/receipts", Key: testfleet.KeyLot,
+			Header: map[string]string{"Connection": "X-Organisation, Cometlock-Request-Id", "X-Organisation": "nordlys-arkitekter"},
+		})
+		Expect(answer.Body).To(ContainSubstring("organisation=lot-central "))
+	})
+
 	It("is served from another zone when the own zone's server is gone", func() {
 		fleet := start(testfleet.Config{})
 		file := fleet.Set().File()
--- a/internal/plainservice/plainservice.go
+++ b/internal/plainservice/plainservice.go
@@ -61,7 +61,8 @@
 type Call struct {
 	// Address is the IP address and port of the backend server.
 	Address string
-	// Method, Target (path and query) and Header are as the caller sent them.
+	// Method and Target (path and query) are as the caller sent them; Header is
+	// what ForwardHeader left of the caller's, and what was added.
 	Method string
 	Target string
 	Header http.Header
@@ -84,14 +85,14 @@
 	if call.Length == 0 {
 		request.Body = http.NoBody
 	}
-	request.Header = forwardHeader(call.Header)
+	request.Header = call.Header
 	client := &c.once
 	if call.Repeatable {
 		client = &c.repeatable
 	}
 	response, err := client.Do(request)
 	if err == nil {
-		response.Header = forwardHeader(response.Header)
+		response.Header = ForwardHeader(response.Header)
 		return response, nil
 	}
 	if operation, ok := errors.AsType[*net.OpError](err); ok && operation.Op == "dial" {
@@ -106,8 +107,10 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// forwardHeader copies the headers that travel past this hop.
-func forwardHeader(header http.Header) http.Header {
+// ForwardHeader copies the headers that travel past this hop. What we add for the
+// service is added to the copy: a caller that names our headers in "Connection"
+// must not get them removed.
+func ForwardHeader(header http.Header) http.Header {
 	copied := header.Clone()
 	for _, names := range header.Values("Connection") {
 		for name := range splitList(names) {
