A runner that never loads does not stop a rollout

Cause: the first runner that was behind was ordered again and again; one that was dead, or refused, kept all others of the zone from their order, and one that died while loading kept the zone waiting for ever. Change: the runner that was ordered longest ago is next; runners that have failed are left out. Measured: rollout.Next gave a before and gives b now when a was ordered and is still behind; specs of new weights pass.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -105,7 +105,7 @@
 	if snapshot == nil || !r.cfg.Mine() || time.Since(r.last) < settle {
 		return
 	}
-	next, ok := Next(snapshot, r.cfg.Reports())
+	next, ok := Next(snapshot, r.cfg.Reports(), r.ordered)
 	if !ok || !r.allowed(snapshot, time.Now()) || time.Since(r.ordered[next.Server.Name]) < r.cfg.Turn {
 		return
 	}
@@ -142,14 +142,19 @@
 
 // Next gives the runner that is to load next: none while one of the zone is
 // loading, so that a zone has one load under way and most of its runners serve.
-func Next(snapshot *config.Snapshot, reports []Report) (Report, bool) {
+// Of those that are behind it takes the one that was ordered longest ago, so that
+// a runner which never gets there does not keep the others from it.
+func Next(snapshot *config.Snapshot, reports []Report, ordered map[string]time.Time) (Report, bool) {
 	found := false
 	var next Report
 	for _, report := range reports {
 		if loading(report) {
 			return Report{}, false
 		}
-		if !found && !report.Leaving && behind(snapshot, report) {
+		if report.Leaving || !behind(snapshot, report) {
+			continue
+		}
+		if !found || ordered[report.Server.Name].Before(ordered[next.Server.Name]) {
 			next, found = report, true
 		}
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -67,10 +67,15 @@
 		{"none while one loads", []rollout.Report{report("a", "v1", "v2", false), report("b", "v1", "", false)}, ""},
 		{"not one that leaves", []rollout.Report{report("a", "v1", "", true), report("b", "v1", "", false)}, "b"},
 	} {
-		next, ok := rollout.Next(snapshot, c.reports)
+		next, ok := rollout.Next(snapshot, c.reports, nil)
 		g.Expect(ok).To(Equal(c.want != ""), c.name)
 		if ok {
 			g.Expect(next.Server.Name).To(Equal(c.want), c.name)
 		}
 	}
+
+	// A runner that never gets there must not keep the others from it.
+	stuck := []rollout.Report{report("a", "v1", "", false), report("b", "v1", "", false)}
+	next, _ := rollout.Next(snapshot, stuck, map[string]time.Time{"a": time.Unix(5, 0)})
+	g.Expect(next.Server.Name).To(Equal("b"))
 }
--- a/internal/zone/state.go
+++ b/internal/zone/state.go
@@ -70,13 +70,15 @@
 	return runners
 }
 
-// Reports gives the last load report of each runner that has sent one.
+// Reports gives the last load report of each runner that answers. One that has
+// failed is left out: its last report may say for ever that it is loading.
 func (k *Knowledge) Reports() []rollout.Report {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	now := time.Now()
 	var reports []rollout.Report
 	for _, known := range k.servers {
-		if known != nil && known.config.Role == config.RoleRunner && !known.reportedAt.IsZero() {
+		if known != nil && known.config.Role == config.RoleRunner && !known.reportedAt.IsZero() && !known.coolingDown(now) {
 			reports = append(reports, rollout.Report{Server: known.config, Weights: known.status.Weights, Leaving: known.leaves()})
 		}
 	}
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -157,6 +157,17 @@
 	g.Expect(only()).To(Equal("map[r000:true]"))
 }
 
+func TestARunnerThatFailedIsNotReported(t *testing.T) {
+	g := NewWithT(t)
+	k := newKnowledge(2)
+	loading := engine.Status{Incarnation: "i", Weights: []engine.LoadedWeights{{Model: "m", Version: "v1", Loading: "v2"}}}
+	k.Report("r000", loading)
+	k.Report("r001", loading)
+	g.Expect(k.Reports()).To(HaveLen(2))
+	k.Failed("r000")
+	g.Expect(k.Reports()).To(HaveLen(1))
+}
+
 // Herding: with reports that lag, a box that trusts them alone sends everything
 // to the runner that was idle when they were made.
 func TestStaleReportsDoNotMakeAHerd(t *testing.T) {
