Refuse wrong keys before reading a body, and wait for no unwanted one

Cause: room for a whole body was made before the key was looked at, so callers without a key could take memory by their Content-Length alone. The test for it then hung: a refusal first read the rest of the body without a deadline, so a sender that stopped held its connection for ever. Change: the key is checked before the body; the rest of an unwanted body has a second to come.

--- a/internal/api/accept.go
+++ b/internal/api/accept.go
@@ -217,8 +217,15 @@
 	}
 }
 
-// drain reads the rest of a body that is not wanted, as far as it is short, so
-// that the caller gets to read the refusal.
-func drain(body io.Reader) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, 64<<10))
+// drainTimeout is how long the rest of an unwanted body may take to come.
+const drainTimeout = time.Second
+
+// drain reads the rest of a body that is not wanted, as far as it is short and
+// comes soon, so that the caller gets to read the refusal. The deadline stays: a
+// sender that has stopped must not hold the connection after the answer either.
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	deadline := time.Now().Add(min(drainTimeout, s.bodyTimeout))
+	// Writers that cannot set deadlines are those of tests.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, 64<<10))
 }
--- a/internal/api/models.go
+++ b/internal/api/models.go
@@ -31,7 +31,7 @@
 	request, parsed, refusal := s.acceptModel(w, r, promptField)
 	w.Header().Set(HeaderRequestID, request.ID)
 	if refusal != nil {
-		drain(r.Body)
+		s.drain(w, r)
 		s.refuse(w, request, refusal)
 		return
 	}
@@ -59,6 +59,9 @@
 	}
 	request.Kind = flow.KindModel
 	request.Path = r.URL.Path
+	if _, refusal := authenticate.Organisation(request.Snapshot, request.Key); refusal != nil {
+		return request, nil, refusal // before any room is made for a body
+	}
 	body, refusal := s.readBody(w, r, request.Snapshot.File().Limits.BodyBytes)
 	if refusal != nil {
 		return request, nil, refusal
--- a/internal/api/responses.go
+++ b/internal/api/responses.go
@@ -53,7 +53,7 @@
 	w, r := c.Response(), c.Request()
 	request, refusal := s.authenticated(c)
 	if refusal != nil {
-		drain(r.Body)
+		s.drain(w, r)
 		s.refuse(w, request, refusal)
 		return nil
 	}
--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/cometlock/cometlock/internal/apierror"
+	"github.com/cometlock/cometlock/internal/authenticate"
 	"github.com/cometlock/cometlock/internal/claim"
 	"github.com/cometlock/cometlock/internal/config"
 	"github.com/cometlock/cometlock/internal/flow"
@@ -43,7 +44,7 @@
 	request, refusal := s.newRequest(r)
 	w.Header().Set(HeaderRequestID, request.ID)
 	if refusal != nil {
-		drain(r.Body)
+		s.drain(w, r)
 		s.refuse(w, request, refusal)
 		return nil
 	}
@@ -96,6 +97,9 @@
 		call.body = http.MaxBytesReader(w, r.Body, limit)
 		return call, nil
 	}
+	if _, refusal := authenticate.Organisation(request.Snapshot, request.Key); refusal != nil {
+		return nil, refusal // before any room is made for a body
+	}
 	body, refusal := s.readBody(w, r, limit)
 	if refusal != nil {
 		return nil, refusal
--- a/internal/api/slow_test.go
+++ b/internal/api/slow_test.go
@@ -16,11 +16,17 @@
 	"github.com/cometlock/cometlock/internal/settle"
 )
 
+// keyHash is the SHA-256 of "sk-lot-demo".
+const keyHash = "f0abdfc4ca5e6b0d7596a74a72885cf9523aff2c8ac2c159c2d7ef17865ce4cb"
+
 // A sender that stops in the middle of its body must not hold a connection for
 // ever, and is told.
 func TestASlowSenderIsToldAndLetGo(t *testing.T) {
 	g := NewWithT(t)
-	entries, err := (&config.File{Limits: config.Limits{BodyBytes: 1000}}).Entries()
+	entries, err := (&config.File{
+		Limits:        config.Limits{BodyBytes: 1000},
+		Organisations: []config.Organisation{{Name: "one", KeyHashes: []string{keyHash}}},
+	}).Entries()
 	g.Expect(err).NotTo(HaveOccurred())
 	snapshot, err := config.NewSnapshot(0, entries)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -30,14 +36,23 @@
 	})
 	listening := httptest.NewServer(server.Handler())
 	defer listening.Close()
-	conn, err := net.Dial("tcp", listening.Listener.Addr().String())
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = conn.Close() }()
-	_, err = conn.Write([]byte("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{\"model\""))
-	g.Expect(err).NotTo(HaveOccurred())
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = response.Body.Close() }()
-	g.Expect(response.StatusCode).To(Equal(http.StatusRequestTimeout))
-	g.Expect(response.Header.Get(HeaderOutcome)).To(Equal("not-run"))
+	for _, c := range []struct {
+		key  string
+		want int
+	}{
+		{"sk-lot-demo", http.StatusRequestTimeout},
+		{"wrong", http.StatusUnauthorized}, // whatever the body would have been
+	} {
+		conn, err := net.Dial("tcp", listening.Listener.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write([]byte("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + c.key + "\r\nContent-Length: 100\r\n\r\n{\"model\""))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(response.StatusCode).To(Equal(c.want))
+		g.Expect(response.Header.Get(HeaderOutcome)).To(Equal("not-run"))
+		g.Expect(response.Body.Close()).To(Succeed())
+		g.Expect(conn.Close()).To(Succeed())
+	}
 }
