Forget expectations of cache blocks that never came to be

Cause: a box records at once what a runner will hold; if the run fails, no event ever removes it, so the index grew for as long as the box lived. Change: each runner's whole cache is asked for anew after ten minutes.

--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -77,7 +77,9 @@
 	// of the report that this box counts itself.
 	sentAtReport work
 	// eventsTo is the sequence number up to which cache events are folded.
-	eventsTo    int64
+	eventsTo int64
+	// syncedAt is when the last snapshot came.
+	syncedAt    time.Time
 	incarnation string
 
 	runSeconds float64
@@ -151,7 +153,7 @@
 	if place >= MaxRunners {
 		return
 	}
-	added := &server{config: entry, place: place, hash: xxhash.Sum64String(entry.Name), runSeconds: firstRunSeconds, rates: map[string]float64{}}
+	added := &server{config: entry, place: place, hash: xxhash.Sum64String(entry.Name), runSeconds: firstRunSeconds, syncedAt: time.Now(), rates: map[string]float64{}}
 	if place == len(k.servers) {
 		k.servers = append(k.servers, nil)
 	}
@@ -220,12 +222,21 @@
 func (k *Knowledge) EventsTo(name string) int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if known, ok := k.byName[name]; ok {
-		return known.eventsTo
+	known, ok := k.byName[name]
+	if !ok {
+		return 0
 	}
-	return 0
+	if time.Since(known.syncedAt) > resyncEvery {
+		return snapshotWanted
+	}
+	return known.eventsTo
 }
 
+// resyncEvery is the time after which a runner's whole cache is asked for anew. A
+// box expects a runner to hold what it sends there; what then does not come to be
+// is never reported as removed.
+const resyncEvery = 10 * time.Minute
+
 // Fold takes over cache events. Where events are missing in between, it asks for
 // a snapshot the next time, since nobody knows which blocks went in the gap.
 func (k *Knowledge) Fold(name string, events engine.CacheEvents) {
@@ -254,6 +265,7 @@
 	}
 	if events.Snapshot {
 		k.resyncs++
+		known.syncedAt = time.Now()
 	}
 	known.eventsTo = events.Last
 }
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -168,6 +168,26 @@
 	g.Expect(k.Reports()).To(HaveLen(1))
 }
 
+// What a box expected of runs that never came to be is never reported as
+// removed. Without a snapshot now and then the index would only grow.
+func TestExpectationsThatFailedAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		k := newKnowledge(1)
+		k.Fold("r000", engine.CacheEvents{Incarnation: "i", Snapshot: true, Last: 7})
+		g.Expect(k.EventsTo("r000")).To(Equal(int64(7)))
+		for i := range 100 {
+			choose(k, chainOf(fmt.Sprint("lost ", i), 8)).Handle.Done(false)
+		}
+		g.Expect(k.State().Blocks).To(BeNumerically(">", 100))
+		time.Sleep(resyncEvery + time.Second)
+		g.Expect(k.EventsTo("r000")).To(Equal(int64(snapshotWanted)))
+		k.Fold("r000", engine.CacheEvents{Incarnation: "i", Snapshot: true, Last: 7})
+		g.Expect(k.State().Blocks).To(BeZero())
+		g.Expect(k.EventsTo("r000")).To(Equal(int64(7)))
+	})
+}
+
 // Herding: with reports that lag, a box that trusts them alone sends everything
 // to the runner that was idle when they were made.
 func TestStaleReportsDoNotMakeAHerd(t *testing.T) {
