Make room in a full store box only, and also from blocks nobody knows of

Cause: any export that was not whole, also one whose blocks the runner had just evicted, freed four other contexts; and only contexts that this box knew of, one block of each. After an entry box was replaced its blocks filled the store for ever. Change: the answer to an export says when the store was full; room comes from the names that the store box says were looked up least lately.

--- a/internal/e2e/kept_test.go
+++ b/internal/e2e/kept_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -11,6 +12,8 @@
 	"github.com/cometlock/cometlock/internal/config"
 	"github.com/cometlock/cometlock/internal/fakeengine"
 	"github.com/cometlock/cometlock/internal/fakestore"
+	"github.com/cometlock/cometlock/internal/prefix"
+	"github.com/cometlock/cometlock/internal/storebox"
 	"github.com/cometlock/cometlock/internal/testfleet"
 )
 
@@ -123,9 +126,18 @@
 				}
 			}
 		}))
+		// Blocks that no entry box knows of fill the store boxes from the start.
+		client := storebox.NewClient(storebox.ClientConfig{})
+		for _, server := range fleet.Set().File().BackendServers {
+			for i := 0; server.Role == config.RoleStoreBox && i < 40; i++ {
+				key := prefix.NewChain(prefix.NewSalt("gone", "m", fmt.Sprint(i)), make([]byte, prefix.BlockBytes)).Keys()[0]
+				Expect(client.Put(context.Background(), server.Address, key, make([]byte, 128))).To(Succeed())
+			}
+		}
 		for i := range 20 {
 			send(fleet, fmt.Sprint("context ", i))
 		}
+		Eventually(func() int { return fleet.Box(0).State().Kept.Contexts }, "20s").Should(BeNumerically(">", 0))
 		Eventually(func() int64 { return fleet.Box(0).State().Kept.Exports }, "20s").Should(BeNumerically(">=", 15))
 		for _, store := range storeBoxes(fleet) {
 			Expect(store.Blocks()).To(BeNumerically("<=", 41))
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -120,6 +120,8 @@
 type TransferAnswer struct {
 	Blocks int   `json:"blocks"`
 	Bytes  int64 `json:"bytes"`
+	// Full says that the store box had no room for the rest.
+	Full bool `json:"full,omitempty"`
 }
 
 // Errors of a run.
--- a/internal/fakeengine/transfer.go
+++ b/internal/fakeengine/transfer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cometlock/cometlock/internal/engine"
 	"github.com/cometlock/cometlock/internal/prefix"
+	"github.com/cometlock/cometlock/internal/storebox"
 )
 
 // blockRepeats makes a stand-in's block a little larger than its key.
@@ -63,6 +64,7 @@
 	for _, key := range e.cache.holds(transfer.Keys) {
 		data := blockData(key)
 		if err := e.stores.Put(ctx, transfer.Store, key, data); err != nil {
+			answer.Full = storebox.IsFull(err)
 			break
 		}
 		answer.Blocks++
--- a/internal/fakestore/fakestore.go
+++ b/internal/fakestore/fakestore.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -42,7 +43,7 @@
 	free     []int64
 	names    map[string]storebox.Name
 	freed    map[string]storebox.Name
-	order    []string // names, the oldest first
+	order    []string // names, the one looked up least lately first
 	reads    int
 }
 
@@ -87,6 +88,7 @@
 	mux.HandleFunc("GET /v1/blocks/{slot}", s.guard(s.serveRead))
 	mux.HandleFunc("PUT /v1/names/{key}", s.guard(s.serveName))
 	mux.HandleFunc("GET /v1/names/{key}", s.guard(s.serveLookUp))
+	mux.HandleFunc("GET /v1/names", s.guard(s.serveLeastRecent))
 	mux.HandleFunc("DELETE /v1/names/{key}", s.guard(s.serveFree))
 	mux.HandleFunc("PUT /faults", s.serveFaults)
 	return mux
@@ -212,9 +214,21 @@
 		http.Error(w, "no such name", http.StatusNotFound)
 		return
 	}
+	if at := slices.Index(s.order, key); at >= 0 {
+		s.order = append(slices.Delete(s.order, at, at+1), key)
+	}
 	writeJSON(w, name)
 }
 
+func (s *Store) serveLeastRecent(w http.ResponseWriter, r *http.Request) {
+	count, err := strconv.Atoi(r.URL.Query().Get("least_recent"))
+	if err != nil || count < 0 {
+		http.Error(w, "least_recent is a number", http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, s.order[:min(count, len(s.order))])
+}
+
 func (s *Store) serveFree(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
 	name, ok := s.names[key]
@@ -223,6 +237,7 @@
 		return
 	}
 	delete(s.names, key)
+	s.order = slices.DeleteFunc(s.order, func(other string) bool { return other == key })
 	s.freed[key] = name
 	s.release(name.Slot)
 }
--- a/internal/kept/export.go
+++ b/internal/kept/export.go
@@ -34,7 +34,7 @@
 	}
 	answer, err := k.cfg.Engines.Export(ctx, offered.server.Address, engine.Transfer{Store: to.server.Address, Keys: offered.keys})
 	whole := err == nil && answer.Blocks == len(offered.keys)
-	if !whole {
+	if answer.Full {
 		k.makeRoom(ctx, to)
 	}
 	k.mu.Lock()
@@ -87,31 +87,23 @@
 	return xxhash.Sum64String(name + last.String())
 }
 
-// maxFreed bounds the contexts that make room for one.
-const maxFreed = 4
+// maxFreed is how many blocks make room at once, about one long context.
+const maxFreed = 64
 
-// makeRoom frees the contexts of a full store box that were used least lately.
+// makeRoom frees what was looked up least lately in a full store box. The box
+// itself tells what that is: blocks of contexts that this entry box never knew,
+// because another one had them put there and was replaced, must go too.
 func (k *Keeper) makeRoom(ctx context.Context, in *store) {
-	for _, old := range k.oldest(in.server.Name) {
-		// The last block goes first: without it nobody finds the others, and
-		// the shared ones at the beginning stay for other contexts.
-		if err := k.cfg.Stores.Free(ctx, in.server.Address, old.last); err != nil {
-			return
-		}
+	keys, err := k.cfg.Stores.LeastRecent(ctx, in.server.Address, maxFreed)
+	if err != nil {
+		return
 	}
-}
-
-func (k *Keeper) oldest(name string) []keptContext {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var old []keptContext
-	for element := k.recent.Back(); element != nil && len(old) < maxFreed; {
-		previous := element.Prev()
-		if candidate, ok := element.Value.(keptContext); ok && candidate.store == name {
-			old = append(old, candidate)
-			k.forget(candidate.last)
+	for _, key := range keys {
+		if err := k.cfg.Stores.Free(ctx, in.server.Address, key); err != nil {
+			return
 		}
-		element = previous
+		k.mu.Lock()
+		k.forget(key)
+		k.mu.Unlock()
 	}
-	return old
 }
--- a/internal/storebox/storebox.go
+++ b/internal/storebox/storebox.go
@@ -11,6 +11,7 @@
 //	PUT    /v1/names/{key}                  slot, generation, length, digest
 //	GET    /v1/names/{key}                → the same
 //	GET    /v1/blocks/{slot}?generation=G → the bytes, refused for another generation
+//	GET    /v1/names?least_recent=N       → the N names looked up least lately
 //	DELETE /v1/names/{key}                  the generation goes up before the slot is free
 //
 // The box refuses what it can, and the reader checks length and digest again,
@@ -126,6 +127,13 @@
 	return c.call(ctx, http.MethodDelete, "http://"+address+"/v1/names/"+key.String(), nil, nil)
 }
 
+// LeastRecent gives the names that were looked up least lately.
+func (c *Client) LeastRecent(ctx context.Context, address string, count int) ([]prefix.Key, error) {
+	var keys []prefix.Key
+	err := c.call(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/names?least_recent=%d", address, count), nil, &keys)
+	return keys, err
+}
+
 // maxBlockBytes bounds a block.
 const maxBlockBytes = 64 << 20
 
