Forget peers that are gone; a second signal ends the process

Change: peers not heard of for ten minutes, and connections to addresses that nobody names, are dropped; after the first signal the default holds again. Measured: peer: TestPeersThatAreGoneAreForgotten: 2 peers and 3 connections were left before, 1 and 2 after.

--- a/internal/daemonmain/daemonmain.go
+++ b/internal/daemonmain/daemonmain.go
@@ -44,6 +44,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// The first signal begins a planned stop; from then on a second one ends the
+	// process at once, as by default.
+	context.AfterFunc(ctx, stop)
 	if err := run(ctx, cfg, logger); err != nil {
 		logger.Error().Str("error", err.Error()).Msg("failed")
 		return exitFailed
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -74,10 +74,15 @@
 	defer x.mu.Unlock()
 	for _, c := range x.connections {
 		c.mu.Lock()
-		if c.conn != nil {
-			_ = c.conn.Close()
-			c.conn = nil
-		}
+		c.close()
 		c.mu.Unlock()
 	}
 }
+
+// close ends the connection, if there is one. The caller holds mu.
+func (c *connection) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -160,6 +160,30 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.listed = boxes
+	x.dropGone(time.Now())
+}
+
+// dropAfter is how long a peer that is not heard of is remembered at all. Boxes
+// are replaced hundreds of times a day, under other names.
+const dropAfter = 10 * time.Minute
+
+// dropGone forgets peers that are long gone, and connections to addresses that
+// nobody names any more. The caller holds mu.
+func (x *Exchange) dropGone(now time.Time) {
+	for name, peer := range x.peers {
+		if now.Sub(peer.heardAt) > dropAfter {
+			delete(x.peers, name)
+		}
+	}
+	for address, c := range x.connections {
+		named := slices.Contains(x.cfg.Seeds, address) ||
+			slices.ContainsFunc(x.listed, func(box boxlist.Box) bool { return box.Peer == address })
+		if !named && c.mu.TryLock() {
+			c.close()
+			delete(x.connections, address)
+			c.mu.Unlock()
+		}
+	}
 }
 
 // round exchanges with a few peers, chosen anew each time, so that what one box
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/boxlist"
+	"github.com/cometlock/cometlock/internal/configlog"
+	"github.com/cometlock/cometlock/internal/follow"
+)
+
+// quietSource is a box without any configuration.
+type quietSource struct{}
+
+func (quietSource) State() configlog.State              { return configlog.Empty() }
+func (quietSource) Since(int64) ([]follow.Change, bool) { return nil, false }
+func (quietSource) Offer(configlog.State)               {}
+func (quietSource) OfferChanges([]follow.Change) bool   { return false }
+func (quietSource) LogReachable() bool                  { return true }
+
+// Boxes are replaced hundreds of times a day: what is known of those that are
+// gone must not grow.
+func TestPeersThatAreGoneAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		x := New(Config{
+			Self: Status{Box: "me", Zone: "a"}, Seeds: []string{"127.0.0.1:7"}, Source: quietSource{}, Logger: zerolog.Nop(),
+			Boxes: boxlist.Static{{Name: "stays", Zone: "a", Peer: "127.0.0.1:8"}},
+		})
+		x.heard(Status{Box: "gone", Zone: "a"})
+		for _, address := range []string{"127.0.0.1:7", "127.0.0.1:8", "127.0.0.1:9"} {
+			x.connectionTo(address)
+		}
+		g.Expect(x.BoxesInZone()).To(Equal(2))
+		time.Sleep(forgetAfter)
+		g.Expect(x.BoxesInZone()).To(Equal(1), "not counted soon after it fell silent")
+		time.Sleep(dropAfter)
+		x.heard(Status{Box: "stays", Zone: "a"})
+		x.look(t.Context())
+		g.Expect(x.State().Peers).To(HaveLen(1))
+		g.Expect(x.connections).To(HaveLen(2))
+		g.Expect(x.connections).NotTo(HaveKey("127.0.0.1:9"))
+	})
+}
