--- /dev/null
+++ b/cmd/cometlock-entry/main.go
@@ -0,0 +1,10 @@
+// Command cometlock-entry is an entry box of cometlock on its users' platform.
+package main
+
+import (
+	"os"
+
+	"github.com/cometlock/cometlock/platform"
+)
+
+func main() { os.Exit(platform.Main(os.Getenv, os.Stdout)) }
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,102 @@
+// Package call holds the facts of a routed call as plain data: what the caller
+// said of it, what a box tells the backend server with it, and what the backend
+// server's answer says of itself.
+//
+// The adapter of an interface reads and writes these; the stages in between see
+// nothing else. A header name of any interface appears in no other package.
+package call
+
+import (
+	"net/http"
+	"time"
+)
+
+// Part is a section of a prompt that may be shared with other prompts. Two parts
+// with the same ID hold the same tokens.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt describes a prompt without holding its text.
+type Prompt struct {
+	Model string
+	// Tokens is the length of the prompt, AnswerTokens the longest answer.
+	Tokens       int
+	AnswerTokens int
+	// Parts cover the prompt in order; the last belongs to this request or its
+	// session alone.
+	Parts []Part
+}
+
+// Facts are what a caller's headers say.
+type Facts struct {
+	// RequestID names this attempt of the caller.
+	RequestID string
+	// Patience is how long the caller will wait; zero when it does not say.
+	Patience time.Duration
+	// Key is the caller's secret; it is never logged or passed on.
+	Key string
+	// Prompt is nil for a call of a plain service.
+	Prompt *Prompt
+	// ResumeAfter names the last event that the caller has, or nothing.
+	ResumeAfter string
+	// Malformed says why the facts cannot be used, or nothing.
+	Malformed string
+}
+
+// Handover is what a box tells a backend server with a call.
+type Handover struct {
+	// Incarnation is the life of the server that the call is meant for; another
+	// one refuses it.
+	Incarnation string
+	// Organisation owns the caller's key; empty on public routes.
+	Organisation string
+	// Remaining is the time left for the answer.
+	Remaining time.Duration
+	// ResumeAfter asks a stream to begin after the event of this name.
+	ResumeAfter string
+	// Model is set for calls with a prompt, and with it all that follows.
+	Model *ModelHandover
+}
+
+// ModelHandover is what a runner is told besides.
+type ModelHandover struct {
+	// Weights is the version that must answer; another one refuses.
+	Weights int
+	// Namespace keeps kept context apart: a runner finds only what was made
+	// under the same one.
+	Namespace string
+	// Urgency orders what waits at the runner; the lowest goes first.
+	Urgency int
+	// Fetch and Save name for each part of the prompt the store box to bring it
+	// from and to keep it in; an empty string means none.
+	Fetch []string
+	Save  []string
+	// FetchUntil is when a fetch that has not ended is thrown away, on the
+	// servers' clock in milliseconds.
+	FetchUntil int64
+}
+
+// Marks are what an answer says of itself.
+type Marks struct {
+	// NotRun is the backend server's word that it did not run the call.
+	NotRun bool
+	// Signature proves that a backend server made the answer.
+	Signature string
+	// RequestID is the call that the answer belongs to.
+	RequestID string
+	// Incarnation is the life of the server that answers, where it says so.
+	Incarnation string
+}
+
+// Protocol reads and writes the facts of one interface. Its one implementation
+// is the adapter of the platform; tests have another.
+type Protocol interface {
+	// ReadFacts decodes a caller's headers.
+	ReadFacts(header http.Header) Facts
+	// WriteHandover replaces in header whatever only a box may say.
+	WriteHandover(header http.Header, handover Handover)
+	// ReadMarks decodes the head of a backend server's answer.
+	ReadMarks(status int, header http.Header) Marks
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,220 @@
+// Package catalog holds the configuration that calls are routed by: routes by
+// host and path prefix, backend services, organisations with their keys.
+//
+// A Catalog is a whole: it is built once from plain data, never changed, and
+// replaced by a newer one at once. A call keeps the one that it began with.
+package catalog
+
+import (
+	"crypto/sha256"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Kind says what may be done with a call when its outcome is in doubt.
+type Kind uint8
+
+// Kinds of route.
+const (
+	// Repeatable calls may run more than once.
+	Repeatable Kind = iota + 1
+	// Once calls run at most once.
+	Once
+	// Stream answers come as a series of events.
+	Stream
+)
+
+// Split sends a share of a route's calls to a service.
+type Split struct {
+	Service string
+	Weight  int
+}
+
+// Route says how calls of a host and path prefix are treated.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       Kind
+	// Timeout is the longest time that a call is held.
+	Timeout time.Duration
+	// Objective is the time within which an answer, or the first event of a
+	// stream, is worth most.
+	Objective time.Duration
+	// Urgency is the rank among routes; 0 goes first.
+	Urgency int
+	// Splits name the services that calls go to, by weight; at least one.
+	Splits []Split
+	// MaxServers bounds the backend servers that one call may be sent to.
+	MaxServers int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another runner after the last event.
+	Resumable bool
+}
+
+// MayRepeat reports whether a call may run a second time.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Repeatable || r.Kind == Stream && r.Resumable
+}
+
+// Service is a group of alike backend servers, or one store box.
+type Service struct {
+	Name string
+	// ConnectionLimit bounds the connections to each server, of all boxes.
+	ConnectionLimit int
+	// HealthPath answers whether a server considers itself healthy.
+	HealthPath string
+	// Engine is set for runners, Store for a store box.
+	Engine *Engine
+	Store  *Store
+}
+
+// Engine describes the runners of a service.
+type Engine struct {
+	Slots          int
+	CapacityTokens int
+	BytesPerToken  int
+	Models         []string
+}
+
+// Store describes a store box.
+type Store struct {
+	Address        string
+	Zone           string
+	CapacityTokens int
+	LinkMbps       float64
+	// FirstByte is the time that each move waits besides its transfer.
+	FirstByte time.Duration
+}
+
+// Organisation owns keys.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Isolated organisations share kept context with no other.
+	Isolated bool
+	// Urgency goes before that of the route, where it is set.
+	Urgency *int
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is the plain data of a Catalog.
+type Config struct {
+	Version       int64
+	Routes        []Route
+	Services      []Service
+	Organisations []Organisation
+	// KeysRequired says that callers of routes that are not public need a key.
+	KeysRequired bool
+	Limits       Limits
+}
+
+// Catalog is one version of the configuration.
+type Catalog struct {
+	cfg      Config
+	byHost   map[string][]*Route
+	services map[string]*Service
+	keys     map[[sha256.Size]byte]*Organisation
+}
+
+// New checks the data and builds what look-ups need.
+func New(cfg Config) (*Catalog, error) {
+	c := &Catalog{cfg: cfg, byHost: map[string][]*Route{}, services: map[string]*Service{}, keys: map[[sha256.Size]byte]*Organisation{}}
+	for i := range cfg.Services {
+		c.services[cfg.Services[i].Name] = &cfg.Services[i]
+	}
+	for i := range cfg.Routes {
+		route := &cfg.Routes[i]
+		if err := c.checkRoute(route); err != nil {
+			return nil, err
+		}
+		c.byHost[route.Host] = append(c.byHost[route.Host], route)
+	}
+	for _, routes := range c.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	for i := range cfg.Organisations {
+		for _, key := range cfg.Organisations[i].Keys {
+			c.keys[sha256.Sum256([]byte(key))] = &cfg.Organisations[i]
+		}
+	}
+	return c, nil
+}
+
+func (c *Catalog) checkRoute(route *Route) error {
+	if route.Kind < Repeatable || route.Kind > Stream {
+		return merry.Errorf("route %q: no kind", route.Name)
+	}
+	if len(route.Splits) == 0 {
+		return merry.Errorf("route %q: no service", route.Name)
+	}
+	for _, split := range route.Splits {
+		if c.services[split.Service] == nil {
+			return merry.Errorf("route %q: no service %q", route.Name, split.Service)
+		}
+	}
+	return nil
+}
+
+// Version gives the version, which rises with every change.
+func (c *Catalog) Version() int64 { return c.cfg.Version }
+
+// KeysRequired reports whether routes that are not public need a key.
+func (c *Catalog) KeysRequired() bool { return c.cfg.KeysRequired }
+
+// Limits gives the bounds of what callers may send.
+func (c *Catalog) Limits() Limits { return c.cfg.Limits }
+
+// Services gives all services; they are not to be changed.
+func (c *Catalog) Services() []Service { return c.cfg.Services }
+
+// Service finds a service by name, or gives nil.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// Route finds the route of a host with the longest prefix that begins the path.
+func (c *Catalog) Route(host, path string) *Route {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
+		host = host[:colon]
+	}
+	for _, route := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Organisation finds the owner of a key, or gives nil. Keys are compared by
+// hash, so the time that it takes tells nothing of them.
+func (c *Catalog) Organisation(key string) *Organisation {
+	return c.keys[sha256.Sum256([]byte(key))]
+}
+
+// ServiceFor gives the service for a call, spread by its number over the weights.
+func (r *Route) ServiceFor(number uint64) string {
+	total := 0
+	for _, split := range r.Splits {
+		total += max(split.Weight, 0)
+	}
+	if total == 0 {
+		return r.Splits[0].Service
+	}
+	at := int(number % uint64(total))
+	for _, split := range r.Splits {
+		if at -= max(split.Weight, 0); at < 0 {
+			return split.Service
+		}
+	}
+	return r.Splits[0].Service
+}
--- /dev/null
+++ b/internal/entrybox/entrybox.go
@@ -0,0 +1,270 @@
+// Package entrybox assembles an entry box that routes calls by a registry, starts
+// it, and stops it without cutting off a call.
+//
+// Read assemble for what the box consists of, and Run for its life.
+package entrybox
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/call"
+	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/duty"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/gateway"
+	"github.com/cometlock/cometlock/internal/handover"
+	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/registry"
+	"github.com/cometlock/cometlock/internal/retrybudget"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/storewatch"
+	"github.com/cometlock/cometlock/internal/telemetry"
+	"github.com/cometlock/cometlock/internal/version"
+	"github.com/cometlock/cometlock/internal/weightorders"
+)
+
+// Config sets up a Box.
+type Config struct {
+	Settings Settings
+	Logger   zerolog.Logger
+	// The outside, by its adapter.
+	Protocol call.Protocol
+	Log      sharedlog.Log
+	Decoder  registry.Decoder
+	Runners  weightorders.Runners
+	Stores   storewatch.Stores
+	// ReadyPath is where the balancer asks whether the box is ready.
+	ReadyPath string
+}
+
+// Box is one entry box.
+type Box struct {
+	cfg      Config
+	settings Settings
+	logger   zerolog.Logger
+	// name tells this life of the box from all others.
+	name string
+
+	metrics  *telemetry.Metrics
+	fleet    *fleet.Fleet
+	parts    *partindex.Index
+	registry *registry.Registry
+	member   *duty.Member
+	giver    *weightorders.Giver
+	watcher  *storewatch.Watcher
+	gateway  *gateway.Gateway
+	callers  *http.Server
+	ready    *http.Server
+
+	leaving    atomic.Bool
+	background context.Context
+	stop       context.CancelFunc
+	loops      sync.WaitGroup
+	ports      struct{ callers, ready net.Listener }
+}
+
+// New assembles a box with open ports; it does nothing before Run.
+func New(cfg Config) (*Box, error) {
+	b := &Box{cfg: cfg, settings: cfg.Settings.withDefaults(), name: cfg.Settings.Box + "/" + uuid.NewString()}
+	b.logger = cfg.Logger.With().Str("box", cfg.Settings.Box).Str("zone", cfg.Settings.Zone).Logger()
+	b.background, b.stop = context.WithCancel(context.Background())
+	var err error
+	if b.ports.callers, err = net.Listen("tcp", b.settings.CallerAddress); err != nil {
+		return nil, merry.Prepend(err, "open the callers' port")
+	}
+	if b.ports.ready, err = net.Listen("tcp", b.settings.ReadyAddress); err != nil {
+		_ = b.ports.callers.Close() // nothing has used it
+		return nil, merry.Prepend(err, "open the ready port")
+	}
+	b.assemble()
+	return b, nil
+}
+
+// Retry budget of one box. The platform bounds the retries of all boxes together
+// to 0.2 of the requests and 56 in ten seconds: with eight boxes, half of the
+// first and most of the second.
+const (
+	retriesPerCall = 0.1
+	retryBurst     = 5
+)
+
+// memoryPart is the part of the memory limit at which the collector works hardest.
+const memoryPart = 0.75
+
+func (b *Box) assemble() {
+	if b.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(b.settings.MemoryBytes)))
+	}
+	b.metrics = telemetry.NewMetrics(b.settings.Box, b.settings.Zone)
+	scope := b.metrics.Scope()
+
+	// Beliefs: the backend servers, the configuration, the kept parts.
+	b.fleet = fleet.New(fleet.Config{Logger: b.logger})
+	b.parts = partindex.New()
+	b.registry = registry.New(registry.Config{
+		Log: b.cfg.Log, Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, Changed: b.configure,
+	})
+
+	// Duties: orders to runners, and the freeing of parts.
+	b.member = duty.NewMember(duty.Config{Log: b.cfg.Log, Name: b.name, Logger: b.logger})
+	b.giver = weightorders.New(weightorders.Config{
+		Runners: b.cfg.Runners, Fleet: b.fleet, Member: b.member, Logger: b.logger, Holder: b.name,
+		Models: b.registry.NamedModels, Wanted: b.registry.Weights, Settle: b.settings.OrderGap,
+	})
+	b.watcher = storewatch.New(storewatch.Config{
+		Stores: b.cfg.Stores, Index: b.parts, Logger: b.logger, Cleans: b.cleans, InUse: b.namespaceInUse,
+	})
+
+	// The way of a call.
+	b.gateway = gateway.New(gateway.Config{
+		Protocol: b.cfg.Protocol,
+		Pool:     handover.NewPool(handover.PoolConfig{Dialed: func() { scope.Counter("server_connections").Inc(1) }}),
+		Fleet:    b.fleet, Parts: b.parts, Logger: b.logger, Scope: scope, Zone: b.settings.Zone,
+		Budget:  retrybudget.New(retrybudget.Config{PerRequest: retriesPerCall, Burst: retryBurst}),
+		Catalog: b.registry.Catalog, Weights: b.registry.Weights, OutdatedAfter: b.settings.WeightsLimit,
+	})
+	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	b.ready = &http.Server{Handler: b.readyHandler(), ReadHeaderTimeout: headerTimeout}
+}
+
+// Limits of connections from outside until a configuration names others.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// configure takes over a new configuration.
+func (b *Box) configure(next *catalog.Catalog) {
+	b.parts.Configure(next.Services())
+	b.watcher.Configure(b.background)
+	b.metrics.Scope().Gauge("configuration_version").Update(float64(next.Version()))
+}
+
+// cleans reports whether this box frees parts of the store box at a place.
+func (b *Box) cleans(place int) bool {
+	_, held := b.member.Holds(weightorders.Duty + 1 + place%cleaningDuties)
+	return held
+}
+
+// cleaningDuties is the number of duties for freeing; with that of orders it is
+// the number of partitions that the platform deals out.
+const cleaningDuties = 7
+
+// outdatedUse is how long after new weights were named the parts of older ones may
+// still be fetched: long enough for all runners to change. Nothing is freed before
+// freeAfter, so that a box that learnt of the new weights late, and a fetch that
+// it planned last, are done.
+const (
+	outdatedUse = 10 * time.Second
+	freeAfter   = outdatedUse + 5*time.Second
+)
+
+// namespaceInUse reports whether any box may still fetch under a namespace. Names
+// that this box cannot read are left alone.
+func (b *Box) namespaceInUse(namespace string) bool {
+	model, rest, _ := strings.Cut(namespace, "/")
+	text, _, _ := strings.Cut(rest, "/")
+	weights, err := strconv.Atoi(text)
+	if err != nil {
+		return true
+	}
+	newest, since := b.registry.Weights(model)
+	return weights >= newest || time.Since(since) < freeAfter
+}
+
+// readyHandler answers the balancer, and collectors of metrics.
+func (b *Box) readyHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET(b.cfg.ReadyPath, func(c echo.Context) error {
+		if reason := b.unreadyReason(); reason != "" {
+			return c.String(http.StatusServiceUnavailable, reason)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	e.GET("/metrics", echo.WrapHandler(b.metrics.Handler()))
+	return e
+}
+
+// unreadyReason says why the balancer should send no callers, or nothing.
+func (b *Box) unreadyReason() string {
+	switch {
+	case b.leaving.Load():
+		return "leaving"
+	case b.registry.Catalog() == nil:
+		return "no configuration yet"
+	case b.fleet.Known() == 0:
+		return "no backend servers yet"
+	default:
+		return ""
+	}
+}
+
+// Run serves until ctx ends, and then until the last call has its answer.
+func (b *Box) Run(ctx context.Context) error {
+	for _, loop := range []func(context.Context){
+		b.registry.LoopOperator, b.registry.LoopServers, b.member.Loop, b.giver.Loop, b.watcher.LoopClean,
+	} {
+		b.loops.Go(func() { loop(b.background) })
+	}
+	b.serve(b.ready, b.ports.ready)
+	b.serve(b.callers, b.ports.callers)
+	b.logger.Info().Str("version", version.Version).Str("callers", b.settings.CallerAddress).Str("ready", b.settings.ReadyAddress).
+		Str("life", b.name).Msg("started")
+	<-ctx.Done()
+	return b.shutDown()
+}
+
+func (b *Box) serve(server *http.Server, listener net.Listener) {
+	b.loops.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			b.logger.Error().Str("error", err.Error()).Msg("port_lost")
+		}
+	})
+}
+
+const (
+	// unreadyTime is how long callers may still come after the box turned unready:
+	// the balancer asks each second and believes the second answer.
+	unreadyTime = 2500 * time.Millisecond
+	// stopMargin is kept from the end of the time to stop.
+	stopMargin = 500 * time.Millisecond
+)
+
+// shutDown is a planned stop: turn unready, take what still comes, finish what is
+// under way, then end.
+func (b *Box) shutDown() error {
+	b.logger.Info().Int64("calls", b.gateway.InFlight()).Msg("leaving")
+	b.leaving.Store(true)
+	end := time.Now().Add(b.settings.StopLimit - stopMargin)
+	b.callers.SetKeepAlivesEnabled(false)
+	time.Sleep(unreadyTime)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	err := b.callers.Shutdown(ctx)
+	if err != nil {
+		b.logger.Error().Int64("calls", b.gateway.InFlight()).Str("error", err.Error()).Msg("calls_cut_off")
+	}
+	b.stop()
+	_ = b.ready.Close() // a question of the balancer may be cut off
+	b.watcher.Wait()
+	b.loops.Wait()
+	_ = b.metrics.Close() // a collector that missed the last second
+	b.logger.Info().Msg("stopped")
+	return err
+}
--- /dev/null
+++ b/internal/entrybox/settings.go
@@ -0,0 +1,40 @@
+package entrybox
+
+import "time"
+
+// Settings are what a box needs to know when it starts.
+type Settings struct {
+	Box  string
+	Zone string
+	// CallerAddress and ReadyAddress are IP addresses and ports.
+	CallerAddress string
+	ReadyAddress  string
+	// StopLimit is how long the process may go on after it was asked to stop.
+	StopLimit time.Duration
+	// OrderGap is how far the orders of two boxes to runners must lie apart.
+	OrderGap time.Duration
+	// WeightsLimit is how long after new weights were named older ones may answer.
+	WeightsLimit time.Duration
+	// MemoryBytes bounds the process; 0 is no bound.
+	MemoryBytes int64
+}
+
+// Defaults of Settings.
+const (
+	DefaultStopLimit    = 8 * time.Second
+	DefaultOrderGap     = 3 * time.Second
+	DefaultWeightsLimit = 12 * time.Second
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.StopLimit == 0 {
+		s.StopLimit = DefaultStopLimit
+	}
+	if s.OrderGap == 0 {
+		s.OrderGap = DefaultOrderGap
+	}
+	if s.WeightsLimit == 0 {
+		s.WeightsLimit = DefaultWeightsLimit
+	}
+	return s
+}
--- /dev/null
+++ b/internal/fleet/choose.go
@@ -0,0 +1,182 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/placing"
+)
+
+// Query asks for a server.
+type Query struct {
+	Service string
+	// Zone is that of this box.
+	Zone string
+	// Exclude names incarnations that were tried already.
+	Exclude []string
+	// Model and Newest are set for calls with a prompt: the model, and its newest
+	// named weight version.
+	Model  string
+	Newest int
+	// OutdatedCost is the cost in milliseconds of answering by older weights.
+	OutdatedCost float64
+	// Load is the work that the call brings, as the policy weighs it.
+	Load placing.Query
+	// Work gives the prompt tokens that a runner would read itself, by the
+	// version of its weights; nil without a prompt.
+	Work func(weights int) int
+	// ConnectionLimit bounds this box's calls at one server.
+	ConnectionLimit int
+}
+
+// Hold is a call's place at a server. Each must end with one call of Done.
+type Hold struct {
+	fleet  *Fleet
+	state  *State
+	tokens int
+	server Server
+	// Weights is the version that the call was placed for.
+	weights int
+}
+
+// Server gives the server as it was when the call was placed.
+func (h *Hold) Server() Server { return h.server }
+
+// Weights gives the weight version that the call was placed for.
+func (h *Hold) Weights() int { return h.weights }
+
+// Choose places a call and counts it at its server. It gives nil when no server
+// may take it.
+func (f *Fleet) Choose(query Query) *Hold {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.fade(now)
+	var sound, suspect []*State
+	for _, state := range f.byService[query.Service] {
+		switch {
+		case !f.eligible(state, query, now):
+		case state.suspect(now):
+			suspect = append(suspect, state)
+		default:
+			sound = append(sound, state)
+		}
+	}
+	if len(sound) == 0 {
+		// When all look bad the cause may be load, or this box's own link.
+		sound = suspect
+	}
+	candidates := make([]placing.Candidate, len(sound))
+	for i, state := range sound {
+		candidates[i] = f.describe(state, query)
+	}
+	at := placing.Choose(query.Load, candidates)
+	if at < 0 {
+		return nil
+	}
+	return f.hold(sound[at], candidates[at].WorkTokens, query.Model, now)
+}
+
+func (f *Fleet) hold(state *State, tokens int, model string, now time.Time) *Hold {
+	if state.inFlight == 0 {
+		state.silentSince = now
+	}
+	state.inFlight++
+	state.pendingTokens += tokens
+	return &Hold{fleet: f, state: state, tokens: tokens, server: state.Server, weights: state.weights(model)}
+}
+
+func (f *Fleet) eligible(state *State, query Query, now time.Time) bool {
+	if state.Leaving || !f.present(state, now) || now.Before(state.pausedUntil) {
+		return false
+	}
+	if query.ConnectionLimit > 0 && state.inFlight >= query.ConnectionLimit {
+		return false
+	}
+	if query.Model != "" && state.weights(query.Model) == 0 {
+		return false
+	}
+	return !slices.Contains(query.Exclude, state.Incarnation)
+}
+
+func (f *Fleet) describe(state *State, query Query) placing.Candidate {
+	candidate := placing.Candidate{
+		Name: state.Incarnation, InFlight: state.inFlight, Slots: state.Slots, PendingTokens: state.pendingTokens,
+		OtherZone: state.Zone != query.Zone, Failing: state.failing, Cold: state.ColdFor > 0,
+	}
+	if query.Model != "" {
+		weights := state.weights(query.Model)
+		candidate.WorkTokens = query.Work(weights)
+		if weights < query.Newest {
+			candidate.ExtraCost = query.OutdatedCost
+		}
+	}
+	return candidate
+}
+
+// Heard notes an event of the answer: the prompt has been read.
+func (h *Hold) Heard() {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	h.read()
+	h.state.heard(time.Now())
+}
+
+func (h *Hold) read() {
+	h.state.pendingTokens -= h.tokens
+	h.tokens = 0
+}
+
+// End is what became of a call at a server.
+type End uint8
+
+// Ends of a call at a server.
+const (
+	// EndServed calls got an answer that speaks for the server.
+	EndServed End = iota + 1
+	// EndFailed calls got a failure of the server's own, or broke off.
+	EndFailed
+	// EndUnreachable calls never got to the server, or it fell silent.
+	EndUnreachable
+	// EndBusy calls were refused, not run, by a server without room.
+	EndBusy
+	// EndMoved calls were refused since another incarnation, or other weights,
+	// are there now.
+	EndMoved
+	// EndAbandoned calls were given up by the caller.
+	EndAbandoned
+)
+
+// Pauses after refusals.
+const (
+	// busyPause gives a full runner time to end some runs; one takes 100 ms and
+	// more.
+	busyPause = 60 * time.Millisecond
+	// movedPause spans the lag of the registry after a change of weights.
+	movedPause = 500 * time.Millisecond
+)
+
+// Done gives the place back and notes what the call showed of the server.
+func (h *Hold) Done(end End) {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	h.read()
+	h.state.inFlight--
+	now := time.Now()
+	if end != EndUnreachable && end != EndAbandoned || h.state.inFlight == 0 {
+		h.state.heard(now)
+	}
+	switch end {
+	case EndServed:
+		h.state.noteSuccess()
+	case EndFailed:
+		h.state.noteFailure(now, false)
+	case EndUnreachable:
+		h.state.noteFailure(now, true)
+	case EndBusy:
+		h.state.pausedUntil = now.Add(busyPause)
+	case EndMoved:
+		h.state.pausedUntil = now.Add(movedPause)
+	case EndAbandoned:
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,182 @@
+// Package fleet holds what an entry box believes of the backend servers.
+//
+// The registry in the platform's log says which servers there are; what the box
+// sees itself (refused connections, refusals, failures) only ever takes a server
+// out for a while. A server's record is taken over only when its offset is later
+// than the one known, so that no belief goes back while the process lives.
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Config sets up a Fleet.
+type Config struct {
+	Logger zerolog.Logger
+	// Returning is how long after the registry's return a server that it dropped
+	// meanwhile is still believed in: living servers are back within it.
+	Returning time.Duration
+}
+
+// DefaultReturning is the platform's two seconds and the time to read of it.
+const DefaultReturning = 2500 * time.Millisecond
+
+// Fleet is the set of known backend servers.
+type Fleet struct {
+	cfg Config
+
+	mu        sync.Mutex
+	servers   map[string]*State
+	byService map[string][]*State
+	// steadyFrom is when the registry's word on servers that are gone counts
+	// again after it could not be read.
+	steadyFrom time.Time
+	fadedAt    time.Time
+}
+
+// New makes a fleet without servers.
+func New(cfg Config) *Fleet {
+	if cfg.Returning == 0 {
+		cfg.Returning = DefaultReturning
+	}
+	return &Fleet{cfg: cfg, servers: map[string]*State{}, byService: map[string][]*State{}}
+}
+
+// Update is one word of the registry: a server as it is now, or that it is gone.
+type Update struct {
+	Incarnation string
+	Offset      int64
+	// Server is nil when the server is gone.
+	Server *Server
+}
+
+// Apply takes over words of the registry in their order.
+func (f *Fleet) Apply(updates []Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, update := range updates {
+		f.apply(update)
+	}
+	f.regroup()
+}
+
+// Replace takes over a whole reading of the registry: servers that it does not
+// name are gone.
+func (f *Fleet) Replace(updates []Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	named := map[string]bool{}
+	for _, update := range updates {
+		named[update.Incarnation] = true
+		f.apply(update)
+	}
+	for incarnation, state := range f.servers {
+		if !named[incarnation] {
+			f.drop(state)
+		}
+	}
+	f.regroup()
+}
+
+func (f *Fleet) apply(update Update) {
+	state := f.servers[update.Incarnation]
+	if state != nil && update.Offset <= state.offset {
+		return
+	}
+	if update.Server == nil {
+		if state != nil {
+			state.offset = update.Offset
+			f.drop(state)
+		}
+		return
+	}
+	if state == nil {
+		state = &State{}
+		f.servers[update.Incarnation] = state
+		f.log("server_known", update.Server, update.Offset)
+	} else if state.Leaving != update.Server.Leaving {
+		f.log("server_leaving", update.Server, update.Offset)
+	}
+	state.Server, state.offset, state.gone = *update.Server, update.Offset, time.Time{}
+}
+
+func (f *Fleet) drop(state *State) {
+	if state.gone.IsZero() {
+		state.gone = time.Now()
+		f.log("server_gone", &state.Server, state.offset)
+	}
+}
+
+func (f *Fleet) log(event string, server *Server, offset int64) {
+	f.cfg.Logger.Info().Str("server", server.Incarnation).Str("service", server.Service).Str("address", server.Address).
+		Str("zone", server.Zone).Bool("leaving", server.Leaving).Int64("offset", offset).Msg(event)
+}
+
+// RegistryLost notes that the registry cannot be read: entries that lapse until it
+// is back say nothing of their servers.
+func (f *Fleet) RegistryLost() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.steadyFrom = time.Now().Add(f.cfg.Returning)
+}
+
+// RegistryBack notes that the registry is read again.
+func (f *Fleet) RegistryBack() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.steadyFrom = time.Now().Add(f.cfg.Returning)
+}
+
+// forgetAfter is how long a server that is gone is remembered, so that a late
+// record does not bring it back as a new one.
+const forgetAfter = time.Minute
+
+// regroup forgets servers that are long gone and groups the others.
+func (f *Fleet) regroup() {
+	now := time.Now()
+	clear(f.byService)
+	for incarnation, state := range f.servers {
+		if !state.gone.IsZero() && now.Sub(state.gone) > forgetAfter {
+			delete(f.servers, incarnation)
+			continue
+		}
+		f.byService[state.Service] = append(f.byService[state.Service], state)
+	}
+}
+
+// present reports whether the box still believes in a server: it is listed, or it
+// lapsed while the registry was away and may be back at any moment.
+func (f *Fleet) present(state *State, now time.Time) bool {
+	return state.gone.IsZero() || now.Before(f.steadyFrom)
+}
+
+// Known counts the servers that are listed.
+func (f *Fleet) Known() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, state := range f.servers {
+		if state.gone.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
+// fadeEvery is the time between two rounds of fading.
+const fadeEvery = 500 * time.Millisecond
+
+// fade lets old failures count less. The caller holds mu.
+func (f *Fleet) fade(now time.Time) {
+	passed := now.Sub(f.fadedAt)
+	if passed < fadeEvery {
+		return
+	}
+	f.fadedAt = now
+	for _, state := range f.servers {
+		state.fade(min(passed, failingHalfLife))
+	}
+}
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"math"
+	"time"
+)
+
+// Server is what a backend server says of itself in the registry.
+type Server struct {
+	// Incarnation names one life of the server; a restart has another.
+	Incarnation string
+	Service     string
+	Address     string
+	Zone        string
+	Slots       int
+	// Leaving servers take nothing new.
+	Leaving bool
+	// ColdFor is how much longer the server is slow after its start.
+	ColdFor time.Duration
+	// Weights are the versions of the models that a runner holds.
+	Weights map[string]int
+}
+
+// State is a server with what this box has seen of it. All fields but Server are
+// guarded by the fleet's lock.
+type State struct {
+	Server
+	// offset is the log's position of the record that the entry came from.
+	offset int64
+	// gone is when the registry dropped the server; zero while it is listed.
+	gone time.Time
+
+	inFlight int
+	// pendingTokens is prompt work handed over whose first event has not come.
+	pendingTokens int
+	// silentSince is since when the server has calls and has not been heard of;
+	// zero while it has none.
+	silentSince time.Time
+	// failing is the recent share of calls that failed, 0 to 1.
+	failing float64
+	// suspectUntil holds calls back after a failure to reach the server.
+	suspectUntil time.Time
+	suspicion    time.Duration
+	// pausedUntil holds calls back from a runner that is changing weights or full.
+	pausedUntil time.Time
+	// heldWeights is what the server was found to hold later than its record.
+	heldWeights map[string]int
+}
+
+// Suspicion: how long a server that could not be reached is left alone. It doubles
+// with each failure. The first is short, since one failure may be the link's.
+const (
+	firstSuspicion   = 500 * time.Millisecond
+	longestSuspicion = 8 * time.Second
+)
+
+// failureWeight is the weight of the newest call in the share that failed: about
+// the last eight calls count, enough to tell a failing server from bad luck.
+const failureWeight = 0.125
+
+// failingHalfLife is how soon the share that failed fades while nothing is sent.
+const failingHalfLife = 3 * time.Second
+
+func (s *State) weights(model string) int {
+	return max(s.heldWeights[model], s.Weights[model])
+}
+
+// suspect reports whether the server is better left alone: it could not be reached
+// lately, or has calls and has been silent since.
+func (s *State) suspect(now time.Time) bool {
+	if now.Before(s.suspectUntil) {
+		return true
+	}
+	limit := silentService
+	if len(s.Weights) > 0 {
+		limit = silentRunner
+	}
+	return !s.silentSince.IsZero() && now.Sub(s.silentSince) > limit
+}
+
+// Silence after which a server with calls is suspect. Plain services answer in 30
+// to 300 ms; a runner may read a prompt of 50,000 tokens for a second.
+const (
+	silentService = 500 * time.Millisecond
+	silentRunner  = 1200 * time.Millisecond
+)
+
+// heard notes a sign of life.
+func (s *State) heard(now time.Time) {
+	s.silentSince = time.Time{}
+	if s.inFlight > 0 {
+		s.silentSince = now
+	}
+}
+
+func (s *State) noteFailure(now time.Time, unreachable bool) {
+	s.failing += failureWeight * (1 - s.failing)
+	if !unreachable {
+		return
+	}
+	s.suspicion = min(max(2*s.suspicion, firstSuspicion), longestSuspicion)
+	s.suspectUntil = now.Add(s.suspicion)
+}
+
+func (s *State) noteSuccess() {
+	s.failing -= failureWeight * s.failing
+	s.suspicion = 0
+	s.suspectUntil = time.Time{}
+}
+
+// fade lets the share that failed fade over time that passed without calls.
+func (s *State) fade(passed time.Duration) {
+	s.failing *= math.Exp2(-passed.Seconds() / failingHalfLife.Seconds())
+}
--- /dev/null
+++ b/internal/fleet/weights.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// Behind lists the servers that hold an older version of a model than the given
+// one, those with the fewest calls of this box first; servers that could not be
+// reached lately come last.
+func (f *Fleet) Behind(model string, version int) []Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var behind []*State
+	for _, state := range f.servers {
+		if held := state.weights(model); held > 0 && held < version && !state.Leaving && state.gone.IsZero() {
+			behind = append(behind, state)
+		}
+	}
+	slices.SortFunc(behind, func(a, b *State) int {
+		if as, bs := now.Before(a.suspectUntil), now.Before(b.suspectUntil); as != bs {
+			if bs {
+				return -1
+			}
+			return 1
+		}
+		return a.inFlight - b.inFlight
+	})
+	servers := make([]Server, len(behind))
+	for i, state := range behind {
+		servers[i] = state.Server
+	}
+	return servers
+}
+
+// Holders counts the listed servers that hold a model.
+func (f *Fleet) Holders(model string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, state := range f.servers {
+		if state.gone.IsZero() && state.weights(model) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// NewestHeld gives the newest version of a model that any server holds.
+func (f *Fleet) NewestHeld(model string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newest := 0
+	for _, state := range f.servers {
+		newest = max(newest, state.weights(model))
+	}
+	return newest
+}
+
+// NoteWeights notes that a server was found to hold a version. Within one life a
+// server's version only rises.
+func (f *Fleet) NoteWeights(incarnation, model string, version int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.servers[incarnation]
+	if state == nil || state.weights(model) >= version {
+		return
+	}
+	if state.heldWeights == nil {
+		state.heldWeights = map[string]int{}
+	}
+	state.heldWeights[model] = version
+	f.cfg.Logger.Info().Str("server", incarnation).Str("model", model).Int("weights", version).Msg("weights_held")
+}
+
+// Pause keeps new calls from a server until a time, which never gets earlier.
+func (f *Fleet) Pause(incarnation string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if state := f.servers[incarnation]; state != nil && until.After(state.pausedUntil) {
+		state.pausedUntil = until
+	}
+}
+
+// Resume ends a pause.
+func (f *Fleet) Resume(incarnation string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if state := f.servers[incarnation]; state != nil {
+		state.pausedUntil = time.Time{}
+	}
+}
--- /dev/null
+++ b/internal/gateway/accept.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// defaultTimeout holds for routes without a timeout and callers who do not say how
+// long they wait.
+const defaultTimeout = 30 * time.Second
+
+// accept decodes the head of a call and finds its route.
+func (g *Gateway) accept(x *exchange) bool {
+	x.facts = g.cfg.Protocol.ReadFacts(x.request.Header)
+	x.resumeAfter = x.facts.ResumeAfter
+	x.catalog = g.cfg.Catalog()
+	if x.catalog == nil {
+		return g.refuse(x, "no_configuration", startingPause)
+	}
+	x.route = x.catalog.Route(x.request.Host, x.request.URL.Path)
+	if x.route == nil {
+		return g.reject(x, http.StatusNotFound, "no_route")
+	}
+	if x.facts.Malformed != "" {
+		return g.reject(x, http.StatusBadRequest, x.facts.Malformed)
+	}
+	x.service = x.catalog.Service(x.route.ServiceFor(x.number))
+	x.urgency = x.route.Urgency
+	patience := x.route.Timeout
+	if patience <= 0 {
+		patience = defaultTimeout
+	}
+	if x.facts.Patience > 0 {
+		patience = min(patience, x.facts.Patience)
+	}
+	x.deadline = x.arrived.Add(patience)
+	return true
+}
+
+// authorise finds the organisation that the caller's key belongs to.
+func (g *Gateway) authorise(x *exchange) bool {
+	x.organisation = x.catalog.Organisation(x.facts.Key)
+	if x.organisation == nil && x.catalog.KeysRequired() && !x.route.Public {
+		return g.reject(x, http.StatusUnauthorized, "unknown_key")
+	}
+	if x.organisation != nil && x.organisation.Urgency != nil {
+		x.urgency = *x.organisation.Urgency
+	}
+	return true
+}
+
+// readBody takes in the whole body, so that a slow caller holds no backend server
+// and a call can be handed over again.
+func (g *Gateway) readBody(x *exchange) bool {
+	limit := x.catalog.Limits().BodyBytes
+	if x.request.ContentLength > limit {
+		return g.reject(x, http.StatusRequestEntityTooLarge, "body_too_large")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	if err == nil {
+		x.body = body
+		return true
+	}
+	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
+		return g.reject(x, http.StatusRequestEntityTooLarge, "body_too_large")
+	}
+	if x.request.Context().Err() != nil {
+		x.outcome, x.reason = outcomeGone, "caller_left_in_body"
+		return false
+	}
+	return g.reject(x, http.StatusBadRequest, "body_unreadable")
+}
+
+// target gives the path and query as the caller sent them.
+func (x *exchange) target() string {
+	target := x.request.RequestURI
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	return x.request.URL.RequestURI() // a caller may name the host in the request line too
+}
+
+// hopByHop lists the headers that belong to one connection (RFC 9110, 7.6.1), and
+// the length, which is written anew.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// forwardable copies the headers that travel past this hop.
+func forwardable(header http.Header) http.Header {
+	copied := header.Clone()
+	for _, names := range header.Values("Connection") {
+		for name := range strings.SplitSeq(names, ",") {
+			copied.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		copied.Del(name)
+	}
+	return copied
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,136 @@
+// Package gateway is the way of a routed call through an entry box:
+//
+//	accept ─▶ authorise ─▶ [ place ─▶ hand over ─▶ relay ]… ─▶ settle
+//
+// The stages work one after the other on one exchange, plain data in which each
+// writes its own fields. All wait for sockets or need a microsecond, so they run
+// on the goroutine that the HTTP server gave the call. What is in brackets repeats
+// while another backend server may be tried.
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cometlock/cometlock/internal/call"
+	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/handover"
+	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/retrybudget"
+)
+
+// Config sets up a Gateway.
+type Config struct {
+	Protocol call.Protocol
+	Pool     *handover.Pool
+	Fleet    *fleet.Fleet
+	Parts    *partindex.Index
+	Budget   *retrybudget.Budget
+	Logger   zerolog.Logger
+	Scope    tally.Scope
+	// Zone is the availability zone of this box.
+	Zone string
+	// Catalog gives the configuration in force, or nil before the first.
+	Catalog func() *catalog.Catalog
+	// Weights gives the newest version named for a model and since when.
+	Weights func(model string) (version int, since time.Time)
+	// OutdatedAfter is when answers by older weights have lost all their worth.
+	OutdatedAfter time.Duration
+}
+
+// Gateway serves routed calls.
+type Gateway struct {
+	cfg      Config
+	metrics  metrics
+	inFlight atomic.Int64
+	number   atomic.Uint64
+}
+
+// New makes a gateway.
+func New(cfg Config) *Gateway {
+	return &Gateway{cfg: cfg, metrics: newMetrics(cfg.Scope)}
+}
+
+// InFlight counts the calls under way.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// ServeHTTP takes one call through the stages.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	x := g.newExchange(w, r)
+	defer g.settle(x)
+	if !g.accept(x) || !g.authorise(x) || !g.readBody(x) {
+		return
+	}
+	g.serve(x)
+}
+
+// exchange is one call on its way. Each group of fields is written by the stage
+// named with it.
+type exchange struct {
+	writer  http.ResponseWriter
+	request *http.Request
+	arrived time.Time
+	number  uint64
+
+	// Written by accept.
+	catalog *catalog.Catalog
+	facts   call.Facts
+	route   *catalog.Route
+	service *catalog.Service
+	// deadline ends the caller's patience or the route's timeout.
+	deadline time.Time
+
+	// Written by authorise.
+	organisation *catalog.Organisation
+	urgency      int
+
+	// Written by readBody.
+	body []byte
+
+	// Written while the call is handed over.
+	tried []string
+	// mayHaveRun says that no later refusal makes the call "not run".
+	mayHaveRun bool
+	// resumeAfter is the last event that the caller has.
+	resumeAfter string
+	// answering says that a part of an answer has reached the caller.
+	answering bool
+	// failure is a backend server's answer that says that it failed; it is passed
+	// on unless another server does better.
+	failure *wholeAnswer
+	// choice is the last placement, for the log.
+	choice choice
+
+	// Written by whoever ends the call, for settle.
+	status     int
+	outcome    outcome
+	reason     string
+	firstEvent time.Time
+	events     int
+	bytesOut   int64
+}
+
+// outcome says what became of a call.
+type outcome string
+
+// Outcomes of calls.
+const (
+	outcomeServed   outcome = "served"   // a whole answer reached the caller
+	outcomeFailed   outcome = "failed"   // a backend server's failure was passed on
+	outcomeRefused  outcome = "refused"  // the call did not run
+	outcomeUnknown  outcome = "unknown"  // the call may have run, and there is no answer
+	outcomeBroken   outcome = "broken"   // the answer broke off after a part of it
+	outcomeGone     outcome = "gone"     // the caller left
+	outcomeRejected outcome = "rejected" // the call itself is at fault
+)
+
+func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+	return &exchange{writer: w, request: r, arrived: time.Now(), number: g.number.Add(1)}
+}
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cometlock/cometlock/internal/call"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/placing"
+)
+
+// choice is where a call goes, and with what plan for its prompt.
+type choice struct {
+	hold *fleet.Hold
+	plan partindex.Plan
+	// namespace is that of the plan; empty without a prompt.
+	namespace string
+}
+
+const (
+	// homePart is the size of a shared part, in tokens, from which on calls that
+	// share it meet at the same runner: reading it twice costs more than a wait.
+	homePart = 1000
+	// boxesAssumed is among how many boxes the connections that a server takes are
+	// shared out; the platform's pages name 8.
+	boxesAssumed = 9
+)
+
+// homeSeed makes homes of parts; it is the same in all boxes.
+const homeSeed = 0x9e3779b97f4a7c15
+
+// place chooses a server for a call, and counts it there.
+func (g *Gateway) place(x *exchange) (choice, bool) {
+	query := fleet.Query{
+		Service: x.service.Name, Zone: g.cfg.Zone, Exclude: x.tried,
+		Load:            placing.Query{Spread: x.number * homeSeed},
+		ConnectionLimit: max(x.service.ConnectionLimit/boxesAssumed, 4),
+	}
+	if x.facts.Prompt == nil || x.service.Engine == nil {
+		hold := g.cfg.Fleet.Choose(query)
+		return choice{hold: hold}, hold != nil
+	}
+	plans := g.plans(x)
+	query.Model = x.facts.Prompt.Model
+	query.Newest, query.OutdatedCost = g.newest(query.Model)
+	query.Work = func(weights int) int { return plans.at(weights).plan.Missing }
+	query.Load.Home = plans.home(query.Newest)
+	hold := g.cfg.Fleet.Choose(query)
+	if hold == nil {
+		return choice{}, false
+	}
+	chosen := plans.at(hold.Weights())
+	chosen.hold = hold
+	return chosen, true
+}
+
+// newest gives the version that a model should be answered by, and what answering
+// by an older one costs now, in milliseconds of waiting.
+func (g *Gateway) newest(model string) (version int, outdatedCost float64) {
+	version, since := g.cfg.Weights(model)
+	if version == 0 {
+		return g.cfg.Fleet.NewestHeld(model), 0
+	}
+	if g.cfg.OutdatedAfter <= 0 {
+		return version, outdatedLimit
+	}
+	return version, min(outdatedLimit, outdatedLimit*float64(time.Since(since))/float64(g.cfg.OutdatedAfter))
+}
+
+// outdatedLimit is the cost, in milliseconds of waiting, of an answer that is worth
+// nothing; in proportion while it still is worth something.
+const outdatedLimit = 600.0
+
+// plans holds the plans of one prompt for each weight version asked for.
+type plans struct {
+	gateway *Gateway
+	x       *exchange
+	made    map[int]choice
+}
+
+func (g *Gateway) plans(x *exchange) *plans {
+	return &plans{gateway: g, x: x, made: map[int]choice{}}
+}
+
+func (p *plans) at(weights int) choice {
+	if made, ok := p.made[weights]; ok {
+		return made
+	}
+	prompt := p.x.facts.Prompt
+	namespace := Namespace(prompt.Model, weights, p.x.isolatedName())
+	made := choice{
+		namespace: namespace,
+		plan:      p.gateway.cfg.Parts.Plan(namespace, prompt.Parts, prompt.Tokens, p.x.service.Engine.BytesPerToken),
+	}
+	p.made[weights] = made
+	return made
+}
+
+// home gives the number by which calls that share an unknown part meet, or zero.
+func (p *plans) home(weights int) uint64 {
+	if p.x.facts.Prompt == nil {
+		return 0
+	}
+	for i, part := range p.x.facts.Prompt.Parts[:max(len(p.x.facts.Prompt.Parts)-1, 0)] {
+		if part.Tokens >= homePart && p.at(weights).plan.Fetch[i] == "" {
+			return xxhash.Sum64String(part.ID) | 1
+		}
+	}
+	return 0
+}
+
+// Namespace keeps kept context apart by model, weight version and, for an isolated
+// organisation, by its name.
+func Namespace(model string, weights int, isolated string) string {
+	if isolated == "" {
+		return fmt.Sprintf("%s/%d", model, weights)
+	}
+	return fmt.Sprintf("%s/%d/%s", model, weights, isolated)
+}
+
+func (x *exchange) isolatedName() string {
+	if x.organisation != nil && x.organisation.Isolated {
+		return x.organisation.Name
+	}
+	return ""
+}
+
+// handover writes down what the chosen server is told.
+func (x *exchange) handover(chosen choice, remaining time.Duration) call.Handover {
+	out := call.Handover{Incarnation: chosen.hold.Server().Incarnation, Remaining: remaining, ResumeAfter: x.resumeAfter}
+	if x.organisation != nil {
+		out.Organisation = x.organisation.Name
+	}
+	if chosen.namespace == "" {
+		return out
+	}
+	out.Model = &call.ModelHandover{
+		Weights: chosen.hold.Weights(), Namespace: chosen.namespace, Urgency: x.urgency,
+		Fetch: chosen.plan.Fetch, Save: chosen.plan.Save, FetchUntil: chosen.plan.Until,
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/eventstream"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/handover"
+)
+
+// relayWhole takes in an answer whole and passes it on, so that one that breaks off
+// never looks whole, and another server can be tried instead.
+func (t *try) relayWhole(answer *handover.Answer) next {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	if !t.heard() || err != nil || len(body) > maxAnswerBytes {
+		return t.lost("answer_broke_off", fleet.EndUnreachable)
+	}
+	x := t.x
+	whole := &wholeAnswer{status: answer.Status, header: forwardable(answer.Header), body: body}
+	if answer.Status < http.StatusInternalServerError {
+		t.chosen.hold.Done(fleet.EndServed)
+		x.outcome = outcomeServed
+		x.passOn(whole)
+		return nextEnd
+	}
+	t.chosen.hold.Done(fleet.EndFailed)
+	t.log("server_failed", strconv.Itoa(answer.Status))
+	x.failure = whole
+	if x.mayRepeat() {
+		return nextServer
+	}
+	t.gateway.end(x, "server_failed", 0)
+	return nextEnd
+}
+
+// wholeAnswer is an answer that was taken in whole.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// passOn gives the caller a backend server's answer as it is.
+func (x *exchange) passOn(whole *wholeAnswer) {
+	x.status, x.bytesOut = whole.status, int64(len(whole.body))
+	for name, values := range whole.header {
+		x.writer.Header()[name] = values
+	}
+	x.writer.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
+	x.writer.WriteHeader(whole.status)
+	_, _ = x.writer.Write(whole.body) // a caller that left needs no answer
+}
+
+// streamGap is how long a stream that can go on elsewhere may pause; engines send
+// an event each few milliseconds, and callers leave after two seconds.
+const streamGap = 1200 * time.Millisecond
+
+// relayStream passes a stream on, event by event.
+func (t *try) relayStream(answer *handover.Answer) next {
+	x := t.x
+	reader := eventstream.NewReader(answer.Body)
+	var gap *time.Timer
+	if x.mayRepeat() {
+		gap = time.AfterFunc(time.Hour, t.cancel)
+		gap.Stop()
+		defer gap.Stop()
+	}
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) && t.heard() {
+			return t.streamEnded(answer)
+		}
+		if err != nil {
+			return t.lost("stream_broke_off", fleet.EndUnreachable)
+		}
+		if !t.heard() && !x.answering {
+			return t.lost("stream_too_late", fleet.EndUnreachable)
+		}
+		t.pass(answer, event)
+		if gap != nil {
+			gap.Reset(streamGap)
+		}
+	}
+}
+
+// pass sends one event on.
+func (t *try) pass(answer *handover.Answer, event eventstream.Event) {
+	x := t.x
+	if event.ID != "" && !rises(x.resumeAfter, event.ID) {
+		return // the caller has it already
+	}
+	if x.events == 0 {
+		x.firstEvent = time.Now()
+	}
+	t.chosen.hold.Heard()
+	t.beginStream(answer)
+	x.events++
+	x.bytesOut += int64(len(event.Raw))
+	if event.ID != "" {
+		x.resumeAfter = event.ID
+	}
+	if _, err := x.writer.Write(event.Raw); err != nil {
+		return // the caller left; its context ends the try
+	}
+	_ = http.NewResponseController(x.writer).Flush() // as above
+}
+
+// beginStream sends the head of the first server's answer.
+func (t *try) beginStream(answer *handover.Answer) {
+	x := t.x
+	if x.answering {
+		return
+	}
+	x.answering, x.status = true, answer.Status
+	for name, values := range forwardable(answer.Header) {
+		x.writer.Header()[name] = values
+	}
+	x.writer.WriteHeader(answer.Status)
+}
+
+// rises reports whether an event's id comes after the last one passed on. Ids that
+// are no numbers are believed.
+func rises(last, id string) bool {
+	before, err := strconv.ParseInt(last, 10, 64)
+	if err != nil {
+		return true
+	}
+	now, err := strconv.ParseInt(id, 10, 64)
+	return err != nil || now > before
+}
+
+// streamEnded ends a stream whose server ended it properly.
+func (t *try) streamEnded(answer *handover.Answer) next {
+	if t.x.events == 0 && !answer.Framed() {
+		return t.lost("stream_empty", fleet.EndFailed)
+	}
+	t.beginStream(answer)
+	t.chosen.hold.Done(fleet.EndServed)
+	t.x.outcome = outcomeServed
+	return nextEnd
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/call"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/handover"
+)
+
+// next says how a call goes on after a try.
+type next uint8
+
+const (
+	// nextEnd: the call has its end.
+	nextEnd next = iota + 1
+	// nextServer: another server may be tried.
+	nextServer
+)
+
+const (
+	// freshRest is the longest rest of a connection that may carry a call which
+	// cannot be repeated: a server that closes it at that moment leaves its
+	// outcome unknown.
+	freshRest = 800 * time.Millisecond
+	// repeatableRest is the same for calls that can.
+	repeatableRest = 3 * time.Second
+	// patienceFactor times the objective is how long a server may keep silent
+	// before a call that can be repeated is tried elsewhere.
+	patienceFactor = 2
+	// shortestPatience bounds that from below: a server may be slow for a moment.
+	shortestPatience = 400 * time.Millisecond
+	// maxAnswerBytes bounds an answer that is taken in whole.
+	maxAnswerBytes = 16 << 20
+)
+
+// serve tries servers until the call has its end.
+func (g *Gateway) serve(x *exchange) {
+	g.cfg.Budget.Earn()
+	for {
+		chosen, ok := g.place(x)
+		if !ok {
+			g.end(x, "no_server", serverlessPause)
+			return
+		}
+		x.choice = chosen
+		x.tried = append(x.tried, chosen.hold.Server().Incarnation)
+		if g.try(x, chosen) == nextEnd {
+			return
+		}
+		if !g.mayTryAnother(x) {
+			g.end(x, "no_server_answered", busyPause)
+			return
+		}
+	}
+}
+
+// end ends a call for which no further server is tried.
+func (g *Gateway) end(x *exchange, reason string, pause time.Duration) {
+	if x.answering {
+		g.breakOff(x, reason)
+	}
+	if x.failure != nil {
+		x.outcome, x.reason = outcomeFailed, "server_failed"
+		x.passOn(x.failure)
+		return
+	}
+	g.giveUp(x, reason, pause)
+}
+
+// mayTryAnother reports whether the route, the time left and the retry budget allow
+// another server, and takes from the budget.
+func (g *Gateway) mayTryAnother(x *exchange) bool {
+	return len(x.tried) < x.maxServers() && time.Now().Before(x.deadline) && x.request.Context().Err() == nil && g.cfg.Budget.Take()
+}
+
+func (x *exchange) maxServers() int { return max(x.route.MaxServers, 1) }
+
+// mayRepeat reports whether the call may run once more after it may have run.
+func (x *exchange) mayRepeat() bool {
+	return x.route.MayRepeat() && len(x.tried) < x.maxServers()
+}
+
+// try hands the call to one server and relays its answer.
+func (g *Gateway) try(x *exchange, chosen choice) next {
+	t := g.newTry(x, chosen)
+	defer t.cancel()
+	answer, err := g.cfg.Pool.Send(t.ctx, t.message())
+	if err != nil {
+		return t.noAnswer(err)
+	}
+	defer answer.Close()
+	marks := g.cfg.Protocol.ReadMarks(answer.Status, answer.Header)
+	if marks.NotRun {
+		return t.refused(answer, marks)
+	}
+	x.mayHaveRun = true
+	if !genuine(marks, answer) {
+		return t.lost("answer_not_genuine", fleet.EndFailed)
+	}
+	if isEventStream(answer) {
+		return t.relayStream(answer)
+	}
+	if x.answering {
+		return t.lost("stream_not_continued", fleet.EndFailed)
+	}
+	return t.relayWhole(answer)
+}
+
+// genuine reports whether an answer was made by a backend server as it is: signed,
+// and in no encoding that nobody asked for.
+func genuine(marks call.Marks, answer *handover.Answer) bool {
+	return marks.Signature != "" && answer.Header.Get("Content-Encoding") == ""
+}
+
+func isEventStream(answer *handover.Answer) bool {
+	return answer.Status/100 == 2 && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// try is one server's part in a call.
+type try struct {
+	gateway *Gateway
+	x       *exchange
+	chosen  choice
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// patience ends a try at a silent server; nil for calls that cannot be tried
+	// elsewhere.
+	patience *time.Timer
+	// impatient says that it did.
+	impatient chan struct{}
+}
+
+func (g *Gateway) newTry(x *exchange, chosen choice) *try {
+	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
+	t := &try{gateway: g, x: x, chosen: chosen, ctx: ctx, cancel: cancel, impatient: make(chan struct{})}
+	if x.mayRepeat() {
+		t.patience = time.AfterFunc(max(patienceFactor*x.route.Objective, shortestPatience), func() {
+			close(t.impatient)
+			cancel()
+		})
+	}
+	return t
+}
+
+// heard ends the patience with the server's first sign; it reports false when it
+// had run out.
+func (t *try) heard() bool {
+	if t.patience != nil {
+		t.patience.Stop()
+	}
+	return !t.ranOut()
+}
+
+func (t *try) message() handover.Call {
+	x := t.x
+	header := forwardable(x.request.Header)
+	t.gateway.cfg.Protocol.WriteHandover(header, x.handover(t.chosen, time.Until(x.deadline)))
+	rest := freshRest
+	if x.route.MayRepeat() {
+		rest = repeatableRest
+	}
+	return handover.Call{
+		Address: t.chosen.hold.Server().Address, Method: x.request.Method, Target: x.target(), Host: x.request.Host,
+		Header: header, Body: x.body, MaxIdle: rest, Belongs: t.belongs,
+	}
+}
+
+// belongs reports whether an answer names this call, or no call at all.
+func (t *try) belongs(response *http.Response) bool {
+	marks := t.gateway.cfg.Protocol.ReadMarks(response.StatusCode, response.Header)
+	return marks.RequestID == "" || marks.RequestID == t.x.facts.RequestID
+}
+
+// noAnswer judges a try that brought nothing.
+func (t *try) noAnswer(err error) next {
+	x := t.x
+	if errors.Is(err, handover.ErrNotHanded) {
+		if t.callerGone() {
+			return t.left()
+		}
+		t.chosen.hold.Done(fleet.EndUnreachable)
+		t.gateway.cfg.Pool.Forget(t.chosen.hold.Server().Address)
+		t.log("not_handed_over", err.Error())
+		return nextServer
+	}
+	x.mayHaveRun = true
+	return t.lost("no_answer", fleet.EndUnreachable)
+}
+
+// lost judges a try after which the call may have run.
+func (t *try) lost(reason string, end fleet.End) next {
+	if t.callerGone() {
+		return t.left()
+	}
+	if !time.Now().Before(t.x.deadline) {
+		end = fleet.EndFailed // late, and that may be the load's fault
+	}
+	t.chosen.hold.Done(end)
+	t.log("try_lost", reason)
+	if t.x.route.MayRepeat() {
+		return nextServer
+	}
+	t.gateway.end(t.x, reason, 0)
+	return nextEnd
+}
+
+// refused judges a server's word that it did not run the call.
+func (t *try) refused(answer *handover.Answer, marks call.Marks) next {
+	t.heard()
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes)) // so that the connection can be kept
+	server := t.chosen.hold.Server()
+	if answer.Status == http.StatusMisdirectedRequest {
+		t.chosen.hold.Done(fleet.EndMoved)
+	} else {
+		t.chosen.hold.Done(fleet.EndBusy)
+	}
+	t.log("server_refused", strconv.Itoa(answer.Status))
+	if answer.Status == http.StatusBadRequest {
+		t.gateway.reject(t.x, http.StatusBadRequest, "server_rejected")
+		return nextEnd
+	}
+	if marks.Incarnation != "" && marks.Incarnation != server.Incarnation {
+		t.gateway.cfg.Logger.Info().Str("server", server.Incarnation).Str("address", server.Address).Str("found", marks.Incarnation).Msg("address_reused")
+	}
+	return nextServer
+}
+
+// callerGone reports whether the caller has left.
+func (t *try) callerGone() bool { return t.x.request.Context().Err() != nil }
+
+// left ends a call whose caller has left.
+func (t *try) left() next {
+	t.chosen.hold.Done(fleet.EndAbandoned)
+	t.x.outcome, t.x.reason = outcomeGone, "caller_left"
+	return nextEnd
+}
+
+func (t *try) log(event, reason string) {
+	server := t.chosen.hold.Server()
+	t.gateway.metrics.tryFailed(event)
+	t.gateway.cfg.Logger.Info().Str("request", t.x.facts.RequestID).Str("server", server.Incarnation).Str("service", server.Service).
+		Int("try", len(t.x.tried)).Str("reason", reason).Bool("silent", t.ranOut()).Msg(event)
+}
+
+// ranOut reports whether the patience with the server ran out.
+func (t *try) ranOut() bool {
+	select {
+	case <-t.impatient:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/gateway/settle.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cometlock/cometlock/internal/telemetry"
+)
+
+// metrics are the counters and histograms of calls.
+type metrics struct {
+	scope tally.Scope
+}
+
+func newMetrics(scope tally.Scope) metrics { return metrics{scope} }
+
+func (m metrics) tryFailed(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("tries_failed").Inc(1)
+}
+
+func (m metrics) settled(route string, x *exchange, took time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"route": route, "outcome": string(x.outcome)})
+	scope.Counter("calls").Inc(1)
+	scope.Histogram("call_seconds", telemetry.LatencyBuckets()).RecordDuration(took)
+	if !x.firstEvent.IsZero() {
+		scope.Histogram("first_event_seconds", telemetry.LatencyBuckets()).RecordDuration(x.firstEvent.Sub(x.arrived))
+	}
+}
+
+// settle writes the one line that tells a call's story.
+func (g *Gateway) settle(x *exchange) {
+	took := time.Since(x.arrived)
+	route := ""
+	if x.route != nil {
+		route = x.service.Name
+	}
+	g.metrics.settled(route, x, took)
+	event := g.cfg.Logger.Info()
+	if x.outcome != outcomeServed && x.outcome != outcomeGone {
+		event = g.cfg.Logger.Warn()
+	}
+	event.Str("request", x.facts.RequestID).Str("outcome", string(x.outcome)).Int("status", x.status).
+		Dur("took", took).Int("tries", len(x.tried)).Int("events", x.events).Int64("bytes", x.bytesOut)
+	if x.reason != "" {
+		event.Str("reason", x.reason)
+	}
+	if x.route != nil {
+		event.Str("route", x.route.Name).Int64("configuration", x.catalog.Version())
+	}
+	if x.organisation != nil {
+		event.Str("organisation", x.organisation.Name)
+	}
+	if !x.firstEvent.IsZero() {
+		event.Dur("first_event", x.firstEvent.Sub(x.arrived))
+	}
+	if hold := x.choice.hold; hold != nil {
+		event.Str("server", hold.Server().Incarnation).Int("weights", hold.Weights())
+	}
+	if prompt := x.facts.Prompt; prompt != nil {
+		event.Int("prompt_tokens", prompt.Tokens).Int("unfetched_tokens", x.choice.plan.Missing)
+	}
+	event.Msg("call")
+}
--- /dev/null
+++ b/internal/placing/placing.go
@@ -0,0 +1,133 @@
+// Package placing decides which backend server a call goes to: a pure function of
+// plain data, without a clock and without I/O.
+//
+// For a plain service it is the least loaded server, the box's own zone first.
+// For a prompt it is the least loaded runner too, as long as what the prompt
+// shares with others can be fetched from a store box, since then one runner is as
+// good as another. A shared part that no store box holds yet is read by one of two
+// runners that rendezvous hashing gives it, so that boxes that know nothing of
+// each other do not have it read by several at once.
+package placing
+
+import "math"
+
+// Query is the work that a call brings.
+type Query struct {
+	// Home gives calls that should meet at the same runner the same number; zero
+	// means that any runner will do.
+	Home uint64
+	// Spread breaks ties; it differs from call to call.
+	Spread uint64
+}
+
+// Candidate is what is known of a server that may take the call.
+type Candidate struct {
+	// Name identifies the server for rendezvous hashing.
+	Name string
+	// InFlight counts this box's calls there; Slots is what it runs at once.
+	InFlight int
+	Slots    int
+	// PendingTokens is this box's prompt work there that is not done.
+	PendingTokens int
+	// WorkTokens is the prompt work that the call itself would bring.
+	WorkTokens int
+	OtherZone  bool
+	// Failing is the recent share of failed calls, 0 to 1.
+	Failing float64
+	Cold    bool
+	// ExtraCost in milliseconds comes on top.
+	ExtraCost float64
+}
+
+// Costs, in milliseconds of waiting.
+const (
+	// tokenCost is the time to read a prompt token; engines read 50 to 160 a
+	// millisecond.
+	tokenCost = 0.012
+	// callCost is what each call in flight adds to the next one's time: a step of
+	// the batch grows by 0.05 to 0.12 ms with each, and an answer has some 20.
+	callCost = 2.0
+	// zoneCost covers the way to another zone and back and the price of the bytes.
+	zoneCost = 1.5
+	// failingCost is what a certain failure costs.
+	failingCost = 400.0
+	// coldCost keeps calls from a server that is still slow, while others do.
+	coldCost = 20.0
+	// fullCost is the wait for a slot when this box alone fills a server.
+	fullCost = 100.0
+	// homeSlack is how much longer a call waits at the home of what it shares
+	// before it goes elsewhere; reading 10,000 tokens again takes 60 to 180 ms.
+	homeSlack = 150.0
+)
+
+// Choose gives the index of the best candidate, or -1 without candidates.
+func Choose(query Query, candidates []Candidate) int {
+	best, bestCost := -1, math.Inf(1)
+	for i := range candidates {
+		cost := waiting(&candidates[i]) + tie(query.Spread, candidates[i].Name)
+		if cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if query.Home == 0 || best < 0 {
+		return best
+	}
+	first, second := homes(query.Home, candidates)
+	for _, home := range [...]int{first, second} {
+		if home >= 0 && waiting(&candidates[home]) <= bestCost+homeSlack {
+			return home
+		}
+	}
+	return best
+}
+
+// waiting estimates the time that a call waits at a server.
+func waiting(c *Candidate) float64 {
+	cost := float64(c.PendingTokens+c.WorkTokens)*tokenCost + float64(c.InFlight)*callCost + c.Failing*failingCost + c.ExtraCost
+	if c.OtherZone {
+		cost += zoneCost
+	}
+	if c.Cold {
+		cost += coldCost
+	}
+	if c.Slots > 0 && c.InFlight >= c.Slots {
+		cost += fullCost * float64(1+c.InFlight-c.Slots)
+	}
+	return cost
+}
+
+// tieRange spreads calls over servers that differ by less, in milliseconds.
+const tieRange = 1.0
+
+func tie(spread uint64, name string) float64 {
+	return tieRange * float64(rank(spread, name)>>11) / (1 << 53)
+}
+
+// homes gives the two candidates of lowest rendezvous rank.
+func homes(home uint64, candidates []Candidate) (first, second int) {
+	first, second = -1, -1
+	var firstRank, secondRank uint64
+	for i := range candidates {
+		r := rank(home, candidates[i].Name)
+		switch {
+		case first < 0 || r < firstRank:
+			first, second, firstRank, secondRank = i, first, r, firstRank
+		case second < 0 || r < secondRank:
+			second, secondRank = i, r
+		}
+	}
+	return first, second
+}
+
+// rank hashes a number and a name together (FNV-1a with a SplitMix64 finalizer).
+func rank(seed uint64, name string) uint64 {
+	h := seed ^ 14695981039346656037
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * 1099511628211
+	}
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,270 @@
+// Package registry follows the streams of the platform's log that say what there
+// is: what operators declare, and what backend servers say of themselves.
+//
+// The newest records of all keys are read once; from then on only what was added.
+// When the log no longer keeps what comes next, the newest records are read again.
+// A record that cannot be decoded changes nothing: what was known stays in force.
+// Declarations go forward only.
+package registry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// Declaration is one word of the operators; exactly one field is set.
+type Declaration struct {
+	Catalog *catalog.Catalog
+	Weights *WeightsNamed
+}
+
+// WeightsNamed says that a model is to be answered by a version of its weights.
+type WeightsNamed struct {
+	Model   string
+	Version int
+}
+
+// Decoder turns records into the product's types.
+type Decoder interface {
+	// Declaration gives nil for records of no interest.
+	Declaration(record sharedlog.Record) (*Declaration, error)
+	// Server gives a server, or that it is gone.
+	Server(record sharedlog.Record) (fleet.Update, error)
+}
+
+// Config sets up a Registry.
+type Config struct {
+	Log     sharedlog.Log
+	Decoder Decoder
+	Fleet   *fleet.Fleet
+	Logger  zerolog.Logger
+	// Changed is told of each new catalog.
+	Changed func(*catalog.Catalog)
+	// Pace is the time between two looks at the servers' stream.
+	Pace time.Duration
+	// Hold is how long a read of the operators' stream waits for a record.
+	Hold time.Duration
+}
+
+// Defaults of Config.
+const (
+	// DefaultPace leaves more than half of the two seconds within which a leaving
+	// server must get nothing new. A held read would return with each heartbeat of
+	// each server, which is no cheaper than a loop.
+	DefaultPace = 700 * time.Millisecond
+	// DefaultHold is short enough that a connection that died without a word is
+	// found within the time that a configuration must be in force.
+	DefaultHold = 2 * time.Second
+)
+
+// Timing of reads.
+const (
+	// callLimit bounds a call besides the time that it is held; the store answers
+	// in 4 ms, and in 260 ms when it is slow.
+	callLimit = time.Second
+	// shortestPause and longestPause bound the pause after a failed call.
+	shortestPause = 100 * time.Millisecond
+	longestPause  = 600 * time.Millisecond
+)
+
+// Registry follows the streams.
+type Registry struct {
+	cfg     Config
+	catalog atomic.Pointer[catalog.Catalog]
+
+	mu      sync.Mutex
+	weights map[string]namedWeights
+	lost    map[sharedlog.Stream]bool
+}
+
+type namedWeights struct {
+	version int
+	// since is when this box learnt of the version.
+	since time.Time
+}
+
+// New makes a registry that knows nothing.
+func New(cfg Config) *Registry {
+	if cfg.Pace == 0 {
+		cfg.Pace = DefaultPace
+	}
+	if cfg.Hold == 0 {
+		cfg.Hold = DefaultHold
+	}
+	return &Registry{cfg: cfg, weights: map[string]namedWeights{}, lost: map[sharedlog.Stream]bool{}}
+}
+
+// Catalog gives the configuration in force, or nil before the first.
+func (r *Registry) Catalog() *catalog.Catalog { return r.catalog.Load() }
+
+// Weights gives the newest version named for a model, 0 when none was, and since
+// when this box knows it.
+func (r *Registry) Weights(model string) (version int, since time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	named := r.weights[model]
+	return named.version, named.since
+}
+
+// NamedModels lists the models for which a version was named.
+func (r *Registry) NamedModels() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	models := make([]string, 0, len(r.weights))
+	for model := range r.weights {
+		models = append(models, model)
+	}
+	return models
+}
+
+// LoopOperator follows the operators' stream until ctx ends.
+func (r *Registry) LoopOperator(ctx context.Context) {
+	r.loop(ctx, sharedlog.Operator, r.cfg.Hold, 0, func(records []sharedlog.Record, _ bool) { r.takeDeclarations(records) })
+}
+
+// LoopServers follows the servers' stream until ctx ends.
+func (r *Registry) LoopServers(ctx context.Context) {
+	r.loop(ctx, sharedlog.Servers, 0, r.cfg.Pace, r.takeServers)
+}
+
+// loop reads a stream: whole at first and after a gap, then what was added. A
+// read is held for hold, and pause lies between two reads.
+func (r *Registry) loop(ctx context.Context, stream sharedlog.Stream, hold, pause time.Duration, take func(records []sharedlog.Record, whole bool)) {
+	next := int64(-1)
+	failurePause := shortestPause
+	for ctx.Err() == nil {
+		page, whole, err := r.read(ctx, stream, next, hold)
+		if errors.Is(err, sharedlog.ErrGone) {
+			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", next).Msg("records_expired")
+			next = -1
+			continue
+		}
+		if err != nil {
+			r.noteLost(ctx, stream, err)
+			sleep(ctx, failurePause/2+rand.N(failurePause))
+			failurePause = min(2*failurePause, longestPause)
+			continue
+		}
+		r.noteBack(stream, page.Next)
+		failurePause = shortestPause
+		if next < 0 || len(page.Records) > 0 {
+			take(page.Records, whole)
+		}
+		next = page.Next
+		sleep(ctx, pause)
+	}
+}
+
+func (r *Registry) read(ctx context.Context, stream sharedlog.Stream, next int64, hold time.Duration) (page sharedlog.Page, whole bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+callLimit)
+	defer cancel()
+	if next < 0 {
+		page, err = r.cfg.Log.Newest(ctx, stream)
+		return page, true, err
+	}
+	page, err = r.cfg.Log.Read(ctx, stream, next, hold)
+	return page, false, err
+}
+
+func (r *Registry) noteLost(ctx context.Context, stream sharedlog.Stream, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if stream == sharedlog.Servers {
+		r.cfg.Fleet.RegistryLost()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.lost[stream] {
+		r.lost[stream] = true
+		r.cfg.Logger.Warn().Stringer("stream", stream).Str("error", err.Error()).Msg("log_lost")
+	}
+}
+
+func (r *Registry) noteBack(stream sharedlog.Stream, next int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lost[stream] {
+		r.lost[stream] = false
+		r.cfg.Logger.Info().Stringer("stream", stream).Int64("offset", next).Msg("log_back")
+		if stream == sharedlog.Servers {
+			r.cfg.Fleet.RegistryBack()
+		}
+	}
+}
+
+func (r *Registry) takeDeclarations(records []sharedlog.Record) {
+	for _, record := range records {
+		declaration, err := r.cfg.Decoder.Declaration(record)
+		switch {
+		case err != nil:
+			r.cfg.Logger.Error().Str("key", record.Key).Int64("offset", record.Offset).Str("error", err.Error()).Msg("declaration_not_understood")
+		case declaration == nil:
+		case declaration.Catalog != nil:
+			r.takeCatalog(declaration.Catalog, record.Offset)
+		case declaration.Weights != nil:
+			r.takeWeights(*declaration.Weights, record.Offset)
+		}
+	}
+}
+
+func (r *Registry) takeCatalog(next *catalog.Catalog, offset int64) {
+	if now := r.catalog.Load(); now != nil && next.Version() <= now.Version() {
+		return
+	}
+	r.catalog.Store(next)
+	r.cfg.Logger.Info().Int64("version", next.Version()).Int64("offset", offset).Msg("configuration_in_force")
+	if r.cfg.Changed != nil {
+		r.cfg.Changed(next)
+	}
+}
+
+func (r *Registry) takeWeights(named WeightsNamed, offset int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if named.Version <= r.weights[named.Model].version {
+		return
+	}
+	r.weights[named.Model] = namedWeights{named.Version, time.Now()}
+	r.cfg.Logger.Info().Str("model", named.Model).Int("weights", named.Version).Int64("offset", offset).Msg("weights_named")
+}
+
+func (r *Registry) takeServers(records []sharedlog.Record, whole bool) {
+	updates := make([]fleet.Update, 0, len(records))
+	for _, record := range records {
+		update, err := r.cfg.Decoder.Server(record)
+		if err != nil {
+			r.cfg.Logger.Error().Str("key", record.Key).Int64("offset", record.Offset).Str("error", err.Error()).Msg("server_not_understood")
+			continue
+		}
+		updates = append(updates, update)
+	}
+	if whole {
+		r.cfg.Fleet.Replace(updates)
+		return
+	}
+	r.cfg.Fleet.Apply(updates)
+}
+
+// sleep waits for a time or the end of ctx.
+func sleep(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/storewatch/storewatch.go
@@ -0,0 +1,171 @@
+// Package storewatch asks the store boxes what they keep, and has them let go of
+// what was made by weights that are no longer used.
+package storewatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/partindex"
+)
+
+// Stores speaks to store boxes.
+type Stores interface {
+	// Changes asks for what changed since a position, waiting for the first.
+	Changes(ctx context.Context, address string, since int64, wait time.Duration) (partindex.Report, error)
+	// List asks for all that is kept.
+	List(ctx context.Context, address string) (partindex.Report, error)
+	// Free lets parts go that were kept in a life of the store box.
+	Free(ctx context.Context, address string, parts []partindex.Key, life int64) error
+}
+
+// Config sets up a Watcher.
+type Config struct {
+	Stores Stores
+	Index  *partindex.Index
+	Logger zerolog.Logger
+	// Cleans reports whether this box alone frees parts of the store box at a
+	// place of the index.
+	Cleans func(place int) bool
+	// InUse reports whether any box may still fetch under a namespace.
+	InUse func(namespace string) bool
+}
+
+const (
+	// askWait is how long a question waits for a change.
+	askWait = 600 * time.Millisecond
+	// askPause lies between two questions to a store box. Each question that is
+	// answered at once has a price, and a part is of use for seconds.
+	askPause = 300 * time.Millisecond
+	// callLimit bounds a call besides its wait.
+	callLimit = 700 * time.Millisecond
+	// failurePause lies after a call that failed.
+	failurePause = 200 * time.Millisecond
+	// cleanEvery is the time between two looks for parts to free, and cleanMost
+	// bounds the parts of one look.
+	cleanEvery = 500 * time.Millisecond
+	cleanMost  = 200
+)
+
+// Watcher has one loop for each store box.
+type Watcher struct {
+	cfg Config
+
+	mu    sync.Mutex
+	stops map[string]context.CancelFunc
+	loops sync.WaitGroup
+}
+
+// New makes a watcher that watches nothing.
+func New(cfg Config) *Watcher { return &Watcher{cfg: cfg, stops: map[string]context.CancelFunc{}} }
+
+// Configure starts and ends loops, so that each store box of the index has one.
+func (w *Watcher) Configure(ctx context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	wanted := map[string]bool{}
+	for _, address := range w.cfg.Index.Addresses() {
+		wanted[address] = true
+		if w.stops[address] != nil {
+			continue
+		}
+		storeCtx, stop := context.WithCancel(ctx)
+		w.stops[address] = stop
+		w.loops.Go(func() { w.loopAsk(storeCtx, address) })
+	}
+	for address, stop := range w.stops {
+		if !wanted[address] {
+			stop()
+			delete(w.stops, address)
+		}
+	}
+}
+
+// Wait waits until all loops have ended.
+func (w *Watcher) Wait() { w.loops.Wait() }
+
+// loopAsk asks one store box until ctx ends.
+func (w *Watcher) loopAsk(ctx context.Context, address string) {
+	lost := false
+	for ctx.Err() == nil {
+		err := w.ask(ctx, address)
+		if err != nil != lost && ctx.Err() == nil {
+			lost = err != nil
+			w.log(address, err)
+		}
+		if err != nil {
+			pause(ctx, failurePause)
+			continue
+		}
+		pause(ctx, askPause)
+	}
+}
+
+func (w *Watcher) log(address string, err error) {
+	if err != nil {
+		w.cfg.Logger.Warn().Str("address", address).Str("error", err.Error()).Msg("store_box_lost")
+		return
+	}
+	w.cfg.Logger.Info().Str("address", address).Msg("store_box_back")
+}
+
+func (w *Watcher) ask(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, askWait+callLimit)
+	defer cancel()
+	next, list := w.cfg.Index.Position(address)
+	if list {
+		report, err := w.cfg.Stores.List(ctx, address)
+		if err != nil {
+			return err
+		}
+		w.cfg.Index.Replace(address, report)
+		w.cfg.Logger.Info().Str("address", address).Int64("life", report.Life).Int("parts", len(report.Changes)).Msg("store_box_listed")
+		return nil
+	}
+	report, err := w.cfg.Stores.Changes(ctx, address, next, askWait)
+	if err != nil {
+		return err
+	}
+	if !w.cfg.Index.Apply(address, report) {
+		w.cfg.Logger.Info().Str("address", address).Int64("life", report.Life).Bool("gap", report.Gap).Msg("store_box_changed_life")
+	}
+	return nil
+}
+
+// LoopClean frees parts under namespaces that are out of use until ctx ends.
+func (w *Watcher) LoopClean(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, cleanEvery)
+		for place, address := range w.cfg.Index.Addresses() {
+			if ctx.Err() == nil && w.cfg.Cleans(place) {
+				w.clean(ctx, address)
+			}
+		}
+	}
+}
+
+func (w *Watcher) clean(ctx context.Context, address string) {
+	parts, life := w.cfg.Index.Outdated(address, w.cfg.InUse, cleanMost)
+	if len(parts) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	event := w.cfg.Logger.Info()
+	if err := w.cfg.Stores.Free(ctx, address, parts, life); err != nil {
+		event = w.cfg.Logger.Warn().Str("error", err.Error())
+	}
+	event.Str("address", address).Int64("life", life).Int("parts", len(parts)).Msg("parts_freed")
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
