--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -177,4 +177,3 @@
 	c := a.connection
 	return a.whole && !a.response.Close && !c.tainted && c.reader.Buffered() == 0
 }
-
