--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -23,10 +23,11 @@
 
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
-	"github.com/cometlock/cometlock/internal/duty"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/gateway"
 	"github.com/cometlock/cometlock/internal/handover"
+	"github.com/cometlock/cometlock/internal/loadshare"
+	"github.com/cometlock/cometlock/internal/orderlease"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retrybudget"
@@ -63,9 +64,10 @@
 	fleet    *fleet.Fleet
 	parts    *partindex.Index
 	registry *registry.Registry
-	member   *duty.Member
+	lease    *orderlease.Lease
 	giver    *weightorders.Giver
 	watcher  *storewatch.Watcher
+	share    *loadshare.Share
 	gateway  *gateway.Gateway
 	callers  *http.Server
 	ready    *http.Server
@@ -74,7 +76,7 @@
 	background context.Context
 	stop       context.CancelFunc
 	loops      sync.WaitGroup
-	ports      struct{ callers, ready net.Listener }
+	ports      struct{ callers, ready, peers net.Listener }
 }
 
 // New assembles a box with open ports; it does nothing before Run.
@@ -82,18 +84,34 @@
 	b := &Box{cfg: cfg, settings: cfg.Settings.withDefaults(), name: cfg.Settings.Box + "/" + uuid.NewString()}
 	b.logger = cfg.Logger.With().Str("box", cfg.Settings.Box).Str("zone", cfg.Settings.Zone).Logger()
 	b.background, b.stop = context.WithCancel(context.Background())
-	var err error
-	if b.ports.callers, err = net.Listen("tcp", b.settings.CallerAddress); err != nil {
-		return nil, merry.Prepend(err, "open the callers' port")
-	}
-	if b.ports.ready, err = net.Listen("tcp", b.settings.ReadyAddress); err != nil {
-		_ = b.ports.callers.Close() // nothing has used it
-		return nil, merry.Prepend(err, "open the ready port")
+	if err := b.openPorts(); err != nil {
+		return nil, err
 	}
 	b.assemble()
 	return b, nil
 }
 
+// openPorts opens all ports before anything runs, so that one that is taken is one
+// clear error.
+func (b *Box) openPorts() error {
+	for _, port := range []struct {
+		name     string
+		address  string
+		listener *net.Listener
+	}{
+		{"callers", b.settings.CallerAddress, &b.ports.callers},
+		{"ready", b.settings.ReadyAddress, &b.ports.ready},
+		{"peers", b.settings.PeerAddress, &b.ports.peers},
+	} {
+		listener, err := net.Listen("tcp", port.address)
+		if err != nil {
+			return merry.Prependf(err, "open the port for %s", port.name)
+		}
+		*port.listener = listener
+	}
+	return nil
+}
+
 // Retry budget of one box. The platform bounds the retries of all boxes together
 // to 0.2 of the requests and 56 in ten seconds: with eight boxes, half of the
 // first and most of the second.
@@ -119,14 +137,15 @@
 		Log: b.cfg.Log, Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, Changed: b.configure,
 	})
 
-	// Duties: orders to runners, and the freeing of parts.
-	b.member = duty.NewMember(duty.Config{Log: b.cfg.Log, Name: b.name, Logger: b.logger})
+	// What boxes do for all: orders to runners, and the freeing of parts.
+	b.lease = orderlease.New(orderlease.Config{Log: b.cfg.Log, Logger: b.logger, Holder: b.name, Gap: b.settings.OrderGap})
 	b.giver = weightorders.New(weightorders.Config{
-		Runners: b.cfg.Runners, Fleet: b.fleet, Member: b.member, Logger: b.logger, Holder: b.name,
-		Models: b.registry.NamedModels, Wanted: b.registry.Weights, Settle: b.settings.OrderGap,
+		Runners: b.cfg.Runners, Fleet: b.fleet, Lease: b.lease, Logger: b.logger, Holder: b.name,
+		Models: b.registry.NamedModels, Wanted: func(model string) int { return b.registry.Weights(model).Version },
 	})
-	b.watcher = storewatch.New(storewatch.Config{
-		Stores: b.cfg.Stores, Index: b.parts, Logger: b.logger, Cleans: b.cleans, InUse: b.namespaceInUse,
+	b.watcher = storewatch.New(storewatch.Config{Stores: b.cfg.Stores, Index: b.parts, Logger: b.logger, InUse: b.namespaceInUse})
+	b.share = loadshare.New(loadshare.Config{
+		Log: b.cfg.Log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Life: b.name, Address: b.settings.PeerAddress,
 	})
 
 	// The way of a call.
@@ -155,25 +174,6 @@
 	b.metrics.Scope().Gauge("configuration_version").Update(float64(next.Version()))
 }
 
-// cleans reports whether this box frees parts of the store box at a place.
-func (b *Box) cleans(place int) bool {
-	_, held := b.member.Holds(weightorders.Duty + 1 + place%cleaningDuties)
-	return held
-}
-
-// cleaningDuties is the number of duties for freeing; with that of orders it is
-// the number of partitions that the platform deals out.
-const cleaningDuties = 7
-
-// outdatedUse is how long after new weights were named the parts of older ones may
-// still be fetched: long enough for all runners to change. Nothing is freed before
-// freeAfter, so that a box that learnt of the new weights late, and a fetch that
-// it planned last, are done.
-const (
-	outdatedUse = 10 * time.Second
-	freeAfter   = outdatedUse + 5*time.Second
-)
-
 // namespaceInUse reports whether any box may still fetch under a namespace. Names
 // that this box cannot read are left alone.
 func (b *Box) namespaceInUse(namespace string) bool {
@@ -183,8 +183,8 @@
 	if err != nil {
 		return true
 	}
-	newest, since := b.registry.Weights(model)
-	return weights >= newest || time.Since(since) < freeAfter
+	named := b.registry.Weights(model)
+	return weights >= named.Version || time.Since(named.LearntAt) < partindex.FreeAfter
 }
 
 // readyHandler answers the balancer, and collectors of metrics.
@@ -218,10 +218,12 @@
 // Run serves until ctx ends, and then until the last call has its answer.
 func (b *Box) Run(ctx context.Context) error {
 	for _, loop := range []func(context.Context){
-		b.registry.LoopOperator, b.registry.LoopServers, b.member.Loop, b.giver.Loop, b.watcher.LoopClean,
+		b.registry.LoopOperator, b.registry.LoopServers, b.lease.Loop, b.giver.Loop, b.watcher.LoopClean,
+		b.share.LoopFollow, b.share.LoopForget,
 	} {
 		b.loops.Go(func() { loop(b.background) })
 	}
+	b.loops.Go(func() { b.share.LoopAccept(b.background, b.ports.peers) })
 	b.serve(b.ready, b.ports.ready)
 	b.serve(b.callers, b.ports.callers)
 	b.logger.Info().Str("version", version.Version).Str("callers", b.settings.CallerAddress).Str("ready", b.settings.ReadyAddress).
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -6,9 +6,10 @@
 type Settings struct {
 	Box  string
 	Zone string
-	// CallerAddress and ReadyAddress are IP addresses and ports.
+	// IP addresses and ports for callers, for the balancer, and for other boxes.
 	CallerAddress string
 	ReadyAddress  string
+	PeerAddress   string
 	// StopLimit is how long the process may go on after it was asked to stop.
 	StopLimit time.Duration
 	// OrderGap is how far the orders of two boxes to runners must lie apart.
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -18,6 +18,8 @@
 	// named weight version.
 	Model  string
 	Newest int
+	// Oldest is the oldest version that may still answer.
+	Oldest int
 	// OutdatedCost is the cost in milliseconds of answering by older weights.
 	OutdatedCost float64
 	// Load is the work that the call brings, as the policy weighs it.
@@ -87,22 +89,24 @@
 }
 
 func (f *Fleet) eligible(state *State, query Query, now time.Time) bool {
-	if state.Leaving || !f.present(state, now) || now.Before(state.pausedUntil) {
+	if state.Leaving || !f.present(state, now) || now.Before(state.pausedUntil) || now.Before(state.orderedUntil) {
 		return false
 	}
 	if query.ConnectionLimit > 0 && state.inFlight >= query.ConnectionLimit {
 		return false
 	}
-	if query.Model != "" && state.weights(query.Model) == 0 {
+	if query.Model != "" && state.weights(query.Model) < max(query.Oldest, 1) {
 		return false
 	}
 	return !slices.Contains(query.Exclude, state.Incarnation)
 }
 
 func (f *Fleet) describe(state *State, query Query) placing.Candidate {
+	others := f.remoteTotals[state.Incarnation]
 	candidate := placing.Candidate{
-		Name: state.Incarnation, InFlight: state.inFlight, Slots: state.Slots, PendingTokens: state.pendingTokens,
-		OtherZone: state.Zone != query.Zone, Failing: state.failing, Cold: state.ColdFor > 0,
+		Name: state.Incarnation, InFlight: state.inFlight + others.inFlight, Slots: state.Slots,
+		PendingTokens: state.pendingTokens + others.pendingTokens,
+		OtherZone:     state.Zone != query.Zone, Failing: state.failing, Cold: state.ColdFor > 0,
 	}
 	if query.Model != "" {
 		weights := state.weights(query.Model)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,9 @@
 	mu        sync.Mutex
 	servers   map[string]*State
 	byService map[string][]*State
+	// remote is what each other box last told, remoteTotals its sum by server.
+	remote       map[string][]Load
+	remoteTotals map[string]remoteTotal
 	// steadyFrom is when the registry's word on servers that are gone counts
 	// again after it could not be read.
 	steadyFrom time.Time
@@ -42,7 +45,10 @@
 	if cfg.Returning == 0 {
 		cfg.Returning = DefaultReturning
 	}
-	return &Fleet{cfg: cfg, servers: map[string]*State{}, byService: map[string][]*State{}}
+	return &Fleet{
+		cfg: cfg, servers: map[string]*State{}, byService: map[string][]*State{},
+		remote: map[string][]Load{}, remoteTotals: map[string]remoteTotal{},
+	}
 }
 
 // Update is one word of the registry: a server as it is now, or that it is gone.
--- /dev/null
+++ b/internal/fleet/remote.go
@@ -0,0 +1,110 @@
+package fleet
+
+import "time"
+
+// Load is the work of one box at one server.
+type Load struct {
+	// Incarnation names the server.
+	Incarnation   string
+	InFlight      int
+	PendingTokens int
+	// PausedFor is how much longer the box keeps new calls from the server because
+	// it is having it load weights.
+	PausedFor time.Duration
+	// Weights are versions that the box found the server to hold.
+	Weights map[string]int
+}
+
+// Loads gives this box's work at all servers that have any, or about which other
+// boxes may not know all.
+func (f *Fleet) Loads() []Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var loads []Load
+	for _, state := range f.servers {
+		paused := max(state.orderedUntil.Sub(now), 0)
+		if state.inFlight == 0 && paused == 0 && len(state.heldWeights) == 0 {
+			continue
+		}
+		load := Load{Incarnation: state.Incarnation, InFlight: state.inFlight, PendingTokens: state.pendingTokens, PausedFor: paused}
+		for model, version := range state.heldWeights {
+			if version > state.Server.Weights[model] {
+				if load.Weights == nil {
+					load.Weights = map[string]int{}
+				}
+				load.Weights[model] = version
+			}
+		}
+		loads = append(loads, load)
+	}
+	return loads
+}
+
+// SetRemote takes over what another box last told of its work, in place of what it
+// told before; nil when the box has fallen silent.
+func (f *Fleet) SetRemote(box string, loads []Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, load := range f.remote[box] {
+		f.addRemote(load, -1)
+	}
+	now := time.Now()
+	for _, load := range loads {
+		f.addRemote(load, 1)
+		if state := f.servers[load.Incarnation]; state != nil {
+			state.learn(load, now)
+		}
+	}
+	if loads == nil {
+		delete(f.remote, box)
+		return
+	}
+	f.remote[box] = loads
+}
+
+func (f *Fleet) addRemote(load Load, sign int) {
+	total := f.remoteTotals[load.Incarnation]
+	total.inFlight += sign * load.InFlight
+	total.pendingTokens += sign * load.PendingTokens
+	if total == (remoteTotal{}) {
+		delete(f.remoteTotals, load.Incarnation)
+		return
+	}
+	f.remoteTotals[load.Incarnation] = total
+}
+
+// remoteTotal is the work of all other boxes at one server.
+type remoteTotal struct {
+	inFlight      int
+	pendingTokens int
+}
+
+// remotePauseLimit bounds the pause that one message of another box causes: it
+// tells again while the load goes on.
+const remotePauseLimit = 400 * time.Millisecond
+
+// learn takes over what another box knows of the server.
+func (s *State) learn(load Load, now time.Time) {
+	if load.PausedFor > 0 {
+		until := now.Add(min(load.PausedFor, remotePauseLimit))
+		if until.After(s.pausedUntil) {
+			s.pausedUntil = until
+		}
+	}
+	for model, version := range load.Weights {
+		s.hold(model, version)
+	}
+}
+
+// hold notes that the server holds a version of a model.
+func (s *State) hold(model string, version int) bool {
+	if s.weights(model) >= version {
+		return false
+	}
+	if s.heldWeights == nil {
+		s.heldWeights = map[string]int{}
+	}
+	s.heldWeights[model] = version
+	return true
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -43,6 +43,8 @@
 	suspicion    time.Duration
 	// pausedUntil holds calls back from a runner that is changing weights or full.
 	pausedUntil time.Time
+	// orderedUntil holds calls back while this box has the server load weights.
+	orderedUntil time.Time
 	// heldWeights is what the server was found to hold later than its record.
 	heldWeights map[string]int
 }
--- a/internal/fleet/weights.go
+++ b/internal/fleet/weights.go
@@ -64,30 +64,28 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	state := f.servers[incarnation]
-	if state == nil || state.weights(model) >= version {
+	if state == nil || !state.hold(model, version) {
 		return
 	}
-	if state.heldWeights == nil {
-		state.heldWeights = map[string]int{}
-	}
-	state.heldWeights[model] = version
 	f.cfg.Logger.Info().Str("server", incarnation).Str("model", model).Int("weights", version).Msg("weights_held")
 }
 
-// Pause keeps new calls from a server until a time, which never gets earlier.
-func (f *Fleet) Pause(incarnation string, until time.Time) {
+// BeginOrder keeps new calls of all boxes from a server that is to load weights,
+// until EndOrder or the given time.
+func (f *Fleet) BeginOrder(incarnation string, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if state := f.servers[incarnation]; state != nil && until.After(state.pausedUntil) {
-		state.pausedUntil = until
+	if state := f.servers[incarnation]; state != nil {
+		state.orderedUntil = until
 	}
 }
 
-// Resume ends a pause.
-func (f *Fleet) Resume(incarnation string) {
+// EndOrder lets calls go to the server again.
+func (f *Fleet) EndOrder(incarnation string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if state := f.servers[incarnation]; state != nil {
+		state.orderedUntil = time.Time{}
 		state.pausedUntil = time.Time{}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/handover"
 	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retrybudget"
 )
 
@@ -37,8 +38,8 @@
 	Zone string
 	// Catalog gives the configuration in force, or nil before the first.
 	Catalog func() *catalog.Catalog
-	// Weights gives the newest version named for a model and since when.
-	Weights func(model string) (version int, since time.Time)
+	// Weights gives the newest version named for a model.
+	Weights func(model string) registry.NamedWeights
 	// OutdatedAfter is when answers by older weights have lost all their worth.
 	OutdatedAfter time.Duration
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -43,9 +43,10 @@
 		hold := g.cfg.Fleet.Choose(query)
 		return choice{hold: hold}, hold != nil
 	}
-	plans := g.plans(x)
+	wanted := g.wantedWeights(x.facts.Prompt.Model, x.route.Objective)
+	plans := &plans{gateway: g, x: x, wanted: wanted, made: map[int]choice{}}
 	query.Model = x.facts.Prompt.Model
-	query.Newest, query.OutdatedCost = g.newest(query.Model)
+	query.Newest, query.Oldest, query.OutdatedCost = wanted.newest, wanted.oldest, wanted.outdatedCost
 	query.Work = func(weights int) int { return plans.at(weights).plan.Missing }
 	query.Load.Home = plans.home(query.Newest)
 	hold := g.cfg.Fleet.Choose(query)
@@ -57,43 +58,71 @@
 	return chosen, true
 }
 
-// newest gives the version that a model should be answered by, and what answering
-// by an older one costs now, in milliseconds of waiting.
-func (g *Gateway) newest(model string) (version int, outdatedCost float64) {
-	version, since := g.cfg.Weights(model)
-	if version == 0 {
-		return g.cfg.Fleet.NewestHeld(model), 0
+// wantedWeights is which versions of a model's weights may answer.
+type wantedWeights struct {
+	// newest is preferred; oldest may still answer.
+	newest int
+	oldest int
+	// outdatedCost is what answering by another than the newest costs now, in
+	// milliseconds of waiting.
+	outdatedCost float64
+	// fetchOutdated says that the kept parts of older versions may be fetched.
+	fetchOutdated bool
+}
+
+const (
+	// outdatedPart is the part of a route's objective that a call waits longer for
+	// the newest weights, at the end of the time in which older ones may answer, and
+	// in proportion before. More would make calls late, which costs them more.
+	outdatedPart = 0.3
+	// outdatedMargin is kept from the end of the time in which older weights may
+	// answer: a call may wait at its runner.
+	outdatedMargin = 1500 * time.Millisecond
+	// outdatedAtStart is how long a box that found the version when it started lets
+	// older weights answer: it cannot know when the version was named.
+	outdatedAtStart = 2500 * time.Millisecond
+)
+
+func (g *Gateway) wantedWeights(model string, objective time.Duration) wantedWeights {
+	named := g.cfg.Weights(model)
+	if named.Version == 0 {
+		return wantedWeights{newest: g.cfg.Fleet.NewestHeld(model), oldest: 1, fetchOutdated: true}
 	}
-	if g.cfg.OutdatedAfter <= 0 {
-		return version, outdatedLimit
+	age := time.Since(named.LearntAt)
+	limit := g.cfg.OutdatedAfter - outdatedMargin
+	if named.Found {
+		limit = outdatedAtStart
 	}
-	return version, min(outdatedLimit, outdatedLimit*float64(time.Since(since))/float64(g.cfg.OutdatedAfter))
+	outdatedCost := outdatedPart * float64(objective) / float64(time.Millisecond)
+	wanted := wantedWeights{newest: named.Version, oldest: 1, outdatedCost: outdatedCost, fetchOutdated: named.SurelyWithin(partindex.OutdatedUse)}
+	if age > limit {
+		wanted.oldest = named.Version
+	}
+	if !named.Found {
+		wanted.outdatedCost *= min(1, float64(age)/float64(g.cfg.OutdatedAfter))
+	}
+	return wanted
 }
 
-// outdatedLimit is the cost, in milliseconds of waiting, of an answer that is worth
-// nothing; in proportion while it still is worth something.
-const outdatedLimit = 600.0
-
 // plans holds the plans of one prompt for each weight version asked for.
 type plans struct {
 	gateway *Gateway
 	x       *exchange
+	wanted  wantedWeights
 	made    map[int]choice
 }
 
-func (g *Gateway) plans(x *exchange) *plans {
-	return &plans{gateway: g, x: x, made: map[int]choice{}}
-}
-
 func (p *plans) at(weights int) choice {
 	if made, ok := p.made[weights]; ok {
 		return made
 	}
 	prompt := p.x.facts.Prompt
 	namespace := Namespace(prompt.Model, weights, p.x.isolatedName())
-	made := choice{
-		namespace: namespace,
-		plan:      p.gateway.cfg.Parts.Plan(namespace, prompt.Parts, prompt.Tokens, p.x.service.Engine.BytesPerToken),
+	made := choice{namespace: namespace}
+	if weights >= p.wanted.newest || p.wanted.fetchOutdated {
+		made.plan = p.gateway.cfg.Parts.Plan(namespace, prompt.Parts, prompt.Tokens, p.x.service.Engine.BytesPerToken)
+	} else {
+		made.plan = partindex.NoPlan(prompt.Parts, prompt.Tokens)
 	}
 	p.made[weights] = made
 	return made
--- /dev/null
+++ b/internal/loadshare/loadshare.go
@@ -0,0 +1,320 @@
+// Package loadshare lets entry boxes tell each other how much work they have at
+// which backend server, so that each places calls by the work of all.
+//
+// It is a hint service. What a box has not heard for a while counts as nothing, and
+// no promise rests on what is told. Where the boxes reach each other stands in the
+// platform's log: each writes its address once when it starts.
+//
+// On the wire a message is its length in 4 bytes, big-endian, and msgpack.
+package loadshare
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// Config sets up a Share.
+type Config struct {
+	Log    sharedlog.Log
+	Fleet  *fleet.Fleet
+	Logger zerolog.Logger
+	// Box names this box, Life this life of it.
+	Box  string
+	Life string
+	// Address is where other boxes reach this one.
+	Address string
+}
+
+const (
+	// tellEvery is the shortest time between two messages to a peer: prompts take
+	// 30 to 300 ms to read.
+	tellEvery = 80 * time.Millisecond
+	// messagesPerSecond bounds what a box sends; with many peers each is told less
+	// often.
+	messagesPerSecond = 120
+	// silentAfter times the time between two messages is when a peer counts as
+	// silent, and its work as nothing.
+	silentAfter = 6
+	// connectEvery is the pause before a peer that could not be reached is tried
+	// again.
+	connectEvery = time.Second
+	// ioLimit bounds a write and a connect, readLimit the wait for a message.
+	ioLimit   = 300 * time.Millisecond
+	readLimit = 10 * time.Second
+	// followHold is how long a read of the stream of boxes waits for a record.
+	followHold = 20 * time.Second
+	callLimit  = time.Second
+	retryPause = 500 * time.Millisecond
+	// maxMessageBytes bounds a message: about 60 bytes a server.
+	maxMessageBytes = 256 << 10
+)
+
+// announcement is a box's record in the log.
+type announcement struct {
+	Address string `msgpack:"a"`
+	Life    string `msgpack:"l"`
+}
+
+// message tells a box's work.
+type message struct {
+	Box   string       `msgpack:"b"`
+	Loads []fleet.Load `msgpack:"l"`
+}
+
+// Share tells and hears.
+type Share struct {
+	cfg Config
+
+	mu    sync.Mutex
+	peers map[string]*peer // by box
+	heard map[string]time.Time
+	loops sync.WaitGroup
+}
+
+// peer is another box to tell.
+type peer struct {
+	address string
+	stop    context.CancelFunc
+}
+
+// New makes a share that knows no peers.
+func New(cfg Config) *Share {
+	return &Share{cfg: cfg, peers: map[string]*peer{}, heard: map[string]time.Time{}}
+}
+
+// LoopFollow writes this box's address into the log and follows those of others
+// until ctx ends.
+func (s *Share) LoopFollow(ctx context.Context) {
+	announced := false
+	next := int64(-1)
+	for ctx.Err() == nil {
+		if !announced {
+			announced = s.announce(ctx)
+		}
+		page, err := s.read(ctx, next)
+		if _, gone := errors.AsType[*sharedlog.GoneError](err); gone {
+			next = -1
+			continue
+		}
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		for _, record := range page.Records {
+			s.take(ctx, record)
+		}
+		next = page.Next
+	}
+	s.loops.Wait()
+}
+
+func (s *Share) announce(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	value, err := msgpack.Marshal(announcement{Address: s.cfg.Address, Life: s.cfg.Life})
+	if err != nil {
+		s.cfg.Logger.Error().Str("error", err.Error()).Msg("box_not_announced")
+		return true
+	}
+	_, err = s.cfg.Log.Append(ctx, sharedlog.Boxes, sharedlog.AnyEnd, sharedlog.Record{Key: s.cfg.Box, Value: value})
+	if err != nil {
+		s.cfg.Logger.Warn().Str("error", err.Error()).Msg("box_not_announced")
+	}
+	return err == nil
+}
+
+func (s *Share) read(ctx context.Context, next int64) (sharedlog.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, followHold+callLimit)
+	defer cancel()
+	if next < 0 {
+		return s.cfg.Log.Newest(ctx, sharedlog.Boxes)
+	}
+	return s.cfg.Log.Read(ctx, sharedlog.Boxes, next, followHold)
+}
+
+// take takes over where a box is reached.
+func (s *Share) take(ctx context.Context, record sharedlog.Record) {
+	if record.Key == s.cfg.Box {
+		return
+	}
+	var box announcement
+	if len(record.Value) > 0 {
+		if err := msgpack.Unmarshal(record.Value, &box); err != nil {
+			s.cfg.Logger.Error().Str("key", record.Key).Str("error", err.Error()).Msg("box_not_understood")
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.peers[record.Key]
+	if known != nil && known.address == box.Address {
+		return
+	}
+	if known != nil {
+		known.stop()
+		delete(s.peers, record.Key)
+	}
+	if box.Address == "" {
+		return
+	}
+	peerCtx, stop := context.WithCancel(ctx)
+	s.peers[record.Key] = &peer{address: box.Address, stop: stop}
+	s.loops.Go(func() { s.loopTellPeer(peerCtx, box.Address) })
+}
+
+// interval is the time between two messages to each peer.
+func (s *Share) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(tellEvery, time.Duration(len(s.peers))*time.Second/messagesPerSecond)
+}
+
+// loopTellPeer tells one peer this box's work until ctx ends.
+func (s *Share) loopTellPeer(ctx context.Context, address string) {
+	dialer := net.Dialer{Timeout: ioLimit}
+	for ctx.Err() == nil {
+		connection, err := dialer.DialContext(ctx, "tcp", address)
+		if err == nil {
+			s.tell(ctx, connection)
+			_ = connection.Close() // it has failed already, or is not needed
+		}
+		pause(ctx, connectEvery)
+	}
+}
+
+// tell sends messages on one connection until it fails or ctx ends.
+func (s *Share) tell(ctx context.Context, connection net.Conn) {
+	quiet := 0
+	for ctx.Err() == nil {
+		loads := s.cfg.Fleet.Loads()
+		// A box without work says so a few times, and then keeps still.
+		if len(loads) > 0 {
+			quiet = 0
+		} else {
+			quiet++
+		}
+		if quiet <= silentAfter {
+			if err := s.send(connection, message{Box: s.cfg.Box, Loads: loads}); err != nil {
+				return
+			}
+		}
+		pause(ctx, s.interval())
+	}
+}
+
+func (s *Share) send(connection net.Conn, m message) error {
+	data, err := msgpack.Marshal(&m)
+	if err != nil {
+		return merry.Prepend(err, "encode message")
+	}
+	if err := connection.SetWriteDeadline(time.Now().Add(ioLimit)); err != nil {
+		return err
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(data)), uint32(len(data)))
+	_, err = connection.Write(append(frame, data...))
+	return err
+}
+
+// lengthBytes is the length of a message's length.
+const lengthBytes = 4
+
+// LoopAccept hears other boxes until ctx ends.
+func (s *Share) LoopAccept(ctx context.Context, listener net.Listener) {
+	defer context.AfterFunc(ctx, func() { _ = listener.Close() })() // nothing is lost on it
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				s.cfg.Logger.Error().Str("error", err.Error()).Msg("port_lost")
+			}
+			return
+		}
+		s.loops.Go(func() { s.loopHear(ctx, connection) })
+	}
+}
+
+// loopHear takes in what one box tells on one connection.
+func (s *Share) loopHear(ctx context.Context, connection net.Conn) {
+	defer context.AfterFunc(ctx, func() { _ = connection.Close() })() // it is not needed any more
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		if err := connection.SetReadDeadline(time.Now().Add(readLimit)); err != nil {
+			return
+		}
+		m, err := receive(reader)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.heard[m.Box] = time.Now()
+		s.mu.Unlock()
+		s.cfg.Fleet.SetRemote(m.Box, m.Loads)
+	}
+}
+
+func receive(reader io.Reader) (message, error) {
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(reader, length[:]); err != nil {
+		return message{}, err
+	}
+	size := binary.BigEndian.Uint32(length[:])
+	if size > maxMessageBytes {
+		return message{}, merry.Errorf("a message of %d bytes is too large", size)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(reader, data); err != nil {
+		return message{}, err
+	}
+	var m message
+	if err := msgpack.Unmarshal(data, &m); err != nil {
+		return message{}, merry.Prepend(err, "decode message")
+	}
+	return m, nil
+}
+
+// LoopForget lets the work of silent boxes count as nothing until ctx ends.
+func (s *Share) LoopForget(ctx context.Context) {
+	for ctx.Err() == nil {
+		interval := s.interval()
+		pause(ctx, interval)
+		for _, box := range s.silent(silentAfter * interval) {
+			s.cfg.Fleet.SetRemote(box, nil)
+		}
+	}
+}
+
+func (s *Share) silent(limit time.Duration) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var boxes []string
+	for box, at := range s.heard {
+		if time.Since(at) > limit {
+			boxes = append(boxes, box)
+			delete(s.heard, box)
+		}
+	}
+	return boxes
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -58,6 +58,13 @@
 	quietAfterRestart = freshFor + FetchLimit + 300*time.Millisecond
 	// savingFor is how long a save that was planned is expected to come true.
 	savingFor = 4 * time.Second
+	// OutdatedUse is how long after new weights were named the parts of older ones
+	// may be fetched: about until all runners have changed.
+	OutdatedUse = 10 * time.Second
+	// FreeAfter is when they may be freed: after a box that learnt of the new
+	// weights as late as its word from the store box is fresh has made its last
+	// plan, and the fetch of that has ended.
+	FreeAfter = OutdatedUse + 2*freshFor + FetchLimit + time.Second
 	// smallPart is the size in tokens up to which a part goes to the store boxes
 	// that answer first: the move itself takes no time.
 	smallPart = 1000
@@ -282,13 +289,18 @@
 	Unshared string
 }
 
+// NoPlan is the plan that fetches and saves nothing.
+func NoPlan(parts []call.Part, promptTokens int) Plan {
+	return Plan{Fetch: make([]string, len(parts)), Save: make([]string, len(parts)), Missing: promptTokens}
+}
+
 // Plan looks up the shared parts of a prompt; bytesPerToken is what a token of
 // kept context weighs.
 func (x *Index) Plan(namespace string, parts []call.Part, promptTokens, bytesPerToken int) Plan {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Now()
-	plan := Plan{Fetch: make([]string, len(parts)), Save: make([]string, len(parts)), Missing: promptTokens}
+	plan := NoPlan(parts, promptTokens)
 	if x.clockAt.IsZero() {
 		return plan // without the servers' clock a fetch could not be bounded
 	}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -24,10 +24,10 @@
 type Candidate struct {
 	// Name identifies the server for rendezvous hashing.
 	Name string
-	// InFlight counts this box's calls there; Slots is what it runs at once.
+	// InFlight counts the calls there that are known of; Slots is what it runs at once.
 	InFlight int
 	Slots    int
-	// PendingTokens is this box's prompt work there that is not done.
+	// PendingTokens is the known prompt work there that is not done.
 	PendingTokens int
 	// WorkTokens is the prompt work that the call itself would bring.
 	WorkTokens int
@@ -53,7 +53,7 @@
 	failingCost = 400.0
 	// coldCost keeps calls from a server that is still slow, while others do.
 	coldCost = 20.0
-	// fullCost is the wait for a slot when this box alone fills a server.
+	// fullCost is the wait for a slot when all are taken.
 	fullCost = 100.0
 	// homeSlack is how much longer a call waits at the home of what it shares
 	// before it goes elsewhere; reading 10,000 tokens again takes 60 to 180 ms.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -83,14 +83,24 @@
 	catalog atomic.Pointer[catalog.Catalog]
 
 	mu      sync.Mutex
-	weights map[string]namedWeights
+	weights map[string]NamedWeights
 	lost    map[sharedlog.Stream]bool
 }
 
-type namedWeights struct {
-	version int
-	// since is when this box learnt of the version.
-	since time.Time
+// NamedWeights is the newest version named for a model.
+type NamedWeights struct {
+	// Version is 0 when none was named.
+	Version int
+	// LearntAt is when this box learnt of it.
+	LearntAt time.Time
+	// Found says that it was named some time before: the box found it when it
+	// started, or after it had lost the thread of the log.
+	Found bool
+}
+
+// SurelyWithin reports whether the version was named less than a time ago.
+func (n NamedWeights) SurelyWithin(limit time.Duration) bool {
+	return !n.Found && time.Since(n.LearntAt) < limit
 }
 
 // New makes a registry that knows nothing.
@@ -101,19 +111,17 @@
 	if cfg.Hold == 0 {
 		cfg.Hold = DefaultHold
 	}
-	return &Registry{cfg: cfg, weights: map[string]namedWeights{}, lost: map[sharedlog.Stream]bool{}}
+	return &Registry{cfg: cfg, weights: map[string]NamedWeights{}, lost: map[sharedlog.Stream]bool{}}
 }
 
 // Catalog gives the configuration in force, or nil before the first.
 func (r *Registry) Catalog() *catalog.Catalog { return r.catalog.Load() }
 
-// Weights gives the newest version named for a model, 0 when none was, and since
-// when this box knows it.
-func (r *Registry) Weights(model string) (version int, since time.Time) {
+// Weights gives the newest version named for a model.
+func (r *Registry) Weights(model string) NamedWeights {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	named := r.weights[model]
-	return named.version, named.since
+	return r.weights[model]
 }
 
 // NamedModels lists the models for which a version was named.
@@ -129,7 +137,7 @@
 
 // LoopOperator follows the operators' stream until ctx ends.
 func (r *Registry) LoopOperator(ctx context.Context) {
-	r.loop(ctx, sharedlog.Operator, r.cfg.Hold, 0, func(records []sharedlog.Record, _ bool) { r.takeDeclarations(records) })
+	r.loop(ctx, sharedlog.Operator, r.cfg.Hold, 0, r.takeDeclarations)
 }
 
 // LoopServers follows the servers' stream until ctx ends.
@@ -144,7 +152,7 @@
 	failurePause := shortestPause
 	for ctx.Err() == nil {
 		page, whole, err := r.read(ctx, stream, next, hold)
-		if errors.Is(err, sharedlog.ErrGone) {
+		if _, gone := errors.AsType[*sharedlog.GoneError](err); gone {
 			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", next).Msg("records_expired")
 			next = -1
 			continue
@@ -203,7 +211,7 @@
 	}
 }
 
-func (r *Registry) takeDeclarations(records []sharedlog.Record) {
+func (r *Registry) takeDeclarations(records []sharedlog.Record, whole bool) {
 	for _, record := range records {
 		declaration, err := r.cfg.Decoder.Declaration(record)
 		switch {
@@ -213,7 +221,7 @@
 		case declaration.Catalog != nil:
 			r.takeCatalog(declaration.Catalog, record.Offset)
 		case declaration.Weights != nil:
-			r.takeWeights(*declaration.Weights, record.Offset)
+			r.takeWeights(*declaration.Weights, record.Offset, whole)
 		}
 	}
 }
@@ -229,13 +237,13 @@
 	}
 }
 
-func (r *Registry) takeWeights(named WeightsNamed, offset int64) {
+func (r *Registry) takeWeights(named WeightsNamed, offset int64, found bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if named.Version <= r.weights[named.Model].version {
+	if named.Version <= r.weights[named.Model].Version {
 		return
 	}
-	r.weights[named.Model] = namedWeights{named.Version, time.Now()}
+	r.weights[named.Model] = NamedWeights{named.Version, time.Now(), found}
 	r.cfg.Logger.Info().Str("model", named.Model).Int("weights", named.Version).Int64("offset", offset).Msg("weights_named")
 }
 
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -1,6 +1,6 @@
 // Package sharedlog is what a box needs of the platform's log, in the product's
-// words: records in order, the newest record of each key, and a group whose
-// members share out numbered duties.
+// words: streams of records in order, of which some keep the newest record of each
+// key.
 //
 // The log's answers are the only things that boxes agree by. A call that brought
 // no answer may have taken effect (ErrUnknown) or not (any other error).
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -15,23 +16,38 @@
 
 // Errors of a log.
 var (
-	// ErrGone says that the records asked for are no longer kept.
-	ErrGone = merry.Sentinel("the log no longer keeps these records")
+	// ErrConflict says that the stream does not end where the append expected.
+	ErrConflict = merry.Sentinel("the stream has other records by now")
 	// ErrRefused says that the log turned the call away and did nothing.
 	ErrRefused = merry.Sentinel("the log refused the call")
 	// ErrUnknown says that no answer came: the call may have taken effect.
 	ErrUnknown = merry.Sentinel("the log gave no answer")
 )
 
+// GoneError says that the records asked for are no longer kept.
+type GoneError struct {
+	// First is the offset of the first record that still is.
+	First int64
+}
+
+// Error implements error.
+func (e *GoneError) Error() string {
+	return fmt.Sprintf("the log keeps records from offset %d on only", e.First)
+}
+
 // Stream names one of the streams that boxes follow.
 type Stream uint8
 
 const (
 	// Operator holds what operators declare: the configuration and the weight
-	// versions of models.
+	// versions of models. It keeps the newest record of each key.
 	Operator Stream = iota + 1
-	// Servers holds what backend servers say of themselves.
+	// Servers holds what backend servers say of themselves, by incarnation.
 	Servers
+	// Boxes holds where the entry boxes reach each other, by name.
+	Boxes
+	// Orders holds which box gives orders to runners; its records have no keys.
+	Orders
 )
 
 // String gives the name for logs and metrics.
@@ -41,6 +57,10 @@
 		return "operator"
 	case Servers:
 		return "servers"
+	case Boxes:
+		return "boxes"
+	case Orders:
+		return "orders"
 	default:
 		return "unknown"
 	}
@@ -59,24 +79,22 @@
 	Records []Record
 	// Next is the offset that the next read begins at.
 	Next int64
+	// End is the offset after the last record of the stream.
+	End int64
 }
 
-// Membership is a member's place in the group of boxes.
-type Membership struct {
-	// Generation rises with every change of the group.
-	Generation int64
-	// Duties are the numbers of the duties that are this member's alone.
-	Duties []int
-}
+// AnyEnd appends wherever the stream ends.
+const AnyEnd = -1
 
 // Log is the platform's log.
 type Log interface {
-	// Newest gives the newest record of each key, and the offset to read on from.
+	// Newest gives the newest record of each key of a stream that has keys, and the
+	// offset to read on from.
 	Newest(ctx context.Context, stream Stream) (Page, error)
 	// Read gives records from an offset on, waiting up to wait for the first.
 	Read(ctx context.Context, stream Stream, from int64, wait time.Duration) (Page, error)
-	// Join joins the group of boxes or stays in it. Silence for ttl ends it.
-	Join(ctx context.Context, member string, generation int64, ttl time.Duration) (Membership, error)
-	// Leave gives all duties back.
-	Leave(ctx context.Context, member string) error
+	// Append adds one record. With an end other than AnyEnd it does so only if the
+	// stream ends there, and gives ErrConflict otherwise. It gives the record's
+	// offset.
+	Append(ctx context.Context, stream Stream, end int64, record Record) (int64, error)
 }
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -1,9 +1,11 @@
 // Package storewatch asks the store boxes what they keep, and has them let go of
-// what was made by weights that are no longer used.
+// what was made by weights that are no longer used. Any box may free that: nobody
+// reads it any more, and freeing it twice does no harm.
 package storewatch
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,9 +29,6 @@
 	Stores Stores
 	Index  *partindex.Index
 	Logger zerolog.Logger
-	// Cleans reports whether this box alone frees parts of the store box at a
-	// place of the index.
-	Cleans func(place int) bool
 	// InUse reports whether any box may still fetch under a namespace.
 	InUse func(namespace string) bool
 }
@@ -44,10 +43,11 @@
 	callLimit = 700 * time.Millisecond
 	// failurePause lies after a call that failed.
 	failurePause = 200 * time.Millisecond
-	// cleanEvery is the time between two looks for parts to free, and cleanMost
-	// bounds the parts of one look.
-	cleanEvery = 500 * time.Millisecond
-	cleanMost  = 200
+	// cleanEvery is the mean time between two looks for parts to free, and cleanMost
+	// bounds the parts of one look. The boxes look at random moments, and mostly
+	// find that another has been there.
+	cleanEvery = 3 * time.Second
+	cleanMost  = 500
 )
 
 // Watcher has one loop for each store box.
@@ -138,9 +138,9 @@
 // LoopClean frees parts under namespaces that are out of use until ctx ends.
 func (w *Watcher) LoopClean(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, cleanEvery)
-		for place, address := range w.cfg.Index.Addresses() {
-			if ctx.Err() == nil && w.cfg.Cleans(place) {
+		pause(ctx, cleanEvery/2+rand.N(cleanEvery))
+		for _, address := range w.cfg.Index.Addresses() {
+			if ctx.Err() == nil {
 				w.clean(ctx, address)
 			}
 		}
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -1,9 +1,8 @@
 // Package weightorders brings the runners to the weight versions that operators
 // name.
 //
-// One box at a time gives the orders: the holder of a duty. A new holder first
-// waits until no order of the one before can be about, since runners do not check
-// who orders them. An order names the life of the runner that it is for and how
+// One box at a time gives the orders, by a lease through the platform's log
+// (package orderlease), since runners do not check who orders them. An order names the life of the runner that it is for and how
 // many orders that runner had taken, so an order that is carried out late finds
 // another count and is refused. One that got no answer may have been taken: the
 // runner is asked what it holds before it is ordered again.
@@ -21,13 +20,10 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
-	"github.com/cometlock/cometlock/internal/duty"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/orderlease"
 )
 
-// Duty is the number of the duty whose holder gives the orders.
-const Duty = 0
-
 // Errors of an order that was certainly not taken.
 var (
 	// ErrConflict says that the runner is carrying out another order, or had taken
@@ -43,6 +39,8 @@
 type Report struct {
 	// Weights are the versions of its models.
 	Weights map[string]int
+	// Calls counts the calls that it runs or lets wait.
+	Calls int
 	// Busy says that an order is being carried out.
 	Busy bool
 	// Orders counts the orders that it has taken in this life.
@@ -72,15 +70,13 @@
 type Config struct {
 	Runners Runners
 	Fleet   *fleet.Fleet
-	Member  *duty.Member
+	Lease   *orderlease.Lease
 	Logger  zerolog.Logger
 	// Holder names this box in orders.
 	Holder string
 	// Models lists the models with a named version, and Wanted gives it.
 	Models func() []string
-	Wanted func(model string) (version int, since time.Time)
-	// Settle is how long a new holder waits before its first order.
-	Settle time.Duration
+	Wanted func(model string) int
 }
 
 const (
@@ -93,40 +89,49 @@
 	loadLimit = 6 * time.Second
 	// askEvery is the time between two questions to a loading runner. Each
 	// question has a price; its report is 100 to 200 ms old anyway.
-	askEvery = 250 * time.Millisecond
+	askEvery = 120 * time.Millisecond
 	// expectedLoad is about how long a load takes; nobody asks before.
-	expectedLoad = 1200 * time.Millisecond
+	expectedLoad = 1100 * time.Millisecond
 	// retryAfter is the pause before a runner that failed an order gets another.
 	retryAfter = 700 * time.Millisecond
-	// settleMargin is added to the time after which an earlier holder is silent.
-	settleMargin = 300 * time.Millisecond
+	// shortestDrain is how long a runner gets no new calls before it is ordered, so
+	// that all boxes learn of it; longestDrain is when it is ordered though calls
+	// still run: the order itself waits for them too.
+	shortestDrain = 200 * time.Millisecond
+	longestDrain  = 1500 * time.Millisecond
+	// slotEvery is the time between two looks for a free place to load.
+	slotEvery = 30 * time.Millisecond
 )
 
 // runnersPerLoad gives how many runners load at once: one of seven. With loads of
 // a second, all are done in eight seconds of the twelve that there are.
 const runnersPerLoad = 7
 
-// DefaultSettle is the time that holders must lie apart, by the platform.
-const DefaultSettle = 3 * time.Second
+// phase says how far a runner under orders is.
+type phase uint8
+
+const (
+	// draining runners get no new calls.
+	draining phase = iota + 1
+	// loading runners have an order.
+	loading
+)
 
 // Giver gives the orders while this box holds the duty.
 type Giver struct {
 	cfg Config
 
 	mu sync.Mutex
-	// loading are the runners under orders; notBefore holds those back that
-	// failed one.
-	loading   map[string]bool
+	// under are the runners under orders, and how far each is; notBefore holds
+	// those back that failed one.
+	under     map[string]phase
 	notBefore map[string]time.Time
 	orders    sync.WaitGroup
 }
 
 // New makes a giver.
 func New(cfg Config) *Giver {
-	if cfg.Settle == 0 {
-		cfg.Settle = DefaultSettle
-	}
-	return &Giver{cfg: cfg, loading: map[string]bool{}, notBefore: map[string]time.Time{}}
+	return &Giver{cfg: cfg, under: map[string]phase{}, notBefore: map[string]time.Time{}}
 }
 
 // Loop looks for runners that are behind until ctx ends.
@@ -144,25 +149,16 @@
 	}
 }
 
-// tenure gives the fence of this box's orders, if it may give any now.
-func (g *Giver) tenure() (int64, bool) {
-	tenure, held := g.cfg.Member.Holds(Duty)
-	if !held || time.Since(tenure.Since) < g.cfg.Settle+settleMargin {
-		return 0, false
-	}
-	return tenure.Generation, true
-}
-
 func (g *Giver) look(ctx context.Context) {
-	if _, may := g.tenure(); !may {
-		return
-	}
 	for _, model := range g.cfg.Models() {
-		version, _ := g.cfg.Wanted(model)
+		version := g.cfg.Wanted(model)
 		behind := g.cfg.Fleet.Behind(model, version)
 		if len(behind) == 0 {
 			continue
 		}
+		if _, may := g.cfg.Lease.Permit(ctx); !may {
+			return
+		}
 		atOnce := (g.cfg.Fleet.Holders(model) + runnersPerLoad - 1) / runnersPerLoad
 		for _, server := range behind {
 			g.begin(ctx, server, model, version, atOnce)
@@ -170,25 +166,51 @@
 	}
 }
 
-// begin starts a load if there is room for one more and the runner is free.
+// begin starts with one runner if there is room. As many runners get empty as
+// load, so that a load is followed by the next at once.
 func (g *Giver) begin(ctx context.Context, server fleet.Server, model string, version, atOnce int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.loading) >= atOnce || g.loading[server.Incarnation] || time.Now().Before(g.notBefore[server.Incarnation]) {
+	if g.under[server.Incarnation] != 0 || time.Now().Before(g.notBefore[server.Incarnation]) || g.count(draining) >= atOnce {
 		return
 	}
-	g.loading[server.Incarnation] = true
-	g.orders.Go(func() { g.runLoad(ctx, server, model, version) })
+	g.under[server.Incarnation] = draining
+	g.orders.Go(func() { g.runLoad(ctx, server, model, version, atOnce) })
+}
+
+// count counts the runners in a phase. The caller holds mu.
+func (g *Giver) count(wanted phase) int {
+	count := 0
+	for _, reached := range g.under {
+		if reached == wanted {
+			count++
+		}
+	}
+	return count
+}
+
+// takeSlot moves a runner that is empty on to loading, if there is room.
+func (g *Giver) takeSlot(server fleet.Server, atOnce int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.count(loading) >= atOnce {
+		return false
+	}
+	g.under[server.Incarnation] = loading
+	return true
 }
 
 // runLoad brings one runner to a version.
-func (g *Giver) runLoad(ctx context.Context, server fleet.Server, model string, version int) {
+func (g *Giver) runLoad(ctx context.Context, server fleet.Server, model string, version, atOnce int) {
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
 	started := time.Now()
-	g.cfg.Fleet.Pause(server.Incarnation, started.Add(loadLimit))
-	err := g.load(ctx, server, model, version)
-	g.cfg.Fleet.Resume(server.Incarnation)
+	g.cfg.Fleet.BeginOrder(server.Incarnation, started.Add(loadLimit))
+	err := g.drain(ctx, server, atOnce)
+	if err == nil {
+		err = g.load(ctx, server, model, version)
+	}
+	g.cfg.Fleet.EndOrder(server.Incarnation)
 	event := g.cfg.Logger.Info()
 	if err != nil {
 		event = g.cfg.Logger.Warn().Str("error", err.Error())
@@ -196,12 +218,34 @@
 	event.Str("server", server.Incarnation).Str("model", model).Int("weights", version).Dur("took", time.Since(started)).Msg("weights_ordered")
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.loading, server.Incarnation)
+	delete(g.under, server.Incarnation)
 	if err != nil {
 		g.notBefore[server.Incarnation] = time.Now().Add(retryAfter)
 	}
 }
 
+// drain waits until a runner is empty and there is room to load.
+func (g *Giver) drain(ctx context.Context, server fleet.Server, atOnce int) error {
+	began := time.Now()
+	wait(ctx, shortestDrain)
+	for time.Since(began) < longestDrain {
+		report, err := g.ask(ctx, server)
+		if err != nil {
+			return err
+		}
+		if report.Calls == 0 {
+			break
+		}
+		wait(ctx, askEvery)
+	}
+	for !g.takeSlot(server, atOnce) {
+		if !wait(ctx, slotEvery) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 func (g *Giver) load(ctx context.Context, server fleet.Server, model string, version int) error {
 	report, err := g.ask(ctx, server)
 	if err != nil {
@@ -247,9 +291,9 @@
 func (g *Giver) order(ctx context.Context, server fleet.Server, model string, version int, after int64) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	fence, may := g.tenure()
+	fence, may := g.cfg.Lease.Permit(ctx)
 	if !may {
-		return false, merry.New("the duty was lost")
+		return false, merry.New("another box may be giving orders")
 	}
 	order := Order{Model: model, Version: version, Holder: g.cfg.Holder, Fence: fence, AfterOrders: after}
 	done, err := g.cfg.Runners.Order(ctx, server, order)
