--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -10,8 +10,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,9 +25,11 @@
 	"github.com/cometlock/cometlock/internal/gateway"
 	"github.com/cometlock/cometlock/internal/handover"
 	"github.com/cometlock/cometlock/internal/loadshare"
+	"github.com/cometlock/cometlock/internal/namespace"
 	"github.com/cometlock/cometlock/internal/orderlease"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/registry"
+	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/retrybudget"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/storewatch"
@@ -68,6 +68,7 @@
 	giver    *weightorders.Giver
 	watcher  *storewatch.Watcher
 	share    *loadshare.Share
+	retire   *retire.Policy
 	gateway  *gateway.Gateway
 	callers  *http.Server
 	ready    *http.Server
@@ -143,9 +144,13 @@
 		Runners: b.cfg.Runners, Fleet: b.fleet, Lease: b.lease, Logger: b.logger, Holder: b.name,
 		Models: b.registry.NamedModels, Wanted: func(model string) int { return b.registry.Weights(model).Version },
 	})
-	b.watcher = storewatch.New(storewatch.Config{Stores: b.cfg.Stores, Index: b.parts, Logger: b.logger, InUse: b.namespaceInUse})
+	b.retire = retire.New(retire.Config{
+		Registry: b.registry, Peers: func() []retire.Peer { return b.share.Peers() }, Boxes: func() int { return b.share.Boxes() },
+	})
+	b.watcher = storewatch.New(storewatch.Config{Stores: b.cfg.Stores, Index: b.parts, Logger: b.logger, MayFree: b.mayFree})
 	b.share = loadshare.New(loadshare.Config{
 		Log: b.cfg.Log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Life: b.name, Address: b.settings.PeerAddress,
+		Named: b.registry.Named, Heard: b.registry.Hear,
 	})
 
 	// The way of a call.
@@ -154,7 +159,7 @@
 		Pool:     handover.NewPool(handover.PoolConfig{Dialed: func() { scope.Counter("server_connections").Inc(1) }}),
 		Fleet:    b.fleet, Parts: b.parts, Logger: b.logger, Scope: scope, Zone: b.settings.Zone,
 		Budget:  retrybudget.New(retrybudget.Config{PerRequest: retriesPerCall, Burst: retryBurst}),
-		Catalog: b.registry.Catalog, Weights: b.registry.Weights, OutdatedAfter: b.settings.WeightsLimit,
+		Catalog: b.registry.Catalog, Weights: b.registry.Weights, Retire: b.retire, OutdatedAfter: b.settings.WeightsLimit,
 	})
 	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	b.ready = &http.Server{Handler: b.readyHandler(), ReadHeaderTimeout: headerTimeout}
@@ -174,17 +179,11 @@
 	b.metrics.Scope().Gauge("configuration_version").Update(float64(next.Version()))
 }
 
-// namespaceInUse reports whether any box may still fetch under a namespace. Names
-// that this box cannot read are left alone.
-func (b *Box) namespaceInUse(namespace string) bool {
-	model, rest, _ := strings.Cut(namespace, "/")
-	text, _, _ := strings.Cut(rest, "/")
-	weights, err := strconv.Atoi(text)
-	if err != nil {
-		return true
-	}
-	named := b.registry.Weights(model)
-	return weights >= named.Version || time.Since(named.LearntAt) < partindex.FreeAfter
+// mayFree reports whether a kept part may be freed. Namespaces that this box cannot
+// read are left alone.
+func (b *Box) mayFree(part partindex.Key) bool {
+	name, err := namespace.Parse(part.Namespace)
+	return err == nil && b.retire.MayFree(name.Model, name.Weights, part.ID)
 }
 
 // readyHandler answers the balancer, and collectors of metrics.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/cometlock/cometlock/internal/handover"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/registry"
+	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/retrybudget"
 )
 
@@ -40,6 +41,8 @@
 	Catalog func() *catalog.Catalog
 	// Weights gives the newest version named for a model.
 	Weights func(model string) registry.NamedWeights
+	// Retire says which kept parts may be fetched.
+	Retire *retire.Policy
 	// OutdatedAfter is when answers by older weights have lost all their worth.
 	OutdatedAfter time.Duration
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/namespace"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/placing"
 )
@@ -66,8 +66,8 @@
 	// outdatedCost is what answering by another than the newest costs now, in
 	// milliseconds of waiting.
 	outdatedCost float64
-	// fetchOutdated says that the kept parts of older versions may be fetched.
-	fetchOutdated bool
+	// mayFetch says that kept parts may be fetched at all.
+	mayFetch bool
 }
 
 const (
@@ -86,7 +86,7 @@
 func (g *Gateway) wantedWeights(model string, objective time.Duration) wantedWeights {
 	named := g.cfg.Weights(model)
 	if named.Version == 0 {
-		return wantedWeights{newest: g.cfg.Fleet.NewestHeld(model), oldest: 1, fetchOutdated: true}
+		return wantedWeights{newest: g.cfg.Fleet.NewestHeld(model), oldest: 1, mayFetch: g.cfg.Retire.MayFetch(model)}
 	}
 	age := time.Since(named.LearntAt)
 	limit := g.cfg.OutdatedAfter - outdatedMargin
@@ -94,7 +94,7 @@
 		limit = outdatedAtStart
 	}
 	outdatedCost := outdatedPart * float64(objective) / float64(time.Millisecond)
-	wanted := wantedWeights{newest: named.Version, oldest: 1, outdatedCost: outdatedCost, fetchOutdated: named.SurelyWithin(partindex.OutdatedUse)}
+	wanted := wantedWeights{newest: named.Version, oldest: 1, outdatedCost: outdatedCost, mayFetch: g.cfg.Retire.MayFetch(model)}
 	if age > limit {
 		wanted.oldest = named.Version
 	}
@@ -117,13 +117,15 @@
 		return made
 	}
 	prompt := p.x.facts.Prompt
-	namespace := Namespace(prompt.Model, weights, p.x.isolatedName())
-	made := choice{namespace: namespace}
-	if weights >= p.wanted.newest || p.wanted.fetchOutdated {
-		made.plan = p.gateway.cfg.Parts.Plan(namespace, prompt.Parts, prompt.Tokens, p.x.service.Engine.BytesPerToken)
-	} else {
-		made.plan = partindex.NoPlan(prompt.Parts, prompt.Tokens)
-	}
+	name := namespace.Name{Model: prompt.Model, Weights: weights, Isolated: p.x.isolatedName()}.String()
+	made := choice{namespace: name}
+	made.plan = p.gateway.cfg.Parts.Plan(partindex.Query{
+		Namespace: name, Parts: prompt.Parts, PromptTokens: prompt.Tokens, BytesPerToken: p.x.service.Engine.BytesPerToken,
+		Save: weights >= p.wanted.newest,
+		MayFetch: func(id string) bool {
+			return p.wanted.mayFetch && !p.gateway.cfg.Retire.Retired(prompt.Model, weights, id)
+		},
+	})
 	p.made[weights] = made
 	return made
 }
@@ -141,15 +143,6 @@
 	return 0
 }
 
-// Namespace keeps kept context apart by model, weight version and, for an isolated
-// organisation, by its name.
-func Namespace(model string, weights int, isolated string) string {
-	if isolated == "" {
-		return fmt.Sprintf("%s/%d", model, weights)
-	}
-	return fmt.Sprintf("%s/%d/%s", model, weights, isolated)
-}
-
 func (x *exchange) isolatedName() string {
 	if x.organisation != nil && x.organisation.Isolated {
 		return x.organisation.Name
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -23,6 +23,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
@@ -36,6 +37,10 @@
 	Life string
 	// Address is where other boxes reach this one.
 	Address string
+	// Named gives the newest weights that this box knows to be named, by model, and
+	// Heard takes over what another box knows.
+	Named func() map[string]int
+	Heard func(named map[string]int)
 }
 
 const (
@@ -70,8 +75,9 @@
 
 // message tells a box's work.
 type message struct {
-	Box   string       `msgpack:"b"`
-	Loads []fleet.Load `msgpack:"l"`
+	Box   string         `msgpack:"b"`
+	Loads []fleet.Load   `msgpack:"l"`
+	Named map[string]int `msgpack:"n"`
 }
 
 // Share tells and hears.
@@ -80,7 +86,7 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer // by box
-	heard map[string]time.Time
+	heard map[string]retire.Peer
 	loops sync.WaitGroup
 }
 
@@ -92,7 +98,7 @@
 
 // New makes a share that knows no peers.
 func New(cfg Config) *Share {
-	return &Share{cfg: cfg, peers: map[string]*peer{}, heard: map[string]time.Time{}}
+	return &Share{cfg: cfg, peers: map[string]*peer{}, heard: map[string]retire.Peer{}}
 }
 
 // LoopFollow writes this box's address into the log and follows those of others
@@ -119,6 +125,16 @@
 		next = page.Next
 	}
 	s.loops.Wait()
+	s.withdraw()
+}
+
+// withdraw takes this box's address out of the log at a planned stop.
+func (s *Share) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	if _, err := s.cfg.Log.Append(ctx, sharedlog.Boxes, sharedlog.AnyEnd, sharedlog.Record{Key: s.cfg.Box}); err != nil {
+		s.cfg.Logger.Warn().Str("error", err.Error()).Msg("box_not_withdrawn")
+	}
 }
 
 func (s *Share) announce(ctx context.Context) bool {
@@ -197,19 +213,9 @@
 
 // tell sends messages on one connection until it fails or ctx ends.
 func (s *Share) tell(ctx context.Context, connection net.Conn) {
-	quiet := 0
 	for ctx.Err() == nil {
-		loads := s.cfg.Fleet.Loads()
-		// A box without work says so a few times, and then keeps still.
-		if len(loads) > 0 {
-			quiet = 0
-		} else {
-			quiet++
-		}
-		if quiet <= silentAfter {
-			if err := s.send(connection, message{Box: s.cfg.Box, Loads: loads}); err != nil {
-				return
-			}
+		if err := s.send(connection, message{Box: s.cfg.Box, Loads: s.cfg.Fleet.Loads(), Named: s.cfg.Named()}); err != nil {
+			return
 		}
 		pause(ctx, s.interval())
 	}
@@ -259,13 +265,46 @@
 		if err != nil {
 			return
 		}
-		s.mu.Lock()
-		s.heard[m.Box] = time.Now()
-		s.mu.Unlock()
+		s.note(m)
+		s.cfg.Heard(m.Named)
 		s.cfg.Fleet.SetRemote(m.Box, m.Loads)
 	}
 }
 
+// note remembers what a box knows, and since when it was heard to.
+func (s *Share) note(m message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	before := s.heard[m.Box]
+	since := make(map[string]time.Time, len(m.Named))
+	for model, version := range m.Named {
+		since[model] = now
+		if before.Weights[model] == version {
+			since[model] = before.Since[model]
+		}
+	}
+	s.heard[m.Box] = retire.Peer{At: now, Weights: m.Named, Since: since}
+}
+
+// Peers gives the last word of each other box that is not silent.
+func (s *Share) Peers() []retire.Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	peers := make([]retire.Peer, 0, len(s.heard))
+	for _, peer := range s.heard {
+		peers = append(peers, peer)
+	}
+	return peers
+}
+
+// Boxes counts the boxes that are announced, this one included.
+func (s *Share) Boxes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers) + 1
+}
+
 func receive(reader io.Reader) (message, error) {
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(reader, length[:]); err != nil {
@@ -301,8 +340,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var boxes []string
-	for box, at := range s.heard {
-		if time.Since(at) > limit {
+	for box, peer := range s.heard {
+		if time.Since(peer.At) > limit {
 			boxes = append(boxes, box)
 			delete(s.heard, box)
 		}
--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -58,13 +58,6 @@
 	quietAfterRestart = freshFor + FetchLimit + 300*time.Millisecond
 	// savingFor is how long a save that was planned is expected to come true.
 	savingFor = 4 * time.Second
-	// OutdatedUse is how long after new weights were named the parts of older ones
-	// may be fetched: about until all runners have changed.
-	OutdatedUse = 10 * time.Second
-	// FreeAfter is when they may be freed: after a box that learnt of the new
-	// weights as late as its word from the store box is fresh has made its last
-	// plan, and the fetch of that has ended.
-	FreeAfter = OutdatedUse + 2*freshFor + FetchLimit + time.Second
 	// smallPart is the size in tokens up to which a part goes to the store boxes
 	// that answer first: the move itself takes no time.
 	smallPart = 1000
@@ -232,8 +225,8 @@
 	}
 }
 
-// Outdated lists parts of a store box whose namespace is not among those in use.
-func (x *Index) Outdated(address string, inUse func(namespace string) bool, most int) (parts []Key, life int64) {
+// Freeable lists parts of a store box that may be freed.
+func (x *Index) Freeable(address string, mayFree func(Key) bool, most int) (parts []Key, life int64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	s := x.find(address)
@@ -244,7 +237,7 @@
 		if len(parts) == most {
 			break
 		}
-		if !inUse(key.Namespace) {
+		if mayFree(key) {
 			parts = append(parts, key)
 		}
 	}
@@ -285,8 +278,6 @@
 	FetchMillis float64
 	// FetchZone is the zone of the store box that most of them come from.
 	FetchZone string
-	// Unshared is the first shared part that no store box keeps, or nothing.
-	Unshared string
 }
 
 // NoPlan is the plan that fetches and saves nothing.
@@ -294,13 +285,27 @@
 	return Plan{Fetch: make([]string, len(parts)), Save: make([]string, len(parts)), Missing: promptTokens}
 }
 
-// Plan looks up the shared parts of a prompt; bytesPerToken is what a token of
-// kept context weighs.
-func (x *Index) Plan(namespace string, parts []call.Part, promptTokens, bytesPerToken int) Plan {
+// Query asks for a plan.
+type Query struct {
+	Namespace string
+	// Parts are those of the prompt, PromptTokens its length.
+	Parts        []call.Part
+	PromptTokens int
+	// BytesPerToken is what a token of kept context weighs.
+	BytesPerToken int
+	// MayFetch reports whether a part may be fetched.
+	MayFetch func(id string) bool
+	// Save says that parts that no store box keeps are worth saving.
+	Save bool
+}
+
+// Plan looks up the shared parts of a prompt.
+func (x *Index) Plan(query Query) Plan {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Now()
-	plan := NoPlan(parts, promptTokens)
+	parts := query.Parts
+	plan := NoPlan(parts, query.PromptTokens)
 	if x.clockAt.IsZero() {
 		return plan // without the servers' clock a fetch could not be bounded
 	}
@@ -309,13 +314,12 @@
 	contiguous := true
 	for i := range max(len(parts)-1, 0) {
 		part := parts[i]
-		key := Key{namespace, part.ID}
+		key := Key{query.Namespace, part.ID}
 		s := x.holding(key, now)
-		if s == nil {
-			if plan.Unshared == "" {
-				plan.Unshared = part.ID
+		if s == nil || !query.MayFetch(part.ID) {
+			if query.Save && s == nil {
+				plan.Save[i] = x.place(key, part.Tokens, now)
 			}
-			plan.Save[i] = x.place(key, part.Tokens, now)
 			contiguous = false
 			continue
 		}
@@ -323,7 +327,7 @@
 		if contiguous {
 			plan.Missing -= part.Tokens
 		}
-		plan.FetchMillis += moveMillis(s, part.Tokens, bytesPerToken)
+		plan.FetchMillis += moveMillis(s, part.Tokens, query.BytesPerToken)
 		if part.Tokens > largest {
 			largest, plan.FetchZone = part.Tokens, s.config.Zone
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,9 +83,11 @@
 	cfg     Config
 	catalog atomic.Pointer[catalog.Catalog]
 
-	mu      sync.Mutex
-	weights map[string]NamedWeights
-	lost    map[sharedlog.Stream]bool
+	mu sync.Mutex
+	// weights holds the versions named for each model, the newest last.
+	weights        map[string][]NamedWeights
+	lost           map[sharedlog.Stream]bool
+	operatorReadAt time.Time
 }
 
 // NamedWeights is the newest version named for a model.
@@ -111,7 +114,7 @@
 	if cfg.Hold == 0 {
 		cfg.Hold = DefaultHold
 	}
-	return &Registry{cfg: cfg, weights: map[string]NamedWeights{}, lost: map[sharedlog.Stream]bool{}}
+	return &Registry{cfg: cfg, weights: map[string][]NamedWeights{}, lost: map[sharedlog.Stream]bool{}}
 }
 
 // Catalog gives the configuration in force, or nil before the first.
@@ -121,7 +124,58 @@
 func (r *Registry) Weights(model string) NamedWeights {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.weights[model]
+	return r.newest(model)
+}
+
+func (r *Registry) newest(model string) NamedWeights {
+	if named := r.weights[model]; len(named) > 0 {
+		return named[len(named)-1]
+	}
+	return NamedWeights{}
+}
+
+// OutdatedSince gives the first version that was named after the given one, if any.
+func (r *Registry) OutdatedSince(model string, version int) (NamedWeights, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, named := range r.weights[model] {
+		if named.Version > version {
+			return named, true
+		}
+	}
+	return NamedWeights{}, false
+}
+
+// Named gives the newest version named for each model.
+func (r *Registry) Named() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	versions := make(map[string]int, len(r.weights))
+	for model := range r.weights {
+		versions[model] = r.newest(model).Version
+	}
+	return versions
+}
+
+// Hear takes over what another box knows to be named.
+func (r *Registry) Hear(named map[string]int) {
+	for model, version := range named {
+		r.takeWeights(WeightsNamed{Model: model, Version: version}, heardOffset, false)
+	}
+}
+
+// versionsKept bounds the versions of a model that are remembered.
+const versionsKept = 16
+
+// heardOffset stands in logs for the offset of what another box told.
+const heardOffset = -1
+
+// OperatorReadAt is the last moment at which this box knew all that operators had
+// declared.
+func (r *Registry) OperatorReadAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.operatorReadAt
 }
 
 // NamedModels lists the models for which a version was named.
@@ -151,6 +205,7 @@
 	next := int64(-1)
 	failurePause := shortestPause
 	for ctx.Err() == nil {
+		asked := time.Now()
 		page, whole, err := r.read(ctx, stream, next, hold)
 		if _, gone := errors.AsType[*sharedlog.GoneError](err); gone {
 			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", next).Msg("records_expired")
@@ -169,6 +224,7 @@
 			take(page.Records, whole)
 		}
 		next = page.Next
+		r.noteRead(stream, asked, page)
 		sleep(ctx, pause)
 	}
 }
@@ -184,6 +240,17 @@
 	return page, false, err
 }
 
+// noteRead notes that a stream was read to its end. Its end was known at some
+// moment after the question was asked.
+func (r *Registry) noteRead(stream sharedlog.Stream, asked time.Time, page sharedlog.Page) {
+	if stream != sharedlog.Operator || page.Next < page.End {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.operatorReadAt = asked
+}
+
 func (r *Registry) noteLost(ctx context.Context, stream sharedlog.Stream, err error) {
 	if ctx.Err() != nil {
 		return
@@ -240,10 +307,12 @@
 func (r *Registry) takeWeights(named WeightsNamed, offset int64, found bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if named.Version <= r.weights[named.Model].Version {
+	if named.Version <= r.newest(named.Model).Version {
 		return
 	}
-	r.weights[named.Model] = NamedWeights{named.Version, time.Now(), found}
+	kept := r.weights[named.Model]
+	kept = kept[max(len(kept)-versionsKept+1, 0):]
+	r.weights[named.Model] = append(slices.Clone(kept), NamedWeights{named.Version, time.Now(), found})
 	r.cfg.Logger.Info().Str("model", named.Model).Int("weights", named.Version).Int64("offset", offset).Msg("weights_named")
 }
 
--- /dev/null
+++ b/internal/retire/retire.go
@@ -0,0 +1,135 @@
+// Package retire says which kept parts of older weights may still be fetched, and
+// when they may be freed to make room for parts of newer ones.
+//
+// A part that is freed while it is fetched gives a wrong answer, so all boxes must
+// have stopped fetching it before any box frees it. Each part of older weights has
+// its time of retirement, spread over some seconds after newer weights were named
+// and known from its name alone. A box that knows of the newer weights does not
+// fetch a part after its time. The trouble is a box that does not know of them.
+// Two rules keep it from fetching:
+//
+//   - A box fetches only if it has lately read all that operators declared, or
+//     hears more than half of the boxes and none of them knows of newer weights.
+//   - A box frees a part only if it has heard more than half of the boxes know of
+//     the newer weights, since before the part's retirement and for longer than any
+//     fetch lasts.
+//
+// Any two groups of more than half have a box in common. The box that frees has
+// heard it know; the box that fetches has heard it not know, earlier, and its
+// belief is by now too old to count.
+package retire
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/registry"
+)
+
+const (
+	// readFresh is how long a reading of the operators' stream counts. A read is
+	// held for two seconds.
+	readFresh = 3 * time.Second
+	// heardFresh is how long the word of another box counts; boxes tell each other
+	// several times a second.
+	heardFresh = time.Second
+	// confirmFor is how long more than half must have known of newer weights before
+	// a part is freed: a belief from just before is out of date by then, and the
+	// last fetch by it has ended.
+	confirmFor = heardFresh + partindex.FetchLimit + 500*time.Millisecond
+	// freeMargin lies between a part's retirement and its freeing: a box may have
+	// learnt of the newer weights later by readFresh, and then fetch once more.
+	freeMargin = readFresh + partindex.FetchLimit + 300*time.Millisecond
+	// atOnce is the part of the parts that retire at once, for room in full store
+	// boxes; the rest retire evenly over spread, in which runners change weights.
+	atOnce = 0.3
+	spread = 7 * time.Second
+)
+
+// Peer is what another box last told of what it knows.
+type Peer struct {
+	At time.Time
+	// Weights are the newest versions that it knows of, by model, and Since when it
+	// was first heard to know of each.
+	Weights map[string]int
+	Since   map[string]time.Time
+}
+
+// Config sets up a Policy.
+type Config struct {
+	Registry *registry.Registry
+	// Peers gives the last word of each other box that was heard, and Boxes the
+	// number of boxes there are, this one included.
+	Peers func() []Peer
+	Boxes func() int
+}
+
+// Policy decides.
+type Policy struct {
+	cfg Config
+}
+
+// New makes a policy.
+func New(cfg Config) *Policy { return &Policy{cfg: cfg} }
+
+// MayFetch reports whether any part made by a version of a model's weights may be
+// fetched at all, as far as this box's own knowledge goes.
+func (p *Policy) MayFetch(model string) bool {
+	if time.Since(p.cfg.Registry.OperatorReadAt()) <= readFresh {
+		return true
+	}
+	newest := p.cfg.Registry.Weights(model).Version
+	agreeing := 1
+	for _, peer := range p.cfg.Peers() {
+		if time.Since(peer.At) > heardFresh {
+			continue
+		}
+		if peer.Weights[model] > newest {
+			return false
+		}
+		agreeing++
+	}
+	return 2*agreeing > p.cfg.Boxes()
+}
+
+// Retired reports whether a part made by a version of a model's weights is not to
+// be fetched any more.
+func (p *Policy) Retired(model string, weights int, partID string) bool {
+	since, outdated := p.cfg.Registry.OutdatedSince(model, weights)
+	if !outdated {
+		return false
+	}
+	return since.Found || time.Since(since.LearntAt) >= retirement(partID)
+}
+
+// MayFree reports whether a part may be freed.
+func (p *Policy) MayFree(model string, weights int, partID string) bool {
+	since, outdated := p.cfg.Registry.OutdatedSince(model, weights)
+	if !outdated {
+		return false
+	}
+	return time.Since(since.LearntAt) > retirement(partID)+freeMargin && p.confirmed(model, since.Version, retirement(partID)+confirmFor)
+}
+
+// confirmed reports whether more than half of the boxes have known of a version for
+// a time.
+func (p *Policy) confirmed(model string, version int, length time.Duration) bool {
+	knowing := 1
+	for _, peer := range p.cfg.Peers() {
+		if time.Since(peer.At) <= heardFresh && peer.Weights[model] >= version && time.Since(peer.Since[model]) >= length {
+			knowing++
+		}
+	}
+	return 2*knowing > p.cfg.Boxes()
+}
+
+// retirement is how long after newer weights were named a part may be fetched.
+func retirement(partID string) time.Duration {
+	place := float64(xxhash.Sum64String(partID)>>11) / (1 << 53)
+	if place < atOnce {
+		return 0
+	}
+	return time.Duration(float64(spread) * (place - atOnce) / (1 - atOnce))
+}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -29,8 +29,8 @@
 	Stores Stores
 	Index  *partindex.Index
 	Logger zerolog.Logger
-	// InUse reports whether any box may still fetch under a namespace.
-	InUse func(namespace string) bool
+	// MayFree reports whether a part may be freed.
+	MayFree func(partindex.Key) bool
 }
 
 const (
@@ -46,7 +46,7 @@
 	// cleanEvery is the mean time between two looks for parts to free, and cleanMost
 	// bounds the parts of one look. The boxes look at random moments, and mostly
 	// find that another has been there.
-	cleanEvery = 3 * time.Second
+	cleanEvery = 2 * time.Second
 	cleanMost  = 500
 )
 
@@ -148,7 +148,7 @@
 }
 
 func (w *Watcher) clean(ctx context.Context, address string) {
-	parts, life := w.cfg.Index.Outdated(address, w.cfg.InUse, cleanMost)
+	parts, life := w.cfg.Index.Freeable(address, w.cfg.MayFree, cleanMost)
 	if len(parts) == 0 {
 		return
 	}
