--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -131,6 +131,13 @@
 	h.tokens = 0
 }
 
+// Speaks reports whether the server has given any sign lately, to whatever call.
+func (h *Hold) Speaks() bool {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	return !h.state.suspect(time.Now())
+}
+
 // End is what became of a call at a server.
 type End uint8
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -31,11 +31,15 @@
 	freshRest = 800 * time.Millisecond
 	// repeatableRest is the same for calls that can.
 	repeatableRest = 3 * time.Second
-	// patienceFactor times the objective is how long a server may keep silent
-	// before a call that can be repeated is tried elsewhere.
+	// patienceFactor times the objective is how long a call that can be repeated
+	// waits for a sign of its server before it is tried elsewhere.
 	patienceFactor = 2
 	// shortestPatience bounds that from below: a server may be slow for a moment.
 	shortestPatience = 400 * time.Millisecond
+	// longestFactor times the objective is how long a prompt waits at a runner that
+	// others hear of. Such a runner is busy, and to read the prompt again elsewhere
+	// would only make more work; it must be the call that is lost.
+	longestFactor = 5
 	// maxAnswerBytes bounds an answer that is taken in whole.
 	maxAnswerBytes = 16 << 20
 )
@@ -130,6 +134,7 @@
 	chosen  choice
 	ctx     context.Context
 	cancel  context.CancelFunc
+	began   time.Time
 	// patience ends a try at a silent server; nil for calls that cannot be tried
 	// elsewhere.
 	patience *time.Timer
@@ -139,16 +144,24 @@
 
 func (g *Gateway) newTry(x *exchange, chosen choice) *try {
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
-	t := &try{gateway: g, x: x, chosen: chosen, ctx: ctx, cancel: cancel, impatient: make(chan struct{})}
+	t := &try{gateway: g, x: x, chosen: chosen, ctx: ctx, cancel: cancel, began: time.Now(), impatient: make(chan struct{})}
 	if x.mayRepeat() {
-		t.patience = time.AfterFunc(max(patienceFactor*x.route.Objective, shortestPatience), func() {
-			close(t.impatient)
-			cancel()
-		})
+		t.patience = time.AfterFunc(max(patienceFactor*x.route.Objective, shortestPatience), t.lookImpatiently)
 	}
 	return t
 }
 
+// lookImpatiently ends a try whose server has kept silent for too long.
+func (t *try) lookImpatiently() {
+	again := max(t.x.route.Objective/2, shortestPatience/2)
+	if t.chosen.namespace != "" && t.chosen.hold.Speaks() && time.Since(t.began) < longestFactor*t.x.route.Objective {
+		t.patience.Reset(again)
+		return
+	}
+	close(t.impatient)
+	t.cancel()
+}
+
 // heard ends the patience with the server's first sign; it reports false when it
 // had run out.
 func (t *try) heard() bool {
