--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -366,11 +366,23 @@
 	if best == nil {
 		return ""
 	}
-	x.saving[key] = now
+	return best.config.Address
+}
+
+// NoteSaves notes that a call with a plan was handed over: the saves that it asked
+// for are under way.
+func (x *Index) NoteSaves(name string, parts []call.Part, plan Plan) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	for i, address := range plan.Save {
+		if address != "" {
+			x.saving[Key{name, parts[i].ID}] = now
+		}
+	}
 	if len(x.saving) > maxSaving {
 		x.forgetSaving(now)
 	}
-	return best.config.Address
 }
 
 // maxSaving bounds the saves that are remembered before old ones are dropped.
