Keep prompts waiting at runners within a part of the objective

Change: a prompt goes only to a runner that will have read it within 0.6 of the objective, at a learnt rate; else it waits 0.2 of it and is refused with a time to come back. Large parts may fill the quick store boxes too.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -27,6 +27,9 @@
 	// Work gives the prompt tokens that a runner would read itself, by the
 	// version of its weights; nil without a prompt.
 	Work func(weights int) int
+	// ReadLimit bounds the time that prompts wait to be read at a runner, this one
+	// included, unless it would be the only one; zero is no bound.
+	ReadLimit time.Duration
 	// ConnectionLimit bounds this box's calls at one server.
 	ConnectionLimit int
 }
@@ -37,8 +40,12 @@
 	state  *State
 	tokens int
 	server Server
-	// Weights is the version that the call was placed for.
+	// weights is the version that the call was placed for.
 	weights int
+	// since is when the call was placed; alone says that no other prompt waited to
+	// be read then.
+	since time.Time
+	alone bool
 }
 
 // Server gives the server as it was when the call was placed.
@@ -68,24 +75,41 @@
 		// When all look bad the cause may be load, or this box's own link.
 		sound = suspect
 	}
-	candidates := make([]placing.Candidate, len(sound))
-	for i, state := range sound {
-		candidates[i] = f.describe(state, query)
+	candidates := make([]placing.Candidate, 0, len(sound))
+	kept := sound[:0]
+	for _, state := range sound {
+		candidate := f.describe(state, query)
+		if f.hasTime(candidate, query) {
+			candidates, kept = append(candidates, candidate), append(kept, state)
+		}
 	}
+	query.Load.TokenCost = 1 / f.readRate
 	at := placing.Choose(query.Load, candidates)
 	if at < 0 {
 		return nil
 	}
-	return f.hold(sound[at], candidates[at].WorkTokens, query.Model, now)
+	return f.hold(kept[at], candidates[at], query.Model, now)
+}
+
+// hasTime reports whether a runner would read the call's prompt soon enough.
+func (f *Fleet) hasTime(c placing.Candidate, query Query) bool {
+	if query.ReadLimit == 0 || c.PendingTokens == 0 {
+		return true
+	}
+	limit := f.readRate * float64(query.ReadLimit) / float64(time.Millisecond)
+	return float64(c.PendingTokens+c.WorkTokens) <= limit
 }
 
-func (f *Fleet) hold(state *State, tokens int, model string, now time.Time) *Hold {
+func (f *Fleet) hold(state *State, candidate placing.Candidate, model string, now time.Time) *Hold {
 	if state.inFlight == 0 {
 		state.silentSince = now
 	}
 	state.inFlight++
-	state.pendingTokens += tokens
-	return &Hold{fleet: f, state: state, tokens: tokens, server: state.Server, weights: state.weights(model)}
+	state.pendingTokens += candidate.WorkTokens
+	return &Hold{
+		fleet: f, state: state, tokens: candidate.WorkTokens, server: state.Server, weights: state.weights(model),
+		since: now, alone: candidate.PendingTokens == 0,
+	}
 }
 
 func (f *Fleet) eligible(state *State, query Query, now time.Time) bool {
@@ -122,8 +146,13 @@
 func (h *Hold) Heard() {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
+	now := time.Now()
+	if h.alone {
+		h.fleet.learnRate(h.tokens, now.Sub(h.since))
+		h.alone = false
+	}
 	h.read()
-	h.state.heard(time.Now())
+	h.state.heard(now)
 }
 
 func (h *Hold) read() {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -24,6 +24,14 @@
 	// homePart is the size of a shared part, in tokens, from which on calls that
 	// share it meet at the same runner: reading it twice costs more than a wait.
 	homePart = 1000
+	// readPart is the part of a route's objective that prompts may wait to be read
+	// at a runner. More would make this call late, and the urgent ones behind it.
+	readPart = 0.6
+	// waitPart is the part of the objective that a call waits for room; then it is
+	// refused while it can still be served in time elsewhere or later.
+	waitPart = 0.2
+	// waitStep is the time between two looks for room.
+	waitStep = 10 * time.Millisecond
 	// boxesAssumed is among how many boxes the connections that a server takes are
 	// shared out; the platform's pages name 8.
 	boxesAssumed = 9
@@ -32,6 +40,18 @@
 // homeSeed makes homes of parts; it is the same in all boxes.
 const homeSeed = 0x9e3779b97f4a7c15
 
+// placeSoon places a call, waiting a little for room.
+func (g *Gateway) placeSoon(x *exchange) (choice, bool) {
+	until := time.Now().Add(time.Duration(waitPart * float64(x.route.Objective)))
+	for {
+		chosen, ok := g.place(x)
+		if ok || x.facts.Prompt == nil || time.Now().After(until) || x.request.Context().Err() != nil {
+			return chosen, ok
+		}
+		time.Sleep(waitStep)
+	}
+}
+
 // place chooses a server for a call, and counts it there.
 func (g *Gateway) place(x *exchange) (choice, bool) {
 	query := fleet.Query{
@@ -48,6 +68,7 @@
 	query.Model = x.facts.Prompt.Model
 	query.Newest, query.Oldest, query.OutdatedCost = wanted.newest, wanted.oldest, wanted.outdatedCost
 	query.Work = func(weights int) int { return plans.at(weights).plan.Missing }
+	query.ReadLimit = time.Duration(readPart * float64(x.route.Objective))
 	query.Load.Home = plans.home(query.Newest)
 	hold := g.cfg.Fleet.Choose(query)
 	if hold == nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -48,9 +49,9 @@
 func (g *Gateway) serve(x *exchange) {
 	g.cfg.Budget.Earn()
 	for {
-		chosen, ok := g.place(x)
+		chosen, ok := g.placeSoon(x)
 		if !ok {
-			g.end(x, "no_server", serverlessPause)
+			g.end(x, "no_server", g.comeBack(x))
 			return
 		}
 		x.choice = chosen
@@ -65,6 +66,16 @@
 	}
 }
 
+// comeBack says when a call that found no room should come back: soon when none of
+// its servers can be reached, and after some prompts have been read when they are
+// busy. Calls that come back at different moments do not meet again.
+func (g *Gateway) comeBack(x *exchange) time.Duration {
+	if x.facts.Prompt == nil {
+		return serverlessPause
+	}
+	return x.route.Objective + rand.N(2*x.route.Objective)
+}
+
 // end ends a call for which no further server is tried.
 func (g *Gateway) end(x *exchange, reason string, pause time.Duration) {
 	if x.answering {
--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -51,7 +51,7 @@
 	freshFor = 1200 * time.Millisecond
 	// FetchLimit bounds a fetch: later than this after it was planned it is thrown
 	// away. Moves of the largest parts take 200 ms, and may queue.
-	FetchLimit = 1500 * time.Millisecond
+	FetchLimit = time.Second
 	// quietAfterRestart is how long nothing is saved in a store box that has
 	// restarted: until nobody can have a fetch under way that was planned on what
 	// it kept before.
@@ -64,8 +64,10 @@
 	// fillLimit is the part of a store box that is filled on purpose; the rest is
 	// for parts of other boxes that this one does not know of yet.
 	fillLimit = 0.97
-	// sparePart is the part of the quick store boxes that large parts may fill.
-	sparePart = 0.5
+	// sparePart is the part of the quick store boxes that large parts may fill. A
+	// token of either kind of part is asked for about equally often, so only a
+	// little is kept free for the small ones.
+	sparePart = 0.9
 )
 
 // store is what is known of one store box.
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -16,6 +16,8 @@
 	// Home gives calls that should meet at the same runner the same number; zero
 	// means that any runner will do.
 	Home uint64
+	// TokenCost is the time to read a prompt token, in milliseconds.
+	TokenCost float64
 	// Spread breaks ties; it differs from call to call.
 	Spread uint64
 }
@@ -41,9 +43,6 @@
 
 // Costs, in milliseconds of waiting.
 const (
-	// tokenCost is the time to read a prompt token; engines read 50 to 160 a
-	// millisecond.
-	tokenCost = 0.012
 	// callCost is what each call in flight adds to the next one's time: a step of
 	// the batch grows by 0.05 to 0.12 ms with each, and an answer has some 20.
 	callCost = 2.0
@@ -64,7 +63,7 @@
 func Choose(query Query, candidates []Candidate) int {
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
-		cost := waiting(&candidates[i]) + tie(query.Spread, candidates[i].Name)
+		cost := waiting(query, &candidates[i]) + tie(query.Spread, candidates[i].Name)
 		if cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -74,7 +73,7 @@
 	}
 	first, second := homes(query.Home, candidates)
 	for _, home := range [...]int{first, second} {
-		if home >= 0 && waiting(&candidates[home]) <= bestCost+homeSlack {
+		if home >= 0 && waiting(query, &candidates[home]) <= bestCost+homeSlack {
 			return home
 		}
 	}
@@ -82,8 +81,8 @@
 }
 
 // waiting estimates the time that a call waits at a server.
-func waiting(c *Candidate) float64 {
-	cost := float64(c.PendingTokens+c.WorkTokens)*tokenCost + float64(c.InFlight)*callCost + c.Failing*failingCost + c.ExtraCost
+func waiting(query Query, c *Candidate) float64 {
+	cost := float64(c.PendingTokens+c.WorkTokens)*query.TokenCost + float64(c.InFlight)*callCost + c.Failing*failingCost + c.ExtraCost
 	if c.OtherZone {
 		cost += zoneCost
 	}
--- a/internal/retire/retire.go
+++ b/internal/retire/retire.go
@@ -31,20 +31,20 @@
 const (
 	// readFresh is how long a reading of the operators' stream counts. A read is
 	// held for two seconds.
-	readFresh = 3 * time.Second
+	readFresh = 2600 * time.Millisecond
 	// heardFresh is how long the word of another box counts; boxes tell each other
 	// several times a second.
 	heardFresh = time.Second
 	// confirmFor is how long more than half must have known of newer weights before
 	// a part is freed: a belief from just before is out of date by then, and the
 	// last fetch by it has ended.
-	confirmFor = heardFresh + partindex.FetchLimit + 500*time.Millisecond
+	confirmFor = heardFresh + partindex.FetchLimit + 300*time.Millisecond
 	// freeMargin lies between a part's retirement and its freeing: a box may have
 	// learnt of the newer weights later by readFresh, and then fetch once more.
-	freeMargin = readFresh + partindex.FetchLimit + 300*time.Millisecond
+	freeMargin = readFresh + partindex.FetchLimit + 200*time.Millisecond
 	// atOnce is the part of the parts that retire at once, for room in full store
 	// boxes; the rest retire evenly over spread, in which runners change weights.
-	atOnce = 0.3
+	atOnce = 0.25
 	spread = 7 * time.Second
 )
 
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -99,6 +99,8 @@
 	// still run: the order itself waits for them too.
 	shortestDrain = 200 * time.Millisecond
 	longestDrain  = 1500 * time.Millisecond
+	// usualDrain is about how long a runner takes to get empty.
+	usualDrain = 350 * time.Millisecond
 	// slotEvery is the time between two looks for a free place to load.
 	slotEvery = 30 * time.Millisecond
 )
@@ -117,6 +119,12 @@
 	loading
 )
 
+// progress is a phase and when it began.
+type progress struct {
+	phase phase
+	since time.Time
+}
+
 // Giver gives the orders while this box holds the duty.
 type Giver struct {
 	cfg Config
@@ -124,14 +132,14 @@
 	mu sync.Mutex
 	// under are the runners under orders, and how far each is; notBefore holds
 	// those back that failed one.
-	under     map[string]phase
+	under     map[string]progress
 	notBefore map[string]time.Time
 	orders    sync.WaitGroup
 }
 
 // New makes a giver.
 func New(cfg Config) *Giver {
-	return &Giver{cfg: cfg, under: map[string]phase{}, notBefore: map[string]time.Time{}}
+	return &Giver{cfg: cfg, under: map[string]progress{}, notBefore: map[string]time.Time{}}
 }
 
 // Loop looks for runners that are behind until ctx ends.
@@ -166,15 +174,15 @@
 	}
 }
 
-// begin starts with one runner if there is room. As many runners get empty as
-// load, so that a load is followed by the next at once.
+// begin starts with one runner if there is room. A runner begins to get empty
+// shortly before a load of another ends, so that loads follow each other at once.
 func (g *Giver) begin(ctx context.Context, server fleet.Server, model string, version, atOnce int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.under[server.Incarnation] != 0 || time.Now().Before(g.notBefore[server.Incarnation]) || g.count(draining) >= atOnce {
+	if g.under[server.Incarnation].phase != 0 || time.Now().Before(g.notBefore[server.Incarnation]) || g.occupied() >= atOnce {
 		return
 	}
-	g.under[server.Incarnation] = draining
+	g.under[server.Incarnation] = progress{draining, time.Now()}
 	g.orders.Go(func() { g.runLoad(ctx, server, model, version, atOnce) })
 }
 
@@ -182,7 +190,19 @@
 func (g *Giver) count(wanted phase) int {
 	count := 0
 	for _, reached := range g.under {
-		if reached == wanted {
+		if reached.phase == wanted {
+			count++
+		}
+	}
+	return count
+}
+
+// occupied counts the runners under orders but for those whose loads are about to
+// end. The caller holds mu.
+func (g *Giver) occupied() int {
+	count := 0
+	for _, reached := range g.under {
+		if reached.phase == draining || time.Since(reached.since) < expectedLoad-usualDrain {
 			count++
 		}
 	}
@@ -196,7 +216,7 @@
 	if g.count(loading) >= atOnce {
 		return false
 	}
-	g.under[server.Incarnation] = loading
+	g.under[server.Incarnation] = progress{loading, time.Now()}
 	return true
 }
 
