Count the age of outdated weights from the first newer version

Change: the registry remembers when each version was learnt; the limit and the cost of a version count from the first one after it.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -159,7 +159,7 @@
 		Pool:     handover.NewPool(handover.PoolConfig{Dialed: func() { scope.Counter("server_connections").Inc(1) }}),
 		Fleet:    b.fleet, Parts: b.parts, Logger: b.logger, Scope: scope, Zone: b.settings.Zone,
 		Budget:  retrybudget.New(retrybudget.Config{PerRequest: retriesPerCall, Burst: retryBurst}),
-		Catalog: b.registry.Catalog, Weights: b.registry.Weights, Retire: b.retire, OutdatedAfter: b.settings.WeightsLimit,
+		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.WeightsLimit,
 	})
 	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	b.ready = &http.Server{Handler: b.readyHandler(), ReadHeaderTimeout: headerTimeout}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -14,14 +14,11 @@
 	Zone string
 	// Exclude names incarnations that were tried already.
 	Exclude []string
-	// Model and Newest are set for calls with a prompt: the model, and its newest
-	// named weight version.
-	Model  string
-	Newest int
-	// Oldest is the oldest version that may still answer.
-	Oldest int
-	// OutdatedCost is the cost in milliseconds of answering by older weights.
-	OutdatedCost float64
+	// Model is set for calls with a prompt.
+	Model string
+	// Outdated gives what answering by a version of its weights costs, in
+	// milliseconds of waiting, and whether that version may answer.
+	Outdated func(weights int) (cost float64, may bool)
 	// Load is the work that the call brings, as the policy weighs it.
 	Load placing.Query
 	// Work gives the prompt tokens that a runner would read itself, by the
@@ -119,8 +116,11 @@
 	if query.ConnectionLimit > 0 && state.inFlight >= query.ConnectionLimit {
 		return false
 	}
-	if query.Model != "" && state.weights(query.Model) < max(query.Oldest, 1) {
-		return false
+	if query.Model != "" {
+		weights := state.weights(query.Model)
+		if _, may := query.Outdated(weights); weights == 0 || !may {
+			return false
+		}
 	}
 	return !slices.Contains(query.Exclude, state.Incarnation)
 }
@@ -135,9 +135,7 @@
 	if query.Model != "" {
 		weights := state.weights(query.Model)
 		candidate.WorkTokens = query.Work(weights)
-		if weights < query.Newest {
-			candidate.ExtraCost = query.OutdatedCost
-		}
+		candidate.ExtraCost, _ = query.Outdated(weights)
 	}
 	return candidate
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,14 +39,22 @@
 	Zone string
 	// Catalog gives the configuration in force, or nil before the first.
 	Catalog func() *catalog.Catalog
-	// Weights gives the newest version named for a model.
-	Weights func(model string) registry.NamedWeights
+	// Weights knows which versions of weights were named.
+	Weights Weights
 	// Retire says which kept parts may be fetched.
 	Retire *retire.Policy
 	// OutdatedAfter is when answers by older weights have lost all their worth.
 	OutdatedAfter time.Duration
 }
 
+// Weights knows which versions of weights were named.
+type Weights interface {
+	// Weights gives the newest version named for a model.
+	Weights(model string) registry.NamedWeights
+	// OutdatedSince gives the first version named after the given one, if any.
+	OutdatedSince(model string, version int) (registry.NamedWeights, bool)
+}
+
 // Gateway serves routed calls.
 type Gateway struct {
 	cfg      Config
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -63,13 +63,13 @@
 		hold := g.cfg.Fleet.Choose(query)
 		return choice{hold: hold}, hold != nil
 	}
-	wanted := g.wantedWeights(x.facts.Prompt.Model, x.route.Objective)
-	plans := &plans{gateway: g, x: x, wanted: wanted, made: map[int]choice{}}
-	query.Model = x.facts.Prompt.Model
-	query.Newest, query.Oldest, query.OutdatedCost = wanted.newest, wanted.oldest, wanted.outdatedCost
+	model := x.facts.Prompt.Model
+	plans := &plans{gateway: g, x: x, newest: g.newest(model), mayFetch: g.cfg.Retire.MayFetch(model), made: map[int]choice{}}
+	query.Model = model
+	query.Outdated = func(weights int) (float64, bool) { return g.outdated(model, weights, x.route.Objective) }
 	query.Work = func(weights int) int { return plans.at(weights).plan.Missing }
 	query.ReadLimit = time.Duration(readPart * float64(x.route.Objective))
-	query.Load.Home = plans.home(query.Newest)
+	query.Load.Home = plans.home()
 	hold := g.cfg.Fleet.Choose(query)
 	if hold == nil {
 		return choice{}, false
@@ -80,18 +80,6 @@
 	return chosen, true
 }
 
-// wantedWeights is which versions of a model's weights may answer.
-type wantedWeights struct {
-	// newest is preferred; oldest may still answer.
-	newest int
-	oldest int
-	// outdatedCost is what answering by another than the newest costs now, in
-	// milliseconds of waiting.
-	outdatedCost float64
-	// mayFetch says that kept parts may be fetched at all.
-	mayFetch bool
-}
-
 const (
 	// outdatedPart is the part of a route's objective that a call waits longer for
 	// the newest weights, at the end of the time in which older ones may answer, and
@@ -105,33 +93,38 @@
 	outdatedAtStart = 2500 * time.Millisecond
 )
 
-func (g *Gateway) wantedWeights(model string, objective time.Duration) wantedWeights {
-	named := g.cfg.Weights(model)
-	if named.Version == 0 {
-		return wantedWeights{newest: g.cfg.Fleet.NewestHeld(model), oldest: 1, mayFetch: g.cfg.Retire.MayFetch(model)}
-	}
-	age := time.Since(named.LearntAt)
-	limit := g.cfg.OutdatedAfter - outdatedMargin
-	if named.Found {
-		limit = outdatedAtStart
+// newest gives the version of a model's weights that should answer.
+func (g *Gateway) newest(model string) int {
+	if named := g.cfg.Weights.Weights(model); named.Version > 0 {
+		return named.Version
 	}
-	outdatedCost := outdatedPart * float64(objective) / float64(time.Millisecond)
-	wanted := wantedWeights{newest: named.Version, oldest: 1, outdatedCost: outdatedCost, mayFetch: g.cfg.Retire.MayFetch(model)}
-	if age > limit {
-		wanted.oldest = named.Version
+	return g.cfg.Fleet.NewestHeld(model)
+}
+
+// outdated gives what answering by a version costs now, in milliseconds of waiting,
+// and whether it may answer at all.
+func (g *Gateway) outdated(model string, version int, objective time.Duration) (cost float64, may bool) {
+	newer, outdated := g.cfg.Weights.OutdatedSince(model, version)
+	if !outdated {
+		return 0, true
 	}
-	if !named.Found {
-		wanted.outdatedCost *= min(1, float64(age)/float64(g.cfg.OutdatedAfter))
+	cost = outdatedPart * float64(objective) / float64(time.Millisecond)
+	age := time.Since(newer.LearntAt)
+	if newer.Found {
+		return cost, age <= outdatedAtStart
 	}
-	return wanted
+	return cost * min(1, float64(age)/float64(g.cfg.OutdatedAfter)), age <= g.cfg.OutdatedAfter-outdatedMargin
 }
 
 // plans holds the plans of one prompt for each weight version asked for.
 type plans struct {
 	gateway *Gateway
 	x       *exchange
-	wanted  wantedWeights
-	made    map[int]choice
+	// newest is the version that should answer; what it makes is worth saving.
+	newest int
+	// mayFetch says that kept parts may be fetched at all.
+	mayFetch bool
+	made     map[int]choice
 }
 
 func (p *plans) at(weights int) choice {
@@ -143,9 +136,9 @@
 	made := choice{namespace: name}
 	made.plan = p.gateway.cfg.Parts.Plan(partindex.Query{
 		Namespace: name, Parts: prompt.Parts, PromptTokens: prompt.Tokens, BytesPerToken: p.x.service.Engine.BytesPerToken,
-		Save: weights >= p.wanted.newest,
+		Save: weights >= p.newest,
 		MayFetch: func(id string) bool {
-			return p.wanted.mayFetch && !p.gateway.cfg.Retire.Retired(prompt.Model, weights, id)
+			return p.mayFetch && !p.gateway.cfg.Retire.Retired(prompt.Model, weights, id)
 		},
 	})
 	p.made[weights] = made
@@ -153,12 +146,12 @@
 }
 
 // home gives the number by which calls that share an unknown part meet, or zero.
-func (p *plans) home(weights int) uint64 {
+func (p *plans) home() uint64 {
 	if p.x.facts.Prompt == nil {
 		return 0
 	}
 	for i, part := range p.x.facts.Prompt.Parts[:max(len(p.x.facts.Prompt.Parts)-1, 0)] {
-		if part.Tokens >= homePart && p.at(weights).plan.Fetch[i] == "" {
+		if part.Tokens >= homePart && p.at(p.newest).plan.Fetch[i] == "" {
 			return xxhash.Sum64String(part.ID) | 1
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -101,11 +101,6 @@
 	Found bool
 }
 
-// SurelyWithin reports whether the version was named less than a time ago.
-func (n NamedWeights) SurelyWithin(limit time.Duration) bool {
-	return !n.Found && time.Since(n.LearntAt) < limit
-}
-
 // New makes a registry that knows nothing.
 func New(cfg Config) *Registry {
 	if cfg.Pace == 0 {
