--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,65 @@
+package eventstream_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/eventstream"
+)
+
+func TestEventsComeWholeOrNotAtAll(t *testing.T) {
+	tests := []struct {
+		name, stream string
+		ids          []string
+		end          error
+	}{
+		{"whole events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"1", "2"}, io.EOF},
+		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []string{"1"}, io.EOF},
+		{"a line before the id", "versions: 4\nid:7\ndata: a\n\n", []string{"7"}, io.EOF},
+		{"no id", "data: a\n\n", []string{""}, io.EOF},
+		{"ends in an event", "id: 1\ndata: a\n\nid: 2\ndata: b\n", []string{"1"}, io.ErrUnexpectedEOF},
+		{"ends in a line", "id: 1\ndata: a\n\nid: 2\nda", []string{"1"}, io.ErrUnexpectedEOF},
+		{"nothing", "", nil, io.EOF},
+		{"too long", "id: 1\ndata: " + strings.Repeat("x", eventstream.MaxEventBytes) + "\n\n", nil, eventstream.ErrTooLong},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			reader := eventstream.NewReader(iotest.HalfReader(strings.NewReader(test.stream)))
+			var ids []string
+			var raw strings.Builder
+			for {
+				event, err := reader.Next()
+				if err != nil {
+					g.Expect(err).To(MatchError(test.end))
+					break
+				}
+				ids = append(ids, event.ID)
+				raw.Write(event.Raw)
+			}
+			g.Expect(ids).To(Equal(test.ids))
+			g.Expect(test.stream).To(HavePrefix(raw.String()))
+		})
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n")
+	f.Fuzz(func(t *testing.T, stream string) {
+		g := NewWithT(t)
+		reader := eventstream.NewReader(strings.NewReader(stream))
+		var raw strings.Builder
+		for {
+			event, err := reader.Next()
+			if err != nil {
+				break
+			}
+			raw.Write(event.Raw)
+		}
+		g.Expect(stream).To(HavePrefix(raw.String()))
+	})
+}
--- a/internal/fakelog/fakelog.go
+++ b/internal/fakelog/fakelog.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/cometlock/cometlock/internal/logservice"
 )
 
@@ -93,21 +95,36 @@
 	return s
 }
 
+// AnyEnd appends wherever the stream ends.
+const AnyEnd = -1
+
+// ErrEndMoved says that a stream does not end where an append expected.
+var ErrEndMoved = merry.Sentinel("the stream does not end there")
+
 // Append implements logservice.Log.
 func (l *Log) Append(ctx context.Context, name string, data []byte) (int64, error) {
+	return l.AppendAt(ctx, name, AnyEnd, data)
+}
+
+// AppendAt adds a record only if the stream ends at an offset. An append that takes
+// effect late does so only if that still holds then.
+func (l *Log) AppendAt(ctx context.Context, name string, end int64, data []byte) (int64, error) {
 	faults := l.takeFaults()
 	if faults.Down {
 		return 0, logservice.ErrNotTaken
 	}
 	if faults.LateAppends > 0 {
 		copied := append([]byte(nil), data...)
-		time.AfterFunc(faults.Delay, func() { l.take(name, copied) })
+		time.AfterFunc(faults.Delay, func() { _, _ = l.take(name, end, copied) }) // nobody waits for the answer
 		return 0, logservice.ErrAmbiguous
 	}
 	if err := wait(ctx, faults.Delay); err != nil {
 		return 0, logservice.ErrAmbiguous
 	}
-	offset := l.take(name, append([]byte(nil), data...))
+	offset, err := l.take(name, end, append([]byte(nil), data...))
+	if err != nil {
+		return 0, err
+	}
 	if faults.LoseAnswers > 0 {
 		return 0, logservice.ErrAmbiguous
 	}
@@ -129,16 +146,19 @@
 	return faults
 }
 
-func (l *Log) take(name string, data []byte) int64 {
+func (l *Log) take(name string, end int64, data []byte) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	offset := s.earliest + int64(len(s.records))
+	if end != AnyEnd && end != offset {
+		return 0, ErrEndMoved
+	}
 	s.records = append(s.records, logservice.Record{Offset: offset, Time: time.Now(), Data: data})
 	close(s.grown)
 	s.grown = make(chan struct{})
 	l.appends++
-	return offset
+	return offset, nil
 }
 
 // Read implements logservice.Log.
--- /dev/null
+++ b/internal/orderlease/orderlease_test.go
@@ -0,0 +1,148 @@
+package orderlease_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/fakelog"
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/orderlease"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+const gap = 3 * time.Second
+
+func start(ctx context.Context, log sharedlog.Log, holder string) *orderlease.Lease {
+	lease := orderlease.New(orderlease.Config{Log: log, Logger: zerolog.Nop(), Holder: holder, Gap: gap})
+	go lease.Loop(ctx)
+	synctest.Wait()
+	return lease
+}
+
+func TestTheFirstOrderAfterAQuietTimeWaitsForOneAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		lease := start(ctx, fakesharedlog.New(), "a")
+		before := time.Now()
+		_, ok := lease.Permit(ctx)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(time.Since(before)).To(BeZero())
+	})
+}
+
+func TestABoxThatStartsCountsWhatItFindsAsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		log := fakesharedlog.New()
+		_, ok := start(ctx, log, "a").Permit(ctx)
+		g.Expect(ok).To(BeTrue())
+		time.Sleep(time.Hour)
+		late := start(ctx, log, "b")
+		began := time.Now()
+		for !permitted(ctx, late) {
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(time.Since(began)).To(BeNumerically(">", gap))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 2*gap))
+	})
+}
+
+func permitted(ctx context.Context, lease *orderlease.Lease) bool {
+	_, ok := lease.Permit(ctx)
+	return ok
+}
+
+func TestAnAppendThatTakesEffectLateGivesNoPermission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		log := fakesharedlog.New()
+		a, b := start(ctx, log, "a"), start(ctx, log, "b")
+		log.Faults().SetFaults(fakelog.Faults{LateAppends: 1, Delay: 2 * time.Second})
+		g.Expect(permitted(ctx, a)).To(BeFalse())
+		log.Faults().SetFaults(fakelog.Faults{})
+		g.Expect(permitted(ctx, b)).To(BeTrue())
+		time.Sleep(2500 * time.Millisecond)
+		g.Expect(permitted(ctx, a)).To(BeFalse(), "its append's condition does not hold any more")
+	})
+}
+
+// order is an order that some box gave.
+type order struct {
+	holder string
+	fence  int64
+	at     time.Time
+}
+
+// Boxes that want to order all the time, and a log that fails in every way: the
+// orders of two boxes must lie apart, and fences must rise from box to box.
+func TestOrdersOfTwoBoxesLieApart(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			random := rand.New(rand.NewPCG(seed, 1))
+			orders := history(random)
+			g.Expect(len(orders)).To(BeNumerically(">", 20), "seed %d", seed)
+			for i := 1; i < len(orders); i++ {
+				before, now := orders[i-1], orders[i]
+				if before.holder == now.holder {
+					continue
+				}
+				g.Expect(now.at.Sub(before.at)).To(BeNumerically(">", gap), "seed %d", seed)
+				g.Expect(now.fence).To(BeNumerically(">", before.fence), "seed %d", seed)
+			}
+		})
+	}
+}
+
+// history lets four boxes order for two minutes of virtual time.
+func history(random *rand.Rand) []order {
+	ctx, cancel := context.WithCancel(context.Background())
+	log := fakesharedlog.New()
+	var mu sync.Mutex
+	var orders []order
+	var boxes sync.WaitGroup
+	for i := range 4 {
+		name := fmt.Sprintf("box-%d", i)
+		lease := start(ctx, log, name)
+		pauses := rand.New(rand.NewPCG(random.Uint64(), 2))
+		boxes.Go(func() {
+			for ctx.Err() == nil {
+				if fence, ok := lease.Permit(ctx); ok {
+					mu.Lock()
+					orders = append(orders, order{name, fence, time.Now()})
+					mu.Unlock()
+				}
+				pause := 100 * time.Millisecond
+				if pauses.IntN(30) == 0 {
+					pause = time.Duration(pauses.IntN(6000)) * time.Millisecond // as a frozen process
+				}
+				time.Sleep(pause)
+			}
+		})
+	}
+	for range 60 {
+		time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+		log.Faults().SetFaults(fakelog.Faults{
+			Down: random.IntN(4) == 0, LoseAnswers: random.IntN(3), LateAppends: random.IntN(2),
+			Delay: time.Duration(random.IntN(400)) * time.Millisecond,
+		})
+	}
+	cancel()
+	boxes.Wait()
+	synctest.Wait()
+	return orders
+}
