Treat weights learnt after a gap as found; spare connections that have just got a call

Change: weights learnt by a box that had not read the log for 2.6 s count as found; softclose; a call at older weights has its time cut where their time ends.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -32,6 +32,7 @@
 	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/retrybudget"
 	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/softclose"
 	"github.com/cometlock/cometlock/internal/storewatch"
 	"github.com/cometlock/cometlock/internal/telemetry"
 	"github.com/cometlock/cometlock/internal/version"
@@ -161,7 +162,10 @@
 		Budget:  retrybudget.New(retrybudget.Config{PerRequest: retriesPerCall, Burst: retryBurst}),
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.WeightsLimit,
 	})
-	b.callers = &http.Server{Handler: b.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	b.callers = &http.Server{
+		Handler: http.HandlerFunc(b.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: softclose.Track,
+	}
 	b.ready = &http.Server{Handler: b.readyHandler(), ReadHeaderTimeout: headerTimeout}
 }
 
@@ -224,13 +228,22 @@
 	}
 	b.loops.Go(func() { b.share.LoopAccept(b.background, b.ports.peers) })
 	b.serve(b.ready, b.ports.ready)
-	b.serve(b.callers, b.ports.callers)
+	b.serve(b.callers, softclose.Listener{Listener: b.ports.callers})
 	b.logger.Info().Str("version", version.Version).Str("callers", b.settings.CallerAddress).Str("ready", b.settings.ReadyAddress).
 		Str("life", b.name).Msg("started")
 	<-ctx.Done()
 	return b.shutDown()
 }
 
+// serveCaller serves one call. While the box leaves, each answer tells its caller to
+// use another connection, so that few are left when the port closes.
+func (b *Box) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if b.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	b.gateway.ServeHTTP(w, r)
+}
+
 func (b *Box) serve(server *http.Server, listener net.Listener) {
 	b.loops.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -253,7 +266,6 @@
 	b.logger.Info().Int64("calls", b.gateway.InFlight()).Msg("leaving")
 	b.leaving.Store(true)
 	end := time.Now().Add(b.settings.StopLimit - stopMargin)
-	b.callers.SetKeepAlivesEnabled(false)
 	time.Sleep(unreadyTime)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -86,8 +86,10 @@
 	// in proportion before. More would make calls late, which costs them more.
 	outdatedPart = 0.3
 	// outdatedMargin is kept from the end of the time in which older weights may
-	// answer: a call may wait at its runner.
-	outdatedMargin = 1500 * time.Millisecond
+	// answer: a call may wait at its runner. outdatedEnd before that end the runner
+	// gives it up.
+	outdatedMargin = 2 * time.Second
+	outdatedEnd    = 300 * time.Millisecond
 	// outdatedAtStart is how long a box that found the version when it started lets
 	// older weights answer: it cannot know when the version was named.
 	outdatedAtStart = 2500 * time.Millisecond
@@ -116,6 +118,20 @@
 	return cost * min(1, float64(age)/float64(g.cfg.OutdatedAfter)), age <= g.cfg.OutdatedAfter-outdatedMargin
 }
 
+// remaining gives the time that a call has at its server. Older weights must not
+// begin to answer after their time, however long the call waits for them.
+func (g *Gateway) remaining(x *exchange, chosen choice) time.Duration {
+	remaining := time.Until(x.deadline)
+	if chosen.namespace == "" {
+		return remaining
+	}
+	newer, outdated := g.cfg.Weights.OutdatedSince(x.facts.Prompt.Model, chosen.hold.Weights())
+	if !outdated || newer.Found {
+		return remaining
+	}
+	return min(remaining, g.cfg.OutdatedAfter-outdatedEnd-time.Since(newer.LearntAt))
+}
+
 // plans holds the plans of one prompt for each weight version asked for.
 type plans struct {
 	gateway *Gateway
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -185,7 +185,7 @@
 func (t *try) message() handover.Call {
 	x := t.x
 	header := forwardable(x.request.Header)
-	t.gateway.cfg.Protocol.WriteHandover(header, x.handover(t.chosen, time.Until(x.deadline)))
+	t.gateway.cfg.Protocol.WriteHandover(header, x.handover(t.chosen, t.gateway.remaining(x, t.chosen)))
 	rest := freshRest
 	if x.route.MayRepeat() {
 		rest = repeatableRest
--- /dev/null
+++ b/internal/partindex/partindex_test.go
@@ -0,0 +1,201 @@
+package partindex_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/call"
+	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/partindex"
+)
+
+const (
+	quick = "10.0.0.1:1"
+	large = "10.0.0.2:1"
+)
+
+func services() []catalog.Service {
+	return []catalog.Service{
+		{Name: "quick", Store: &catalog.Store{Address: quick, CapacityTokens: 20_000, LinkMbps: 100_000, FirstByte: time.Millisecond}},
+		{Name: "large", Store: &catalog.Store{Address: large, CapacityTokens: 100_000, LinkMbps: 100_000, FirstByte: 6 * time.Millisecond}},
+		{Name: "runners"},
+	}
+}
+
+// settled makes an index whose store boxes have long been known, and keep nothing.
+func settled() *partindex.Index {
+	x := partindex.New()
+	x.Configure(services())
+	for _, address := range []string{quick, large} {
+		x.Replace(address, partindex.Report{Life: 1, ClockMillis: 1000})
+	}
+	time.Sleep(10 * time.Second)
+	refresh(x, 1)
+	return x
+}
+
+// refresh lets both store boxes say that nothing changed.
+func refresh(x *partindex.Index, life int64) {
+	for _, address := range []string{quick, large} {
+		x.Apply(address, partindex.Report{Life: life, ClockMillis: 1000})
+	}
+}
+
+func held(id string, tokens int) []partindex.Change {
+	return []partindex.Change{{Key: partindex.Key{Namespace: "m/1", ID: id}, Tokens: tokens}}
+}
+
+// plan asks for a prompt with one shared part and one of its own.
+func plan(x *partindex.Index, id string, tokens int) partindex.Plan {
+	return x.Plan(partindex.Query{
+		Namespace: "m/1", Parts: []call.Part{{ID: id, Tokens: tokens}, {ID: "own", Tokens: 100}}, PromptTokens: tokens + 100,
+		BytesPerToken: 1000, Save: true, MayFetch: func(string) bool { return true },
+	})
+}
+
+func TestOnlyWhatAStoreBoxCallsWholeIsFetched(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(x *partindex.Index)
+		fetch  string
+	}{
+		{"nothing kept", func(*partindex.Index) {}, ""},
+		{"kept", func(x *partindex.Index) { x.Apply(large, partindex.Report{Life: 1, Changes: held("p", 5000)}) }, large},
+		{"gone again", func(x *partindex.Index) {
+			x.Apply(large, partindex.Report{Life: 1, Changes: append(held("p", 5000), held("p", 0)...)})
+		}, ""},
+		{"of another life", func(x *partindex.Index) { x.Apply(large, partindex.Report{Life: 2, Changes: held("p", 5000)}) }, ""},
+		{"after a gap", func(x *partindex.Index) {
+			x.Apply(large, partindex.Report{Life: 1, Changes: held("p", 5000)})
+			x.Apply(large, partindex.Report{Life: 1, Gap: true})
+		}, ""},
+		{"listed", func(x *partindex.Index) { x.Replace(large, partindex.Report{Life: 2, Changes: held("p", 5000)}) }, large},
+		{"not listed any more", func(x *partindex.Index) {
+			x.Apply(large, partindex.Report{Life: 1, Changes: held("p", 5000)})
+			x.Replace(large, partindex.Report{Life: 1})
+		}, ""},
+		{"word too old", func(x *partindex.Index) {
+			x.Apply(large, partindex.Report{Life: 1, Changes: held("p", 5000)})
+			time.Sleep(2 * time.Second)
+		}, ""},
+		{"no store box any more", func(x *partindex.Index) {
+			x.Apply(large, partindex.Report{Life: 1, Changes: held("p", 5000)})
+			x.Configure(services()[:1])
+		}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				x := settled()
+				test.change(x)
+				made := plan(x, "p", 5000)
+				g.Expect(made.Fetch).To(Equal([]string{test.fetch, ""}))
+				missing := 5100
+				if test.fetch != "" {
+					missing = 100
+				}
+				g.Expect(made.Missing).To(Equal(missing))
+			})
+		})
+	}
+}
+
+func TestFetchesAreBoundedOnTheServersClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		x := settled()
+		x.Apply(large, partindex.Report{Life: 1, ClockMillis: 500_000})
+		time.Sleep(300 * time.Millisecond)
+		g.Expect(plan(x, "p", 10).Until).To(BeEquivalentTo(500_300 + partindex.FetchLimit.Milliseconds()))
+	})
+}
+
+// After a restart a part may be written while another box still fetches what was
+// kept there before: nobody may save until no such fetch can be under way.
+func TestNothingIsSavedInAStoreBoxThatHasJustRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		informed, unaware := settled(), settled()
+		unaware.Apply(large, partindex.Report{Life: 1, Changes: held("p", 5000)})
+		restarted := time.Now()
+		informed.Replace(large, partindex.Report{Life: 2})
+		var lastFetch, firstSave time.Time
+		for firstSave.IsZero() {
+			if plan(unaware, "p", 5000).Fetch[0] != "" {
+				lastFetch = time.Now().Add(partindex.FetchLimit)
+			}
+			informed.Apply(large, partindex.Report{Life: 2})
+			if plan(informed, "p", 5000).Save[0] == large {
+				firstSave = time.Now()
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		g.Expect(lastFetch).To(BeTemporally(">", restarted))
+		g.Expect(firstSave).To(BeTemporally(">", lastFetch))
+	})
+}
+
+func TestAPartIsSavedOnceAndWhereThereIsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		x := settled()
+		parts := []call.Part{{ID: "p", Tokens: 5000}, {ID: "own", Tokens: 100}}
+		made := plan(x, "p", 5000)
+		g.Expect(made.Save).To(Equal([]string{large, ""}))
+		g.Expect(plan(x, "p", 5000).Save[0]).To(Equal(large), "a plan that is not carried out marks nothing")
+		x.NoteSaves("m/1", parts, made)
+		g.Expect(plan(x, "p", 5000).Save[0]).To(BeEmpty())
+		g.Expect(plan(x, "small", 200).Save[0]).To(Equal(quick))
+
+		x.Apply(large, partindex.Report{Life: 1, Changes: held("full", 99_000)})
+		refresh(x, 1)
+		g.Expect(plan(x, "q", 5000).Save[0]).To(Equal(quick))
+		x.Apply(quick, partindex.Report{Life: 1, Changes: held("full2", 19_900)})
+		g.Expect(plan(x, "q", 5000).Save[0]).To(BeEmpty())
+	})
+}
+
+func TestAllBoxesChooseTheSameStoreBox(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a, b := settled(), settled()
+		for i := range 100 {
+			id := fmt.Sprint("part-", i)
+			g.Expect(plan(a, id, 500).Save).To(Equal(plan(b, id, 500).Save))
+		}
+	})
+}
+
+func TestPartsThatMayNotBeFetchedAreReadAndNotSavedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		x := settled()
+		x.Apply(large, partindex.Report{Life: 1, Changes: held("p", 5000)})
+		made := x.Plan(partindex.Query{
+			Namespace: "m/1", Parts: []call.Part{{ID: "p", Tokens: 5000}, {ID: "own", Tokens: 1}}, PromptTokens: 5001, Save: true,
+			MayFetch: func(string) bool { return false },
+		})
+		g.Expect(made.Fetch[0]).To(BeEmpty())
+		g.Expect(made.Save[0]).To(BeEmpty())
+		g.Expect(made.Missing).To(Equal(5001))
+	})
+}
+
+func TestFreeableNamesOnlyWhatMayBeFreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		x := settled()
+		x.Apply(large, partindex.Report{Life: 1, Changes: append(held("old", 100), held("new", 100)...)})
+		parts, life := x.Freeable(large, func(key partindex.Key) bool { return key.ID == "old" }, 10)
+		g.Expect(parts).To(Equal([]partindex.Key{{Namespace: "m/1", ID: "old"}}))
+		g.Expect(life).To(BeEquivalentTo(1))
+		time.Sleep(time.Minute)
+		parts, _ = x.Freeable(large, func(partindex.Key) bool { return true }, 10)
+		g.Expect(parts).To(BeEmpty(), "its word is old")
+	})
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -96,8 +96,8 @@
 	Version int
 	// LearntAt is when this box learnt of it.
 	LearntAt time.Time
-	// Found says that it was named some time before: the box found it when it
-	// started, or after it had lost the thread of the log.
+	// Found says that it may have been named long before: the box found it when it
+	// started, or had not read the log for a while.
 	Found bool
 }
 
@@ -165,8 +165,12 @@
 // heardOffset stands in logs for the offset of what another box told.
 const heardOffset = -1
 
-// OperatorReadAt is the last moment at which this box knew all that operators had
-// declared.
+// ReadFresh is how long the reading of all that operators declared counts as
+// recent: a held read and the time to make the next.
+const ReadFresh = DefaultHold + 600*time.Millisecond
+
+// OperatorReadAt is the last moment of which this box knows all that operators had
+// declared by then.
 func (r *Registry) OperatorReadAt() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -219,6 +223,9 @@
 			take(page.Records, whole)
 		}
 		next = page.Next
+		if len(page.Records) == 0 {
+			asked = asked.Add(hold) // the log held the answer for so long, and there was nothing
+		}
 		r.noteRead(stream, asked, page)
 		sleep(ctx, pause)
 	}
@@ -235,15 +242,14 @@
 	return page, false, err
 }
 
-// noteRead notes that a stream was read to its end. Its end was known at some
-// moment after the question was asked.
-func (r *Registry) noteRead(stream sharedlog.Stream, asked time.Time, page sharedlog.Page) {
+// noteRead notes that all records of a stream up to a moment are known.
+func (r *Registry) noteRead(stream sharedlog.Stream, upTo time.Time, page sharedlog.Page) {
 	if stream != sharedlog.Operator || page.Next < page.End {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.operatorReadAt = asked
+	r.operatorReadAt = upTo
 }
 
 func (r *Registry) noteLost(ctx context.Context, stream sharedlog.Stream, err error) {
@@ -305,6 +311,7 @@
 	if named.Version <= r.newest(named.Model).Version {
 		return
 	}
+	found = found || time.Since(r.operatorReadAt) > ReadFresh
 	kept := r.weights[named.Model]
 	kept = kept[max(len(kept)-versionsKept+1, 0):]
 	r.weights[named.Model] = append(slices.Clone(kept), NamedWeights{named.Version, time.Now(), found})
--- a/internal/retire/retire.go
+++ b/internal/retire/retire.go
@@ -29,9 +29,6 @@
 )
 
 const (
-	// readFresh is how long a reading of the operators' stream counts. A read is
-	// held for two seconds.
-	readFresh = 2600 * time.Millisecond
 	// heardFresh is how long the word of another box counts; boxes tell each other
 	// several times a second.
 	heardFresh = time.Second
@@ -40,8 +37,8 @@
 	// last fetch by it has ended.
 	confirmFor = heardFresh + partindex.FetchLimit + 300*time.Millisecond
 	// freeMargin lies between a part's retirement and its freeing: a box may have
-	// learnt of the newer weights later by readFresh, and then fetch once more.
-	freeMargin = readFresh + partindex.FetchLimit + 200*time.Millisecond
+	// learnt of the newer weights later by ReadFresh, and then fetch once more.
+	freeMargin = registry.ReadFresh + partindex.FetchLimit + 200*time.Millisecond
 	// atOnce is the part of the parts that retire at once, for room in full store
 	// boxes; the rest retire evenly over spread, in which runners change weights.
 	atOnce = 0.25
@@ -77,7 +74,7 @@
 // MayFetch reports whether any part made by a version of a model's weights may be
 // fetched at all, as far as this box's own knowledge goes.
 func (p *Policy) MayFetch(model string) bool {
-	if time.Since(p.cfg.Registry.OperatorReadAt()) <= readFresh {
+	if time.Since(p.cfg.Registry.OperatorReadAt()) <= registry.ReadFresh {
 		return true
 	}
 	newest := p.cfg.Registry.Weights(model).Version
