--- a/internal/partindex/partindex_test.go
+++ b/internal/partindex/partindex_test.go
@@ -121,6 +121,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		informed, unaware := settled(), settled()
+		refresh(informed, 1)
 		unaware.Apply(large, partindex.Report{Life: 1, Changes: held("p", 5000)})
 		restarted := time.Now()
 		informed.Replace(large, partindex.Report{Life: 2})
@@ -164,6 +165,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		a, b := settled(), settled()
+		refresh(a, 1)
 		for i := range 100 {
 			id := fmt.Sprint("part-", i)
 			g.Expect(plan(a, id, 500).Save).To(Equal(plan(b, id, 500).Save))
