--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -252,13 +252,8 @@
 	})
 }
 
-const (
-	// unreadyTime is how long callers may still come after the box turned unready:
-	// the balancer asks each second and believes the second answer.
-	unreadyTime = 2500 * time.Millisecond
-	// stopMargin is kept from the end of the time to stop.
-	stopMargin = 500 * time.Millisecond
-)
+// stopMargin is kept from the end of the time to stop.
+const stopMargin = 500 * time.Millisecond
 
 // shutDown is a planned stop: turn unready, take what still comes, finish what is
 // under way, then end.
@@ -266,7 +261,7 @@
 	b.logger.Info().Int64("calls", b.gateway.InFlight()).Msg("leaving")
 	b.leaving.Store(true)
 	end := time.Now().Add(b.settings.StopLimit - stopMargin)
-	time.Sleep(unreadyTime)
+	time.Sleep(b.settings.UnreadyTime)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := b.callers.Shutdown(ctx)
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -12,6 +12,8 @@
 	PeerAddress   string
 	// StopLimit is how long the process may go on after it was asked to stop.
 	StopLimit time.Duration
+	// UnreadyTime is how long callers may still come after the box turned unready.
+	UnreadyTime time.Duration
 	// OrderGap is how far the orders of two boxes to runners must lie apart.
 	OrderGap time.Duration
 	// WeightsLimit is how long after new weights were named older ones may answer.
@@ -22,7 +24,10 @@
 
 // Defaults of Settings.
 const (
-	DefaultStopLimit    = 8 * time.Second
+	DefaultStopLimit = 8 * time.Second
+	// DefaultUnreadyTime spans two questions of the balancer, which asks each second
+	// and believes the second answer.
+	DefaultUnreadyTime  = 2500 * time.Millisecond
 	DefaultOrderGap     = 3 * time.Second
 	DefaultWeightsLimit = 12 * time.Second
 )
@@ -31,6 +36,9 @@
 	if s.StopLimit == 0 {
 		s.StopLimit = DefaultStopLimit
 	}
+	if s.UnreadyTime == 0 {
+		s.UnreadyTime = DefaultUnreadyTime
+	}
 	if s.OrderGap == 0 {
 		s.OrderGap = DefaultOrderGap
 	}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -24,10 +24,10 @@
 	if x.route == nil {
 		return g.reject(x, http.StatusNotFound, "no_route")
 	}
+	x.service = x.catalog.Service(x.route.ServiceFor(x.number))
 	if x.facts.Malformed != "" {
 		return g.reject(x, http.StatusBadRequest, x.facts.Malformed)
 	}
-	x.service = x.catalog.Service(x.route.ServiceFor(x.number))
 	x.urgency = x.route.Urgency
 	patience := x.route.Timeout
 	if patience <= 0 {
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,190 @@
+package registry_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/fakelog"
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/registry"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// decoder takes the length of a value for a version; "bad" is not understood.
+type decoder struct{}
+
+func (decoder) Declaration(record sharedlog.Record) (*registry.Declaration, error) {
+	switch {
+	case string(record.Value) == "bad":
+		return nil, errors.New("not understood")
+	case record.Key == "config":
+		made, err := catalog.New(catalog.Config{Version: int64(len(record.Value))})
+		return &registry.Declaration{Catalog: made}, err
+	default:
+		return &registry.Declaration{Weights: &registry.WeightsNamed{Model: record.Key, Version: len(record.Value)}}, nil
+	}
+}
+
+func (decoder) Server(record sharedlog.Record) (fleet.Update, error) {
+	update := fleet.Update{Incarnation: record.Key, Offset: record.Offset}
+	if len(record.Value) > 0 {
+		update.Server = &fleet.Server{Incarnation: record.Key, Service: "s", Leaving: string(record.Value) == "leaving"}
+	}
+	return update, nil
+}
+
+type world struct {
+	log      *fakesharedlog.Log
+	fleet    *fleet.Fleet
+	registry *registry.Registry
+}
+
+func start(ctx context.Context) *world {
+	w := &world{log: fakesharedlog.New(), fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()})}
+	w.registry = registry.New(registry.Config{Log: w.log, Decoder: decoder{}, Fleet: w.fleet, Logger: zerolog.Nop()})
+	go w.registry.LoopOperator(ctx)
+	go w.registry.LoopServers(ctx)
+	return w
+}
+
+// bubble runs a test on a started world with paused time.
+func bubble(t *testing.T, test func(g *WithT, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		test(NewWithT(t), start(ctx))
+	})
+}
+
+func (w *world) version() int64 {
+	if c := w.registry.Catalog(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
+func (w *world) serves() bool { return w.fleet.Choose(fleet.Query{Service: "s"}) != nil }
+
+func TestTheNewestConfigurationIsInForceAtOnceAndNeverGoesBack(t *testing.T) {
+	bubble(t, func(g *WithT, w *world) {
+		g.Expect(w.version()).To(BeZero())
+		steps := []struct {
+			value string
+			want  int64
+		}{{"v", 1}, {"vvv", 3}, {"vv", 3}, {"bad", 3}, {"vvvv", 4}}
+		for _, step := range steps {
+			w.log.Put(sharedlog.Operator, "config", []byte(step.value))
+			time.Sleep(10 * time.Millisecond)
+			g.Expect(w.version()).To(Equal(step.want))
+		}
+	})
+}
+
+func TestAnOutageLeavesWhatIsKnownInForce(t *testing.T) {
+	bubble(t, func(g *WithT, w *world) {
+		w.log.Put(sharedlog.Operator, "config", []byte("v"))
+		w.log.Put(sharedlog.Servers, "server", []byte("ready"))
+		time.Sleep(time.Second)
+		w.log.Faults().SetFaults(fakelog.Faults{Down: true})
+		time.Sleep(time.Minute)
+		g.Expect(w.version()).To(BeEquivalentTo(1))
+		g.Expect(w.serves()).To(BeTrue())
+		w.log.Put(sharedlog.Operator, "config", []byte("vv")) // and the log is back
+		time.Sleep(time.Second)
+		g.Expect(w.version()).To(BeEquivalentTo(2))
+	})
+}
+
+func TestALeavingServerGetsNothingNewWithinASecond(t *testing.T) {
+	bubble(t, func(g *WithT, w *world) {
+		w.log.Put(sharedlog.Servers, "server", []byte("ready"))
+		time.Sleep(5 * time.Second)
+		g.Expect(w.serves()).To(BeTrue())
+		w.log.Put(sharedlog.Servers, "server", []byte("leaving"))
+		time.Sleep(time.Second)
+		g.Expect(w.serves()).To(BeFalse())
+	})
+}
+
+func TestExpiredRecordsAreReadAnew(t *testing.T) {
+	bubble(t, func(g *WithT, w *world) {
+		w.log.Put(sharedlog.Servers, "one", []byte("ready"))
+		time.Sleep(time.Second)
+		w.log.Faults().SetFaults(fakelog.Faults{Down: true})
+		time.Sleep(time.Second)
+		w.log.Put(sharedlog.Servers, "one", nil)
+		w.log.Put(sharedlog.Servers, "two", []byte("ready"))
+		time.Sleep(10 * time.Second)
+		g.Expect(w.fleet.Known()).To(Equal(1))
+	})
+}
+
+func TestWeightsKnowSinceWhenTheyAreOutdated(t *testing.T) {
+	bubble(t, func(g *WithT, w *world) {
+		w.log.Put(sharedlog.Operator, "m", []byte("v"))
+		time.Sleep(5 * time.Second)
+		_, outdated := w.registry.OutdatedSince("m", 1)
+		g.Expect(outdated).To(BeFalse())
+		w.log.Put(sharedlog.Operator, "m", []byte("vv"))
+		second := time.Now()
+		time.Sleep(4 * time.Second)
+		w.log.Put(sharedlog.Operator, "m", []byte("vvv"))
+		time.Sleep(time.Second)
+		since, outdated := w.registry.OutdatedSince("m", 1)
+		g.Expect(outdated).To(BeTrue())
+		g.Expect(since.LearntAt).To(BeTemporally("~", second, 50*time.Millisecond), "since the first newer one, not the last")
+		g.Expect(since.Found).To(BeFalse())
+		g.Expect(w.registry.Weights("m").Version).To(Equal(3))
+	})
+}
+
+func TestWeightsThatMayHaveBeenNamedLongAgoAreFound(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(w *world)
+		want bool
+	}{
+		{"at the start", func(w *world) { w.log.Put(sharedlog.Operator, "m", []byte("vv")) }, true},
+		{"in touch", func(w *world) {
+			time.Sleep(5 * time.Second)
+			w.log.Put(sharedlog.Operator, "m", []byte("vv"))
+		}, false},
+		{"after an outage", func(w *world) {
+			time.Sleep(5 * time.Second)
+			w.log.Faults().SetFaults(fakelog.Faults{Down: true})
+			time.Sleep(5 * time.Second)
+			w.log.Put(sharedlog.Operator, "m", []byte("vv"))
+		}, true},
+		{"from another box, in touch", func(w *world) {
+			time.Sleep(5 * time.Second)
+			w.registry.Hear(map[string]int{"m": 2})
+		}, false},
+		{"from another box, out of touch", func(w *world) {
+			time.Sleep(5 * time.Second)
+			w.log.Faults().SetFaults(fakelog.Faults{Down: true})
+			time.Sleep(5 * time.Second)
+			w.registry.Hear(map[string]int{"m": 2})
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(g *WithT, w *world) {
+				test.play(w)
+				time.Sleep(2 * time.Second)
+				since, outdated := w.registry.OutdatedSince("m", 1)
+				g.Expect(outdated).To(BeTrue())
+				g.Expect(since.Found).To(Equal(test.want))
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/retire/retire_test.go
@@ -0,0 +1,249 @@
+package retire_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/registry"
+	"github.com/cometlock/cometlock/internal/retire"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// decoder reads the version of model "m" from the length of a record.
+type decoder struct{}
+
+func (decoder) Declaration(record sharedlog.Record) (*registry.Declaration, error) {
+	return &registry.Declaration{Weights: &registry.WeightsNamed{Model: "m", Version: len(record.Value)}}, nil
+}
+
+func (decoder) Server(sharedlog.Record) (fleet.Update, error) { return fleet.Update{}, nil }
+
+// link is a box's way to the log, which a test may cut.
+type link struct {
+	sharedlog.Log
+	mu  sync.Mutex
+	cut bool
+}
+
+func (l *link) set(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *link) broken() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+// Read implements sharedlog.Log. Through a cut nothing comes back, also of a read
+// that was asked before.
+func (l *link) Read(ctx context.Context, stream sharedlog.Stream, from int64, wait time.Duration) (sharedlog.Page, error) {
+	page, err := l.Log.Read(ctx, stream, from, wait)
+	if l.broken() {
+		<-ctx.Done()
+		return sharedlog.Page{}, sharedlog.ErrUnknown
+	}
+	return page, err
+}
+
+func (l *link) Newest(ctx context.Context, stream sharedlog.Stream) (sharedlog.Page, error) {
+	if l.broken() {
+		return sharedlog.Page{}, sharedlog.ErrUnknown
+	}
+	return l.Log.Newest(ctx, stream)
+}
+
+// box is one entry box as far as retirement goes.
+type box struct {
+	link     *link
+	registry *registry.Registry
+	policy   *retire.Policy
+	stop     context.CancelFunc
+
+	mu    sync.Mutex
+	heard map[int]retire.Peer
+}
+
+func (b *box) peers() []retire.Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var peers []retire.Peer
+	for _, peer := range b.heard {
+		peers = append(peers, peer)
+	}
+	return peers
+}
+
+// hear takes in the word of another box.
+func (b *box) hear(from int, named map[string]int) {
+	b.registry.Hear(named)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	since := time.Now()
+	if before := b.heard[from]; before.Weights["m"] == named["m"] && !before.At.IsZero() {
+		since = before.Since["m"]
+	}
+	b.heard[from] = retire.Peer{At: time.Now(), Weights: named, Since: map[string]time.Time{"m": since}}
+}
+
+const boxes = 5
+
+func startBox(ctx context.Context, log sharedlog.Log) *box {
+	ctx, stop := context.WithCancel(ctx)
+	b := &box{link: &link{Log: log}, heard: map[int]retire.Peer{}, stop: stop}
+	b.registry = registry.New(registry.Config{
+		Log: b.link, Decoder: decoder{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop(),
+	})
+	b.policy = retire.New(retire.Config{Registry: b.registry, Peers: b.peers, Boxes: func() int { return boxes }})
+	go b.registry.LoopOperator(ctx)
+	return b
+}
+
+// Boxes that lose the log and each other, are frozen out and come back, or are
+// started anew, while new weights are named again and again: no part may be freed
+// while a fetch of it may be under way.
+func TestNothingIsFreedUnderAFetch(t *testing.T) {
+	freed := 0
+	for seed := range uint64(4) {
+		synctest.Test(t, func(t *testing.T) { freed += history(NewWithT(t), seed) })
+	}
+	NewWithT(t).Expect(freed).To(BeNumerically(">", 5))
+}
+
+type part struct {
+	weights int
+	id      string
+}
+
+// history plays a minute and gives the number of parts that were freed.
+func history(g *WithT, seed uint64) int {
+	random := rand.New(rand.NewPCG(seed, 3))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer synctest.Wait()
+	defer cancel()
+	log := fakesharedlog.New()
+	version := 1
+	log.Put(sharedlog.Operator, "m", make([]byte, version))
+	all := make([]*box, boxes)
+	for i := range all {
+		all[i] = startBox(ctx, log)
+	}
+	var apart [boxes][boxes]bool // who does not hear whom
+	fetchEnds, freedAt := map[part]time.Time{}, map[part]time.Time{}
+	for step := range 1200 {
+		time.Sleep(50 * time.Millisecond)
+		synctest.Wait()
+		if step%40 == 0 {
+			disturb(random, all, &apart)
+		}
+		if random.IntN(150) == 0 && version < 6 {
+			version++
+			log.Put(sharedlog.Operator, "m", make([]byte, version))
+		}
+		if random.IntN(300) == 0 {
+			one := random.IntN(boxes)
+			all[one].stop()
+			all[one] = startBox(ctx, log)
+		}
+		for i, b := range all {
+			for j, other := range all {
+				if i != j && !apart[i][j] {
+					b.hear(j, other.registry.Named())
+				}
+			}
+		}
+		fetchAndFree(g, seed, all, version, fetchEnds, freedAt)
+	}
+	return len(freedAt)
+}
+
+// disturb cuts and heals links at random.
+func disturb(random *rand.Rand, all []*box, apart *[boxes][boxes]bool) {
+	for i := range all {
+		all[i].link.set(random.IntN(4) == 0)
+		for j := range all {
+			if j > i {
+				cut := random.IntN(4) == 0
+				apart[i][j], apart[j][i] = cut, cut
+			}
+		}
+	}
+}
+
+func fetchAndFree(g *WithT, seed uint64, all []*box, version int, fetchEnds, freedAt map[part]time.Time) {
+	now := time.Now()
+	for weights := 1; weights <= version; weights++ {
+		for number := range 12 {
+			p := part{weights, fmt.Sprint("part-", number)}
+			for _, b := range all {
+				believed := b.registry.Weights("m").Version
+				if believed >= weights && b.policy.MayFetch("m") && !b.policy.Retired("m", weights, p.id) {
+					fetchEnds[p] = now.Add(partindex.FetchLimit)
+				}
+				if b.policy.MayFree("m", weights, p.id) && freedAt[p].IsZero() {
+					freedAt[p] = now
+				}
+			}
+			if !freedAt[p].IsZero() {
+				g.Expect(fetchEnds[p]).To(BeTemporally("<=", freedAt[p]), "seed %d, part %v", seed, p)
+			}
+		}
+	}
+}
+
+// Boxes that are all in touch make room within a few seconds.
+func TestPartsAreFreedSoonWhenAllBoxesKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		log := fakesharedlog.New()
+		log.Put(sharedlog.Operator, "m", make([]byte, 1))
+		all := make([]*box, boxes)
+		for i := range all {
+			all[i] = startBox(ctx, log)
+		}
+		time.Sleep(3 * time.Second)
+		log.Put(sharedlog.Operator, "m", make([]byte, 2))
+		named := time.Now()
+		freed := map[string]time.Duration{}
+		for len(freed) < 100 && time.Since(named) < time.Minute {
+			time.Sleep(100 * time.Millisecond)
+			for i, b := range all {
+				for j := range all {
+					if i != j {
+						b.hear(j, all[j].registry.Named())
+					}
+				}
+			}
+			for number := range 100 {
+				id := fmt.Sprint("part-", number)
+				if _, done := freed[id]; !done && all[0].policy.MayFree("m", 1, id) {
+					freed[id] = time.Since(named)
+				}
+			}
+		}
+		early := 0
+		for _, after := range freed {
+			g.Expect(after).To(BeNumerically("<", 13*time.Second))
+			if after < 5*time.Second {
+				early++
+			}
+		}
+		g.Expect(freed).To(HaveLen(100))
+		g.Expect(early).To(BeNumerically(">", 15))
+	})
+}
