--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LDFLAGS := -X github.com/cometlock/cometlock/internal/version.Version=$(VERSION)
 PACKAGES := ./...
 
-.PHONY: all build run fleet test fuzz unit lint format generate bench policy clean
+.PHONY: all build run run-platform fleet test fuzz unit lint words format generate bench policy clean
 
 all: build
 
@@ -16,12 +16,16 @@
 run: build
 	./scripts/run.sh
 
+# A stand-in of the users' platform with two entry boxes, and some traffic.
+run-platform:
+	go run ./cmd/cometlock-try
+
 # Eight daemons in four availability zones against one process of stand-ins.
 fleet: build
 	./scripts/fleet.sh
 
 # Everything that CI checks.
-test: format lint unit fuzz
+test: format lint words unit fuzz
 
 # Every decoder of bytes from outside, on a fixed number of inputs each.
 FUZZ_INPUTS ?= 3000
@@ -35,6 +39,10 @@
 	go vet $(PACKAGES)
 	go tool revive -config revive.toml $(PACKAGES)
 
+# Fails when the platform's names stand outside platform/.
+words:
+	./scripts/wirewords.sh
+
 # Fails when a file is not formatted; `go tool gofumpt -w .` mends it.
 format:
 	@unformatted="$$(go tool gofumpt -l .)"; \
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -93,6 +93,7 @@
 		{"requests", "", false, "list the reviews that wait or run, with age and deadline", (*tool).requests},
 		{"dump", "box", true, "print the whole state of one entry box, or of all, as JSON", (*tool).dump},
 		{"drain", "box", false, "begin a planned stop of an entry box", (*tool).drain},
+		{"explain", "id", false, "tell the story of a request from the boxes' logs on standard input; with 'failures' for the id, count the failed ones by cause", (*tool).explain},
 		{"capacity", "", false, "work out what an entry box takes at a size, from measured slopes", (*tool).capacity},
 	}
 }
--- /dev/null
+++ b/internal/gateway/outdated_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cometlock/cometlock/internal/call"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/registry"
+)
+
+// versions are versions of one model's weights, oldest first.
+type versions []registry.NamedWeights
+
+func (v versions) Weights(string) registry.NamedWeights { return v[len(v)-1] }
+
+func (v versions) OutdatedSince(_ string, version int) (registry.NamedWeights, bool) {
+	for _, named := range v {
+		if named.Version > version {
+			return named, true
+		}
+	}
+	return registry.NamedWeights{}, false
+}
+
+const weightsLimit = 12 * time.Second
+
+func newTestGateway(v versions) *Gateway {
+	f := fleet.New(fleet.Config{Logger: zerolog.Nop()})
+	f.Apply([]fleet.Update{{Incarnation: "s", Offset: 1, Server: &fleet.Server{Incarnation: "s", Service: "s", Weights: map[string]int{"m": 1}}}})
+	return New(Config{Fleet: f, Logger: zerolog.Nop(), Scope: tally.NoopScope, Weights: v, OutdatedAfter: weightsLimit})
+}
+
+func TestWeightsMayAnswerUntilTheirTimeIsOver(t *testing.T) {
+	tests := []struct {
+		name string
+		v    func(now time.Time) versions
+		may  bool
+	}{
+		{"the newest", func(now time.Time) versions {
+			return versions{{Version: 1, LearntAt: now.Add(-time.Hour)}}
+		}, true},
+		{"just outdated", func(now time.Time) versions {
+			return versions{{Version: 2, LearntAt: now.Add(-9 * time.Second)}}
+		}, true},
+		{"nearly at the end of their time", func(now time.Time) versions {
+			return versions{{Version: 2, LearntAt: now.Add(-11 * time.Second)}}
+		}, false},
+		{"outdated twice, the second time just now", func(now time.Time) versions {
+			return versions{{Version: 2, LearntAt: now.Add(-11 * time.Second)}, {Version: 3, LearntAt: now}}
+		}, false},
+		{"found outdated at the start", func(now time.Time) versions {
+			return versions{{Version: 2, LearntAt: now.Add(-time.Second), Found: true}}
+		}, true},
+		{"found outdated a while ago", func(now time.Time) versions {
+			return versions{{Version: 2, LearntAt: now.Add(-4 * time.Second), Found: true}}
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				_, may := newTestGateway(test.v(time.Now())).outdated("m", 1, time.Second)
+				g.Expect(may).To(Equal(test.may))
+			})
+		})
+	}
+}
+
+// A call that waits at a runner must not begin on older weights after their time: the
+// runner gets no more time than that.
+func TestACallAtOlderWeightsHasNoTimeBeyondTheirs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gateway := newTestGateway(versions{{Version: 2, LearntAt: time.Now().Add(-9 * time.Second)}})
+		x := &exchange{deadline: time.Now().Add(10 * time.Second), facts: call.Facts{Prompt: &call.Prompt{Model: "m"}}}
+		hold := gateway.cfg.Fleet.Choose(fleet.Query{
+			Service: "s", Model: "m", Work: func(int) int { return 0 }, Outdated: func(int) (float64, bool) { return 0, true },
+		})
+		g.Expect(gateway.remaining(x, choice{hold: hold, namespace: "m/1"})).To(BeNumerically("<", 3*time.Second))
+		gateway.cfg.Fleet.NoteWeights("s", "m", 2)
+		hold = gateway.cfg.Fleet.Choose(fleet.Query{
+			Service: "s", Model: "m", Work: func(int) int { return 0 }, Outdated: func(int) (float64, bool) { return 0, true },
+		})
+		g.Expect(gateway.remaining(x, choice{hold: hold, namespace: "m/2"})).To(Equal(10 * time.Second))
+	})
+}
--- /dev/null
+++ b/internal/loadshare/loadshare_test.go
@@ -0,0 +1,80 @@
+package loadshare_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/loadshare"
+)
+
+type box struct {
+	fleet *fleet.Fleet
+	share *loadshare.Share
+	heard chan map[string]int
+	stop  context.CancelFunc
+}
+
+func start(t *testing.T, log *fakesharedlog.Log, name string, named map[string]int) *box {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &box{fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), heard: make(chan map[string]int, 1000)}
+	b.fleet.Apply([]fleet.Update{{Incarnation: "s", Offset: 1, Server: &fleet.Server{Incarnation: "s", Service: "s", Slots: 4}}})
+	b.share = loadshare.New(loadshare.Config{
+		Log: log, Fleet: b.fleet, Logger: zerolog.Nop(), Box: name, Life: name, Address: listener.Addr().String(),
+		Named: func() map[string]int { return named }, Heard: func(named map[string]int) { b.heard <- named },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	b.stop = cancel
+	for _, loop := range []func(context.Context){b.share.LoopFollow, b.share.LoopForget} {
+		go loop(ctx)
+	}
+	go b.share.LoopAccept(ctx, listener)
+	t.Cleanup(cancel)
+	return b
+}
+
+// knows reports whether any other box has been heard lately.
+func (b *box) knows() bool { return len(b.share.Peers()) > 0 }
+
+func TestBoxesFindEachOtherAndForgetTheSilent(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	a := start(t, log, "a", map[string]int{"m": 3})
+	b := start(t, log, "b", map[string]int{"m": 2})
+	g.Eventually(a.knows, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
+	g.Eventually(b.knows, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
+	g.Expect(<-b.heard).To(Equal(map[string]int{"m": 3}))
+	g.Expect(b.share.Peers()[0].Weights).To(Equal(map[string]int{"m": 3}))
+	g.Expect(a.share.Boxes()).To(Equal(2))
+	a.stop()
+	g.Eventually(b.knows, 3*time.Second, 10*time.Millisecond).Should(BeFalse())
+	g.Eventually(b.share.Boxes, 3*time.Second, 10*time.Millisecond).Should(Equal(1), "a planned stop takes the box off the list")
+}
+
+func TestTheWorkOfOtherBoxesIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	a, b := start(t, log, "a", nil), start(t, log, "b", nil)
+	g.Eventually(b.knows, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
+	prompt := fleet.Query{
+		Service: "s", Model: "m", ReadLimit: time.Millisecond, Work: func(int) int { return 5000 },
+		Outdated: func(int) (float64, bool) { return 0, true },
+	}
+	for _, one := range []*box{a, b} {
+		one.fleet.NoteWeights("s", "m", 1)
+	}
+	hold := a.fleet.Choose(prompt)
+	g.Expect(hold).NotTo(BeNil())
+	g.Eventually(func() *fleet.Hold { return b.fleet.Choose(prompt) }, 3*time.Second, 10*time.Millisecond).Should(BeNil(), "a's prompt is in the way")
+	hold.Done(fleet.EndServed)
+}
