--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 )
@@ -25,6 +26,9 @@
 		return g.reject(x, http.StatusNotFound, "no_route")
 	}
 	x.service = x.catalog.Service(x.route.ServiceFor(x.number))
+	if limit := x.catalog.Limits().HeaderBytes; limit > 0 && headerBytes(x.request) > limit {
+		return g.reject(x, http.StatusRequestHeaderFieldsTooLarge, "header_too_large")
+	}
 	if x.facts.Malformed != "" {
 		return g.reject(x, http.StatusBadRequest, x.facts.Malformed)
 	}
@@ -40,6 +44,19 @@
 	return true
 }
 
+// headerBytes is the length of a call's head as its caller sent it, within a few
+// bytes.
+func headerBytes(r *http.Request) int {
+	const lineEnds, separators = 2, 4 // "\r\n", and ": " with it
+	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineEnds + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + separators
+		}
+	}
+	return total
+}
+
 // authorise finds the organisation that the caller's key belongs to.
 func (g *Gateway) authorise(x *exchange) bool {
 	x.organisation = x.catalog.Organisation(x.facts.Key)
@@ -59,11 +76,20 @@
 	if x.request.ContentLength > limit {
 		return g.reject(x, http.StatusRequestEntityTooLarge, "body_too_large")
 	}
+	connection := http.NewResponseController(x.writer)
+	if err := connection.SetReadDeadline(x.deadline); err != nil {
+		g.cfg.Logger.Debug().Str("error", err.Error()).Msg("no_read_deadline") // the writer of a test
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	if err == nil {
 		x.body = body
+		_ = connection.SetReadDeadline(time.Time{}) // as above
 		return true
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.writer.Header().Set("Connection", "close")
+		return g.reject(x, http.StatusRequestTimeout, "body_too_slow")
+	}
 	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
 		return g.reject(x, http.StatusRequestEntityTooLarge, "body_too_large")
 	}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -74,7 +74,7 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
-func get(g *WithT, pool *handover.Pool, c handover.Call) (string, error) {
+func get(pool *handover.Pool, c handover.Call) (string, error) {
 	sent, err := pool.Send(context.Background(), c)
 	if err != nil {
 		return "", err
@@ -92,7 +92,7 @@
 	})
 	pool := handover.NewPool(handover.PoolConfig{})
 	for i := range 5 {
-		body, err := get(g, pool, call(s, fmt.Sprint(i)))
+		body, err := get(pool, call(s, fmt.Sprint(i)))
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(body).To(Equal("hello"))
 	}
@@ -122,7 +122,7 @@
 			}, []string{"mine", "call 2", "call 3"},
 		},
 		{
-			"more bytes than the answer has", func(call int, id string) string {
+			"more bytes than the answer has", func(_ int, id string) string {
 				return answer(id, "mine") + "garbage"
 			}, []string{"mine", "mine", "mine"},
 		},
@@ -136,7 +136,7 @@
 			})
 			pool := handover.NewPool(handover.PoolConfig{})
 			for i, want := range test.bodies {
-				body, err := get(g, pool, call(s, fmt.Sprint(i+1)))
+				body, err := get(pool, call(s, fmt.Sprint(i+1)))
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(body).To(Equal(want))
 			}
@@ -159,7 +159,7 @@
 				_, _ = io.WriteString(c, test.bytes)
 				return false
 			})
-			_, err := get(g, handover.NewPool(handover.PoolConfig{}), call(s, "1"))
+			_, err := get(handover.NewPool(handover.PoolConfig{}), call(s, "1"))
 			g.Expect(err).To(HaveOccurred())
 			g.Expect(err).NotTo(MatchError(handover.ErrNotHanded))
 		})
@@ -202,10 +202,10 @@
 		return call != 1
 	})
 	pool := handover.NewPool(handover.PoolConfig{})
-	_, err := get(g, pool, call(s, "1"))
+	_, err := get(pool, call(s, "1"))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(func() error {
-		_, err := get(g, pool, call(s, "2"))
+		_, err := get(pool, call(s, "2"))
 		return err
 	}).Should(Succeed())
 	g.Expect(s.connections.Load()).To(BeNumerically(">=", 2))
@@ -220,10 +220,10 @@
 	pool := handover.NewPool(handover.PoolConfig{})
 	long := call(s, "1")
 	long.Method, long.Body = http.MethodPost, []byte(strings.Repeat("x", 8<<20))
-	body, err := get(g, pool, long)
+	body, err := get(pool, long)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(body).To(Equal("too long"))
-	body, err = get(g, pool, call(s, "2"))
+	body, err = get(pool, call(s, "2"))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(body).To(Equal("too long"))
 	g.Expect(s.connections.Load()).To(BeEquivalentTo(2))
