--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -315,7 +315,7 @@
 	kept := r.weights[named.Model]
 	kept = kept[max(len(kept)-versionsKept+1, 0):]
 	r.weights[named.Model] = append(slices.Clone(kept), NamedWeights{named.Version, time.Now(), found})
-	r.cfg.Logger.Info().Str("model", named.Model).Int("weights", named.Version).Int64("offset", offset).Msg("weights_named")
+	r.cfg.Logger.Info().Str("model", named.Model).Int("weights", named.Version).Int64("offset", offset).Bool("found", found).Msg("weights_named")
 }
 
 func (r *Registry) takeServers(records []sharedlog.Record, whole bool) {
