--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -70,6 +70,7 @@
 	watcher  *storewatch.Watcher
 	share    *loadshare.Share
 	retire   *retire.Policy
+	budget   *retrybudget.Budget
 	gateway  *gateway.Gateway
 	callers  *http.Server
 	ready    *http.Server
@@ -114,14 +115,6 @@
 	return nil
 }
 
-// Retry budget of one box. The platform bounds the retries of all boxes together
-// to 0.2 of the requests and 56 in ten seconds: with eight boxes, half of the
-// first and most of the second.
-const (
-	retriesPerCall = 0.1
-	retryBurst     = 5
-)
-
 // memoryPart is the part of the memory limit at which the collector works hardest.
 const memoryPart = 0.75
 
@@ -155,11 +148,12 @@
 	})
 
 	// The way of a call.
+	b.budget = retrybudget.New(retrybudget.Config{PerRequest: retryRatioPart * b.settings.RetryRatio, Burst: b.retryBurst()})
 	b.gateway = gateway.New(gateway.Config{
 		Protocol: b.cfg.Protocol,
 		Pool:     handover.NewPool(handover.PoolConfig{Dialed: func() { scope.Counter("server_connections").Inc(1) }}),
 		Fleet:    b.fleet, Parts: b.parts, Logger: b.logger, Scope: scope, Zone: b.settings.Zone,
-		Budget:  retrybudget.New(retrybudget.Config{PerRequest: retriesPerCall, Burst: retryBurst}),
+		Budget: b.budget, Boxes: b.share.Boxes,
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.WeightsLimit,
 	})
 	b.callers = &http.Server{
@@ -180,7 +174,6 @@
 func (b *Box) configure(next *catalog.Catalog) {
 	b.parts.Configure(next.Services())
 	b.watcher.Configure(b.background)
-	b.metrics.Scope().Gauge("configuration_version").Update(float64(next.Version()))
 }
 
 // mayFree reports whether a kept part may be freed. Namespaces that this box cannot
@@ -222,7 +215,7 @@
 func (b *Box) Run(ctx context.Context) error {
 	for _, loop := range []func(context.Context){
 		b.registry.LoopOperator, b.registry.LoopServers, b.lease.Loop, b.giver.Loop, b.watcher.LoopClean,
-		b.share.LoopFollow, b.share.LoopForget,
+		b.share.LoopFollow, b.share.LoopForget, b.loopUpkeep,
 	} {
 		b.loops.Go(func() { loop(b.background) })
 	}
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -18,6 +18,10 @@
 	OrderGap time.Duration
 	// WeightsLimit is how long after new weights were named older ones may answer.
 	WeightsLimit time.Duration
+	// RetryRatio and RetrySlack bound the retries of all boxes together: so many for
+	// each call, and so many more.
+	RetryRatio float64
+	RetrySlack float64
 	// MemoryBytes bounds the process; 0 is no bound.
 	MemoryBytes int64
 }
@@ -30,6 +34,8 @@
 	DefaultUnreadyTime  = 2500 * time.Millisecond
 	DefaultOrderGap     = 3 * time.Second
 	DefaultWeightsLimit = 12 * time.Second
+	DefaultRetryRatio   = 0.2
+	DefaultRetrySlack   = 56
 )
 
 func (s Settings) withDefaults() Settings {
@@ -39,6 +45,12 @@
 	if s.UnreadyTime == 0 {
 		s.UnreadyTime = DefaultUnreadyTime
 	}
+	if s.RetryRatio == 0 {
+		s.RetryRatio = DefaultRetryRatio
+	}
+	if s.RetrySlack == 0 {
+		s.RetrySlack = DefaultRetrySlack
+	}
 	if s.OrderGap == 0 {
 		s.OrderGap = DefaultOrderGap
 	}
--- /dev/null
+++ b/internal/entrybox/upkeep.go
@@ -0,0 +1,60 @@
+package entrybox
+
+import (
+	"context"
+	"time"
+)
+
+// upkeepEvery is the time between two looks at what follows the number of boxes and
+// at what gauges show.
+const upkeepEvery = time.Second
+
+// loopUpkeep keeps gauges, and this box's part of what all boxes share, until ctx
+// ends.
+func (b *Box) loopUpkeep(ctx context.Context) {
+	ticker := time.NewTicker(upkeepEvery)
+	defer ticker.Stop()
+	for {
+		b.budget.SetBurst(b.retryBurst())
+		b.showGauges()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Retry budget. The platform bounds the retries of all boxes together by a share of
+// the calls and a number on top. A box takes half of the share, since calls of the
+// last seconds count, and its part of most of the number.
+const (
+	retryRatioPart = 0.5
+	retrySlackPart = 0.7
+)
+
+// retryBurst is this box's part of the retries that need no calls.
+func (b *Box) retryBurst() float64 {
+	return max(1, retrySlackPart*b.settings.RetrySlack/float64(b.share.Boxes()))
+}
+
+func (b *Box) showGauges() {
+	scope := b.metrics.Scope()
+	scope.Gauge("calls_in_flight").Update(float64(b.gateway.InFlight()))
+	scope.Gauge("servers_known").Update(float64(b.fleet.Known()))
+	scope.Gauge("boxes_known").Update(float64(b.share.Boxes()))
+	scope.Gauge("boxes_heard").Update(float64(len(b.share.Peers()) + 1))
+	if catalog := b.registry.Catalog(); catalog != nil {
+		scope.Gauge("configuration_version").Update(float64(catalog.Version()))
+		scope.Gauge("operators_read_age_seconds").Update(time.Since(b.registry.OperatorReadAt()).Seconds())
+	}
+	for model, version := range b.registry.Named() {
+		scope.Tagged(map[string]string{"model": model}).Gauge("weights_named").Update(float64(version))
+	}
+	for _, store := range b.parts.State() {
+		tagged := scope.Tagged(map[string]string{"store_box": store.Name})
+		tagged.Gauge("store_parts").Update(float64(store.Parts))
+		tagged.Gauge("store_tokens").Update(float64(store.Used))
+		tagged.Gauge("store_word_age_seconds").Update(store.Age)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,8 +33,10 @@
 	Fleet    *fleet.Fleet
 	Parts    *partindex.Index
 	Budget   *retrybudget.Budget
-	Logger   zerolog.Logger
-	Scope    tally.Scope
+	// Boxes gives the number of entry boxes, this one included.
+	Boxes  func() int
+	Logger zerolog.Logger
+	Scope  tally.Scope
 	// Zone is the availability zone of this box.
 	Zone string
 	// Catalog gives the configuration in force, or nil before the first.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -32,9 +32,9 @@
 	waitPart = 0.2
 	// waitStep is the time between two looks for room.
 	waitStep = 10 * time.Millisecond
-	// boxesAssumed is among how many boxes the connections that a server takes are
-	// shared out; the platform's pages name 8.
-	boxesAssumed = 9
+	// leastConnections is how many connections a box may have to a server, however
+	// many boxes share those that it takes.
+	leastConnections = 4
 )
 
 // homeSeed makes homes of parts; it is the same in all boxes.
@@ -57,7 +57,7 @@
 	query := fleet.Query{
 		Service: x.service.Name, Zone: g.cfg.Zone, Exclude: x.tried,
 		Load:            placing.Query{Spread: x.number * homeSeed},
-		ConnectionLimit: max(x.service.ConnectionLimit/boxesAssumed, 4),
+		ConnectionLimit: max(x.service.ConnectionLimit/(g.cfg.Boxes()+1), leastConnections),
 	}
 	if x.facts.Prompt == nil || x.service.Engine == nil {
 		hold := g.cfg.Fleet.Choose(query)
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -42,6 +42,14 @@
 	return &Budget{perRequest: cfg.PerRequest, burst: cfg.Burst, saved: cfg.Burst}
 }
 
+// SetBurst changes how many retries may be saved up.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = burst
+	b.saved = min(b.saved, burst)
+}
+
 // Earn counts a first try.
 func (b *Budget) Earn() {
 	b.mu.Lock()
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 inputs=$1
 mkdir -p bin
-grep -rlE '^func Fuzz' --include='*_test.go' internal | sort | while read -r file; do
+grep -rlE '^func Fuzz' --include='*_test.go' internal platform | sort | while read -r file; do
   package=./$(dirname "$file")
   grep -oE '^func Fuzz[A-Za-z]+' "$file" | sed 's/func //' | while read -r target; do
     echo "fuzz $package $target: $inputs inputs"
