Boxes that start learn from others when weights were named

Ruled out: the lease (the next holder ordered 3.8 s after the last). Change: boxes tell each other the age of the versions that they saw being named; a box dates what it only found, and the versions that it missed.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -23,6 +23,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
@@ -37,10 +38,10 @@
 	Life string
 	// Address is where other boxes reach this one.
 	Address string
-	// Named gives the newest weights that this box knows to be named, by model, and
-	// Heard takes over what another box knows.
-	Named func() map[string]int
-	Heard func(named map[string]int)
+	// Named gives the weights that this box knows to be named, by model, the newest
+	// last, and Heard takes over what another box knows.
+	Named func() map[string][]registry.Heard
+	Heard func(named map[string][]registry.Heard)
 }
 
 const (
@@ -75,9 +76,9 @@
 
 // message tells a box's work.
 type message struct {
-	Box   string         `msgpack:"b"`
-	Loads []fleet.Load   `msgpack:"l"`
-	Named map[string]int `msgpack:"n"`
+	Box   string                      `msgpack:"b"`
+	Loads []fleet.Load                `msgpack:"l"`
+	Named map[string][]registry.Heard `msgpack:"n"`
 }
 
 // Share tells and hears.
@@ -277,14 +278,17 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	before := s.heard[m.Box]
-	since := make(map[string]time.Time, len(m.Named))
-	for model, version := range m.Named {
-		since[model] = now
-		if before.Weights[model] == version {
-			since[model] = before.Since[model]
+	word := retire.Peer{At: now, Weights: make(map[string]int, len(m.Named)), Since: make(map[string]time.Time, len(m.Named))}
+	for model, versions := range m.Named {
+		if len(versions) == 0 {
+			continue
+		}
+		word.Weights[model], word.Since[model] = versions[len(versions)-1].Version, now
+		if before.Weights[model] == word.Weights[model] {
+			word.Since[model] = before.Since[model]
 		}
 	}
-	s.heard[m.Box] = retire.Peer{At: now, Weights: m.Named, Since: since}
+	s.heard[m.Box] = word
 }
 
 // Peers gives the last word of each other box that is not silent.
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -12,26 +12,27 @@
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/loadshare"
+	"github.com/cometlock/cometlock/internal/registry"
 )
 
 type box struct {
 	fleet *fleet.Fleet
 	share *loadshare.Share
-	heard chan map[string]int
+	heard chan map[string][]registry.Heard
 	stop  context.CancelFunc
 }
 
-func start(t *testing.T, log *fakesharedlog.Log, name string, named map[string]int) *box {
+func start(t *testing.T, log *fakesharedlog.Log, name string, named map[string][]registry.Heard) *box {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &box{fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), heard: make(chan map[string]int, 1000)}
+	b := &box{fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), heard: make(chan map[string][]registry.Heard, 1000)}
 	b.fleet.Apply([]fleet.Update{{Incarnation: "s", Offset: 1, Server: &fleet.Server{Incarnation: "s", Service: "s", Slots: 4}}})
 	b.share = loadshare.New(loadshare.Config{
 		Log: log, Fleet: b.fleet, Logger: zerolog.Nop(), Box: name, Life: name, Address: listener.Addr().String(),
-		Named: func() map[string]int { return named }, Heard: func(named map[string]int) { b.heard <- named },
+		Named: func() map[string][]registry.Heard { return named }, Heard: func(named map[string][]registry.Heard) { b.heard <- named },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	b.stop = cancel
@@ -49,11 +50,12 @@
 func TestBoxesFindEachOtherAndForgetTheSilent(t *testing.T) {
 	g := NewWithT(t)
 	log := fakesharedlog.New()
-	a := start(t, log, "a", map[string]int{"m": 3})
-	b := start(t, log, "b", map[string]int{"m": 2})
+	told := map[string][]registry.Heard{"m": {{Version: 2, Age: 9 * time.Second}, {Version: 3, Age: time.Second, Found: true}}}
+	a := start(t, log, "a", told)
+	b := start(t, log, "b", map[string][]registry.Heard{"m": {{Version: 2}}})
 	g.Eventually(a.knows, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
 	g.Eventually(b.knows, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
-	g.Expect(<-b.heard).To(Equal(map[string]int{"m": 3}))
+	g.Expect(<-b.heard).To(Equal(told))
 	g.Expect(b.share.Peers()[0].Weights).To(Equal(map[string]int{"m": 3}))
 	g.Expect(a.share.Boxes()).To(Equal(2))
 	a.stop()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -152,13 +152,71 @@
 	return versions
 }
 
-// Hear takes over what another box knows to be named.
-func (r *Registry) Hear(named map[string]int) {
-	for model, version := range named {
-		r.takeWeights(WeightsNamed{Model: model, Version: version}, heardOffset, false)
+// Heard is a version that another box knows to be named.
+type Heard struct {
+	Version int `msgpack:"v"`
+	// Age is for how long the box has known it, and Found says that it may have
+	// been named long before that.
+	Age   time.Duration `msgpack:"a"`
+	Found bool          `msgpack:"f,omitempty"`
+}
+
+// Tell gives what this box knows to be named, for other boxes.
+func (r *Registry) Tell() map[string][]Heard {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	told := make(map[string][]Heard, len(r.weights))
+	for model, versions := range r.weights {
+		for _, named := range versions[max(len(versions)-versionsTold, 0):] {
+			told[model] = append(told[model], Heard{named.Version, time.Since(named.LearntAt), named.Found})
+		}
+	}
+	return told
+}
+
+// Hear takes over what another box knows to be named: versions that are new here,
+// and how old those are that this box has only found.
+func (r *Registry) Hear(told map[string][]Heard) {
+	for model, versions := range told {
+		for _, heard := range versions {
+			if !heard.Found && r.date(model, heard) {
+				continue
+			}
+			r.takeWeights(WeightsNamed{Model: model, Version: heard.Version}, heardOffset, false)
+		}
+	}
+}
+
+// datingMargin is added to the age of a version that another box tells: its word
+// took some time to arrive.
+const datingMargin = 500 * time.Millisecond
+
+// date notes when a version was named that this box has only found, or that it
+// missed before one that it found. It reports false when it is none of these.
+func (r *Registry) date(model string, heard Heard) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	versions := r.weights[model]
+	at, known := slices.BinarySearchFunc(versions, heard.Version, func(n NamedWeights, version int) int { return n.Version - version })
+	dated := NamedWeights{Version: heard.Version, LearntAt: time.Now().Add(-heard.Age - datingMargin)}
+	switch {
+	case known && versions[at].Found:
+		versions = slices.Clone(versions)
+		versions[at] = dated
+	case !known && at < len(versions) && versions[at].Found:
+		versions = slices.Insert(slices.Clone(versions), at, dated)
+	default:
+		return false
 	}
+	r.weights[model] = versions
+	r.cfg.Logger.Info().Str("model", model).Int("weights", heard.Version).Dur("age", heard.Age).Msg("weights_dated")
+	return true
 }
 
+// versionsTold bounds the versions of a model that other boxes are told of; those
+// before are too old to answer.
+const versionsTold = 4
+
 // versionsKept bounds the versions of a model that are remembered.
 const versionsKept = 16
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -167,13 +167,13 @@
 		}, true},
 		{"from another box, in touch", func(w *world) {
 			time.Sleep(5 * time.Second)
-			w.registry.Hear(map[string]int{"m": 2})
+			w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 2}}})
 		}, false},
 		{"from another box, out of touch", func(w *world) {
 			time.Sleep(5 * time.Second)
 			w.log.Faults().SetFaults(fakelog.Faults{Down: true})
 			time.Sleep(5 * time.Second)
-			w.registry.Hear(map[string]int{"m": 2})
+			w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 2}}})
 		}, true},
 	}
 	for _, test := range tests {
@@ -188,3 +188,37 @@
 		})
 	}
 }
+
+// A box that has just started learns from another when versions were named, also of
+// one that it missed.
+func TestFoundWeightsAreDatedByAnotherBox(t *testing.T) {
+	bubble(t, func(g *WithT, w *world) {
+		w.log.Put(sharedlog.Operator, "m", []byte("vvv"))
+		time.Sleep(time.Second)
+		w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 2, Age: 9 * time.Second}, {Version: 3, Age: 2 * time.Second}}})
+		tests := []struct {
+			version int
+			age     time.Duration
+		}{{1, 9 * time.Second}, {2, 2 * time.Second}}
+		for _, test := range tests {
+			since, outdated := w.registry.OutdatedSince("m", test.version)
+			g.Expect(outdated).To(BeTrue())
+			g.Expect(since.Found).To(BeFalse())
+			g.Expect(time.Since(since.LearntAt)).To(BeNumerically(">=", test.age))
+			g.Expect(time.Since(since.LearntAt)).To(BeNumerically("<", test.age+time.Second))
+		}
+		w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 3, Age: time.Minute}}})
+		since, _ := w.registry.OutdatedSince("m", 2)
+		g.Expect(time.Since(since.LearntAt)).To(BeNumerically("<", 4*time.Second), "what is dated stays")
+	})
+}
+
+func TestABoxThatOnlyFoundAVersionDatesItForNobody(t *testing.T) {
+	bubble(t, func(g *WithT, w *world) {
+		w.log.Put(sharedlog.Operator, "m", []byte("vv"))
+		time.Sleep(time.Second)
+		w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 2, Age: time.Minute, Found: true}}})
+		since, _ := w.registry.OutdatedSince("m", 1)
+		g.Expect(since.Found).To(BeTrue())
+	})
+}
--- a/internal/retire/retire_test.go
+++ b/internal/retire/retire_test.go
@@ -88,8 +88,9 @@
 }
 
 // hear takes in the word of another box.
-func (b *box) hear(from int, named map[string]int) {
-	b.registry.Hear(named)
+func (b *box) hear(from int, other *registry.Registry) {
+	b.registry.Hear(other.Tell())
+	named := other.Named()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	since := time.Now()
@@ -161,7 +162,7 @@
 		for i, b := range all {
 			for j, other := range all {
 				if i != j && !apart[i][j] {
-					b.hear(j, other.registry.Named())
+					b.hear(j, other.registry)
 				}
 			}
 		}
@@ -225,7 +226,7 @@
 			for i, b := range all {
 				for j := range all {
 					if i != j {
-						b.hear(j, all[j].registry.Named())
+						b.hear(j, all[j].registry)
 					}
 				}
 			}
