Fetch parts within their zone where that is as good

Cause: a move between zones takes twice as long and costs more, and placing did not know where a prompt's parts lie. Change: the estimated time of the moves comes on top for runners of other zones than the store box that most of the parts come from; messages between boxes are shorter.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -24,6 +24,10 @@
 	// Work gives the prompt tokens that a runner would read itself, by the
 	// version of its weights; nil without a prompt.
 	Work func(weights int) int
+	// Fetch gives the zone that most of the prompt's parts are fetched from at a
+	// runner of a version, and how long that takes within it; nil without a prompt.
+	// It takes as long again from another zone.
+	Fetch func(weights int) (zone string, within time.Duration)
 	// ReadLimit bounds the time that prompts wait to be read at a runner, this one
 	// included, unless it would be the only one; zero is no bound.
 	ReadLimit time.Duration
@@ -136,6 +140,11 @@
 		weights := state.weights(query.Model)
 		candidate.WorkTokens = query.Work(weights)
 		candidate.ExtraCost, _ = query.Outdated(weights)
+		if query.Fetch != nil {
+			if zone, within := query.Fetch(weights); zone != state.Zone {
+				candidate.ExtraCost += float64(within) / float64(time.Millisecond)
+			}
+		}
 	}
 	return candidate
 }
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -5,14 +5,14 @@
 // Load is the work of one box at one server.
 type Load struct {
 	// Incarnation names the server.
-	Incarnation   string
-	InFlight      int
-	PendingTokens int
+	Incarnation   string `msgpack:"i"`
+	InFlight      int    `msgpack:"n,omitempty"`
+	PendingTokens int    `msgpack:"t,omitempty"`
 	// PausedFor is how much longer the box keeps new calls from the server because
 	// it is having it load weights.
-	PausedFor time.Duration
+	PausedFor time.Duration `msgpack:"p,omitempty"`
 	// Weights are versions that the box found the server to hold.
-	Weights map[string]int
+	Weights map[string]int `msgpack:"w,omitempty"`
 }
 
 // Loads gives this box's work at all servers that have any, or about which other
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -68,6 +68,10 @@
 	query.Model = model
 	query.Outdated = func(weights int) (float64, bool) { return g.outdated(model, weights, x.route.Objective) }
 	query.Work = func(weights int) int { return plans.at(weights).plan.Missing }
+	query.Fetch = func(weights int) (string, time.Duration) {
+		plan := plans.at(weights).plan
+		return plan.FetchZone, plan.FetchTime
+	}
 	query.ReadLimit = time.Duration(readPart * float64(x.route.Objective))
 	query.Load.Home = plans.home()
 	hold := g.cfg.Fleet.Choose(query)
--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -276,8 +276,8 @@
 	// Missing is the number of tokens that a runner without any of the prompt
 	// would read.
 	Missing int
-	// FetchMillis is the estimated time of the moves, within a zone.
-	FetchMillis float64
+	// FetchTime is the estimated time of the moves, within a zone.
+	FetchTime time.Duration
 	// FetchZone is the zone of the store box that most of them come from.
 	FetchZone string
 }
@@ -329,7 +329,7 @@
 		if contiguous {
 			plan.Missing -= part.Tokens
 		}
-		plan.FetchMillis += moveMillis(s, part.Tokens, query.BytesPerToken)
+		plan.FetchTime += moveTime(s, part.Tokens, query.BytesPerToken)
 		if part.Tokens > largest {
 			largest, plan.FetchZone = part.Tokens, s.config.Zone
 		}
@@ -337,12 +337,13 @@
 	return plan
 }
 
-func moveMillis(s *store, tokens, bytesPerToken int) float64 {
-	millis := float64(s.config.FirstByte) / float64(time.Millisecond)
-	if s.config.LinkMbps > 0 {
-		millis += float64(tokens) * float64(bytesPerToken) * 8 / (s.config.LinkMbps * 1000)
+// moveTime estimates how long a move takes within a zone, once it begins.
+func moveTime(s *store, tokens, bytesPerToken int) time.Duration {
+	if s.config.LinkMbps <= 0 {
+		return s.config.FirstByte
 	}
-	return millis
+	megabits := float64(tokens) * float64(bytesPerToken) * 8 / 1e6
+	return s.config.FirstByte + time.Duration(megabits/s.config.LinkMbps*float64(time.Second))
 }
 
 // holding finds a store box that keeps a part whole, by recent word.
