Take a word of another box for as old as its echo

Ruled out: weights found after a gap (logged as found), clocks (not compared). Change: messages echo the receiver's time; ages and agreement count from the echo.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,8 +1,11 @@
 // Package loadshare lets entry boxes tell each other how much work they have at
 // which backend server, so that each places calls by the work of all.
 //
-// It is a hint service. What a box has not heard for a while counts as nothing, and
-// no promise rests on what is told. Where the boxes reach each other stands in the
+// It is a hint service. What a box has not heard for a while counts as nothing. One
+// promise rests on what is told, that of package retire, and so on how old a word
+// can be: a message may lie in a cut link for seconds and then arrive. Each message
+// therefore carries the sender's own time, which the receiver sends back in its next
+// one; what comes with the echo was said after that time. Where the boxes reach each other stands in the
 // platform's log: each writes its address once when it starts.
 //
 // On the wire a message is its length in 4 bytes, big-endian, and msgpack.
@@ -39,9 +42,10 @@
 	// Address is where other boxes reach this one.
 	Address string
 	// Named gives the weights that this box knows to be named, by model, the newest
-	// last, and Heard takes over what another box knows.
+	// last, and Heard takes over what another box knew at asOf, or some time before
+	// now when asOf is zero.
 	Named func() map[string][]registry.Heard
-	Heard func(named map[string][]registry.Heard)
+	Heard func(named map[string][]registry.Heard, asOf time.Time)
 }
 
 const (
@@ -76,21 +80,38 @@
 
 // message tells a box's work.
 type message struct {
-	Box   string                      `msgpack:"b"`
-	Loads []fleet.Load                `msgpack:"l"`
-	Named map[string][]registry.Heard `msgpack:"n"`
+	Box  string `msgpack:"b"`
+	Life string `msgpack:"i"`
+	// Sent is the sender's time, counted from its start. Echo is the last time that
+	// it has from the receiver, in the life EchoLife.
+	Sent     time.Duration               `msgpack:"s"`
+	Echo     time.Duration               `msgpack:"e,omitempty"`
+	EchoLife string                      `msgpack:"f,omitempty"`
+	Loads    []fleet.Load                `msgpack:"l"`
+	Named    map[string][]registry.Heard `msgpack:"n"`
 }
 
 // Share tells and hears.
 type Share struct {
-	cfg Config
+	cfg     Config
+	started time.Time
 
 	mu    sync.Mutex
 	peers map[string]*peer // by box
-	heard map[string]retire.Peer
+	heard map[string]word
 	loops sync.WaitGroup
 }
 
+// word is the last message of another box.
+type word struct {
+	// said is what it knew; its time is that of the echo.
+	said       retire.Peer
+	receivedAt time.Time
+	// life and sent are to be echoed.
+	life string
+	sent time.Duration
+}
+
 // peer is another box to tell.
 type peer struct {
 	address string
@@ -99,7 +120,7 @@
 
 // New makes a share that knows no peers.
 func New(cfg Config) *Share {
-	return &Share{cfg: cfg, peers: map[string]*peer{}, heard: map[string]retire.Peer{}}
+	return &Share{cfg: cfg, started: time.Now(), peers: map[string]*peer{}, heard: map[string]word{}}
 }
 
 // LoopFollow writes this box's address into the log and follows those of others
@@ -189,7 +210,7 @@
 	}
 	peerCtx, stop := context.WithCancel(ctx)
 	s.peers[record.Key] = &peer{address: box.Address, stop: stop}
-	s.loops.Go(func() { s.loopTellPeer(peerCtx, box.Address) })
+	s.loops.Go(func() { s.loopTellPeer(peerCtx, record.Key, box.Address) })
 }
 
 // interval is the time between two messages to each peer.
@@ -200,12 +221,12 @@
 }
 
 // loopTellPeer tells one peer this box's work until ctx ends.
-func (s *Share) loopTellPeer(ctx context.Context, address string) {
+func (s *Share) loopTellPeer(ctx context.Context, box, address string) {
 	dialer := net.Dialer{Timeout: ioLimit}
 	for ctx.Err() == nil {
 		connection, err := dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
-			s.tell(ctx, connection)
+			s.tell(ctx, box, connection)
 			_ = connection.Close() // it has failed already, or is not needed
 		}
 		pause(ctx, connectEvery)
@@ -213,15 +234,26 @@
 }
 
 // tell sends messages on one connection until it fails or ctx ends.
-func (s *Share) tell(ctx context.Context, connection net.Conn) {
+func (s *Share) tell(ctx context.Context, box string, connection net.Conn) {
 	for ctx.Err() == nil {
-		if err := s.send(connection, message{Box: s.cfg.Box, Loads: s.cfg.Fleet.Loads(), Named: s.cfg.Named()}); err != nil {
+		if err := s.send(connection, s.compose(box)); err != nil {
 			return
 		}
 		pause(ctx, s.interval())
 	}
 }
 
+// compose writes down this box's work for another box.
+func (s *Share) compose(box string) message {
+	m := message{Box: s.cfg.Box, Life: s.cfg.Life, Sent: time.Since(s.started), Loads: s.cfg.Fleet.Loads(), Named: s.cfg.Named()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if last, heard := s.heard[box]; heard {
+		m.Echo, m.EchoLife = last.sent, last.life
+	}
+	return m
+}
+
 func (s *Share) send(connection net.Conn, m message) error {
 	data, err := msgpack.Marshal(&m)
 	if err != nil {
@@ -266,29 +298,34 @@
 		if err != nil {
 			return
 		}
-		s.note(m)
-		s.cfg.Heard(m.Named)
+		s.cfg.Heard(m.Named, s.note(m))
 		s.cfg.Fleet.SetRemote(m.Box, m.Loads)
 	}
 }
 
-// note remembers what a box knows, and since when it was heard to.
-func (s *Share) note(m message) {
+// note remembers what a box knows, and since when it was heard to. It gives the
+// moment after which the message was sent, or zero when that cannot be told.
+func (s *Share) note(m message) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	before := s.heard[m.Box]
-	word := retire.Peer{At: now, Weights: make(map[string]int, len(m.Named)), Since: make(map[string]time.Time, len(m.Named))}
+	var asOf time.Time
+	if m.EchoLife == s.cfg.Life {
+		asOf = s.started.Add(m.Echo)
+	}
+	before := s.heard[m.Box].said
+	said := retire.Peer{At: asOf, Weights: make(map[string]int, len(m.Named)), Since: make(map[string]time.Time, len(m.Named))}
 	for model, versions := range m.Named {
 		if len(versions) == 0 {
 			continue
 		}
-		word.Weights[model], word.Since[model] = versions[len(versions)-1].Version, now
-		if before.Weights[model] == word.Weights[model] {
-			word.Since[model] = before.Since[model]
+		said.Weights[model], said.Since[model] = versions[len(versions)-1].Version, now
+		if before.Weights[model] == said.Weights[model] {
+			said.Since[model] = before.Since[model]
 		}
 	}
-	s.heard[m.Box] = word
+	s.heard[m.Box] = word{said: said, receivedAt: now, life: m.Life, sent: m.Sent}
+	return asOf
 }
 
 // Peers gives the last word of each other box that is not silent.
@@ -296,8 +333,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	peers := make([]retire.Peer, 0, len(s.heard))
-	for _, peer := range s.heard {
-		peers = append(peers, peer)
+	for _, last := range s.heard {
+		peers = append(peers, last.said)
 	}
 	return peers
 }
@@ -344,8 +381,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var boxes []string
-	for box, peer := range s.heard {
-		if time.Since(peer.At) > limit {
+	for box, last := range s.heard {
+		if time.Since(last.receivedAt) > limit {
 			boxes = append(boxes, box)
 			delete(s.heard, box)
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -174,43 +174,38 @@
 	return told
 }
 
-// Hear takes over what another box knows to be named: versions that are new here,
-// and how old those are that this box has only found.
-func (r *Registry) Hear(told map[string][]Heard) {
+// Hear takes over what another box knew to be named at asOf: versions that are new
+// here, and how old those are that this box has only found. A zero asOf means that
+// the word may be old.
+func (r *Registry) Hear(told map[string][]Heard, asOf time.Time) {
 	for model, versions := range told {
 		for _, heard := range versions {
-			if !heard.Found && r.date(model, heard) {
+			if heard.Found || asOf.IsZero() {
+				r.takeWeights(WeightsNamed{Model: model, Version: heard.Version}, heardOffset, true)
 				continue
 			}
-			r.takeWeights(WeightsNamed{Model: model, Version: heard.Version}, heardOffset, false)
+			r.date(model, NamedWeights{Version: heard.Version, LearntAt: asOf.Add(-heard.Age)})
 		}
 	}
 }
 
-// datingMargin is added to the age of a version that another box tells: its word
-// took some time to arrive.
-const datingMargin = 500 * time.Millisecond
-
-// date notes when a version was named that this box has only found, or that it
-// missed before one that it found. It reports false when it is none of these.
-func (r *Registry) date(model string, heard Heard) bool {
+// date takes over a version of which another box saw when it was named: one that is
+// new here, that this box has only found, or that it missed before one that it found.
+func (r *Registry) date(model string, dated NamedWeights) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	versions := r.weights[model]
-	at, known := slices.BinarySearchFunc(versions, heard.Version, func(n NamedWeights, version int) int { return n.Version - version })
-	dated := NamedWeights{Version: heard.Version, LearntAt: time.Now().Add(-heard.Age - datingMargin)}
+	versions := slices.Clone(r.weights[model])
+	at, known := slices.BinarySearchFunc(versions, dated.Version, func(n NamedWeights, version int) int { return n.Version - version })
 	switch {
 	case known && versions[at].Found:
-		versions = slices.Clone(versions)
 		versions[at] = dated
-	case !known && at < len(versions) && versions[at].Found:
-		versions = slices.Insert(slices.Clone(versions), at, dated)
+	case !known && (at == len(versions) || versions[at].Found):
+		versions = slices.Insert(versions, at, dated)
 	default:
-		return false
+		return
 	}
-	r.weights[model] = versions
-	r.cfg.Logger.Info().Str("model", model).Int("weights", heard.Version).Dur("age", heard.Age).Msg("weights_dated")
-	return true
+	r.weights[model] = versions[max(len(versions)-versionsKept, 0):]
+	r.cfg.Logger.Info().Str("model", model).Int("weights", dated.Version).Dur("age", time.Since(dated.LearntAt)).Msg("weights_dated")
 }
 
 // versionsTold bounds the versions of a model that other boxes are told of; those
--- a/internal/retire/retire.go
+++ b/internal/retire/retire.go
@@ -29,9 +29,9 @@
 )
 
 const (
-	// heardFresh is how long the word of another box counts; boxes tell each other
-	// several times a second.
-	heardFresh = time.Second
+	// heardFresh is how old the word of another box may be; boxes tell each other
+	// several times a second, fewer when there are many.
+	heardFresh = 1500 * time.Millisecond
 	// confirmFor is how long more than half must have known of newer weights before
 	// a part is freed: a belief from just before is out of date by then, and the
 	// last fetch by it has ended.
@@ -47,6 +47,8 @@
 
 // Peer is what another box last told of what it knows.
 type Peer struct {
+	// At is a moment before which it did not say so. It is not when its word came:
+	// that may have been on its way for long.
 	At time.Time
 	// Weights are the newest versions that it knows of, by model, and Since when it
 	// was first heard to know of each.
