--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -43,6 +43,9 @@
 	Changes []Change
 	// ClockMillis is the servers' clock, 0 when the report does not say.
 	ClockMillis int64
+	// AsOf is a moment at which the store box lived this life and had told all that
+	// it kept: not later than its answer, however long that was on its way.
+	AsOf time.Time
 }
 
 const (
@@ -212,7 +215,7 @@
 
 func (x *Index) take(s *store, report Report) {
 	now := time.Now()
-	s.next, s.heardAt = report.Next, now
+	s.next, s.heardAt = report.Next, report.AsOf
 	if report.ClockMillis > 0 {
 		x.clock, x.clockAt = report.ClockMillis, now
 	}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -115,12 +115,14 @@
 func (w *Watcher) ask(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, askWait+callLimit)
 	defer cancel()
+	asked := time.Now()
 	next, list := w.cfg.Index.Position(address)
 	if list {
 		report, err := w.cfg.Stores.List(ctx, address)
 		if err != nil {
 			return err
 		}
+		report.AsOf = asked
 		w.cfg.Index.Replace(address, report)
 		w.cfg.Logger.Info().Str("address", address).Int64("life", report.Life).Int("parts", len(report.Changes)).Msg("store_box_listed")
 		return nil
@@ -129,6 +131,10 @@
 	if err != nil {
 		return err
 	}
+	report.AsOf = asked
+	if len(report.Changes) == 0 && time.Since(asked) >= askWait {
+		report.AsOf = asked.Add(askWait) // it held the answer for so long
+	}
 	if !w.cfg.Index.Apply(address, report) {
 		w.cfg.Logger.Info().Str("address", address).Int64("life", report.Life).Bool("gap", report.Gap).Msg("store_box_changed_life")
 	}
