--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -277,7 +277,8 @@
 		}
 		next = page.Next
 		if len(page.Records) == 0 {
-			asked = asked.Add(hold) // the log held the answer for so long, and there was nothing
+			// The log held the answer for so long, and there was nothing.
+			asked = asked.Add(min(hold, time.Since(asked)))
 		}
 		r.noteRead(stream, asked, page)
 		sleep(ctx, pause)
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -35,7 +35,10 @@
 
 const (
 	// askWait is how long a question waits for a change.
-	askWait = 600 * time.Millisecond
+	askWait = 500 * time.Millisecond
+	// heldLeast is how long an answer without changes must have taken to count as
+	// held; timers of store boxes are a little off.
+	heldLeast = askWait - 60*time.Millisecond
 	// askPause lies between two questions to a store box. Each question that is
 	// answered at once has a price, and a part is of use for seconds.
 	askPause = 300 * time.Millisecond
@@ -132,8 +135,8 @@
 		return err
 	}
 	report.AsOf = asked
-	if len(report.Changes) == 0 && time.Since(asked) >= askWait {
-		report.AsOf = asked.Add(askWait) // it held the answer for so long
+	if len(report.Changes) == 0 && time.Since(asked) >= heldLeast {
+		report.AsOf = asked.Add(heldLeast)
 	}
 	if !w.cfg.Index.Apply(address, report) {
 		w.cfg.Logger.Info().Str("address", address).Int64("life", report.Life).Bool("gap", report.Gap).Msg("store_box_changed_life")
--- /dev/null
+++ b/internal/storewatch/storewatch_test.go
@@ -0,0 +1,141 @@
+package storewatch_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/call"
+	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/storewatch"
+)
+
+// stores is one store box that keeps one part and tells nothing new.
+type stores struct {
+	mu     sync.Mutex
+	life   int64
+	down   bool
+	lists  int
+	freed  []partindex.Key
+	answer time.Duration // how much sooner than asked it answers
+}
+
+var kept = partindex.Key{Namespace: "m/1", ID: "p"}
+
+func (s *stores) set(change func(*stores)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *stores) state() (life int64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, errors.New("down")
+	}
+	return s.life, nil
+}
+
+func (s *stores) Changes(_ context.Context, _ string, _ int64, wait time.Duration) (partindex.Report, error) {
+	time.Sleep(wait - s.answer)
+	life, err := s.state()
+	return partindex.Report{Life: life, ClockMillis: 1}, err
+}
+
+func (s *stores) List(context.Context, string) (partindex.Report, error) {
+	life, err := s.state()
+	s.set(func(s *stores) { s.lists++ })
+	return partindex.Report{Life: life, ClockMillis: 1, Changes: []partindex.Change{{Key: kept, Tokens: 50}}}, err
+}
+
+func (s *stores) Free(_ context.Context, _ string, parts []partindex.Key, _ int64) error {
+	s.set(func(s *stores) { s.freed = append(s.freed, parts...) })
+	return nil
+}
+
+// bubble runs a test with a watched store box and paused time.
+func bubble(t *testing.T, s *stores, mayFree bool, test func(g *WithT, fetches func() bool)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		index := partindex.New()
+		index.Configure([]catalog.Service{{Name: "s", Store: &catalog.Store{Address: "10.0.0.1:1", CapacityTokens: 1000}}})
+		watcher := storewatch.New(storewatch.Config{
+			Stores: s, Index: index, Logger: zerolog.Nop(), MayFree: func(partindex.Key) bool { return mayFree },
+		})
+		watcher.Configure(ctx)
+		go watcher.LoopClean(ctx)
+		test(NewWithT(t), func() bool {
+			plan := index.Plan(partindex.Query{
+				Namespace: "m/1", Parts: []call.Part{{ID: "p", Tokens: 50}, {ID: "own"}}, MayFetch: func(string) bool { return true },
+			})
+			return plan.Fetch[0] != ""
+		})
+		cancel()
+		watcher.Wait()
+		synctest.Wait()
+	})
+}
+
+// A store box that has nothing to tell answers when the wait is over, or a little
+// sooner; its word must not age meanwhile.
+func TestTheWordOfAnIdleStoreBoxStaysFresh(t *testing.T) {
+	for _, sooner := range []time.Duration{0, 10 * time.Millisecond} {
+		bubble(t, &stores{life: 1, answer: sooner}, false, func(g *WithT, fetches func() bool) {
+			time.Sleep(time.Second)
+			for range 1000 {
+				time.Sleep(10 * time.Millisecond)
+				g.Expect(fetches()).To(BeTrue())
+			}
+		})
+	}
+}
+
+func TestASilentStoreBoxIsNotFetchedFrom(t *testing.T) {
+	s := &stores{life: 1}
+	bubble(t, s, false, func(g *WithT, fetches func() bool) {
+		time.Sleep(time.Second)
+		s.set(func(s *stores) { s.down = true })
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(fetches()).To(BeFalse())
+		s.set(func(s *stores) { s.down = false })
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(fetches()).To(BeTrue())
+	})
+}
+
+func TestANewLifeIsListedAnew(t *testing.T) {
+	s := &stores{life: 1}
+	bubble(t, s, false, func(g *WithT, _ func() bool) {
+		time.Sleep(time.Second)
+		s.set(func(s *stores) { s.life = 2 })
+		time.Sleep(3 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		g.Expect(s.lists).To(Equal(2))
+	})
+}
+
+func TestOnlyWhatMayBeFreedIsFreed(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		s := &stores{life: 1}
+		bubble(t, s, may, func(g *WithT, _ func() bool) {
+			time.Sleep(10 * time.Second)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if may {
+				g.Expect(s.freed).To(ContainElement(kept))
+			} else {
+				g.Expect(s.freed).To(BeEmpty())
+			}
+		})
+	}
+}
