Long prompts go only where they fit into a runner's memory

Ruled out: the slots (32, never full), the reading itself (below its limit once nothing is read twice). Change: boxes count and tell the memory of their calls; a long prompt goes to no runner where it does not fit, unless it would be alone.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -31,6 +31,12 @@
 	// ReadLimit bounds the time that prompts wait to be read at a runner, this one
 	// included, unless it would be the only one; zero is no bound.
 	ReadLimit time.Duration
+	// Tokens is the memory that the call takes at a runner until its end, and
+	// MemoryLimit what a runner has. A long prompt goes to no runner where it does
+	// not fit beside the others: it would drive one of them out, which is then read
+	// again. Zero is no bound.
+	Tokens      int
+	MemoryLimit int
 	// ConnectionLimit bounds this box's calls at one server.
 	ConnectionLimit int
 }
@@ -40,6 +46,8 @@
 	fleet  *Fleet
 	state  *State
 	tokens int
+	// held is the memory that the call takes.
+	held   int
 	server Server
 	// weights is the version that the call was placed for.
 	weights int
@@ -80,7 +88,7 @@
 	kept := sound[:0]
 	for _, state := range sound {
 		candidate := f.describe(state, query)
-		if f.hasTime(candidate, query) {
+		if f.hasTime(candidate, query) && f.fits(state, query) {
 			candidates, kept = append(candidates, candidate), append(kept, state)
 		}
 	}
@@ -89,7 +97,7 @@
 	if at < 0 {
 		return nil
 	}
-	return f.hold(kept[at], candidates[at], query.Model, now)
+	return f.hold(kept[at], candidates[at], query, now)
 }
 
 // hasTime reports whether a runner would read the call's prompt soon enough.
@@ -101,14 +109,23 @@
 	return float64(c.PendingTokens+c.WorkTokens) <= limit
 }
 
-func (f *Fleet) hold(state *State, candidate placing.Candidate, model string, now time.Time) *Hold {
+// fits reports whether the call's prompt fits into a runner's memory beside what is
+// known to run there.
+func (f *Fleet) fits(state *State, query Query) bool {
+	held := state.heldTokens + f.remoteTotals[state.Incarnation].heldTokens
+	return query.MemoryLimit == 0 || held == 0 || held+query.Tokens <= query.MemoryLimit
+}
+
+func (f *Fleet) hold(state *State, candidate placing.Candidate, query Query, now time.Time) *Hold {
 	if state.inFlight == 0 {
 		state.silentSince = now
 	}
 	state.inFlight++
 	state.pendingTokens += candidate.WorkTokens
+	state.heldTokens += query.Tokens
 	return &Hold{
-		fleet: f, state: state, tokens: candidate.WorkTokens, server: state.Server, weights: state.weights(model),
+		fleet: f, state: state, tokens: candidate.WorkTokens, server: state.Server, weights: state.weights(query.Model),
+		held:  query.Tokens,
 		since: now, alone: candidate.PendingTokens == 0,
 	}
 }
@@ -209,6 +226,7 @@
 	defer h.fleet.mu.Unlock()
 	h.read()
 	h.state.inFlight--
+	h.state.heldTokens -= h.held
 	now := time.Now()
 	if end != EndUnreachable && end != EndAbandoned || h.state.inFlight == 0 {
 		h.state.heard(now)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -210,6 +210,29 @@
 	g.Expect(f.Choose(prompt(1, 2000, limit))).NotTo(BeNil())
 }
 
+// A long prompt does not drive others out of a runner's memory, whoever sent them.
+func TestALongPromptGoesOnlyWhereItFits(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet("s")
+	long := prompt(1, 0, 0)
+	long.Tokens, long.MemoryLimit = 60_000, 50_000
+	alone := f.Choose(long)
+	g.Expect(alone).NotTo(BeNil(), "alone it may try")
+	long.Tokens = 1000
+	g.Expect(f.Choose(long)).To(BeNil())
+	alone.Done(fleet.EndServed)
+	long.Tokens = 30_000
+	first := f.Choose(long)
+	g.Expect(first).NotTo(BeNil())
+	g.Expect(f.Choose(long)).To(BeNil())
+	first.Done(fleet.EndServed)
+	f.SetRemote("other", []fleet.Load{{Incarnation: "s", InFlight: 1, HeldTokens: 30_000}})
+	g.Expect(f.Choose(long)).To(BeNil())
+	short := prompt(1, 0, 0)
+	short.Tokens = 300
+	g.Expect(f.Choose(short)).NotTo(BeNil(), "short ones have no bound")
+}
+
 func TestARunnerUnderOrdersGetsNothingFromAnyBox(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -8,6 +8,7 @@
 	Incarnation   string `msgpack:"i"`
 	InFlight      int    `msgpack:"n,omitempty"`
 	PendingTokens int    `msgpack:"t,omitempty"`
+	HeldTokens    int    `msgpack:"h,omitempty"`
 	// PausedFor is how much longer the box keeps new calls from the server because
 	// it is having it load weights.
 	PausedFor time.Duration `msgpack:"p,omitempty"`
@@ -27,7 +28,7 @@
 		if state.inFlight == 0 && paused == 0 && len(state.heldWeights) == 0 {
 			continue
 		}
-		load := Load{Incarnation: state.Incarnation, InFlight: state.inFlight, PendingTokens: state.pendingTokens, PausedFor: paused}
+		load := Load{Incarnation: state.Incarnation, InFlight: state.inFlight, PendingTokens: state.pendingTokens, HeldTokens: state.heldTokens, PausedFor: paused}
 		for model, version := range state.heldWeights {
 			if version > state.Server.Weights[model] {
 				if load.Weights == nil {
@@ -67,6 +68,7 @@
 	total := f.remoteTotals[load.Incarnation]
 	total.inFlight += sign * load.InFlight
 	total.pendingTokens += sign * load.PendingTokens
+	total.heldTokens += sign * load.HeldTokens
 	if total == (remoteTotal{}) {
 		delete(f.remoteTotals, load.Incarnation)
 		return
@@ -78,6 +80,7 @@
 type remoteTotal struct {
 	inFlight      int
 	pendingTokens int
+	heldTokens    int
 }
 
 // remotePauseLimit bounds the pause that one message of another box causes: it
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -33,6 +33,8 @@
 	inFlight int
 	// pendingTokens is prompt work handed over whose first event has not come.
 	pendingTokens int
+	// heldTokens is the memory of the calls in flight.
+	heldTokens int
 	// silentSince is since when the server has calls and has not been heard of;
 	// zero while it has none.
 	silentSince time.Time
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -73,6 +73,10 @@
 		return plan.FetchZone, plan.FetchTime
 	}
 	query.ReadLimit = time.Duration(readPart * float64(x.route.Objective))
+	query.Tokens = x.facts.Prompt.Tokens + x.facts.Prompt.AnswerTokens
+	if query.Tokens >= homePart {
+		query.MemoryLimit = x.service.Engine.CapacityTokens
+	}
 	query.Load.Home = plans.home()
 	hold := g.cfg.Fleet.Choose(query)
 	if hold == nil {
