--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -9,6 +9,7 @@
 
 	"github.com/cometlock/cometlock/internal/logservice"
 	"github.com/cometlock/cometlock/internal/tail"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Config sets up a Service.
@@ -171,7 +172,7 @@
 // or ctx ends. Callers that ask again get the answer only if it got there.
 func (s *Service) Drain(ctx context.Context) {
 	for s.unwritten() > 0 && ctx.Err() == nil {
-		tail.Pause(ctx, drainTick)
+		waiting.For(ctx, drainTick)
 	}
 }
 
--- a/internal/claim/stream.go
+++ b/internal/claim/stream.go
@@ -11,7 +11,7 @@
 
 	"github.com/cometlock/cometlock/internal/logservice"
 	"github.com/cometlock/cometlock/internal/ring"
-	"github.com/cometlock/cometlock/internal/tail"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Errors of a claim. All but ErrUnknown mean that the request was not run.
@@ -203,7 +203,7 @@
 // keepFinal holds on to statements about finished runs, which must reach the
 // log some time: without them the key stays "unknown".
 func (s *stream) keepFinal(ctx context.Context, entries []Entry) {
-	tail.Pause(ctx, s.cfg.RetryDelay)
+	waiting.For(ctx, s.cfg.RetryDelay)
 	for _, entry := range entries {
 		if entry.Kind != KindClaim {
 			_ = s.entries.TryPush(entry)
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -19,6 +19,7 @@
 	"github.com/cometlock/cometlock/internal/engine"
 	"github.com/cometlock/cometlock/internal/prefix"
 	"github.com/cometlock/cometlock/internal/storebox"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Config sets up an Engine.
@@ -281,7 +282,7 @@
 		return
 	}
 	for i := range r.tokens {
-		if at := i == 0 && e.cfg.FirstAtOnce; !at && !sleep(ctx, e.cfg.DecodeInterval) {
+		if at := i == 0 && e.cfg.FirstAtOnce; !at && !waiting.For(ctx, e.cfg.DecodeInterval) {
 			return
 		}
 		r.add(r.chunk(i, cached))
@@ -301,7 +302,7 @@
 		seconds := float64(r.chain.Tokens()-cached) / e.cfg.PrefillTokensPerSecond
 		work = time.Duration(seconds * float64(time.Second))
 	}
-	ok = sleep(ctx, work)
+	ok = waiting.For(ctx, work)
 	e.finishPrefill(r, cached, ok)
 	return cached, ok
 }
@@ -367,20 +368,6 @@
 	return ok
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Word is the i-th word of the answer to a prompt: a function of both, so that
 // tests can tell answers of different prompts apart.
 func Word(prompt []byte, i int) string {
--- a/internal/fakeengine/weights.go
+++ b/internal/fakeengine/weights.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/engine"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // WeightStore slows loads down when too many runners load at once, and counts
@@ -75,7 +76,7 @@
 func (e *Engine) load(changed []engine.LoadedWeights) {
 	slower := e.cfg.WeightStore.begin()
 	defer e.cfg.WeightStore.end()
-	if !sleep(e.life, e.cfg.LoadTime*time.Duration(slower)) {
+	if !waiting.For(e.life, e.cfg.LoadTime*time.Duration(slower)) {
 		return
 	}
 	e.mu.Lock()
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -29,6 +29,7 @@
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Config sets up a Share.
@@ -138,7 +139,7 @@
 			continue
 		}
 		if err != nil {
-			pause(ctx, retryPause)
+			waiting.For(ctx, retryPause)
 			continue
 		}
 		for _, record := range page.Records {
@@ -229,7 +230,7 @@
 			s.tell(ctx, box, connection)
 			_ = connection.Close() // it has failed already, or is not needed
 		}
-		pause(ctx, connectEvery)
+		waiting.For(ctx, connectEvery)
 	}
 }
 
@@ -239,7 +240,7 @@
 		if err := s.send(connection, s.compose(box)); err != nil {
 			return
 		}
-		pause(ctx, s.interval())
+		waiting.For(ctx, s.interval())
 	}
 }
 
@@ -370,7 +371,7 @@
 func (s *Share) LoopForget(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := s.interval()
-		pause(ctx, interval)
+		waiting.For(ctx, interval)
 		for _, box := range s.silent(silentAfter * interval) {
 			s.cfg.Fleet.SetRemote(box, nil)
 		}
@@ -389,12 +390,3 @@
 	}
 	return boxes
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/orderlease/orderlease.go
+++ b/internal/orderlease/orderlease.go
@@ -29,6 +29,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Config sets up a Lease.
@@ -92,7 +93,7 @@
 	for ctx.Err() == nil {
 		if err := l.read(ctx); err != nil && ctx.Err() == nil {
 			l.cfg.Logger.Debug().Str("error", err.Error()).Msg("order_lease_not_read")
-			pause(ctx, failurePause)
+			waiting.For(ctx, failurePause)
 		}
 	}
 }
@@ -214,12 +215,3 @@
 	}
 	return true
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -21,6 +21,7 @@
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Declaration is one word of the operators; exactly one field is set.
@@ -266,7 +267,7 @@
 		}
 		if err != nil {
 			r.noteLost(ctx, stream, err)
-			sleep(ctx, failurePause/2+rand.N(failurePause))
+			waiting.For(ctx, failurePause/2+rand.N(failurePause))
 			failurePause = min(2*failurePause, longestPause)
 			continue
 		}
@@ -281,7 +282,7 @@
 			asked = asked.Add(min(hold, time.Since(asked)))
 		}
 		r.noteRead(stream, asked, page)
-		sleep(ctx, pause)
+		waiting.For(ctx, pause)
 	}
 }
 
@@ -388,16 +389,3 @@
 	}
 	r.cfg.Fleet.Apply(updates)
 }
-
-// sleep waits for a time or the end of ctx.
-func sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/review/runner.go
+++ b/internal/review/runner.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cometlock/cometlock/internal/tail"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Timing of running reviews.
@@ -157,7 +157,7 @@
 			s.cfg.Logger.Info().Str("review", meta.ID).Str("organisation", meta.Organisation).Int("bytes", len(answer)).Msg("review_ended")
 			return
 		}
-		tail.Pause(ctx, endPause)
+		waiting.For(ctx, endPause)
 	}
 }
 
--- a/internal/review/service.go
+++ b/internal/review/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/cometlock/cometlock/internal/logservice"
 	"github.com/cometlock/cometlock/internal/tail"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Errors of the service.
@@ -128,7 +129,7 @@
 // one begins meanwhile if Parallel gives 0.
 func (s *Service) Drain(ctx context.Context) {
 	for s.State().Running > 0 && ctx.Err() == nil {
-		tail.Pause(ctx, drainTick)
+		waiting.For(ctx, drainTick)
 	}
 }
 
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Stores speaks to store boxes.
@@ -100,10 +101,10 @@
 			w.log(address, err)
 		}
 		if err != nil {
-			pause(ctx, failurePause)
+			waiting.For(ctx, failurePause)
 			continue
 		}
-		pause(ctx, askPause)
+		waiting.For(ctx, askPause)
 	}
 }
 
@@ -147,7 +148,7 @@
 // LoopClean frees parts under namespaces that are out of use until ctx ends.
 func (w *Watcher) LoopClean(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, cleanEvery/2+rand.N(cleanEvery))
+		waiting.For(ctx, cleanEvery/2+rand.N(cleanEvery))
 		for _, address := range w.cfg.Index.Addresses() {
 			if ctx.Err() == nil {
 				w.clean(ctx, address)
@@ -169,12 +170,3 @@
 	}
 	event.Str("address", address).Int64("life", life).Int("parts", len(parts)).Msg("parts_freed")
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/tail/tail.go
+++ b/internal/tail/tail.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/logservice"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Sink takes what is read, from one goroutine.
@@ -60,7 +61,7 @@
 func (t *Tail) Loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := t.page(ctx); err != nil {
-			Pause(ctx, t.cfg.RetryDelay)
+			waiting.For(ctx, t.cfg.RetryDelay)
 		}
 	}
 }
@@ -91,13 +92,3 @@
 	}
 	return nil
 }
-
-// Pause waits for a time or until ctx ends.
-func Pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/waiting/waiting_test.go
@@ -0,0 +1,39 @@
+package waiting_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+func TestForWaitsForTheTime(t *testing.T) {
+	const length = 20 * time.Millisecond
+	began := time.Now()
+	if !waiting.For(t.Context(), length) {
+		t.Error("the context counts as ended")
+	}
+	if took := time.Since(began); took < length {
+		t.Errorf("waited for %v, want at least %v", took, length)
+	}
+}
+
+func TestForEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	if waiting.For(ctx, time.Hour) {
+		t.Error("an hour counts as passed")
+	}
+}
+
+func TestForWithoutATime(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	if !waiting.For(ctx, 0) {
+		t.Error("the context counts as ended before its end")
+	}
+	cancel()
+	if waiting.For(ctx, 0) {
+		t.Error("the context counts as going on after its end")
+	}
+}
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -22,6 +22,7 @@
 
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/orderlease"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Errors of an order that was certainly not taken.
@@ -249,7 +250,7 @@
 // drain waits until a runner is empty and there is room to load.
 func (g *Giver) drain(ctx context.Context, server fleet.Server, atOnce int) error {
 	began := time.Now()
-	wait(ctx, shortestDrain)
+	waiting.For(ctx, shortestDrain)
 	for time.Since(began) < longestDrain {
 		report, err := g.ask(ctx, server)
 		if err != nil {
@@ -258,10 +259,10 @@
 		if report.Calls == 0 {
 			break
 		}
-		wait(ctx, askEvery)
+		waiting.For(ctx, askEvery)
 	}
 	for !g.takeSlot(server, atOnce) {
-		if !wait(ctx, slotEvery) {
+		if !waiting.For(ctx, slotEvery) {
 			return ctx.Err()
 		}
 	}
@@ -280,7 +281,7 @@
 		if done, err := g.order(ctx, server, model, version, report.Orders); err != nil || done {
 			return err
 		}
-		wait(ctx, expectedLoad)
+		waiting.For(ctx, expectedLoad)
 	}
 	for {
 		if report, err = g.ask(ctx, server); err != nil {
@@ -292,7 +293,7 @@
 		if !report.Busy {
 			return merry.New("the order was lost")
 		}
-		if !wait(ctx, askEvery) {
+		if !waiting.For(ctx, askEvery) {
 			return ctx.Err()
 		}
 	}
@@ -324,15 +325,3 @@
 	}
 	return done, err
 }
-
-// wait waits for a time, and reports false when ctx ended before.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
