Remove fields that nobody reads

Answers said whether their connection was fresh, the catalog held health paths, slots, models and times of the configuration that no stage asks for, and the store boxes' state was shaped for a dump that is not made.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -66,8 +66,6 @@
 	Name string
 	// ConnectionLimit bounds the connections to each server, of all boxes.
 	ConnectionLimit int
-	// HealthPath answers whether a server considers itself healthy.
-	HealthPath string
 	// Engine is set for runners, Store for a store box.
 	Engine *Engine
 	Store  *Store
@@ -75,10 +73,8 @@
 
 // Engine describes the runners of a service.
 type Engine struct {
-	Slots          int
-	CapacityTokens int
-	BytesPerToken  int
-	Models         []string
+	// BytesPerToken is what a token of kept context weighs.
+	BytesPerToken int
 }
 
 // Store describes a store box.
@@ -103,10 +99,8 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Config is the plain data of a Catalog.
--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -55,6 +55,6 @@
 		tagged := scope.Tagged(map[string]string{"store_box": store.Name})
 		tagged.Gauge("store_parts").Update(float64(store.Parts))
 		tagged.Gauge("store_tokens").Update(float64(store.Used))
-		tagged.Gauge("store_word_age_seconds").Update(store.Age)
+		tagged.Gauge("store_word_age_seconds").Update(store.Age.Seconds())
 	}
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -61,8 +61,6 @@
 	Header http.Header
 	// Body gives the whole body, or an error where the server broke off.
 	Body io.Reader
-	// Fresh says that the connection was made for this call.
-	Fresh bool
 
 	pool       *Pool
 	connection *connection
@@ -75,11 +73,11 @@
 // Send hands a call over. When ctx ends, the connection is closed, which tells the
 // server to stop. The error is ErrNotHanded or ErrNoAnswer.
 func (p *Pool) Send(ctx context.Context, call Call) (*Answer, error) {
-	c, fresh, err := p.connect(ctx, call)
+	c, err := p.connect(ctx, call)
 	if err != nil {
 		return nil, merry.Wrap(ErrNotHanded, merry.AppendMessage(err.Error()))
 	}
-	unwatch := context.AfterFunc(ctx, c.abort)
+	unwatch := context.AfterFunc(ctx, c.close) // makes reads and writes under way fail
 	written := make(chan error, 1)
 	if message := append(head(call), call.Body...); len(message) <= smallMessage {
 		c.runWrite(message, written)
@@ -93,7 +91,7 @@
 		return nil, merry.Wrap(ErrNoAnswer, merry.AppendMessage(err.Error()))
 	}
 	answer := &Answer{
-		Status: response.StatusCode, Header: response.Header, Fresh: fresh,
+		Status: response.StatusCode, Header: response.Header,
 		pool: p, connection: c, response: response, written: written, unwatch: unwatch,
 	}
 	answer.Body = wholeReader{answer}
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -93,7 +93,7 @@
 }
 
 // connect gives a kept connection that is sound, or a new one.
-func (p *Pool) connect(ctx context.Context, call Call) (*connection, bool, error) {
+func (p *Pool) connect(ctx context.Context, call Call) (*connection, error) {
 	for {
 		c := p.take(call.Address)
 		if c == nil {
@@ -101,18 +101,18 @@
 		}
 		now := time.Now()
 		if now.Before(c.restUntil) && now.Sub(c.restedAt) <= call.MaxIdle && c.silent() {
-			return c, false, nil
+			return c, nil
 		}
 		c.close()
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", call.Address)
 	if err != nil {
-		return nil, true, err
+		return nil, err
 	}
 	if p.cfg.Dialed != nil {
 		p.cfg.Dialed()
 	}
-	return &connection{Conn: raw, address: call.Address, reader: bufio.NewReaderSize(raw, readBuffer)}, true, nil
+	return &connection{Conn: raw, address: call.Address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
 // take gives the connection that rested last.
@@ -186,9 +186,6 @@
 	return err == nil && quiet
 }
 
-// abort makes reads and writes of a call under way fail.
-func (c *connection) abort() { c.close() }
-
 func (c *connection) close() {
 	_ = c.Conn.Close() // whether the server takes note changes nothing
 }
--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -249,14 +249,14 @@
 	return parts, s.life
 }
 
-// State is the part of a state dump that describes one store box.
+// State is what gauges show of one store box.
 type State struct {
-	Name     string  `json:"name"`
-	Address  string  `json:"address"`
-	Parts    int     `json:"parts"`
-	Used     int     `json:"used_tokens"`
-	Capacity int     `json:"capacity_tokens"`
-	Age      float64 `json:"age_seconds"`
+	Name string
+	// Parts counts the parts that it keeps, Used their tokens.
+	Parts int
+	Used  int
+	// Age is how old its last word is.
+	Age time.Duration
 }
 
 // State describes the store boxes.
@@ -265,7 +265,7 @@
 	defer x.mu.Unlock()
 	states := make([]State, len(x.stores))
 	for i, s := range x.stores {
-		states[i] = State{s.name, s.config.Address, len(s.held), s.used, s.config.CapacityTokens, time.Since(s.heardAt).Seconds()}
+		states[i] = State{s.name, len(s.held), s.used, time.Since(s.heardAt)}
 	}
 	return states
 }
