--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -163,7 +163,7 @@
 	b.ready = &http.Server{Handler: b.readyHandler(), ReadHeaderTimeout: headerTimeout}
 }
 
-// Limits of connections from outside until a configuration names others.
+// Limits of connections from outside, the same under every configuration.
 const (
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -2,10 +2,11 @@
 // name.
 //
 // One box at a time gives the orders, by a lease through the platform's log
-// (package orderlease), since runners do not check who orders them. An order names the life of the runner that it is for and how
-// many orders that runner had taken, so an order that is carried out late finds
-// another count and is refused. One that got no answer may have been taken: the
-// runner is asked what it holds before it is ordered again.
+// (package orderlease), since runners do not check who orders them. An order names
+// the life of the runner that it is for and how many orders that runner had taken,
+// so an order that is carried out late finds another count and is refused. One that
+// got no answer may have been taken: the runner is asked what it holds before it is
+// ordered again.
 //
 // Few runners load at once, because more would slow each other down and leave too
 // few to serve. Those with the least work go first; a run that is under way ends
@@ -52,7 +53,8 @@
 type Order struct {
 	Model   string
 	Version int
-	// Holder names the box that orders, Fence its tenure of the duty.
+	// Holder names the box that orders, Fence the tenure of the lease by
+	// which it does.
 	Holder string
 	Fence  int64
 	// AfterOrders is the number of orders that the runner must have taken.
@@ -128,7 +130,7 @@
 	since time.Time
 }
 
-// Giver gives the orders while this box holds the duty.
+// Giver gives the orders while the lease lets this box.
 type Giver struct {
 	cfg Config
 
