Split four packages' files by duty

What was named of weights, plans, saves, the boxes' messages and addresses, and the cost of older weights each have a file that opens with its idea, with the constants that belong to it. Declarations are moved, not changed.

--- /dev/null
+++ b/internal/loadshare/boxes.go
@@ -0,0 +1,127 @@
+// Which boxes there are: each writes its address into the platform's log when it
+// starts, takes it out at a planned stop, and follows those of the others.
+
+package loadshare
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+const (
+	// followHold is how long a read of the stream of boxes waits for a record. The
+	// stream changes only when boxes start and stop.
+	followHold = 20 * time.Second
+	// callLimit bounds a call of the log besides the time that it is held.
+	callLimit = time.Second
+	// retryPause lies after a call that failed.
+	retryPause = 500 * time.Millisecond
+)
+
+// announcement is a box's record in the log.
+type announcement struct {
+	Address string `msgpack:"a"`
+	Life    string `msgpack:"l"`
+}
+
+// peer is another box to tell.
+type peer struct {
+	address string
+	stop    context.CancelFunc
+}
+
+// LoopFollow writes this box's address into the log and follows those of others
+// until ctx ends.
+func (s *Share) LoopFollow(ctx context.Context) {
+	announced := false
+	next := int64(-1)
+	for ctx.Err() == nil {
+		if !announced {
+			announced = s.announce(ctx)
+		}
+		page, err := s.read(ctx, next)
+		if _, gone := errors.AsType[*sharedlog.GoneError](err); gone {
+			next = -1
+			continue
+		}
+		if err != nil {
+			waiting.For(ctx, retryPause)
+			continue
+		}
+		for _, record := range page.Records {
+			s.take(ctx, record)
+		}
+		next = page.Next
+	}
+	s.loops.Wait()
+	s.withdraw()
+}
+
+// withdraw takes this box's address out of the log at a planned stop.
+func (s *Share) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	if _, err := s.cfg.Log.Append(ctx, sharedlog.Boxes, sharedlog.AnyEnd, sharedlog.Record{Key: s.cfg.Box}); err != nil {
+		s.cfg.Logger.Warn().Str("error", err.Error()).Msg("box_not_withdrawn")
+	}
+}
+
+func (s *Share) announce(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	value, err := msgpack.Marshal(announcement{Address: s.cfg.Address, Life: s.cfg.Life})
+	if err != nil {
+		s.cfg.Logger.Error().Str("error", err.Error()).Msg("box_not_announced")
+		return true
+	}
+	_, err = s.cfg.Log.Append(ctx, sharedlog.Boxes, sharedlog.AnyEnd, sharedlog.Record{Key: s.cfg.Box, Value: value})
+	if err != nil {
+		s.cfg.Logger.Warn().Str("error", err.Error()).Msg("box_not_announced")
+	}
+	return err == nil
+}
+
+func (s *Share) read(ctx context.Context, next int64) (sharedlog.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, followHold+callLimit)
+	defer cancel()
+	if next < 0 {
+		return s.cfg.Log.Newest(ctx, sharedlog.Boxes)
+	}
+	return s.cfg.Log.Read(ctx, sharedlog.Boxes, next, followHold)
+}
+
+// take takes over where a box is reached.
+func (s *Share) take(ctx context.Context, record sharedlog.Record) {
+	if record.Key == s.cfg.Box {
+		return
+	}
+	var box announcement
+	if len(record.Value) > 0 {
+		if err := msgpack.Unmarshal(record.Value, &box); err != nil {
+			s.cfg.Logger.Error().Str("key", record.Key).Str("error", err.Error()).Msg("box_not_understood")
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.peers[record.Key]
+	if known != nil && known.address == box.Address {
+		return
+	}
+	if known != nil {
+		known.stop()
+		delete(s.peers, record.Key)
+	}
+	if box.Address == "" {
+		return
+	}
+	peerCtx, stop := context.WithCancel(ctx)
+	s.peers[record.Key] = &peer{address: box.Address, stop: stop}
+	s.loops.Go(func() { s.loopTellPeer(peerCtx, record.Key, box.Address) })
+}
--- /dev/null
+++ b/internal/loadshare/message.go
@@ -0,0 +1,69 @@
+// The messages between boxes, and how they go over a connection.
+
+package loadshare
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/registry"
+)
+
+const (
+	// lengthBytes is the length of a message's length.
+	lengthBytes = 4
+	// maxMessageBytes bounds a message: about 60 bytes a server.
+	maxMessageBytes = 256 << 10
+)
+
+// message tells a box's work.
+type message struct {
+	Box  string `msgpack:"b"`
+	Life string `msgpack:"i"`
+	// Sent is the sender's time, counted from its start. Echo is the last time that
+	// it has from the receiver, in the life EchoLife.
+	Sent     time.Duration               `msgpack:"s"`
+	Echo     time.Duration               `msgpack:"e,omitempty"`
+	EchoLife string                      `msgpack:"f,omitempty"`
+	Loads    []fleet.Load                `msgpack:"l"`
+	Named    map[string][]registry.Heard `msgpack:"n"`
+}
+
+func (s *Share) send(connection net.Conn, m message) error {
+	data, err := msgpack.Marshal(&m)
+	if err != nil {
+		return merry.Prepend(err, "encode message")
+	}
+	if err := connection.SetWriteDeadline(time.Now().Add(ioLimit)); err != nil {
+		return err
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(data)), uint32(len(data)))
+	_, err = connection.Write(append(frame, data...))
+	return err
+}
+
+func receive(reader io.Reader) (message, error) {
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(reader, length[:]); err != nil {
+		return message{}, err
+	}
+	size := binary.BigEndian.Uint32(length[:])
+	if size > maxMessageBytes {
+		return message{}, merry.Errorf("a message of %d bytes is too large", size)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(reader, data); err != nil {
+		return message{}, err
+	}
+	var m message
+	if err := msgpack.Unmarshal(data, &m); err != nil {
+		return message{}, merry.Prepend(err, "decode message")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/partindex/plan.go
@@ -0,0 +1,98 @@
+// What of a prompt is fetched, from which store box, and what is saved.
+
+package partindex
+
+import (
+	"time"
+
+	"github.com/cometlock/cometlock/internal/call"
+)
+
+// Plan says for one prompt under one namespace what is fetched and what is saved.
+type Plan struct {
+	Fetch []string
+	Save  []string
+	// Until bounds the fetches on the servers' clock, in milliseconds.
+	Until int64
+	// Missing is the number of tokens that a runner without any of the prompt
+	// would read.
+	Missing int
+	// FetchTime is the estimated time of the moves, within a zone.
+	FetchTime time.Duration
+	// FetchZone is the zone of the store box that most of them come from.
+	FetchZone string
+}
+
+// NoPlan is the plan that fetches and saves nothing.
+func NoPlan(parts []call.Part, promptTokens int) Plan {
+	return Plan{Fetch: make([]string, len(parts)), Save: make([]string, len(parts)), Missing: promptTokens}
+}
+
+// Query asks for a plan.
+type Query struct {
+	Namespace string
+	// Parts are those of the prompt, PromptTokens its length.
+	Parts        []call.Part
+	PromptTokens int
+	// BytesPerToken is what a token of kept context weighs.
+	BytesPerToken int
+	// MayFetch reports whether a part may be fetched.
+	MayFetch func(id string) bool
+	// Save says that parts that no store box keeps are worth saving.
+	Save bool
+}
+
+// Plan looks up the shared parts of a prompt.
+func (x *Index) Plan(query Query) Plan {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	parts := query.Parts
+	plan := NoPlan(parts, query.PromptTokens)
+	if x.clockAt.IsZero() {
+		return plan // without the servers' clock a fetch could not be bounded
+	}
+	plan.Until = x.clock + now.Sub(x.clockAt).Milliseconds() + FetchLimit.Milliseconds()
+	largest := 0
+	contiguous := true
+	for i := range max(len(parts)-1, 0) {
+		part := parts[i]
+		key := Key{query.Namespace, part.ID}
+		s := x.holding(key, now)
+		if s == nil || !query.MayFetch(part.ID) {
+			if query.Save && s == nil {
+				plan.Save[i] = x.place(key, part.Tokens, now)
+			}
+			contiguous = false
+			continue
+		}
+		plan.Fetch[i] = s.config.Address
+		if contiguous {
+			plan.Missing -= part.Tokens
+		}
+		plan.FetchTime += moveTime(s, part.Tokens, query.BytesPerToken)
+		if part.Tokens > largest {
+			largest, plan.FetchZone = part.Tokens, s.config.Zone
+		}
+	}
+	return plan
+}
+
+// moveTime estimates how long a move takes within a zone, once it begins.
+func moveTime(s *store, tokens, bytesPerToken int) time.Duration {
+	if s.config.LinkMbps <= 0 {
+		return s.config.FirstByte
+	}
+	megabits := float64(tokens) * float64(bytesPerToken) * 8 / 1e6
+	return s.config.FirstByte + time.Duration(megabits/s.config.LinkMbps*float64(time.Second))
+}
+
+// holding finds a store box that keeps a part whole, by recent word.
+func (x *Index) holding(key Key, now time.Time) *store {
+	for _, s := range x.stores {
+		if s.held[key] > 0 && now.Sub(s.heardAt) <= freshFor {
+			return s
+		}
+	}
+	return nil
+}
