Cut the two functions of more than forty lines by duty

The box is assembled in three steps (beliefs, what boxes share, the way of a call); failed calls are counted and printed by methods of their own.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -1,7 +1,8 @@
 // Package entrybox assembles an entry box that routes calls by a registry, starts
 // it, and stops it without cutting off a call.
 //
-// Read assemble for what the box consists of, and Run for its life.
+// Read assemble and what it calls for what the box consists of, and Run for its
+// life.
 package entrybox
 
 import (
@@ -118,21 +119,31 @@
 // memoryPart is the part of the memory limit at which the collector works hardest.
 const memoryPart = 0.75
 
+// assemble makes the parts of the box. Some ask others that are made after them;
+// none does so before Run.
 func (b *Box) assemble() {
 	if b.settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(b.settings.MemoryBytes)))
 	}
 	b.metrics = telemetry.NewMetrics(b.settings.Box, b.settings.Zone)
-	scope := b.metrics.Scope()
+	b.assembleBeliefs()
+	b.assembleShared()
+	b.assembleWay()
+}
 
-	// Beliefs: the backend servers, the configuration, the kept parts.
+// assembleBeliefs makes what the box believes: the backend servers, the kept parts,
+// the configuration.
+func (b *Box) assembleBeliefs() {
 	b.fleet = fleet.New(fleet.Config{Logger: b.logger})
 	b.parts = partindex.New()
 	b.registry = registry.New(registry.Config{
 		Log: b.cfg.Log, Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, Changed: b.configure,
 	})
+}
 
-	// What boxes do for all: orders to runners, and the freeing of parts.
+// assembleShared makes what boxes do together: orders to runners, the freeing of
+// parts, and the exchange of their work.
+func (b *Box) assembleShared() {
 	b.lease = orderlease.New(orderlease.Config{Log: b.cfg.Log, Logger: b.logger, Holder: b.name, Gap: b.settings.OrderGap})
 	b.giver = weightorders.New(weightorders.Config{
 		Runners: b.cfg.Runners, Fleet: b.fleet, Lease: b.lease, Logger: b.logger, Holder: b.name,
@@ -146,8 +157,11 @@
 		Log: b.cfg.Log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Life: b.name, Address: b.settings.PeerAddress,
 		Named: b.registry.Tell, Heard: b.registry.Hear,
 	})
+}
 
-	// The way of a call.
+// assembleWay makes the way of a call, and the ports' servers.
+func (b *Box) assembleWay() {
+	scope := b.metrics.Scope()
 	b.budget = retrybudget.New(retrybudget.Config{PerRequest: retryRatioPart * b.settings.RetryRatio, Burst: b.retryBurst()})
 	b.gateway = gateway.New(gateway.Config{
 		Protocol: b.cfg.Protocol,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -36,8 +37,12 @@
 	raw []byte
 }
 
-// eventCall is the event that ends a call's story.
-const eventCall = "call"
+// Words of the lines: the event that ends a call's story, and the outcome of calls
+// that got a whole answer.
+const (
+	eventCall     = "call"
+	outcomeServed = "served"
+)
 
 // read gives each line of an entry box to take.
 func read(source io.Reader, take func(line)) error {
@@ -135,48 +140,61 @@
 	outcome, reason, route string
 }
 
+// failures counts calls that were not served.
+type failures struct {
+	// calls counts all calls, the served ones too.
+	calls  int
+	counts map[cause]int
+	// examples names one request for each cause.
+	examples map[cause]string
+}
+
 // Failures counts the calls that were not served, by outcome, reason and route, the
 // most frequent first.
 func Failures(source io.Reader, out io.Writer) error {
-	counts := map[cause]int{}
-	examples := map[cause]string{}
-	calls := 0
-	err := read(source, func(l line) {
-		if l.Event != eventCall {
-			return
-		}
-		calls++
-		if l.Outcome == "served" {
-			return
-		}
-		c := cause{l.Outcome, l.Reason, l.Route}
-		counts[c]++
-		if examples[c] == "" {
-			examples[c] = l.Request
-		}
-	})
-	if err != nil {
+	f := failures{counts: map[cause]int{}, examples: map[cause]string{}}
+	if err := read(source, f.count); err != nil {
 		return err
 	}
-	causes := make([]cause, 0, len(counts))
-	for c := range counts {
-		causes = append(causes, c)
+	return f.print(out)
+}
+
+// count takes in one line.
+func (f *failures) count(l line) {
+	if l.Event != eventCall {
+		return
+	}
+	f.calls++
+	if l.Outcome == outcomeServed {
+		return
+	}
+	c := cause{l.Outcome, l.Reason, l.Route}
+	f.counts[c]++
+	if f.examples[c] == "" {
+		f.examples[c] = l.Request
 	}
-	slices.SortFunc(causes, func(a, b cause) int {
-		return cmp.Or(counts[b]-counts[a], strings.Compare(a.outcome+a.reason+a.route, b.outcome+b.reason+b.route))
+}
+
+// causes lists the causes, the most frequent first.
+func (f *failures) causes() []cause {
+	return slices.SortedFunc(maps.Keys(f.counts), func(a, b cause) int {
+		return cmp.Or(f.counts[b]-f.counts[a], strings.Compare(a.outcome+a.reason+a.route, b.outcome+b.reason+b.route))
 	})
+}
+
+func (f *failures) print(out io.Writer) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	if _, err := fmt.Fprintln(table, "CALLS\tOUTCOME\tREASON\tROUTE\tFOR EXAMPLE"); err != nil {
 		return err
 	}
-	for _, c := range causes {
-		if _, err := fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\n", counts[c], c.outcome, c.reason, c.route, examples[c]); err != nil {
+	for _, c := range f.causes() {
+		if _, err := fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\n", f.counts[c], c.outcome, c.reason, c.route, f.examples[c]); err != nil {
 			return err
 		}
 	}
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(out, "%d calls in all\n", calls)
+	_, err := fmt.Fprintf(out, "%d calls in all\n", f.calls)
 	return err
 }
