Defaults in one line each, and one method for both ends of an outage

cmp.Or says "this or the default" without a branch for each field; the loss and the return of the registry did the same thing in two copies.

--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -1,6 +1,9 @@
 package entrybox
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings are what a box needs to know when it starts.
 type Settings struct {
@@ -38,24 +41,13 @@
 	DefaultRetrySlack   = 56
 )
 
+// withDefaults fills in what the settings leave open.
 func (s Settings) withDefaults() Settings {
-	if s.StopLimit == 0 {
-		s.StopLimit = DefaultStopLimit
-	}
-	if s.UnreadyTime == 0 {
-		s.UnreadyTime = DefaultUnreadyTime
-	}
-	if s.RetryRatio == 0 {
-		s.RetryRatio = DefaultRetryRatio
-	}
-	if s.RetrySlack == 0 {
-		s.RetrySlack = DefaultRetrySlack
-	}
-	if s.OrderGap == 0 {
-		s.OrderGap = DefaultOrderGap
-	}
-	if s.WeightsLimit == 0 {
-		s.WeightsLimit = DefaultWeightsLimit
-	}
+	s.StopLimit = cmp.Or(s.StopLimit, DefaultStopLimit)
+	s.UnreadyTime = cmp.Or(s.UnreadyTime, DefaultUnreadyTime)
+	s.OrderGap = cmp.Or(s.OrderGap, DefaultOrderGap)
+	s.WeightsLimit = cmp.Or(s.WeightsLimit, DefaultWeightsLimit)
+	s.RetryRatio = cmp.Or(s.RetryRatio, DefaultRetryRatio)
+	s.RetrySlack = cmp.Or(s.RetrySlack, DefaultRetrySlack)
 	return s
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 package fleet
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -69,9 +70,7 @@
 
 // New makes a fleet without servers.
 func New(cfg Config) *Fleet {
-	if cfg.Returning == 0 {
-		cfg.Returning = DefaultReturning
-	}
+	cfg.Returning = cmp.Or(cfg.Returning, DefaultReturning)
 	return &Fleet{
 		cfg: cfg, servers: map[string]*State{}, byService: map[string][]*State{},
 		remote: map[string][]Load{}, remoteTotals: map[string]remoteTotal{}, readRate: firstReadRate,
@@ -150,14 +149,15 @@
 
 // RegistryLost notes that the registry cannot be read: entries that lapse until it
 // is back say nothing of their servers.
-func (f *Fleet) RegistryLost() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.steadyFrom = time.Now().Add(f.cfg.Returning)
-}
+func (f *Fleet) RegistryLost() { f.waitForReturns() }
+
+// RegistryBack notes that the registry is read again: the servers that still live
+// enter it anew.
+func (f *Fleet) RegistryBack() { f.waitForReturns() }
 
-// RegistryBack notes that the registry is read again.
-func (f *Fleet) RegistryBack() {
+// waitForReturns lets the registry's word on servers that are gone not count, until
+// living ones have had the time to come back.
+func (f *Fleet) waitForReturns() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.steadyFrom = time.Now().Add(f.cfg.Returning)
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -71,12 +72,8 @@
 
 // NewPool makes an empty pool.
 func NewPool(cfg PoolConfig) *Pool {
-	if cfg.DialTimeout == 0 {
-		cfg.DialTimeout = DefaultDialTimeout
-	}
-	if cfg.IdlePerServer == 0 {
-		cfg.IdlePerServer = DefaultIdlePerServer
-	}
+	cfg.DialTimeout = cmp.Or(cfg.DialTimeout, DefaultDialTimeout)
+	cfg.IdlePerServer = cmp.Or(cfg.IdlePerServer, DefaultIdlePerServer)
 	return &Pool{cfg: cfg, idle: map[string][]*connection{}, dialer: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1, Control: limitUnacknowledged}}
 }
 
--- a/internal/linelog/linelog.go
+++ b/internal/linelog/linelog.go
@@ -7,6 +7,7 @@
 package linelog
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -41,9 +42,7 @@
 
 // New makes a writer; Loop must run for anything to be written.
 func New(cfg Config) *Writer {
-	if cfg.Capacity == 0 {
-		cfg.Capacity = DefaultCapacity
-	}
+	cfg.Capacity = cmp.Or(cfg.Capacity, DefaultCapacity)
 	return &Writer{output: cfg.Output, capacity: cfg.Capacity, lines: ring.New[[]byte](ring.Config{Name: "log", Capacity: cfg.Capacity})}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -8,6 +8,7 @@
 package registry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -86,12 +87,8 @@
 
 // New makes a registry that knows nothing.
 func New(cfg Config) *Registry {
-	if cfg.Pace == 0 {
-		cfg.Pace = DefaultPace
-	}
-	if cfg.Hold == 0 {
-		cfg.Hold = DefaultHold
-	}
+	cfg.Pace = cmp.Or(cfg.Pace, DefaultPace)
+	cfg.Hold = cmp.Or(cfg.Hold, DefaultHold)
 	return &Registry{cfg: cfg, weights: map[string][]NamedWeights{}, lost: map[sharedlog.Stream]bool{}}
 }
 
