--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -59,13 +59,17 @@
 // an event each few milliseconds, and callers leave after two seconds.
 const streamGap = 1200 * time.Millisecond
 
+// beforeFirstEvent is longer than any call: the timer that it is given to is stopped
+// at once.
+const beforeFirstEvent = time.Hour
+
 // relayStream passes a stream on, event by event.
 func (t *try) relayStream(answer *handover.Answer) next {
 	x := t.x
 	reader := eventstream.NewReader(answer.Body)
-	var gap *time.Timer
+	var gap *time.Timer // runs from the first event on
 	if x.mayRepeat() {
-		gap = time.AfterFunc(time.Hour, t.cancel)
+		gap = time.AfterFunc(beforeFirstEvent, t.cancel)
 		gap.Stop()
 		defer gap.Stop()
 	}
--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -57,7 +57,9 @@
 	// quietAfterRestart is how long nothing is saved in a store box that has
 	// restarted: until nobody can have a fetch under way that was planned on what
 	// it kept before.
-	quietAfterRestart = freshFor + FetchLimit + 300*time.Millisecond
+	quietAfterRestart = freshFor + FetchLimit + quietMargin
+	// quietMargin is for boxes that run late.
+	quietMargin = 300 * time.Millisecond
 )
 
 // store is what is known of one store box.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -95,9 +95,13 @@
 // Catalog gives the configuration in force, or nil before the first.
 func (r *Registry) Catalog() *catalog.Catalog { return r.catalog.Load() }
 
-// ReadFresh is how long the reading of all that operators declared counts as
-// recent: a held read and the time to make the next.
-const ReadFresh = DefaultHold + 600*time.Millisecond
+const (
+	// ReadFresh is how long the reading of all that operators declared counts as
+	// recent: a held read and the time to make the next.
+	ReadFresh = DefaultHold + nextReadTime
+	// nextReadTime is more than twice what the store takes when it is slow.
+	nextReadTime = 600 * time.Millisecond
+)
 
 // OperatorReadAt is the last moment of which this box knows all that operators had
 // declared by then.
--- a/internal/retire/retire.go
+++ b/internal/retire/retire.go
@@ -35,10 +35,13 @@
 	// confirmFor is how long more than half must have known of newer weights before
 	// a part is freed: a belief from just before is out of date by then, and the
 	// last fetch by it has ended.
-	confirmFor = heardFresh + partindex.FetchLimit + 300*time.Millisecond
+	confirmFor = heardFresh + partindex.FetchLimit + confirmMargin
 	// freeMargin lies between a part's retirement and its freeing: a box may have
 	// learnt of the newer weights later by ReadFresh, and then fetch once more.
-	freeMargin = registry.ReadFresh + partindex.FetchLimit + 200*time.Millisecond
+	freeMargin = registry.ReadFresh + partindex.FetchLimit + lateMargin
+	// confirmMargin and lateMargin are for boxes that run late.
+	confirmMargin = 300 * time.Millisecond
+	lateMargin    = 200 * time.Millisecond
 	// atOnce is the part of the parts that retire at once, for room in full store
 	// boxes; the rest retire evenly over spread, in which runners change weights.
 	atOnce = 0.25
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -38,8 +38,9 @@
 	// askWait is how long a question waits for a change.
 	askWait = 500 * time.Millisecond
 	// heldLeast is how long an answer without changes must have taken to count as
-	// held; timers of store boxes are a little off.
-	heldLeast = askWait - 60*time.Millisecond
+	// held. timerMargin is for timers of store boxes, which are a little off.
+	heldLeast   = askWait - timerMargin
+	timerMargin = 60 * time.Millisecond
 	// askPause lies between two questions to a store box. Each question that is
 	// answered at once has a price, and a part is of use for seconds.
 	askPause = 300 * time.Millisecond
