--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -1,3 +1,5 @@
+// Settings of a box, and what holds where the platform names nothing.
+
 package entrybox
 
 import (
--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -1,3 +1,6 @@
+// What a box looks after once a second: its part of what all boxes share, which
+// follows their number, and the gauges.
+
 package entrybox
 
 import (
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -1,3 +1,8 @@
+// Placing a call: the servers that may take it are described to package placing, and
+// what becomes of the call at the chosen one is noted. Choosing and counting happen
+// under one lock, so that calls that come together do not all see the same server
+// free.
+
 package fleet
 
 import (
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -1,3 +1,6 @@
+// What other boxes tell of their work. It is a hint: it adds to this box's own counts
+// and is taken back as a whole when the box tells anew or falls silent.
+
 package fleet
 
 import "time"
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -1,3 +1,6 @@
+// One backend server and what this box has seen of it. Failures to reach it and its
+// silence hold calls back for a while; failed calls only make it dearer.
+
 package fleet
 
 import (
--- a/internal/fleet/weights.go
+++ b/internal/fleet/weights.go
@@ -1,3 +1,7 @@
+// Which versions of weights servers hold, for the box that gives orders and for the
+// choice of version. A server's record lags behind a load, so what was found at the
+// server itself counts too.
+
 package fleet
 
 import (
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -1,3 +1,7 @@
+// The first stages: everything that the caller sent is read and judged before a
+// backend server is chosen, so that a slow or faulty caller costs none of them
+// anything.
+
 package gateway
 
 import (
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -1,3 +1,7 @@
+// Where a call goes, and which parts of its prompt are fetched and saved there. The
+// plan depends on the version of weights that answers, so it is made for each version
+// that a candidate holds.
+
 package gateway
 
 import (
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -1,3 +1,6 @@
+// Answers of the box's own. Each says whether the call may have run: only one that
+// certainly did not is refused with an invitation to come back.
+
 package gateway
 
 import (
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,3 +1,7 @@
+// The way of an answer back to the caller: whole answers are taken in before a byte
+// is passed on, streams go event by event, so that another server can take over at
+// the end of what the caller has.
+
 package gateway
 
 import (
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,3 +1,7 @@
+// Tries: a call is handed to one server after another until it has its end. What is
+// known after each (not handed over, not run, may have run) decides whether there
+// may be another.
+
 package gateway
 
 import (
--- a/internal/gateway/settle.go
+++ b/internal/gateway/settle.go
@@ -1,3 +1,5 @@
+// The end of a call: its metrics, and the one log line that tells what became of it.
+
 package gateway
 
 import (
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -1,3 +1,7 @@
+// The connections to backend servers. One is kept only while nothing can be wrong
+// with it: a call that is written on a connection that its server is closing has an
+// unknown outcome.
+
 package handover
 
 import (
--- a/internal/partindex/rendezvous.go
+++ b/internal/partindex/rendezvous.go
@@ -1,3 +1,6 @@
+// Weighted rendezvous hashing: a store box that comes or goes moves only the parts
+// that are its own.
+
 package partindex
 
 import (
