--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -130,6 +130,15 @@
 	since time.Time
 }
 
+// task is to bring one runner to a version of a model's weights.
+type task struct {
+	server  fleet.Server
+	model   string
+	version int
+	// atOnce is how many runners of the model may load at once.
+	atOnce int
+}
+
 // Giver gives the orders while the lease lets this box.
 type Giver struct {
 	cfg Config
@@ -174,21 +183,22 @@
 		}
 		atOnce := (g.cfg.Fleet.Holders(model) + runnersPerLoad - 1) / runnersPerLoad
 		for _, server := range behind {
-			g.begin(ctx, server, model, version, atOnce)
+			g.begin(ctx, task{server, model, version, atOnce})
 		}
 	}
 }
 
 // begin starts with one runner if there is room. A runner begins to get empty
 // shortly before a load of another ends, so that loads follow each other at once.
-func (g *Giver) begin(ctx context.Context, server fleet.Server, model string, version, atOnce int) {
+func (g *Giver) begin(ctx context.Context, t task) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.under[server.Incarnation].phase != 0 || time.Now().Before(g.notBefore[server.Incarnation]) || g.occupied() >= atOnce {
+	name := t.server.Incarnation
+	if g.under[name].phase != 0 || time.Now().Before(g.notBefore[name]) || g.occupied() >= t.atOnce {
 		return
 	}
-	g.under[server.Incarnation] = progress{draining, time.Now()}
-	g.orders.Go(func() { g.runLoad(ctx, server, model, version, atOnce) })
+	g.under[name] = progress{draining, time.Now()}
+	g.orders.Go(func() { g.runLoad(ctx, t) })
 }
 
 // count counts the runners in a phase. The caller holds mu.
@@ -215,46 +225,47 @@
 }
 
 // takeSlot moves a runner that is empty on to loading, if there is room.
-func (g *Giver) takeSlot(server fleet.Server, atOnce int) bool {
+func (g *Giver) takeSlot(t task) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.count(loading) >= atOnce {
+	if g.count(loading) >= t.atOnce {
 		return false
 	}
-	g.under[server.Incarnation] = progress{loading, time.Now()}
+	g.under[t.server.Incarnation] = progress{loading, time.Now()}
 	return true
 }
 
-// runLoad brings one runner to a version.
-func (g *Giver) runLoad(ctx context.Context, server fleet.Server, model string, version, atOnce int) {
+// runLoad carries out one task.
+func (g *Giver) runLoad(ctx context.Context, t task) {
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
 	started := time.Now()
-	g.cfg.Fleet.BeginOrder(server.Incarnation, started.Add(loadLimit))
-	err := g.drain(ctx, server, atOnce)
+	name := t.server.Incarnation
+	g.cfg.Fleet.BeginOrder(name, started.Add(loadLimit))
+	err := g.drain(ctx, t)
 	if err == nil {
-		err = g.load(ctx, server, model, version)
+		err = g.load(ctx, t)
 	}
-	g.cfg.Fleet.EndOrder(server.Incarnation)
+	g.cfg.Fleet.EndOrder(name)
 	event := g.cfg.Logger.Info()
 	if err != nil {
 		event = g.cfg.Logger.Warn().Str("error", err.Error())
 	}
-	event.Str("server", server.Incarnation).Str("model", model).Int("weights", version).Dur("took", time.Since(started)).Msg("weights_ordered")
+	event.Str("server", name).Str("model", t.model).Int("weights", t.version).Dur("took", time.Since(started)).Msg("weights_ordered")
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.under, server.Incarnation)
+	delete(g.under, name)
 	if err != nil {
-		g.notBefore[server.Incarnation] = time.Now().Add(retryAfter)
+		g.notBefore[name] = time.Now().Add(retryAfter)
 	}
 }
 
 // drain waits until a runner is empty and there is room to load.
-func (g *Giver) drain(ctx context.Context, server fleet.Server, atOnce int) error {
+func (g *Giver) drain(ctx context.Context, t task) error {
 	began := time.Now()
 	waiting.For(ctx, shortestDrain)
 	for time.Since(began) < longestDrain {
-		report, err := g.ask(ctx, server)
+		report, err := g.ask(ctx, t.server)
 		if err != nil {
 			return err
 		}
@@ -263,7 +274,7 @@
 		}
 		waiting.For(ctx, askEvery)
 	}
-	for !g.takeSlot(server, atOnce) {
+	for !g.takeSlot(t) {
 		if !waiting.For(ctx, slotEvery) {
 			return ctx.Err()
 		}
@@ -271,25 +282,26 @@
 	return nil
 }
 
-func (g *Giver) load(ctx context.Context, server fleet.Server, model string, version int) error {
-	report, err := g.ask(ctx, server)
+// load orders a runner that is empty, and waits until it holds the version.
+func (g *Giver) load(ctx context.Context, t task) error {
+	report, err := g.ask(ctx, t.server)
 	if err != nil {
 		return err
 	}
-	if g.reached(server, report, model, version) {
+	if g.reached(t, report) {
 		return nil
 	}
 	if !report.Busy {
-		if done, err := g.order(ctx, server, model, version, report.Orders); err != nil || done {
+		if done, err := g.order(ctx, t, report.Orders); err != nil || done {
 			return err
 		}
 		waiting.For(ctx, expectedLoad)
 	}
 	for {
-		if report, err = g.ask(ctx, server); err != nil {
+		if report, err = g.ask(ctx, t.server); err != nil {
 			return err
 		}
-		if g.reached(server, report, model, version) {
+		if g.reached(t, report) {
 			return nil
 		}
 		if !report.Busy {
@@ -301,9 +313,11 @@
 	}
 }
 
-func (g *Giver) reached(server fleet.Server, report Report, model string, version int) bool {
-	g.cfg.Fleet.NoteWeights(server.Incarnation, model, report.Weights[model])
-	return report.Weights[model] >= version
+// reached notes what a runner holds, and reports whether that is enough.
+func (g *Giver) reached(t task, report Report) bool {
+	held := report.Weights[t.model]
+	g.cfg.Fleet.NoteWeights(t.server.Incarnation, t.model, held)
+	return held >= t.version
 }
 
 func (g *Giver) ask(ctx context.Context, server fleet.Server) (Report, error) {
@@ -313,17 +327,17 @@
 }
 
 // order gives the order. Whether this box may is asked last, right before.
-func (g *Giver) order(ctx context.Context, server fleet.Server, model string, version int, after int64) (bool, error) {
+func (g *Giver) order(ctx context.Context, t task, after int64) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	fence, may := g.cfg.Lease.Permit(ctx)
 	if !may {
 		return false, merry.New("another box may be giving orders")
 	}
-	order := Order{Model: model, Version: version, Holder: g.cfg.Holder, Fence: fence, AfterOrders: after}
-	done, err := g.cfg.Runners.Order(ctx, server, order)
+	order := Order{Model: t.model, Version: t.version, Holder: g.cfg.Holder, Fence: fence, AfterOrders: after}
+	done, err := g.cfg.Runners.Order(ctx, t.server, order)
 	if done {
-		g.cfg.Fleet.NoteWeights(server.Incarnation, model, version)
+		g.cfg.Fleet.NoteWeights(t.server.Incarnation, t.model, t.version)
 	}
 	return done, err
 }
