One way to read on in a stream that has keys

The registry and the exchange of work both read a stream whole at first and then what was added, with their own -1 for "whole".

--- a/internal/fakelog/fakelog.go
+++ b/internal/fakelog/fakelog.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cometlock/cometlock/internal/logservice"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Faults says how the log misbehaves from now on.
@@ -210,15 +211,8 @@
 }
 
 func wait(ctx context.Context, delay time.Duration) error {
-	if delay == 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !waiting.For(ctx, delay) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -40,14 +40,14 @@
 // until ctx ends.
 func (s *Share) LoopFollow(ctx context.Context) {
 	announced := false
-	next := int64(-1)
+	next := int64(sharedlog.FromNewest)
 	for ctx.Err() == nil {
 		if !announced {
 			announced = s.announce(ctx)
 		}
-		page, err := s.read(ctx, next)
+		page, err := sharedlog.ReadOn(ctx, s.cfg.Log, sharedlog.Boxes, next, followHold, callLimit)
 		if _, gone := errors.AsType[*sharedlog.GoneError](err); gone {
-			next = -1
+			next = sharedlog.FromNewest
 			continue
 		}
 		if err != nil {
@@ -87,15 +87,6 @@
 	return err == nil
 }
 
-func (s *Share) read(ctx context.Context, next int64) (sharedlog.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, followHold+callLimit)
-	defer cancel()
-	if next < 0 {
-		return s.cfg.Log.Newest(ctx, sharedlog.Boxes)
-	}
-	return s.cfg.Log.Read(ctx, sharedlog.Boxes, next, followHold)
-}
-
 // take takes over where a box is reached.
 func (s *Share) take(ctx context.Context, record sharedlog.Record) {
 	if record.Key == s.cfg.Box {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -124,14 +124,14 @@
 // loop reads a stream: whole at first and after a gap, then what was added. A
 // read is held for hold, and pause lies between two reads.
 func (r *Registry) loop(ctx context.Context, stream sharedlog.Stream, hold, pause time.Duration, take func(records []sharedlog.Record, whole bool)) {
-	next := int64(-1)
+	next := int64(sharedlog.FromNewest)
 	failurePause := shortestPause
 	for ctx.Err() == nil {
 		asked := time.Now()
-		page, whole, err := r.read(ctx, stream, next, hold)
+		page, err := sharedlog.ReadOn(ctx, r.cfg.Log, stream, next, hold, callLimit)
 		if _, gone := errors.AsType[*sharedlog.GoneError](err); gone {
 			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", next).Msg("records_expired")
-			next = -1
+			next = sharedlog.FromNewest
 			continue
 		}
 		if err != nil {
@@ -142,7 +142,7 @@
 		}
 		r.noteBack(stream, page.Next)
 		failurePause = shortestPause
-		if next < 0 || len(page.Records) > 0 {
+		if whole := next < 0; whole || len(page.Records) > 0 {
 			take(page.Records, whole)
 		}
 		next = page.Next
@@ -155,17 +155,6 @@
 	}
 }
 
-func (r *Registry) read(ctx context.Context, stream sharedlog.Stream, next int64, hold time.Duration) (page sharedlog.Page, whole bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, hold+callLimit)
-	defer cancel()
-	if next < 0 {
-		page, err = r.cfg.Log.Newest(ctx, stream)
-		return page, true, err
-	}
-	page, err = r.cfg.Log.Read(ctx, stream, next, hold)
-	return page, false, err
-}
-
 // noteRead notes that all records of a stream up to a moment are known.
 func (r *Registry) noteRead(stream sharedlog.Stream, upTo time.Time, page sharedlog.Page) {
 	if stream != sharedlog.Operator || page.Next < page.End {
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -86,6 +86,10 @@
 // AnyEnd appends wherever the stream ends.
 const AnyEnd = -1
 
+// FromNewest has ReadOn read the newest record of each key, as every negative offset
+// does.
+const FromNewest = -1
+
 // Log is the platform's log.
 type Log interface {
 	// Newest gives the newest record of each key of a stream that has keys, and the
@@ -98,3 +102,15 @@
 	// offset.
 	Append(ctx context.Context, stream Stream, end int64, record Record) (int64, error)
 }
+
+// ReadOn reads a stream that has keys as those do who follow it: whole at first, by
+// the newest record of each key, and from then on what was added, waiting up to wait
+// for the first record. limit bounds the call besides that wait.
+func ReadOn(ctx context.Context, log Log, stream Stream, from int64, wait, limit time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+limit)
+	defer cancel()
+	if from < 0 {
+		return log.Newest(ctx, stream)
+	}
+	return log.Read(ctx, stream, from, wait)
+}
