--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -73,6 +73,8 @@
 
 // Engine describes the runners of a service.
 type Engine struct {
+	// CapacityTokens is how much context a runner's memory takes.
+	CapacityTokens int
 	// BytesPerToken is what a token of kept context weighs.
 	BytesPerToken int
 }
