--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -15,7 +15,6 @@
 	"sync"
 	"time"
 
-	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
 )
 
@@ -58,19 +57,9 @@
 	// quietAfterRestart is how long nothing is saved in a store box that has
 	// restarted: until nobody can have a fetch under way that was planned on what
 	// it kept before.
-	quietAfterRestart = freshFor + FetchLimit + 300*time.Millisecond
-	// savingFor is how long a save that was planned is expected to come true.
-	savingFor = 4 * time.Second
-	// smallPart is the size in tokens up to which a part goes to the store boxes
-	// that answer first: the move itself takes no time.
-	smallPart = 1000
-	// fillLimit is the part of a store box that is filled on purpose; the rest is
-	// for parts of other boxes that this one does not know of yet.
-	fillLimit = 0.97
-	// sparePart is the part of the quick store boxes that large parts may fill. A
-	// token of either kind of part is asked for about equally often, so only a
-	// little is kept free for the small ones.
-	sparePart = 0.9
+	quietAfterRestart = freshFor + FetchLimit + quietMargin
+	// quietMargin is for boxes that run late.
+	quietMargin = 300 * time.Millisecond
 )
 
 // store is what is known of one store box.
@@ -249,14 +238,14 @@
 	return parts, s.life
 }
 
-// State is the part of a state dump that describes one store box.
+// State is what gauges show of one store box.
 type State struct {
-	Name     string  `json:"name"`
-	Address  string  `json:"address"`
-	Parts    int     `json:"parts"`
-	Used     int     `json:"used_tokens"`
-	Capacity int     `json:"capacity_tokens"`
-	Age      float64 `json:"age_seconds"`
+	Name string
+	// Parts counts the parts that it keeps, Used their tokens.
+	Parts int
+	Used  int
+	// Age is how old its last word is.
+	Age time.Duration
 }
 
 // State describes the store boxes.
@@ -265,164 +254,7 @@
 	defer x.mu.Unlock()
 	states := make([]State, len(x.stores))
 	for i, s := range x.stores {
-		states[i] = State{s.name, s.config.Address, len(s.held), s.used, s.config.CapacityTokens, time.Since(s.heardAt).Seconds()}
+		states[i] = State{s.name, len(s.held), s.used, time.Since(s.heardAt)}
 	}
 	return states
 }
-
-// Plan says for one prompt under one namespace what is fetched and what is saved.
-type Plan struct {
-	Fetch []string
-	Save  []string
-	// Until bounds the fetches on the servers' clock, in milliseconds.
-	Until int64
-	// Missing is the number of tokens that a runner without any of the prompt
-	// would read.
-	Missing int
-	// FetchTime is the estimated time of the moves, within a zone.
-	FetchTime time.Duration
-	// FetchZone is the zone of the store box that most of them come from.
-	FetchZone string
-}
-
-// NoPlan is the plan that fetches and saves nothing.
-func NoPlan(parts []call.Part, promptTokens int) Plan {
-	return Plan{Fetch: make([]string, len(parts)), Save: make([]string, len(parts)), Missing: promptTokens}
-}
-
-// Query asks for a plan.
-type Query struct {
-	Namespace string
-	// Parts are those of the prompt, PromptTokens its length.
-	Parts        []call.Part
-	PromptTokens int
-	// BytesPerToken is what a token of kept context weighs.
-	BytesPerToken int
-	// MayFetch reports whether a part may be fetched.
-	MayFetch func(id string) bool
-	// Save says that parts that no store box keeps are worth saving.
-	Save bool
-}
-
-// Plan looks up the shared parts of a prompt.
-func (x *Index) Plan(query Query) Plan {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	now := time.Now()
-	parts := query.Parts
-	plan := NoPlan(parts, query.PromptTokens)
-	if x.clockAt.IsZero() {
-		return plan // without the servers' clock a fetch could not be bounded
-	}
-	plan.Until = x.clock + now.Sub(x.clockAt).Milliseconds() + FetchLimit.Milliseconds()
-	largest := 0
-	contiguous := true
-	for i := range max(len(parts)-1, 0) {
-		part := parts[i]
-		key := Key{query.Namespace, part.ID}
-		s := x.holding(key, now)
-		if s == nil || !query.MayFetch(part.ID) {
-			if query.Save && s == nil {
-				plan.Save[i] = x.place(key, part.Tokens, now)
-			}
-			contiguous = false
-			continue
-		}
-		plan.Fetch[i] = s.config.Address
-		if contiguous {
-			plan.Missing -= part.Tokens
-		}
-		plan.FetchTime += moveTime(s, part.Tokens, query.BytesPerToken)
-		if part.Tokens > largest {
-			largest, plan.FetchZone = part.Tokens, s.config.Zone
-		}
-	}
-	return plan
-}
-
-// moveTime estimates how long a move takes within a zone, once it begins.
-func moveTime(s *store, tokens, bytesPerToken int) time.Duration {
-	if s.config.LinkMbps <= 0 {
-		return s.config.FirstByte
-	}
-	megabits := float64(tokens) * float64(bytesPerToken) * 8 / 1e6
-	return s.config.FirstByte + time.Duration(megabits/s.config.LinkMbps*float64(time.Second))
-}
-
-// holding finds a store box that keeps a part whole, by recent word.
-func (x *Index) holding(key Key, now time.Time) *store {
-	for _, s := range x.stores {
-		if s.held[key] > 0 && now.Sub(s.heardAt) <= freshFor {
-			return s
-		}
-	}
-	return nil
-}
-
-// place chooses the store box for a part that none keeps, or nothing when it is
-// being saved already or has no room anywhere. All boxes choose alike.
-func (x *Index) place(key Key, tokens int, now time.Time) string {
-	if began, ok := x.saving[key]; ok && now.Sub(began) < savingFor {
-		return ""
-	}
-	best := x.choose(key, tokens, now, tokens <= smallPart)
-	if best == nil {
-		best = x.choose(key, tokens, now, tokens > smallPart)
-	}
-	if best == nil {
-		return ""
-	}
-	return best.config.Address
-}
-
-// NoteSaves notes that a call with a plan was handed over: the saves that it asked
-// for are under way.
-func (x *Index) NoteSaves(name string, parts []call.Part, plan Plan) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	now := time.Now()
-	for i, address := range plan.Save {
-		if address != "" {
-			x.saving[Key{name, parts[i].ID}] = now
-		}
-	}
-	if len(x.saving) > maxSaving {
-		x.forgetSaving(now)
-	}
-}
-
-// maxSaving bounds the saves that are remembered before old ones are dropped.
-const maxSaving = 4096
-
-func (x *Index) forgetSaving(now time.Time) {
-	for key, began := range x.saving {
-		if now.Sub(began) >= savingFor {
-			delete(x.saving, key)
-		}
-	}
-}
-
-// choose takes, among the quick or the other store boxes with room, the one that
-// weighted rendezvous hashing gives the part.
-func (x *Index) choose(key Key, tokens int, now time.Time, quick bool) *store {
-	var best *store
-	var bestScore float64
-	for _, s := range x.stores {
-		if s.quick != quick || !x.hasRoom(s, tokens, now) {
-			continue
-		}
-		if score := rendezvous(s.name, key, float64(s.config.CapacityTokens)); best == nil || score > bestScore {
-			best, bestScore = s, score
-		}
-	}
-	return best
-}
-
-func (x *Index) hasRoom(s *store, tokens int, now time.Time) bool {
-	limit := fillLimit
-	if s.quick && tokens > smallPart && slices.ContainsFunc(x.stores, func(o *store) bool { return !o.quick }) {
-		limit = sparePart
-	}
-	return s.life != 0 && now.Sub(s.heardAt) <= freshFor && !now.Before(s.saveFrom) &&
-		float64(s.used+tokens) <= limit*float64(s.config.CapacityTokens)
-}
