Only an answer that was held counts as known up to its end

Cause: found on reading: an empty answer of the log moved the moment up to which all is known forward even when it had not been held, so that one that was slow on its way made old knowledge look fresh (the pattern of the late word). Change: only a held read that took its whole time does; the first reading does not. Test: fails before.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -90,8 +90,8 @@
 	Incarnation string
 }
 
-// Protocol reads and writes the facts of one interface. Its one implementation
-// is the adapter of the platform; tests have another.
+// Protocol reads and writes the facts of one interface. Its one implementation is
+// the adapter of the platform, which the stages must not import.
 type Protocol interface {
 	// ReadFacts decodes a caller's headers.
 	ReadFacts(header http.Header) Facts
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -11,7 +11,8 @@
 	Incarnation   string `msgpack:"i"`
 	InFlight      int    `msgpack:"n,omitempty"`
 	PendingTokens int    `msgpack:"t,omitempty"`
-	HeldTokens    int    `msgpack:"h,omitempty"`
+	// HeldTokens is the memory that the box's calls take there.
+	HeldTokens int `msgpack:"h,omitempty"`
 	// PausedFor is how much longer the box keeps new calls from the server because
 	// it is having it load weights.
 	PausedFor time.Duration `msgpack:"p,omitempty"`
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -68,6 +68,9 @@
 	// callLimit bounds a call besides the time that it is held; the store answers
 	// in 4 ms, and in 260 ms when it is slow.
 	callLimit = time.Second
+	// timerMargin is how much sooner than asked an answer may come and count as held:
+	// the timers of the platform's simulated machines fire a little off.
+	timerMargin = 60 * time.Millisecond
 	// shortestPause and longestPause bound the pause after a failed call.
 	shortestPause = 100 * time.Millisecond
 	longestPause  = 600 * time.Millisecond
@@ -142,13 +145,14 @@
 		}
 		r.noteBack(stream, page.Next)
 		failurePause = shortestPause
-		if whole := next < 0; whole || len(page.Records) > 0 {
+		whole := next < 0
+		if whole || len(page.Records) > 0 {
 			take(page.Records, whole)
 		}
 		next = page.Next
-		if len(page.Records) == 0 {
+		if !whole && len(page.Records) == 0 && hold > 0 && time.Since(asked) >= hold-timerMargin {
 			// The log held the answer for so long, and there was nothing.
-			asked = asked.Add(min(hold, time.Since(asked)))
+			asked = asked.Add(hold - timerMargin)
 		}
 		r.noteRead(stream, asked, page)
 		waiting.For(ctx, pause)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -222,3 +222,35 @@
 		g.Expect(since.Found).To(BeTrue())
 	})
 }
+
+// slowLog ends held reads early and is slow to bring the answer, as a log behind a
+// cut link may be.
+type slowLog struct {
+	sharedlog.Log
+}
+
+func (l slowLog) Read(ctx context.Context, stream sharedlog.Stream, from int64, _ time.Duration) (sharedlog.Page, error) {
+	page, err := l.Log.Read(ctx, stream, from, 0)
+	time.Sleep(registry.DefaultHold / 2)
+	return page, err
+}
+
+// Only an answer that was held for its whole time proves that nothing was added
+// meanwhile.
+func TestAnAnswerThatWasNotHeldProvesNothingAfterTheQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		r := registry.New(registry.Config{
+			Log: slowLog{fakesharedlog.New()}, Decoder: decoder{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop(),
+		})
+		began := time.Now()
+		go r.LoopOperator(ctx)
+		time.Sleep(registry.DefaultHold/2 + time.Millisecond)
+		g.Expect(r.OperatorReadAt()).To(BeTemporally("==", began), "the reading of all is not held")
+		time.Sleep(registry.DefaultHold / 2)
+		g.Expect(r.OperatorReadAt()).To(BeTemporally("==", began.Add(registry.DefaultHold/2)), "asked then, and not held")
+	})
+}
