--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -16,6 +16,7 @@
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // decoder takes the length of a value for a version; "bad" is not understood.
@@ -231,7 +232,7 @@
 
 func (l slowLog) Read(ctx context.Context, stream sharedlog.Stream, from int64, _ time.Duration) (sharedlog.Page, error) {
 	page, err := l.Log.Read(ctx, stream, from, 0)
-	time.Sleep(registry.DefaultHold / 2)
+	waiting.For(ctx, registry.DefaultHold/2)
 	return page, err
 }
 
