Weights are as old as they may be; large prompts find room where usual ones do

Change: (1) a version was named after the last moment up to which the box has read the log; only a box that has just started knows nothing. (2) a prompt counts for at most half of the reading limit and a quarter of the memory limit; it must still fit. Tests: registry TestWeightsAreAsOldAsTheyMayBe, fleet TestLargePromptsFindRoomWhereUsualOnesDo.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -36,11 +36,12 @@
 	// ReadLimit bounds the time that prompts wait to be read at a runner, this one
 	// included, unless it would be the only one; zero is no bound.
 	ReadLimit time.Duration
-	// Tokens is the memory that the call takes at a runner until its end, and
-	// MemoryLimit what a runner has. A long prompt goes to no runner where it does
-	// not fit beside the others: it would drive one of them out, which is then read
-	// again. Zero is no bound.
+	// Tokens is the memory that the call takes at a runner until its end, Memory what
+	// a runner has, and MemoryLimit how much of that known calls may take. A long
+	// prompt goes to no runner where it does not fit beside the others: it would
+	// drive one of them out, which is then read again. A limit of zero is no bound.
 	Tokens      int
+	Memory      int
 	MemoryLimit int
 	// ConnectionLimit bounds this box's calls at one server.
 	ConnectionLimit int
@@ -105,20 +106,33 @@
 	return f.hold(kept[at], candidates[at], query, now)
 }
 
+// Parts of a limit that bound what one call counts against it. Without them the
+// largest prompts would find room only where there is nothing else, and under load be
+// refused while all others are served. With them all prompts above the usual size
+// find room alike.
+const (
+	largestReadPart   = 0.5
+	largestMemoryPart = 0.25
+)
+
 // hasTime reports whether a runner would read the call's prompt soon enough.
 func (f *Fleet) hasTime(c placing.Candidate, query Query) bool {
 	if query.ReadLimit == 0 || c.PendingTokens == 0 {
 		return true
 	}
 	limit := f.readRate * float64(query.ReadLimit) / float64(time.Millisecond)
-	return float64(c.PendingTokens+c.WorkTokens) <= limit
+	return float64(c.PendingTokens)+min(float64(c.WorkTokens), largestReadPart*limit) <= limit
 }
 
 // fits reports whether the call's prompt fits into a runner's memory beside what is
 // known to run there.
 func (f *Fleet) fits(state *State, query Query) bool {
 	held := state.heldTokens + f.remoteTotals[state.Incarnation].heldTokens
-	return query.MemoryLimit == 0 || held == 0 || held+query.Tokens <= query.MemoryLimit
+	if query.MemoryLimit == 0 || held == 0 {
+		return true
+	}
+	counted := min(float64(query.Tokens), largestMemoryPart*float64(query.MemoryLimit))
+	return float64(held)+counted <= float64(query.MemoryLimit) && held+query.Tokens <= query.Memory
 }
 
 func (f *Fleet) hold(state *State, candidate placing.Candidate, query Query, now time.Time) *Hold {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -215,24 +215,43 @@
 	g := NewWithT(t)
 	f := newFleet("s")
 	long := prompt(1, 0, 0)
-	long.Tokens, long.MemoryLimit = 60_000, 50_000
+	long.Tokens, long.Memory, long.MemoryLimit = 100_000, 80_000, 50_000
 	alone := f.Choose(long)
 	g.Expect(alone).NotTo(BeNil(), "alone it may try")
 	long.Tokens = 1000
 	g.Expect(f.Choose(long)).To(BeNil())
 	alone.Done(fleet.EndServed)
 	long.Tokens = 30_000
-	first := f.Choose(long)
+	first, second := f.Choose(long), f.Choose(long)
 	g.Expect(first).NotTo(BeNil())
+	g.Expect(second).NotTo(BeNil(), "both fit")
 	g.Expect(f.Choose(long)).To(BeNil())
 	first.Done(fleet.EndServed)
+	second.Done(fleet.EndServed)
+	f.SetRemote("other", []fleet.Load{{Incarnation: "s", InFlight: 1, HeldTokens: 45_000}})
+	g.Expect(f.Choose(long)).To(BeNil(), "known calls take too much already")
 	f.SetRemote("other", []fleet.Load{{Incarnation: "s", InFlight: 1, HeldTokens: 30_000}})
-	g.Expect(f.Choose(long)).To(BeNil())
+	long.Tokens = 51_000
+	g.Expect(f.Choose(long)).To(BeNil(), "it does not fit at all")
 	short := prompt(1, 0, 0)
 	short.Tokens = 300
 	g.Expect(f.Choose(short)).NotTo(BeNil(), "short ones have no bound")
 }
 
+// Under load the largest prompts must not be the ones that find no room: where one of
+// usual size goes, a large one goes too, as long as it fits.
+func TestLargePromptsFindRoomWhereUsualOnesDo(t *testing.T) {
+	g := NewWithT(t)
+	limit := time.Second // 60,000 tokens at the rate first assumed
+	for _, tokens := range []int{30_000, 45_000} {
+		f := newFleet("s")
+		f.SetRemote("other", []fleet.Load{{Incarnation: "s", InFlight: 1, PendingTokens: 30_000, HeldTokens: 30_000}})
+		query := prompt(1, tokens, limit)
+		query.Tokens, query.Memory, query.MemoryLimit = tokens, 100_000, 60_000
+		g.Expect(f.Choose(query)).NotTo(BeNil(), "%d tokens", tokens)
+	}
+}
+
 func TestARunnerUnderOrdersGetsNothingFromAnyBox(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/gateway/outdated.go
+++ b/internal/gateway/outdated.go
@@ -37,10 +37,10 @@
 		return 0, true
 	}
 	cost = outdatedPart * float64(objective) / float64(time.Millisecond)
-	age := time.Since(newer.LearntAt)
-	if newer.Found {
-		return cost, age <= outdatedAtStart
+	if newer.Found() {
+		return cost, time.Since(newer.LearntAt) <= outdatedAtStart
 	}
+	age := time.Since(newer.NamedAfter)
 	return cost * min(1, float64(age)/float64(g.cfg.OutdatedAfter)), age <= g.cfg.OutdatedAfter-outdatedMargin
 }
 
@@ -52,8 +52,8 @@
 		return remaining
 	}
 	newer, outdated := g.cfg.Weights.OutdatedSince(x.facts.Prompt.Model, chosen.hold.Weights())
-	if !outdated || newer.Found {
+	if !outdated || newer.Found() {
 		return remaining
 	}
-	return min(remaining, g.cfg.OutdatedAfter-outdatedEnd-time.Since(newer.LearntAt))
+	return min(remaining, g.cfg.OutdatedAfter-outdatedEnd-time.Since(newer.NamedAfter))
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -83,7 +83,8 @@
 	query.ReadLimit = time.Duration(readPart * float64(x.route.Objective))
 	query.Tokens = x.facts.Prompt.Tokens + x.facts.Prompt.AnswerTokens
 	if query.Tokens >= homePart {
-		query.MemoryLimit = int(memoryPart * float64(x.service.Engine.CapacityTokens))
+		query.Memory = x.service.Engine.CapacityTokens
+		query.MemoryLimit = int(memoryPart * float64(query.Memory))
 	}
 	query.Load.Home = plans.home()
 	hold := g.cfg.Fleet.Choose(query)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -196,7 +196,7 @@
 	}
 }
 
-func (r *Registry) takeDeclarations(records []sharedlog.Record, whole bool) {
+func (r *Registry) takeDeclarations(records []sharedlog.Record, _ bool) {
 	for _, record := range records {
 		declaration, err := r.cfg.Decoder.Declaration(record)
 		switch {
@@ -206,7 +206,7 @@
 		case declaration.Catalog != nil:
 			r.takeCatalog(declaration.Catalog, record.Offset)
 		case declaration.Weights != nil:
-			r.takeWeights(*declaration.Weights, record.Offset, whole)
+			r.takeWeights(*declaration.Weights, record.Offset)
 		}
 	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -48,9 +48,12 @@
 	registry *registry.Registry
 }
 
-func start(ctx context.Context) *world {
+func start(ctx context.Context, prepare func(*fakesharedlog.Log)) *world {
 	w := &world{log: fakesharedlog.New(), fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()})}
 	w.registry = registry.New(registry.Config{Log: w.log, Decoder: decoder{}, Fleet: w.fleet, Logger: zerolog.Nop()})
+	if prepare != nil {
+		prepare(w.log)
+	}
 	go w.registry.LoopOperator(ctx)
 	go w.registry.LoopServers(ctx)
 	return w
@@ -58,12 +61,18 @@
 
 // bubble runs a test on a started world with paused time.
 func bubble(t *testing.T, test func(g *WithT, w *world)) {
+	t.Helper()
+	bubbleAfter(t, nil, test)
+}
+
+// bubbleAfter does so after the log has been prepared.
+func bubbleAfter(t *testing.T, prepare func(*fakesharedlog.Log), test func(g *WithT, w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer synctest.Wait()
 		defer cancel()
-		test(NewWithT(t), start(ctx))
+		test(NewWithT(t), start(ctx, prepare))
 	})
 }
 
@@ -144,47 +153,58 @@
 		since, outdated := w.registry.OutdatedSince("m", 1)
 		g.Expect(outdated).To(BeTrue())
 		g.Expect(since.LearntAt).To(BeTemporally("~", second, 50*time.Millisecond), "since the first newer one, not the last")
-		g.Expect(since.Found).To(BeFalse())
+		g.Expect(since.NamedAfter).To(And(BeTemporally("<=", second), BeTemporally(">", second.Add(-registry.ReadFresh))))
 		g.Expect(w.registry.Weights("m").Version).To(Equal(3))
 	})
 }
 
-func TestWeightsThatMayHaveBeenNamedLongAgoAreFound(t *testing.T) {
+// However a box learns of weights, it does not take them for younger than they may be.
+func TestWeightsAreAsOldAsTheyMayBe(t *testing.T) {
 	tests := []struct {
 		name string
 		play func(w *world)
-		want bool
+		// oldest is the longest time since the naming that the box must allow for, in
+		// seconds.
+		oldest float64
 	}{
-		{"at the start", func(w *world) { w.log.Put(sharedlog.Operator, "m", []byte("vv")) }, true},
 		{"in touch", func(w *world) {
 			time.Sleep(5 * time.Second)
 			w.log.Put(sharedlog.Operator, "m", []byte("vv"))
-		}, false},
+		}, 0},
 		{"after an outage", func(w *world) {
 			time.Sleep(5 * time.Second)
 			w.log.Faults().SetFaults(fakelog.Faults{Down: true})
 			time.Sleep(5 * time.Second)
 			w.log.Put(sharedlog.Operator, "m", []byte("vv"))
-		}, true},
+		}, 5},
 		{"from another box, just now", func(w *world) {
 			time.Sleep(5 * time.Second)
 			w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 2}}}, time.Now())
-		}, false},
-		{"from another box, by a word that may be old", func(w *world) {
+		}, 0},
+		{"from another box, after an outage", func(w *world) {
 			time.Sleep(5 * time.Second)
 			w.log.Faults().SetFaults(fakelog.Faults{Down: true})
 			time.Sleep(5 * time.Second)
-			w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 2}}}, time.Time{})
-		}, true},
+			w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 2, Age: time.Second}}}, time.Now())
+		}, 1},
+		{"by a word that may be old, after an outage", func(w *world) {
+			time.Sleep(5 * time.Second)
+			w.log.Faults().SetFaults(fakelog.Faults{Down: true})
+			time.Sleep(5 * time.Second)
+			w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 2, Age: time.Second}}}, time.Time{})
+		}, 5},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			bubble(t, func(g *WithT, w *world) {
 				test.play(w)
-				time.Sleep(2 * time.Second)
+				played := time.Now()
+				time.Sleep(time.Second)
 				since, outdated := w.registry.OutdatedSince("m", 1)
 				g.Expect(outdated).To(BeTrue())
-				g.Expect(since.Found).To(Equal(test.want))
+				g.Expect(since.Found()).To(BeFalse())
+				oldest := time.Duration(test.oldest * float64(time.Second))
+				g.Expect(played.Sub(since.NamedAfter)).To(And(BeNumerically(">=", oldest), BeNumerically("<=", oldest+registry.ReadFresh)))
 			})
 		})
 	}
@@ -193,8 +213,8 @@
 // A box that has just started learns from another when versions were named, also of
 // one that it missed.
 func TestFoundWeightsAreDatedByAnotherBox(t *testing.T) {
-	bubble(t, func(g *WithT, w *world) {
-		w.log.Put(sharedlog.Operator, "m", []byte("vvv"))
+	named := func(log *fakesharedlog.Log) { log.Put(sharedlog.Operator, "m", []byte("vvv")) }
+	bubbleAfter(t, named, func(g *WithT, w *world) {
 		time.Sleep(time.Second)
 		w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 2, Age: 9 * time.Second}, {Version: 3, Age: 2 * time.Second}}}, time.Now())
 		tests := []struct {
@@ -204,23 +224,23 @@
 		for _, test := range tests {
 			since, outdated := w.registry.OutdatedSince("m", test.version)
 			g.Expect(outdated).To(BeTrue())
-			g.Expect(since.Found).To(BeFalse())
-			g.Expect(time.Since(since.LearntAt)).To(BeNumerically(">=", test.age))
-			g.Expect(time.Since(since.LearntAt)).To(BeNumerically("<", test.age+time.Second))
+			g.Expect(since.Found()).To(BeFalse())
+			g.Expect(time.Since(since.NamedAfter)).To(BeNumerically(">=", test.age))
+			g.Expect(time.Since(since.NamedAfter)).To(BeNumerically("<", test.age+time.Second))
 		}
 		w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 3, Age: time.Minute}}}, time.Now())
 		since, _ := w.registry.OutdatedSince("m", 2)
-		g.Expect(time.Since(since.LearntAt)).To(BeNumerically("<", 4*time.Second), "what is dated stays")
+		g.Expect(time.Since(since.NamedAfter)).To(BeNumerically("<", 4*time.Second), "what is dated stays")
 	})
 }
 
 func TestABoxThatOnlyFoundAVersionDatesItForNobody(t *testing.T) {
-	bubble(t, func(g *WithT, w *world) {
-		w.log.Put(sharedlog.Operator, "m", []byte("vv"))
+	named := func(log *fakesharedlog.Log) { log.Put(sharedlog.Operator, "m", []byte("vv")) }
+	bubbleAfter(t, named, func(g *WithT, w *world) {
 		time.Sleep(time.Second)
 		w.registry.Hear(map[string][]registry.Heard{"m": {{Version: 2, Age: time.Minute, Found: true}}}, time.Now())
 		since, _ := w.registry.OutdatedSince("m", 1)
-		g.Expect(since.Found).To(BeTrue())
+		g.Expect(since.Found()).To(BeTrue())
 	})
 }
 
--- a/internal/registry/weights.go
+++ b/internal/registry/weights.go
@@ -1,6 +1,6 @@
-// Which versions of weights were named, and when. A box that sees a version being
-// named dates it itself; of one that it finds when it starts it only knows that it
-// may be old, until another box tells how old.
+// Which versions of weights were named, and when. A version was named after the last
+// moment up to which a box had read all that operators declared. Of one that it finds
+// when it starts it only knows that it may be old, until another box tells how old.
 
 package registry
 
@@ -19,13 +19,16 @@
 type NamedWeights struct {
 	// Version is 0 where none was named.
 	Version int
-	// LearntAt is when this box learnt of it.
+	// LearntAt is when this box learnt of it; it was named by then.
 	LearntAt time.Time
-	// Found says that it may have been named long before: the box found it when it
-	// started, or had not read the log for a while.
-	Found bool
+	// NamedAfter is a moment by which it was not yet named, as late as is known; zero
+	// when nothing is known: the box found it when it started.
+	NamedAfter time.Time
 }
 
+// Found reports whether the version may have been named at any time.
+func (n NamedWeights) Found() bool { return n.NamedAfter.IsZero() }
+
 // Weights gives the newest version named for a model.
 func (r *Registry) Weights(model string) NamedWeights {
 	r.mu.Lock()
@@ -66,8 +69,8 @@
 // Heard is a version that another box knows to be named.
 type Heard struct {
 	Version int `msgpack:"v"`
-	// Age is for how long the box has known it, and Found says that it may have
-	// been named long before that.
+	// Age is the longest time since it was named, and Found says that the box does
+	// not know one.
 	Age   time.Duration `msgpack:"a"`
 	Found bool          `msgpack:"f,omitempty"`
 }
@@ -79,44 +82,57 @@
 	told := make(map[string][]Heard, len(r.weights))
 	for model, versions := range r.weights {
 		for _, named := range versions[max(len(versions)-versionsTold, 0):] {
-			told[model] = append(told[model], Heard{named.Version, time.Since(named.LearntAt), named.Found})
+			heard := Heard{Version: named.Version, Found: named.Found()}
+			if !heard.Found {
+				heard.Age = time.Since(named.NamedAfter)
+			}
+			told[model] = append(told[model], heard)
 		}
 	}
 	return told
 }
 
 // Hear takes over what another box knew to be named at asOf: versions that are new
-// here, and how old those are that this box has only found. A zero asOf means that
-// the word may be old.
+// here, and after when those were named that are known. A zero asOf means that the
+// word may be old, and its ages say nothing.
 func (r *Registry) Hear(told map[string][]Heard, asOf time.Time) {
 	for model, versions := range told {
 		for _, heard := range versions {
-			if heard.Found || asOf.IsZero() {
-				r.takeWeights(WeightsNamed{Model: model, Version: heard.Version}, heardOffset, true)
+			dated := !heard.Found && !asOf.IsZero()
+			if dated && r.date(model, heard.Version, asOf.Add(-heard.Age)) {
 				continue
 			}
-			r.date(model, NamedWeights{Version: heard.Version, LearntAt: asOf.Add(-heard.Age)})
+			r.takeWeights(WeightsNamed{Model: model, Version: heard.Version}, heardOffset)
+			if dated {
+				r.date(model, heard.Version, asOf.Add(-heard.Age))
+			}
 		}
 	}
 }
 
-// date takes over a version of which another box saw when it was named: one that is
-// new here, that this box has only found, or that it missed before one that it found.
-func (r *Registry) date(model string, dated NamedWeights) {
+// date takes over that a version was named after a moment: one that is known, or that
+// this box missed before one that it found. It reports false when it is neither.
+func (r *Registry) date(model string, version int, namedAfter time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	versions := slices.Clone(r.weights[model])
-	at, known := slices.BinarySearchFunc(versions, dated.Version, func(n NamedWeights, version int) int { return n.Version - version })
+	at, known := slices.BinarySearchFunc(versions, version, func(n NamedWeights, version int) int { return n.Version - version })
 	switch {
-	case known && versions[at].Found:
-		versions[at] = dated
-	case !known && (at == len(versions) || versions[at].Found):
-		versions = slices.Insert(versions, at, dated)
+	case known && !namedAfter.After(versions[at].NamedAfter):
+		return true
+	case known:
+		found := versions[at].Found()
+		versions[at].NamedAfter = namedAfter
+		if found {
+			r.cfg.Logger.Info().Str("model", model).Int("weights", version).Dur("age", time.Since(namedAfter)).Msg("weights_dated")
+		}
+	case at < len(versions) && versions[at].Found():
+		versions = slices.Insert(versions, at, NamedWeights{Version: version, LearntAt: time.Now(), NamedAfter: namedAfter})
 	default:
-		return
+		return false
 	}
 	r.weights[model] = versions[max(len(versions)-versionsKept, 0):]
-	r.cfg.Logger.Info().Str("model", model).Int("weights", dated.Version).Dur("age", time.Since(dated.LearntAt)).Msg("weights_dated")
+	return true
 }
 
 // versionsTold bounds the versions of a model that other boxes are told of; those
@@ -140,15 +156,21 @@
 	return models
 }
 
-func (r *Registry) takeWeights(named WeightsNamed, offset int64, found bool) {
+// takeWeights takes over a version that is newer than those known. It was named after
+// the last moment up to which this box had read all that operators declared.
+func (r *Registry) takeWeights(named WeightsNamed, offset int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if named.Version <= r.newest(named.Model).Version {
 		return
 	}
-	found = found || time.Since(r.operatorReadAt) > ReadFresh
 	kept := r.weights[named.Model]
 	kept = kept[max(len(kept)-versionsKept+1, 0):]
-	r.weights[named.Model] = append(slices.Clone(kept), NamedWeights{named.Version, time.Now(), found})
-	r.cfg.Logger.Info().Str("model", named.Model).Int("weights", named.Version).Int64("offset", offset).Bool("found", found).Msg("weights_named")
+	next := NamedWeights{Version: named.Version, LearntAt: time.Now(), NamedAfter: r.operatorReadAt}
+	r.weights[named.Model] = append(slices.Clone(kept), next)
+	event := r.cfg.Logger.Info().Str("model", named.Model).Int("weights", named.Version).Int64("offset", offset).Bool("found", next.Found())
+	if !next.Found() {
+		event.Dur("age_at_most", time.Since(next.NamedAfter))
+	}
+	event.Msg("weights_named")
 }
--- a/internal/retire/retire.go
+++ b/internal/retire/retire.go
@@ -103,7 +103,7 @@
 	if !outdated {
 		return false
 	}
-	return since.Found || time.Since(since.LearntAt) >= retirement(partID)
+	return since.Found() || time.Since(since.NamedAfter) >= retirement(partID)
 }
 
 // MayFree reports whether a part may be freed.
