A refusal without an objective says when to come back

Cause: found on reading: a route of prompts need not name an objective, and the pause of a refusal was drawn from an empty range: the handler panicked and cut the connection instead of answering 503. Change: the pause for services without servers stands in. Test: TestARefusalWithoutAnObjectiveSaysWhenToComeBack panics without the change.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -77,7 +77,11 @@
 	if x.facts.Prompt == nil {
 		return serverlessPause
 	}
-	return x.route.Objective + rand.N(2*x.route.Objective)
+	objective := x.route.Objective
+	if objective <= 0 {
+		objective = serverlessPause // a route need not name one
+	}
+	return objective + rand.N(2*objective)
 }
 
 // end ends a call for which no further server is tried.
