Write nothing of the box's own into a stream that has begun

Cause: found on reading: a runner that turned a resumed stream away with 400 made the box write its refusal into the caller's stream and end it as whole. Change: while an answer is under way a 400 is a refusal like others: another runner, or the stream is cut off. Test: platform TestAStreamThatNobodyTakesUpIsCutOff fails without the change.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -254,7 +254,7 @@
 		t.chosen.hold.Done(fleet.EndBusy)
 	}
 	t.log("server_refused", strconv.Itoa(answer.Status))
-	if answer.Status == http.StatusBadRequest {
+	if answer.Status == http.StatusBadRequest && !t.x.answering {
 		t.gateway.reject(t.x, http.StatusBadRequest, "server_rejected")
 		return nextEnd
 	}
