--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -213,8 +213,10 @@
 
 func TestAnEarlyAnswerEndsItsConnection(t *testing.T) {
 	g := NewWithT(t)
+	taken := make(chan struct{}) // the rest of the body is read only once the answer was taken
 	s := serve(t, func(_ int, r *http.Request, c net.Conn) bool {
 		_, _ = io.WriteString(c, answer(r.Header.Get("X-Id"), "too long"))
+		<-taken
 		return true
 	})
 	pool := handover.NewPool(handover.PoolConfig{})
@@ -223,6 +225,7 @@
 	body, err := get(pool, long)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(body).To(Equal("too long"))
+	close(taken)
 	body, err = get(pool, call(s, "2"))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(body).To(Equal("too long"))
