One box of a zone reads the log and asks the store boxes for the others

Cause: every box read the platform's log for itself (3.3 calls a second each) and asked every store box (12 askers are answered, the others refused).

Ruled out: a lease in the log (a call a second, nobody reads while it changes hands), gossip (words pass several boxes, their ages add up), each box telling every other one.

Change: zonereader.Choose names the reader by rendezvous hashing over the boxes that are heard; the others ask it (held, 0.3 s) and take over its word with its age. A box whose word is too old reads for itself: 1.5 s for servers, 1.6 s for operators, 2.5 s for store boxes. Only boxes that read, and the last giver, follow the stream of orders. Heartbeats that say nothing new are not passed on.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -32,7 +32,9 @@
 	"github.com/cometlock/cometlock/internal/storewatch"
 	"github.com/cometlock/cometlock/internal/telemetry"
 	"github.com/cometlock/cometlock/internal/version"
+	"github.com/cometlock/cometlock/internal/waiting"
 	"github.com/cometlock/cometlock/internal/weightorders"
+	"github.com/cometlock/cometlock/internal/zonereader"
 )
 
 // Config sets up a Box.
@@ -66,11 +68,14 @@
 	giver    *weightorders.Giver
 	watcher  *storewatch.Watcher
 	share    *loadshare.Share
-	retire   *retire.Policy
-	budget   *retrybudget.Budget
-	gateway  *gateway.Gateway
-	callers  *http.Server
-	ready    *http.Server
+	readers  *zonereader.Zone
+	// news is woken when this box learns anything that boxes which follow it are told.
+	news    waiting.Signal
+	retire  *retire.Policy
+	budget  *retrybudget.Budget
+	gateway *gateway.Gateway
+	callers *http.Server
+	ready   *http.Server
 	// collect serves metrics at an address of their own; nil without one.
 	collect *http.Server
 
@@ -114,16 +119,16 @@
 // the configuration.
 func (b *Box) assembleBeliefs() {
 	b.fleet = fleet.New(fleet.Config{Logger: b.logger})
-	b.parts = partindex.New()
+	b.parts = partindex.NewWithNews(&b.news)
 	b.registry = registry.New(registry.Config{
-		Log: b.log, Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, Changed: b.configure,
+		Log: b.log, Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, Changed: b.configure, News: &b.news,
 	})
 }
 
 // assembleShared makes what boxes do together: orders to runners, the freeing of
 // parts, and the exchange of their work.
 func (b *Box) assembleShared() {
-	b.lease = orderlease.New(orderlease.Config{Log: b.log, Logger: b.logger, Holder: b.name, Gap: b.settings.OrderGap})
+	b.lease = orderlease.New(orderlease.Config{Log: b.log, Logger: b.logger, Holder: b.name, Gap: b.settings.OrderGap, Idle: b.registry.Told})
 	b.giver = weightorders.New(weightorders.Config{
 		Runners: b.cfg.Runners, Fleet: b.fleet, Lease: b.lease, Logger: b.logger, Holder: b.name,
 		Models: b.registry.NamedModels, Wanted: func(model string) int { return b.registry.Weights(model).Version },
@@ -133,10 +138,24 @@
 	})
 	b.watcher = storewatch.New(storewatch.Config{Stores: b.cfg.Stores, Index: b.parts, Logger: b.logger, MayFree: b.mayFree})
 	b.share = loadshare.New(loadshare.Config{
-		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Life: b.name, Address: b.PeerAddress(),
+		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Life: b.name, Zone: b.settings.Zone, Address: b.PeerAddress(), Reader: b.ReaderAddress(),
 		Named: b.registry.Tell, Heard: b.registry.Hear, Snapshot: b.registry.Snapshot,
 		Lacks: b.registry.Lacks, Adopt: b.registry.Adopt,
 	})
+	b.readers = zonereader.New(zonereader.Config{
+		Registry: b.registry, Parts: b.parts, Logger: b.logger, News: &b.news, Others: b.otherBoxes,
+		Self: zonereader.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.ReaderAddress()},
+	})
+}
+
+// otherBoxes lists the boxes that this one hears, as package zonereader wants them.
+func (b *Box) otherBoxes() []zonereader.Box {
+	others := b.share.Others()
+	boxes := make([]zonereader.Box, len(others))
+	for i, other := range others {
+		boxes[i] = zonereader.Box{Name: other.Name, Zone: other.Zone, Address: other.Reader}
+	}
+	return boxes
 }
 
 // assembleWay makes the way of a call, and the ports' servers.
@@ -170,11 +189,12 @@
 func (b *Box) Run(ctx context.Context) error {
 	for _, loop := range []func(context.Context){
 		b.registry.LoopOperator, b.registry.LoopServers, b.lease.Loop, b.giver.Loop, b.watcher.LoopClean,
-		b.share.LoopFollow, b.share.LoopForget, b.loopUpkeep,
+		b.share.LoopFollow, b.share.LoopForget, b.readers.LoopFollow, b.loopUpkeep,
 	} {
 		b.loops.Go(func() { loop(b.background) })
 	}
 	b.loops.Go(func() { b.share.LoopAccept(b.background, b.ports.peers) })
+	b.loops.Go(func() { b.readers.LoopAccept(b.background, b.ports.readers) })
 	b.serveAll()
 	b.logger.Info().Str("version", version.Version).Str("callers", b.CallerAddress()).Str("ready", b.ReadyAddress()).
 		Str("life", b.name).Msg("started")
@@ -207,6 +227,7 @@
 	b.loops.Wait()
 	b.watcher.Wait()
 	b.share.Wait()
+	b.readers.Wait()
 	_ = b.metrics.Close() // a collector that missed the last second
 	b.logger.Info().Msg("stopped")
 	return err
--- a/internal/entrybox/ports.go
+++ b/internal/entrybox/ports.go
@@ -30,7 +30,7 @@
 const metricsPath = "/metrics"
 
 // ports are the open ports of a box; metrics is nil without an address of their own.
-type ports struct{ callers, ready, peers, metrics net.Listener }
+type ports struct{ callers, ready, peers, readers, metrics net.Listener }
 
 // openPorts opens all ports before anything runs, so that one that is taken is one
 // clear error.
@@ -43,6 +43,7 @@
 		{"callers", b.settings.CallerAddress, &b.ports.callers},
 		{"ready", b.settings.ReadyAddress, &b.ports.ready},
 		{"peers", b.settings.PeerAddress, &b.ports.peers},
+		{"readers", b.settings.ReaderAddress, &b.ports.readers},
 		{"metrics", b.settings.MetricsAddress, &b.ports.metrics},
 	} {
 		if port.address == "" && port.listener == &b.ports.metrics {
@@ -60,7 +61,7 @@
 
 // closePorts closes the ports of a box that does not start.
 func (b *Box) closePorts() {
-	for _, listener := range []net.Listener{b.ports.callers, b.ports.ready, b.ports.peers, b.ports.metrics} {
+	for _, listener := range []net.Listener{b.ports.callers, b.ports.ready, b.ports.peers, b.ports.readers, b.ports.metrics} {
 		if listener != nil {
 			_ = listener.Close() // nothing has used it
 		}
@@ -77,6 +78,9 @@
 // PeerAddress gives the address that other boxes reach.
 func (b *Box) PeerAddress() string { return b.ports.peers.Addr().String() }
 
+// ReaderAddress gives the address that boxes which follow this one ask.
+func (b *Box) ReaderAddress() string { return b.ports.readers.Addr().String() }
+
 // assembleServers makes what answers on the ports.
 func (b *Box) assembleServers() {
 	b.callers = &http.Server{
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -24,6 +25,12 @@
 	Weights map[string]int
 }
 
+// Same reports whether a backend server says the same of itself as before.
+func (s *Server) Same(other *Server) bool {
+	return s.Incarnation == other.Incarnation && s.Service == other.Service && s.Address == other.Address && s.Zone == other.Zone &&
+		s.Slots == other.Slots && s.Leaving == other.Leaving && s.ColdFor == other.ColdFor && maps.Equal(s.Weights, other.Weights)
+}
+
 // State is a server with what this box has seen of it. All fields but Server are
 // guarded by the fleet's lock.
 type State struct {
--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -23,17 +23,25 @@
 	callLimit = time.Second
 	// retryPause lies after a call that failed.
 	retryPause = 500 * time.Millisecond
+	// gatherPause lies after each read: boxes that start or stop often do so together,
+	// and each of their records would end a read of every box.
+	gatherPause = 500 * time.Millisecond
 )
 
 // announcement is a box's record in the log.
 type announcement struct {
 	Address string `msgpack:"a"`
 	Life    string `msgpack:"l"`
+	Zone    string `msgpack:"z,omitempty"`
+	// Reader is where boxes that follow this one ask it.
+	Reader string `msgpack:"v,omitempty"`
 }
 
 // peer is another box to tell.
 type peer struct {
 	address string
+	zone    string
+	reader  string
 	stop    context.CancelFunc
 }
 
@@ -56,9 +64,7 @@
 		for _, record := range page.Records {
 			s.take(ctx, record)
 		}
-		if whole && next >= 0 {
-			waiting.For(ctx, retryPause) // so that a log that keeps nothing is not asked all the time
-		}
+		waiting.For(ctx, gatherPause)
 		next = page.Next
 	}
 	s.withdraw()
@@ -87,7 +93,7 @@
 func (s *Share) announce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	value, err := msgpack.Marshal(announcement{Address: s.cfg.Address, Life: s.cfg.Life})
+	value, err := msgpack.Marshal(announcement{Address: s.cfg.Address, Life: s.cfg.Life, Zone: s.cfg.Zone, Reader: s.cfg.Reader})
 	offset := int64(0)
 	if err == nil {
 		offset, err = s.cfg.Log.Append(ctx, sharedlog.Boxes, sharedlog.AnyEnd, sharedlog.Record{Key: s.cfg.Box, Value: value})
@@ -120,9 +126,10 @@
 }
 
 // begin starts telling a box. The caller holds mu.
-func (s *Share) begin(ctx context.Context, box, address string) {
+func (s *Share) begin(ctx context.Context, box string, at announcement) {
+	address, zone, reader := at.Address, at.Zone, at.Reader
 	ctx, stop := context.WithCancel(ctx)
-	s.peers[box] = &peer{address: address, stop: stop}
+	s.peers[box] = &peer{address: address, zone: zone, reader: reader, stop: stop}
 	s.loops.Go(func() { s.loopTellPeer(ctx, box, address) })
 }
 
@@ -176,7 +183,7 @@
 	if box.Address == "" {
 		return
 	}
-	s.begin(ctx, record.Key, box.Address)
+	s.begin(ctx, record.Key, box)
 }
 
 // Roll counts the boxes that are announced, this one included; zero while that is not
@@ -190,6 +197,27 @@
 	return s.rollOfOthers()
 }
 
+// Other is another box that is listed and heard.
+type Other struct {
+	Name string
+	Zone string
+	// Reader is where boxes that follow it ask it.
+	Reader string
+}
+
+// Others lists the other boxes that are listed and not silent.
+func (s *Share) Others() []Other {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	others := make([]Other, 0, len(s.heard))
+	for box := range s.heard {
+		if known := s.peers[box]; known != nil && known.reader != "" {
+			others = append(others, Other{Name: box, Zone: known.zone, Reader: known.reader})
+		}
+	}
+	return others
+}
+
 // Boxes counts the boxes that are known of, this one included.
 func (s *Share) Boxes() int {
 	s.mu.Lock()
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -10,7 +10,7 @@
 // Where the boxes reach each other stands in the platform's log: each writes its
 // address once when it starts.
 //
-// On the wire a message is its length in 4 bytes, big-endian, and msgpack.
+// On the wire a message is a frame of package frame.
 package loadshare
 
 import (
@@ -32,8 +32,11 @@
 	// Box names this box, Life this life of it.
 	Box  string
 	Life string
-	// Address is where other boxes reach this one.
+	// Address is where other boxes reach this one, Reader where those that follow it ask
+	// it, and Zone its availability zone.
 	Address string
+	Reader  string
+	Zone    string
 	// Named gives the weights that this box knows to be named, by model, the newest
 	// last, and Heard takes over what another box knew at asOf, or some time before
 	// now when asOf is zero.
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -3,26 +3,18 @@
 package loadshare
 
 import (
-	"encoding/binary"
 	"io"
 	"net"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/registry"
-	"github.com/cometlock/cometlock/internal/safepack"
 )
 
-const (
-	// lengthBytes is the length of a message's length.
-	lengthBytes = 4
-	// maxMessageBytes bounds a message: about 60 bytes a server, and for a box that
-	// lacks it the configuration, which the log bounds to a quarter of this.
-	maxMessageBytes = 1 << 20
-)
+// maxMessageBytes bounds a message: about 60 bytes a server, and for a box that
+// lacks it the configuration, which the log bounds to a quarter of this.
+const maxMessageBytes = 1 << 20
 
 // message tells a box's work.
 type message struct {
@@ -46,34 +38,9 @@
 }
 
 func (s *Share) send(connection net.Conn, m message) error {
-	data, err := msgpack.Marshal(&m)
-	if err != nil {
-		return merry.Prepend(err, "encode message")
-	}
-	if err := connection.SetWriteDeadline(time.Now().Add(ioLimit)); err != nil {
-		return err
-	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(data)), uint32(len(data)))
-	_, err = connection.Write(append(frame, data...))
-	return err
+	return frame.Write(connection, &m, ioLimit)
 }
 
-func receive(reader io.Reader) (message, error) {
-	var length [lengthBytes]byte
-	if _, err := io.ReadFull(reader, length[:]); err != nil {
-		return message{}, err
-	}
-	size := binary.BigEndian.Uint32(length[:])
-	if size > maxMessageBytes {
-		return message{}, merry.Errorf("a message of %d bytes is too large", size)
-	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(reader, data); err != nil {
-		return message{}, err
-	}
-	var m message
-	if err := safepack.Unmarshal(data, &m); err != nil {
-		return message{}, merry.Prepend(err, "decode message")
-	}
-	return m, nil
+func receive(reader io.Reader) (m message, err error) {
+	return m, frame.Read(reader, &m, maxMessageBytes)
 }
--- a/internal/loadshare/withoutlog.go
+++ b/internal/loadshare/withoutlog.go
@@ -28,7 +28,7 @@
 	if s.followed || s.peers[m.Box] != nil || m.Address == "" || m.Box == s.cfg.Box {
 		return
 	}
-	s.begin(ctx, m.Box, m.Address)
+	s.begin(ctx, m.Box, announcement{Address: m.Address})
 }
 
 // handOver gives what a box is handed with the next message: nil when it lacks nothing or
--- a/internal/orderlease/orderlease.go
+++ b/internal/orderlease/orderlease.go
@@ -41,6 +41,10 @@
 	Holder string
 	// Gap is how far the orders of two boxes must lie apart.
 	Gap time.Duration
+	// Idle reports that another box reads for this one, so that it need not follow the
+	// stream unless it holds the lease: each record ends a held read of every box that
+	// follows. Nil means that it always follows.
+	Idle func() bool
 }
 
 const (
@@ -57,6 +61,8 @@
 	callLimit    = 700 * time.Millisecond
 	readHold     = 5 * time.Second
 	failurePause = 250 * time.Millisecond
+	// idlePause lies between two looks whether the stream is to be followed.
+	idlePause = 250 * time.Millisecond
 )
 
 // record is what the stream holds.
@@ -92,6 +98,10 @@
 // Loop follows the stream until ctx ends.
 func (l *Lease) Loop(ctx context.Context) {
 	for ctx.Err() == nil {
+		if l.idle() {
+			waiting.For(ctx, idlePause)
+			continue
+		}
 		if err := l.read(ctx); err != nil && ctx.Err() == nil {
 			l.cfg.Logger.Debug().Str("error", err.Error()).Msg("order_lease_not_read")
 			waiting.For(ctx, failurePause)
@@ -99,6 +109,9 @@
 	}
 }
 
+// idle reports whether this box leaves the orders to others.
+func (l *Lease) idle() bool { return l.cfg.Idle != nil && l.cfg.Idle() && !l.Held() }
+
 func (l *Lease) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readHold+callLimit)
 	defer cancel()
@@ -171,6 +184,9 @@
 // Permit asks to give orders now. It gives the fence that the orders carry, and
 // false when another box may be giving orders or the log did not agree.
 func (l *Lease) Permit(ctx context.Context) (fence int64, ok bool) {
+	if l.idle() {
+		return 0, false
+	}
 	l.asking.Lock()
 	defer l.asking.Unlock()
 	l.mu.Lock()
--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -11,11 +11,13 @@
 package partindex
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Key names a part under the namespace that it was made under.
@@ -80,6 +82,7 @@
 	unfinished map[Key]int
 	used       int
 	pace       pace
+	told       told
 }
 
 // Index is what is known of all store boxes.
@@ -91,10 +94,22 @@
 	// clock is the servers' clock at clockAt.
 	clock   int64
 	clockAt time.Time
+
+	// askItself ends the waiting for the word of another box, and news wakes those who
+	// wait to tell other boxes what a store box said.
+	askItself waiting.Signal
+	news      *waiting.Signal
 }
 
 // New makes an empty index.
-func New() *Index { return &Index{saving: map[Key]time.Time{}} }
+func New() *Index { return &Index{saving: map[Key]time.Time{}, news: &waiting.Signal{}} }
+
+// NewWithNews makes an empty index that wakes news when a store box says anything new.
+func NewWithNews(news *waiting.Signal) *Index {
+	x := New()
+	x.news = news
+	return x
+}
 
 // Configure takes over which store boxes there are.
 func (x *Index) Configure(services []catalog.Service) {
@@ -175,10 +190,30 @@
 	if s == nil {
 		return
 	}
+	before := s.heldIn(report.Life)
 	x.begin(s, report)
 	s.forget()
 	x.take(s, report)
-	for _, part := range report.Unfinished {
+	s.takeUnfinished(report.Unfinished)
+	s.told.mend(before, s.held)
+	x.news.Send()
+}
+
+// heldIn gives what a store box is known to keep in a life; nothing in another one.
+func (s *store) heldIn(life int64) map[Key]int {
+	if s.life != life {
+		return nil
+	}
+	return maps.Clone(s.held)
+}
+
+// takeUnfinished takes over which parts are not whole.
+func (s *store) takeUnfinished(parts []Change) {
+	for _, tokens := range s.unfinished {
+		s.used -= tokens
+	}
+	clear(s.unfinished)
+	for _, part := range parts {
 		s.unfinished[part.Key] = part.Tokens
 		s.used += part.Tokens
 	}
@@ -205,7 +240,11 @@
 		s.forget()
 		return false
 	}
+	s.told.note(s.next, report)
 	x.take(s, report)
+	if len(report.Changes) > 0 {
+		x.news.Send()
+	}
 	return true
 }
 
@@ -214,6 +253,7 @@
 func (x *Index) begin(s *store, report Report) {
 	if s.life != report.Life {
 		s.saveFrom = time.Now().Add(quietAfterRestart)
+		s.told = told{until: s.told.until}
 	}
 	s.life = report.Life
 }
--- /dev/null
+++ b/internal/partindex/told_test.go
@@ -0,0 +1,146 @@
+package partindex_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cometlock/cometlock/internal/partindex"
+)
+
+// follower is an index that is told what another one knows of a store box.
+type follower struct {
+	index  *partindex.Index
+	mended int
+}
+
+// ask has a follower told by an index, some time after it asked. It reports whether there
+// was a word.
+func (f *follower) ask(teller *partindex.Index, address string, onItsWay time.Duration) bool {
+	asked := time.Now()
+	since := f.index.Positions()[address]
+	since.Mended = f.mended
+	word, _, known := teller.WordSince(address, since)
+	time.Sleep(onItsWay)
+	if known && f.index.TakeWord(word, asked) {
+		f.mended = word.Position.Mended
+	}
+	return known
+}
+
+// bareIndex knows that there are store boxes, and nothing of what they keep.
+func bareIndex() *partindex.Index {
+	x := partindex.New()
+	x.Configure(services())
+	return x
+}
+
+// fetches reports whether an index would have a part fetched.
+func fetches(x *partindex.Index, id string) bool { return plan(x, id, 5000).Fetch[0] != "" }
+
+// Whatever a store box tells, by events or lists, with gaps and restarts, and whenever a
+// box asks, it knows as much as the box that it asks.
+func TestABoxThatIsToldKnowsWhatItsReaderKnows(t *testing.T) {
+	rapid.Check(t, func(random *rapid.T) {
+		teller, told := bareIndex(), []*follower{{index: bareIndex()}, {index: bareIndex()}, {index: bareIndex()}}
+		life, next := int64(1), int64(0)
+		kept := map[string]int{}
+		report := func(changes []partindex.Change) partindex.Report {
+			next += int64(len(changes))
+			return partindex.Report{Life: life, Next: next, AsOf: time.Now(), ClockMillis: 1, Changes: changes}
+		}
+		list := func() {
+			var changes []partindex.Change
+			for id, tokens := range kept {
+				changes = append(changes, held(id, tokens)...)
+			}
+			listed := report(nil)
+			listed.Changes = changes
+			teller.Replace(large, listed)
+		}
+		list()
+		for range rapid.IntRange(1, 120).Draw(random, "steps") {
+			id := fmt.Sprint("p", rapid.IntRange(0, 5).Draw(random, "part"))
+			switch rapid.IntRange(0, 9).Draw(random, "step") {
+			case 0, 1, 2:
+				kept[id] = 5000
+				teller.Apply(large, report(held(id, 5000)))
+			case 3, 4:
+				delete(kept, id)
+				teller.Apply(large, report(held(id, 0)))
+			case 5: // the event is lost, and a list tells of it
+				kept[id] = 5000
+				list()
+			case 6:
+				life++
+				clear(kept)
+				list()
+			default:
+				told[rapid.IntRange(0, 2).Draw(random, "follower")].ask(teller, large, 0)
+			}
+		}
+		for _, f := range told {
+			f.ask(teller, large, 0)
+			for part := range 6 {
+				id := fmt.Sprint("p", part)
+				if (kept[id] > 0) != fetches(f.index, id) {
+					random.Fatalf("part %s: the store box keeps %d tokens, the follower fetches: %v", id, kept[id], fetches(f.index, id))
+				}
+			}
+		}
+	})
+}
+
+// A word that was long on its way, or that the teller had from long ago, is as old as what
+// it says: a part may not be fetched by it for longer than by the store box's own word.
+func TestAWordDoesNotMakeAStoreBoxFresh(t *testing.T) {
+	tests := []struct {
+		name     string
+		before   time.Duration
+		onItsWay time.Duration
+		fetches  bool
+	}{
+		{"at once", 0, 0, true},
+		{"a little later", 500 * time.Millisecond, 500 * time.Millisecond, true},
+		{"the teller has it from long ago", 1300 * time.Millisecond, 0, false},
+		{"it was long on its way", 0, 1300 * time.Millisecond, false},
+		{"both together", 700 * time.Millisecond, 700 * time.Millisecond, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				teller, f := settled(), &follower{index: bareIndex()}
+				teller.Apply(large, partindex.Report{Life: 1, Next: 1, AsOf: time.Now(), ClockMillis: 1, Changes: held("p", 5000)})
+				time.Sleep(test.before)
+				g.Expect(f.ask(teller, large, test.onItsWay)).To(BeTrue())
+				g.Expect(fetches(f.index, "p")).To(Equal(test.fetches))
+			})
+		})
+	}
+}
+
+// A box waits for words instead of asking, until they stop or say nothing of late.
+func TestABoxThatIsToldAsksNoStoreBox(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		teller, f := settled(), &follower{index: bareIndex()}
+		g.Expect(f.index.WaitWhileTold(t.Context(), large)).To(BeFalse())
+		f.ask(teller, large, 0)
+		began := time.Now()
+		g.Expect(f.index.WaitWhileTold(t.Context(), large)).To(BeTrue())
+		g.Expect(time.Since(began)).To(BeNumerically("~", 2500*time.Millisecond, 10*time.Millisecond))
+		f.ask(teller, large, 0)
+		go func() { time.Sleep(time.Second); f.index.AskItself() }()
+		began = time.Now()
+		g.Expect(f.index.WaitWhileTold(t.Context(), large)).To(BeTrue())
+		g.Expect(time.Since(began)).To(Equal(time.Second))
+		time.Sleep(5 * time.Second)
+		f.ask(teller, large, 0) // the reader cannot reach the store box either
+		g.Expect(f.index.Told(large)).To(BeFalse())
+	})
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -49,6 +49,8 @@
 	Pace time.Duration
 	// Hold is the longest time that a read of the operators' stream waits for a record.
 	Hold time.Duration
+	// News is woken when a stream says anything new.
+	News *waiting.Signal
 }
 
 // Defaults of Config.
@@ -58,8 +60,9 @@
 	// each server, which is no cheaper than a loop.
 	DefaultPace = 700 * time.Millisecond
 	// DefaultHold is short enough that a connection that died without a word is
-	// found within the time that a configuration must be in force.
-	DefaultHold = 2 * time.Second
+	// found within the time that a configuration must be in force, by this box and by
+	// those that it tells.
+	DefaultHold = time.Second
 )
 
 // Timing of reads.
@@ -86,21 +89,33 @@
 
 	mu sync.Mutex
 	// weights holds the versions named for each model, the newest last.
-	weights        map[string][]NamedWeights
-	lost           map[sharedlog.Stream]bool
-	operatorReadAt time.Time
-	// newestRecords holds the newest record of each key, by stream, for other boxes.
-	newestRecords map[sharedlog.Stream]map[string]sharedlog.Record
+	weights map[string][]NamedWeights
+	lost    map[sharedlog.Stream]bool
+	tails   map[sharedlog.Stream]*tail
+
+	// readItself ends the waiting for the word of another box.
+	readItself waiting.Signal
+	// news wakes those who wait to tell other boxes what was read.
+	news *waiting.Signal
 }
 
 // New makes a registry that knows nothing.
 func New(cfg Config) *Registry {
 	cfg.Pace = cmp.Or(cfg.Pace, DefaultPace)
 	cfg.Hold = cmp.Or(cfg.Hold, DefaultHold)
+	cfg.News = cmp.Or(cfg.News, &waiting.Signal{})
 	return &Registry{
-		cfg: cfg, weights: map[string][]NamedWeights{}, lost: map[sharedlog.Stream]bool{},
-		newestRecords: map[sharedlog.Stream]map[string]sharedlog.Record{},
+		cfg: cfg, weights: map[string][]NamedWeights{}, lost: map[sharedlog.Stream]bool{}, news: cfg.News,
+		tails: map[sharedlog.Stream]*tail{},
+	}
+}
+
+// tail gives what is known of a stream. The caller holds mu.
+func (r *Registry) tail(stream sharedlog.Stream) *tail {
+	if r.tails[stream] == nil {
+		r.tails[stream] = newTail()
 	}
+	return r.tails[stream]
 }
 
 // Catalog gives the configuration in force, or nil before the first.
@@ -108,10 +123,11 @@
 
 const (
 	// ReadFresh is how long the reading of all that operators declared counts as
-	// recent: a held read and the time to make the next.
-	ReadFresh = DefaultHold + nextReadTime
-	// nextReadTime is more than twice what the store takes when it is slow.
-	nextReadTime = 600 * time.Millisecond
+	// recent: what a box is told may be operatorToldFor old, and then it takes a while
+	// to read for itself.
+	ReadFresh = operatorToldFor + nextReadTime
+	// nextReadTime is what a read takes when the store is slow, held or not.
+	nextReadTime = time.Second
 )
 
 // OperatorReadAt is the last moment of which this box knows all that operators had
@@ -119,7 +135,7 @@
 func (r *Registry) OperatorReadAt() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.operatorReadAt
+	return r.tail(sharedlog.Operator).readAt
 }
 
 // LoopOperator follows the operators' stream until ctx ends.
@@ -136,11 +152,14 @@
 // read is held for hold, and pause lies between two reads. The read after one that
 // failed is not held, so that its answer says at once that the log is back and what
 // was missed; until then kept parts may not be fetched.
+// While another box tells of the stream, nothing is read. A whole reading only adds to
+// what is known if another box told of later records meanwhile.
 func (r *Registry) loop(ctx context.Context, stream sharedlog.Stream, hold, pause time.Duration) {
-	next := int64(sharedlog.FromNewest)
 	failurePause := shortestPause
 	wait := time.Duration(0) // the reading of all is not held
 	for ctx.Err() == nil {
+		r.waitWhileTold(ctx, stream)
+		next := r.Position(stream)
 		asked := time.Now()
 		page, whole, err := sharedlog.ReadOn(ctx, r.cfg.Log, stream, next, wait, callLimit)
 		if err != nil {
@@ -157,9 +176,8 @@
 			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", next).Int64("offset", page.Next).Msg("records_expired")
 		}
 		if whole || len(page.Records) > 0 {
-			r.takeRecords(stream, page.Records, whole)
+			r.takeRecords(stream, page, whole && r.Position(stream) <= next)
 		}
-		next = page.Next
 		if !whole && len(page.Records) == 0 {
 			asked = provenUpTo(asked, wait)
 		}
@@ -193,14 +211,16 @@
 	return asked
 }
 
-// noteRead notes that all records of a stream up to a moment are known.
+// noteRead notes up to where a stream was read and, if that was its end, that all of its
+// records up to a moment are known.
 func (r *Registry) noteRead(stream sharedlog.Stream, upTo time.Time, page sharedlog.Page) {
-	if stream != sharedlog.Operator || page.Next < page.End {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.operatorReadAt = upTo
+	t := r.tail(stream)
+	t.next = max(t.next, page.Next)
+	if page.Next >= page.End && upTo.After(t.readAt) {
+		t.readAt = upTo
+	}
 }
 
 func (r *Registry) noteLost(ctx context.Context, stream sharedlog.Stream, err error) {
@@ -231,15 +251,15 @@
 }
 
 // takeRecords takes over what was read of a stream.
-func (r *Registry) takeRecords(stream sharedlog.Stream, records []sharedlog.Record, whole bool) {
+func (r *Registry) takeRecords(stream sharedlog.Stream, page sharedlog.Page, whole bool) {
 	r.turn.Lock()
 	defer r.turn.Unlock()
-	r.remember(stream, records, whole)
 	if stream == sharedlog.Servers {
-		r.takeServers(records, whole)
+		r.takeServers(page, whole)
 		return
 	}
-	r.takeDeclarations(records)
+	r.remember(stream, page, nil, whole)
+	r.takeDeclarations(page.Records)
 }
 
 func (r *Registry) takeDeclarations(records []sharedlog.Record) {
@@ -268,16 +288,19 @@
 	}
 }
 
-func (r *Registry) takeServers(records []sharedlog.Record, whole bool) {
-	updates := make([]fleet.Update, 0, len(records))
-	for _, record := range records {
+func (r *Registry) takeServers(page sharedlog.Page, whole bool) {
+	updates := make([]fleet.Update, 0, len(page.Records))
+	servers := make(map[string]*fleet.Server, len(page.Records))
+	for _, record := range page.Records {
 		update, err := r.cfg.Decoder.Server(record)
 		if err != nil {
 			r.cfg.Logger.Error().Str("key", record.Key).Int64("offset", record.Offset).Str("error", err.Error()).Msg("server_not_understood")
 			continue
 		}
 		updates = append(updates, update)
+		servers[record.Key] = update.Server
 	}
+	r.remember(sharedlog.Servers, page, servers, whole)
 	if whole {
 		r.cfg.Fleet.Replace(updates)
 		return
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -4,9 +4,7 @@
 package registry
 
 import (
-	"maps"
-	"slices"
-
+	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
@@ -16,27 +14,26 @@
 	Servers  []sharedlog.Record `msgpack:"s"`
 }
 
-// remember keeps the newest record of each key of a stream.
-func (r *Registry) remember(stream sharedlog.Stream, records []sharedlog.Record, whole bool) {
+// remember keeps the newest record of each key of a stream, and what each says of its
+// server in the servers' stream.
+func (r *Registry) remember(stream sharedlog.Stream, page sharedlog.Page, servers map[string]*fleet.Server, whole bool) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if whole || r.newestRecords[stream] == nil {
-		r.newestRecords[stream] = map[string]sharedlog.Record{}
+	t := r.tail(stream)
+	named := make(map[string]bool, len(page.Records))
+	news := whole
+	for _, record := range page.Records {
+		named[record.Key] = true
+		news = t.remember(record, servers[record.Key]) || news
 	}
-	for _, record := range records {
-		if len(record.Value) == 0 {
-			delete(r.newestRecords[stream], record.Key)
-			continue
-		}
-		r.newestRecords[stream][record.Key] = record
+	if whole {
+		t.forgetOthers(named, page.Next)
+	}
+	t.next = max(t.next, page.Next)
+	t.forgetGone()
+	r.mu.Unlock()
+	if news {
+		r.news.Send()
 	}
-}
-
-// hasRead reports whether any records of a stream are known.
-func (r *Registry) hasRead(stream sharedlog.Stream) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.newestRecords[stream] != nil
 }
 
 // Lacks reports that this box has no configuration and cannot read the log. One that has
@@ -55,8 +52,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return &Snapshot{
-		Operator: slices.Collect(maps.Values(r.newestRecords[sharedlog.Operator])),
-		Servers:  slices.Collect(maps.Values(r.newestRecords[sharedlog.Servers])),
+		Operator: r.tail(sharedlog.Operator).records(),
+		Servers:  r.tail(sharedlog.Servers).records(),
 	}
 }
 
@@ -69,11 +66,10 @@
 	if r.Catalog() != nil {
 		return
 	}
-	if !r.hasRead(sharedlog.Servers) {
-		r.remember(sharedlog.Servers, snapshot.Servers, true)
-		r.takeServers(snapshot.Servers, false)
+	if r.Position(sharedlog.Servers) < 0 {
+		r.takeServers(sharedlog.Page{Records: snapshot.Servers, Next: sharedlog.FromNewest}, false)
 	}
-	r.remember(sharedlog.Operator, snapshot.Operator, true)
+	r.remember(sharedlog.Operator, sharedlog.Page{Records: snapshot.Operator, Next: sharedlog.FromNewest}, nil, false)
 	r.takeDeclarations(snapshot.Operator)
 	r.cfg.Logger.Info().Int("servers", len(snapshot.Servers)).Bool("configuration", r.Catalog() != nil).Msg("adopted_from_box")
 }
--- /dev/null
+++ b/internal/registry/told.go
@@ -0,0 +1,139 @@
+// Words between boxes: what one box has read of the log, for those that follow it. To
+// read the log has a price for each call, so in a zone one box reads and the others are
+// told. A word says how old its knowledge is, counted by the box that read, and the
+// receiver counts that from before it asked; however long the word was on its way, it
+// never counts as newer than it is. A box reads for itself as soon as what it was told is
+// too old, so what the platform asks for in time does not rest on the box that tells.
+
+package registry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+// Word is what a box knows of a stream.
+type Word struct {
+	Stream sharedlog.Stream `msgpack:"s"`
+	// Whole says that Records holds the newest record of all keys rather than what was
+	// added.
+	Whole   bool               `msgpack:"w,omitempty"`
+	Records []sharedlog.Record `msgpack:"r,omitempty"`
+	// Next is the offset after all that is known.
+	Next int64 `msgpack:"n"`
+	// Age is how long ago all records were known; Unread says that they never were.
+	Age    time.Duration `msgpack:"a"`
+	Unread bool          `msgpack:"u,omitempty"`
+}
+
+// How old what another box told may be before a box reads for itself. The box that tells
+// reads the servers' stream each 0.7 s and the operators' stream in reads that are held for
+// up to 1 s, and is asked each 0.4 s. A leaving server must get nothing new after 2 s, and
+// a configuration be in force by then, so what is left is for the reading itself.
+const (
+	serversToldFor  = 1500 * time.Millisecond
+	operatorToldFor = 1600 * time.Millisecond
+)
+
+// toldFor gives how old a word on a stream may be.
+func toldFor(stream sharedlog.Stream) time.Duration {
+	if stream == sharedlog.Servers {
+		return serversToldFor
+	}
+	return operatorToldFor
+}
+
+// Followed lists the streams that boxes tell each other of.
+func Followed() []sharedlog.Stream { return []sharedlog.Stream{sharedlog.Operator, sharedlog.Servers} }
+
+// Position gives the offset after all that this box knows of a stream.
+func (r *Registry) Position(stream sharedlog.Stream) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tail(stream).next
+}
+
+// WordSince gives what this box knows of a stream past an offset, and whether that is
+// anything new.
+func (r *Registry) WordSince(stream sharedlog.Stream, from int64) (word Word, news bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tail(stream)
+	word = Word{Stream: stream, Next: t.next, Age: time.Since(t.readAt), Unread: t.readAt.IsZero()}
+	switch {
+	case t.next < 0 || from >= t.next:
+		return word, false
+	case from < 0 || from < t.floor:
+		word.Whole, word.Records = true, t.records()
+		return word, true
+	}
+	for _, known := range t.entries {
+		if known.changed >= from {
+			word.Records = append(word.Records, known.record)
+		}
+	}
+	return word, len(word.Records) > 0
+}
+
+// TakeWord takes over what another box knew at asOf, or later. It reports whether that is
+// recent enough to go by.
+func (r *Registry) TakeWord(word Word, asOf time.Time) bool {
+	if word.Unread || word.Next < 0 {
+		return false
+	}
+	if word.Whole || len(word.Records) > 0 {
+		whole := word.Whole && r.Position(word.Stream) <= word.Next
+		r.takeRecords(word.Stream, sharedlog.Page{Records: word.Records, Next: word.Next}, whole)
+	}
+	readAt := asOf.Add(-word.Age)
+	fresh := time.Since(readAt) < toldFor(word.Stream)
+	if fresh {
+		r.noteBack(word.Stream, word.Next)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tail(word.Stream)
+	if word.Next < t.next {
+		return fresh // this box knew more already, and when
+	}
+	t.next = word.Next
+	if readAt.After(t.readAt) {
+		t.readAt = readAt
+	}
+	t.toldUntil = readAt.Add(toldFor(word.Stream))
+	return fresh
+}
+
+// Told reports whether this box goes by what another one reads of the operators' stream.
+func (r *Registry) Told() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.tail(sharedlog.Operator).toldUntil)
+}
+
+// ReadItself has this box read the log for itself from now on, until it is told anew.
+func (r *Registry) ReadItself() {
+	r.mu.Lock()
+	for _, t := range r.tails {
+		t.toldUntil = time.Time{}
+	}
+	r.mu.Unlock()
+	r.readItself.Send()
+}
+
+// waitWhileTold waits while what another box told of a stream counts.
+func (r *Registry) waitWhileTold(ctx context.Context, stream sharedlog.Stream) {
+	for ctx.Err() == nil {
+		wake := r.readItself.Wait()
+		r.mu.Lock()
+		left := time.Until(r.tail(stream).toldUntil)
+		r.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		waiting.ForOr(ctx, left, wake)
+	}
+}
--- a/internal/registry/weights.go
+++ b/internal/registry/weights.go
@@ -7,6 +7,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
 // WeightsNamed says that a model is to be answered by a version of its weights.
@@ -166,7 +168,7 @@
 	}
 	kept := r.weights[named.Model]
 	kept = kept[max(len(kept)-versionsKept+1, 0):]
-	next := NamedWeights{Version: named.Version, LearntAt: time.Now(), NamedAfter: r.operatorReadAt}
+	next := NamedWeights{Version: named.Version, LearntAt: time.Now(), NamedAfter: r.tail(sharedlog.Operator).readAt}
 	r.weights[named.Model] = append(slices.Clone(kept), next)
 	event := r.cfg.Logger.Info().Str("model", named.Model).Int("weights", named.Version).Int64("offset", offset).Bool("found", next.Found())
 	if !next.Found() {
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -35,15 +35,16 @@
 }
 
 const (
-	// askWait is how long a question waits for a change.
-	askWait = 500 * time.Millisecond
+	// askWait is how long a question waits for a change. With askPause and the way to
+	// boxes that are told (some 400 ms) it must stay below what partindex takes for fresh.
+	askWait = 400 * time.Millisecond
 	// heldLeast is how long an answer without changes must have taken to count as
 	// held. timerMargin is for timers of store boxes, which are a little off.
 	heldLeast   = askWait - timerMargin
 	timerMargin = 60 * time.Millisecond
-	// askPause lies between two questions to a store box. Each question that is
-	// answered at once has a price, and a part is of use for seconds.
-	askPause = 300 * time.Millisecond
+	// askPause lies between two questions to a store box, so that under load an answer
+	// brings several changes.
+	askPause = 100 * time.Millisecond
 	// callLimit bounds a call besides its wait.
 	callLimit = 700 * time.Millisecond
 	// listLimit bounds the list of all that is kept, which may be some hundred KB.
@@ -126,6 +127,9 @@
 	next, lost := usual, false
 	listAt := nextList()
 	for ctx.Err() == nil {
+		if w.cfg.Index.WaitWhileTold(ctx, address) {
+			next, lost = usual, false
+		}
 		due := time.Now().After(listAt)
 		listed, err := w.ask(ctx, address, next, due)
 		if due && err == nil {
@@ -212,6 +216,9 @@
 }
 
 func (w *Watcher) clean(ctx context.Context, address string) {
+	if w.cfg.Index.Told(address) {
+		return // the box that asks it frees
+	}
 	parts, life := w.cfg.Index.Freeable(address, w.cfg.MayFree, cleanMost)
 	if len(parts) == 0 {
 		return
--- /dev/null
+++ b/internal/zonereader/follow.go
@@ -0,0 +1,148 @@
+// Following: a box asks the one that reads for it, again and again, and takes over what it
+// is told. When that box does not answer, another is chosen at once.
+
+package zonereader
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/frame"
+	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/registry"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+const (
+	// chooseEvery is the time between two looks for a reader while there is none.
+	chooseEvery = 200 * time.Millisecond
+	// askPause lies between an answer and the next question, so that under load an answer
+	// brings several changes.
+	askPause = 100 * time.Millisecond
+	// answerLimit bounds the wait for an answer besides its hold. Longer than a packet
+	// that is lost twice.
+	answerLimit = 400 * time.Millisecond
+	// avoidFor is how long a box that did not answer is not followed.
+	avoidFor = 2 * time.Second
+)
+
+// LoopFollow follows whichever box reads for this one until ctx ends.
+func (z *Zone) LoopFollow(ctx context.Context) {
+	for ctx.Err() == nil {
+		reader, follow := z.choose()
+		z.note(reader.Name)
+		if !follow {
+			waiting.For(ctx, chooseEvery)
+			continue
+		}
+		if err := z.follow(ctx, reader); err != nil && ctx.Err() == nil {
+			z.avoid(reader.Name, err)
+		}
+	}
+}
+
+// choose gives the box to follow now, of those that answer.
+func (z *Zone) choose() (Box, bool) {
+	others := z.cfg.Others()
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	now := time.Now()
+	answering := others[:0]
+	for _, box := range others {
+		if !now.Before(z.avoided[box.Name]) {
+			answering = append(answering, box)
+		}
+	}
+	return Choose(z.cfg.Self, answering)
+}
+
+// note notes whom this box follows; nobody has it read for itself.
+func (z *Zone) note(reader string) {
+	z.mu.Lock()
+	changed := reader != z.following
+	z.following = reader
+	z.mu.Unlock()
+	if !changed {
+		return
+	}
+	if reader != "" {
+		z.cfg.Logger.Info().Str("reader", reader).Msg("reader_followed")
+		return
+	}
+	z.cfg.Logger.Info().Msg("reads_itself")
+	z.cfg.Registry.ReadItself()
+	z.cfg.Parts.AskItself()
+}
+
+// avoid leaves a box that did not answer alone for a while.
+func (z *Zone) avoid(reader string, err error) {
+	z.cfg.Logger.Warn().Str("reader", reader).Str("error", err.Error()).Msg("reader_lost")
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.avoided[reader] = time.Now().Add(avoidFor)
+}
+
+// follow asks one box until that fails, which it tells by an error, or until another is to
+// be followed.
+func (z *Zone) follow(ctx context.Context, reader Box) error {
+	connection, err := z.cfg.Dial(ctx, reader.Address)
+	if err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, func() { _ = connection.Close() })() // the stop of this box
+	defer connection.Close()
+	buffered := bufio.NewReader(connection)
+	mended := map[string]int{}
+	for ctx.Err() == nil {
+		if err := z.ask(connection, buffered, mended); err != nil {
+			return err
+		}
+		waiting.For(ctx, askPause)
+		if chosen, follow := z.choose(); !follow || chosen.Name != reader.Name {
+			return nil
+		}
+	}
+	return nil
+}
+
+// ask asks once and takes over the answer. mended holds how many lists of each store box
+// the other box's words have taken in.
+func (z *Zone) ask(connection net.Conn, buffered *bufio.Reader, mended map[string]int) error {
+	asked := time.Now()
+	if err := frame.Write(connection, z.question(mended), ioLimit); err != nil {
+		return err
+	}
+	if err := connection.SetReadDeadline(asked.Add(answerHold + answerLimit)); err != nil {
+		return err
+	}
+	var told answer
+	if err := frame.Read(buffered, &told, maxAnswerBytes); err != nil {
+		return err
+	}
+	// The other box made its answer no sooner than this.
+	asOf := asked.Add(told.Held)
+	for _, word := range told.Streams {
+		z.cfg.Registry.TakeWord(word, asOf)
+	}
+	for _, word := range told.Stores {
+		if z.cfg.Parts.TakeWord(word, asOf) {
+			mended[word.Address] = word.Position.Mended
+		}
+	}
+	return nil
+}
+
+func (z *Zone) question(mended map[string]int) *question {
+	asked := question{Streams: map[sharedlog.Stream]int64{}, Stores: map[string]partindex.Position{}}
+	for _, stream := range registry.Followed() {
+		asked.Streams[stream] = z.cfg.Registry.Position(stream)
+	}
+	for address, position := range z.cfg.Parts.Positions() {
+		position.Mended = mended[address]
+		asked.Stores[address] = position
+	}
+	return &asked
+}
--- /dev/null
+++ b/internal/zonereader/zonereader.go
@@ -0,0 +1,164 @@
+// What the boxes say to each other, and what answers them.
+
+package zonereader
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/frame"
+	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/registry"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+// Config sets up a Zone.
+type Config struct {
+	Registry *registry.Registry
+	Parts    *partindex.Index
+	Logger   zerolog.Logger
+	// Self is this box, and Others gives those that it hears.
+	Self   Box
+	Others func() []Box
+	// News is woken when this box learns anything that others are told.
+	News *waiting.Signal
+	// Dial connects to another box; nil stands for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Zone is a box's part in who reads for whom.
+type Zone struct {
+	cfg Config
+
+	mu sync.Mutex
+	// following names the box that this one follows; empty while it reads itself.
+	following string
+	// avoided holds boxes that did not answer, until when.
+	avoided map[string]time.Time
+	loops   sync.WaitGroup
+}
+
+// New makes a zone in which this box reads for itself.
+func New(cfg Config) *Zone {
+	if cfg.Dial == nil {
+		dialer := net.Dialer{Timeout: ioLimit}
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return &Zone{cfg: cfg, avoided: map[string]time.Time{}}
+}
+
+// Following names the box that this one follows; empty while it reads itself.
+func (z *Zone) Following() string {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.following
+}
+
+// question asks a box for what it knows past what the asker knows.
+type question struct {
+	Streams map[sharedlog.Stream]int64    `msgpack:"s"`
+	Stores  map[string]partindex.Position `msgpack:"p"`
+}
+
+// answer tells it.
+type answer struct {
+	Streams []registry.Word  `msgpack:"s"`
+	Stores  []partindex.Word `msgpack:"p"`
+	// Held is how long after the question came the answer was made.
+	Held time.Duration `msgpack:"h"`
+}
+
+const (
+	// answerHold is how long a question waits for news. What is told ages by it and by
+	// askPause, so it is a part of what partindex and registry take for fresh.
+	answerHold = 300 * time.Millisecond
+	// maxQuestionBytes and maxAnswerBytes bound messages: 40 bytes a store box; 300 bytes
+	// a server and 60 a part, of which store boxes may keep some ten thousand.
+	maxQuestionBytes = 64 << 10
+	maxAnswerBytes   = 4 << 20
+	// questionLimit bounds the wait for the next question on a connection.
+	questionLimit = 10 * time.Second
+	// ioLimit bounds a write and a connect.
+	ioLimit = 300 * time.Millisecond
+)
+
+// LoopAccept answers other boxes until ctx ends.
+func (z *Zone) LoopAccept(ctx context.Context, listener net.Listener) {
+	defer context.AfterFunc(ctx, func() { _ = listener.Close() })() // nothing is lost on it
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				z.cfg.Logger.Error().Str("error", err.Error()).Msg("port_lost")
+			}
+			return
+		}
+		z.loops.Go(func() { z.loopAnswer(ctx, connection) })
+	}
+}
+
+// Wait waits until all answering has ended; LoopAccept must have returned.
+func (z *Zone) Wait() { z.loops.Wait() }
+
+// loopAnswer answers the questions of one box on one connection.
+func (z *Zone) loopAnswer(ctx context.Context, connection net.Conn) {
+	defer context.AfterFunc(ctx, func() { _ = connection.Close() })() // the other box asks another
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for ctx.Err() == nil {
+		if err := connection.SetReadDeadline(time.Now().Add(questionLimit)); err != nil {
+			return
+		}
+		var asked question
+		if err := frame.Read(reader, &asked, maxQuestionBytes); err != nil {
+			return
+		}
+		told := z.answer(ctx, asked)
+		if err := frame.Write(connection, &told, ioLimit); err != nil {
+			return
+		}
+	}
+}
+
+// answer tells what this box knows as soon as that is news, or when the hold is over.
+func (z *Zone) answer(ctx context.Context, asked question) answer {
+	cameAt := time.Now()
+	for {
+		wake := z.cfg.News.Wait()
+		told, news := z.look(asked)
+		told.Held = time.Since(cameAt)
+		if news || told.Held >= answerHold || ctx.Err() != nil {
+			return told
+		}
+		waiting.ForOr(ctx, answerHold-told.Held, wake)
+	}
+}
+
+// look writes down what this box knows past what a question says.
+func (z *Zone) look(asked question) (told answer, news bool) {
+	for _, stream := range registry.Followed() {
+		from, named := asked.Streams[stream]
+		if !named {
+			from = sharedlog.FromNewest
+		}
+		word, isNews := z.cfg.Registry.WordSince(stream, from)
+		told.Streams = append(told.Streams, word)
+		news = news || isNews
+	}
+	for address, since := range asked.Stores {
+		word, isNews, known := z.cfg.Parts.WordSince(address, since)
+		if known {
+			told.Stores = append(told.Stores, word)
+			news = news || isNews
+		}
+	}
+	return told, news
+}
