--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -9,10 +9,12 @@
 	"context"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
@@ -138,7 +140,7 @@
 	})
 	b.watcher = storewatch.New(storewatch.Config{Stores: b.cfg.Stores, Index: b.parts, Logger: b.logger, MayFree: b.mayFree})
 	b.share = loadshare.New(loadshare.Config{
-		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Life: b.name, Zone: b.settings.Zone, Address: b.PeerAddress(), Reader: b.ReaderAddress(),
+		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Life: shortName(b.name), Zone: b.settings.Zone, Address: b.PeerAddress(), Reader: b.ReaderAddress(),
 		Named: b.registry.Tell, Heard: b.registry.Hear, Snapshot: b.registry.Snapshot,
 		Lacks: b.registry.Lacks, Adopt: b.registry.Adopt,
 	})
@@ -148,6 +150,9 @@
 	})
 }
 
+// shortName is a life's name as it stands in each message between boxes.
+func shortName(life string) string { return strconv.FormatUint(xxhash.Sum64String(life), 36) }
+
 // otherBoxes lists the boxes that this one hears, as package zonereader wants them.
 func (b *Box) otherBoxes() []zonereader.Box {
 	others := b.share.Others()
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -7,6 +7,8 @@
 
 // Load is the work of one box at one server.
 type Load struct {
+	_msgpack struct{} `msgpack:",as_array"` // names of fields would be half of it
+
 	// Incarnation names the server.
 	Incarnation   string `msgpack:"i"`
 	InFlight      int    `msgpack:"n,omitempty"`
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -18,6 +18,8 @@
 
 // message tells a box's work.
 type message struct {
+	_msgpack struct{} `msgpack:",as_array"` // names of fields would be half of it
+
 	Box  string `msgpack:"b"`
 	Life string `msgpack:"i"`
 	// Sent is the sender's time, counted from its start. Echo is the last time that
--- a/internal/partindex/told.go
+++ b/internal/partindex/told.go
@@ -16,6 +16,8 @@
 
 // Position says how far a box knows what a store box told.
 type Position struct {
+	_msgpack struct{} `msgpack:",as_array"` // names of fields would be half of it
+
 	Life int64 `msgpack:"l"`
 	Next int64 `msgpack:"n"`
 	// Mended counts the lists of the store box that the teller's word has taken in.
@@ -24,6 +26,8 @@
 
 // Part is a part in a word, with the tokens that are kept of it; 0 when it is gone.
 type Part struct {
+	_msgpack struct{} `msgpack:",as_array"` // names of fields would be half of it
+
 	Namespace string `msgpack:"n"`
 	ID        string `msgpack:"i"`
 	Tokens    int    `msgpack:"t,omitempty"`
@@ -31,6 +35,8 @@
 
 // Word is what a box knows of a store box past a position.
 type Word struct {
+	_msgpack struct{} `msgpack:",as_array"` // names of fields would be half of it
+
 	Address  string   `msgpack:"a"`
 	Position Position `msgpack:"p"`
 	// Whole says that Parts holds all that the store box keeps.
@@ -146,14 +152,14 @@
 			if s.runner && !x.shared[change.ID] {
 				continue
 			}
-			word.Parts = append(word.Parts, Part{change.Namespace, change.ID, change.Tokens})
+			word.Parts = append(word.Parts, Part{Namespace: change.Namespace, ID: change.ID, Tokens: change.Tokens})
 		}
 	}
 	if since.Mended < s.told.lists {
 		word.Listed, word.Unfinished = true, parts(s.unfinished)
 		for key, list := range s.told.mended {
 			if list > since.Mended {
-				word.Parts = append(word.Parts, Part{key.Namespace, key.ID, s.held[key]})
+				word.Parts = append(word.Parts, Part{Namespace: key.Namespace, ID: key.ID, Tokens: s.held[key]})
 			}
 		}
 	}
@@ -193,7 +199,7 @@
 func parts(kept map[Key]int) []Part {
 	list := make([]Part, 0, len(kept))
 	for key, tokens := range kept {
-		list = append(list, Part{key.Namespace, key.ID, tokens})
+		list = append(list, Part{Namespace: key.Namespace, ID: key.ID, Tokens: tokens})
 	}
 	return list
 }
--- a/internal/registry/told.go
+++ b/internal/registry/told.go
@@ -17,6 +17,8 @@
 
 // Word is what a box knows of a stream.
 type Word struct {
+	_msgpack struct{} `msgpack:",as_array"` // names of fields would be half of it
+
 	Stream sharedlog.Stream `msgpack:"s"`
 	// Whole says that Records holds the newest record of all keys rather than what was
 	// added.
--- a/internal/registry/weights.go
+++ b/internal/registry/weights.go
@@ -70,6 +70,8 @@
 
 // Heard is a version that another box knows to be named.
 type Heard struct {
+	_msgpack struct{} `msgpack:",as_array"` // names of fields would be half of it
+
 	Version int `msgpack:"v"`
 	// Age is the longest time since it was named, and Found says that the box does
 	// not know one.
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -70,6 +70,8 @@
 // Record is the newest word on a key as of its offset. No value means that the
 // key is gone.
 type Record struct {
+	_msgpack struct{} `msgpack:",as_array"` // names of fields would be half of it
+
 	Key    string `msgpack:"k"`
 	Value  []byte `msgpack:"v"`
 	Offset int64  `msgpack:"o"`
