Choices are spread by what may have come unseen, the own zone hears first; runners' memory is out again

Cause, grown deployment: first events of short prompts came after 550 to 1,100 ms where 60 to 110 were expected. 82 boxes hear of each other's work each 0.7 s, in which four prompts come to each runner; all boxes choose the runners that look least busy meanwhile. 671 calls were refused by runners that had just been ordered to load weights: the pause of 0.2 s before an order was over before other boxes heard of it.

Ruled out: memory (1 refusal of 13,000), store boxes (their word is 0.5 s old).

Change: a choice is spread over runners that differ by less than the work that may have come to each unseen, by this box's own arrivals, the number of boxes and the lag; boxes of the own zone are told 120 times a second together, and so are all others; runners elsewhere cost more the older the word of them is; a pause before an order is told at once.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -77,8 +77,6 @@
 	CapacityTokens int
 	// BytesPerToken is what a token of kept context weighs.
 	BytesPerToken int
-	// LinkMbps is the rate at which a runner's memory is moved to and from others.
-	LinkMbps float64
 }
 
 // Store describes a store box.
--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -132,7 +132,7 @@
 func (b *Box) assembleShared() {
 	b.lease = orderlease.New(orderlease.Config{Log: b.log, Logger: b.logger, Holder: b.name, Gap: b.settings.OrderGap, Idle: b.registry.Told})
 	b.giver = weightorders.New(weightorders.Config{
-		Runners: b.cfg.Runners, Fleet: b.fleet, Lease: b.lease, Logger: b.logger, Holder: b.name, Off: b.settings.Off,
+		Runners: b.cfg.Runners, Fleet: b.fleet, Lease: b.lease, Logger: b.logger, Holder: b.name, Off: b.settings.Off, Paused: func() { b.share.TellNow() },
 		Models: b.registry.NamedModels, Wanted: func(model string) int { return b.registry.Weights(model).Version },
 	})
 	b.retire = retire.New(retire.Config{
@@ -171,7 +171,7 @@
 		Protocol: b.cfg.Protocol,
 		Pool:     handover.NewPool(handover.PoolConfig{Off: b.settings.Off, Dialed: func() { scope.Counter("server_connections").Inc(1) }}),
 		Off:      b.settings.Off, Fleet: b.fleet, Parts: b.parts, Logger: b.logger, Scope: scope, Zone: b.settings.Zone,
-		Budget: b.budget, Boxes: b.share.Boxes, Headroom: b.share.OwnsHeadroom,
+		Budget: b.budget, Boxes: b.share.Boxes, Headroom: b.share.OwnsHeadroom, Lag: b.share.Lag,
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.WeightsLimit,
 	})
 	b.assembleServers()
--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -6,9 +6,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/cometlock/cometlock/internal/mechanism"
-	"github.com/cometlock/cometlock/internal/partindex"
 )
 
 // upkeepEvery is the time between two looks at what follows the number of boxes and
@@ -22,7 +19,6 @@
 	defer ticker.Stop()
 	for {
 		b.budget.SetBurst(b.retryBurst())
-		b.followRunners()
 		b.showGauges()
 		select {
 		case <-ticker.C:
@@ -32,28 +28,6 @@
 	}
 }
 
-// followRunners has the memory of the runners followed that are there now: of those in
-// the zones that this box's reader reads for.
-func (b *Box) followRunners() {
-	catalog := b.registry.Catalog()
-	if catalog == nil || !b.settings.Off.On(mechanism.RunnerMemory) {
-		return
-	}
-	var runners []partindex.Runner
-	for _, service := range catalog.Services() {
-		if service.Engine == nil {
-			continue
-		}
-		for _, server := range b.fleet.Listed(service.Name) {
-			if b.readers.ReadsFor(server.Zone) {
-				runners = append(runners, partindex.Runner{Name: server.Incarnation, Address: server.Address, Zone: server.Zone, LinkMbps: service.Engine.LinkMbps})
-			}
-		}
-	}
-	b.parts.ConfigureRunners(runners)
-	b.watcher.Configure(b.background)
-}
-
 // Retry budget. The platform bounds the retries of all boxes together by a share of
 // the calls and a number on top. A box takes half of the share, since calls of the
 // last seconds count, and its part of most of the number.
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -35,11 +35,11 @@
 	// runner of a version, and how long that takes within it; nil without a prompt.
 	// It takes as long again from another zone.
 	Fetch func(weights int) (zone string, within time.Duration)
-	// Kept gives how many tokens of the prompt the runner at an address keeps, by the
-	// version of its weights; nil when that is not known.
-	Kept func(weights int, address string) int
-	// PromptTokens is the length of the prompt.
-	PromptTokens int
+	// Lag is how old the word of other boxes of this zone on their work is, LagElsewhere
+	// that of boxes in other zones, and Boxes the number of all boxes.
+	Lag          time.Duration
+	LagElsewhere time.Duration
+	Boxes        int
 	// Headroom reports whether a server's headroom belongs to this box; nil means that
 	// none does.
 	Headroom func(incarnation string) bool
@@ -64,10 +64,13 @@
 			candidates, kept = append(candidates, candidate), append(kept, state)
 		}
 	}
+	query.Load.Unseen = f.arrivals.unseen(query, len(candidates), now)
+	query.Load.LagElsewhere = float64(query.LagElsewhere) / float64(time.Millisecond)
 	at := placing.Choose(query.Load, candidates)
 	if at < 0 {
 		return nil
 	}
+	f.arrivals.note(float64(candidates[at].WorkTokens)*query.Load.TokenCost, now)
 	return f.hold(kept[at], candidates[at], query, now)
 }
 
@@ -109,32 +112,6 @@
 	return !slices.Contains(query.Exclude, state.Incarnation)
 }
 
-// describeMoves adds what of the prompt the runner would read, and how long it would wait
-// for what it fetches: nothing for what it keeps, and twice as long from another zone.
-func (f *Fleet) describeMoves(state *State, query Query, weights int, candidate *placing.Candidate) {
-	candidate.WorkTokens = query.Work(weights)
-	kept := 0
-	if query.Kept != nil {
-		kept = query.Kept(weights, state.Address)
-	}
-	fetched := query.PromptTokens - candidate.WorkTokens
-	if kept > 0 {
-		candidate.WorkTokens = min(candidate.WorkTokens, query.PromptTokens-kept)
-	}
-	if query.Fetch == nil || kept >= fetched && fetched > 0 {
-		return
-	}
-	zone, within := query.Fetch(weights)
-	cost := float64(within) / float64(time.Millisecond)
-	if zone != state.Zone {
-		cost *= 2
-	}
-	if fetched > 0 {
-		cost *= float64(fetched-kept) / float64(fetched)
-	}
-	candidate.ExtraCost += cost
-}
-
 // describe gives what placing needs to know of a server for a call: the work of all boxes
 // there, and what the call itself would bring. The caller holds mu.
 func (f *Fleet) describe(state *State, query Query) placing.Candidate {
@@ -147,8 +124,13 @@
 	}
 	if query.Model != "" {
 		weights := state.weights(query.Model)
+		candidate.WorkTokens = query.Work(weights)
 		candidate.ExtraCost, _ = query.Outdated(weights)
-		f.describeMoves(state, query, weights, &candidate)
+		if query.Fetch != nil {
+			if zone, within := query.Fetch(weights); zone != state.Zone {
+				candidate.ExtraCost += float64(within) / float64(time.Millisecond)
+			}
+		}
 	}
 	return candidate
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,8 @@
 	// again after it could not be read.
 	steadyFrom time.Time
 	fadedAt    time.Time
+	// arrivals is what this box places.
+	arrivals arrivals
 	// freed wakes those who wait for room.
 	freed waiting.Signal
 	// readRate is how many prompt tokens a runner reads in a millisecond, as
@@ -169,19 +171,6 @@
 	return state.gone.IsZero() || now.Before(f.steadyFrom)
 }
 
-// Listed gives the servers of a service that are listed.
-func (f *Fleet) Listed(service string) []Server {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var listed []Server
-	for _, state := range f.byService[service] {
-		if state.gone.IsZero() {
-			listed = append(listed, state.Server)
-		}
-	}
-	return listed
-}
-
 // Known counts the servers that are listed.
 func (f *Fleet) Known() int {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,9 @@
 	Budget   *retrybudget.Budget
 	// Boxes gives the number of entry boxes, this one included.
 	Boxes func() int
+	// Lag gives how old the word of other boxes on their work is, of those of this box's
+	// zone or of the others; nil stands for none.
+	Lag func(ownZone bool) time.Duration
 	// Off holds mechanisms that are switched off.
 	Off mechanism.Off
 	// Headroom reports whether a server's headroom belongs to this box.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -82,8 +82,9 @@
 		plan := plans.at(weights).plan
 		return plan.FetchZone, plan.FetchTime
 	}
-	query.PromptTokens = x.facts.Prompt.Tokens
-	query.Kept = func(weights int, address string) int { return plans.at(weights).plan.Kept[address] }
+	if g.cfg.Lag != nil {
+		query.Lag, query.LagElsewhere, query.Boxes = g.cfg.Lag(true), g.cfg.Lag(false), g.cfg.Boxes()
+	}
 	load := &query.Load
 	load.ReadLimit = readLimit(x)
 	load.Tokens = x.facts.Prompt.Tokens + x.facts.Prompt.AnswerTokens
@@ -128,7 +129,7 @@
 	made := choice{namespace: name}
 	made.plan = p.gateway.cfg.Parts.Plan(partindex.Query{
 		Namespace: name, Parts: prompt.Parts, PromptTokens: prompt.Tokens, BytesPerToken: p.x.service.Engine.BytesPerToken,
-		Save: weights >= p.newest, Spread: p.x.number,
+		Save:     weights >= p.newest,
 		MayFetch: func(id string) bool { return p.gateway.cfg.Retire.MayFetch(prompt.Model, weights, id) },
 	})
 	p.made[weights] = made
--- a/internal/loadshare/hear.go
+++ b/internal/loadshare/hear.go
@@ -133,7 +133,7 @@
 // LoopForget lets the work of silent boxes count as nothing until ctx ends.
 func (s *Share) LoopForget(ctx context.Context) {
 	for ctx.Err() == nil {
-		interval := s.interval()
+		interval := s.longestInterval()
 		waiting.For(ctx, interval)
 		for _, box := range s.forgetSilent(silentAfter * interval) {
 			s.cfg.Fleet.SetRemote(box, nil)
--- /dev/null
+++ b/internal/loadshare/lag_test.go
@@ -0,0 +1,36 @@
+package loadshare
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// In a large fleet a box cannot tell all others often; those of its own zone come first,
+// since their calls go to the same runners.
+func TestTheOwnZoneIsToldMoreOften(t *testing.T) {
+	tests := []struct {
+		name              string
+		own, others       int
+		lag, lagElsewhere time.Duration
+	}{
+		{"a small fleet", 2, 6, tellEvery, tellEvery},
+		{"a large one", 20, 61, time.Second / 6, 61 * time.Second / 120},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := New(Config{Box: "a", Zone: "z"})
+			for i := range test.own {
+				s.peers[fmt.Sprint("own-", i)] = &peer{zone: "z"}
+			}
+			for i := range test.others {
+				s.peers[fmt.Sprint("other-", i)] = &peer{zone: "y"}
+			}
+			g.Expect(s.Lag(true)).To(BeNumerically("~", test.lag, time.Millisecond))
+			g.Expect(s.Lag(false)).To(BeNumerically("~", test.lagElsewhere, time.Millisecond))
+		})
+	}
+}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -22,6 +22,7 @@
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Config sets up a Share.
@@ -71,7 +72,9 @@
 	// headroom remembers whether a server's headroom is this box's, until other boxes
 	// are heard.
 	headroom map[string]bool
-	loops    sync.WaitGroup
+	// urgent ends the pause before the next message to each peer.
+	urgent waiting.Signal
+	loops  sync.WaitGroup
 }
 
 // New makes a share that knows no peers.
--- a/internal/loadshare/tell.go
+++ b/internal/loadshare/tell.go
@@ -17,8 +17,9 @@
 	// tellEvery is the shortest time between two messages to a peer: prompts take
 	// 30 to 300 ms to read.
 	tellEvery = 80 * time.Millisecond
-	// messagesPerSecond bounds what a box sends; with many peers each is told less
-	// often.
+	// messagesPerSecond bounds what a box sends to the others of its zone, and as much to
+	// those of other zones; with many peers each is told less often. Its own zone is told
+	// more often, since most calls go to runners there.
 	messagesPerSecond = 120
 	// connectEvery is the pause before a peer that could not be reached is tried
 	// again.
@@ -59,15 +60,19 @@
 		if err := s.send(connection, m); err != nil {
 			return
 		}
-		waiting.For(ctx, s.interval())
+		waiting.ForOr(ctx, s.interval(box), s.urgent.Wait())
 	}
 }
 
+// TellNow tells all peers at once: something that they must know before the next message
+// is due.
+func (s *Share) TellNow() { s.urgent.Send() }
+
 // unanswered reports whether another box has echoed nothing for too long, of what was
 // sent to it on a connection that was opened at a time. One that never told anything
 // may not know this box, and could not answer on any connection.
 func (s *Share) unanswered(box string, opened time.Duration) bool {
-	limit := max(echoLimit, silentAfter*s.interval())
+	limit := max(echoLimit, silentAfter*s.longestInterval())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.answers[box] && time.Since(s.started)-max(opened, s.heard[box].echoed) > limit
@@ -90,9 +95,33 @@
 	return m
 }
 
-// interval is the time between two messages to each peer.
-func (s *Share) interval() time.Duration {
+// interval is the time between two messages to a peer.
+func (s *Share) interval(box string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.peers[box]
+	return s.intervalOf(known != nil && known.zone == s.cfg.Zone)
+}
+
+// intervalOf is the time between two messages to each peer of this box's zone, or of the
+// others. The caller holds mu.
+func (s *Share) intervalOf(ownZone bool) time.Duration {
+	peers := 0
+	for _, known := range s.peers {
+		if (known.zone == s.cfg.Zone) == ownZone {
+			peers++
+		}
+	}
+	return max(tellEvery, time.Duration(peers)*time.Second/messagesPerSecond)
+}
+
+// longestInterval is the longest time between two messages to a peer.
+func (s *Share) longestInterval() time.Duration { return max(s.Lag(true), s.Lag(false)) }
+
+// Lag is about how old the word of other boxes on their work is, of those of this box's
+// zone or of the others.
+func (s *Share) Lag(ownZone bool) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(tellEvery, time.Duration(len(s.peers))*time.Second/messagesPerSecond)
+	return s.intervalOf(ownZone)
 }
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -27,8 +27,6 @@
 	SlowStores Mechanism = "slow-stores"
 	// StoreKinds sends large parts to large store boxes and small ones to quick ones.
 	StoreKinds Mechanism = "store-kinds"
-	// RunnerMemory follows what runners keep.
-	RunnerMemory Mechanism = "runner-memory"
 	// KeptConnections keeps connections to servers for as long as these leave them open.
 	KeptConnections Mechanism = "kept-connections"
 	// Suspicion leaves servers alone that could not be reached.
@@ -40,7 +38,7 @@
 // All lists them.
 func All() []Mechanism {
 	return []Mechanism{
-		ZoneReaders, WaitingLine, Homes, Headroom, SlowStores, StoreKinds, RunnerMemory, KeptConnections, Suspicion, PausedLoading,
+		ZoneReaders, WaitingLine, Homes, Headroom, SlowStores, StoreKinds, KeptConnections, Suspicion, PausedLoading,
 	}
 }
 
--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -71,9 +71,7 @@
 
 // store is what is known of one store box.
 type store struct {
-	name string
-	// runner says that it is a runner's memory.
-	runner   bool
+	name     string
 	config   catalog.Store
 	quick    bool
 	life     int64
@@ -94,10 +92,6 @@
 	cfg    Config
 	mu     sync.Mutex
 	stores []*store
-	// runners are those whose memory is followed, by address, and shared the parts that
-	// prompts were seen to share.
-	runners map[string]*store
-	shared  map[string]bool
 	// saving holds the parts that this box had saved and has not heard of yet.
 	saving map[Key]time.Time
 	// clock is the servers' clock at clockAt.
@@ -121,7 +115,7 @@
 // New makes an empty index.
 func New(cfg Config) *Index {
 	cfg.News = cmp.Or(cfg.News, &waiting.Signal{})
-	return &Index{cfg: cfg, saving: map[Key]time.Time{}, shared: map[string]bool{}, news: cfg.News}
+	return &Index{cfg: cfg, saving: map[Key]time.Time{}, news: cfg.News}
 }
 
 // Configure takes over which store boxes there are.
@@ -169,18 +163,7 @@
 			return s
 		}
 	}
-	return x.runners[address]
-}
-
-// Followed lists the addresses of the store boxes and runners that are followed.
-func (x *Index) Followed() []string {
-	addresses := x.Addresses()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for address := range x.runners {
-		addresses = append(addresses, address)
-	}
-	return addresses
+	return nil
 }
 
 // Addresses lists the store boxes in a fixed order.
@@ -201,18 +184,11 @@
 	defer x.mu.Unlock()
 	s := x.find(address)
 	if s == nil || s.life == 0 {
-		return 0, s == nil || !s.runner // a list would hold a runner up
+		return 0, true
 	}
 	return s.next, false
 }
 
-// IsRunner reports whether an address is that of a runner.
-func (x *Index) IsRunner(address string) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.runners[address] != nil
-}
-
 // Replace takes over all that a store box keeps.
 func (x *Index) Replace(address string, report Report) {
 	x.mu.Lock()
@@ -266,10 +242,6 @@
 	if s == nil {
 		return true
 	}
-	if s.runner && (report.Life != s.life || report.Gap) {
-		x.restart(s, report)
-		return true
-	}
 	if report.Life != s.life || report.Gap {
 		s.life = 0
 		s.forget()
@@ -307,10 +279,7 @@
 			continue
 		}
 		s.held[change.Key] = change.Tokens
-		if !s.runner {
-			delete(x.saving, change.Key)
-			x.noteShared(change.ID, change.Tokens)
-		}
+		delete(x.saving, change.Key)
 	}
 }
 
--- a/internal/partindex/plan.go
+++ b/internal/partindex/plan.go
@@ -28,9 +28,6 @@
 	// Miss says why the largest shared part is read rather than fetched; empty when it is
 	// fetched, or when there is none.
 	Miss Miss
-	// Kept gives how many tokens of the prompt runners keep, from its beginning, by their
-	// addresses.
-	Kept map[string]int
 }
 
 // Miss is why a shared part is read.
@@ -61,8 +58,6 @@
 	MayFetch func(id string) bool
 	// Save says that parts that no store box keeps are worth saving.
 	Save bool
-	// Spread differs from call to call, and spreads fetches over runners.
-	Spread uint64
 }
 
 // Plan looks up the shared parts of a prompt.
@@ -76,22 +71,19 @@
 		return plan // without the servers' clock a fetch could not be bounded
 	}
 	plan.Until = x.clock + now.Sub(x.clockAt).Milliseconds() + FetchLimit.Milliseconds()
-	plan.Kept = x.keptAt(query.Namespace, parts, now)
 	largest, largestMissed := 0, 0
 	contiguous := true
 	for i := range max(len(parts)-1, 0) {
 		part := parts[i]
-		x.noteShared(part.ID, part.Tokens)
 		key := Key{query.Namespace, part.ID}
-		held := x.holding(key, now)
-		if query.Save && held == nil {
+		s := x.holding(key, now)
+		if query.Save && s == nil {
 			plan.Save[i] = x.place(key, part.Tokens, now)
 		}
-		s := x.source(query, part, held, now)
-		if s == nil {
+		if s == nil || !query.MayFetch(part.ID) || s.spare(now) {
 			contiguous = false
 			if part.Tokens > largestMissed {
-				largestMissed, plan.Miss = part.Tokens, x.missOf(query, part, held)
+				largestMissed, plan.Miss = part.Tokens, x.missOf(query, part, s)
 			}
 			continue
 		}
@@ -124,22 +116,6 @@
 	}
 }
 
-// source gives where a part is fetched from: the store box that holds it, or a runner that
-// keeps it where that is sooner; nil when it is to be read. The caller holds mu.
-func (x *Index) source(query Query, part call.Part, held *store, now time.Time) *store {
-	if held != nil && (!query.MayFetch(part.ID) || held.spare(now)) {
-		held = nil
-	}
-	if part.Tokens < worthKnowing {
-		return held
-	}
-	runner := x.runnerWith(Key{query.Namespace, part.ID}, part.Tokens, query.Spread, now)
-	if runner == nil || held != nil && moveTime(held, part.Tokens, query.BytesPerToken) <= moveTime(runner, part.Tokens, query.BytesPerToken) {
-		return held
-	}
-	return runner
-}
-
 // moveTime estimates how long a move takes within a zone, once it begins.
 func moveTime(s *store, tokens, bytesPerToken int) time.Duration {
 	if s.config.LinkMbps <= 0 {
--- a/internal/partindex/told.go
+++ b/internal/partindex/told.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -121,13 +120,10 @@
 func (x *Index) Positions() map[string]Position {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	positions := make(map[string]Position, len(x.stores)+len(x.runners))
+	positions := make(map[string]Position, len(x.stores))
 	for _, s := range x.stores {
 		positions[s.config.Address] = Position{Life: s.life, Next: s.next}
 	}
-	for address, s := range x.runners {
-		positions[address] = Position{Life: s.life, Next: s.next}
-	}
 	return positions
 }
 
@@ -148,14 +144,11 @@
 	}
 	if since.Life != s.life || !s.told.reaches(since.Next, s.next) {
 		word.Whole, word.Listed = true, true
-		word.Parts, word.Unfinished = x.tellable(s, parts(s.held)), parts(s.unfinished)
+		word.Parts, word.Unfinished = parts(s.held), parts(s.unfinished)
 		return word, true, true
 	}
 	for _, answer := range s.told.since(since.Next, s.next) {
 		for _, change := range answer.changes {
-			if s.runner && !x.shared[change.ID] {
-				continue
-			}
 			word.Parts = append(word.Parts, Part{Namespace: change.Namespace, ID: change.ID, Tokens: change.Tokens})
 		}
 	}
@@ -191,15 +184,6 @@
 	return t.tail[at:]
 }
 
-// tellable leaves of the parts that a runner keeps those that prompts share: most of the
-// others are of no use to anybody. The caller holds mu.
-func (x *Index) tellable(s *store, list []Part) []Part {
-	if !s.runner {
-		return list
-	}
-	return slices.DeleteFunc(list, func(p Part) bool { return !x.shared[p.ID] })
-}
-
 func parts(kept map[Key]int) []Part {
 	list := make([]Part, 0, len(kept))
 	for key, tokens := range kept {
@@ -226,9 +210,6 @@
 	}
 	report := Report{Life: word.Position.Life, Next: word.Position.Next, AsOf: heardAt, ClockMillis: x.laterClock(word.ClockMillis)}
 	for _, part := range word.Parts {
-		if s.runner {
-			x.shared[part.ID] = true
-		}
 		report.Changes = append(report.Changes, Change{Key{part.Namespace, part.ID}, part.Tokens})
 	}
 	further := word.Position.Life != s.life || word.Position.Next >= s.next
@@ -283,9 +264,6 @@
 	for _, s := range x.stores {
 		s.told.until = time.Time{}
 	}
-	for _, s := range x.runners {
-		s.told.until = time.Time{}
-	}
 	x.mu.Unlock()
 	x.askItself.Send()
 }
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -21,6 +21,11 @@
 	TokenCost float64
 	// Spread breaks ties; it differs from call to call.
 	Spread uint64
+	// Unseen is the work in milliseconds that may have come to each runner without this
+	// box knowing of it yet, and LagElsewhere how many milliseconds old the word of boxes
+	// in other zones is.
+	Unseen       float64
+	LagElsewhere float64
 	// ReadLimit bounds the time in milliseconds that prompts wait to be read at a
 	// runner, this one included, unless it would be the only one; zero is no bound.
 	ReadLimit float64
@@ -64,6 +69,10 @@
 	// long prompt's 17 KB cost about a hundredth of its worth, as a wait of some
 	// milliseconds does. Of 1.5, 6 and 12 ms, six did best (journal of 2 December 2026).
 	zoneCost = 6.0
+	// lagCost is what each millisecond by which the word from other zones is older than
+	// usualLag adds: what is known of their runners is out of date by so much.
+	lagCost  = 0.06
+	usualLag = 100.0
 	// failingCost is what a certain failure costs.
 	failingCost = 400.0
 	// coldCost keeps calls from a server that is still slow, while others do.
@@ -80,7 +89,7 @@
 func Choose(query Query, candidates []Candidate) int {
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
-		cost := waiting(query, &candidates[i]) + tie(query.Spread, candidates[i].Name)
+		cost := waiting(query, &candidates[i]) + tie(query, candidates[i].Name)
 		if cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -101,7 +110,7 @@
 func waiting(query Query, c *Candidate) float64 {
 	cost := float64(c.PendingTokens+c.WorkTokens)*query.TokenCost + float64(c.InFlight)*callCost + c.Failing*failingCost + c.ExtraCost
 	if c.OtherZone {
-		cost += zoneCost
+		cost += zoneCost + lagCost*max(query.LagElsewhere-usualLag, 0)
 	}
 	if c.Cold {
 		cost += coldCost
@@ -115,9 +124,10 @@
 // tieRange spreads calls over servers that differ by less, in milliseconds.
 const tieRange = 1.0
 
-// tie gives a server's part in the breaking of ties for a call, of 0 to tieRange.
-func tie(spread uint64, name string) float64 {
-	return tieRange * float64(rank(spread, name)>>11) / (1 << 53)
+// tie gives a server's part in the breaking of ties for a call, of 0 to tieRange, or to the
+// work that may have come there unseen.
+func tie(query Query, name string) float64 {
+	return max(tieRange, query.Unseen) * float64(rank(query.Spread, name)>>11) / (1 << 53)
 }
 
 // homes gives the two candidates of lowest rendezvous rank.
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -83,7 +83,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	wanted := map[string]bool{}
-	for _, address := range w.cfg.Index.Followed() {
+	for _, address := range w.cfg.Index.Addresses() {
 		wanted[address] = true
 		if w.stops[address] != nil {
 			continue
@@ -168,7 +168,7 @@
 // known or due; listed says that it did the latter.
 func (w *Watcher) ask(ctx context.Context, address string, q question, due bool) (listed bool, err error) {
 	next, list := w.cfg.Index.Position(address)
-	if list || due && !w.cfg.Index.IsRunner(address) {
+	if list || due {
 		return true, w.list(ctx, address)
 	}
 	ctx, cancel := context.WithTimeout(ctx, q.wait+q.limit)
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -33,6 +33,9 @@
 	started := time.Now()
 	name := t.server.Incarnation
 	g.cfg.Fleet.BeginOrder(name, started.Add(loadLimit))
+	if g.cfg.Paused != nil {
+		g.cfg.Paused()
+	}
 	err := g.pause(ctx, t)
 	if err == nil {
 		err = g.load(ctx, &t)
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -75,6 +75,8 @@
 	Logger  zerolog.Logger
 	// Off holds mechanisms that are switched off.
 	Off mechanism.Off
+	// Paused is told that a runner gets no new calls from now on; it may be nil.
+	Paused func()
 	// Holder names this box in orders.
 	Holder string
 	// Models lists the models with a named version, and Wanted gives it.
--- a/internal/zonereader/choose.go
+++ b/internal/zonereader/choose.go
@@ -52,20 +52,6 @@
 	return slices.MinFunc(readers, func(a, b Box) int { return compareRank(rank(self.Name, a.Name), rank(self.Name, b.Name), a, b) }), true
 }
 
-// ReadsFor reports whether the reader of a box's zone follows runners in a zone: a large
-// zone's reader those of its own zone, whose number is bounded, and the reader that small
-// zones have together those of all of them.
-func ReadsFor(self Box, others []Box, zone string) bool {
-	if zone == self.Zone {
-		return true
-	}
-	sizes := map[string]int{self.Zone: 1}
-	for _, box := range others {
-		sizes[box.Zone]++
-	}
-	return sizes[self.Zone] < smallZone && sizes[zone] < smallZone
-}
-
 // group lists the boxes that share readers with a box.
 func group(self Box, boxes []Box) []Box {
 	sizes := map[string]int{}
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -65,10 +65,6 @@
 	return z.following
 }
 
-// ReadsFor reports whether runners of an availability zone are followed by this box's
-// reader, and so by this box.
-func (z *Zone) ReadsFor(zone string) bool { return ReadsFor(z.cfg.Self, z.cfg.Others(), zone) }
-
 // question asks a box for what it knows past what the asker knows.
 type question struct {
 	Streams map[sharedlog.Stream]int64    `msgpack:"s"`
