--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -61,15 +61,13 @@
 		subcommands[i].Description = row.help
 		parser.AttachSubcommand(subcommands[i], 1)
 	}
-	reports := flaggy.NewSubcommand("worth")
-	reports.Description = "where days lost their worth, by reports of the users' bench (.json) and logs of boxes that follow"
-	parser.AttachSubcommand(reports, 1)
-	if len(args) > 0 && args[0] == reports.Name {
-		if err := printWorth(out, args[1:]); err != nil {
-			fmt.Fprintln(errOut, "cometlock-bench:", err)
-			return exitFailed
+	for _, reader := range readers() {
+		subcommand := flaggy.NewSubcommand(reader.name)
+		subcommand.Description = reader.help
+		parser.AttachSubcommand(subcommand, 1)
+		if len(args) > 0 && args[0] == reader.name {
+			return runReader(reader, args[1:], out, errOut)
 		}
-		return exitOK
 	}
 	if err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(errOut, "cometlock-bench:", err)
--- a/internal/bench/worth.go
+++ b/internal/bench/worth.go
@@ -8,9 +8,49 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/worth"
 )
 
+// reader is a command that reads what was measured elsewhere, from paths that it is given.
+type reader struct {
+	name string
+	help string
+	run  func(out io.Writer, paths []string) error
+}
+
+func readers() []reader {
+	return []reader{
+		{"worth", "where days lost their worth, by reports of the users' bench (.json) and logs of boxes that follow", printWorth},
+		{"ablation", "what mechanisms are worth, by a folder that bench/ablate.sh filled", printAblation},
+		{"mechanisms", "the mechanisms that can be switched off", printMechanisms},
+	}
+}
+
+func runReader(r reader, paths []string, out, errOut io.Writer) int {
+	if err := r.run(out, paths); err != nil {
+		fmt.Fprintln(errOut, "cometlock-bench:", r.name+":", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func printAblation(out io.Writer, paths []string) error {
+	if len(paths) != 1 {
+		return merry.New("name one folder")
+	}
+	return worth.PrintAblation(out, paths[0])
+}
+
+func printMechanisms(out io.Writer, _ []string) error {
+	for _, m := range mechanism.All() {
+		if _, err := fmt.Fprintln(out, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // printWorth says where days lost their worth: files that end in .json are reports of the
 // users' bench, all others logs of entry boxes.
 func printWorth(out io.Writer, files []string) error {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -98,9 +98,13 @@
 }
 
 // mayTryAnother reports whether the route, the time left and the retry budget allow
-// another server, and takes from the budget.
+// another server, and takes from the budget. The next server that a call is handed to is
+// no retry as long as none has seen it.
 func (g *Gateway) mayTryAnother(x *exchange) bool {
-	return x.handed < x.maxServers() && time.Now().Before(x.deadline) && x.request.Context().Err() == nil && g.cfg.Budget.Take()
+	if !time.Now().Before(x.deadline) || x.request.Context().Err() != nil {
+		return false
+	}
+	return x.handed == 0 || x.handed < x.maxServers() && g.cfg.Budget.Take()
 }
 
 func (x *exchange) maxServers() int { return max(x.route.MaxServers, 1) }
--- a/internal/worth/worth_test.go
+++ b/internal/worth/worth_test.go
@@ -55,3 +55,20 @@
 		})
 	}
 }
+
+func TestAblationComparesTheSameDays(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	write := func(off, day string, worth string) {
+		path := filepath.Join(folder, off, "site")
+		g.Expect(os.MkdirAll(path, 0o700)).To(Succeed())
+		g.Expect(os.WriteFile(filepath.Join(path, day+".json"), []byte(`{"G": `+worth+`}`), 0o600)).To(Succeed())
+	}
+	write("none", "one-0", "0.7")
+	write("none", "two-0", "0.5")
+	write("homes", "one-0", "0.6")
+	write("homes", "two-0", "0.45")
+	var out strings.Builder
+	g.Expect(worth.PrintAblation(&out, folder)).To(Succeed())
+	g.Expect(out.String()).To(MatchRegexp(`homes +0\.525 +\+0\.075 +\+0\.050 to \+0\.100`))
+}
