A reader that cannot read the log is left

Cause: with the reader cut off from the log (its zone's boxes reach it, and it tells old words) all boxes of its zone read for themselves until that was over, and contended for the orders: at 82 boxes 116 reads of the servers' stream in four seconds instead of 22.

Ruled out: reading at the start (328 of 2,700 calls), the lease of orders alone.

Change: a reader says that it cannot read the log; its followers take the next one, twice in a row at most, since then it is the log that is down.

--- a/internal/registry/told.go
+++ b/internal/registry/told.go
@@ -116,6 +116,13 @@
 	return time.Now().Before(r.tail(sharedlog.Operator).toldUntil)
 }
 
+// Lost reports whether this box cannot read the operators' stream.
+func (r *Registry) Lost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost[sharedlog.Operator]
+}
+
 // ReadItself has this box read the log for itself from now on, until it is told anew.
 func (r *Registry) ReadItself() {
 	r.mu.Lock()
--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -6,9 +6,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/partindex"
@@ -28,8 +31,17 @@
 	answerLimit = 400 * time.Millisecond
 	// avoidFor is how long a box that did not answer is not followed.
 	avoidFor = 2 * time.Second
+	// avoidLostFor is the same for one that cannot read the log, and mostLost how many of
+	// these are left one after the other: then it is the log that is down, and no other
+	// box would do better. While a reader alone was cut off from the log, all boxes of its
+	// zone read for themselves: 700 of 2,700 calls of a day at 82 boxes.
+	avoidLostFor = 5 * time.Second
+	mostLost     = 2
 )
 
+// errLost says that the box that was followed cannot read the log.
+var errLost = merry.Sentinel("the reader cannot read the log")
+
 // LoopFollow follows whichever box reads for this one until ctx ends.
 func (z *Zone) LoopFollow(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -86,7 +98,11 @@
 	z.cfg.Logger.Warn().Str("reader", reader).Str("error", err.Error()).Msg("reader_lost")
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	z.avoided[reader] = time.Now().Add(avoidFor)
+	length := avoidFor
+	if errors.Is(err, errLost) {
+		length = avoidLostFor
+	}
+	z.avoided[reader] = time.Now().Add(length)
 }
 
 // follow asks one box until that fails, which it tells by an error, or until another is to
@@ -126,6 +142,9 @@
 	if err := frame.Read(buffered, &told, maxAnswerBytes); err != nil {
 		return err
 	}
+	if z.leaveLost(told.Lost) {
+		return errLost
+	}
 	// The other box made its answer no sooner than this.
 	asOf := asked.Add(told.Held)
 	for _, word := range told.Streams {
@@ -139,6 +158,21 @@
 	return nil
 }
 
+// leaveLost reports whether a box is to be left because it cannot read the log.
+func (z *Zone) leaveLost(lost bool) bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if !lost {
+		z.lostInRow = 0
+		return false
+	}
+	if z.lostInRow >= mostLost {
+		return false
+	}
+	z.lostInRow++
+	return true
+}
+
 func (z *Zone) question(mended map[string]int) *question {
 	asked := question{Streams: map[sharedlog.Stream]int64{}, Stores: map[string]partindex.Position{}}
 	for _, stream := range registry.Followed() {
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -44,7 +44,10 @@
 	following string
 	// avoided holds boxes that did not answer, until when.
 	avoided map[string]time.Time
-	loops   sync.WaitGroup
+	// lostInRow counts the boxes that were left one after the other since they cannot read
+	// the log.
+	lostInRow int
+	loops     sync.WaitGroup
 }
 
 // New makes a zone in which this box reads for itself.
@@ -77,6 +80,8 @@
 	Stores  []partindex.Word `msgpack:"p"`
 	// Held is how long after the question came the answer was made.
 	Held time.Duration `msgpack:"h"`
+	// Lost says that the box cannot read the log.
+	Lost bool `msgpack:"l,omitempty"`
 }
 
 const (
@@ -137,7 +142,7 @@
 	for {
 		wake := z.cfg.News.Wait()
 		told, news := z.look(asked)
-		told.Held = time.Since(cameAt)
+		told.Held, told.Lost = time.Since(cameAt), z.cfg.Registry.Lost()
 		if news || told.Held >= answerHold || ctx.Err() != nil {
 			return told
 		}
