--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -51,6 +51,7 @@
 	scope.Gauge("order_lease_held").Update(oneIf(b.lease.Held()))
 	scope.Gauge("servers_known").Update(float64(b.fleet.Known()))
 	scope.Gauge("boxes_known").Update(float64(b.share.Boxes()))
+	scope.Gauge("reads_for_itself").Update(oneIf(b.readers.Following() == ""))
 	scope.Gauge("boxes_heard").Update(float64(len(b.share.Peers()) + 1))
 	if catalog := b.registry.Catalog(); catalog != nil {
 		scope.Gauge("configuration_version").Update(float64(catalog.Version()))
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -60,9 +60,9 @@
 	// failurePause lies after a call that failed.
 	failurePause = 200 * time.Millisecond
 	// cleanEvery is the mean time between two looks for parts to free, and cleanMost
-	// bounds the parts of one look. The boxes look at random moments, and mostly
-	// find that another has been there.
-	cleanEvery = 2 * time.Second
+	// bounds the parts of one look. Only boxes that ask a store box themselves look, so in
+	// a zone with a reader that is one; parts of new weights wait for the room.
+	cleanEvery = 400 * time.Millisecond
 	cleanMost  = 500
 )
 
