Tests of the waiting line under a burst

A burst of six prompts before a runner with memory for two: all are served, two at a time; and where answers take longer, a call is refused after a fifth of its objective.

--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -81,7 +81,7 @@
 	return l.calls.Enter(limits, &waiter{x, make(chan choice, 1)}), choice{}, false
 }
 
-// wait waits until a call's turn comes, or it becomes hopeless, or its caller leaves.
+// wait waits until a call's turn comes, its wait is over, or its caller leaves.
 func (g *Gateway) wait(l *line, entry *waitline.Entry[*waiter]) (choice, bool) {
 	x := entry.Value.x
 	timer := time.NewTicker(lookEvery)
--- /dev/null
+++ b/internal/gateway/wait_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/call"
+	"github.com/cometlock/cometlock/internal/fleet"
+)
+
+// A burst of prompts of which a runner's memory takes two at a time: those that do not fit
+// wait for the answers before them, and all are served; none of them drives another out.
+func TestABurstWaitsForMemory(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		calls  = 6
+		fit    = 2
+		answer = 30 * time.Millisecond
+	)
+	var running, most atomic.Int64
+	f := fleet.New(fleet.Config{})
+	startRunner(t, f, "r", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		now := running.Add(1)
+		defer running.Add(-1)
+		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+		}
+		time.Sleep(answer)
+		_, _ = w.Write([]byte("answer"))
+	}))
+	c := promptCatalog(g)
+	protocol := newPlanProtocol()
+	protocol.facts.Prompt = &call.Prompt{Model: "m", Tokens: 40_000, Parts: []call.Part{{ID: "own", Tokens: 40_000}}} // of 100,000
+	gateway := promptGateway(protocol, f, emptyStore(c), c)
+	var burst sync.WaitGroup
+	var served atomic.Int64
+	for range calls {
+		burst.Go(func() {
+			recorder := httptest.NewRecorder()
+			gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+			if recorder.Code == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	burst.Wait()
+	g.Expect(served.Load()).To(BeEquivalentTo(calls))
+	g.Expect(most.Load()).To(BeEquivalentTo(fit))
+}
+
+// Where answers take longer than calls may wait, those that find no room are refused after
+// a fifth of the objective, not run.
+func TestACallWaitsForAFifthOfItsObjective(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	f := fleet.New(fleet.Config{})
+	startRunner(t, f, "r", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = w.Write([]byte("answer"))
+	}))
+	c := promptCatalog(g)
+	protocol := newPlanProtocol()
+	protocol.facts.Prompt = &call.Prompt{Model: "m", Tokens: 40_000, Parts: []call.Part{{ID: "own", Tokens: 40_000}}}
+	gateway := promptGateway(protocol, f, emptyStore(c), c)
+	var first sync.WaitGroup
+	for range 2 {
+		first.Go(func() { serveOne(g, gateway) })
+	}
+	g.Eventually(gateway.InFlight).Should(BeEquivalentTo(2))
+	g.Eventually(gateway.Waiting).Should(BeZero())
+	began := time.Now()
+	recorder := httptest.NewRecorder()
+	gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+	g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(time.Since(began)).To(BeNumerically("~", 200*time.Millisecond, 150*time.Millisecond), "the objective is a second")
+	close(release)
+	first.Wait()
+}
