A quiet box takes more calls into its line; tests of a burst

Cause: the test of a burst (six prompts at once before a runner with memory for two) had two or three calls refused at once: a box that has seen few calls find room took ten a second for the rate at which they would, though a runner's answers end much sooner.

--- a/internal/waitline/waitline.go
+++ b/internal/waitline/waitline.go
@@ -33,10 +33,11 @@
 	// rateWindow is the time over which the rate of calls that find room is observed:
 	// bursts last about as long.
 	rateWindow = 2 * time.Second
-	// leastRate is the rate, in calls a second, that is assumed where none or less was
-	// observed: runners whose memory is full end an answer or two in a second, and the
-	// first call of a quiet box knows nothing of them.
-	leastRate = 10.0
+	// leastRate is the rate, in calls a second, that is assumed where less was observed: a
+	// box of which little was asked has seen few calls find room, and that says nothing of
+	// how soon a burst will. With 10, four calls that came to a quiet box together were
+	// too many.
+	leastRate = 50.0
 )
 
 // Line holds the calls that wait, each with a value of its owner's.
