--- a/internal/zonereader/choose.go
+++ b/internal/zonereader/choose.go
@@ -13,7 +13,7 @@
 // Ways weighed: a lease in the log (a call a second, and nobody reads while it changes
 // hands); gossip (each word passes several boxes, so its age is a multiple of one way, and
 // the bounds leave 2 s); each box telling every other (grows with the square). One reader
-// a zone, asked by the others, has one hop, and a held question costs the reader 0.1 ms.
+// a zone, asked by the others, has one hop, and a question costs the reader 0.1 ms.
 package zonereader
 
 import (
