--- a/internal/placing/admit.go
+++ b/internal/placing/admit.go
@@ -20,7 +20,7 @@
 	// HeadroomPart is the same for the one box that a runner's headroom belongs to:
 	// nobody else fills it meanwhile, so less is kept free. With 0.9 the mean worth of
 	// twelve days, two seeds each, rose from 0.649 to 0.680, with 0.97 it was the same,
-	// and with a MemoryPart of 0.5 or 0.7 beside it less (journal of 2 December 2026).
+	// and with a MemoryPart of 0.5 or 0.7 beside it less.
 	HeadroomPart = 0.9
 	// WaitPart is the part of the objective that a call waits for room; then it is
 	// refused while it can still be served in time elsewhere or later. Calls that waited
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -67,7 +67,7 @@
 	callCost = 2.0
 	// zoneCost covers the way to another zone and back, and the price of the bytes: a
 	// long prompt's 17 KB cost about a hundredth of its worth, as a wait of some
-	// milliseconds does. Of 1.5, 6 and 12 ms, six did best (journal of 2 December 2026).
+	// milliseconds does. Of 1.5, 6 and 12 ms, six did best.
 	zoneCost = 6.0
 	// lagCost is what each millisecond by which the word from other zones is older than
 	// usualLag adds: what is known of their runners is out of date by so much.
