Words between boxes carry a digest; a call's line says how old the view of the servers was

Change: a word has a number for what its teller knows up to its offset, and the receiver logs view_differs when its own is another; told says what a word brings and from which offset; a call's line has servers_age and gone_for. No decision changes.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -173,6 +173,7 @@
 		Off:      b.settings.Off, Fleet: b.fleet, Parts: b.parts, Logger: b.logger, Scope: scope, Zone: b.settings.Zone,
 		Budget: b.budget, Boxes: b.share.Boxes, Headroom: b.share.OwnsHeadroom, Lag: b.share.Lag,
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.WeightsLimit,
+		ServersAge: b.registry.ServersAge,
 	})
 	b.assembleServers()
 }
--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -50,6 +50,7 @@
 	scope.Gauge("retries_denied").Update(float64(budget.Denied))
 	scope.Gauge("order_lease_held").Update(oneIf(b.lease.Held()))
 	scope.Gauge("servers_known").Update(float64(b.fleet.Known()))
+	scope.Gauge("servers_read_age_seconds").Update(b.registry.ServersAge().Seconds())
 	scope.Gauge("boxes_known").Update(float64(b.share.Boxes()))
 	scope.Gauge("reads_for_itself").Update(oneIf(b.readers.Following() == ""))
 	scope.Gauge("boxes_heard").Update(float64(len(b.share.Peers()) + 1))
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -25,6 +25,8 @@
 	// be read then.
 	since time.Time
 	alone bool
+	// goneFor is how long before the choice the registry had dropped the server.
+	goneFor time.Duration
 	// reading is how long the server was expected to take to read this prompt and those
 	// before it.
 	reading time.Duration
@@ -42,6 +44,9 @@
 // Weights gives the weight version that the call was placed for.
 func (h *Hold) Weights() int { return h.weights }
 
+// GoneFor is for how long the server had not been listed when it was chosen; zero if it was.
+func (h *Hold) GoneFor() time.Duration { return h.goneFor }
+
 // hold counts a call at its server. The caller holds mu.
 func (f *Fleet) hold(state *State, candidate placing.Candidate, query Query, now time.Time) *Hold {
 	if state.inFlight == 0 {
@@ -50,8 +55,13 @@
 	state.inFlight++
 	state.pendingTokens += candidate.WorkTokens
 	state.heldTokens += query.Load.Tokens
+	goneFor := time.Duration(0)
+	if !state.gone.IsZero() {
+		goneFor = now.Sub(state.gone)
+	}
 	return &Hold{
-		fleet: f, state: state, tokens: candidate.WorkTokens, server: state.Server, weights: state.weights(query.Model),
+		goneFor: goneFor,
+		fleet:   f, state: state, tokens: candidate.WorkTokens, server: state.Server, weights: state.weights(query.Model),
 		held: query.Load.Tokens, since: now, alone: candidate.PendingTokens == 0,
 		reading: time.Duration(float64(candidate.PendingTokens+candidate.WorkTokens) * query.Load.TokenCost * float64(time.Millisecond)),
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,9 @@
 	Weights Weights
 	// Retire says which kept parts may be fetched.
 	Retire *retire.Policy
+	// ServersAge gives how old the knowledge of the backend servers is; nil when it has no
+	// age.
+	ServersAge func() time.Duration
 	// OutdatedAfter is when answers by older weights have lost all their worth.
 	OutdatedAfter time.Duration
 }
@@ -142,6 +145,8 @@
 	// choice is the last placement, for the log; placeTime is what all of them took.
 	choice    choice
 	placeTime time.Duration
+	// serversAge is how old the knowledge of the servers was then.
+	serversAge time.Duration
 	// shortage says why the call was placed nowhere, when it was not.
 	shortage fleet.Shortage
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -39,6 +39,9 @@
 	if hold == nil {
 		return choice{}, false
 	}
+	if g.cfg.ServersAge != nil {
+		x.serversAge = g.cfg.ServersAge()
+	}
 	if plans == nil {
 		return choice{hold: hold}, true
 	}
--- a/internal/gateway/settle.go
+++ b/internal/gateway/settle.go
@@ -119,7 +119,10 @@
 // at, and what of its prompt was fetched.
 func tellPlacement(event *zerolog.Event, x *exchange) {
 	if hold := x.choice.hold; hold != nil {
-		event.Str("server", hold.Server().Incarnation).Int("weights", hold.Weights())
+		event.Str("server", hold.Server().Incarnation).Int("weights", hold.Weights()).Dur("servers_age", x.serversAge)
+		if gone := hold.GoneFor(); gone > 0 {
+			event.Dur("gone_for", gone)
+		}
 	}
 	if x.reason == reasonNoServer {
 		short := x.shortage
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -138,6 +138,13 @@
 	return r.tail(sharedlog.Operator).readAt
 }
 
+// ServersAge is how long ago this box knew all that the servers' stream then held.
+func (r *Registry) ServersAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.tail(sharedlog.Servers).readAt)
+}
+
 // LoopOperator follows the operators' stream until ctx ends.
 func (r *Registry) LoopOperator(ctx context.Context) {
 	r.loop(ctx, sharedlog.Operator, r.cfg.Hold, 0)
--- a/internal/registry/tail.go
+++ b/internal/registry/tail.go
@@ -26,6 +26,11 @@
 	// included. What is gone since before floor is not told of any more.
 	entries map[string]entry
 	floor   int64
+	// marks sums up the entries, and latest is the offset of the last record among them.
+	marks  uint64
+	latest int64
+	// differs says that another box knew otherwise when last compared.
+	differs bool
 }
 
 // entry is the newest record of a key.
@@ -40,7 +45,16 @@
 // goneKept bounds the keys of a stream that are remembered though they are gone.
 const goneKept = 2048
 
-func newTail() *tail { return &tail{next: sharedlog.FromNewest, entries: map[string]entry{}} }
+func newTail() *tail {
+	return &tail{next: sharedlog.FromNewest, entries: map[string]entry{}, latest: -1}
+}
+
+// put sets the newest record of a key.
+func (t *tail) put(next entry) {
+	t.marks ^= t.entries[next.record.Key].mark() ^ next.mark()
+	t.latest = max(t.latest, next.record.Offset)
+	t.entries[next.record.Key] = next
+}
 
 // remember takes in a record, and reports whether it says anything new.
 func (t *tail) remember(record sharedlog.Record, server *fleet.Server) bool {
@@ -53,7 +67,7 @@
 	if same {
 		next.changed = before.changed
 	}
-	t.entries[record.Key] = next
+	t.put(next)
 	return !same
 }
 
@@ -64,7 +78,7 @@
 			continue
 		}
 		last := max(upTo-1, known.record.Offset)
-		t.entries[key] = entry{record: sharedlog.Record{Key: key, Offset: last}, changed: last}
+		t.put(entry{record: sharedlog.Record{Key: key, Offset: last}, changed: last})
 	}
 }
 
--- a/internal/registry/told.go
+++ b/internal/registry/told.go
@@ -29,6 +29,8 @@
 	// Age is how long ago all records were known; Unread says that they never were.
 	Age    time.Duration `msgpack:"a"`
 	Unread bool          `msgpack:"u,omitempty"`
+	// Digest shows whether two boxes that know as much know the same; see digest.go.
+	Digest uint64 `msgpack:"d,omitempty"`
 }
 
 // How old what another box told may be before a box reads for itself. The box that tells
@@ -64,7 +66,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tail(stream)
-	word = Word{Stream: stream, Next: t.next, Age: time.Since(t.readAt), Unread: t.readAt.IsZero()}
+	word = Word{Stream: stream, Next: t.next, Age: time.Since(t.readAt), Unread: t.readAt.IsZero(), Digest: t.digest()}
 	switch {
 	case t.next < 0 || from >= t.next:
 		return word, false
@@ -87,6 +89,7 @@
 		return false
 	}
 	if word.Whole || len(word.Records) > 0 {
+		r.logWord(word)
 		whole := word.Whole && r.Position(word.Stream) <= word.Next
 		r.takeRecords(word.Stream, sharedlog.Page{Records: word.Records, Next: word.Next}, whole)
 	}
@@ -106,9 +109,32 @@
 		t.readAt = readAt
 	}
 	t.toldUntil = readAt.Add(toldFor(word.Stream))
+	r.noteCompared(t, word)
 	return fresh
 }
 
+// logWord tells what a word brings: all that is known, or what was added since the offset
+// that this box knew.
+func (r *Registry) logWord(word Word) {
+	r.cfg.Logger.Info().Stringer("stream", word.Stream).Bool("whole", word.Whole).Int("records", len(word.Records)).
+		Int64("from", r.Position(word.Stream)).Int64("offset", word.Next).Dur("age", word.Age).Msg("told")
+}
+
+// noteCompared tells when another box that knows as much knows otherwise, and when that is
+// over. The caller holds mu.
+func (r *Registry) noteCompared(t *tail, word Word) {
+	comparable, differs := t.compare(word)
+	if !comparable || differs == t.differs {
+		return
+	}
+	t.differs = differs
+	if differs {
+		r.cfg.Logger.Warn().Stringer("stream", word.Stream).Int64("offset", word.Next).Msg("view_differs")
+		return
+	}
+	r.cfg.Logger.Info().Stringer("stream", word.Stream).Int64("offset", word.Next).Msg("view_agrees")
+}
+
 // Told reports whether this box goes by what another one reads of the operators' stream.
 func (r *Registry) Told() bool {
 	r.mu.Lock()
