--- a/internal/registry/view_test.go
+++ b/internal/registry/view_test.go
@@ -1,9 +1,11 @@
 package registry_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,12 +19,10 @@
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
-// history is a servers' stream that remembers what it said at each offset. It answers late,
-// so that words of other boxes pass its answers, and forgets its records at times.
+// history is a servers' stream that remembers what it said at each offset, and forgets its
+// records at times.
 type history struct {
-	sharedlog.Log
-	random *rand.Rand
-	mu     sync.Mutex
+	mu sync.Mutex
 	// records holds all records ever, by offset; those before first are no longer kept.
 	records []sharedlog.Record
 	first   int64
@@ -52,34 +52,60 @@
 
 func (h *history) end() int64 { return int64(len(h.records)) }
 
-// answerLate lets a random part of the time within which the log answers pass.
-func (h *history) answerLate(ctx context.Context) {
-	h.mu.Lock()
-	length := time.Duration(h.random.Int64N(int64(slowestAnswer)))
-	h.mu.Unlock()
-	waiting.For(ctx, length)
+// lateLog is how one box reads the history: it answers late, so that words of other boxes
+// pass its answers.
+type lateLog struct {
+	sharedlog.Log
+	history *history
+	random  *rand.Rand
 }
 
-// slowestAnswer is below the time that a call of the log may take.
-const slowestAnswer = 400 * time.Millisecond
+// slowestAnswer is so short that no call fails: a reading that finds its records forgotten
+// waits five times for an answer.
+const slowestAnswer = 150 * time.Millisecond
+
+func (l *lateLog) wait(ctx context.Context) { waiting.For(ctx, upTo(l.random, slowestAnswer)) }
+
+// upTo gives a random time below a limit. Nothing happens twice at one moment, so that a
+// seed gives the same history each time.
+func upTo(random *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(random.Int64N(int64(limit)))
+}
 
 // Newest implements sharedlog.Log: two pages, which are no snapshot.
-func (h *history) Newest(ctx context.Context, _ sharedlog.Stream) (sharedlog.Page, error) {
-	h.answerLate(ctx)
-	h.mu.Lock()
-	page := sharedlog.Page{Next: h.end(), End: h.end()}
-	page.Records = h.newest(0, modelServers/2)
-	h.mu.Unlock()
-	h.answerLate(ctx)
-	h.mu.Lock()
-	page.Records = append(page.Records, h.newest(modelServers/2, modelServers)...)
-	h.mu.Unlock()
-	h.answerLate(ctx)
+func (l *lateLog) Newest(ctx context.Context, _ sharedlog.Stream) (sharedlog.Page, error) {
+	l.wait(ctx)
+	end, records := l.history.newest(0, modelServers/2)
+	page := sharedlog.Page{Records: records, Next: end, End: end}
+	l.wait(ctx)
+	_, records = l.history.newest(modelServers/2, modelServers)
+	page.Records = append(page.Records, records...)
+	l.wait(ctx)
 	return page, ctx.Err()
 }
 
-// newest gives the newest records of some servers. The caller holds mu.
-func (h *history) newest(from, to int) (records []sharedlog.Record) {
+// Read implements sharedlog.Log.
+func (l *lateLog) Read(ctx context.Context, _ sharedlog.Stream, from int64, _ time.Duration) (sharedlog.Page, error) {
+	l.wait(ctx)
+	page, err := l.history.read(from)
+	l.wait(ctx)
+	return page, cmp.Or(err, ctx.Err())
+}
+
+// read gives the records from an offset on.
+func (h *history) read(from int64) (sharedlog.Page, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if from < h.first {
+		return sharedlog.Page{}, &sharedlog.GoneError{First: h.first}
+	}
+	return sharedlog.Page{Records: slices.Clone(h.records[from:]), Next: h.end(), End: h.end()}, nil
+}
+
+// newest gives the end of the stream and the newest records of some servers.
+func (h *history) newest(from, to int) (end int64, records []sharedlog.Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for i := from; i < to; i++ {
 		for offset := h.end() - 1; offset >= 0; offset-- {
 			record := h.records[offset]
@@ -92,21 +118,7 @@
 			break
 		}
 	}
-	return records
-}
-
-// Read implements sharedlog.Log.
-func (h *history) Read(ctx context.Context, _ sharedlog.Stream, from int64, _ time.Duration) (sharedlog.Page, error) {
-	h.answerLate(ctx)
-	h.mu.Lock()
-	if from < h.first {
-		defer h.mu.Unlock()
-		return sharedlog.Page{}, &sharedlog.GoneError{First: h.first}
-	}
-	page := sharedlog.Page{Records: append([]sharedlog.Record(nil), h.records[from:]...), Next: h.end(), End: h.end()}
-	h.mu.Unlock()
-	h.answerLate(ctx)
-	return page, ctx.Err()
+	return h.end(), records
 }
 
 const (
@@ -127,32 +139,35 @@
 // fleetModel is some boxes that read one stream and tell each other of it.
 type fleetModel struct {
 	log    *history
+	seed   uint64
 	random *rand.Rand
+	lives  uint64
 	mu     sync.Mutex
 	boxes  []*modelBox
 	wait   sync.WaitGroup
 }
 
+// newRandom gives each part of a life its own numbers, whatever the others do meanwhile.
+func (m *fleetModel) newRandom() *rand.Rand {
+	m.lives++
+	return rand.New(rand.NewPCG(m.seed, m.lives))
+}
+
 // restart puts a box that knows nothing in the place of one.
 func (m *fleetModel) restart(ctx context.Context, at int) {
 	ctx, stop := context.WithCancel(ctx)
 	b := &modelBox{stop: stop, fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()})}
-	b.registry = registry.New(registry.Config{Log: m.log, Decoder: decoder{}, Fleet: b.fleet, Logger: zerolog.Nop()})
+	log := &lateLog{history: m.log, random: m.newRandom()}
+	b.registry = registry.New(registry.Config{Log: log, Decoder: decoder{}, Fleet: b.fleet, Logger: zerolog.Nop()})
 	m.mu.Lock()
 	if m.boxes[at] != nil {
 		m.boxes[at].stop()
 	}
 	m.boxes[at] = b
 	m.mu.Unlock()
+	random := m.newRandom()
 	m.wait.Go(func() { b.registry.LoopServers(ctx) })
-	m.wait.Go(func() { m.loopFollow(ctx, b) })
-}
-
-// draw gives a random number below n.
-func (m *fleetModel) draw(n int) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.random.IntN(n)
+	m.wait.Go(func() { m.loopFollow(ctx, b, random) })
 }
 
 func (m *fleetModel) box(at int) *modelBox {
@@ -162,21 +177,21 @@
 }
 
 // loopFollow has a box follow one after another, and read itself at times.
-func (m *fleetModel) loopFollow(ctx context.Context, b *modelBox) {
+func (m *fleetModel) loopFollow(ctx context.Context, b *modelBox, random *rand.Rand) {
 	teller := b
 	for ctx.Err() == nil {
-		if m.draw(8) == 0 {
-			teller = m.box(m.draw(modelBoxes))
+		if other := m.box(random.IntN(modelBoxes)); other != nil && random.IntN(8) == 0 {
+			teller = other // nil before it has started
 		}
 		if teller == b {
 			b.registry.ReadItself()
-			waiting.For(ctx, time.Duration(m.draw(900))*time.Millisecond)
+			waiting.For(ctx, upTo(random, 900*time.Millisecond))
 			continue
 		}
 		asked, from := time.Now(), b.registry.Position(sharedlog.Servers)
-		waiting.For(ctx, time.Duration(m.draw(100))*time.Millisecond)
+		waiting.For(ctx, upTo(random, 100*time.Millisecond))
 		word, _ := teller.registry.WordSince(sharedlog.Servers, from)
-		waiting.For(ctx, time.Duration(m.draw(300))*time.Millisecond)
+		waiting.For(ctx, upTo(random, 300*time.Millisecond))
 		if ctx.Err() == nil {
 			b.registry.TakeWord(word, asked)
 		}
@@ -185,10 +200,10 @@
 
 // step changes something: a server, a box, or what the log keeps.
 func (m *fleetModel) step(ctx context.Context) {
-	server := modelServer(m.draw(modelServers))
-	switch m.draw(12) {
+	server := modelServer(m.random.IntN(modelServers))
+	switch m.random.IntN(12) {
 	case 0:
-		m.restart(ctx, m.draw(modelBoxes))
+		m.restart(ctx, m.random.IntN(modelBoxes))
 	case 1:
 		m.log.forget()
 	case 2, 3, 4:
@@ -240,13 +255,13 @@
 func playHistory(t *testing.T, seed uint64) (wrong string) {
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		log := &history{random: rand.New(rand.NewPCG(seed, 1))}
-		m := &fleetModel{log: log, random: rand.New(rand.NewPCG(seed, 2)), boxes: make([]*modelBox, modelBoxes)}
+		m := &fleetModel{log: &history{}, seed: seed, boxes: make([]*modelBox, modelBoxes)}
+		m.random = m.newRandom()
 		for i := range modelBoxes {
 			m.restart(ctx, i)
 		}
 		for end := time.Now().Add(modelLength); time.Now().Before(end) && wrong == ""; {
-			time.Sleep(time.Duration(1+m.draw(400)) * time.Millisecond)
+			time.Sleep(upTo(m.random, 400*time.Millisecond))
 			synctest.Wait()
 			for i := range modelBoxes {
 				if found := m.check(m.box(i)); found != "" && wrong == "" {
