Who knows a stream up to an offset before its teller's whole reading is told all

Cause: a reading of the newest records of a stream names no key that is gone. A box that had started, or had found its records forgotten, answered 'what was added since N' from such a reading, also where N lay before it; what had gone in between was never told. The model test found three more ways to the same wrong belief: a whole reading that came while a later word was taken over counted as additions, so what it did not name was missed; an old word brought back what a whole reading had not named, since the fleet judged by its own offsets; and a server that was gone and back within one reading, or for a teller that was told only of the end of it, did not count as changed. Ruled out: clocks and ages of words. Change: the stream's tail judges alone what is new. A whole reading is the floor of what is told as additions; before it, all is told. Keys that a whole reading does not name are gone as of it, whatever older words say. What is passed on from words and whole readings counts as changed. The fleet is told what the tail found new, and no more whole readings. The test of what is adopted calls the function by its new parameters; it checks the same.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -100,7 +100,7 @@
 
 func (f *Fleet) apply(update Update) {
 	state := f.servers[update.Incarnation]
-	if state != nil && update.Offset <= state.offset {
+	if state != nil && update.Offset < state.offset {
 		return
 	}
 	if update.Server == nil {
--- a/internal/registry/digest.go
+++ b/internal/registry/digest.go
@@ -36,8 +36,9 @@
 	return t.marks | 1 // never unsaid
 }
 
-// compare reports whether a word that goes as far as what is known here says otherwise.
-func (t *tail) compare(word Word) (comparable, differs bool) {
+// compare reports whether a word goes as far as what is known here, and if so, whether it
+// says otherwise.
+func (t *tail) compare(word Word) (asFar, differs bool) {
 	own := t.digest()
 	if word.Next != t.next || own == unsaid || word.Digest == unsaid {
 		return false, false
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -159,8 +159,7 @@
 // read is held for hold, and pause lies between two reads. The read after one that
 // failed is not held, so that its answer says at once that the log is back and what
 // was missed; until then kept parts may not be fetched.
-// While another box tells of the stream, nothing is read. A whole reading only adds to
-// what is known if another box told of later records meanwhile.
+// While another box tells of the stream, nothing is read.
 func (r *Registry) loop(ctx context.Context, stream sharedlog.Stream, hold, pause time.Duration) {
 	failurePause := shortestPause
 	wait := time.Duration(0) // the reading of all is not held
@@ -183,7 +182,7 @@
 			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", next).Int64("offset", page.Next).Msg("records_expired")
 		}
 		if whole || len(page.Records) > 0 {
-			r.takeRecords(stream, page, whole && r.Position(stream) <= next)
+			r.take(stream, page.Records, reading{next: page.Next, whole: whole, raw: !whole})
 		}
 		if !whole && len(page.Records) == 0 {
 			asked = provenUpTo(asked, wait)
@@ -257,16 +256,49 @@
 	}
 }
 
-// takeRecords takes over what was read of a stream.
-func (r *Registry) takeRecords(stream sharedlog.Stream, page sharedlog.Page, whole bool) {
+// take takes over records that were read of a stream or told of it.
+func (r *Registry) take(stream sharedlog.Stream, records []sharedlog.Record, read reading) {
 	r.turn.Lock()
 	defer r.turn.Unlock()
+	r.takeInTurn(stream, records, read)
+}
+
+// takeInTurn passes on what records say that is new. The caller holds turn. What is new is
+// judged in one place, by the stream's tail: when the fleet judged by itself which of two
+// records was the later one, an old word could bring a server back that a whole reading had
+// not named.
+func (r *Registry) takeInTurn(stream sharedlog.Stream, records []sharedlog.Record, read reading) {
+	r.decode(stream, records, &read)
+	r.mu.Lock()
+	news := r.tail(stream).take(read)
+	r.mu.Unlock()
+	if len(news) > 0 || read.whole {
+		r.news.Send()
+	}
 	if stream == sharedlog.Servers {
-		r.takeServers(page, whole)
+		r.takeServers(news)
 		return
 	}
-	r.remember(stream, page, nil, whole)
-	r.takeDeclarations(page.Records)
+	r.takeDeclarations(records)
+}
+
+// decode adds records to a reading, with what they say of servers. Those of servers that
+// are not understood are left out.
+func (r *Registry) decode(stream sharedlog.Stream, records []sharedlog.Record, read *reading) {
+	read.records, read.unclear = make([]said, 0, len(records)), map[string]bool{}
+	for _, record := range records {
+		if stream != sharedlog.Servers {
+			read.records = append(read.records, said{record: record})
+			continue
+		}
+		update, err := r.cfg.Decoder.Server(record)
+		if err != nil {
+			r.cfg.Logger.Error().Str("key", record.Key).Int64("offset", record.Offset).Str("error", err.Error()).Msg("server_not_understood")
+			read.unclear[record.Key] = true
+			continue
+		}
+		read.records = append(read.records, said{record, update.Server})
+	}
 }
 
 func (r *Registry) takeDeclarations(records []sharedlog.Record) {
@@ -295,22 +327,13 @@
 	}
 }
 
-func (r *Registry) takeServers(page sharedlog.Page, whole bool) {
-	updates := make([]fleet.Update, 0, len(page.Records))
-	servers := make(map[string]*fleet.Server, len(page.Records))
-	for _, record := range page.Records {
-		update, err := r.cfg.Decoder.Server(record)
-		if err != nil {
-			r.cfg.Logger.Error().Str("key", record.Key).Int64("offset", record.Offset).Str("error", err.Error()).Msg("server_not_understood")
-			continue
-		}
-		updates = append(updates, update)
-		servers[record.Key] = update.Server
-	}
-	r.remember(sharedlog.Servers, page, servers, whole)
-	if whole {
-		r.cfg.Fleet.Replace(updates)
+func (r *Registry) takeServers(news []entry) {
+	if len(news) == 0 {
 		return
 	}
+	updates := make([]fleet.Update, len(news))
+	for i, next := range news {
+		updates[i] = fleet.Update{Incarnation: next.record.Key, Offset: next.record.Offset, Server: next.server}
+	}
 	r.cfg.Fleet.Apply(updates)
 }
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -3,10 +3,7 @@
 
 package registry
 
-import (
-	"github.com/cometlock/cometlock/internal/fleet"
-	"github.com/cometlock/cometlock/internal/sharedlog"
-)
+import "github.com/cometlock/cometlock/internal/sharedlog"
 
 // Snapshot holds the newest record of each key, as another box read them.
 type Snapshot struct {
@@ -14,28 +11,6 @@
 	Servers  []sharedlog.Record `msgpack:"s"`
 }
 
-// remember keeps the newest record of each key of a stream, and what each says of its
-// server in the servers' stream.
-func (r *Registry) remember(stream sharedlog.Stream, page sharedlog.Page, servers map[string]*fleet.Server, whole bool) {
-	r.mu.Lock()
-	t := r.tail(stream)
-	named := make(map[string]bool, len(page.Records))
-	news := whole
-	for _, record := range page.Records {
-		named[record.Key] = true
-		news = t.remember(record, servers[record.Key]) || news
-	}
-	if whole {
-		t.forgetOthers(named, page.Next)
-	}
-	t.next = max(t.next, page.Next)
-	t.forgetGone()
-	r.mu.Unlock()
-	if news {
-		r.news.Send()
-	}
-}
-
 // Lacks reports that this box has no configuration and cannot read the log. One that has
 // just started and is about to read it lacks nothing.
 func (r *Registry) Lacks() bool {
@@ -67,9 +42,8 @@
 		return
 	}
 	if r.Position(sharedlog.Servers) < 0 {
-		r.takeServers(sharedlog.Page{Records: snapshot.Servers, Next: sharedlog.FromNewest}, false)
+		r.takeInTurn(sharedlog.Servers, snapshot.Servers, reading{next: sharedlog.FromNewest})
 	}
-	r.remember(sharedlog.Operator, sharedlog.Page{Records: snapshot.Operator, Next: sharedlog.FromNewest}, nil, false)
-	r.takeDeclarations(snapshot.Operator)
+	r.takeInTurn(sharedlog.Operator, snapshot.Operator, reading{next: sharedlog.FromNewest})
 	r.cfg.Logger.Info().Int("servers", len(snapshot.Servers)).Bool("configuration", r.Catalog() != nil).Msg("adopted_from_box")
 }
--- a/internal/registry/tail.go
+++ b/internal/registry/tail.go
@@ -6,6 +6,7 @@
 package registry
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/fleet"
@@ -23,9 +24,13 @@
 	// read the stream itself.
 	toldUntil time.Time
 	// entries holds the newest record of each key, by key, those of keys that are gone
-	// included. What is gone since before floor is not told of any more.
+	// included.
 	entries map[string]entry
-	floor   int64
+	// floor is the offset since which all that was added is known: a reading of the newest
+	// records does not name the keys that went before it. Told of additions since an earlier
+	// one, a box went on handing calls to a server whose entry had gone, until it refused
+	// connections: 2.0 to 3.6 s after its leaving.
+	floor int64
 	// marks sums up the entries, and latest is the offset of the last record among them.
 	marks  uint64
 	latest int64
@@ -33,13 +38,18 @@
 	differs bool
 }
 
+// said is a record with what it says of its server, in the servers' stream; nil when that
+// is gone.
+type said struct {
+	record sharedlog.Record
+	server *fleet.Server
+}
+
 // entry is the newest record of a key.
 type entry struct {
-	record sharedlog.Record
+	said
 	// changed is the offset of the first record that said what the newest one says.
 	changed int64
-	// server is what a record of the servers' stream says; nil when it is gone.
-	server *fleet.Server
 }
 
 // goneKept bounds the keys of a stream that are remembered though they are gone.
@@ -56,30 +66,76 @@
 	t.entries[next.record.Key] = next
 }
 
-// remember takes in a record, and reports whether it says anything new.
-func (t *tail) remember(record sharedlog.Record, server *fleet.Server) bool {
-	before, known := t.entries[record.Key]
-	if known && record.Offset < before.record.Offset {
-		return false
+// reading is what was read of a stream, or told of it.
+type reading struct {
+	records []said
+	// unclear holds the keys whose records were not understood; what was known of them stays.
+	unclear map[string]bool
+	// next is the offset up to which the records lead.
+	next int64
+	// whole says that keys which are neither in records nor unclear were gone at next;
+	// otherwise the records are all that was added since what is known.
+	whole bool
+	// raw says that records are all that were added, rather than the newest of each key.
+	raw bool
+}
+
+// take takes in a reading and gives the entries that say anything new. It may be older than
+// what is known: each key goes forward by offsets, and a key that is not known though the
+// stream is known up to a later offset was gone by then.
+func (t *tail) take(read reading) (news []entry) {
+	known := t.next
+	for _, said := range read.records {
+		offset := said.record.Offset
+		before, found := t.entries[said.record.Key]
+		if offset < before.record.Offset || !found && offset < known {
+			continue
+		}
+		next := entry{said: said, changed: offset}
+		same := next.server != nil && before.server != nil && next.server.Same(before.server)
+		if same && read.raw {
+			next.changed = before.changed // no record between the two said otherwise
+		}
+		t.put(next)
+		if !same {
+			news = append(news, next)
+		}
 	}
-	next := entry{record: record, changed: record.Offset, server: server}
-	same := known && server != nil && before.server != nil && server.Same(before.server)
-	if same {
-		next.changed = before.changed
+	if read.whole && read.next >= known {
+		news = append(news, t.forgetOthers(read)...)
+		t.floor = read.next
 	}
-	t.put(next)
-	return !same
+	t.next = max(t.next, read.next)
+	t.forgetGone()
+	return news
 }
 
-// forgetOthers marks what a whole reading up to an offset does not name as gone.
-func (t *tail) forgetOthers(named map[string]bool, upTo int64) {
+// forgetOthers marks the keys as gone that a whole reading does not name, and gives those
+// that were not gone before.
+func (t *tail) forgetOthers(read reading) (gone []entry) {
+	named := maps.Clone(read.unclear)
+	if named == nil {
+		named = make(map[string]bool, len(read.records))
+	}
+	for _, said := range read.records {
+		named[said.record.Key] = true
+	}
+	adopted := t.next < 0 // from a box whose word the first reading goes before
 	for key, known := range t.entries {
-		if named[key] || len(known.record.Value) == 0 {
+		last := read.next - 1
+		if adopted {
+			last = max(last, known.record.Offset)
+		}
+		if named[key] || known.record.Offset > last {
 			continue
 		}
-		last := max(upTo-1, known.record.Offset)
-		t.put(entry{record: sharedlog.Record{Key: key, Offset: last}, changed: last})
+		next := entry{said: said{record: sharedlog.Record{Key: key, Offset: last}}, changed: last}
+		t.put(next)
+		if len(known.record.Value) > 0 {
+			gone = append(gone, next)
+		}
 	}
+	return gone
 }
 
 // forgetGone drops keys that are long gone once there are too many of them.
--- a/internal/registry/told.go
+++ b/internal/registry/told.go
@@ -90,8 +90,7 @@
 	}
 	if word.Whole || len(word.Records) > 0 {
 		r.logWord(word)
-		whole := word.Whole && r.Position(word.Stream) <= word.Next
-		r.takeRecords(word.Stream, sharedlog.Page{Records: word.Records, Next: word.Next}, whole)
+		r.take(word.Stream, word.Records, reading{next: word.Next, whole: word.Whole})
 	}
 	readAt := asOf.Add(-word.Age)
 	fresh := time.Since(readAt) < toldFor(word.Stream)
@@ -123,8 +122,8 @@
 // noteCompared tells when another box that knows as much knows otherwise, and when that is
 // over. The caller holds mu.
 func (r *Registry) noteCompared(t *tail, word Word) {
-	comparable, differs := t.compare(word)
-	if !comparable || differs == t.differs {
+	asFar, differs := t.compare(word)
+	if !asFar || differs == t.differs {
 		return
 	}
 	t.differs = differs
--- a/internal/registry/turn_test.go
+++ b/internal/registry/turn_test.go
@@ -33,8 +33,8 @@
 		r := New(Config{Decoder: lengths{}, Fleet: f, Logger: zerolog.Nop(), Changed: func(c *catalog.Catalog) { told = append(told, c.Version()) }})
 		var both sync.WaitGroup
 		both.Go(func() {
-			r.takeRecords(sharedlog.Operator, sharedlog.Page{Records: []sharedlog.Record{{Key: "config", Value: []byte("vvvv"), Offset: 9}}, Next: 10}, true)
-			r.takeRecords(sharedlog.Servers, sharedlog.Page{Next: 10}, true)
+			r.take(sharedlog.Operator, []sharedlog.Record{{Key: "config", Value: []byte("vvvv"), Offset: 9}}, reading{next: 10, whole: true})
+			r.take(sharedlog.Servers, nil, reading{next: 10, whole: true})
 		})
 		both.Go(func() {
 			r.Adopt(Snapshot{
@@ -56,7 +56,7 @@
 	g := NewWithT(t)
 	f := fleet.New(fleet.Config{Logger: zerolog.Nop()})
 	r := New(Config{Decoder: lengths{}, Fleet: f, Logger: zerolog.Nop()})
-	r.takeRecords(sharedlog.Servers, sharedlog.Page{Next: 1}, true)
+	r.take(sharedlog.Servers, nil, reading{next: 1, whole: true})
 	r.Adopt(Snapshot{
 		Operator: []sharedlog.Record{{Key: "config", Value: []byte("vv"), Offset: 4}},
 		Servers:  []sharedlog.Record{{Key: "gone", Value: []byte("ready"), Offset: 2}},
