Failing tests: servers that were read as gone are believed in again

Cause, by the logs: when a read of the log fails, the fleet takes every server that it remembers as gone for present until 2.5 s later.

--- /dev/null
+++ b/internal/fleet/lapsed_test.go
@@ -0,0 +1,78 @@
+package fleet_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/fleet"
+)
+
+// A box handed a call to a server that it had read as gone eleven seconds before. Its zone
+// had just been cut off: the first read of the log that failed made it believe again in
+// every server that it remembered, since entries lapse while the log is away. But this one
+// had gone while the log was well, and a server that does not say that it leaves may serve
+// on for many seconds:
+//
+//	22.78  b-1  server_gone      server=i-d10a5e2386 offset=41
+//	34.61  b-1  log_lost         stream=servers
+//	34.83  b-1  not_handed_over  server=i-d10a5e2386 try=3
+func TestAServerThatWentWhileTheRegistryWasReadStaysGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet("s")
+		f.Apply([]fleet.Update{{Incarnation: "s", Offset: 9}})
+		time.Sleep(11 * time.Second)
+		f.RegistryLost()
+		name, _ := choose(f)
+		g.Expect(name).To(BeEmpty(), "as soon as the registry is lost")
+		time.Sleep(5 * time.Second)
+		f.RegistryBack()
+		name, _ = choose(f)
+		g.Expect(name).To(BeEmpty(), "when it is back")
+		f.RegistryLost()
+		name, _ = choose(f)
+		g.Expect(name).To(BeEmpty(), "and when it is lost again at once")
+	})
+}
+
+// Entries lapse after some heartbeats that could not be written. A read that failed once,
+// since a connection had gone silent or the box was busy, says nothing of that: a server
+// that went meanwhile has left, and the platform wants nothing new to reach it two seconds
+// after its going.
+func TestAReadThatFailedOnceBringsNobodyBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet("s")
+		f.RegistryLost()
+		time.Sleep(300 * time.Millisecond)
+		f.RegistryBack()
+		f.Apply([]fleet.Update{{Incarnation: "s", Offset: 9}})
+		name, _ := choose(f)
+		g.Expect(name).To(BeEmpty())
+	})
+}
+
+// A server whose entry lapsed while the registry was away is believed in for less than the
+// two seconds within which a leaving one must get nothing new, counted from when its going
+// was read, however often the registry is lost meanwhile.
+func TestALapsedServerIsNotBelievedInForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet("s")
+		f.RegistryLost()
+		time.Sleep(20 * time.Second)
+		f.RegistryBack()
+		f.Apply([]fleet.Update{{Incarnation: "s", Offset: 9}})
+		for range 6 {
+			time.Sleep(300 * time.Millisecond)
+			f.RegistryLost()
+			f.RegistryBack()
+		}
+		time.Sleep(100 * time.Millisecond)
+		name, _ := choose(f)
+		g.Expect(name).To(BeEmpty(), "1.9 s after its going was read")
+	})
+}
