Only servers whose entries may have lapsed with the log away are believed in, and not for long

Cause: a failed read of the log made every server that was remembered as gone count as present until 2.5 s after the last failure, however long ago it went and however short the failure was. Entries lapse after three heartbeats without a write; what went before the log was lost, or while one read failed, has left. Ruled out: dropping the belief altogether. After an outage of several heartbeats all entries have lapsed at once, and a box would have no server for two seconds. Change: only servers that are found gone while the log has been away for two heartbeats, or with its return after that, are believed in, until 1.8 s after the return: less than the two seconds that the platform gives. Being lost again begins nothing anew. The heartbeat is a setting of the platform's. server_back says that a lapsed one is there again.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -120,7 +120,7 @@
 // assembleBeliefs makes what the box believes: the backend servers, the kept parts,
 // the configuration.
 func (b *Box) assembleBeliefs() {
-	b.fleet = fleet.New(fleet.Config{Logger: b.logger, Off: b.settings.Off})
+	b.fleet = fleet.New(fleet.Config{Logger: b.logger, Off: b.settings.Off, Heartbeat: b.settings.ServerHeartbeat})
 	b.parts = partindex.New(partindex.Config{News: &b.news, Off: b.settings.Off})
 	b.registry = registry.New(registry.Config{
 		Log: b.log, Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, Changed: b.configure, News: &b.news,
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -29,6 +29,8 @@
 	OrderGap time.Duration
 	// WeightsLimit is how long after new weights were named older ones may answer.
 	WeightsLimit time.Duration
+	// ServerHeartbeat is how often backend servers write their entries.
+	ServerHeartbeat time.Duration
 	// RetryRatio and RetrySlack bound the retries of all boxes together: so many for
 	// each call, and so many more.
 	RetryRatio float64
@@ -47,8 +49,10 @@
 	DefaultUnreadyTime  = 2500 * time.Millisecond
 	DefaultOrderGap     = 3 * time.Second
 	DefaultWeightsLimit = 12 * time.Second
-	DefaultRetryRatio   = 0.2
-	DefaultRetrySlack   = 56
+
+	DefaultServerHeartbeat = 1200 * time.Millisecond
+	DefaultRetryRatio      = 0.2
+	DefaultRetrySlack      = 56
 )
 
 // withDefaults fills in what the settings leave open.
@@ -57,6 +61,7 @@
 	s.UnreadyTime = cmp.Or(s.UnreadyTime, DefaultUnreadyTime)
 	s.OrderGap = cmp.Or(s.OrderGap, DefaultOrderGap)
 	s.WeightsLimit = cmp.Or(s.WeightsLimit, DefaultWeightsLimit)
+	s.ServerHeartbeat = cmp.Or(s.ServerHeartbeat, DefaultServerHeartbeat)
 	s.RetryRatio = cmp.Or(s.RetryRatio, DefaultRetryRatio)
 	s.RetrySlack = cmp.Or(s.RetrySlack, DefaultRetrySlack)
 	return s
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,12 +23,25 @@
 	// Off holds mechanisms that are switched off.
 	Off mechanism.Off
 	// Returning is how long after the registry's return a server that it dropped
-	// meanwhile is still believed in: living servers are back within it.
+	// meanwhile is still believed in: most living servers are back within it.
 	Returning time.Duration
+	// Heartbeat is how often servers write their entries.
+	Heartbeat time.Duration
 }
 
-// DefaultReturning is the platform's two seconds and the time to read of it.
-const DefaultReturning = 2500 * time.Millisecond
+const (
+	// DefaultReturning is below the two seconds after which nothing new may reach a server
+	// whose going was read, by the time that a call takes to reach it. Living servers enter
+	// themselves again within about as long.
+	DefaultReturning = 1800 * time.Millisecond
+	// DefaultHeartbeat is the platform's.
+	DefaultHeartbeat = 1200 * time.Millisecond
+)
+
+// lapseHeartbeats is the least absence of the registry, in heartbeats, in which entries of
+// living servers lapse: three without a write, the first of which may have come just before
+// the registry went away.
+const lapseHeartbeats = 2
 
 // Fleet is the set of known backend servers.
 type Fleet struct {
@@ -40,10 +53,12 @@
 	// remote is what each other box last told, remoteTotals its sum by server.
 	remote       map[string][]Load
 	remoteTotals map[string]remoteTotal
-	// steadyFrom is when the registry's word on servers that are gone counts
-	// again after it could not be read.
-	steadyFrom time.Time
-	fadedAt    time.Time
+	// lostAt is since when the registry cannot be read; zero while it can be.
+	lostAt time.Time
+	// returnsUntil is until when servers may come back whose entries lapsed while the
+	// registry was away.
+	returnsUntil time.Time
+	fadedAt      time.Time
 	// arrivals is what this box places.
 	arrivals arrivals
 	// freed wakes those who wait for room.
@@ -56,6 +71,7 @@
 // New makes a fleet without servers.
 func New(cfg Config) *Fleet {
 	cfg.Returning = cmp.Or(cfg.Returning, DefaultReturning)
+	cfg.Heartbeat = cmp.Or(cfg.Heartbeat, DefaultHeartbeat)
 	return &Fleet{
 		cfg: cfg, servers: map[string]*State{}, byService: map[string][]*State{},
 		remote: map[string][]Load{}, remoteTotals: map[string]remoteTotal{}, readRate: firstReadRate,
@@ -114,6 +130,8 @@
 		state = &State{}
 		f.servers[update.Incarnation] = state
 		f.log("server_known", update.Server, update.Offset)
+	} else if !state.gone.IsZero() {
+		f.log("server_back", update.Server, update.Offset)
 	} else if state.Leaving != update.Server.Leaving {
 		f.log("server_leaving", update.Server, update.Offset)
 	}
@@ -123,6 +141,7 @@
 func (f *Fleet) drop(state *State) {
 	if state.gone.IsZero() {
 		state.gone = time.Now()
+		state.believedUntil = f.mayHaveLapsedUntil(state.gone)
 		f.log("server_gone", &state.Server, state.offset)
 	}
 }
@@ -132,20 +151,42 @@
 		Str("zone", server.Zone).Bool("leaving", server.Leaving).Int64("offset", offset).Msg(event)
 }
 
-// RegistryLost notes that the registry cannot be read: entries that lapse until it
-// is back say nothing of their servers.
-func (f *Fleet) RegistryLost() { f.waitForReturns() }
-
-// RegistryBack notes that the registry is read again: the servers that still live
-// enter it anew.
-func (f *Fleet) RegistryBack() { f.waitForReturns() }
+// RegistryLost notes that the registry cannot be read.
+func (f *Fleet) RegistryLost() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostAt.IsZero() {
+		f.lostAt = time.Now()
+	}
+}
 
-// waitForReturns lets the registry's word on servers that are gone not count, until
-// living ones have had the time to come back.
-func (f *Fleet) waitForReturns() {
+// RegistryBack notes that the registry is read again: if it was away for long, the servers
+// that still live enter it anew.
+func (f *Fleet) RegistryBack() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.steadyFrom = time.Now().Add(f.cfg.Returning)
+	now := time.Now()
+	if f.longLost(now) {
+		f.returnsUntil = now.Add(f.cfg.Returning)
+	}
+	f.lostAt = time.Time{}
+}
+
+// longLost reports whether the registry has been away for so long that entries of living
+// servers lapse.
+func (f *Fleet) longLost(now time.Time) bool {
+	return !f.lostAt.IsZero() && now.Sub(f.lostAt) >= lapseHeartbeats*f.cfg.Heartbeat
+}
+
+// mayHaveLapsedUntil gives until when a server that is found gone now is still believed in.
+// Only the entries of those that are found gone with the registry's return may have lapsed.
+// When every server that was gone counted as perhaps lapsed, one read that failed brought
+// calls to servers that had left long before, 11.9 s in one case.
+func (f *Fleet) mayHaveLapsedUntil(now time.Time) time.Time {
+	if f.longLost(now) {
+		return now.Add(f.cfg.Returning) // another box could read
+	}
+	return f.returnsUntil
 }
 
 // forgetAfter is how long a server that is gone is remembered, so that a late
@@ -168,7 +209,7 @@
 // present reports whether the box still believes in a server: it is listed, or it
 // lapsed while the registry was away and may be back at any moment.
 func (f *Fleet) present(state *State, now time.Time) bool {
-	return state.gone.IsZero() || now.Before(f.steadyFrom)
+	return state.gone.IsZero() || now.Before(state.believedUntil)
 }
 
 // Known counts the servers that are listed.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -39,6 +39,8 @@
 	offset int64
 	// gone is when the registry dropped the server; zero while it is listed.
 	gone time.Time
+	// believedUntil is until when it is believed in though it is gone.
+	believedUntil time.Time
 
 	inFlight int
 	// pendingTokens is prompt work handed over whose first event has not come.
