A box that is told reads in time also on connections that went silent

Cause: a box that another one tells lets its connections to the log rest. When it had to read itself, after 1.5 s without a word, the first read took up to 1 s to fail on a silent connection (2 s when it was to be held), and the next one could take another such connection. Ruled out: nothing in the incident's logs shows it; it was found by adding up. Readers read the servers' stream each 0.6 s in place of 0.7, and hold reads of the operators' stream for 0.8 s in place of 1, so words are as far from too old as before. A whole reading has its own time, also after records that are gone.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -58,11 +58,11 @@
 	// DefaultPace leaves more than half of the two seconds within which a leaving
 	// server must get nothing new. A held read would return with each heartbeat of
 	// each server, which is no cheaper than a loop.
-	DefaultPace = 700 * time.Millisecond
+	DefaultPace = 600 * time.Millisecond
 	// DefaultHold is short enough that a connection that died without a word is
 	// found within the time that a configuration must be in force, by this box and by
 	// those that it tells.
-	DefaultHold = time.Second
+	DefaultHold = 800 * time.Millisecond
 )
 
 // Timing of reads.
@@ -70,12 +70,16 @@
 	// callLimit bounds a call besides the time that it is held; the store answers
 	// in 4 ms, and in 260 ms when it is slow.
 	callLimit = time.Second
+	// urgentLimit bounds a read by a box that was told until now, whose connection has
+	// rested and may have gone silent, and the one after a read that failed. What it was
+	// told is old by then: with callLimit a leaving server got calls for 2.7 s.
+	urgentLimit = 350 * time.Millisecond
 	// timerMargin is how much sooner than asked an answer may come and count as held:
 	// the timers of the platform's simulated machines fire a little off.
 	timerMargin = 60 * time.Millisecond
 	// shortestPause and longestPause bound the pause after a failed call.
 	shortestPause = 100 * time.Millisecond
-	longestPause  = 600 * time.Millisecond
+	longestPause  = 400 * time.Millisecond
 )
 
 // Registry follows the streams.
@@ -158,25 +162,29 @@
 // loop reads a stream: whole at first and after a gap, then what was added. A
 // read is held for hold, and pause lies between two reads. The read after one that
 // failed is not held, so that its answer says at once that the log is back and what
-// was missed; until then kept parts may not be fetched.
-// While another box tells of the stream, nothing is read.
+// was missed; until then kept parts may not be fetched. Nor is the first one after another
+// box told of the stream; until then nothing is read.
 func (r *Registry) loop(ctx context.Context, stream sharedlog.Stream, hold, pause time.Duration) {
-	failurePause := shortestPause
+	failed, failurePause := 0, shortestPause
 	wait := time.Duration(0) // the reading of all is not held
 	for ctx.Err() == nil {
-		r.waitWhileTold(ctx, stream)
+		wasTold := r.waitWhileTold(ctx, stream)
+		if wasTold {
+			wait = 0
+		}
 		next := r.Position(stream)
 		asked := time.Now()
-		page, whole, err := sharedlog.ReadOn(ctx, r.cfg.Log, stream, next, wait, callLimit)
+		page, whole, err := sharedlog.ReadOn(ctx, r.cfg.Log, stream, next, wait, limitAfter(failed, wasTold))
 		if err != nil {
 			r.noteLost(ctx, stream, err)
 			wait = 0
+			failed++
 			waiting.For(ctx, failurePause/2+rand.N(failurePause))
 			failurePause = min(2*failurePause, longestPause)
 			continue
 		}
+		failed, failurePause = 0, shortestPause
 		r.noteBack(stream, page.Next)
-		failurePause = shortestPause
 		expired := whole && next >= 0
 		if expired {
 			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", next).Int64("offset", page.Next).Msg("records_expired")
@@ -196,6 +204,15 @@
 	}
 }
 
+// limitAfter gives the time for a read after some that failed. Every other one has the
+// usual time, for a log that is slower than the short one allows.
+func limitAfter(failed int, wasTold bool) time.Duration {
+	if failed%2 == 1 || failed == 0 && wasTold {
+		return urgentLimit
+	}
+	return callLimit
+}
+
 // spreadHold gives the time for which the next read is held: half of hold or more. Each
 // record ends the held reads of all boxes at once. Were the next ones held alike, they
 // would end at the same moments for long, and no box could date what is named between
--- a/internal/registry/told.go
+++ b/internal/registry/told.go
@@ -34,12 +34,14 @@
 }
 
 // How old what another box told may be before a box reads for itself. The box that tells
-// reads the servers' stream each 0.7 s and the operators' stream in reads that are held for
-// up to 1 s, and is asked each 0.4 s. A leaving server must get nothing new after 2 s, and
-// a configuration be in force by then, so what is left is for the reading itself.
+// reads the servers' stream each 0.6 s and the operators' stream in reads that are held for
+// up to 0.8 s, and is asked each 0.4 s, so words are 1.0 s and 1.2 s old at most as long as
+// all is well. A leaving server must get nothing new after 2 s, and a configuration be in
+// force by then: what is left is for a read on a connection that has gone silent
+// (urgentLimit), the pause after it, and the read that brings the answer.
 const (
-	serversToldFor  = 1500 * time.Millisecond
-	operatorToldFor = 1600 * time.Millisecond
+	serversToldFor  = 1300 * time.Millisecond
+	operatorToldFor = 1400 * time.Millisecond
 )
 
 // toldFor gives how old a word on a stream may be.
@@ -158,16 +160,19 @@
 	r.readItself.Send()
 }
 
-// waitWhileTold waits while what another box told of a stream counts.
-func (r *Registry) waitWhileTold(ctx context.Context, stream sharedlog.Stream) {
+// waitWhileTold waits while what another box told of a stream counts, and reports whether
+// there was any such time.
+func (r *Registry) waitWhileTold(ctx context.Context, stream sharedlog.Stream) (waited bool) {
 	for ctx.Err() == nil {
 		wake := r.readItself.Wait()
 		r.mu.Lock()
 		left := time.Until(r.tail(stream).toldUntil)
 		r.mu.Unlock()
 		if left <= 0 {
-			return
+			return waited
 		}
+		waited = true
 		waiting.ForOr(ctx, left, wake)
 	}
+	return waited
 }
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -108,17 +108,27 @@
 
 // ReadOn reads a stream that has keys as those do who follow it: whole at first and
 // after records that are no longer kept, by the newest record of each key, and otherwise
-// what was added, waiting up to wait for the first record. limit bounds the call besides
-// that wait.
+// what was added, waiting up to wait for the first record. limit bounds a read besides that
+// wait; a whole reading, of several pages, has newestLimit.
 func ReadOn(ctx context.Context, log Log, stream Stream, from int64, wait, limit time.Duration) (page Page, whole bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+limit)
-	defer cancel()
 	if from >= 0 {
-		page, err = log.Read(ctx, stream, from, wait)
+		page, err = readWithin(ctx, log, stream, from, wait, limit)
 		if _, gone := errors.AsType[*GoneError](err); !gone {
 			return page, false, err
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, newestLimit)
+	defer cancel()
 	page, err = log.Newest(ctx, stream)
 	return page, true, err
 }
+
+// newestLimit is the time for three pages of a log that takes 260 ms for each, which is
+// slow.
+const newestLimit = time.Second
+
+func readWithin(ctx context.Context, log Log, stream Stream, from int64, wait, limit time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+limit)
+	defer cancel()
+	return log.Read(ctx, stream, from, wait)
+}
