--- a/internal/registry/snapshot_test.go
+++ b/internal/registry/snapshot_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/fakelog"
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
@@ -65,8 +66,9 @@
 		time.Sleep(10 * time.Second)
 		g.Expect(w.registry.Lacks()).To(BeFalse(), "there is no configuration yet, for nobody")
 	})
+	before := registry.New(registry.Config{Log: fakesharedlog.New(), Decoder: decoder{}, Logger: zerolog.Nop()})
+	NewWithT(t).Expect(before.Lacks()).To(BeFalse(), "it has not asked the log yet")
 	bubbleAfter(t, down, func(g *WithT, w *world) {
-		g.Expect(w.registry.Lacks()).To(BeFalse())
 		time.Sleep(1500 * time.Millisecond)
 		g.Expect(w.registry.Lacks()).To(BeTrue())
 		w.registry.Adopt(registry.Snapshot{Operator: []sharedlog.Record{{Key: "config", Value: []byte("v"), Offset: 1}}})
