A box that knows otherwise than its teller reads the stream whole itself

But a box that believed in a server that had left went on until connections were refused, though each word showed the difference. Change: when a word that goes exactly as far as what the box knows has another digest, the box reads the stream whole from the log, once for each time that a difference begins.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -172,7 +172,7 @@
 		if wasTold {
 			wait = 0
 		}
-		next := r.Position(stream)
+		next := r.readFrom(stream)
 		asked := time.Now()
 		page, whole, err := sharedlog.ReadOn(ctx, r.cfg.Log, stream, next, wait, limitAfter(failed, wasTold))
 		if err != nil {
@@ -195,7 +195,7 @@
 		if !whole && len(page.Records) == 0 {
 			asked = provenUpTo(asked, wait)
 		}
-		r.noteRead(stream, asked, page)
+		r.noteRead(stream, asked, page, whole)
 		wait = spreadHold(hold)
 		if expired {
 			waiting.For(ctx, shortestPause) // so that a log that keeps nothing is not asked all the time
@@ -204,6 +204,13 @@
 	}
 }
 
+// readFrom gives the offset that the next reading begins at.
+func (r *Registry) readFrom(stream sharedlog.Stream) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tail(stream).position()
+}
+
 // limitAfter gives the time for a read after some that failed. Every other one has the
 // usual time, for a log that is slower than the short one allows.
 func limitAfter(failed int, wasTold bool) time.Duration {
@@ -236,11 +243,12 @@
 
 // noteRead notes up to where a stream was read and, if that was its end, that all of its
 // records up to a moment are known.
-func (r *Registry) noteRead(stream sharedlog.Stream, upTo time.Time, page sharedlog.Page) {
+func (r *Registry) noteRead(stream sharedlog.Stream, upTo time.Time, page sharedlog.Page, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tail(stream)
 	t.next = max(t.next, page.Next)
+	t.reread = t.reread && !whole
 	if page.Next >= page.End && upTo.After(t.readAt) {
 		t.readAt = upTo
 	}
--- a/internal/registry/tail.go
+++ b/internal/registry/tail.go
@@ -34,8 +34,18 @@
 	// marks sums up the entries, and latest is the offset of the last record among them.
 	marks  uint64
 	latest int64
-	// differs says that another box knew otherwise when last compared.
+	// differs says that another box knew otherwise when last compared, and reread that all
+	// is to be read anew since then.
 	differs bool
+	reread  bool
+}
+
+// position gives the offset that the next reading of the log begins at.
+func (t *tail) position() int64 {
+	if t.reread {
+		return sharedlog.FromNewest
+	}
+	return t.next
 }
 
 // said is a record with what it says of its server, in the servers' stream; nil when that
--- a/internal/registry/told.go
+++ b/internal/registry/told.go
@@ -121,19 +121,22 @@
 		Int64("from", r.Position(word.Stream)).Int64("offset", word.Next).Dur("age", word.Age).Msg("told")
 }
 
-// noteCompared tells when another box that knows as much knows otherwise, and when that is
-// over. The caller holds mu.
+// noteCompared has this box read the stream whole when another one that knows as much knows
+// otherwise, and tells of it and of its end. A teller that stays wrong causes one such
+// reading. The caller holds mu.
 func (r *Registry) noteCompared(t *tail, word Word) {
 	asFar, differs := t.compare(word)
 	if !asFar || differs == t.differs {
 		return
 	}
 	t.differs = differs
-	if differs {
-		r.cfg.Logger.Warn().Stringer("stream", word.Stream).Int64("offset", word.Next).Msg("view_differs")
+	if !differs {
+		r.cfg.Logger.Info().Stringer("stream", word.Stream).Int64("offset", word.Next).Msg("view_agrees")
 		return
 	}
-	r.cfg.Logger.Info().Stringer("stream", word.Stream).Int64("offset", word.Next).Msg("view_agrees")
+	r.cfg.Logger.Warn().Stringer("stream", word.Stream).Int64("offset", word.Next).Msg("view_differs")
+	t.reread, t.toldUntil = true, time.Time{}
+	r.readItself.Send()
 }
 
 // Told reports whether this box goes by what another one reads of the operators' stream.
