Lapsed servers are believed in until 2.6 s after the last question without an answer

Cause: the 1.8 s were counted from when a box noticed that the log was back, up to 1.6 s late (a call of 1 s without an answer, a pause of 0.6 s): 3.4 s in all. Three seconds after the return the platform holds a box to what the log says. Ruled out: shorter calls while the log is away: a log that is slow to answer would never be found back. Change: the belief ends at the latest 2.6 s after the last question that had no answer was put, since the log was not back before that. Two tests of lapsed servers now ask again during the outage, as boxes do; a single question 20 s before the return would leave no belief at all. Measured: the test failed before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,11 @@
 	DefaultHeartbeat = 1200 * time.Millisecond
 )
 
+// returningAtMost is the same from the last question without an answer on, before which the
+// registry was not back. Three seconds after its return its word counts for all boxes, and a
+// box may notice the return 1.6 s late.
+const returningAtMost = 2600 * time.Millisecond
+
 // lapseHeartbeats is the least absence of the registry, in heartbeats, in which entries of
 // living servers lapse: three without a write, the first of which may have come just before
 // the registry went away.
@@ -170,7 +176,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	if f.longLost(now) {
-		f.returnsUntil = now.Add(f.cfg.Returning)
+		f.returnsUntil = slices.MinFunc([]time.Time{now.Add(f.cfg.Returning), f.askedInVain.Add(returningAtMost)}, time.Time.Compare)
 	}
 	f.lostAt = time.Time{}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -86,6 +86,7 @@
 		f := newFleet("s")
 		f.RegistryLost(time.Now())
 		time.Sleep(20 * time.Second)
+		f.RegistryLost(time.Now()) // it goes on asking
 		f.RegistryBack()
 		f.Apply([]fleet.Update{{Incarnation: "s", Offset: 9}})
 		name, hold := choose(f)
--- a/internal/fleet/lapsed_test.go
+++ b/internal/fleet/lapsed_test.go
@@ -64,6 +64,7 @@
 		f := newFleet("s")
 		f.RegistryLost(time.Now())
 		time.Sleep(20 * time.Second)
+		f.RegistryLost(time.Now()) // it goes on asking
 		f.RegistryBack()
 		f.Apply([]fleet.Update{{Incarnation: "s", Offset: 9}})
 		for range 6 {
