A random history of boxes that start and follow each other while servers go without a word

The tests of who reads for whom had boxes that lived from the beginning and a server that said that it leaves, so the incident's cause passed them. The stand-in of a box no longer closes a channel that others write to.

--- a/internal/zonereader/zonereader_test.go
+++ b/internal/zonereader/zonereader_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -94,21 +95,27 @@
 	registry *registry.Registry
 	zone     *zonereader.Zone
 	accepts  chan net.Conn
+	closed   chan struct{}
 	// silent boxes neither take questions nor answer any.
 	silent atomic.Bool
 }
 
+func newBox(self zonereader.Box) *box {
+	return &box{self: self, accepts: make(chan net.Conn), closed: make(chan struct{})}
+}
+
 // Accept implements net.Listener.
 func (b *box) Accept() (net.Conn, error) {
-	connection, open := <-b.accepts
-	if !open {
+	select {
+	case connection := <-b.accepts:
+		return connection, nil
+	case <-b.closed:
 		return nil, net.ErrClosed
 	}
-	return connection, nil
 }
 
 // Close implements net.Listener.
-func (b *box) Close() error { close(b.accepts); return nil }
+func (b *box) Close() error { close(b.closed); return nil }
 
 // Addr implements net.Listener.
 func (b *box) Addr() net.Addr { return &net.TCPAddr{} }
@@ -129,8 +136,17 @@
 // boxes are boxes that share a log and hear each other.
 type boxes struct {
 	log  *fakesharedlog.Log
-	list []*box
 	wait sync.WaitGroup
+
+	mu   sync.Mutex
+	list []*box
+}
+
+// all lists the boxes that there are now.
+func (bs *boxes) all() []*box {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(bs.list), func(b *box) bool { return b == nil })
 }
 
 func start(ctx context.Context, count int) *boxes {
@@ -138,7 +154,10 @@
 	bs.log.Put(sharedlog.Operator, "config", []byte("v"))
 	bs.log.Put(sharedlog.Servers, "server", []byte("ready"))
 	for i := range count {
-		bs.list = append(bs.list, &box{self: zonereader.Box{Name: fmt.Sprint("box-", i), Zone: "z", Address: fmt.Sprint(i)}, accepts: make(chan net.Conn)})
+		bs.list = append(bs.list, newBox(zonereader.Box{Name: fmt.Sprint("box-", i), Zone: "z", Address: fmt.Sprint(i)}))
+	}
+	for _, b := range bs.list {
+		bs.assemble(b)
 	}
 	for _, b := range bs.list {
 		bs.run(ctx, b)
@@ -146,8 +165,8 @@
 	return bs
 }
 
-// run starts one box.
-func (bs *boxes) run(ctx context.Context, b *box) {
+// assemble makes the parts of a box.
+func (bs *boxes) assemble(b *box) {
 	news := &waiting.Signal{}
 	b.log = &countingLog{Log: bs.log}
 	b.fleet = fleet.New(fleet.Config{Logger: zerolog.Nop()})
@@ -156,6 +175,10 @@
 		Registry: b.registry, Parts: partindex.New(partindex.Config{News: news}), Logger: zerolog.Nop(), Self: b.self, News: news,
 		Others: func() []zonereader.Box { return bs.others(b) }, Dial: bs.dial,
 	})
+}
+
+// run starts a box.
+func (bs *boxes) run(ctx context.Context, b *box) {
 	for _, loop := range []func(context.Context){b.registry.LoopOperator, b.registry.LoopServers, b.zone.LoopFollow} {
 		bs.wait.Go(func() { loop(ctx) })
 	}
@@ -164,7 +187,7 @@
 
 func (bs *boxes) others(but *box) []zonereader.Box {
 	var others []zonereader.Box
-	for _, b := range bs.list {
+	for _, b := range bs.all() {
 		if b != but {
 			others = append(others, b.self)
 		}
@@ -173,7 +196,7 @@
 }
 
 func (bs *boxes) dial(ctx context.Context, address string) (net.Conn, error) {
-	for _, b := range bs.list {
+	for _, b := range bs.all() {
 		if b.self.Address != address {
 			continue
 		}
@@ -181,6 +204,8 @@
 		select {
 		case b.accepts <- silentConn{far, b}:
 			return near, nil
+		case <-b.closed:
+			return nil, errors.New("connection refused")
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
