--- a/internal/partindex/told_test.go
+++ b/internal/partindex/told_test.go
@@ -10,8 +10,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/rapidtest"
 )
 
+func TestMain(m *testing.M) { rapidtest.Main(m, rapidtest.Config{Checks: 300, Steps: 30}) }
+
 // follower is an index that is told what another one knows of a store box.
 type follower struct {
 	index  *partindex.Index
@@ -99,6 +102,59 @@
 	})
 }
 
+// Boxes start, read a store box's list, and are followed by those that know earlier and later
+// events; these change whom they follow. What one knows of a store box is what it keeps,
+// as far as its position says, whoever told it.
+func TestABoxThatChangesItsReaderKnowsWhatTheStoreBoxKeeps(t *testing.T) {
+	rapid.Check(t, func(random *rapid.T) {
+		var events []partindex.Change
+		kept := map[string]int{}
+		boxes := []*follower{{index: bareIndex()}, {index: bareIndex()}, {index: bareIndex()}}
+		read := func(f *follower) {
+			next, list := f.index.Position(large)
+			report := partindex.Report{Life: 1, Next: int64(len(events)), AsOf: time.Now(), ClockMillis: 1}
+			if !list {
+				report.Changes = events[next:]
+				f.index.Apply(large, report)
+				return
+			}
+			for id, tokens := range kept {
+				report.Changes = append(report.Changes, held(id, tokens)...)
+			}
+			f.index.Replace(large, report)
+		}
+		for range rapid.IntRange(1, 150).Draw(random, "steps") {
+			box := rapid.IntRange(0, 2).Draw(random, "box")
+			id := fmt.Sprint("p", rapid.IntRange(0, 5).Draw(random, "part"))
+			switch rapid.IntRange(0, 9).Draw(random, "step") {
+			case 0, 1, 2:
+				kept[id] = 5000
+				events = append(events, held(id, 5000)...)
+			case 3, 4:
+				delete(kept, id)
+				events = append(events, held(id, 0)...)
+			case 5, 6:
+				read(boxes[box])
+			case 7:
+				boxes[box] = &follower{index: bareIndex()}
+			default:
+				teller := (box + rapid.IntRange(1, 2).Draw(random, "teller")) % 3
+				boxes[box].mended = 0 // as on a new connection
+				boxes[box].ask(boxes[teller].index, large, 0)
+			}
+		}
+		for _, f := range boxes {
+			read(f)
+			for part := range 6 {
+				id := fmt.Sprint("p", part)
+				if (kept[id] > 0) != fetches(f.index, id) {
+					random.Fatalf("part %s: the store box keeps %d tokens, the box fetches: %v", id, kept[id], fetches(f.index, id))
+				}
+			}
+		}
+	})
+}
+
 // A word that was long on its way, or that the teller had from long ago, is as old as what
 // it says: a part may not be fetched by it for longer than by the store box's own word.
 func TestAWordDoesNotMakeAStoreBoxFresh(t *testing.T) {
