Digests go beside words, so boxes of the version before understand each other

Cause: a word is an array on the wire, and the library reads an array only with as many fields as it knows. With the digest as a field of the word, boxes of this and of the former version could not read each other's answers while boxes are replaced; all of them would have read the log themselves. Ruled out: a version in the message; the answer around the words has named fields, of which unknown ones are left out. Change: digests stand in the answer, in the order of its words. One default of the servers' heartbeat in place of two.

--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/mechanism"
 )
 
@@ -49,10 +50,8 @@
 	DefaultUnreadyTime  = 2500 * time.Millisecond
 	DefaultOrderGap     = 3 * time.Second
 	DefaultWeightsLimit = 12 * time.Second
-
-	DefaultServerHeartbeat = 1200 * time.Millisecond
-	DefaultRetryRatio      = 0.2
-	DefaultRetrySlack      = 56
+	DefaultRetryRatio   = 0.2
+	DefaultRetrySlack   = 56
 )
 
 // withDefaults fills in what the settings leave open.
@@ -61,7 +60,7 @@
 	s.UnreadyTime = cmp.Or(s.UnreadyTime, DefaultUnreadyTime)
 	s.OrderGap = cmp.Or(s.OrderGap, DefaultOrderGap)
 	s.WeightsLimit = cmp.Or(s.WeightsLimit, DefaultWeightsLimit)
-	s.ServerHeartbeat = cmp.Or(s.ServerHeartbeat, DefaultServerHeartbeat)
+	s.ServerHeartbeat = cmp.Or(s.ServerHeartbeat, fleet.DefaultHeartbeat)
 	s.RetryRatio = cmp.Or(s.RetryRatio, DefaultRetryRatio)
 	s.RetrySlack = cmp.Or(s.RetrySlack, DefaultRetrySlack)
 	return s
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,7 +35,7 @@
 	// whose going was read, by the time that a call takes to reach it. Living servers enter
 	// themselves again within about as long.
 	DefaultReturning = 1800 * time.Millisecond
-	// DefaultHeartbeat is the platform's.
+	// DefaultHeartbeat is that of servers whose platform does not say.
 	DefaultHeartbeat = 1200 * time.Millisecond
 )
 
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -60,9 +60,8 @@
 		goneFor = now.Sub(state.gone)
 	}
 	return &Hold{
-		goneFor: goneFor,
-		fleet:   f, state: state, tokens: candidate.WorkTokens, server: state.Server, weights: state.weights(query.Model),
-		held: query.Load.Tokens, since: now, alone: candidate.PendingTokens == 0,
+		fleet: f, state: state, tokens: candidate.WorkTokens, server: state.Server, weights: state.weights(query.Model),
+		held: query.Load.Tokens, since: now, alone: candidate.PendingTokens == 0, goneFor: goneFor,
 		reading: time.Duration(float64(candidate.PendingTokens+candidate.WorkTokens) * query.Load.TokenCost * float64(time.Millisecond)),
 	}
 }
--- a/internal/registry/told.go
+++ b/internal/registry/told.go
@@ -29,8 +29,9 @@
 	// Age is how long ago all records were known; Unread says that they never were.
 	Age    time.Duration `msgpack:"a"`
 	Unread bool          `msgpack:"u,omitempty"`
-	// Digest shows whether two boxes that know as much know the same; see digest.go.
-	Digest uint64 `msgpack:"d,omitempty"`
+	// Digest shows whether two boxes that know as much know the same; see digest.go. It goes
+	// beside the word, since boxes of another version read only words with as many fields.
+	Digest uint64 `msgpack:"-"`
 }
 
 // How old what another box told may be before a box reads for itself. The box that tells
--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -147,7 +147,10 @@
 	}
 	// The other box made its answer no sooner than this.
 	asOf := asked.Add(told.Held)
-	for _, word := range told.Streams {
+	for i, word := range told.Streams {
+		if i < len(told.Digests) {
+			word.Digest = told.Digests[i]
+		}
 		z.cfg.Registry.TakeWord(word, asOf)
 	}
 	for _, word := range told.Stores {
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -76,7 +76,9 @@
 
 // answer tells it.
 type answer struct {
-	Streams []registry.Word  `msgpack:"s"`
+	Streams []registry.Word `msgpack:"s"`
+	// Digests are those of the words in Streams, in their order.
+	Digests []uint64         `msgpack:"d,omitempty"`
 	Stores  []partindex.Word `msgpack:"p"`
 	// Held is how long after the question came the answer was made.
 	Held time.Duration `msgpack:"h"`
@@ -159,6 +161,7 @@
 		}
 		word, isNews := z.cfg.Registry.WordSince(stream, from)
 		told.Streams = append(told.Streams, word)
+		told.Digests = append(told.Digests, word.Digest)
 		news = news || isNews
 	}
 	for address, since := range asked.Stores {
