--- a/internal/registry/view_test.go
+++ b/internal/registry/view_test.go
@@ -60,9 +60,9 @@
 	random  *rand.Rand
 }
 
-// slowestAnswer is so short that no call fails: a reading that finds its records forgotten
-// waits five times for an answer.
-const slowestAnswer = 150 * time.Millisecond
+// slowestAnswer is so long that some readings fail: one that finds its records forgotten waits
+// five times for an answer, and has a second or less.
+const slowestAnswer = 400 * time.Millisecond
 
 func (l *lateLog) wait(ctx context.Context) { waiting.For(ctx, upTo(l.random, slowestAnswer)) }
 
