A server that starts again under its name is another one; entries of other writers name none

Servers may start again under the id that they had, and tell their lives apart by when each was born. The box took both for one server: work, weights held and failures of the first life counted for the second. An entry that could not be read left the server of before in use.

An incarnation is a name and a birth; calls go on to name the server. The fleet keeps the lives of a server apart, whichever way the change is seen (its entry went, came back between two reads, or both). An entry with missing fields, other types, an unknown state or bytes that are no entry names no server, the others hold, and one line tells why as long as it stays so. Which of two lives is there goes by the order of the log, since a server's clock may be set back between them.

Ruled out: ending calls under way at the earlier life at once: an answer may be on its way, and the connection ends by itself.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -47,9 +47,8 @@
 
 // Handover is what a box tells a backend server with a call.
 type Handover struct {
-	// Incarnation is the life of the server that the call is meant for; another
-	// one refuses it.
-	Incarnation string
+	// Server names the server that the call is meant for; another one refuses it.
+	Server string
 	// Organisation owns the caller's key; empty on public routes.
 	Organisation string
 	// Remaining is the time left for the answer.
@@ -87,8 +86,8 @@
 	Genuine bool
 	// RequestID is the call that the answer belongs to.
 	RequestID string
-	// Incarnation is the life of the server that answers, where it says so.
-	Incarnation string
+	// Server names the server that answers, where it says so.
+	Server string
 }
 
 // Verdict is what an answer of the box's own says of the call, where no backend server
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -53,8 +54,11 @@
 type Fleet struct {
 	cfg Config
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// servers are all lives that are known, by incarnation, and lives the present one of each
+	// server, by its key.
 	servers   map[string]*State
+	lives     map[string]string
 	byService map[string][]*State
 	// remote is what each other box last told, remoteTotals its sum by server.
 	remote       map[string][]Load
@@ -83,17 +87,20 @@
 	cfg.Returning = cmp.Or(cfg.Returning, DefaultReturning)
 	cfg.Heartbeat = cmp.Or(cfg.Heartbeat, DefaultHeartbeat)
 	return &Fleet{
-		cfg: cfg, servers: map[string]*State{}, byService: map[string][]*State{},
+		cfg: cfg, servers: map[string]*State{}, lives: map[string]string{}, byService: map[string][]*State{},
 		remote: map[string][]Load{}, remoteTotals: map[string]remoteTotal{}, readRate: firstReadRate,
 	}
 }
 
 // Update is one word of the registry: a server as it is now, or that it is gone.
 type Update struct {
-	Incarnation string
-	Offset      int64
-	// Server is nil when the server is gone.
-	Server *Server
+	// Key is what the registry names the server by, in all of its lives.
+	Key    string
+	Offset int64
+	// Server is nil when the server is gone, or when what stands there names none, as Unclear
+	// says: then it has not lapsed, and is not to be used until it says of itself again.
+	Server  *Server
+	Unclear bool
 }
 
 // Apply takes over words of the registry in their order.
@@ -113,11 +120,11 @@
 	defer f.mu.Unlock()
 	named := map[string]bool{}
 	for _, update := range updates {
-		named[update.Incarnation] = true
+		named[update.Key] = true
 		f.apply(update)
 	}
-	for incarnation, state := range f.servers {
-		if !named[incarnation] {
+	for key, incarnation := range f.lives {
+		if state := f.servers[incarnation]; state != nil && !named[key] {
 			f.drop(state)
 		}
 	}
@@ -125,20 +132,22 @@
 }
 
 func (f *Fleet) apply(update Update) {
-	state := f.servers[update.Incarnation]
+	state := f.servers[f.lives[update.Key]]
 	if state != nil && update.Offset < state.offset {
 		return
 	}
 	if update.Server == nil {
-		if state != nil {
-			state.offset = update.Offset
-			f.drop(state)
-		}
+		f.dropBy(state, update)
 		return
 	}
+	if state != nil && state.Incarnation != update.Server.Incarnation {
+		f.endLife(state, update)
+		state = nil
+	}
+	f.lives[update.Key] = update.Server.Incarnation
 	if state == nil {
 		state = &State{}
-		f.servers[update.Incarnation] = state
+		f.servers[update.Server.Incarnation] = state
 		f.log("server_known", update.Server, update.Offset)
 	} else if !state.gone.IsZero() {
 		f.log("server_back", update.Server, update.Offset)
@@ -148,6 +157,27 @@
 	state.Server, state.offset, state.gone = *update.Server, update.Offset, time.Time{}
 }
 
+// dropBy drops a server by a record that names none.
+func (f *Fleet) dropBy(state *State, update Update) {
+	if state == nil {
+		return
+	}
+	state.offset = update.Offset
+	f.drop(state)
+	if update.Unclear {
+		state.believedUntil = time.Time{}
+	}
+}
+
+// endLife ends a life of a server that has started again. What was seen of it, what it held
+// and the work there are of that life; calls under way end by their connections.
+func (f *Fleet) endLife(state *State, update Update) {
+	state.offset = update.Offset
+	f.drop(state)
+	state.believedUntil = time.Time{}
+	f.log("server_restarted", update.Server, update.Offset)
+}
+
 func (f *Fleet) drop(state *State) {
 	if state.gone.IsZero() {
 		state.gone = time.Now()
@@ -219,6 +249,7 @@
 		}
 		f.byService[state.Service] = append(f.byService[state.Service], state)
 	}
+	maps.DeleteFunc(f.lives, func(_, incarnation string) bool { return f.servers[incarnation] == nil })
 }
 
 // present reports whether the box still believes in a server: it is listed, or it
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -18,7 +18,7 @@
 func newFleet(names ...string) *fleet.Fleet {
 	f := fleet.New(fleet.Config{Logger: zerolog.Nop()})
 	for i, name := range names {
-		f.Apply([]fleet.Update{{Incarnation: name, Offset: int64(i + 1), Server: server(name)}})
+		f.Apply([]fleet.Update{{Key: name, Offset: int64(i + 1), Server: server(name)}})
 	}
 	return f
 }
@@ -40,19 +40,19 @@
 		updates []fleet.Update
 		serves  bool
 	}{
-		{"known", []fleet.Update{{Incarnation: "s", Offset: 1, Server: server("s")}}, true},
-		{"leaving", []fleet.Update{{Incarnation: "s", Offset: 1, Server: server("s")}, {Incarnation: "s", Offset: 2, Server: leaving}}, false},
+		{"known", []fleet.Update{{Key: "s", Offset: 1, Server: server("s")}}, true},
+		{"leaving", []fleet.Update{{Key: "s", Offset: 1, Server: server("s")}, {Key: "s", Offset: 2, Server: leaving}}, false},
 		{"a stale record after leaving", []fleet.Update{
-			{Incarnation: "s", Offset: 1, Server: server("s")}, {Incarnation: "s", Offset: 3, Server: leaving}, {Incarnation: "s", Offset: 2, Server: server("s")},
+			{Key: "s", Offset: 1, Server: server("s")}, {Key: "s", Offset: 3, Server: leaving}, {Key: "s", Offset: 2, Server: server("s")},
 		}, false},
-		{"gone", []fleet.Update{{Incarnation: "s", Offset: 1, Server: server("s")}, {Incarnation: "s", Offset: 2}}, false},
+		{"gone", []fleet.Update{{Key: "s", Offset: 1, Server: server("s")}, {Key: "s", Offset: 2}}, false},
 		{"a stale record after going", []fleet.Update{
-			{Incarnation: "s", Offset: 1, Server: server("s")}, {Incarnation: "s", Offset: 3}, {Incarnation: "s", Offset: 2, Server: server("s")},
+			{Key: "s", Offset: 1, Server: server("s")}, {Key: "s", Offset: 3}, {Key: "s", Offset: 2, Server: server("s")},
 		}, false},
 		{"back", []fleet.Update{
-			{Incarnation: "s", Offset: 1, Server: server("s")}, {Incarnation: "s", Offset: 2}, {Incarnation: "s", Offset: 3, Server: server("s")},
+			{Key: "s", Offset: 1, Server: server("s")}, {Key: "s", Offset: 2}, {Key: "s", Offset: 3, Server: server("s")},
 		}, true},
-		{"gone and never known", []fleet.Update{{Incarnation: "s", Offset: 2}}, false},
+		{"gone and never known", []fleet.Update{{Key: "s", Offset: 2}}, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -70,7 +70,7 @@
 func TestAWholeReadingDropsWhatItDoesNotName(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet("old", "stays")
-	f.Replace([]fleet.Update{{Incarnation: "stays", Offset: 2, Server: server("stays")}, {Incarnation: "new", Offset: 7, Server: server("new")}})
+	f.Replace([]fleet.Update{{Key: "stays", Offset: 2, Server: server("stays")}, {Key: "new", Offset: 7, Server: server("new")}})
 	g.Expect(f.Known()).To(Equal(2))
 	for range 20 {
 		name, _ := choose(f)
@@ -85,14 +85,14 @@
 		g := NewWithT(t)
 		f := newFleet("s")
 		outage(f, 20*time.Second)
-		f.Apply([]fleet.Update{{Incarnation: "s", Offset: 9}})
+		f.Apply([]fleet.Update{{Key: "s", Offset: 9}})
 		name, hold := choose(f)
 		g.Expect(name).To(Equal("s"))
 		hold.Done(fleet.EndServed)
 		time.Sleep(fleet.DefaultReturning + time.Millisecond)
 		name, _ = choose(f)
 		g.Expect(name).To(BeEmpty())
-		f.Apply([]fleet.Update{{Incarnation: "s", Offset: 10, Server: server("s")}})
+		f.Apply([]fleet.Update{{Key: "s", Offset: 10, Server: server("s")}})
 		name, _ = choose(f)
 		g.Expect(name).To(Equal("s"))
 	})
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"time"
@@ -13,10 +14,17 @@
 type Server struct {
 	// Incarnation names one life of the server; a restart has another.
 	Incarnation string
-	Service     string
-	Address     string
-	Zone        string
-	Slots       int
+	// Name is what calls name the server by; it may be the same in its next life. Empty
+	// where each life has a name of its own, which is the incarnation.
+	Name string
+	// Born tells the lives of one name apart; zero where the server does not say. Which of
+	// two is there now goes by the order of the log: a server's clock may have been set back
+	// between them.
+	Born    int64
+	Service string
+	Address string
+	Zone    string
+	Slots   int
 	// Leaving servers take nothing new.
 	Leaving bool
 	// ColdFor is how much longer the server is slow after its start.
@@ -25,6 +33,9 @@
 	Weights map[string]int
 }
 
+// CalledBy is the name that a call for this server carries.
+func (s Server) CalledBy() string { return cmp.Or(s.Name, s.Incarnation) }
+
 // Same reports whether a backend server says the same of itself as before.
 func (s *Server) Same(other *Server) bool {
 	return s.Incarnation == other.Incarnation && s.Service == other.Service && s.Address == other.Address && s.Zone == other.Zone &&
--- a/internal/fleet/weights_test.go
+++ b/internal/fleet/weights_test.go
@@ -34,6 +34,6 @@
 	g.Expect(f.Loads()[0].Weights).To(Equal(map[string]int{"m": 2}))
 	told := server("s")
 	told.Weights = map[string]int{"m": 2}
-	f.Apply([]fleet.Update{{Incarnation: "s", Offset: 9, Server: told}})
+	f.Apply([]fleet.Update{{Key: "s", Offset: 9, Server: told}})
 	g.Expect(f.Loads()).To(BeEmpty())
 }
--- a/internal/gateway/outdated_test.go
+++ b/internal/gateway/outdated_test.go
@@ -32,7 +32,7 @@
 
 func newTestGateway(v versions) *Gateway {
 	f := fleet.New(fleet.Config{Logger: zerolog.Nop()})
-	f.Apply([]fleet.Update{{Incarnation: "s", Offset: 1, Server: &fleet.Server{Incarnation: "s", Service: "s", Weights: map[string]int{"m": 1}}}})
+	f.Apply([]fleet.Update{{Key: "s", Offset: 1, Server: &fleet.Server{Incarnation: "s", Service: "s", Weights: map[string]int{"m": 1}}}})
 	return New(Config{Fleet: f, Logger: zerolog.Nop(), Scope: tally.NoopScope, Weights: v, OutdatedAfter: weightsLimit})
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -161,7 +161,8 @@
 
 // handover writes down what the chosen server is told.
 func (x *exchange) handover(chosen choice, remaining time.Duration) call.Handover {
-	out := call.Handover{Incarnation: chosen.hold.Server().Incarnation, Remaining: remaining, ResumeAfter: x.resumeAfter}
+	server := chosen.hold.Server()
+	out := call.Handover{Server: server.CalledBy(), Remaining: remaining, ResumeAfter: x.resumeAfter}
 	if x.organisation != nil {
 		out.Organisation = x.organisation.Name
 	}
--- a/internal/gateway/prompts_test.go
+++ b/internal/gateway/prompts_test.go
@@ -66,7 +66,7 @@
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	f.Apply([]fleet.Update{{Incarnation: name, Offset: 1, Server: &fleet.Server{
+	f.Apply([]fleet.Update{{Key: name, Offset: 1, Server: &fleet.Server{
 		Incarnation: name, Service: "r", Address: server.Listener.Addr().String(), Slots: 4, Weights: map[string]int{"m": 1},
 	}}})
 }
--- a/internal/gateway/unreached_test.go
+++ b/internal/gateway/unreached_test.go
@@ -22,7 +22,7 @@
 	g := NewWithT(t)
 	f := fleet.New(fleet.Config{})
 	for _, name := range []string{"gone-1", "gone-2", "gone-3"} {
-		f.Apply([]fleet.Update{{Incarnation: name, Offset: 1, Server: &fleet.Server{
+		f.Apply([]fleet.Update{{Key: name, Offset: 1, Server: &fleet.Server{
 			Incarnation: name, Service: "r", Address: unreachable, Slots: 4, Weights: map[string]int{"m": 1},
 		}}})
 	}
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -71,8 +71,8 @@
 		t.gateway.reject(t.x, http.StatusBadRequest, "server_rejected")
 		return nextEnd
 	}
-	if marks.Incarnation != "" && marks.Incarnation != server.Incarnation {
-		t.gateway.cfg.Logger.Info().Str("server", server.Incarnation).Str("address", server.Address).Str("found", marks.Incarnation).Msg("address_reused")
+	if marks.Server != "" && marks.Server != server.CalledBy() {
+		t.gateway.cfg.Logger.Info().Str("server", server.Incarnation).Str("address", server.Address).Str("found", marks.Server).Msg("address_reused")
 	}
 	return nextServer
 }
--- a/internal/loadshare/box_test.go
+++ b/internal/loadshare/box_test.go
@@ -37,7 +37,7 @@
 		t.Fatal(err)
 	}
 	b := &box{fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), heard: make(chan map[string][]registry.Heard, 1000), address: listener.Addr().String()}
-	b.fleet.Apply([]fleet.Update{{Incarnation: "s", Offset: 1, Server: &fleet.Server{Incarnation: "s", Service: "s", Slots: 4}}})
+	b.fleet.Apply([]fleet.Update{{Key: "s", Offset: 1, Server: &fleet.Server{Incarnation: "s", Service: "s", Slots: 4}}})
 	b.share = loadshare.New(loadshare.Config{
 		Log: log, Fleet: b.fleet, Logger: zerolog.Nop(), Box: name, Life: name, Address: b.address,
 		Named: func() map[string][]registry.Heard { return named }, Heard: func(named map[string][]registry.Heard, _ time.Time) { b.heard <- named },
--- a/internal/registry/digest.go
+++ b/internal/registry/digest.go
@@ -18,10 +18,10 @@
 // and of other streams the newest record of each key. Keys that are gone have none.
 func (e entry) mark() uint64 {
 	switch {
-	case len(e.record.Value) == 0:
+	case len(e.record.Value) == 0 || e.unclear:
 		return 0
 	case e.server != nil:
-		return xxhash.Sum64String(strconv.FormatBool(e.server.Leaving) + "/" + e.record.Key)
+		return xxhash.Sum64String(strconv.FormatBool(e.server.Leaving) + "/" + e.server.Incarnation)
 	default:
 		return xxhash.Sum64String(strconv.FormatInt(e.record.Offset, 10) + "/" + e.record.Key)
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -379,22 +379,31 @@
 	r.cfg.Boxes(records)
 }
 
-// decode adds records to a reading, with what they say of servers. Those of servers that
-// are not understood are left out.
+// decode adds records to a reading, with what they say of servers. The registry may hold
+// entries of other writers: one that is not understood names no server that may be used.
 func (r *Registry) decode(stream sharedlog.Stream, records []sharedlog.Record, read *reading) {
-	read.records, read.unclear = make([]said, 0, len(records)), map[string]bool{}
+	read.records = make([]said, 0, len(records))
 	for _, record := range records {
-		if stream != sharedlog.Servers {
-			read.records = append(read.records, said{record: record})
-			continue
-		}
-		update, err := r.cfg.Decoder.Server(record)
-		if err != nil {
-			r.cfg.Logger.Error().Str("key", record.Key).Int64("offset", record.Offset).Str("error", err.Error()).Msg("server_not_understood")
-			read.unclear[record.Key] = true
-			continue
+		next := said{record: record}
+		if stream == sharedlog.Servers {
+			update, err := r.cfg.Decoder.Server(record)
+			next.server, next.unclear = update.Server, err != nil
+			r.noteUnclear(record, err)
 		}
-		read.records = append(read.records, said{record, update.Server})
+		read.records = append(read.records, next)
+	}
+}
+
+// noteUnclear tells of an entry that is not understood, once as long as it stays so.
+func (r *Registry) noteUnclear(record sharedlog.Record, err error) {
+	if err == nil {
+		return
+	}
+	r.mu.Lock()
+	known := r.tail(sharedlog.Servers).entries[record.Key].unclear
+	r.mu.Unlock()
+	if !known {
+		r.cfg.Logger.Error().Str("key", record.Key).Int64("offset", record.Offset).Str("error", err.Error()).Msg("server_not_understood")
 	}
 }
 
@@ -430,7 +439,7 @@
 	}
 	updates := make([]fleet.Update, len(news))
 	for i, next := range news {
-		updates[i] = fleet.Update{Incarnation: next.record.Key, Offset: next.record.Offset, Server: next.server}
+		updates[i] = fleet.Update{Key: next.record.Key, Offset: next.record.Offset, Server: next.server, Unclear: next.unclear}
 	}
 	r.cfg.Fleet.Apply(updates)
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -36,7 +36,7 @@
 }
 
 func (decoder) Server(record sharedlog.Record) (fleet.Update, error) {
-	update := fleet.Update{Incarnation: record.Key, Offset: record.Offset}
+	update := fleet.Update{Key: record.Key, Offset: record.Offset}
 	if len(record.Value) > 0 {
 		update.Server = &fleet.Server{Incarnation: record.Key, Service: "s", Leaving: string(record.Value) == "leaving"}
 	}
--- a/internal/registry/tail.go
+++ b/internal/registry/tail.go
@@ -6,7 +6,6 @@
 package registry
 
 import (
-	"maps"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/fleet"
@@ -49,10 +48,19 @@
 }
 
 // said is a record with what it says of its server, in the servers' stream; nil when that
-// is gone.
+// is gone, or when the record is not understood, which unclear says.
 type said struct {
-	record sharedlog.Record
-	server *fleet.Server
+	record  sharedlog.Record
+	server  *fleet.Server
+	unclear bool
+}
+
+// same reports whether a record says of a server what an earlier one said.
+func (s said) same(before said) bool {
+	if s.unclear || before.unclear {
+		return s.unclear == before.unclear
+	}
+	return s.server != nil && before.server != nil && s.server.Same(before.server)
 }
 
 // entry is the newest record of a key.
@@ -79,12 +87,9 @@
 // reading is what was read of a stream, or told of it.
 type reading struct {
 	records []said
-	// unclear holds the keys whose records were not understood; what was known of them stays.
-	unclear map[string]bool
 	// next is the offset up to which the records lead.
 	next int64
-	// whole says that keys which are neither in records nor unclear were gone at next;
-	// otherwise the records are all that was added since what is known.
+	// whole says that keys which are not in records were gone at next; otherwise the records are all that was added since what is known.
 	whole bool
 	// raw says that records are all that were added, rather than the newest of each key.
 	raw bool
@@ -102,7 +107,7 @@
 			continue
 		}
 		next := entry{said: said, changed: offset}
-		same := next.server != nil && before.server != nil && next.server.Same(before.server)
+		same := next.same(before.said)
 		if same && read.raw {
 			next.changed = before.changed // no record between the two said otherwise
 		}
@@ -124,10 +129,7 @@
 // that were not gone before. All are gone as of the reading, so that no older word brings
 // one back. What another box handed over before the first reading counts less than that.
 func (t *tail) forgetOthers(read reading) (gone []entry) {
-	named := maps.Clone(read.unclear)
-	if named == nil {
-		named = make(map[string]bool, len(read.records))
-	}
+	named := make(map[string]bool, len(read.records))
 	for _, said := range read.records {
 		named[said.record.Key] = true
 	}
--- a/internal/registry/turn_test.go
+++ b/internal/registry/turn_test.go
@@ -21,7 +21,7 @@
 }
 
 func (lengths) Server(record sharedlog.Record) (fleet.Update, error) {
-	return fleet.Update{Incarnation: record.Key, Offset: record.Offset, Server: &fleet.Server{Incarnation: record.Key}}, nil
+	return fleet.Update{Key: record.Key, Offset: record.Offset, Server: &fleet.Server{Incarnation: record.Key}}, nil
 }
 
 // What another box hands over may come in the same moment as the log's own word.
--- a/internal/routed/convert.go
+++ b/internal/routed/convert.go
@@ -101,7 +101,7 @@
 			}
 			address := cmp.Or(listed.address, server.Address)
 			one := identity(service.Name, name, address, listed.incarnation)
-			updates = append(updates, fleet.Update{Incarnation: one, Offset: word, Server: &fleet.Server{
+			updates = append(updates, fleet.Update{Key: one, Offset: word, Server: &fleet.Server{
 				Incarnation: one, Service: service.Name, Address: address, Zone: server.Zone, Slots: server.Slots,
 				Leaving: listed.leaving, Weights: weightsOf(snapshot, server),
 			}})
--- a/internal/routed/headers.go
+++ b/internal/routed/headers.go
@@ -103,7 +103,7 @@
 	// A server that chose an encoding by itself could not be resumed by another.
 	header.Set(headerEncodings, "identity")
 	header.Set(headerRemaining, strconv.FormatFloat(max(handover.Remaining.Seconds(), 0), 'f', secondsDecimals, 64))
-	call.SetIf(header, headerIncarnation, incarnationIn(handover.Incarnation))
+	call.SetIf(header, headerIncarnation, incarnationIn(handover.Server))
 	call.SetIf(header, headerOrganisation, handover.Organisation)
 	call.SetIf(header, headerResumeAfter, handover.ResumeAfter)
 	if handover.Model != nil {
@@ -118,7 +118,7 @@
 func (Headers) ReadMarks(_ int, header http.Header) call.Marks {
 	return call.Marks{
 		Genuine: true, NotRun: header.Get(api.HeaderOutcome) == string(apierror.NotRun), RequestID: header.Get(api.HeaderRequestID),
-		Incarnation: header.Get(headerIncarnation),
+		Server: header.Get(headerIncarnation),
 	}
 }
 
--- a/internal/weightorders/weightorders_test.go
+++ b/internal/weightorders/weightorders_test.go
@@ -103,7 +103,7 @@
 		name := fmt.Sprint("box-", i)
 		f := fleet.New(fleet.Config{Logger: zerolog.Nop()})
 		for runner := range r.weights {
-			f.Apply([]fleet.Update{{Incarnation: runner, Offset: 1, Server: &fleet.Server{Incarnation: runner, Service: "s", Weights: map[string]int{"m": 1}}}})
+			f.Apply([]fleet.Update{{Key: runner, Offset: 1, Server: &fleet.Server{Incarnation: runner, Service: "s", Weights: map[string]int{"m": 1}}}})
 		}
 		lease := orderlease.New(orderlease.Config{Log: log, Logger: zerolog.Nop(), Holder: name, Gap: 3 * time.Second})
 		giver := weightorders.New(weightorders.Config{
--- a/internal/zonereader/versions_test.go
+++ b/internal/zonereader/versions_test.go
@@ -57,7 +57,7 @@
 type oneServer struct{ registry.Decoder }
 
 func (oneServer) Server(record sharedlog.Record) (fleet.Update, error) {
-	return fleet.Update{Incarnation: record.Key, Offset: record.Offset, Server: &fleet.Server{Incarnation: record.Key}}, nil
+	return fleet.Update{Key: record.Key, Offset: record.Offset, Server: &fleet.Server{Incarnation: record.Key}}, nil
 }
 
 func TestAnAnswerSaysWhatItsBoxKnowsInAll(t *testing.T) {
