--- a/internal/gateway/prompts_test.go
+++ b/internal/gateway/prompts_test.go
@@ -78,8 +78,14 @@
 	g.Expect(answer.Code).To(Equal(http.StatusOK))
 }
 
+// promptTimeout is the time of the route of promptCatalog.
+const promptTimeout = 5 * time.Second
+
 // promptCatalog has one route to the service of runners "r", and one store box.
-func promptCatalog(g *WithT) *catalog.Catalog {
+func promptCatalog(g *WithT) *catalog.Catalog { return promptCatalogFor(g, promptTimeout) }
+
+// promptCatalogFor is promptCatalog with a route of another time.
+func promptCatalogFor(g *WithT, timeout time.Duration) *catalog.Catalog {
 	made, err := catalog.New(catalog.Config{
 		Version: 1, Limits: catalog.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 16},
 		Services: []catalog.Service{
@@ -88,7 +94,7 @@
 		},
 		Routes: []catalog.Route{{
 			Name: "prompts", Host: "example.com", PathPrefix: "/", Kind: catalog.Stream, Resumable: true, MaxServers: 2,
-			Objective: time.Second, Timeout: 5 * time.Second, Splits: []catalog.Split{{Service: "r", Weight: 1}}, Public: true,
+			Objective: time.Second, Timeout: timeout, Splits: []catalog.Split{{Service: "r", Weight: 1}}, Public: true,
 		}},
 	})
 	g.Expect(err).NotTo(HaveOccurred())
