Where few boxes ask a reader, what store boxes say ends the hold again

In a fleet of eight the news costs little; the bound is the number of boxes that ask, not the fleet.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -74,12 +74,14 @@
 	readers  *zonereader.Zone
 	// news is woken when this box learns anything of a stream that boxes which follow it are
 	// told.
-	news    waiting.Signal
-	retire  *retire.Policy
-	budget  *retrybudget.Budget
-	gateway *gateway.Gateway
-	callers *http.Server
-	ready   *http.Server
+	news waiting.Signal
+	// partNews is woken when a store box says anything new.
+	partNews waiting.Signal
+	retire   *retire.Policy
+	budget   *retrybudget.Budget
+	gateway  *gateway.Gateway
+	callers  *http.Server
+	ready    *http.Server
 	// collect serves metrics at an address of their own; nil without one.
 	collect *http.Server
 
@@ -128,7 +130,7 @@
 // the configuration.
 func (b *Box) assembleBeliefs() {
 	b.fleet = fleet.New(fleet.Config{Logger: b.logger, Off: b.settings.Off, Heartbeat: b.settings.ServerHeartbeat})
-	b.parts = partindex.New(partindex.Config{Off: b.settings.Off, FirstWait: firstWait})
+	b.parts = partindex.New(partindex.Config{News: &b.partNews, Off: b.settings.Off, FirstWait: firstWait})
 	b.registry = registry.New(registry.Config{
 		Log: b.log, Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, Changed: b.configure, News: &b.news,
 		Boxes: func(records []sharedlog.Record) { b.share.TakeBoxes(records) }, FirstWait: firstWait,
@@ -154,7 +156,7 @@
 		Lacks: b.registry.Lacks, Adopt: b.registry.Adopt,
 	})
 	b.readers = zonereader.New(zonereader.Config{
-		Registry: b.registry, Parts: b.parts, Logger: b.logger, News: &b.news, Others: b.otherBoxes, Known: b.share.Known,
+		Registry: b.registry, Parts: b.parts, Logger: b.logger, News: &b.news, PartNews: &b.partNews, Others: b.otherBoxes, Known: b.share.Known,
 		Off: b.settings.Off, Self: zonereader.Box{
 			Box:     delegate.Box{Name: b.settings.Box, Zone: b.settings.Zone, Cores: b.settings.Cores},
 			Address: b.ReaderAddress(),
--- a/internal/zonereader/versions_test.go
+++ b/internal/zonereader/versions_test.go
@@ -65,7 +65,7 @@
 	known := registry.New(registry.Config{Decoder: oneServer{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop()})
 	known.TakeWord(registry.Word{Stream: sharedlog.Servers, Whole: true, Records: []sharedlog.Record{{Key: "server", Value: []byte("ready"), Offset: 4}}, Next: 5}, time.Now())
 	z := New(Config{Registry: known, Parts: partindex.New(partindex.Config{}), Logger: zerolog.Nop()})
-	told, _ := z.look(question{Streams: map[sharedlog.Stream]int64{sharedlog.Servers: 5}})
+	told, _, _ := z.look(question{Streams: map[sharedlog.Stream]int64{sharedlog.Servers: 5}})
 	g.Expect(told.Digests).To(HaveLen(len(told.Streams)))
 	for i, word := range told.Streams {
 		g.Expect(told.Digests[i]).To(Equal(word.Digest))
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -58,8 +58,10 @@
 	Self   Box
 	Others func() []Box
 	Known  func() bool
-	// News is woken when this box learns anything that others are told.
-	News *waiting.Signal
+	// News is woken when this box learns anything of a stream that others are told, PartNews
+	// when a store box says anything new; nil where it never is.
+	News     *waiting.Signal
+	PartNews *waiting.Signal
 	// Off holds mechanisms that are switched off.
 	Off mechanism.Off
 	// Dial connects to another box; nil stands for TCP.
@@ -80,7 +82,9 @@
 	// lostInRow counts the boxes that were left one after the other since they cannot read
 	// the log.
 	lostInRow int
-	loops     sync.WaitGroup
+	// asking counts the boxes that ask this one.
+	asking int
+	loops  sync.WaitGroup
 }
 
 // New makes a zone in which this box reads for itself.
@@ -91,6 +95,9 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
+	if cfg.PartNews == nil {
+		cfg.PartNews = &waiting.Signal{}
+	}
 	if cfg.Known == nil {
 		cfg.Known = func() bool { return true }
 	}
@@ -158,6 +165,8 @@
 func (z *Zone) loopAnswer(ctx context.Context, connection net.Conn) {
 	defer context.AfterFunc(ctx, func() { _ = connection.Close() })() // the other box asks another
 	defer connection.Close()
+	z.countAsking(1)
+	defer z.countAsking(-1)
 	reader := bufio.NewReader(connection)
 	for ctx.Err() == nil {
 		if err := connection.SetReadDeadline(time.Now().Add(questionLimit)); err != nil {
@@ -174,23 +183,58 @@
 	}
 }
 
-// answer tells what this box knows as soon as there is news of a stream, or when the hold is
-// over.
+// countAsking counts the boxes that ask this one.
+func (z *Zone) countAsking(more int) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.asking += more
+}
+
+// fewAsking is the number of boxes up to which what a store box says ends the hold of their
+// questions. It says something all the time under load, and with 50 boxes that each asked
+// ten times a second that was half of the processor of the box that reads for them.
+const fewAsking = 12
+
+// tellsPartsAtOnce reports whether few boxes ask this one.
+func (z *Zone) tellsPartsAtOnce() bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.asking <= fewAsking
+}
+
+// answer tells what this box knows as soon as that is news, or when the hold is over.
 func (z *Zone) answer(ctx context.Context, asked question) answer {
 	cameAt := time.Now()
+	atOnce := z.tellsPartsAtOnce()
 	for {
-		wake := z.cfg.News.Wait()
-		told, news := z.look(asked)
+		wake, partsWake := z.cfg.News.Wait(), z.cfg.PartNews.Wait()
+		if !atOnce {
+			partsWake = nil
+		}
+		told, streamNews, partNews := z.look(asked)
 		told.Held, told.Lost = time.Since(cameAt), z.cfg.Registry.Lost()
-		if news || told.Held >= answerHold || ctx.Err() != nil {
+		if streamNews || atOnce && partNews || told.Held >= answerHold || ctx.Err() != nil {
 			return told
 		}
-		waiting.ForOr(ctx, answerHold-told.Held, wake)
+		z.waitForNews(ctx, answerHold-told.Held, wake, partsWake)
+	}
+}
+
+// waitForNews waits for a time, or for news of either kind.
+func (z *Zone) waitForNews(ctx context.Context, length time.Duration, wake, partsWake <-chan struct{}) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-wake:
+	case <-partsWake:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
-// look writes down what this box knows past what a question says.
-func (z *Zone) look(asked question) (told answer, news bool) {
+// look writes down what this box knows past what a question says, and whether that is news of
+// a stream or of a store box.
+func (z *Zone) look(asked question) (told answer, streamNews, partNews bool) {
 	for _, stream := range registry.Followed() {
 		from, named := asked.Streams[stream]
 		if !named {
@@ -199,14 +243,14 @@
 		word, isNews := z.cfg.Registry.WordSince(stream, from)
 		told.Streams = append(told.Streams, word)
 		told.Digests = append(told.Digests, word.Digest)
-		news = news || isNews
+		streamNews = streamNews || isNews
 	}
 	for address, since := range asked.Stores {
-		// What store boxes keep changes all the time under load, and each box would ask ten
-		// times a second if that ended the hold.
-		if word, _, known := z.cfg.Parts.WordSince(address, since); known {
+		word, isNews, known := z.cfg.Parts.WordSince(address, since)
+		if known {
 			told.Stores = append(told.Stores, word)
+			partNews = partNews || isNews
 		}
 	}
-	return told, news
+	return told, streamNews, partNews
 }
--- a/internal/zonereader/zonereader_test.go
+++ b/internal/zonereader/zonereader_test.go
@@ -173,7 +173,7 @@
 	b.fleet = fleet.New(fleet.Config{Logger: zerolog.Nop()})
 	b.registry = registry.New(registry.Config{Log: b.log, Decoder: decoder{}, Fleet: b.fleet, Logger: zerolog.Nop(), News: news})
 	b.zone = zonereader.New(zonereader.Config{
-		Registry: b.registry, Parts: partindex.New(partindex.Config{News: news}), Logger: zerolog.Nop(), Self: b.self, News: news,
+		Registry: b.registry, Parts: partindex.New(partindex.Config{News: news}), Logger: zerolog.Nop(), Self: b.self, News: news, PartNews: news,
 		Others: func() []zonereader.Box { return bs.others(b) }, Dial: bs.dial,
 	})
 }
