Store boxes are listed when saves are overdue; in outages a follower asks for one stream

(1) Of the events of store boxes a few never come. (2) In an outage of the log each box that followed another one asked for both streams, also when its reader had said that it could not read the log either.

A box that asked for a save and heard nothing of it for 4 s doubts what it knows of that store box; the box that asks for the zone lists it, each 4 s at the most. A follower whose reader is lost asks seldom from the first failure on, and for the operators' stream alone. What a box that knows nothing of store boxes is told ends its hold. On the first start of the whole system boxes wait 2 s to be told. One line each 10 s tells the calls of the log by stream, kind and end.

Ruled out: listing each store box more often whatever is known. A list holds its store box up.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -63,7 +63,7 @@
 	name string
 
 	metrics  *telemetry.Metrics
-	log      sharedlog.Log
+	log      *sharedlog.Measured
 	fleet    *fleet.Fleet
 	parts    *partindex.Index
 	registry *registry.Registry
@@ -124,17 +124,29 @@
 // firstWait is how long a box that has just started waits to be told of the log and of store
 // boxes before it asks itself: several times what the list of boxes and one answer of the
 // box that reads for its zone take. It is not longer, since a box serves nobody meanwhile.
-const firstWait = 300 * time.Millisecond
+// When the whole system starts for the first time there is nobody to serve yet, and the list
+// of boxes fills up over more than a second.
+const (
+	firstWait       = 300 * time.Millisecond
+	systemFirstWait = 2 * time.Second
+)
+
+func (b *Box) firstWait() time.Duration {
+	if b.settings.SystemStarts {
+		return systemFirstWait
+	}
+	return firstWait
+}
 
 // assembleBeliefs makes what the box believes: the backend servers, the kept parts,
 // the configuration.
 func (b *Box) assembleBeliefs() {
 	b.fleet = fleet.New(fleet.Config{Logger: b.logger, Off: b.settings.Off, Heartbeat: b.settings.ServerHeartbeat})
-	b.parts = partindex.New(partindex.Config{News: &b.partNews, Off: b.settings.Off, FirstWait: firstWait})
+	b.parts = partindex.New(partindex.Config{News: &b.partNews, Off: b.settings.Off, FirstWait: b.firstWait()})
 	b.registry = registry.New(registry.Config{
 		Log: b.log, Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, Changed: b.configure, News: &b.news,
-		Boxes: func(records []sharedlog.Record) { b.share.TakeBoxes(records) }, FirstWait: firstWait,
-		Followed: func() bool { return b.readers.Following() != "" },
+		Boxes: func(records []sharedlog.Record) { b.share.TakeBoxes(records) }, FirstWait: b.firstWait(),
+		Followed: func() bool { return b.readers.Following() != "" }, TellerLost: func() bool { return b.readers.TellerLost() },
 	})
 }
 
@@ -249,6 +261,7 @@
 	b.share.Wait()
 	b.readers.Wait()
 	_ = b.metrics.Close() // a collector that missed the last second
+	b.tellCalls()
 	b.logger.Info().Msg("stopped")
 	return err
 }
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -38,6 +38,8 @@
 	RetrySlack float64
 	// Off holds mechanisms that are switched off.
 	Off mechanism.Off
+	// SystemStarts says that the whole system starts for the first time.
+	SystemStarts bool
 	// Cores is the processor that the process may use; 0 where the platform does not say.
 	Cores float64
 	// MemoryBytes bounds the process; 0 is no bound.
--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -12,12 +12,34 @@
 // at what gauges show.
 const upkeepEvery = time.Second
 
+// callsToldEvery is the time between two lines on the calls of the platform's log.
+const callsToldEvery = 10 * time.Second
+
+// tellCalls writes a line on the calls of the platform's log since the last one: each has a
+// price, and this tells which box made them and why.
+func (b *Box) tellCalls() {
+	counts := b.log.TakeCounts()
+	if len(counts) == 0 {
+		return
+	}
+	event := b.logger.Info()
+	for call, count := range counts {
+		event.Int(call, count)
+	}
+	event.Msg("log_calls")
+}
+
 // loopUpkeep keeps gauges, and this box's part of what all boxes share, until ctx
 // ends.
 func (b *Box) loopUpkeep(ctx context.Context) {
 	ticker := time.NewTicker(upkeepEvery)
 	defer ticker.Stop()
+	toldAt := time.Now()
 	for {
+		if time.Since(toldAt) >= callsToldEvery {
+			toldAt = time.Now()
+			b.tellCalls()
+		}
 		b.budget.SetBurst(b.retryBurst())
 		b.showGauges()
 		select {
--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -81,6 +81,10 @@
 	knownAt  time.Time
 	heardAt  time.Time
 	saveFrom time.Time
+	// listedAt is when it was last listed, and doubted that another box has reason to doubt
+	// what is known of it.
+	listedAt time.Time
+	doubted  bool
 	held     map[Key]int
 	// unfinished is the room that parts took which were not whole when the store box
 	// was last listed, and used the room that all parts take.
@@ -96,7 +100,9 @@
 	mu     sync.Mutex
 	stores []*store
 	// saving holds the parts that this box had saved and has not heard of yet.
-	saving map[Key]time.Time
+	saving map[Key]save
+	// forgotAt is when old ones among them were last forgotten.
+	forgotAt time.Time
 	// clock is the servers' clock at clockAt.
 	clock   int64
 	clockAt time.Time
@@ -126,7 +132,7 @@
 // New makes an empty index.
 func New(cfg Config) *Index {
 	cfg.News = cmp.Or(cfg.News, &waiting.Signal{})
-	return &Index{cfg: cfg, saving: map[Key]time.Time{}, news: cfg.News}
+	return &Index{cfg: cfg, saving: map[Key]save{}, news: cfg.News}
 }
 
 // Configure takes over which store boxes there are.
@@ -216,6 +222,7 @@
 	s.forget()
 	x.take(s, report)
 	s.takeUnfinished(report.Unfinished)
+	x.noteListed(s, report.AsOf)
 	s.told.mend(before, s.held)
 	x.news.Send()
 }
--- a/internal/partindex/save.go
+++ b/internal/partindex/save.go
@@ -31,7 +31,7 @@
 // place chooses the store box for a part that none keeps, or nothing when it is
 // being saved already or has no room anywhere. All boxes choose alike.
 func (x *Index) place(key Key, tokens int, now time.Time) string {
-	if began, ok := x.saving[key]; ok && now.Sub(began) < savingFor {
+	if asked, ok := x.saving[key]; ok && now.Sub(asked.at) < savingFor {
 		return ""
 	}
 	best := x.choose(key, tokens, now, tokens <= smallPart)
@@ -52,7 +52,7 @@
 	now := time.Now()
 	for i, address := range plan.Save {
 		if address != "" {
-			x.saving[Key{name, parts[i].ID}] = now
+			x.saving[Key{name, parts[i].ID}] = save{address, now}
 		}
 	}
 	for _, s := range x.stores {
@@ -60,8 +60,11 @@
 			s.pace.triedAt = now
 		}
 	}
-	if len(x.saving) > maxSaving {
-		x.forgetSaving(now)
+	switch {
+	case len(x.saving) > maxSaving:
+		x.forgetSaving(now, savingFor)
+	case now.Sub(x.forgotAt) > doubtFor:
+		x.forgetSaving(now, doubtFor)
 	}
 }
 
@@ -77,9 +80,11 @@
 	}
 }
 
-func (x *Index) forgetSaving(now time.Time) {
-	for key, began := range x.saving {
-		if now.Sub(began) >= savingFor {
+// forgetSaving forgets the saves that are older than an age.
+func (x *Index) forgetSaving(now time.Time, age time.Duration) {
+	x.forgotAt = now
+	for key, asked := range x.saving {
+		if now.Sub(asked.at) >= age {
 			delete(x.saving, key)
 		}
 	}
--- a/internal/partindex/told.go
+++ b/internal/partindex/told.go
@@ -260,6 +260,7 @@
 			unfinished[i] = Change{Key{part.Namespace, part.ID}, part.Tokens}
 		}
 		s.takeUnfinished(unfinished)
+		x.noteListed(s, report.AsOf)
 	}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -54,8 +54,10 @@
 	// read them at all.
 	FirstWait time.Duration
 	// Followed reports whether this box follows another one, which will tell it when the log
-	// is back; nil means that it never does.
-	Followed func() bool
+	// is back, and TellerLost whether that one says that it cannot read the log either; nil
+	// means that it never does.
+	Followed   func() bool
+	TellerLost func() bool
 	// Pace is the time between two looks at the servers' stream.
 	Pace time.Duration
 	// Hold is the longest time that a read of the operators' stream waits for a record.
@@ -104,6 +106,9 @@
 	// asked twice a second made two thirds of all calls of a day.
 	leastFollowerPause  = 1200 * time.Millisecond
 	spreadFollowerPause = 800 * time.Millisecond
+	// longestServersPause is how long such a box does not ask for the servers' stream at most
+	// while the operators' is lost too.
+	longestServersPause = 4 * time.Second
 )
 
 // Registry follows the streams.
@@ -125,6 +130,8 @@
 	// ever been sent.
 	readItself waiting.Signal
 	reads      bool
+	// back is sent when the operators' stream can be read again.
+	back waiting.Signal
 	// news wakes those who wait to tell other boxes what was read.
 	news *waiting.Signal
 }
@@ -134,8 +141,12 @@
 	cfg.Pace = cmp.Or(cfg.Pace, DefaultPace)
 	cfg.Hold = cmp.Or(cfg.Hold, DefaultHold)
 	cfg.News = cmp.Or(cfg.News, &waiting.Signal{})
+	never := func() bool { return false }
 	if cfg.Followed == nil {
-		cfg.Followed = func() bool { return false }
+		cfg.Followed = never
+	}
+	if cfg.TellerLost == nil {
+		cfg.TellerLost = never
 	}
 	return &Registry{
 		cfg: cfg, weights: map[string][]NamedWeights{}, lost: map[sharedlog.Stream]bool{}, news: cfg.News,
@@ -225,7 +236,7 @@
 			r.noteLost(ctx, stream, asked, err)
 			wait = 0
 			failed++
-			r.pauseAfter(ctx, failed, failurePause)
+			r.pauseAfter(ctx, stream, failed, failurePause)
 			failurePause = min(2*failurePause, longestPause)
 			continue
 		}
@@ -250,15 +261,20 @@
 	}
 }
 
-// pauseAfter lies after a number of calls in a row that failed. That none reads for this box
-// any more ends it.
-func (r *Registry) pauseAfter(ctx context.Context, failed int, usual time.Duration) {
-	wake := r.readItself.Wait()
-	if failed > 1 && r.cfg.Followed() {
-		waiting.ForOr(ctx, leastFollowerPause+rand.N(spreadFollowerPause), wake)
-		return
+// pauseAfter lies after a number of calls in a row that failed. A box that follows another
+// one asks once more soon, since the connection may just have gone silent, and then seldom;
+// and as long as it can read neither stream, it asks for one of them. That none reads for
+// this box any more ends the pause.
+func (r *Registry) pauseAfter(ctx context.Context, stream sharedlog.Stream, failed int, usual time.Duration) {
+	ended, back := r.readItself.Wait(), r.back.Wait()
+	switch {
+	case failed < 2 && !r.cfg.TellerLost() || !r.cfg.Followed():
+		waiting.For(ctx, usual/2+rand.N(usual))
+	case stream == sharedlog.Servers && r.Lost():
+		waiting.ForOr(ctx, longestServersPause, back)
+	default:
+		waiting.ForOr(ctx, leastFollowerPause+rand.N(spreadFollowerPause), ended)
 	}
-	waiting.For(ctx, usual/2+rand.N(usual))
 }
 
 // readFrom gives the offset that the next reading begins at.
@@ -332,8 +348,11 @@
 	if r.lost[stream] {
 		r.lost[stream] = false
 		r.cfg.Logger.Info().Stringer("stream", stream).Int64("offset", next).Msg("log_back")
-		if stream == sharedlog.Servers {
+		switch stream {
+		case sharedlog.Servers:
 			r.cfg.Fleet.RegistryBack()
+		case sharedlog.Operator:
+			r.back.Send()
 		}
 	}
 }
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -17,10 +18,25 @@
 type Measured struct {
 	log   Log
 	scope tally.Scope
+
+	mu     sync.Mutex
+	counts map[string]int
 }
 
 // NewMeasured wraps a log.
-func NewMeasured(log Log, scope tally.Scope) *Measured { return &Measured{log: log, scope: scope} }
+func NewMeasured(log Log, scope tally.Scope) *Measured {
+	return &Measured{log: log, scope: scope, counts: map[string]int{}}
+}
+
+// TakeCounts gives the calls since the last time by stream, kind and end, such as
+// "servers/read/done", and begins anew.
+func (m *Measured) TakeCounts() map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counts := m.counts
+	m.counts = map[string]int{}
+	return counts
+}
 
 // Newest implements Log.
 func (m *Measured) Newest(ctx context.Context, stream Stream) (Page, error) {
@@ -51,7 +67,11 @@
 }
 
 func (m *Measured) note(kind string, stream Stream, began time.Time, err error) {
-	scope := m.scope.Tagged(map[string]string{"kind": kind, "stream": stream.String(), "end": endOf(err)})
+	end := endOf(err)
+	m.mu.Lock()
+	m.counts[stream.String()+"/"+kind+"/"+end]++
+	m.mu.Unlock()
+	scope := m.scope.Tagged(map[string]string{"kind": kind, "stream": stream.String(), "end": end})
 	scope.Counter("log_calls").Inc(1)
 	if kind != "held_read" {
 		scope.Histogram("log_call_seconds", telemetry.LatencyBuckets()).RecordDuration(time.Since(began))
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -136,7 +136,7 @@
 		if w.cfg.Index.WaitWhileTold(ctx, address) {
 			next, lost = usual, false
 		}
-		due := time.Now().After(listAt)
+		due := time.Now().After(listAt) || w.cfg.Index.WantsList(address)
 		listed, err := w.ask(ctx, address, next, due)
 		if due && err == nil {
 			listAt = nextList()
--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -175,6 +175,7 @@
 func (z *Zone) leaveLost(lost bool) bool {
 	z.mu.Lock()
 	defer z.mu.Unlock()
+	z.tellerLost = lost
 	if !lost {
 		z.lostInRow = 0
 		return false
@@ -187,7 +188,7 @@
 }
 
 func (z *Zone) question(mended map[string]int) *question {
-	asked := question{Streams: map[sharedlog.Stream]int64{}, Stores: map[string]partindex.Position{}}
+	asked := question{Streams: map[sharedlog.Stream]int64{}, Stores: map[string]partindex.Position{}, Doubted: z.cfg.Parts.Doubted()}
 	for _, stream := range registry.Followed() {
 		asked.Streams[stream] = z.cfg.Registry.Position(stream)
 	}
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -82,6 +82,8 @@
 	// lostInRow counts the boxes that were left one after the other since they cannot read
 	// the log.
 	lostInRow int
+	// tellerLost says that the box which is followed cannot read the log.
+	tellerLost bool
 	// asking counts the boxes that ask this one.
 	asking int
 	loops  sync.WaitGroup
@@ -111,10 +113,19 @@
 	return z.following
 }
 
+// TellerLost reports whether the box that this one follows says that it cannot read the log.
+func (z *Zone) TellerLost() bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.following != "" && z.tellerLost
+}
+
 // question asks a box for what it knows past what the asker knows.
 type question struct {
 	Streams map[sharedlog.Stream]int64    `msgpack:"s"`
 	Stores  map[string]partindex.Position `msgpack:"p"`
+	// Doubted are the store boxes of which the asker has reason to doubt what it knows.
+	Doubted []string `msgpack:"d,omitempty"`
 }
 
 // answer tells it.
@@ -183,6 +194,17 @@
 	}
 }
 
+// lacksStores reports whether the asker knows nothing of a store box. After a power failure
+// all boxes start at once, and until they know what is kept all prompts are read anew.
+func (q question) lacksStores() bool {
+	for _, position := range q.Stores {
+		if position.Life == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // countAsking counts the boxes that ask this one.
 func (z *Zone) countAsking(more int) {
 	z.mu.Lock()
@@ -205,7 +227,8 @@
 // answer tells what this box knows as soon as that is news, or when the hold is over.
 func (z *Zone) answer(ctx context.Context, asked question) answer {
 	cameAt := time.Now()
-	atOnce := z.tellsPartsAtOnce()
+	z.cfg.Parts.Doubt(asked.Doubted)
+	atOnce := z.tellsPartsAtOnce() || asked.lacksStores()
 	for {
 		wake, partsWake := z.cfg.News.Wait(), z.cfg.PartNews.Wait()
 		if !atOnce {
