Hubs answer boxes that come while they wait to try again; words age by what they are

(2) Zones were told large from small by the boxes heard so far, so a box that had heard seven of its zone followed one of another zone. (3) A word counted from the last message that its sender had echoed, which is up to a message's pause older than the word; over two hubs that was more than the 0.8 s after which a hub no longer passes a word on, and whole zones left the rosters and came back.

Whoever opens a connection is told at once and is no longer avoided. The choice of a delegate counts all listed boxes, and leaves out those that are away. A message says how long it had what it echoes.

Ruled out: telling more often (a third more messages for the same ages).

Tests: work is known within 0.35 s in the zone and 0.7 s everywhere by less than 14 messages a second and box; another hub takes over from one that dies or is cut off; all boxes are heard by way of hubs; boxes that are away count for their zone.

--- a/internal/delegate/delegate.go
+++ b/internal/delegate/delegate.go
@@ -27,6 +27,10 @@
 	Zone string
 	// Cores is the processor that it may use; zero where it does not say.
 	Cores float64
+	// Away says that it is not to be chosen now: it is not heard, or did not answer. It
+	// counts all the same for which zones have delegates of their own, which must not change
+	// while boxes that start are heard one after the other.
+	Away bool
 }
 
 // Config says how many delegates there are.
@@ -45,7 +49,7 @@
 	largePart = 0.5
 )
 
-// Choose gives the delegate of a box, of those that it knows; false when it is one itself.
+// Choose gives the delegate of a box, of those that are listed; false when it is one itself.
 func Choose(cfg Config, self Box, others []Box) (chosen Box, other bool) {
 	delegates := ofGroup(cfg, group(self.Zone, append(slices.Clone(others), self)))
 	if slices.ContainsFunc(delegates, func(b Box) bool { return b.Name == self.Name }) {
@@ -63,7 +67,7 @@
 	rest := slices.DeleteFunc(slices.Clone(boxes), func(b Box) bool { return own[b.Zone] || b.Zone == zone })
 	var delegates []Box
 	for len(rest) > 0 {
-		next := group(rest[0].Zone, slices.Clone(rest))
+		next := group(rest[0].Zone, slices.Clone(rest)) // it is not empty
 		delegates = append(delegates, ofGroup(cfg, next)...)
 		rest = slices.DeleteFunc(rest, func(b Box) bool { return slices.Contains(next, b) })
 	}
@@ -90,12 +94,13 @@
 // ofGroup gives the delegates of a group: as many as it needs, the first by rank.
 func ofGroup(cfg Config, boxes []Box) []Box {
 	needed := (len(boxes) + cfg.BoxesEach - 1) / cfg.BoxesEach
-	able := large(boxes)
+	there := slices.DeleteFunc(slices.Clone(boxes), func(b Box) bool { return b.Away })
+	able := large(there)
 	if len(able) < needed {
-		able = boxes
+		able = there
 	}
 	slices.SortFunc(able, byRank(string(cfg.Role)))
-	return able[:needed]
+	return able[:min(needed, len(able))]
 }
 
 // large lists the boxes with at least a part of the processor of the largest.
--- a/internal/delegate/delegate_test.go
+++ b/internal/delegate/delegate_test.go
@@ -140,3 +140,26 @@
 		}
 	}
 }
+
+// Boxes that start are heard one after the other. When zones were told large from small by
+// the boxes that were heard, a box followed one of another zone until eight of its own were.
+func TestBoxesThatAreAwayCountForTheirZone(t *testing.T) {
+	g := NewWithT(t)
+	boxes := boxesIn(16, 16)
+	for i := range boxes {
+		boxes[i].Away = i != 0 && i != 3 && i != 20
+	}
+	chosen, follow := delegate.Choose(reading, boxes[0], boxes[1:])
+	if follow {
+		g.Expect(chosen.Name).To(Equal("box-0-3"))
+	}
+	for _, foreign := range delegate.Foreign(reading, "zone-0", boxes) {
+		g.Expect(foreign.Name).To(Equal("box-1-4"))
+	}
+	for i := range boxes {
+		boxes[i].Away = i != 0
+	}
+	_, follow = delegate.Choose(reading, boxes[0], boxes[1:])
+	g.Expect(follow).To(BeFalse(), "whoever hears nobody is its own")
+	g.Expect(delegate.Foreign(reading, "zone-0", boxes)).To(BeEmpty())
+}
--- a/internal/loadshare/agreement_test.go
+++ b/internal/loadshare/agreement_test.go
@@ -144,20 +144,7 @@
 	}
 	a.spans = append(a.spans, span{life: a.life, from: now, version: version})
 	a.mu.Unlock()
-	known := fleet.New(fleet.Config{Logger: zerolog.Nop()})
-	a.share = loadshare.New(loadshare.Config{
-		Fleet: known, Logger: zerolog.Nop(), Box: a.name, Life: fmt.Sprint(a.name, "/", a.life), Zone: a.zone, Cores: a.cores, Address: a.name, Reader: a.name,
-		Named: a.named, Heard: func(told map[string][]registry.Heard, _ time.Time) { a.hear(told) },
-		Lacks: func() bool { return false }, Snapshot: func() *registry.Snapshot { return nil }, Dial: h.fabric.dialFrom(a.name),
-	})
-	a.share.TakeBoxes(h.list())
-	ctx, a.stop = context.WithCancel(ctx)
-	listener := h.fabric.listen(a.name)
-	for _, loop := range []func(context.Context){a.share.LoopLink, a.share.LoopForget} {
-		a.stopped.Go(func() { loop(ctx) })
-	}
-	share := a.share
-	a.stopped.Go(func() { share.LoopAccept(ctx, listener); share.Wait() })
+	h.run(ctx, a, fleet.New(fleet.Config{Logger: zerolog.Nop()}))
 }
 
 // hear takes over what another box knows, as package registry does.
@@ -290,15 +277,7 @@
 			time.Sleep(time.Second) // what is on its way arrives nowhere
 			synctest.Wait()
 		}()
-		for zone, boxes := range zones {
-			for i := range boxes {
-				cores := 0.2
-				if i < 2 {
-					cores = 0.8
-				}
-				h.actors = append(h.actors, &actor{name: fmt.Sprint("box-", zone, "-", i), zone: fmt.Sprint("zone-", zone), cores: cores})
-			}
-		}
+		h.place(zones)
 		for _, a := range h.actors {
 			h.begin(ctx, a, h.named)
 		}
--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -221,16 +221,15 @@
 	Reader string
 }
 
-// Others lists the other boxes that may read for this one.
+// Others lists the other boxes, which may read for this one unless they are away.
 func (s *Share) Others() []Other {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	able := s.able(time.Now())
-	others := make([]Other, 0, len(able))
-	for _, box := range able {
-		if reader := s.peers[box.Name].reader; reader != "" {
-			others = append(others, Other{Box: box, Reader: reader})
-		}
+	boxes := s.others(time.Now())
+	others := make([]Other, len(boxes))
+	for i, box := range boxes {
+		others[i] = Other{Box: box, Reader: s.peers[box.Name].reader}
+		others[i].Away = box.Away || others[i].Reader == ""
 	}
 	return others
 }
--- a/internal/loadshare/fabric_test.go
+++ b/internal/loadshare/fabric_test.go
@@ -21,6 +21,8 @@
 	listeners map[string]*port
 	// cut holds the directed pairs of boxes that are cut from each other.
 	cut map[[2]string]bool
+	// sent counts what was written.
+	sent int
 }
 
 func newFabric() *fabric {
@@ -71,6 +73,20 @@
 	f.cut[[2]string{from, to}] = cut
 }
 
+// count counts a message: boxes write each at once.
+func (f *fabric) count() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent++
+}
+
+// messages gives the number of messages so far.
+func (f *fabric) messages() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent
+}
+
 // heal ends all cuts.
 func (f *fabric) heal() {
 	f.mu.Lock()
@@ -122,6 +138,7 @@
 		if err != nil {
 			return
 		}
+		f.count()
 		time.Sleep(hop)
 		for f.isCut(from, to) {
 			time.Sleep(10 * hop)
--- a/internal/loadshare/hear.go
+++ b/internal/loadshare/hear.go
@@ -32,7 +32,7 @@
 	life string
 	sent time.Duration
 	// echoed is the last time of this box, counted from its start, that it has heard, and at
-	// when that was; zero when it is not known.
+	// a moment after which it said what stands here; zero when that is not known.
 	echoed time.Duration
 	at     time.Time
 	// weights are the newest versions that it knows, by model.
@@ -140,7 +140,7 @@
 	last.receivedAt, last.life, last.sent = time.Now(), m.Life, m.Sent
 	last.at, last.echoed, last.ack = time.Time{}, 0, 0
 	if m.EchoLife == s.cfg.Life {
-		last.at, last.echoed = s.started.Add(m.Echo), m.Echo
+		last.at, last.echoed = s.started.Add(m.Echo+m.EchoHeld), m.Echo
 		last.ack, last.ackAll = m.Ack, m.AckAll
 	}
 	last.weights = make(map[string]int, len(m.Named))
@@ -156,12 +156,25 @@
 	if first || last.receivedAt.Sub(s.stockAt) >= stockEvery {
 		s.takeStock(last.receivedAt)
 	}
+	if m.Address != "" {
+		s.noteReached(m.Box)
+	}
 	if first || wanted != last.chosen {
 		s.relink.Send()
 	}
 	return last.at
 }
 
+// noteReached notes that a box has opened a connection to this one: it is there, and is told
+// at once. Boxes that start together would otherwise hear of a hub that had started before
+// them only after connectEvery, and have left it by then. The caller holds mu.
+func (s *Share) noteReached(box string) {
+	delete(s.avoided, box)
+	if told := s.telling[box]; told != nil {
+		told.reached.Send()
+	}
+}
+
 // LoopForget lets the work of silent boxes count as nothing, and keeps what is known of all
 // boxes, until ctx ends.
 func (s *Share) LoopForget(ctx context.Context) {
--- a/internal/loadshare/links.go
+++ b/internal/loadshare/links.go
@@ -84,8 +84,9 @@
 // begin starts telling a box. The caller holds mu.
 func (s *Share) begin(ctx context.Context, box, address string, chosen bool) {
 	ctx, stop := context.WithCancel(ctx)
-	s.telling[box] = &telling{address: address, chosen: chosen, stop: stop, urgency: s.urgency}
-	s.loops.Go(func() { s.loopTellPeer(ctx, box, address) })
+	told := &telling{address: address, chosen: chosen, stop: stop, urgency: s.urgency}
+	s.telling[box] = told
+	s.loops.Go(func() { s.loopTellPeer(ctx, box, told) })
 }
 
 // wanted lists whom to tell, and whether by this box's choice. The caller holds mu.
@@ -104,17 +105,17 @@
 		return wanted
 	}
 	s.leaveSilentHub(now)
-	able := s.able(now)
-	hub, follow := delegate.Choose(hubRole, s.self(), able)
+	others := s.others(now)
+	hub, follow := delegate.Choose(hubRole, s.self(), others)
 	s.follow(hub.Name, now)
 	if follow {
 		wanted[hub.Name] = true
 		return wanted
 	}
-	for _, box := range delegate.Group(s.cfg.Zone, s.listed()) {
+	for _, box := range delegate.Group(s.cfg.Zone, others) {
 		wanted[box.Name] = true
 	}
-	for _, box := range delegate.Foreign(hubRole, s.cfg.Zone, append(able, s.self())) {
+	for _, box := range delegate.Foreign(hubRole, s.cfg.Zone, append(others, s.self())) {
 		wanted[box.Name] = true
 	}
 	return wanted
@@ -151,33 +152,19 @@
 	}
 }
 
-// listed describes the other boxes that are listed. The caller holds mu.
-func (s *Share) listed() []delegate.Box {
-	boxes := make([]delegate.Box, 0, len(s.peers))
-	for name, known := range s.peers {
-		boxes = append(boxes, delegate.Box{Name: name, Zone: known.zone, Cores: known.cores})
-	}
-	return boxes
-}
-
-// able lists the other boxes that may do something for others: those that are heard, and
-// in zones of which none is heard all, but for those that could not be reached. The caller
-// holds mu.
-func (s *Share) able(now time.Time) []delegate.Box {
+// others describes the other boxes that are listed. Those are away that could not be
+// reached, and those that are not heard in zones of which any box is. The caller holds mu.
+func (s *Share) others(now time.Time) []delegate.Box {
 	heardIn := map[string]bool{}
 	for name := range s.known {
 		if known := s.peers[name]; known != nil && !now.Before(s.avoided[name]) {
 			heardIn[known.zone] = true
 		}
 	}
-	able := s.listed()
-	at := 0
-	for _, box := range able {
-		if now.Before(s.avoided[box.Name]) || heardIn[box.Zone] && s.known[box.Name] == nil {
-			continue
-		}
-		able[at] = box
-		at++
+	boxes := make([]delegate.Box, 0, len(s.peers))
+	for name, known := range s.peers {
+		away := now.Before(s.avoided[name]) || heardIn[known.zone] && s.known[name] == nil
+		boxes = append(boxes, delegate.Box{Name: name, Zone: known.zone, Cores: known.cores, Away: away})
 	}
-	return able[:at]
+	return boxes
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -6,7 +6,8 @@
 // One promise rests on what is told, that of package retire, and so on how old a word
 // can be: a message may lie in a cut link for seconds and then arrive. Each message
 // therefore carries the sender's own time, which the receiver sends back in its next
-// one; what comes with the echo was said after that time.
+// one with how long it had it; what comes with the echo was said after that time and as long
+// again. Both clocks are steady ones, so nothing rests on the time of day.
 //
 // A few boxes tell each other directly. In a larger fleet each zone has a hub (package
 // delegate): its boxes tell it their work, hubs tell each other that of their zones, and
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -52,6 +52,9 @@
 	Roster *rosterWord `msgpack:"t,omitempty"`
 	Ack    uint64      `msgpack:"g,omitempty"`
 	AckAll bool        `msgpack:"d,omitempty"`
+	// EchoHeld is how long before this message the one that Echo names had come: the sender
+	// said this no sooner than so long after that time.
+	EchoHeld time.Duration `msgpack:"j,omitempty"`
 }
 
 func (s *Share) send(connection net.Conn, m message) error {
--- a/internal/loadshare/roster.go
+++ b/internal/loadshare/roster.go
@@ -17,9 +17,9 @@
 	"time"
 )
 
-// rosterFresh is how old the word of a box may be that a hub passes on. Words are some 0.25 s
-// old when all is well; the two hubs on the way of a word add 0.2 s each, and package retire
-// takes 1.5 s for fresh.
+// rosterFresh is how old the word of a box may be that a hub passes on. When all is well a hub
+// knows its own boxes' words 0.25 s late and those of others 0.5 s late at most; the last step
+// adds 0.25 s, and package retire takes 1.5 s for fresh.
 const rosterFresh = 800 * time.Millisecond
 
 // boxWord says what one box knows.
--- a/internal/loadshare/tell.go
+++ b/internal/loadshare/tell.go
@@ -54,13 +54,16 @@
 	// servers of other zones was last told.
 	urgency uint64
 	farAt   time.Time
+	// reached is woken when the box opens a connection to this one, and so is there.
+	reached waiting.Signal
 }
 
 // loopTellPeer tells one peer this box's work until ctx ends.
-func (s *Share) loopTellPeer(ctx context.Context, box, address string) {
+func (s *Share) loopTellPeer(ctx context.Context, box string, told *telling) {
 	for ctx.Err() == nil {
+		reached := told.reached.Wait()
 		dialing, cancel := context.WithTimeout(ctx, ioLimit)
-		connection, err := s.cfg.Dial(dialing, address)
+		connection, err := s.cfg.Dial(dialing, told.address)
 		cancel()
 		if err == nil {
 			s.tell(ctx, box, connection)
@@ -69,7 +72,7 @@
 		if ctx.Err() == nil {
 			s.avoid(box)
 		}
-		waiting.For(ctx, connectEvery)
+		waiting.ForOr(ctx, connectEvery, reached)
 	}
 }
 
@@ -143,7 +146,7 @@
 	}
 	m.Loads, all = s.work(box, own, now)
 	if last := s.heard[box]; last != nil {
-		m.Echo, m.EchoLife = last.sent, last.life
+		m.Echo, m.EchoLife, m.EchoHeld = last.sent, last.life, now.Sub(last.receivedAt)
 		if last.roster.life == last.life {
 			m.Ack, m.AckAll = last.roster.next, last.roster.all
 		}
--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -72,16 +72,15 @@
 	}
 	others := z.cfg.Others()
 	addresses := make(map[string]string, len(others))
-	answering := make([]delegate.Box, 0, len(others))
+	boxes := make([]delegate.Box, len(others))
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	now := time.Now()
-	for _, box := range others {
-		if !now.Before(z.avoided[box.Name]) {
-			answering, addresses[box.Name] = append(answering, box.Box), box.Address
-		}
+	for i, box := range others {
+		boxes[i], addresses[box.Name] = box.Box, box.Address
+		boxes[i].Away = box.Away || now.Before(z.avoided[box.Name])
 	}
-	chosen, follow := delegate.Choose(reading, z.cfg.Self.Box, answering)
+	chosen, follow := delegate.Choose(reading, z.cfg.Self.Box, boxes)
 	return Box{chosen, addresses[chosen.Name]}, follow
 }
 
