Tests: a follower in an outage, a box that starts, an entry that still stands, a store box out of reach

Each replays what was seen at 295 boxes: calls of the log twice a second of each box in an outage, eight calls of each at its start, 295 entries written anew after a power failure, and store boxes asked by all whose reader they had turned away.

--- a/internal/loadshare/boxes_test.go
+++ b/internal/loadshare/boxes_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cometlock/cometlock/internal/fakelog"
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
@@ -67,3 +68,35 @@
 		g.Expect(listed()).To(Equal(1))
 	})
 }
+
+// 295 boxes that started again together each wrote their entry anew, 4 ms for each of them,
+// and nobody could read the list meanwhile. The entry of an earlier life that says the same
+// still holds; one that says otherwise is written over.
+func TestAnEntryThatStillStandsIsNotWrittenAgain(t *testing.T) {
+	tests := []struct {
+		name    string
+		address string
+		written bool
+	}{
+		{"at the same address", "127.0.0.1:1", false},
+		{"at another one", "127.0.0.1:2", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			earlier := func(log *fakesharedlog.Log) {
+				entry, err := msgpack.Marshal(map[string]string{"a": test.address, "l": "a/1"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				log.Put(sharedlog.Boxes, "a", entry)
+			}
+			following(t, earlier, func(g *WithT, log *fakesharedlog.Log, _ func() int) {
+				time.Sleep(time.Minute)
+				page, err := log.Newest(context.Background(), sharedlog.Boxes)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(page.Records).To(HaveLen(1))
+				g.Expect(page.Records[0].Offset > 0).To(Equal(test.written))
+			})
+		})
+	}
+}
--- a/internal/partindex/told_test.go
+++ b/internal/partindex/told_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/rapidtest"
 )
@@ -224,3 +225,31 @@
 		g.Expect(f.index.Told(large)).To(BeFalse())
 	})
 }
+
+// When all 295 boxes of a fleet that had just started asked the store boxes themselves, these
+// turned most of them away, the readers too, and whoever followed a reader that had been
+// turned away asked all the more: 22,752 questions within a second of the first call.
+func TestAStoreBoxThatTheReaderCannotReachIsNotAskedByAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const address = "10.0.0.1:1"
+		services := []catalog.Service{{Name: "store", Store: &catalog.Store{Address: address, CapacityTokens: 1000}}}
+		reader, follower := partindex.New(partindex.Config{}), partindex.New(partindex.Config{FirstWait: 300 * time.Millisecond})
+		reader.Configure(services)
+		follower.Configure(services)
+		g.Expect(follower.Told(address)).To(BeTrue(), "it has just started")
+		began := time.Now()
+		for time.Since(began) < 3500*time.Millisecond {
+			time.Sleep(100 * time.Millisecond)
+			word, _, known := reader.WordSince(address, partindex.Position{})
+			g.Expect(known).To(BeTrue())
+			follower.TakeWord(word, time.Now())
+			g.Expect(follower.Told(address)).To(BeTrue())
+		}
+		time.Sleep(time.Second)
+		g.Expect(follower.Told(address)).To(BeFalse(), "the reader alone may be cut off from it")
+		g.Expect(follower.Follows()).To(BeTrue(), "so it asks seldom")
+		follower.AskItself()
+		g.Expect(follower.Follows()).To(BeFalse())
+	})
+}
--- /dev/null
+++ b/internal/registry/outage_test.go
@@ -0,0 +1,130 @@
+package registry_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/registry"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// silentLog counts its calls, and gives no answer while it is silent.
+type silentLog struct {
+	sharedlog.Log
+	silent atomic.Bool
+	calls  atomic.Int64
+}
+
+func (l *silentLog) Read(ctx context.Context, stream sharedlog.Stream, from int64, wait time.Duration) (sharedlog.Page, error) {
+	l.calls.Add(1)
+	if l.silent.Load() {
+		<-ctx.Done()
+		return sharedlog.Page{}, ctx.Err()
+	}
+	return l.Log.Read(ctx, stream, from, wait)
+}
+
+// An outage of the log of 8 s had each of 295 boxes ask for both streams twice a second, also
+// those that follow another box, which all said that they could not read it either: two
+// thirds of all calls of that day. A box that follows one needs its own questions only in
+// case it alone is cut off, and nothing is bound to a time until the log has been back for
+// three seconds.
+func TestAFollowerAsksSeldomInAnOutage(t *testing.T) {
+	tests := []struct {
+		name             string
+		followed, lost   bool
+		most             int64
+		knownWithin, off time.Duration
+	}{
+		{"a box that reads itself", false, false, 80, time.Second, 8 * time.Second},
+		{"a follower", true, false, 14, 2500 * time.Millisecond, 8 * time.Second},
+		{"a follower whose reader is lost", true, true, 10, 2500 * time.Millisecond, 8 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer synctest.Wait()
+				defer cancel()
+				log := &silentLog{Log: fakesharedlog.New()}
+				r := registry.New(registry.Config{
+					Log: log, Decoder: decoder{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop(),
+					Followed: func() bool { return test.followed }, TellerLost: func() bool { return test.lost },
+				})
+				go r.LoopOperator(ctx)
+				go r.LoopServers(ctx)
+				time.Sleep(3 * time.Second)
+				log.silent.Store(true)
+				log.calls.Store(0)
+				time.Sleep(test.off)
+				g.Expect(log.calls.Load()).To(BeNumerically("<=", test.most))
+				log.silent.Store(false)
+				back := time.Now()
+				time.Sleep(test.knownWithin)
+				g.Expect(r.OperatorReadAt()).To(BeTemporally(">=", back), "the operators' stream")
+				g.Expect(r.ServersAge()).To(BeNumerically("<", test.knownWithin), "the servers' stream")
+			})
+		})
+	}
+}
+
+// A box that starts waits to be told of the log, but not for long, and not at all when it is
+// to read for itself.
+func TestABoxThatStartsWaitsToBeTold(t *testing.T) {
+	const firstWait = 300 * time.Millisecond
+	tests := []struct {
+		name  string
+		then  func(r *registry.Registry)
+		calls int64
+	}{
+		{"nobody tells it", func(*registry.Registry) { time.Sleep(firstWait) }, 2},
+		{"it is to read itself", func(r *registry.Registry) { r.ReadItself() }, 2},
+		{"it is told", func(r *registry.Registry) {
+			for _, stream := range []sharedlog.Stream{sharedlog.Operator, sharedlog.Servers} {
+				r.TakeWord(registry.Word{Stream: stream, Whole: true, Next: 1}, time.Now())
+			}
+			time.Sleep(firstWait)
+		}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer synctest.Wait()
+				defer cancel()
+				log := &newestLog{Log: fakesharedlog.New()}
+				r := registry.New(registry.Config{
+					Log: log, Decoder: decoder{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop(), FirstWait: firstWait,
+				})
+				go r.LoopOperator(ctx)
+				go r.LoopServers(ctx)
+				time.Sleep(firstWait / 2)
+				g.Expect(log.readings.Load()).To(BeZero())
+				test.then(r)
+				time.Sleep(10 * time.Millisecond)
+				g.Expect(log.readings.Load()).To(Equal(test.calls))
+			})
+		})
+	}
+}
+
+// newestLog counts the readings of all keys.
+type newestLog struct {
+	sharedlog.Log
+	readings atomic.Int64
+}
+
+func (l *newestLog) Newest(ctx context.Context, stream sharedlog.Stream) (sharedlog.Page, error) {
+	l.readings.Add(1)
+	return l.Log.Newest(ctx, stream)
+}
