All that store boxes keep comes to a box that starts in several small answers

An answer tells no further store box of whole from 2,000 parts on; the asker, which asks again 0.1 s later, is told of the rest then. Parts go in columns, 17 bytes instead of 31.

Ruled out: one encoded answer for all, since what each asker knows differs by a few events.

--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -163,7 +163,11 @@
 		}
 		z.cfg.Registry.TakeWord(word, asOf)
 	}
-	for _, word := range told.Stores {
+	for _, packed := range told.Stores {
+		word, err := packed.unpack()
+		if err != nil {
+			return err
+		}
 		if z.cfg.Parts.TakeWord(word, asOf) {
 			mended[word.Address] = word.Position.Mended
 		}
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -141,8 +141,8 @@
 type answer struct {
 	Streams []registry.Word `msgpack:"s"`
 	// Digests are those of the words in Streams, in their order.
-	Digests []uint64         `msgpack:"d,omitempty"`
-	Stores  []partindex.Word `msgpack:"p"`
+	Digests []uint64     `msgpack:"d,omitempty"`
+	Stores  []packedWord `msgpack:"p"`
 	// Held is how long after the question came the answer was made.
 	Held time.Duration `msgpack:"h"`
 	// Lost says that the box cannot read the log.
@@ -264,6 +264,12 @@
 	}
 }
 
+// mostParts is the number of parts in an answer from which on no further store box is told
+// of whole; the asker soon asks again. After a power failure 50 boxes ask at once for all that
+// 47 store boxes keep: 20 MB within less than the time that each waits for its answer, and
+// 105 MB of memory in the box that answers.
+const mostParts = 2000
+
 // look writes down what this box knows past what a question says, and whether that is news of
 // a stream or of a store box.
 func (z *Zone) look(asked question) (told answer, streamNews, partNews bool) {
@@ -277,10 +283,15 @@
 		told.Digests = append(told.Digests, word.Digest)
 		streamNews = streamNews || isNews
 	}
+	parts := 0
 	for address, since := range asked.Stores {
 		word, isNews, known := z.cfg.Parts.WordSince(address, since)
+		if word.Whole && parts > mostParts {
+			word = partindex.Word{Address: address, Unknown: true} // it comes with the next answer
+		}
 		if known {
-			told.Stores = append(told.Stores, word)
+			parts += len(word.Parts)
+			told.Stores = append(told.Stores, pack(word))
 			partNews = partNews || isNews
 		}
 	}
