--- a/internal/registry/lives_test.go
+++ b/internal/registry/lives_test.go
@@ -92,7 +92,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			followingLives(t, func(g *WithT, log *fakesharedlog.Log, logged *lines, choose func() *fleet.Hold) {
+			followingLives(t, func(g *WithT, log *fakesharedlog.Log, _ *lines, choose func() *fleet.Hold) {
 				log.Put(sharedlog.Servers, "r", []byte("1 7"))
 				time.Sleep(readTime)
 				first := choose()
@@ -114,7 +114,7 @@
 
 // The same life may say the same again, in any number of entries.
 func TestHeartbeatsOfOneLifeAreOneServer(t *testing.T) {
-	followingLives(t, func(g *WithT, log *fakesharedlog.Log, logged *lines, choose func() *fleet.Hold) {
+	followingLives(t, func(g *WithT, log *fakesharedlog.Log, logged *lines, _ func() *fleet.Hold) {
 		for range 5 {
 			log.Put(sharedlog.Servers, "r", []byte("1 7"))
 			time.Sleep(readTime)
