--- a/internal/safepack/safepack_test.go
+++ b/internal/safepack/safepack_test.go
@@ -1,6 +1,9 @@
 package safepack
 
 import (
+	"reflect"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,3 +44,95 @@
 		})
 	}
 }
+
+// A message of 23 bytes ended the box that read it. A list in it said that it had 808 million
+// elements, the library made room for all of them before it read the first, and the runtime
+// ended the process, since memory that cannot be had is no panic. CI's fuzzing of the words on
+// store boxes found it in one run of several:
+//
+//	fatal error: runtime: out of memory
+//	reflect.MakeSlice({0x8f0ba8, 0x7fb780}, 0x303030c2, 0x303030c2)
+//	msgpack/v5.growSliceValue(...) decode_slice.go:129
+func TestACountThatCannotBeTrueTakesNoMemory(t *testing.T) {
+	const mostBytes = 1 << 20
+	manyElements := []byte{0x02, 0x00, 0x00, 0x00} // 33 million, 2 GB of times
+	tests := []struct {
+		name string
+		data []byte
+		into any
+	}{
+		{"a list", append([]byte{0xdd}, manyElements...), new([]time.Time)},
+		{"a list in a list", append([]byte{0x91, 0xdd}, manyElements...), new([][]time.Time)},
+		{"a list in a message", append([]byte{0x81, 0xa1, 'n', 0xdd}, manyElements...), new(struct {
+			N []time.Time `msgpack:"n"`
+		})},
+		{"a map", append([]byte{0xdf}, manyElements...), new(map[string]string)},
+		{"a string", append([]byte{0xdb}, manyElements...), new(string)},
+		{"bytes", append([]byte{0xc6}, manyElements...), new([]byte)},
+		{"an extension", append([]byte{0xc9}, manyElements...), new(any)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			before := allocated()
+			g.Expect(Unmarshal(test.data, test.into)).To(HaveOccurred())
+			g.Expect(allocated() - before).To(BeNumerically("<", mostBytes))
+		})
+	}
+}
+
+// allocated is how many bytes the process has ever asked for.
+func allocated() uint64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.TotalAlloc
+}
+
+// Each level of lists in lists costs whoever decodes them a frame of the stack, and a stack
+// that is used up ends the process as well.
+func TestListsThatStandTooDeepAreAnError(t *testing.T) {
+	g := NewWithT(t)
+	var read any
+	g.Expect(Unmarshal([]byte(strings.Repeat("\x91", 1000)+"\xc0"), &read)).To(MatchError(ContainSubstring("too deep")))
+}
+
+// Whatever the library writes has a shape that is right, in each of its sizes.
+func TestAllThatTheLibraryWritesIsRead(t *testing.T) {
+	tests := []any{
+		true, 1, -1, 200, -200, 70_000, -70_000, 1 << 40, -(1 << 40), float32(1.5), 2.5,
+		"", "short", strings.Repeat("x", 40), strings.Repeat("x", 300), strings.Repeat("x", 70_000),
+		[]byte{}, make([]byte, 300), make([]byte, 70_000),
+		[]int{}, []int{1, 2}, make([]int, 40), make([]int, 70_000),
+		map[string]int{}, map[string]int{"a": 1}, manyEntries(40), manyEntries(70_000),
+		time.Unix(5, 0), time.Unix(5, 7), time.Unix(1<<35, 7),
+		[]message{{"one", time.Unix(5, 0)}}, [][]string{{"x"}, {}},
+	}
+	for _, test := range tests {
+		g := NewWithT(t)
+		data, err := msgpack.Marshal(test)
+		g.Expect(err).NotTo(HaveOccurred())
+		read := reflect.New(reflect.TypeOf(test))
+		g.Expect(Unmarshal(data, read.Interface())).To(Succeed())
+		g.Expect(read.Elem().Interface()).To(BeEquivalentTo(test))
+	}
+}
+
+func manyEntries(count int) map[string]int {
+	entries := make(map[string]int, count)
+	for i := range count {
+		entries[strings.Repeat("k", 1+i%7)+time.Duration(i).String()] = i
+	}
+	return entries
+}
+
+func FuzzUnmarshal(f *testing.F) {
+	data, err := msgpack.Marshal([]any{map[string]any{"a": []any{1, "x", nil}}, []string{"y"}, time.Unix(5, 0)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_ = Unmarshal(data, new(any)) // it must not end the process
+		_ = Unmarshal(data, new([]message))
+	})
+}
