A count that cannot be true no longer ends the box that reads it

Cause: the msgpack library makes room for as many elements as a list says that it has (the flag of its own limit is tested the wrong way round). A message of 23 bytes asked for 32 GB; the runtime ends the process then, which is no panic that safepack could catch.

Ruled out: the library's option for such limits (the flag it sets is the one that is tested wrongly); a limit on messages (1 MB between boxes already: 23 bytes are enough); bounds in each decoder (every type with a list has the fault).

Change: safepack looks at the shape of a value before decoding: no list or map may count more elements than bytes follow, nothing may be cut off, lists stand at most 32 deep in each other.

--- a/internal/safepack/safepack.go
+++ b/internal/safepack/safepack.go
@@ -3,7 +3,9 @@
 // The library panics on some inputs that do not fit the type that is decoded, such
 // as nil in the place of a time.Time. A record of the platform's log or a message of
 // another box must never end the process that reads it, so here a panic of the
-// library is an error like any other.
+// library is an error like any other. What could not be caught, a count that asks for more
+// memory than there is and lists so deep in each other that the stack ends, is refused before
+// the library sees it.
 package safepack
 
 import (
@@ -19,6 +21,9 @@
 			err = merry.Errorf("msgpack does not fit %T: %v", into, reason)
 		}
 	}()
+	if err := checkShape(data); err != nil {
+		return merry.Wrap(err)
+	}
 	if err := msgpack.Unmarshal(data, into); err != nil {
 		return merry.Wrap(err)
 	}
--- a/internal/safepack/safepack_test.go
+++ b/internal/safepack/safepack_test.go
@@ -101,11 +101,17 @@
 	tests := []any{
 		true, 1, -1, 200, -200, 70_000, -70_000, 1 << 40, -(1 << 40), float32(1.5), 2.5,
 		"", "short", strings.Repeat("x", 40), strings.Repeat("x", 300), strings.Repeat("x", 70_000),
-		[]byte{}, make([]byte, 300), make([]byte, 70_000),
-		[]int{}, []int{1, 2}, make([]int, 40), make([]int, 70_000),
-		map[string]int{}, map[string]int{"a": 1}, manyEntries(40), manyEntries(70_000),
+		[]byte{},
+		make([]byte, 300), make([]byte, 70_000),
+		[]int{},
+		[]int{1, 2},
+		make([]int, 40), make([]int, 70_000),
+		map[string]int{},
+		map[string]int{"a": 1},
+		manyEntries(40), manyEntries(70_000),
 		time.Unix(5, 0), time.Unix(5, 7), time.Unix(1<<35, 7),
-		[]message{{"one", time.Unix(5, 0)}}, [][]string{{"x"}, {}},
+		[]message{{"one", time.Unix(5, 0)}},
+		[][]string{{"x"}, {}},
 	}
 	for _, test := range tests {
 		g := NewWithT(t)
@@ -136,3 +142,30 @@
 		_ = Unmarshal(data, new([]message))
 	})
 }
+
+// What the check of the shape costs: 2,000 parts in columns, as boxes of a zone tell each other.
+func BenchmarkUnmarshal(b *testing.B) {
+	parts := struct {
+		IDs    []string
+		Tokens []int
+	}{}
+	for i := range 2000 {
+		parts.IDs = append(parts.IDs, time.Duration(i*1e9).String())
+		parts.Tokens = append(parts.Tokens, i)
+	}
+	data, err := msgpack.Marshal(parts)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("shape", func(b *testing.B) {
+		for b.Loop() {
+			_ = checkShape(data)
+		}
+	})
+	b.Run("whole", func(b *testing.B) {
+		read := parts
+		for b.Loop() {
+			_ = Unmarshal(data, &read)
+		}
+	})
+}
