--- a/internal/sitebench/day.go
+++ b/internal/sitebench/day.go
@@ -15,6 +15,45 @@
 	// SlowFrom and SlowUntil are the seconds between which one large store box moves
 	// context SlowBy times more slowly.
 	SlowFrom, SlowUntil, SlowBy float64
+	// Surges are times at which more is sent.
+	Surges []Surge
+	// DarkPart of the runners does nothing between two seconds; boxes notice it by the
+	// silence.
+	DarkPart, DarkFrom, DarkUntil float64
+}
+
+// Surge times the calls between two seconds.
+type Surge struct {
+	From, Until, Times float64
+}
+
+// loadAt is how many times the calls of the site come at a moment, in milliseconds.
+func (d Day) loadAt(millis float64) float64 {
+	load := d.Load
+	for _, surge := range d.Surges {
+		if second := millis / millisPerSecond; second >= surge.From && second < surge.Until {
+			load *= surge.Times
+		}
+	}
+	return load
+}
+
+// mostLoad bounds loadAt.
+func (d Day) mostLoad() float64 {
+	most := d.Load
+	for _, surge := range d.Surges {
+		most *= max(1, surge.Times)
+	}
+	return most
+}
+
+// WorstLoad gives the day on which work waits for longest: a burst while a quarter of the
+// runners is silent, then new weights, for which all is read anew, and another burst.
+func WorstLoad() Day {
+	return Day{
+		Name: "worst load", Load: 1, Room: 1, WeightsAt: []float64{14},
+		Surges: []Surge{{3, 11, 1.7}, {16, 22, 1.7}}, DarkPart: 0.25, DarkFrom: 4, DarkUntil: 9,
+	}
 }
 
 // Days gives the days that experiments play: a calm one, one with new weights, and one
--- a/internal/sitebench/policy.go
+++ b/internal/sitebench/policy.go
@@ -45,7 +45,7 @@
 	var runners []*runner
 	var candidates []placing.Candidate
 	for _, r := range c.world.runners {
-		if r.out {
+		if r.out || r.missed {
 			continue
 		}
 		candidate := c.describe(r)
--- a/internal/sitebench/runner.go
+++ b/internal/sitebench/runner.go
@@ -3,7 +3,10 @@
 
 package sitebench
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // runner is one model runner.
 type runner struct {
@@ -15,12 +18,16 @@
 	weights int
 	// out says that boxes send nothing: it is about to load, or loads.
 	out bool
+	// dark says that the runner does nothing, missed that boxes have noticed it.
+	dark, missed bool
 	// drained is called when the last run ends; nil while nobody waits for that.
 	drained func()
 
 	reading        bool
 	urgent, others []*job
 	running        int
+	// runs are the prompts that are read or answered.
+	runs []*job
 	// held is the memory of runs, kept that of parts, the last used last.
 	held float64
 	kept []keptPart
@@ -44,7 +51,10 @@
 	shared bool
 	// saveTo keeps the shared part when it has been read.
 	saveTo *store
-	began  float64
+	// handed is when the runner got it, endsAt when its answer ends if no other prompt is
+	// read meanwhile. Lost ones are on a runner that went dark.
+	handed, endsAt float64
+	answered, lost bool
 }
 
 func newRunner(w *world, number int) *runner {
@@ -73,6 +83,11 @@
 
 // take takes a prompt in.
 func (r *runner) take(j *job) {
+	j.handed = r.world.now
+	if r.dark {
+		r.lose(j)
+		return
+	}
 	if r.world.site.Classes[j.call.class].Urgent {
 		r.urgent = append(r.urgent, j)
 	} else {
@@ -97,15 +112,26 @@
 	*queue = (*queue)[1:]
 	r.reading = true
 	r.running++
+	r.runs = append(r.runs, j)
 	r.held += j.call.tokens()
 	r.makeRoom()
+	if r.world.site.Interleaved && !j.shared && r.world.now-j.handed > fetchMillis {
+		j.shared = true // it waited for so long that what was fetched was thrown away
+		r.world.result.lateFetches++
+	}
 	tokens := j.call.own
 	if j.shared && !r.uses(j.call.partOf(r.weights)) {
 		tokens += j.call.shared()
 	} else {
 		j.shared = false
 	}
-	r.world.after(tokens/r.world.site.ReadRate+r.stepMillis(), func() { r.wasRead(j) })
+	reading := tokens / r.world.site.ReadRate
+	if r.world.site.Interleaved {
+		for _, other := range r.runs {
+			other.endsAt += reading
+		}
+	}
+	r.world.after(reading+r.stepMillis(), func() { r.wasRead(j) })
 }
 
 // stepMillis is how long a step of the batch takes now.
@@ -115,6 +141,9 @@
 
 // wasRead ends the reading of a prompt: its answer begins.
 func (r *runner) wasRead(j *job) {
+	if j.lost {
+		return
+	}
 	w := r.world
 	r.reading = false
 	p := j.call.partOf(r.weights)
@@ -129,14 +158,24 @@
 		}
 	}
 	r.keep(p, j.call.shared())
+	j.answered = true
 	j.call.answered(r)
+	j.endsAt = w.now + j.call.steps*r.stepMillis()
 	w.after(j.call.steps*r.stepMillis(), func() { r.ended(j) })
 	r.readNext()
 }
 
 // ended ends a run.
 func (r *runner) ended(j *job) {
+	if j.lost {
+		return
+	}
+	if left := j.endsAt - r.world.now; left > 0 {
+		r.world.after(left, func() { r.ended(j) })
+		return
+	}
 	r.running--
+	r.runs = slices.DeleteFunc(r.runs, func(run *job) bool { return run == j })
 	r.held -= j.call.tokens()
 	r.work[j.call.box].sub(boxWork{1, 0, int(j.call.tokens())})
 	r.readNext()
--- a/internal/sitebench/site.go
+++ b/internal/sitebench/site.go
@@ -67,6 +67,10 @@
 	// FirstMillis is the time to the first event besides reading; a step of a batch
 	// takes StepMillis and StepMillisPerRun for each run in it.
 	FirstMillis, StepMillis, StepMillisPerRun float64
+	// Interleaved says that reading a prompt holds up the answers of its runner, whose steps
+	// come between the pieces that are read, and that a prompt's parts are fetched when it
+	// begins to run. The figures of the two older sites are without this.
+	Interleaved bool
 	// LoadMillis is how long a runner loads new weights.
 	LoadMillis float64
 	StoreBoxes []StoreBox
@@ -75,6 +79,26 @@
 	Classes    []Class
 }
 
+// Large gives a fifth of the users' large site: few slots for each runner, and room for as
+// much as is shared.
+func Large() Site {
+	return Site{
+		Name: "a fifth of fjordlinje-render-large", Seconds: 30, Boxes: 59, TellMillis: 240, Runners: 33, Slots: 12, MemoryTokens: 86_716, ReadRate: 54.6,
+		FirstMillis: 61, StepMillis: 5.61, StepMillisPerRun: 0.121, Interleaved: true, LoadMillis: 1100, AgainWorth: 0.84,
+		StoreBoxes: storeBoxes(4, StoreBox{285_477, 434, 0.5}, 5, StoreBox{799_336, 271, 6}),
+		Classes: []Class{
+			{
+				Name: "design-brief-review", PerSecond: 50, Worth: 8.3, LateWorth: 1.7, AimMillis: 1000, PatienceMillis: 10_000, Things: 403,
+				SharedTokens: Spread{12800, 0.6, 34000}, OwnTokens: Spread{4260, 0.7, 17000}, Steps: Spread{120, 1.4, 480},
+			},
+			{
+				Name: "material-tag-suggest", PerSecond: 283, Worth: 1.9, LateWorth: 0.38, AimMillis: 600, PatienceMillis: 5000, Things: 2260,
+				SharedTokens: Spread{301, 0.5, 656}, OwnTokens: Spread{82, 0.7, 328}, Steps: Spread{45, 1.4, 181}, Urgent: true,
+			},
+		},
+	}
+}
+
 // Sites gives the two sites of today's users, by the figures of their own page.
 func Sites() []Site {
 	long := func(class Class) Class {
--- a/internal/sitebench/world.go
+++ b/internal/sitebench/world.go
@@ -96,6 +96,7 @@
 	}
 	w.planTells()
 	w.planWeights()
+	w.planDark()
 	w.playAll()
 	w.result.finish(w)
 	return w.result
@@ -103,13 +104,25 @@
 
 // planCalls plans the calls of a class, at random moments.
 func (w *world) planCalls(class int) {
-	rate := w.site.Classes[class].PerSecond * w.day.Load / millisPerSecond
+	most := w.day.mostLoad()
+	rate := w.site.Classes[class].PerSecond * most / millisPerSecond
 	for at := w.random.ExpFloat64() / rate; at < w.endMillis(); at += w.random.ExpFloat64() / rate {
+		if load := w.day.loadAt(at); load < most && w.random.Float64() > load/most {
+			continue
+		}
 		c := w.newCall(class)
 		w.after(at, c.arrive)
 	}
 }
 
+// planDark plans the runners that do nothing for a while.
+func (w *world) planDark() {
+	for _, r := range w.runners[:int(w.day.DarkPart*float64(len(w.runners)))] {
+		w.after(w.day.DarkFrom*millisPerSecond, r.goDark)
+		w.after(w.day.DarkUntil*millisPerSecond, r.comeBack)
+	}
+}
+
 // planTells lets boxes know each other's work at regular moments.
 func (w *world) planTells() {
 	for at := 0.0; at < w.endMillis(); at += w.site.TellMillis {
