--- a/internal/loadshare/hubs_test.go
+++ b/internal/loadshare/hubs_test.go
@@ -22,6 +22,12 @@
 // fleetOf runs a test in paused time on boxes with hubs, before one server in zone 0 that
 // takes one prompt at a time.
 func fleetOf(t *testing.T, zones []int, test func(g *WithT, h *history, fleets []*fleet.Fleet)) {
+	t.Helper()
+	fleetAfter(t, zones, func(*history) {}, test)
+}
+
+// fleetAfter is fleetOf after something was done to the boxes before they started.
+func fleetAfter(t *testing.T, zones []int, before func(h *history), test func(g *WithT, h *history, fleets []*fleet.Fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -36,6 +42,7 @@
 			synctest.Wait()
 		}()
 		h.place(zones)
+		before(h)
 		fleets := make([]*fleet.Fleet, len(h.actors))
 		for i, a := range h.actors {
 			fleets[i] = fleet.New(fleet.Config{Logger: zerolog.Nop()})
