Owners place long prompts in small fleets too

Hypothesis: the herd is a matter of old words, not of the number of boxes: eight boxes that tell each other each 80 ms have it as well.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -174,7 +174,7 @@
 		Off: b.settings.Off, Self: zonereader.Box{Box: b.self(), Address: b.ReaderAddress()},
 	})
 	b.places = places.New(places.Config{
-		Fleet: b.fleet, Logger: b.logger, Off: b.settings.Off, Others: b.otherOwners, Active: b.share.HasHubs, Said: b.share.SaidAt,
+		Fleet: b.fleet, Logger: b.logger, Off: b.settings.Off, Others: b.otherOwners, Active: b.hasOwners, Said: b.share.SaidAt,
 		Self: places.Box{Box: b.self(), Address: b.PlacesAddress()},
 	})
 }
@@ -204,6 +204,10 @@
 	return boxes
 }
 
+// hasOwners reports whether boxes ask owners for places: a box alone has nobody to ask, and
+// before it knows the others it would own all servers by itself.
+func (b *Box) hasOwners() bool { return b.share.Known() && b.share.Boxes() > 1 }
+
 // otherOwners lists the boxes that may own servers, as package places wants them.
 func (b *Box) otherOwners() []places.Box {
 	others := b.share.Others()
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -39,7 +39,7 @@
 	}{
 		{"this box is the owner", true, 4, `"placed_by":"owner"`},
 		{"the owner cannot be reached", true, 0.1, `"placed_by":"this_box","owner_error":"no route"`},
-		{"a small fleet has none", false, 4, `"placed_by":"this_box"`},
+		{"there are no owners", false, 4, `"placed_by":"this_box"`},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -252,13 +252,6 @@
 	return time.Time{}
 }
 
-// HasHubs reports whether boxes tell each other by way of hubs.
-func (s *Share) HasHubs() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.hubs()
-}
-
 // Known reports whether the list of boxes has been read.
 func (s *Share) Known() bool {
 	s.mu.Lock()
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -8,8 +8,8 @@
 // model of that load (package sitebench) 0.13 of the worth is left, and 0.69 with owners.
 //
 // An owner is a hint with a fallback: no lease, nothing replicated, no promise rests on it. It
-// follows from which boxes there are (package delegate), as hubs do, and is the hub of its zone,
-// which hears most of the zone's work first-hand. What it granted it counts at once, until the
+// follows from which boxes there are (package delegate), as hubs do; where there are hubs it is
+// the hub of its zone, which hears most of the zone's work first-hand, and small zones share one. What it granted it counts at once, until the
 // asker's own word on its work can hold the call (owner.go). Boxes that disagree on the owner
 // for a moment have two, each of which knows of the other's calls as late as boxes without
 // owners do. An asker that gets no answer within answerLimit chooses by itself and leaves that
@@ -46,7 +46,7 @@
 	Fleet  *fleet.Fleet
 	Logger zerolog.Logger
 	// Self is this box, and Others gives the others. None is asked while Active reports
-	// false: few boxes know of each other's work soon enough.
+	// false.
 	Self   Box
 	Others func() []Box
 	Active func() bool
