A box that finds many servers at once writes one line

Cause: each box that starts wrote a line for each server that it found; 62 boxes that were all killed before 668 servers wrote 41,292 lines within a second (a trial).

Change: more than 20 servers found by one reading are one line with their count.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,6 +73,8 @@
 	// registry was away.
 	returnsUntil time.Time
 	fadedAt      time.Time
+	// found are servers that were not known before, which have no line in the log yet.
+	found []Update
 	// arrivals is what this box places.
 	arrivals arrivals
 	// freed wakes those who wait for room.
@@ -112,6 +114,7 @@
 	for _, update := range updates {
 		f.apply(update)
 	}
+	f.tellKnown()
 	f.regroup()
 }
 
@@ -125,6 +128,7 @@
 		named[update.Key] = true
 		f.apply(update)
 	}
+	f.tellKnown()
 	for key, incarnation := range f.lives {
 		if state := f.servers[incarnation]; state != nil && !named[key] {
 			f.drop(state)
@@ -150,7 +154,7 @@
 	if state == nil {
 		state = &State{}
 		f.servers[update.Server.Incarnation] = state
-		f.log("server_known", update.Server, update.Offset)
+		f.found = append(f.found, update)
 	} else if !state.gone.IsZero() {
 		f.log("server_back", update.Server, update.Offset)
 	} else if state.Leaving != update.Server.Leaving {
@@ -188,6 +192,23 @@
 	}
 }
 
+// mostLines bounds the lines on servers that one reading finds: a box that starts finds all of
+// them. 62 boxes that started at once before 668 servers wrote 41,000 lines within a second.
+const mostLines = 20
+
+// tellKnown writes down the servers that were not known before. The caller holds mu.
+func (f *Fleet) tellKnown() {
+	found := f.found
+	f.found = nil
+	if len(found) > mostLines {
+		f.cfg.Logger.Info().Int("count", len(found)).Int64("offset", found[len(found)-1].Offset).Msg("servers_known")
+		return
+	}
+	for _, update := range found {
+		f.log("server_known", update.Server, update.Offset)
+	}
+}
+
 func (f *Fleet) log(event string, server *Server, offset int64) {
 	f.cfg.Logger.Info().Str("server", server.Incarnation).Str("service", server.Service).Str("address", server.Address).
 		Str("zone", server.Zone).Bool("leaving", server.Leaving).Int64("offset", offset).Msg(event)
