--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -245,6 +245,22 @@
 	}
 }
 
+// Grants were ended when the next question came, and not before: an owner that was asked once a
+// minute kept its own calls away for as long from a runner where nothing ran any more.
+func TestAGrantEndsThoughNobodyAsksAgain(t *testing.T) {
+	inZone(t, 2, 1, func(g *WithT, z *zone) {
+		asker, owner := z.boxes[1], z.boxes[0]
+		held := func() int { return owner.fleet.Shortage(asker.long(0).query(nil)).HeldTokens }
+		for range 2 {
+			g.Expect(asker.Ask(context.Background(), "a", asker.long(0))).To(Equal("runner-0"))
+			time.Sleep(grantLapse / 2)
+		}
+		g.Expect(held()).To(Equal(40_000))
+		time.Sleep(2 * grantLapse)
+		g.Expect(held()).To(BeZero())
+	})
+}
+
 // Calls wait at the owner for their turn, the more urgent first.
 func TestCallsWaitAtTheOwnerInTheirOrder(t *testing.T) {
 	inZone(t, 3, 1, func(g *WithT, z *zone) {
