A grant ends by itself after its time

Cause: grants were ended by the next question. An owner that was asked seldom counted calls that had long ended, and kept its own calls away from their runners.

Ruled out: a timer for each grant (one for all is enough, set while any is open; setting one whenever the first is granted would have let them multiply, as each goes on while any is open).

Change: one timer, set while grants are open.

--- a/internal/places/owner.go
+++ b/internal/places/owner.go
@@ -67,9 +67,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open = append(p.open, grant{given, q.Box, time.Now()})
+	if !p.lapsing {
+		p.lapsing = true
+		time.AfterFunc(grantLapse, p.lapse)
+	}
 	return given, true
 }
 
+// lapse ends the grants that nobody's question ends, until none is open.
+func (p *Places) lapse() {
+	p.settle()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lapsing = len(p.open) > 0; p.lapsing {
+		time.AfterFunc(time.Until(p.open[0].at.Add(grantLapse)), p.lapse)
+	}
+}
+
 // settle ends the grants whose calls the askers tell of themselves.
 func (p *Places) settle() {
 	for _, told := range p.takeTold(time.Now()) {
@@ -83,7 +97,7 @@
 	defer p.mu.Unlock()
 	var told []grant
 	p.open = slices.DeleteFunc(p.open, func(g grant) bool {
-		over := now.Sub(g.at) > grantLapse || p.cfg.Said(g.box).After(g.at.Add(takeTime))
+		over := now.Sub(g.at) >= grantLapse || p.cfg.Said(g.box).After(g.at.Add(takeTime))
 		if over {
 			told = append(told, g)
 		}
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -74,7 +74,9 @@
 	// lines holds the calls that wait here, by service, and open the grants that still count.
 	lines map[string]*line
 	open  []grant
-	loops sync.WaitGroup
+	// lapsing says that a timer is set which ends them.
+	lapsing bool
+	loops   sync.WaitGroup
 }
 
 // line holds calls that wait for a place.
