--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -253,7 +253,7 @@
 		held := func() int { return owner.fleet.Shortage(asker.long(0).query(nil)).HeldTokens }
 		for range 2 {
 			g.Expect(asker.Ask(context.Background(), "a", asker.long(0))).To(Equal("runner-0"))
-			time.Sleep(grantLapse / 2)
+			time.Sleep(grantLapse / 3)
 		}
 		g.Expect(held()).To(Equal(40_000))
 		time.Sleep(2 * grantLapse)
