Test of the order at an owner: room comes between two looks at the line

Trace: the first place became free in the very moment of a look; the more urgent call had been looked at just before, the other one just after.

--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -285,7 +285,9 @@
 			})
 			time.Sleep(10 * time.Millisecond)
 		}
-		time.Sleep(50 * time.Millisecond)
+		// Between two looks: room that comes while the line is looked through goes to whoever is
+		// looked at after that.
+		time.Sleep(55 * time.Millisecond)
 		holds[0].End()
 		time.Sleep(100 * time.Millisecond)
 		holds[1].End()
