--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -91,7 +91,10 @@
 }
 
 // Wait waits until all that Loop functions began has ended; they must have returned.
-func (s *Share) Wait() { s.loops.Wait() }
+func (s *Share) Wait() {
+	s.loops.Wait()
+	s.server.Wait()
+}
 
 // withdraw takes this box's address out of the log at a planned stop.
 func (s *Share) withdraw() {
--- a/internal/loadshare/hear.go
+++ b/internal/loadshare/hear.go
@@ -54,24 +54,11 @@
 
 // LoopAccept hears other boxes until ctx ends.
 func (s *Share) LoopAccept(ctx context.Context, listener net.Listener) {
-	defer context.AfterFunc(ctx, func() { _ = listener.Close() })() // nothing is lost on it
-	for {
-		connection, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() == nil {
-				s.cfg.Logger.Error().Str("error", err.Error()).Msg("port_lost")
-			}
-			return
-		}
-		s.loops.Go(func() { s.loopHear(ctx, connection) })
-	}
+	s.server.LoopAccept(ctx, listener)
 }
 
-// loopHear takes in what one box tells on one connection.
-func (s *Share) loopHear(ctx context.Context, connection net.Conn) {
-	defer context.AfterFunc(ctx, func() { _ = connection.Close() })() // it is not needed any more
-	defer connection.Close()
-	reader := bufio.NewReader(connection)
+// serve takes in what one box tells on one connection.
+func (s *Share) serve(_ context.Context, connection net.Conn, reader *bufio.Reader) {
 	for {
 		if err := connection.SetReadDeadline(time.Now().Add(readLimit)); err != nil {
 			return
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -33,6 +33,7 @@
 
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -120,6 +121,7 @@
 	// relink is woken when other boxes may have to be told.
 	relink waiting.Signal
 	loops  sync.WaitGroup
+	server *frame.Server
 }
 
 // New makes a share that knows no peers.
@@ -130,11 +132,13 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Share{
+	s := &Share{
 		cfg: cfg, started: time.Now(), peers: map[string]*peer{}, telling: map[string]*telling{}, heard: map[string]*word{},
 		known: map[string]*standing{}, avoided: map[string]time.Time{}, handedAt: map[string]time.Time{},
 		headroom: map[string]string{}, answers: map[string]bool{}, outward: newBoard(), inward: newBoard(),
 	}
+	s.server = frame.NewServer(cfg.Logger, s.serve)
+	return s
 }
 
 // self describes this box to package delegate.
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -31,6 +31,7 @@
 
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/roomline"
 )
@@ -76,7 +77,7 @@
 	open  []grant
 	// lapsing says that a timer is set which ends them.
 	lapsing bool
-	loops   sync.WaitGroup
+	server  *frame.Server
 }
 
 // line holds calls that wait for a place.
@@ -100,7 +101,9 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Places{cfg: cfg, silent: map[string]time.Time{}, idle: map[string][]net.Conn{}, lines: map[string]*line{}}
+	p := &Places{cfg: cfg, silent: map[string]time.Time{}, idle: map[string][]net.Conn{}, lines: map[string]*line{}}
+	p.server = frame.NewServer(cfg.Logger, p.serve)
+	return p
 }
 
 // Active reports whether places are asked for at all.
--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -37,6 +37,7 @@
 	accepts chan net.Conn
 	closed  chan struct{}
 	end     context.CancelFunc
+	loops   sync.WaitGroup
 	// said is when the owner last heard of this box's work.
 	mu   sync.Mutex
 	said time.Time
@@ -124,6 +125,7 @@
 
 func (b *box) stop() {
 	b.end()
+	b.loops.Wait()
 	b.Wait()
 	for _, idle := range b.idle {
 		for _, connection := range idle {
--- a/internal/places/serve.go
+++ b/internal/places/serve.go
@@ -24,27 +24,14 @@
 
 // LoopAccept answers other boxes until ctx ends.
 func (p *Places) LoopAccept(ctx context.Context, listener net.Listener) {
-	defer context.AfterFunc(ctx, func() { _ = listener.Close() })() // nothing is lost on it
-	for {
-		connection, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() == nil {
-				p.cfg.Logger.Error().Str("error", err.Error()).Msg("port_lost")
-			}
-			return
-		}
-		p.loops.Go(func() { p.loopAnswer(ctx, connection) })
-	}
+	p.server.LoopAccept(ctx, listener)
 }
 
 // Wait waits until all answering has ended; LoopAccept must have returned.
-func (p *Places) Wait() { p.loops.Wait() }
+func (p *Places) Wait() { p.server.Wait() }
 
-// loopAnswer answers the questions on one connection.
-func (p *Places) loopAnswer(ctx context.Context, connection net.Conn) {
-	defer context.AfterFunc(ctx, func() { _ = connection.Close() })() // the asker chooses by itself
-	defer connection.Close()
-	reader := bufio.NewReader(connection)
+// serve answers the questions on one connection.
+func (p *Places) serve(ctx context.Context, connection net.Conn, reader *bufio.Reader) {
 	for ctx.Err() == nil {
 		if err := connection.SetReadDeadline(time.Now().Add(questionLimit)); err != nil {
 			return
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -88,7 +88,7 @@
 	standby bool
 	// asking counts the boxes that ask this one.
 	asking int
-	loops  sync.WaitGroup
+	server *frame.Server
 }
 
 // New makes a zone in which this box reads for itself.
@@ -105,7 +105,9 @@
 	if cfg.Known == nil {
 		cfg.Known = func() bool { return true }
 	}
-	return &Zone{cfg: cfg, avoided: map[string]time.Time{}}
+	z := &Zone{cfg: cfg, avoided: map[string]time.Time{}}
+	z.server = frame.NewServer(cfg.Logger, z.serve)
+	return z
 }
 
 // Following names the box that this one follows; empty while it reads itself.
@@ -165,29 +167,16 @@
 
 // LoopAccept answers other boxes until ctx ends.
 func (z *Zone) LoopAccept(ctx context.Context, listener net.Listener) {
-	defer context.AfterFunc(ctx, func() { _ = listener.Close() })() // nothing is lost on it
-	for {
-		connection, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() == nil {
-				z.cfg.Logger.Error().Str("error", err.Error()).Msg("port_lost")
-			}
-			return
-		}
-		z.loops.Go(func() { z.loopAnswer(ctx, connection) })
-	}
+	z.server.LoopAccept(ctx, listener)
 }
 
 // Wait waits until all answering has ended; LoopAccept must have returned.
-func (z *Zone) Wait() { z.loops.Wait() }
+func (z *Zone) Wait() { z.server.Wait() }
 
-// loopAnswer answers the questions of one box on one connection.
-func (z *Zone) loopAnswer(ctx context.Context, connection net.Conn) {
-	defer context.AfterFunc(ctx, func() { _ = connection.Close() })() // the other box asks another
-	defer connection.Close()
+// serve answers the questions of one box on one connection.
+func (z *Zone) serve(ctx context.Context, connection net.Conn, reader *bufio.Reader) {
 	z.countAsking(1)
 	defer z.countAsking(-1)
-	reader := bufio.NewReader(connection)
 	for ctx.Err() == nil {
 		if err := connection.SetReadDeadline(time.Now().Add(questionLimit)); err != nil {
 			return
