A call that may not wait is answered at once, also when no time has passed

Cause: an owner that was asked for a place now, without a wait, put the call into its line when the clock had not moved since the question, and looked at it again 20 ms later.

Ruled out: the order of the line. Change: who may not wait is not entered. A test of the line (package roomline had none of its own) found it: 20 ms instead of none.

--- a/internal/roomline/roomline.go
+++ b/internal/roomline/roomline.go
@@ -67,7 +67,7 @@
 		l.calls.Found(now)
 		return nil, place, true
 	}
-	if l.calls.Hopeless(limits, now) {
+	if !now.Before(limits.Until) || l.calls.Hopeless(limits, now) {
 		return nil, place, false
 	}
 	return l.calls.Enter(limits, &waiter[C, P]{call, make(chan P, 1)}), place, false
--- /dev/null
+++ b/internal/roomline/roomline_test.go
@@ -0,0 +1,76 @@
+package roomline
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/waiting"
+	"github.com/cometlock/cometlock/internal/waitline"
+)
+
+// room has places for calls, and tells when one is free.
+type room struct {
+	free  int
+	freed waiting.Signal
+}
+
+func (r *room) line() *Line[string, string] {
+	return New(Config[string, string]{Freed: r.freed.Wait, Place: func(call string) (string, bool) {
+		if r.free == 0 {
+			return "", false
+		}
+		r.free--
+		return "place of " + call, true
+	}})
+}
+
+func soon(wait time.Duration) waitline.Call { return waitline.Call{Until: time.Now().Add(wait)} }
+
+func TestWait(t *testing.T) {
+	tests := []struct {
+		name      string
+		wait      time.Duration
+		freeAfter time.Duration
+		leave     time.Duration
+		place     string
+		took      time.Duration
+	}{
+		{"there is room", 0, 0, time.Hour, "place of a", 0},
+		{"room comes in time", 100 * time.Millisecond, 50 * time.Millisecond, time.Hour, "place of a", 50 * time.Millisecond},
+		{"room comes too late", 100 * time.Millisecond, time.Second, time.Hour, "", 120 * time.Millisecond},
+		{"nothing to wait for", 0, time.Second, time.Hour, "", 0},
+		{"its caller leaves", time.Second, time.Second, 30 * time.Millisecond, "", 30 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				r := &room{}
+				if test.freeAfter == 0 {
+					r.free = 1
+				}
+				l := r.line()
+				ctx, cancel := context.WithTimeout(context.Background(), test.leave)
+				defer cancel()
+				time.AfterFunc(test.freeAfter, func() {
+					l.mu.Lock()
+					r.free++
+					l.mu.Unlock()
+					r.freed.Send()
+				})
+				began := time.Now()
+				time.Sleep(time.Nanosecond) // past the moment itself
+				place, ok := l.Wait(ctx, soon(test.wait), "a")
+				g.Expect(place).To(Equal(test.place))
+				g.Expect(ok).To(Equal(test.place != ""))
+				g.Expect(time.Since(began)).To(BeNumerically("~", test.took, 5*time.Millisecond))
+				g.Expect(l.calls.Len()).To(BeZero())
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
