A box whose hub answers looks less often at whom to tell

A box that is woken, or whose hub falls silent, looks at once as before; the tests of takeovers pass as they are.

--- a/internal/loadshare/links.go
+++ b/internal/loadshare/links.go
@@ -28,8 +28,10 @@
 	// boxesPerHub bounds the boxes of one hub: 64 of them are told 400 times a second
 	// together, and tell it up to 640 times.
 	boxesPerHub = 64
-	// linkEvery is the time between two looks at whom to tell.
-	linkEvery = 300 * time.Millisecond
+	// linkEvery is the time between two looks at whom to tell, and settledEvery that of a box
+	// whose hub says that it is one: looks at 295 boxes were a seventh of what telling takes.
+	linkEvery    = 300 * time.Millisecond
+	settledEvery = 1200 * time.Millisecond
 	// othersFor is how long the other boxes are remembered as they were described. It is asked for
 	// some ten times a second, by who tells whom, who reads for whom and who owns what.
 	othersFor = 100 * time.Millisecond
@@ -57,13 +59,37 @@
 
 // LoopLink tells those that are to be told until ctx ends.
 func (s *Share) LoopLink(ctx context.Context) {
+	linkedAt := time.Time{}
 	for ctx.Err() == nil {
 		wake := s.relink.Wait()
-		s.link(ctx)
+		if !s.isSettled() || time.Since(linkedAt) >= settledEvery {
+			s.link(ctx)
+			linkedAt = time.Now()
+		}
 		waiting.ForOr(ctx, linkEvery, wake)
+		if isClosed(wake) {
+			linkedAt = time.Time{} // whoever woke this loop is to be told now
+		}
+	}
+}
+
+func isClosed(signal <-chan struct{}) bool {
+	select {
+	case <-signal:
+		return true
+	default:
+		return false
 	}
 }
 
+// isSettled reports whether this box follows a hub that says something.
+func (s *Share) isSettled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.heard[s.hub]
+	return s.hub != "" && last != nil && last.hub == "" && time.Since(last.receivedAt) <= hubPatience
+}
+
 // link begins to tell those that are to be told from now on, and stops telling the others.
 func (s *Share) link(ctx context.Context) {
 	s.mu.Lock()
