--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -331,6 +331,19 @@
 	})
 }
 
+// A box kept the connections to every box that had ever been an owner, though that one closes
+// them after questionLimit: four descriptors for each box that is replaced, for good.
+func TestConnectionsThatRestAreClosed(t *testing.T) {
+	inZone(t, 2, 1, func(g *WithT, z *zone) {
+		asker, owner := z.boxes[1], z.boxes[0]
+		asker.giveBack("a box that is gone", &net.TCPConn{})
+		time.Sleep(questionLimit)
+		g.Expect(asker.Ask(context.Background(), "a", asker.long(0))).To(Equal("runner-0"))
+		g.Expect(asker.idle).To(HaveLen(1))
+		g.Expect(asker.idle).To(HaveKey(owner.self.Address))
+	})
+}
+
 // A place whose asker has left is free at once.
 func TestThePlaceOfACallerThatLeftIsTakenBack(t *testing.T) {
 	inZone(t, 2, 1, func(g *WithT, z *zone) {
