Connections to owners are closed that have rested for long

Cause: they were taken out only for the next question to the same box, so those to a box that owns nothing any more, or is gone, stayed open: up to four descriptors for each such box.

Ruled out: closing them as the owner changes (boxes that look at it seldom would not).

Change: each question closes what has rested for 20 s, before the other box does after 30 s.

--- a/internal/places/asker.go
+++ b/internal/places/asker.go
@@ -8,6 +8,7 @@
 	"errors"
 	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/frame"
@@ -25,6 +26,8 @@
 	// mostIdle bounds the open connections to one owner that no question is on: calls that
 	// wait for room hold one each.
 	mostIdle = 4
+	// longestRest is how long a connection may rest. The owner closes it after questionLimit.
+	longestRest = 20 * time.Second
 )
 
 // Ask asks the owner of a zone's servers for a place. It gives the server's incarnation; empty
@@ -114,16 +117,22 @@
 	return answer, frame.Read(connection, &answer, maxAnswerBytes)
 }
 
+// idleConnection is an open connection that no question has been on since a moment.
+type idleConnection struct {
+	net.Conn
+	since time.Time
+}
+
 func (p *Places) takeIdle(address string) net.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeRested(time.Now())
 	idle := p.idle[address]
 	if len(idle) == 0 {
 		return nil
 	}
-	connection := idle[len(idle)-1]
 	p.idle[address] = idle[:len(idle)-1]
-	return connection
+	return idle[len(idle)-1].Conn
 }
 
 // giveBack keeps a connection for the next question.
@@ -134,7 +143,24 @@
 		_ = connection.Close() // nothing is on it
 		return
 	}
-	p.idle[address] = append(p.idle[address], connection)
+	p.idle[address] = append(p.idle[address], idleConnection{connection, time.Now()})
+}
+
+// closeRested closes the connections that the other box is about to close, or has closed: also
+// those to boxes that own nothing any more, and are not asked again. The caller holds mu.
+func (p *Places) closeRested(now time.Time) {
+	for address, idle := range p.idle {
+		p.idle[address] = slices.DeleteFunc(idle, func(c idleConnection) bool {
+			rested := now.Sub(c.since) > longestRest
+			if rested {
+				_ = c.Close() // nothing is on it
+			}
+			return rested
+		})
+		if len(p.idle[address]) == 0 {
+			delete(p.idle, address)
+		}
+	}
 }
 
 func (p *Places) isSilent(owner string) bool {
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -71,7 +71,7 @@
 	// silent holds owners that did not answer, until when they are left alone, and idle the
 	// open connections to owners, by address.
 	silent map[string]time.Time
-	idle   map[string][]net.Conn
+	idle   map[string][]idleConnection
 	// lines holds the calls that wait here, by service, and open the grants that still count.
 	lines map[string]*line
 	open  []grant
@@ -101,7 +101,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	p := &Places{cfg: cfg, silent: map[string]time.Time{}, idle: map[string][]net.Conn{}, lines: map[string]*line{}}
+	p := &Places{cfg: cfg, silent: map[string]time.Time{}, idle: map[string][]idleConnection{}, lines: map[string]*line{}}
 	p.server = frame.NewServer(cfg.Logger, p.serve)
 	return p
 }
