The line of a call names each owner's failure, and none of an earlier try

Cause: when the owner of the first zone failed and the next one gave a place, nothing told why the first did not; and a try kept the reason of the one before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,7 +150,7 @@
 	// choice is the last placement, for the log; placeTime is what all of them took.
 	choice    choice
 	placeTime time.Duration
-	// placedBy says who chose its server, and unplaced why no owner did.
+	// placedBy says who chose its server, and unplaced why the last owner that failed to did not.
 	placedBy string
 	unplaced string
 	// serversAge is how old the knowledge of the servers was then.
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -1,5 +1,5 @@
-// Places by owners: in a large fleet the box that owns a zone's runners says where a long prompt
-// goes (package places). The zone is the one that this box would choose by itself, and where
+// Places by owners: the box that owns a zone's runners says where a long prompt goes, and a short
+// one when runners are busy (package places). The zone is the one that this box would choose by itself, and where
 // there is no room, its own, at whose owner the call then waits for its turn.
 
 package gateway
@@ -32,7 +32,7 @@
 // placeByOwner asks owners for a place. Without an answer of any, or for a call that needs none,
 // this box is to choose by itself.
 func (g *Gateway) placeByOwner(x *exchange) (chosen choice, ok, answered bool) {
-	x.placedBy = placedHere
+	x.placedBy, x.unplaced = placedHere, ""
 	if g.cfg.Places == nil || !g.cfg.Places.Active() {
 		return choice{}, false, false
 	}
@@ -50,7 +50,6 @@
 	asked.Urgency = x.urgency
 	hold, err := g.askZones(x, zone, query, asked)
 	if err != nil {
-		x.unplaced = err.Error()
 		return choice{}, false, false
 	}
 	x.placedBy = placedByOwner
@@ -81,11 +80,16 @@
 // askZone asks the owner of a zone's servers, and counts the call where that one says.
 func (g *Gateway) askZone(x *exchange, zone string, query fleet.Query, asked places.Question) (*fleet.Hold, error) {
 	server, err := g.cfg.Places.Ask(x.request.Context(), zone, asked)
-	if err != nil || server == "" {
+	if err != nil {
+		x.unplaced = err.Error()
 		return nil, err
 	}
+	if server == "" {
+		return nil, nil
+	}
 	hold := g.cfg.Fleet.Take(query, server)
 	if hold == nil {
+		x.unplaced = errNotTaken.Error()
 		return nil, errNotTaken
 	}
 	return hold, nil
