Log: a failed try tells which request it was a sending of

Cause: a caller that sends one request again and again gives each sending an id of its own, so no line could tell that 17 runners had ended under the same one. Ruled out: paths or bodies in logs, which are callers' words. No logic changes.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -11,6 +11,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"github.com/cometlock/cometlock/internal/fingerprint"
 )
 
 // defaultTimeout holds for routes without a timeout and callers who do not say how
@@ -104,6 +106,17 @@
 	return g.reject(x, http.StatusBadRequest, "body_unreadable")
 }
 
+// fingerprint names the request that this call is a sending of.
+func (x *exchange) fingerprint() fingerprint.Fingerprint {
+	caller := ""
+	if x.organisation != nil {
+		caller = x.organisation.Name
+	}
+	return fingerprint.Of(fingerprint.Request{
+		Caller: caller, Method: x.request.Method, Host: x.request.Host, Target: x.target(), Body: x.body,
+	})
+}
+
 // target gives the path and query as the caller sent them.
 func (x *exchange) target() string {
 	target := x.request.RequestURI
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -100,5 +100,5 @@
 	server := t.chosen.hold.Server()
 	t.gateway.metrics.tryFailed(event)
 	t.gateway.cfg.Logger.Info().Str("request", t.x.facts.RequestID).Str("server", server.Incarnation).Str("service", server.Service).
-		Int("try", len(t.x.tried)).Str("reason", reason).Bool("silent", t.ranOut()).Msg(event)
+		Int("try", len(t.x.tried)).Str("reason", reason).Bool("silent", t.ranOut()).Stringer("fingerprint", t.x.fingerprint()).Msg(event)
 }
