Requests that end the servers which run them are handed to none

Callers saw: one request ended up to 18 runners within 15 s, and with each of them some ten calls beside it were cut off, 502 or in the middle of a stream.

Cause: a box knew calls by ids, and each sending has a new one. Nobody remembered under which request a server had ended, boxes told each other nothing of it, and where a call may be repeated the box itself handed it to a second server as soon as the first had ended.

Ruled out: load that goes from a runner that ended to the next (runners ended one at a time, each under the same request); the box's second tries as the only cause (the recorded route allows none).

Change: fingerprints of requests (caller, method, host, path, body). Package crash tells a server's end from other ways to lose a call: its address refuses a connection at once, or the registry names another life there; neither counts for a server that was to leave. Package quarantine counts lives that ended under a request, as a set that boxes join in the messages that they send each other anyway, at once from the second end on. After a second end under a request there is no second try.

Why it holds: what is told is a set, so a word that comes twice or by two ways counts once; a request is asked for before each hand-over, and what waits or runs is stopped by the same change that holds it. Nothing of it needs the platform's log.

--- /dev/null
+++ b/internal/crash/crash.go
@@ -0,0 +1,210 @@
+// Package crash tells whether a server that broke off a call has ended without a word.
+//
+// A call breaks off for many reasons: a connection is reset, a link is cut, a planned stop
+// ends it, an answer cannot be read. Only one of them is the server's own end, and two things
+// prove it. At once: the server's address refuses a new connection, so its machine is there
+// and the process is not. Later: the registry names another life of the server, or another
+// server at its address. Neither counts for a server that was to end, as its entry said, and
+// a server that merely cannot be reached proves nothing.
+//
+// The second proof is for a server that is back before the first is looked for, or a box that
+// comes late to look.
+package crash
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/fingerprint"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+const (
+	// lookEvery is the time between two looks at what the registry says of servers that broke
+	// off calls, and lookFor how long it is looked at: an entry goes after three heartbeats,
+	// and is read within a second.
+	lookEvery = 250 * time.Millisecond
+	lookFor   = 6 * time.Second
+	// rememberFor is how long a server that has ended is remembered, so that it is asked once
+	// and not for each call that it took along.
+	rememberFor = 10 * time.Second
+	// mostLosses bounds the calls for which the registry is looked at; more come only of an
+	// outage, which ends no servers.
+	mostLosses = 512
+)
+
+// Loss is a call that broke off.
+type Loss struct {
+	Server fleet.Server
+	// Request is what the call asked, Caller stands for who asked it.
+	Request fingerprint.Fingerprint
+	Caller  uint64
+}
+
+// Config sets up a Detector.
+type Config struct {
+	Logger zerolog.Logger
+	// Refuses reports whether an address refuses connections.
+	Refuses func(ctx context.Context, address string) bool
+	// Fate says what the registry knows of a life of a server.
+	Fate func(incarnation string) fleet.Fate
+	// Ended is told of each call under which a server ended.
+	Ended func(Loss)
+}
+
+// Detector tells crashes.
+type Detector struct {
+	cfg Config
+
+	mu sync.Mutex
+	// lives are those that were asked about lately.
+	lives map[string]*life
+	// open are losses of which nothing is proved.
+	open  []openLoss
+	added waiting.Signal
+}
+
+// life is what is known of a life of a server that broke off a call.
+type life struct {
+	askedAt time.Time
+	// asked is closed when it is known whether the server refuses connections.
+	asked chan struct{}
+	ended bool
+}
+
+type openLoss struct {
+	Loss
+	until time.Time
+}
+
+// New makes a detector.
+func New(cfg Config) *Detector { return &Detector{cfg: cfg, lives: map[string]*life{}} }
+
+// Judge reports whether the server of a call that broke off has ended. What is not known now
+// may be found out later; either way Ended is told.
+func (d *Detector) Judge(ctx context.Context, loss Loss) bool {
+	if d.cfg.Fate(loss.Server.Incarnation) == fleet.FateLeft {
+		return false
+	}
+	if d.ended(ctx, loss.Server) {
+		d.cfg.Ended(loss)
+		return true
+	}
+	d.lookLater(loss)
+	return false
+}
+
+// ended asks a server whether it has ended, once for all calls that it broke off at a time.
+func (d *Detector) ended(ctx context.Context, server fleet.Server) bool {
+	known, first := d.life(server.Incarnation)
+	if first {
+		known.ended = d.cfg.Refuses(ctx, server.Address)
+		close(known.asked)
+		if known.ended {
+			d.cfg.Logger.Warn().Str("server", server.Incarnation).Str("service", server.Service).Str("address", server.Address).Str("proof", "refused").Msg("server_crashed")
+		}
+		return known.ended
+	}
+	select {
+	case <-known.asked:
+		return known.ended
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// askedAgain is how long the answer of a server that has not ended holds.
+const askedAgain = 20 * time.Millisecond
+
+// life gives what is known of a life, and whether the caller is to ask. What was asked too
+// long ago is asked again.
+func (d *Detector) life(incarnation string) (known *life, first bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for name, other := range d.lives {
+		if now.Sub(other.askedAt) > rememberFor {
+			delete(d.lives, name)
+		}
+	}
+	if known = d.lives[incarnation]; known != nil && (!known.isAsked() || known.ended || now.Sub(known.askedAt) < askedAgain) {
+		return known, false
+	}
+	known = &life{askedAt: now, asked: make(chan struct{})}
+	d.lives[incarnation] = known
+	return known, true
+}
+
+func (l *life) isAsked() bool {
+	select {
+	case <-l.asked:
+		return true
+	default:
+		return false
+	}
+}
+
+// lookLater has the registry looked at for a while.
+func (d *Detector) lookLater(loss Loss) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.open) < mostLosses {
+		d.open = append(d.open, openLoss{loss, time.Now().Add(lookFor)})
+		d.added.Send()
+	}
+}
+
+// Loop looks at the registry until ctx ends.
+func (d *Detector) Loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		added := d.added.Wait()
+		if !d.anyOpen() {
+			select {
+			case <-added:
+			case <-ctx.Done():
+				return
+			}
+		}
+		waiting.For(ctx, lookEvery)
+		for _, loss := range d.takeProved() {
+			d.cfg.Ended(loss)
+		}
+	}
+}
+
+func (d *Detector) anyOpen() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.open) > 0
+}
+
+// takeProved takes out the losses whose servers have ended, and drops those of which nothing
+// more will be known.
+func (d *Detector) takeProved() []Loss {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	var proved []Loss
+	kept := d.open[:0]
+	told := map[string]bool{}
+	for _, loss := range d.open {
+		fate := d.cfg.Fate(loss.Server.Incarnation)
+		switch {
+		case fate == fleet.FateReplaced:
+			proved = append(proved, loss.Loss)
+			if incarnation := loss.Server.Incarnation; !told[incarnation] {
+				told[incarnation] = true
+				d.cfg.Logger.Warn().Str("server", incarnation).Str("service", loss.Server.Service).Str("address", loss.Server.Address).Str("proof", "registry").Msg("server_crashed")
+			}
+		case fate != fleet.FateLeft && now.Before(loss.until):
+			kept = append(kept, loss)
+		}
+	}
+	clear(d.open[len(kept):])
+	d.open = kept
+	return proved
+}
--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -20,6 +20,7 @@
 
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/crash"
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/gateway"
@@ -29,6 +30,7 @@
 	"github.com/cometlock/cometlock/internal/orderlease"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/places"
+	"github.com/cometlock/cometlock/internal/quarantine"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/retrybudget"
@@ -81,9 +83,14 @@
 	partNews waiting.Signal
 	retire   *retire.Policy
 	budget   *retrybudget.Budget
+	pool     *handover.Pool
 	gateway  *gateway.Gateway
-	callers  *http.Server
-	ready    *http.Server
+	// crashes finds out which servers ended under which requests, quarantine which requests
+	// are to blame.
+	crashes    *crash.Detector
+	quarantine *quarantine.Set
+	callers    *http.Server
+	ready      *http.Server
 	// collect serves metrics at an address of their own; nil without one.
 	collect *http.Server
 
@@ -119,6 +126,7 @@
 	b.metrics = telemetry.NewMetrics(b.settings.Box, b.settings.Zone)
 	b.log = sharedlog.NewMeasured(b.cfg.Log, b.metrics.Scope())
 	b.assembleBeliefs()
+	b.assembleSuspects()
 	b.assembleShared()
 	b.assembleWay()
 }
@@ -167,7 +175,7 @@
 	b.share = loadshare.New(loadshare.Config{
 		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Life: shortName(b.name), Zone: b.settings.Zone, Address: b.PeerAddress(), Reader: b.ReaderAddress(), Places: b.PlacesAddress(),
 		Cores: b.settings.Cores, Off: b.settings.Off, Named: b.registry.Tell, Heard: b.registry.Hear, Snapshot: b.registry.Snapshot,
-		Lacks: b.registry.Lacks, Adopt: b.registry.Adopt,
+		Lacks: b.registry.Lacks, Adopt: b.registry.Adopt, Quarantine: b.quarantine,
 	})
 	b.readers = zonereader.New(zonereader.Config{
 		Registry: b.registry, Parts: b.parts, Logger: b.logger, News: &b.news, PartNews: &b.partNews, Others: b.otherBoxes, Known: b.share.Known,
@@ -221,16 +229,14 @@
 
 // assembleWay makes the way of a call, and the ports' servers.
 func (b *Box) assembleWay() {
-	scope := b.metrics.Scope()
 	b.budget = retrybudget.New(retrybudget.Config{PerRequest: retryRatioPart * b.settings.RetryRatio, Burst: b.retryBurst()})
 	b.gateway = gateway.New(gateway.Config{
-		Protocol: b.cfg.Protocol,
-		Pool:     handover.NewPool(handover.PoolConfig{Off: b.settings.Off, Dialed: func() { scope.Counter("server_connections").Inc(1) }}),
-		Off:      b.settings.Off, Fleet: b.fleet, Parts: b.parts, Logger: b.logger, Scope: scope, Zone: b.settings.Zone,
+		Protocol: b.cfg.Protocol, Pool: b.pool,
+		Off: b.settings.Off, Fleet: b.fleet, Parts: b.parts, Logger: b.logger, Scope: b.metrics.Scope(), Zone: b.settings.Zone,
 		Budget: b.budget, Boxes: b.share.Boxes, Headroom: b.share.OwnsHeadroom, Lag: b.share.Lag,
 		Places: b.places, Box: b.settings.Box,
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.WeightsLimit,
-		ServersAge: b.registry.ServersAge,
+		ServersAge: b.registry.ServersAge, Quarantine: b.quarantine, Crashed: b.crashes.Judge,
 	})
 	b.assembleServers()
 }
@@ -252,7 +258,7 @@
 func (b *Box) Run(ctx context.Context) error {
 	for _, loop := range []func(context.Context){
 		b.registry.LoopOperator, b.registry.LoopServers, b.lease.Loop, b.giver.Loop, b.watcher.LoopClean,
-		b.registry.LoopBoxes, b.share.LoopAnnounce, b.share.LoopLink, b.share.LoopForget, b.readers.LoopFollow, b.loopUpkeep,
+		b.registry.LoopBoxes, b.share.LoopAnnounce, b.share.LoopLink, b.share.LoopForget, b.readers.LoopFollow, b.crashes.Loop, b.loopUpkeep,
 	} {
 		b.loops.Go(func() { loop(b.background) })
 	}
--- /dev/null
+++ b/internal/entrybox/suspects.go
@@ -0,0 +1,58 @@
+// Requests that end servers: what a box finds out of them, tells others and does.
+
+package entrybox
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cometlock/cometlock/internal/crash"
+	"github.com/cometlock/cometlock/internal/handover"
+	"github.com/cometlock/cometlock/internal/quarantine"
+)
+
+// assembleSuspects makes what finds out which requests end servers.
+func (b *Box) assembleSuspects() {
+	scope := b.metrics.Scope()
+	b.pool = handover.NewPool(handover.PoolConfig{Off: b.settings.Off, Dialed: func() { scope.Counter("server_connections").Inc(1) }})
+	b.quarantine = quarantine.New(quarantine.Config{
+		MayTry:  func(request quarantine.Request) bool { return b.share.RanksFirst(request.String()) },
+		Changed: b.suspectChanged,
+	})
+	b.crashes = crash.New(crash.Config{
+		Logger: b.logger, Fate: b.fleet.Fate, Refuses: b.pool.Refuses, Ended: b.noteEnd,
+	})
+}
+
+// noteEnd notes a call under which a server ended.
+func (b *Box) noteEnd(loss crash.Loss) {
+	b.quarantine.NoteEnd(quarantine.Ended{
+		Request: loss.Request, Caller: loss.Caller, Life: xxhash.Sum64String(loss.Server.Incarnation),
+	})
+}
+
+// toldAtOnce is the number of ends from which on other boxes are told at once: of most
+// requests under which one server ended nothing more will come, and a server that ends takes
+// some ten along.
+const toldAtOnce = 2
+
+// suspectChanged writes down what is known of a request now, tells it, and ends the calls
+// that must not go on.
+func (b *Box) suspectChanged(change quarantine.Change) {
+	if !change.Heard && change.Ends >= toldAtOnce || change.Held {
+		b.share.TellNow()
+	}
+	if change.Held {
+		b.gateway.StopRequest(change.Request)
+	}
+	event := b.logger.Debug()
+	message := "request_suspected"
+	switch {
+	case change.Held:
+		event, message = b.logger.Warn(), "request_held"
+	case change.Released:
+		event, message = b.logger.Warn(), "request_released"
+	case change.Ends >= toldAtOnce:
+		event = b.logger.Info()
+	}
+	event.Stringer("fingerprint", change.Request).Int("ends", change.Ends).Bool("heard", change.Heard).Msg(message)
+}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -89,6 +89,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	if err == nil {
 		x.body, x.readAt = body, time.Now()
+		x.fingerprint = x.identify()
 		_ = connection.SetReadDeadline(time.Time{}) // as above
 		return true
 	}
@@ -106,17 +107,21 @@
 	return g.reject(x, http.StatusBadRequest, "body_unreadable")
 }
 
-// fingerprint names the request that this call is a sending of.
-func (x *exchange) fingerprint() fingerprint.Fingerprint {
-	caller := ""
-	if x.organisation != nil {
-		caller = x.organisation.Name
-	}
+// identify names the request that this call is a sending of.
+func (x *exchange) identify() fingerprint.Fingerprint {
 	return fingerprint.Of(fingerprint.Request{
-		Caller: caller, Method: x.request.Method, Host: x.request.Host, Target: x.target(), Body: x.body,
+		Caller: x.caller(), Method: x.request.Method, Host: x.request.Host, Target: x.target(), Body: x.body,
 	})
 }
 
+// caller names the organisation that the call belongs to; empty where anybody may call.
+func (x *exchange) caller() string {
+	if x.organisation == nil {
+		return ""
+	}
+	return x.organisation.Name
+}
+
 // target gives the path and query as the caller sent them.
 func (x *exchange) target() string {
 	target := x.request.RequestURI
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -19,11 +20,14 @@
 
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/crash"
+	"github.com/cometlock/cometlock/internal/fingerprint"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/handover"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/places"
+	"github.com/cometlock/cometlock/internal/quarantine"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/retrybudget"
@@ -64,6 +68,10 @@
 	ServersAge func() time.Duration
 	// OutdatedAfter is when answers by older weights have lost all their worth.
 	OutdatedAfter time.Duration
+	// Quarantine knows which requests end servers, Crashed reports whether the server of a
+	// call that broke off has ended; nil where nothing of it is known.
+	Quarantine *quarantine.Set
+	Crashed    func(ctx context.Context, loss crash.Loss) bool
 }
 
 // Weights knows which versions of weights were named.
@@ -82,12 +90,16 @@
 	waiting  atomic.Int64
 	number   atomic.Uint64
 	// lines holds the calls that wait for room, by service.
-	lines sync.Map
+	lines   sync.Map
+	running running
 }
 
 // New makes a gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, metrics: newMetrics(cfg.Scope)}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = quarantine.New(quarantine.Config{})
+	}
+	return &Gateway{cfg: cfg, metrics: newMetrics(cfg.Scope), running: newRunning()}
 }
 
 // InFlight counts the calls under way.
@@ -102,6 +114,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := g.newExchange(w, r)
+	defer x.stop(nil)
 	defer g.settle(x)
 	if !g.accept(x) || !g.authorise(x) || !g.readBody(x) {
 		return
@@ -116,6 +129,9 @@
 	request *http.Request
 	arrived time.Time
 	number  uint64
+	// ctx ends with the caller's patience for the connection, or by stop.
+	ctx  context.Context
+	stop context.CancelCauseFunc
 
 	// Written by accept.
 	catalog *catalog.Catalog
@@ -130,8 +146,9 @@
 	urgency      int
 
 	// Written by readBody.
-	body   []byte
-	readAt time.Time
+	body        []byte
+	readAt      time.Time
+	fingerprint fingerprint.Fingerprint
 
 	// Written while the call is handed over.
 	tried []string
@@ -182,5 +199,7 @@
 )
 
 func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
-	return &exchange{writer: w, request: r, arrived: time.Now(), number: g.number.Add(1)}
+	x := &exchange{writer: w, request: r, arrived: time.Now(), number: g.number.Add(1)}
+	x.ctx, x.stop = context.WithCancelCause(r.Context())
+	return x
 }
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -79,7 +79,7 @@
 
 // askZone asks the owner of a zone's servers, and counts the call where that one says.
 func (g *Gateway) askZone(x *exchange, zone string, query fleet.Query, asked places.Question) (*fleet.Hold, error) {
-	server, err := g.cfg.Places.Ask(x.request.Context(), zone, asked)
+	server, err := g.cfg.Places.Ask(x.ctx, zone, asked)
 	if err != nil {
 		x.unplaced = err.Error()
 		return nil, err
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -27,6 +27,9 @@
 	whole := &wholeAnswer{status: answer.Status, header: forwardable(answer.Header), body: body}
 	if answer.Status < http.StatusInternalServerError {
 		t.finish(fleet.EndServed)
+		if answer.Status/100 == 2 {
+			t.gateway.cfg.Quarantine.NoteServed(x.fingerprint)
+		}
 		x.outcome = outcomeServed
 		x.passOn(whole)
 		return nextEnd
@@ -164,6 +167,7 @@
 	}
 	t.beginStream(answer)
 	t.finish(fleet.EndServed)
+	t.gateway.cfg.Quarantine.NoteServed(t.x.fingerprint)
 	t.x.outcome = outcomeServed
 	return nextEnd
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,8 +56,17 @@
 // serve tries servers until the call has its end.
 func (g *Gateway) serve(x *exchange) {
 	g.cfg.Budget.Earn()
+	defer g.running.add(x)()
 	for {
+		if _, admitted := g.cfg.Quarantine.Admit(x.fingerprint); !admitted {
+			g.endHeld(x)
+			return
+		}
 		chosen, ok := g.placeSoon(x)
+		if x.isStopped() {
+			g.endUnplaced(x, chosen)
+			return
+		}
 		if !ok {
 			x.shortage = g.shortage(x)
 			g.end(x, reasonNoServer, g.comeBack(x))
@@ -166,7 +175,7 @@
 }
 
 func (g *Gateway) newTry(x *exchange, chosen choice) *try {
-	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline.Add(lateAnswer))
+	ctx, cancel := context.WithDeadline(x.ctx, x.deadline.Add(lateAnswer))
 	t := &try{gateway: g, x: x, chosen: chosen, ctx: ctx, cancel: cancel, began: time.Now(), impatient: make(chan struct{})}
 	if x.mayRepeat() {
 		t.patience = time.AfterFunc(max(patienceFactor*x.route.Objective, shortestPatience), t.lookImpatiently)
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -23,6 +23,9 @@
 		if t.callerGone() {
 			return t.left()
 		}
+		if x.isStopped() {
+			return t.stopped()
+		}
 		t.x.handed-- // no server has seen it, so another one may
 		t.finish(fleet.EndUnreachable)
 		t.gateway.cfg.Pool.Forget(t.chosen.hold.Server().Address)
@@ -42,6 +45,9 @@
 	if t.callerGone() {
 		return t.left()
 	}
+	if t.x.isStopped() {
+		return t.stopped()
+	}
 	outOfTime := !time.Now().Before(t.x.deadline)
 	if outOfTime {
 		end = fleet.EndFailed // late, and that may be the load's fault
@@ -49,7 +55,8 @@
 	}
 	t.finish(end)
 	t.log("try_lost", reason)
-	if t.x.route.MayRepeat() && !outOfTime {
+	endsServers := t.judgeEnd(end)
+	if t.x.route.MayRepeat() && !outOfTime && !endsServers {
 		return nextServer
 	}
 	t.gateway.end(t.x, reason, 0)
@@ -89,6 +96,14 @@
 // callerGone reports whether the caller has left.
 func (t *try) callerGone() bool { return t.x.request.Context().Err() != nil }
 
+// stopped ends a call whose request was found to end servers while it was under way.
+func (t *try) stopped() next {
+	t.finish(fleet.EndAbandoned)
+	t.log("try_stopped", reasonEndsServers)
+	t.gateway.endHeld(t.x)
+	return nextEnd
+}
+
 // left ends a call whose caller has left.
 func (t *try) left() next {
 	t.finish(fleet.EndAbandoned)
@@ -100,5 +115,5 @@
 	server := t.chosen.hold.Server()
 	t.gateway.metrics.tryFailed(event)
 	t.gateway.cfg.Logger.Info().Str("request", t.x.facts.RequestID).Str("server", server.Incarnation).Str("service", server.Service).
-		Int("try", len(t.x.tried)).Str("reason", reason).Bool("silent", t.ranOut()).Stringer("fingerprint", t.x.fingerprint()).Msg(event)
+		Int("try", len(t.x.tried)).Str("reason", reason).Bool("silent", t.ranOut()).Stringer("fingerprint", t.x.fingerprint).Msg(event)
 }
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -41,5 +41,5 @@
 	if chosen, ok, answered := g.placeByOwner(x); answered {
 		return chosen, ok
 	}
-	return g.line(x.service.Name).Wait(x.request.Context(), x.limits(), x)
+	return g.line(x.service.Name).Wait(x.ctx, x.limits(), x)
 }
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -123,14 +124,34 @@
 		}
 		c.close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", call.Address)
+	return p.dial(ctx, call.Address)
+}
+
+// refusalLimit bounds the wait for a server's word that nothing listens at its address. A
+// machine that is there says so at once, and calls wait for it.
+const refusalLimit = 100 * time.Millisecond
+
+// Refuses reports whether the machine at an address is there and accepts no connections.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalLimit)
+	defer cancel()
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.keep(c, shortestRest)
+	return false
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	if p.cfg.Dialed != nil {
 		p.cfg.Dialed()
 	}
-	return &connection{Conn: raw, address: call.Address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return &connection{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
 // learnRest learns from a connection that was found open or closed after a rest. A server
--- a/internal/loadshare/headroom.go
+++ b/internal/loadshare/headroom.go
@@ -24,15 +24,30 @@
 		if len(s.headroom) >= maxHeadroom {
 			clear(s.headroom)
 		}
-		owner = s.cfg.Box
-		for box := range s.known {
-			owner = firstOf(owner, box, server)
-		}
+		owner = s.firstFor(server)
 		s.headroom[server] = owner
 	}
 	return owner == s.cfg.Box
 }
 
+// RanksFirst reports whether something that one box is to do is up to this one, by the boxes
+// that are heard now. Boxes that hear different ones may both find so.
+func (s *Share) RanksFirst(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.firstFor(name) == s.cfg.Box
+}
+
+// firstFor gives the box that ranks first for a name, of those that are heard. The caller
+// holds mu.
+func (s *Share) firstFor(name string) string {
+	first := s.cfg.Box
+	for box := range s.known {
+		first = firstOf(first, box, name)
+	}
+	return first
+}
+
 // headroomHeard lets a box take the headroom that is its own from now on: to work out all
 // anew for each of 300 boxes that start would be 50,000 hashes each time. The caller holds
 // mu.
@@ -51,13 +66,13 @@
 	}
 }
 
-// firstOf gives that of two boxes which ranks first for a server.
-func firstOf(a, b, server string) string {
-	first, second := rank(a, server), rank(b, server)
+// firstOf gives that of two boxes which ranks first for a name.
+func firstOf(a, b, name string) string {
+	first, second := rank(a, name), rank(b, name)
 	if second > first || second == first && b > a {
 		return b
 	}
 	return a
 }
 
-func rank(box, server string) uint64 { return xxhash.Sum64String(box + "/" + server) }
+func rank(box, name string) uint64 { return xxhash.Sum64String(box + "/" + name) }
--- a/internal/loadshare/hear.go
+++ b/internal/loadshare/hear.go
@@ -50,6 +50,10 @@
 	roster roster
 	ack    uint64
 	ackAll bool
+	// suspects is what it has told in this life of requests that end servers, and suspectsAck
+	// what it has of this box's.
+	suspects    uint64
+	suspectsAck uint64
 }
 
 // LoopAccept hears other boxes until ctx ends.
@@ -80,6 +84,7 @@
 	if m.Snapshot != nil {
 		s.cfg.Adopt(*m.Snapshot)
 	}
+	s.cfg.Quarantine.Hear(m.Suspects) // before they are acknowledged
 	s.cfg.Heard(m.Named, s.note(m))
 	s.cfg.Fleet.SetRemote(m.Box, m.Loads)
 	if !m.FarKept {
@@ -125,11 +130,12 @@
 		s.answers[m.Box] = true
 	}
 	last.receivedAt, last.life, last.sent = time.Now(), m.Life, m.Sent
-	last.at, last.echoed, last.ack = time.Time{}, 0, 0
+	last.at, last.echoed, last.ack, last.suspectsAck = time.Time{}, 0, 0, 0
 	if m.EchoLife == s.cfg.Life {
 		last.at, last.echoed = s.started.Add(m.Echo+m.EchoHeld), m.Echo
-		last.ack, last.ackAll = m.Ack, m.AckAll
+		last.ack, last.ackAll, last.suspectsAck = m.Ack, m.AckAll, m.SuspectsAck
 	}
+	last.suspects = m.SuspectsNext
 	last.weights = make(map[string]int, len(m.Named))
 	for model, versions := range m.Named {
 		if len(versions) > 0 {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -35,6 +35,7 @@
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/mechanism"
+	"github.com/cometlock/cometlock/internal/quarantine"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -66,6 +67,8 @@
 	Lacks    func() bool
 	Snapshot func() *registry.Snapshot
 	Adopt    func(registry.Snapshot)
+	// Quarantine knows which requests end servers; nil stands for one that knows nothing.
+	Quarantine *quarantine.Set
 	// Off holds mechanisms that are switched off.
 	Off mechanism.Off
 	// Dial connects to another box; nil stands for TCP.
@@ -135,6 +138,9 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = quarantine.New(quarantine.Config{})
+	}
 	s := &Share{
 		cfg: cfg, started: time.Now(), peers: map[string]*peer{}, telling: map[string]*telling{}, heard: map[string]*word{},
 		known: map[string]*standing{}, avoided: map[string]time.Time{}, handedAt: map[string]time.Time{},
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/frame"
+	"github.com/cometlock/cometlock/internal/quarantine"
 	"github.com/cometlock/cometlock/internal/registry"
 )
 
@@ -55,6 +56,12 @@
 	// EchoHeld is how long before this message the one that Echo names had come: the sender
 	// said this no sooner than so long after that time.
 	EchoHeld time.Duration `msgpack:"j,omitempty"`
+	// Suspects tells what changed of the requests that end servers, and leads to generation
+	// SuspectsNext of the sender's; SuspectsAck is the last of the receiver's that the sender
+	// has.
+	Suspects     []quarantine.Word `msgpack:"x,omitempty"`
+	SuspectsNext uint64            `msgpack:"y,omitempty"`
+	SuspectsAck  uint64            `msgpack:"z,omitempty"`
 }
 
 func (s *Share) send(connection net.Conn, m message) error {
--- a/internal/loadshare/tell.go
+++ b/internal/loadshare/tell.go
@@ -145,13 +145,16 @@
 		m.Roll = len(s.peers) + 1
 	}
 	m.Loads, all = s.work(box, own, now)
+	since := uint64(0)
 	if last := s.heard[box]; last != nil {
 		m.Echo, m.EchoLife, m.EchoHeld = last.sent, last.life, now.Sub(last.receivedAt)
+		m.SuspectsAck, since = last.suspects, last.suspectsAck
 		if last.roster.life == last.life {
 			m.Ack, m.AckAll = last.roster.next, last.roster.all
 		}
 		m.Roster = s.rosterFor(last, all, now)
 	}
+	m.Suspects, m.SuspectsNext = s.cfg.Quarantine.Tell(since)
 	if to := s.telling[box]; to != nil {
 		m.Chosen = to.chosen
 		m.Urgent, to.urgency = to.urgency != s.urgency, s.urgency
--- /dev/null
+++ b/internal/quarantine/word.go
@@ -0,0 +1,90 @@
+// What boxes tell each other. A word is all that is known of one request; words that changed
+// since what the other box has are told, in the order of their changes.
+
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// mostWords bounds the requests of one message: some 100 bytes each.
+const mostWords = 64
+
+// Word tells of one request.
+type Word struct {
+	_msgpack struct{} `msgpack:",as_array"` // names of fields would be half of it
+
+	Request Request
+	Caller  uint64
+	Ends    []WordEnd
+}
+
+// WordEnd tells of a server that ended.
+type WordEnd struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Life uint64
+	// Age is how long ago, by the box that tells.
+	Age     time.Duration
+	Excused bool
+}
+
+// Tell gives what changed after a generation, at most mostWords of it, and the generation
+// that it leads to.
+func (s *Set) Tell(since uint64) ([]Word, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if since == s.generation {
+		return nil, since
+	}
+	var changed []*record
+	for _, known := range s.records {
+		if known.changed > since {
+			changed = append(changed, known)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.changed, b.changed) })
+	next := s.generation
+	if len(changed) > mostWords {
+		changed = changed[:mostWords]
+		next = changed[mostWords-1].changed
+	}
+	now := time.Now()
+	words := make([]Word, len(changed))
+	for i, known := range changed {
+		words[i] = known.word(now)
+	}
+	return words, next
+}
+
+func (r *record) word(now time.Time) Word {
+	word := Word{Request: r.request, Caller: r.caller, Ends: make([]WordEnd, len(r.ends))}
+	for i, e := range r.ends {
+		word.Ends[i] = WordEnd{Life: e.life, Age: now.Sub(e.at), Excused: e.excused}
+	}
+	return word
+}
+
+// Hear takes over what another box tells.
+func (s *Set) Hear(words []Word) {
+	now := time.Now()
+	for _, word := range words {
+		change, changed := s.hear(word, now)
+		if changed {
+			change.Heard = true
+			s.tellChanged(change)
+		}
+	}
+}
+
+func (s *Set) hear(word Word, now time.Time) (Change, bool) {
+	ends := make([]end, 0, min(len(word.Ends), mostEnds))
+	for _, e := range word.Ends[:min(len(word.Ends), mostEnds)] {
+		ends = append(ends, end{life: e.Life, at: now.Add(-max(e.Age, 0)), excused: e.Excused})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.join(word.Request, word.Caller, ends, now)
+}
