Tests: who is held and who is not, what proves a crash, how boxes agree on ends

Found by them: ends of fewer than three servers were kept for longer than 10 min; a new one now begins anew after that.

--- a/internal/loadshare/agreement_test.go
+++ b/internal/loadshare/agreement_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/loadshare"
+	"github.com/cometlock/cometlock/internal/quarantine"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -47,6 +48,7 @@
 	name, zone string
 	cores      float64
 	share      *loadshare.Share
+	suspects   *quarantine.Set
 	stop       context.CancelFunc
 	stopped    sync.WaitGroup
 	life       int
--- a/internal/loadshare/hubs_test.go
+++ b/internal/loadshare/hubs_test.go
@@ -13,6 +13,7 @@
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/loadshare"
 	"github.com/cometlock/cometlock/internal/placing"
+	"github.com/cometlock/cometlock/internal/quarantine"
 	"github.com/cometlock/cometlock/internal/registry"
 )
 
@@ -183,17 +184,25 @@
 
 // run starts a box's loops.
 func (h *history) run(ctx context.Context, a *actor, known *fleet.Fleet) {
-	a.share = loadshare.New(loadshare.Config{
-		Fleet: known, Logger: zerolog.Nop(), Box: a.name, Life: fmt.Sprint(a.name, "/", a.life), Zone: a.zone, Cores: a.cores, Address: a.name, Reader: a.name,
+	// Each life has a share of its own, which the changes of its set are told by.
+	var share *loadshare.Share
+	a.suspects = quarantine.New(quarantine.Config{Changed: func(change quarantine.Change) {
+		if !change.Heard {
+			share.TellNow()
+		}
+	}})
+	share = loadshare.New(loadshare.Config{
+		Quarantine: a.suspects,
+		Fleet:      known, Logger: zerolog.Nop(), Box: a.name, Life: fmt.Sprint(a.name, "/", a.life), Zone: a.zone, Cores: a.cores, Address: a.name, Reader: a.name,
 		Named: a.named, Heard: func(told map[string][]registry.Heard, _ time.Time) { a.hear(told) },
 		Lacks: func() bool { return false }, Snapshot: func() *registry.Snapshot { return nil }, Dial: h.fabric.dialFrom(a.name),
 	})
+	a.share = share
 	a.share.TakeBoxes(h.list())
 	ctx, a.stop = context.WithCancel(ctx)
 	listener := h.fabric.listen(a.name)
 	for _, loop := range []func(context.Context){a.share.LoopLink, a.share.LoopForget} {
 		a.stopped.Go(func() { loop(ctx) })
 	}
-	share := a.share
 	a.stopped.Go(func() { share.LoopAccept(ctx, listener); share.Wait() })
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -132,7 +132,8 @@
 // join takes over ends under a request. The caller holds mu.
 func (s *Set) join(request fingerprint.Fingerprint, caller uint64, ends []end, now time.Time) (Change, bool) {
 	known := s.records[request]
-	if known == nil {
+	if known == nil || known.over(now) {
+		delete(s.records, request)
 		known = &record{request: request, caller: caller}
 	}
 	before, changed := known.count(), false
