--- /dev/null
+++ b/internal/boottime/boottime_test.go
@@ -0,0 +1,77 @@
+package boottime
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestItGoesWithTheSteadyClock(t *testing.T) {
+	g := NewWithT(t)
+	begun, steady := Now(), time.Now()
+	time.Sleep(20 * time.Millisecond)
+	g.Expect(Since(begun)).To(BeNumerically("~", time.Since(steady), 5*time.Millisecond))
+	g.Expect(Until(begun.Add(time.Minute))).To(BeNumerically("~", time.Minute-time.Since(steady), 5*time.Millisecond))
+}
+
+func TestItGoesWithAPausedClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		begun := Now()
+		time.Sleep(time.Hour)
+		g.Expect(Since(begun)).To(Equal(time.Hour))
+	})
+}
+
+func TestAPretendedSuspensionCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		suspended := time.Duration(0)
+		defer Pretend(func() time.Duration { return suspended })()
+		begun := Now()
+		time.Sleep(time.Second)
+		suspended = 5 * time.Second
+		g.Expect(Since(begun)).To(Equal(6 * time.Second))
+	})
+}
+
+// The time of day may be set; that is no suspension, and costs one look.
+func TestATimeOfDayThatWasSetIsNoSuspension(t *testing.T) {
+	g := NewWithT(t)
+	c := newClock()
+	told := 0
+	c.woke = func(time.Duration) { told++ }
+	c.timeOfDay = c.timeOfDay.Add(-3 * time.Second)
+	c.now()
+	g.Expect(time.Duration(c.suspended.Load())).To(BeZero())
+	g.Expect(time.Duration(c.shift.Load())).To(BeNumerically("~", 3*time.Second, 10*time.Millisecond))
+	g.Expect(told).To(BeZero())
+}
+
+// A suspension shows in the time of day, and the boot clock says how long it was.
+func TestASuspensionIsSeenByTheNextReading(t *testing.T) {
+	g := NewWithT(t)
+	c := newClock()
+	var lengths []time.Duration
+	c.woke = func(length time.Duration) { lengths = append(lengths, length) }
+	begun := c.now()
+	c.timeOfDay, c.ahead = c.timeOfDay.Add(-3*time.Second), c.ahead-3*time.Second
+	g.Expect(c.now().Sub(begun)).To(BeNumerically("~", 3*time.Second, 20*time.Millisecond))
+	c.now()
+	g.Expect(lengths).To(HaveLen(1))
+	g.Expect(lengths[0]).To(BeNumerically("~", 3*time.Second, 10*time.Millisecond))
+}
+
+func BenchmarkNow(b *testing.B) {
+	for b.Loop() {
+		Now()
+	}
+}
+
+func BenchmarkRuntimeNow(b *testing.B) {
+	for b.Loop() {
+		time.Now()
+	}
+}
