--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fingerprint"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -125,7 +126,7 @@
 func (d *Detector) life(incarnation string) (known *life, first bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	for name, other := range d.lives {
 		if now.Sub(other.askedAt) > rememberFor {
 			delete(d.lives, name)
@@ -153,7 +154,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.open) < mostLosses {
-		d.open = append(d.open, openLoss{loss, time.Now().Add(lookFor)})
+		d.open = append(d.open, openLoss{loss, boottime.Now().Add(lookFor)})
 		d.added.Send()
 	}
 }
@@ -187,7 +188,7 @@
 func (d *Detector) takeProved() []Loss {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	var proved []Loss
 	kept := d.open[:0]
 	told := map[string]bool{}
--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/crash"
@@ -94,7 +95,9 @@
 	// collect serves metrics at an address of their own; nil without one.
 	collect *http.Server
 
-	leaving    atomic.Bool
+	leaving atomic.Bool
+	// woke is woken when the machine was suspended.
+	woke       waiting.Signal
 	background context.Context
 	stop       context.CancelFunc
 	loops      sync.WaitGroup
@@ -258,13 +261,14 @@
 func (b *Box) Run(ctx context.Context) error {
 	for _, loop := range []func(context.Context){
 		b.registry.LoopOperator, b.registry.LoopServers, b.lease.Loop, b.giver.Loop, b.watcher.LoopClean,
-		b.registry.LoopBoxes, b.share.LoopAnnounce, b.share.LoopLink, b.share.LoopForget, b.readers.LoopFollow, b.crashes.Loop, b.loopUpkeep,
+		b.registry.LoopBoxes, b.share.LoopAnnounce, b.share.LoopLink, b.share.LoopForget, b.readers.LoopFollow, b.crashes.Loop, b.loopWake, b.loopUpkeep,
 	} {
 		b.loops.Go(func() { loop(b.background) })
 	}
 	b.loops.Go(func() { b.share.LoopAccept(b.background, b.ports.peers) })
 	b.loops.Go(func() { b.readers.LoopAccept(b.background, b.ports.readers) })
 	b.loops.Go(func() { b.places.LoopAccept(b.background, b.ports.places) })
+	boottime.OnWake(b.noteSuspension)
 	b.serveAll()
 	b.logger.Info().Str("version", version.Version).Str("callers", b.CallerAddress()).Str("ready", b.ReadyAddress()).
 		Str("life", b.name).Stringer("off", b.settings.Off).Msg("started")
@@ -280,9 +284,9 @@
 func (b *Box) shutDown() error {
 	b.logger.Info().Int64("calls", b.gateway.InFlight()).Msg("leaving")
 	b.leaving.Store(true)
-	end := time.Now().Add(b.settings.StopLimit - stopMargin)
+	end := boottime.Now().Add(b.settings.StopLimit - stopMargin)
 	time.Sleep(b.settings.UnreadyTime)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithTimeout(context.Background(), boottime.Until(end))
 	defer cancel()
 	err := b.callers.Shutdown(ctx)
 	if err != nil {
--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
 )
 
 // upkeepEvery is the time between two looks at what follows the number of boxes and
@@ -29,15 +31,34 @@
 	event.Msg("log_calls")
 }
 
+// noteSuspension writes down that the machine was suspended, and for how long. What the box knows
+// is as much older from now on (package boottime).
+func (b *Box) noteSuspension(length time.Duration) {
+	b.logger.Warn().Dur("length", length).Msg("machine_suspended")
+	b.woke.Send()
+}
+
+// loopWake ends the calls whose time passed in a suspension, until ctx ends.
+func (b *Box) loopWake(ctx context.Context) {
+	for ctx.Err() == nil {
+		woke := b.woke.Wait()
+		select {
+		case <-woke:
+			b.gateway.EndOverdue()
+		case <-ctx.Done():
+		}
+	}
+}
+
 // loopUpkeep keeps gauges, and this box's part of what all boxes share, until ctx
 // ends.
 func (b *Box) loopUpkeep(ctx context.Context) {
 	ticker := time.NewTicker(upkeepEvery)
 	defer ticker.Stop()
-	toldAt := time.Now()
+	toldAt := boottime.Now()
 	for {
-		if time.Since(toldAt) >= callsToldEvery {
-			toldAt = time.Now()
+		if boottime.Since(toldAt) >= callsToldEvery {
+			toldAt = boottime.Now()
 			b.tellCalls()
 		}
 		b.budget.SetBurst(b.retryBurst())
@@ -82,7 +103,7 @@
 	scope.Gauge("boxes_heard").Update(float64(len(b.share.Peers()) + 1))
 	if catalog := b.registry.Catalog(); catalog != nil {
 		scope.Gauge("configuration_version").Update(float64(catalog.Version()))
-		scope.Gauge("operators_read_age_seconds").Update(time.Since(b.registry.OperatorReadAt()).Seconds())
+		scope.Gauge("operators_read_age_seconds").Update(boottime.Since(b.registry.OperatorReadAt()).Seconds())
 	}
 	for model, version := range b.registry.Named() {
 		named := scope.Tagged(map[string]string{"model": model})
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/placing"
 )
@@ -54,7 +55,7 @@
 func (f *Fleet) Choose(query Query) *Hold {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	state, candidate, query := f.pick(query, now)
 	if state == nil {
 		return nil
@@ -69,7 +70,7 @@
 func (f *Fleet) ChooseUnless(query Query, leave func(best *placing.Candidate) bool) (hold *Hold, zone string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	state, candidate, query := f.pick(query, now)
 	if state == nil {
 		return nil, ""
@@ -86,7 +87,7 @@
 func (f *Fleet) Best(query Query) (best placing.Candidate, zone string, found bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	state, best, _ := f.pick(query, time.Now())
+	state, best, _ := f.pick(query, boottime.Now())
 	if state == nil {
 		return best, "", false
 	}
@@ -98,7 +99,7 @@
 func (f *Fleet) Take(query Query, incarnation string) *Hold {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	state := f.servers[incarnation]
 	if state == nil || state.Service != query.Service || !f.eligible(state, query, now) || state.suspect(now) {
 		return nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -186,7 +187,7 @@
 
 func (f *Fleet) drop(state *State) {
 	if state.gone.IsZero() {
-		state.gone = time.Now()
+		state.gone = boottime.Now()
 		state.believedUntil = f.mayHaveLapsedUntil(state.gone)
 		f.log("server_gone", &state.Server, state.offset)
 	}
@@ -220,7 +221,7 @@
 	defer f.mu.Unlock()
 	f.askedInVain = asked
 	if f.lostAt.IsZero() {
-		f.lostAt = time.Now()
+		f.lostAt = boottime.Now()
 	}
 }
 
@@ -229,7 +230,7 @@
 func (f *Fleet) RegistryBack() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now := time.Now(); f.longLost(now) {
+	if now := boottime.Now(); f.longLost(now) {
 		f.returnsUntil = f.returnsFrom(now)
 	}
 	f.lostAt = time.Time{}
@@ -263,7 +264,7 @@
 
 // regroup forgets servers that are long gone and groups the others.
 func (f *Fleet) regroup() {
-	now := time.Now()
+	now := boottime.Now()
 	clear(f.byService)
 	for incarnation, state := range f.servers {
 		if !state.gone.IsZero() && now.Sub(state.gone) > forgetAfter {
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -6,7 +6,8 @@
 
 import (
 	"slices"
-	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
 )
 
 // Grant is a place at a server for a call of another box. Each must end with one call of End.
@@ -23,7 +24,7 @@
 func (f *Fleet) Grant(query Query) *Grant {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	state, candidate, query := f.pick(query, time.Now())
+	state, candidate, query := f.pick(query, boottime.Now())
 	if state == nil {
 		return nil
 	}
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/placing"
 )
 
@@ -33,7 +34,7 @@
 }
 
 // Overdue gives how much later it is than when the first event was expected.
-func (h *Hold) Overdue() time.Duration { return time.Since(h.since) - firstStep - h.reading }
+func (h *Hold) Overdue() time.Duration { return boottime.Since(h.since) - firstStep - h.reading }
 
 // Expected is how long after it was placed the call's first event was expected.
 func (h *Hold) Expected() time.Duration { return firstStep + h.reading }
@@ -71,7 +72,7 @@
 func (h *Hold) Heard() {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	if h.alone {
 		h.fleet.learnRate(h.tokens, now.Sub(h.since))
 		h.alone = false
@@ -90,7 +91,7 @@
 func (h *Hold) Speaks() bool {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
-	return !h.state.suspect(time.Now())
+	return !h.state.suspect(boottime.Now())
 }
 
 // End is what became of a call at a server.
@@ -131,7 +132,7 @@
 	h.read()
 	h.state.inFlight--
 	h.state.heldTokens -= h.held
-	now := time.Now()
+	now := boottime.Now()
 	if end != EndUnreachable && end != EndAbandoned || h.state.inFlight == 0 {
 		h.state.heard(now)
 	}
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -3,7 +3,11 @@
 
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+)
 
 // Load is the work of one box at one server.
 type Load struct {
@@ -27,7 +31,7 @@
 func (f *Fleet) Loads() []Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	var loads []Load
 	for _, state := range f.servers {
 		paused := max(state.orderedUntil.Sub(now), 0)
@@ -63,7 +67,7 @@
 	for _, load := range f.remote[box] {
 		addWork(f.remoteTotals, load, -1)
 	}
-	now := time.Now()
+	now := boottime.Now()
 	for _, load := range loads {
 		addWork(f.remoteTotals, load, 1)
 		if state := f.servers[load.Incarnation]; state != nil {
--- a/internal/fleet/shortage.go
+++ b/internal/fleet/shortage.go
@@ -5,8 +5,7 @@
 package fleet
 
 import (
-	"time"
-
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/placing"
 )
 
@@ -23,7 +22,7 @@
 func (f *Fleet) Shortage(query Query) Shortage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	sound := f.sound(query, time.Now())
+	sound := f.sound(query, boottime.Now())
 	query.Load.TokenCost = f.tokenCost()
 	shortage := Shortage{Listed: len(f.byService[query.Service]), Sound: len(sound)}
 	for _, state := range sound {
--- a/internal/fleet/weights.go
+++ b/internal/fleet/weights.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
 )
 
 // Behind lists the servers that hold an older version of a model than the given one:
@@ -16,7 +18,7 @@
 func (f *Fleet) Behind(model string, version int) []Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	var behind []*State
 	for _, state := range f.servers {
 		if held := state.weights(model); held > 0 && held < version && !state.Leaving && state.gone.IsZero() {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fingerprint"
 )
 
@@ -83,12 +84,12 @@
 		return g.reject(x, http.StatusRequestEntityTooLarge, "body_too_large")
 	}
 	connection := http.NewResponseController(x.writer)
-	if err := connection.SetReadDeadline(x.deadline); err != nil {
+	if err := connection.SetReadDeadline(time.Now().Add(boottime.Until(x.deadline))); err != nil {
 		g.cfg.Logger.Debug().Str("error", err.Error()).Msg("no_read_deadline") // the writer of a test
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	if err == nil {
-		x.body, x.readAt = body, time.Now()
+		x.body, x.readAt = body, boottime.Now()
 		x.fingerprint = x.identify()
 		_ = connection.SetReadDeadline(time.Time{}) // as above
 		return true
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/crash"
 	"github.com/cometlock/cometlock/internal/fingerprint"
 	"github.com/cometlock/cometlock/internal/fleet"
@@ -61,6 +62,22 @@
 	}
 }
 
+// errOverdue ends a call whose time passed while the machine was suspended: timers did not see it.
+var errOverdue = merry.Sentinel("the call's time ended while the machine was suspended")
+
+// EndOverdue ends all calls under way whose time is over.
+func (g *Gateway) EndOverdue() {
+	g.running.mu.Lock()
+	defer g.running.mu.Unlock()
+	for _, calls := range g.running.calls {
+		for x := range calls {
+			if boottime.Until(x.deadline.Add(lateAnswer)) <= 0 {
+				x.stop(errOverdue)
+			}
+		}
+	}
+}
+
 // isStopped reports whether the call was ended for its request's sake.
 func (x *exchange) isStopped() bool { return errors.Is(context.Cause(x.ctx), errEndsServers) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/crash"
@@ -199,7 +200,7 @@
 )
 
 func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
-	x := &exchange{writer: w, request: r, arrived: time.Now(), number: g.number.Add(1)}
+	x := &exchange{writer: w, request: r, arrived: boottime.Now(), number: g.number.Add(1)}
 	x.ctx, x.stop = context.WithCancelCause(r.Context())
 	return x
 }
--- a/internal/gateway/outdated.go
+++ b/internal/gateway/outdated.go
@@ -4,7 +4,11 @@
 
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+)
 
 const (
 	// outdatedPart is the part of a route's objective that a call waits longer for
@@ -38,16 +42,16 @@
 	}
 	cost = outdatedPart * float64(objective) / float64(time.Millisecond)
 	if newer.Found() {
-		return cost, time.Since(newer.LearntAt) <= outdatedAtStart
+		return cost, boottime.Since(newer.LearntAt) <= outdatedAtStart
 	}
-	age := time.Since(newer.NamedAfter)
+	age := boottime.Since(newer.NamedAfter)
 	return cost * min(1, float64(age)/float64(g.cfg.OutdatedAfter)), age <= g.cfg.OutdatedAfter-outdatedMargin
 }
 
 // remaining gives the time that a call has at its server. Older weights must not
 // begin to answer after their time, however long the call waits for them.
 func (g *Gateway) remaining(x *exchange, chosen choice) time.Duration {
-	remaining := time.Until(x.deadline)
+	remaining := boottime.Until(x.deadline)
 	if chosen.namespace == "" {
 		return remaining
 	}
@@ -55,5 +59,5 @@
 	if !outdated || newer.Found() {
 		return remaining
 	}
-	return min(remaining, g.cfg.OutdatedAfter-outdatedEnd-time.Since(newer.NamedAfter))
+	return min(remaining, g.cfg.OutdatedAfter-outdatedEnd-boottime.Since(newer.NamedAfter))
 }
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -6,10 +6,10 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/places"
 	"github.com/cometlock/cometlock/internal/placing"
@@ -73,7 +73,7 @@
 		before = append(before, zone)
 		_, zone, _ = g.cfg.Fleet.Best(rest)
 	}
-	asked.Wait = max(time.Until(x.limits().Until), 0)
+	asked.Wait = max(boottime.Until(x.limits().Until), 0)
 	return g.askZone(x, g.cfg.Zone, query, asked)
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/mechanism"
@@ -112,7 +113,7 @@
 // placed: a call that can still be in time does not go where it would be late.
 func readLimit(x *exchange) float64 {
 	limit := time.Duration(placing.ReadPart * float64(x.route.Objective))
-	if left := time.Until(x.arrived.Add(x.route.Objective)); left > 0 {
+	if left := boottime.Until(x.arrived.Add(x.route.Objective)); left > 0 {
 		limit = min(limit, left)
 	}
 	return float64(limit) / float64(time.Millisecond)
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 )
 
@@ -58,7 +59,7 @@
 	x.outcome = outcomeUnknown
 	g.cfg.Protocol.WriteVerdict(x.writer.Header(), call.Verdict{MayHaveRun: true})
 	status := http.StatusBadGateway
-	if !time.Now().Before(x.deadline) {
+	if !boottime.Now().Before(x.deadline) {
 		status = http.StatusGatewayTimeout
 	}
 	g.answer(x, status, reason, "the request may have run; no answer came back")
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/eventstream"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/handover"
@@ -105,7 +106,7 @@
 		return // the caller has it already
 	}
 	if x.events == 0 {
-		x.firstEvent = time.Now()
+		x.firstEvent = boottime.Now()
 		t.noteFetch()
 	}
 	t.chosen.hold.Heard()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/handover"
 )
@@ -115,7 +116,7 @@
 // another server, and takes from the budget. The next server that a call is handed to is
 // no retry as long as none has seen it.
 func (g *Gateway) mayTryAnother(x *exchange) bool {
-	if !time.Now().Before(x.deadline) || x.request.Context().Err() != nil {
+	if !boottime.Now().Before(x.deadline) || x.request.Context().Err() != nil {
 		return false
 	}
 	return x.handed == 0 || x.handed < x.maxServers() && g.cfg.Budget.Take()
@@ -175,8 +176,8 @@
 }
 
 func (g *Gateway) newTry(x *exchange, chosen choice) *try {
-	ctx, cancel := context.WithDeadline(x.ctx, x.deadline.Add(lateAnswer))
-	t := &try{gateway: g, x: x, chosen: chosen, ctx: ctx, cancel: cancel, began: time.Now(), impatient: make(chan struct{})}
+	ctx, cancel := context.WithTimeout(x.ctx, boottime.Until(x.deadline.Add(lateAnswer)))
+	t := &try{gateway: g, x: x, chosen: chosen, ctx: ctx, cancel: cancel, began: boottime.Now(), impatient: make(chan struct{})}
 	if x.mayRepeat() {
 		t.patience = time.AfterFunc(max(patienceFactor*x.route.Objective, shortestPatience), t.lookImpatiently)
 	}
@@ -186,7 +187,7 @@
 // lookImpatiently ends a try whose server has kept silent for too long.
 func (t *try) lookImpatiently() {
 	again := max(t.x.route.Objective/2, shortestPatience/2)
-	if t.chosen.namespace != "" && t.chosen.hold.Speaks() && time.Since(t.began) < longestFactor*t.x.route.Objective {
+	if t.chosen.namespace != "" && t.chosen.hold.Speaks() && boottime.Since(t.began) < longestFactor*t.x.route.Objective {
 		t.patience.Reset(again)
 		return
 	}
--- a/internal/gateway/settle.go
+++ b/internal/gateway/settle.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/telemetry"
@@ -87,7 +88,7 @@
 
 // settle writes the one line that tells a call's story.
 func (g *Gateway) settle(x *exchange) {
-	took := time.Since(x.arrived)
+	took := boottime.Since(x.arrived)
 	route := ""
 	if x.route != nil {
 		route = x.service.Name
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -9,8 +9,8 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/handover"
@@ -48,7 +48,7 @@
 	if t.x.isStopped() {
 		return t.stopped()
 	}
-	outOfTime := !time.Now().Before(t.x.deadline)
+	outOfTime := !boottime.Now().Before(t.x.deadline)
 	if outOfTime {
 		end = fleet.EndFailed // late, and that may be the load's fault
 		reason = reasonOutOfTime
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/placing"
 	"github.com/cometlock/cometlock/internal/roomline"
@@ -33,8 +34,8 @@
 func (g *Gateway) placeSoon(x *exchange) (choice, bool) {
 	g.waiting.Add(1)
 	defer g.waiting.Add(-1)
-	began := time.Now()
-	defer func() { x.placeTime += time.Since(began) }()
+	began := boottime.Now()
+	defer func() { x.placeTime += boottime.Since(began) }()
 	if x.facts.Prompt == nil || x.service.Engine == nil || !g.cfg.Off.On(mechanism.WaitingLine) {
 		return g.place(x)
 	}
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -19,6 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/mechanism"
 )
 
@@ -114,7 +115,7 @@
 		if c == nil {
 			break
 		}
-		now := time.Now()
+		now := boottime.Now()
 		if now.Before(c.restUntil) && now.Sub(c.restedAt) <= call.MaxIdle {
 			open := c.silent()
 			p.learnRest(call.Address, now.Sub(c.restedAt), open)
@@ -186,7 +187,7 @@
 
 // keep puts a connection to rest.
 func (p *Pool) keep(c *connection, rest time.Duration) {
-	now := time.Now()
+	now := boottime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rest = min(rest, cmp.Or(p.rests[c.address], longestRest))
--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -11,6 +11,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/safepack"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -84,8 +85,8 @@
 
 // awaitList waits for the list of boxes, for a while.
 func (s *Share) awaitList(ctx context.Context) {
-	end := time.Now().Add(listWait)
-	for !s.Known() && time.Now().Before(end) && ctx.Err() == nil {
+	end := boottime.Now().Add(listWait)
+	for !s.Known() && boottime.Now().Before(end) && ctx.Err() == nil {
 		waiting.For(ctx, listLook)
 	}
 }
@@ -236,7 +237,7 @@
 func (s *Share) Others() []Other {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	boxes := s.others(time.Now())
+	boxes := s.others(boottime.Now())
 	others := make([]Other, len(boxes))
 	for i, box := range boxes {
 		others[i] = Other{Box: box, Reader: s.peers[box.Name].reader, Places: s.peers[box.Name].places}
--- a/internal/loadshare/hear.go
+++ b/internal/loadshare/hear.go
@@ -11,6 +11,7 @@
 	"net"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -129,7 +130,7 @@
 		s.heard[m.Box] = last
 		s.answers[m.Box] = true
 	}
-	last.receivedAt, last.life, last.sent = time.Now(), m.Life, m.Sent
+	last.receivedAt, last.life, last.sent = boottime.Now(), m.Life, m.Sent
 	last.at, last.echoed, last.ack, last.suspectsAck = time.Time{}, 0, 0, 0
 	if m.EchoLife == s.cfg.Life {
 		last.at, last.echoed = s.started.Add(m.Echo+m.EchoHeld), m.Echo
@@ -185,7 +186,7 @@
 func (s *Share) forgetSilent(limit time.Duration) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	var boxes []string
 	for box, last := range s.heard {
 		if now.Sub(last.receivedAt) > limit {
--- a/internal/loadshare/links.go
+++ b/internal/loadshare/links.go
@@ -16,6 +16,7 @@
 	"slices"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -62,9 +63,9 @@
 	linkedAt := time.Time{}
 	for ctx.Err() == nil {
 		wake := s.relink.Wait()
-		if !s.isSettled() || time.Since(linkedAt) >= settledEvery {
+		if !s.isSettled() || boottime.Since(linkedAt) >= settledEvery {
 			s.link(ctx)
-			linkedAt = time.Now()
+			linkedAt = boottime.Now()
 		}
 		waiting.ForOr(ctx, linkEvery, wake)
 		if isClosed(wake) {
@@ -87,14 +88,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last := s.heard[s.hub]
-	return s.hub != "" && last != nil && last.hub == "" && time.Since(last.receivedAt) <= hubPatience
+	return s.hub != "" && last != nil && last.hub == "" && boottime.Since(last.receivedAt) <= hubPatience
 }
 
 // link begins to tell those that are to be told from now on, and stops telling the others.
 func (s *Share) link(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wanted := s.wanted(time.Now())
+	wanted := s.wanted(boottime.Now())
 	for box, told := range s.telling {
 		chosen, ok := wanted[box]
 		if known := s.peers[box]; ok && known != nil && known.address == told.address {
@@ -176,7 +177,7 @@
 func (s *Share) avoid(box string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.avoided[box] = time.Now().Add(avoidFor)
+	s.avoided[box] = boottime.Now().Add(avoidFor)
 	s.othersAt = time.Time{}
 	if box == s.hub {
 		s.cfg.Logger.Warn().Str("hub", box).Msg("hub_unreachable")
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -31,6 +31,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/frame"
@@ -142,7 +143,7 @@
 		cfg.Quarantine = quarantine.New(quarantine.Config{})
 	}
 	s := &Share{
-		cfg: cfg, started: time.Now(), peers: map[string]*peer{}, telling: map[string]*telling{}, heard: map[string]*word{},
+		cfg: cfg, started: boottime.Now(), peers: map[string]*peer{}, telling: map[string]*telling{}, heard: map[string]*word{},
 		known: map[string]*standing{}, avoided: map[string]time.Time{}, handedAt: map[string]time.Time{},
 		headroom: map[string]string{}, answers: map[string]bool{}, outward: newBoard(), inward: newBoard(),
 	}
--- a/internal/loadshare/tell.go
+++ b/internal/loadshare/tell.go
@@ -10,6 +10,7 @@
 	"net"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -80,7 +81,7 @@
 func (s *Share) tell(ctx context.Context, box string, connection net.Conn) {
 	// The other box hears where this one is reached once on each connection.
 	address := s.cfg.Address
-	opened := time.Since(s.started)
+	opened := boottime.Since(s.started)
 	for ctx.Err() == nil {
 		if s.unanswered(box, opened) {
 			s.cfg.Logger.Warn().Str("other", box).Msg("box_connection_silent")
@@ -116,7 +117,7 @@
 	if last := s.heard[box]; last != nil {
 		echoed = last.echoed
 	}
-	return s.answers[box] && time.Since(s.started)-max(opened, echoed) > limit
+	return s.answers[box] && boottime.Since(s.started)-max(opened, echoed) > limit
 }
 
 // compose writes down this box's work for another box, and what it passes on.
@@ -139,7 +140,7 @@
 func (s *Share) composeKnown(m *message, box string, own []fleet.Load) (all, farDue bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	m.Sent, m.Hub = now.Sub(s.started), s.hub
 	if s.followed {
 		m.Roll = len(s.peers) + 1
@@ -195,13 +196,13 @@
 		waiting.ForOr(ctx, s.interval(box), wake)
 		return
 	}
-	began := time.Now()
+	began := boottime.Now()
 	news := s.cfg.Fleet.Changed()
 	select {
 	case <-wake:
 		return
 	case <-news:
-		waiting.ForOr(ctx, newsEvery-time.Since(began), wake)
+		waiting.ForOr(ctx, newsEvery-boottime.Since(began), wake)
 	case <-time.After(restEvery):
 	case <-ctx.Done():
 	}
--- a/internal/loadshare/withoutlog.go
+++ b/internal/loadshare/withoutlog.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/registry"
 )
 
@@ -38,14 +39,14 @@
 func (s *Share) handOver(box string) *registry.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if last := s.heard[box]; last == nil || !last.lacks || time.Since(s.handedAt[box]) <= handAgain {
+	if last := s.heard[box]; last == nil || !last.lacks || boottime.Since(s.handedAt[box]) <= handAgain {
 		return nil
 	}
 	snapshot := s.cfg.Snapshot()
 	if snapshot == nil {
 		return nil
 	}
-	s.handedAt[box] = time.Now()
+	s.handedAt[box] = boottime.Now()
 	if !s.hubs() && rand.N(len(s.peers)+1) >= handersAtATime {
 		return nil
 	}
--- a/internal/orderlease/orderlease.go
+++ b/internal/orderlease/orderlease.go
@@ -28,6 +28,7 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/safepack"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -139,7 +140,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if first > l.next {
-		l.next, l.othersAt, l.last = first, time.Now(), ""
+		l.next, l.othersAt, l.last = first, boottime.Now(), ""
 	}
 }
 
@@ -161,7 +162,7 @@
 	if offset < l.next {
 		return
 	}
-	now := time.Now()
+	now := boottime.Now()
 	if holder != l.cfg.Holder {
 		l.othersAt = now
 		l.permitted = time.Time{}
@@ -190,7 +191,7 @@
 	l.asking.Lock()
 	defer l.asking.Unlock()
 	l.mu.Lock()
-	now := time.Now()
+	now := boottime.Now()
 	if l.last == l.cfg.Holder && now.Before(l.permitted) && l.apart(now) {
 		defer l.mu.Unlock()
 		return l.fence, true
@@ -206,7 +207,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now = time.Now()
+	now = boottime.Now()
 	return l.fence, l.last == l.cfg.Holder && now.Before(l.permitted) && l.apart(now)
 }
 
@@ -225,7 +226,7 @@
 		l.cfg.Logger.Error().Str("error", err.Error()).Msg("order_lease_not_encoded")
 		return false
 	}
-	sent := time.Now()
+	sent := boottime.Now()
 	offset, err := l.cfg.Log.Append(ctx, sharedlog.Orders, end, sharedlog.Record{Value: value})
 	if err != nil {
 		l.cfg.Logger.Info().Int64("end", end).Str("error", err.Error()).Msg("order_lease_not_taken")
--- a/internal/partindex/doubt.go
+++ b/internal/partindex/doubt.go
@@ -9,7 +9,11 @@
 
 package partindex
 
-import "time"
+import (
+	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+)
 
 const (
 	// overdueAfter is how long after a save was asked for nothing heard of it gives doubt: the
@@ -33,7 +37,7 @@
 func (x *Index) Doubted() []string {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	var doubted []string
 	for _, s := range x.stores {
 		if x.isOverdue(s, now) {
@@ -69,16 +73,16 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	s := x.find(address)
-	if s == nil || time.Since(s.listedAt) < leastListPause {
+	if s == nil || boottime.Since(s.listedAt) < leastListPause {
 		return false
 	}
-	return s.doubted || x.isOverdue(s, time.Now())
+	return s.doubted || x.isOverdue(s, boottime.Now())
 }
 
 // noteListed notes that a store box was listed as of a moment: what was saved there before
 // is known now, or has come to nothing. The caller holds mu.
 func (x *Index) noteListed(s *store, asOf time.Time) {
-	s.listedAt, s.doubted = time.Now(), false
+	s.listedAt, s.doubted = boottime.Now(), false
 	for key, asked := range x.saving {
 		if asked.address == s.config.Address && asOf.Sub(asked.at) > overdueAfter {
 			delete(x.saving, key)
--- a/internal/partindex/pace.go
+++ b/internal/partindex/pace.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/mechanism"
 )
 
@@ -72,7 +73,7 @@
 		return false, false // no longer configured
 	}
 	s := x.stores[at]
-	now := time.Now()
+	now := boottime.Now()
 	s.pace.note(late, now)
 	slow = s.pace.least() > x.leastOfOthers(s, now)+slowFetch
 	slow = slow && x.cfg.Off.On(mechanism.SlowStores)
--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -148,9 +149,9 @@
 		}
 		s := x.find(service.Store.Address)
 		if s == nil {
-			s = &store{held: map[Key]int{}, unfinished: map[Key]int{}, knownAt: time.Now()}
+			s = &store{held: map[Key]int{}, unfinished: map[Key]int{}, knownAt: boottime.Now()}
 			if x.cfg.FirstWait > 0 && !x.asks {
-				x.waitUntil(s, time.Now().Add(x.cfg.FirstWait))
+				x.waitUntil(s, boottime.Now().Add(x.cfg.FirstWait))
 			}
 		}
 		s.name, s.config = service.Name, *service.Store
@@ -280,14 +281,14 @@
 // have restarted just now, so it counts as new too.
 func (x *Index) begin(s *store, report Report) {
 	if s.life != report.Life {
-		s.saveFrom = time.Now().Add(quietAfterRestart)
+		s.saveFrom = boottime.Now().Add(quietAfterRestart)
 		s.told = told{until: s.told.until, lapse: s.told.lapse}
 	}
 	s.life = report.Life
 }
 
 func (x *Index) take(s *store, report Report) {
-	now := time.Now()
+	now := boottime.Now()
 	s.next, s.heardAt = report.Next, report.AsOf
 	if report.ClockMillis > 0 {
 		x.clock, x.clockAt = report.ClockMillis, now
@@ -310,7 +311,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	s := x.find(address)
-	if s == nil || time.Since(s.heardAt) > freshFor {
+	if s == nil || boottime.Since(s.heardAt) > freshFor {
 		return nil, 0
 	}
 	for _, kept := range []map[Key]int{s.held, s.unfinished} {
@@ -355,7 +356,7 @@
 	defer x.mu.Unlock()
 	states := make([]State, len(x.stores))
 	for i, s := range x.stores {
-		states[i] = State{s.name, len(s.held), s.used, time.Since(s.heardAt)}
+		states[i] = State{s.name, len(s.held), s.used, boottime.Since(s.heardAt)}
 	}
 	return states
 }
--- a/internal/partindex/plan.go
+++ b/internal/partindex/plan.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 )
 
@@ -64,7 +65,7 @@
 func (x *Index) Plan(query Query) Plan {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	parts := query.Parts
 	plan := NoPlan(parts, query.PromptTokens)
 	if x.clockAt.IsZero() {
--- a/internal/partindex/save.go
+++ b/internal/partindex/save.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 )
 
@@ -49,7 +50,7 @@
 func (x *Index) NotePlaced(name string, parts []call.Part, plan Plan) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	for i, address := range plan.Save {
 		if address != "" {
 			x.saving[Key{name, parts[i].ID}] = save{address, now}
--- a/internal/partindex/suspended_test.go
+++ b/internal/partindex/suspended_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/suspendtest"
 )
@@ -24,7 +25,7 @@
 		g.Expect(before.Fetch[0]).To(Equal(large))
 		machine.Suspend(3 * time.Second)
 		g.Expect(plan(x, "p", 5000).Fetch[0]).To(BeEmpty())
-		x.Apply(large, partindex.Report{AsOf: time.Now().Add(3 * time.Second), Life: 1, ClockMillis: 1000})
+		x.Apply(large, partindex.Report{AsOf: boottime.Now(), Life: 1, ClockMillis: 4000})
 		after := plan(x, "p", 5000)
 		g.Expect(after.Fetch[0]).To(Equal(large))
 		g.Expect(after.Until).To(BeNumerically(">=", before.Until+3000), "on the servers' clock")
--- a/internal/partindex/told.go
+++ b/internal/partindex/told.go
@@ -9,6 +9,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
 )
 
 // Position says how far a box knows what a store box told.
@@ -85,10 +87,10 @@
 func (x *Index) waitUntil(s *store, until time.Time) {
 	s.told.until = until
 	if s.told.lapse == nil {
-		s.told.lapse = time.AfterFunc(time.Until(until), x.askItself.Send)
+		s.told.lapse = time.AfterFunc(boottime.Until(until), x.askItself.Send)
 		return
 	}
-	s.told.lapse.Reset(time.Until(until))
+	s.told.lapse.Reset(boottime.Until(until))
 }
 
 // answered is an answer that began after a position.
@@ -153,10 +155,10 @@
 	if s.life == 0 {
 		return Word{Address: address, Unknown: true}, false, true
 	}
-	word = Word{Address: address, Position: Position{Life: s.life, Next: s.next, Mended: s.told.lists}, Age: time.Since(s.heardAt)}
-	word.Quiet = max(time.Until(s.saveFrom), 0)
+	word = Word{Address: address, Position: Position{Life: s.life, Next: s.next, Mended: s.told.lists}, Age: boottime.Since(s.heardAt)}
+	word.Quiet = max(boottime.Until(s.saveFrom), 0)
 	if x.clock > 0 {
-		word.ClockMillis = x.clock + time.Since(x.clockAt).Milliseconds()
+		word.ClockMillis = x.clock + boottime.Since(x.clockAt).Milliseconds()
 	}
 	if since.Life != s.life || !s.told.reaches(since.Next, s.next) {
 		word.Whole, word.Listed = true, true
@@ -216,7 +218,7 @@
 	s := x.find(word.Address)
 	x.asks, x.follows = false, true
 	if s != nil && word.Unknown {
-		x.waitUntil(s, s.askedFrom(time.Now()))
+		x.waitUntil(s, s.askedFrom(boottime.Now()))
 		return false
 	}
 	if s == nil || !word.Whole && word.Position.Life != s.life {
@@ -238,9 +240,9 @@
 		x.takeReport(s, word, report)
 	}
 	// A box that has just started takes each store box for restarted; others know better.
-	s.saveFrom = earliest(s.saveFrom, time.Now().Add(word.Quiet))
+	s.saveFrom = earliest(s.saveFrom, boottime.Now().Add(word.Quiet))
 	s.heardAt = heardAt
-	x.waitUntil(s, s.askedFrom(time.Now()))
+	x.waitUntil(s, s.askedFrom(boottime.Now()))
 	return further
 }
 
@@ -267,7 +269,7 @@
 // laterClock gives the servers' clock by a word that has just come if that is later than
 // what is known, and nothing otherwise: either lags by the time that it was on its way.
 func (x *Index) laterClock(clockMillis int64) int64 {
-	if x.clock > 0 && x.clock+time.Since(x.clockAt).Milliseconds() >= clockMillis {
+	if x.clock > 0 && x.clock+boottime.Since(x.clockAt).Milliseconds() >= clockMillis {
 		return 0
 	}
 	return clockMillis
@@ -326,7 +328,7 @@
 }
 
 // Told reports whether another box tells of a store box.
-func (x *Index) Told(address string) bool { return time.Now().Before(x.toldUntil(address)) }
+func (x *Index) Told(address string) bool { return boottime.Now().Before(x.toldUntil(address)) }
 
 func (x *Index) toldUntil(address string) time.Time {
 	x.mu.Lock()
--- a/internal/places/asker.go
+++ b/internal/places/asker.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/frame"
 )
 
@@ -126,7 +127,7 @@
 func (p *Places) takeIdle(address string) net.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeRested(time.Now())
+	p.closeRested(boottime.Now())
 	idle := p.idle[address]
 	if len(idle) == 0 {
 		return nil
@@ -143,7 +144,7 @@
 		_ = connection.Close() // nothing is on it
 		return
 	}
-	p.idle[address] = append(p.idle[address], idleConnection{connection, time.Now()})
+	p.idle[address] = append(p.idle[address], idleConnection{connection, boottime.Now()})
 }
 
 // closeRested closes the connections that the other box is about to close, or has closed: also
@@ -166,7 +167,7 @@
 func (p *Places) isSilent(owner string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Now().Before(p.silent[owner])
+	return boottime.Now().Before(p.silent[owner])
 }
 
 // noteSilent leaves an owner alone that did not answer, and the connections to it, which may
@@ -175,7 +176,7 @@
 	p.cfg.Logger.Warn().Str("owner", owner.Name).Str("error", err.Error()).Msg("owner_silent")
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	maps.DeleteFunc(p.silent, func(_ string, until time.Time) bool { return now.After(until) })
 	p.silent[owner.Name] = now.Add(silentFor)
 	for _, connection := range p.idle[owner.Address] {
--- a/internal/places/owner.go
+++ b/internal/places/owner.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/roomline"
 	"github.com/cometlock/cometlock/internal/waitline"
@@ -37,7 +38,7 @@
 // Give chooses a server for a call, which may wait for its turn. It gives nil when there was no
 // room.
 func (p *Places) Give(ctx context.Context, q Question) *fleet.Grant {
-	limits := waitline.Call{Urgency: q.Urgency, Until: time.Now().Add(min(q.Wait, longestWait))}
+	limits := waitline.Call{Urgency: q.Urgency, Until: boottime.Now().Add(min(q.Wait, longestWait))}
 	place, ok := p.line(q.Service).Wait(ctx, limits, q)
 	if !ok {
 		return nil
@@ -66,7 +67,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open = append(p.open, grant{given, q.Box, time.Now()})
+	p.open = append(p.open, grant{given, q.Box, boottime.Now()})
 	if !p.lapsing {
 		p.lapsing = true
 		time.AfterFunc(grantLapse, p.lapse)
@@ -80,13 +81,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.lapsing = len(p.open) > 0; p.lapsing {
-		time.AfterFunc(time.Until(p.open[0].at.Add(grantLapse)), p.lapse)
+		time.AfterFunc(boottime.Until(p.open[0].at.Add(grantLapse)), p.lapse)
 	}
 }
 
 // settle ends the grants whose calls the askers tell of themselves.
 func (p *Places) settle() {
-	for _, told := range p.takeTold(time.Now()) {
+	for _, told := range p.takeTold(boottime.Now()) {
 		told.End()
 	}
 }
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -30,6 +30,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/frame"
@@ -122,7 +123,7 @@
 func (p *Places) ownerOf(zone string) (Box, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now := time.Now(); now.Sub(p.ownersAt) > ownersFor {
+	if now := boottime.Now(); now.Sub(p.ownersAt) > ownersFor {
 		p.owners, p.ownersAt = map[string]Box{}, now
 	}
 	if owner, known := p.owners[zone]; known {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fingerprint"
 )
 
@@ -95,7 +96,7 @@
 
 // NoteEnd notes that a server ended under a request.
 func (s *Set) NoteEnd(ended Ended) {
-	change, changed := s.noteEnd(ended, time.Now())
+	change, changed := s.noteEnd(ended, boottime.Now())
 	if changed {
 		s.tellChanged(change)
 	}
@@ -109,7 +110,7 @@
 
 // NoteServed notes that a server ran a request to a good end.
 func (s *Set) NoteServed(request Request) {
-	change, changed := s.noteServed(request, time.Now())
+	change, changed := s.noteServed(request, boottime.Now())
 	if changed {
 		s.tellChanged(change)
 	}
@@ -186,7 +187,7 @@
 	if known == nil || !known.held() {
 		return 0, false
 	}
-	return max(time.Until(known.heldUntil()), 0), true
+	return max(boottime.Until(known.heldUntil()), 0), true
 }
 
 // try admits a request that may be tried, once. Until it has told anything the next try is as
@@ -194,7 +195,7 @@
 func (s *Set) try(request Request) (heldFor time.Duration, admitted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known, now := s.records[request], time.Now()
+	known, now := s.records[request], boottime.Now()
 	if known == nil || !known.held() {
 		return 0, true
 	}
--- a/internal/quarantine/word.go
+++ b/internal/quarantine/word.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
 )
 
 // mostWords bounds the requests of one message: some 100 bytes each.
@@ -51,7 +53,7 @@
 		changed = changed[:mostWords]
 		next = changed[mostWords-1].changed
 	}
-	now := time.Now()
+	now := boottime.Now()
 	words := make([]Word, len(changed))
 	for i, known := range changed {
 		words[i] = known.word(now)
@@ -69,7 +71,7 @@
 
 // Hear takes over what another box tells.
 func (s *Set) Hear(words []Word) {
-	now := time.Now()
+	now := boottime.Now()
 	for _, word := range words {
 		change, changed := s.hear(word, now)
 		if changed {
--- a/internal/registry/read.go
+++ b/internal/registry/read.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -55,7 +56,7 @@
 			wait = 0
 		}
 		next := r.readFrom(stream)
-		asked := time.Now()
+		asked := boottime.Now()
 		page, whole, err := sharedlog.ReadOn(ctx, r.cfg.Log, stream, next, wait, limitAfter(failed, wasTold))
 		if err != nil {
 			r.noteLost(ctx, stream, asked, err)
@@ -133,7 +134,7 @@
 // proves that there are none: that of the question or, when the log held the answer for
 // the whole time that it was asked to, the end of that time.
 func provenUpTo(asked time.Time, held time.Duration) time.Time {
-	if held > 0 && time.Since(asked) >= held-timerMargin {
+	if held > 0 && boottime.Since(asked) >= held-timerMargin {
 		return asked.Add(held - timerMargin)
 	}
 	return asked
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -157,7 +158,7 @@
 func (r *Registry) ServersAge() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.tail(sharedlog.Servers).readAt)
+	return boottime.Since(r.tail(sharedlog.Servers).readAt)
 }
 
 // LoopOperator follows the operators' stream until ctx ends.
@@ -183,7 +184,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t := r.tail(stream); t.toldUntil.IsZero() && !r.reads {
-		t.toldUntil = time.Now().Add(r.cfg.FirstWait)
+		t.toldUntil = boottime.Now().Add(r.cfg.FirstWait)
 	}
 }
 
--- a/internal/registry/told.go
+++ b/internal/registry/told.go
@@ -11,6 +11,7 @@
 	"context"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -78,7 +79,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tail(stream)
-	word = Word{Stream: stream, Next: t.next, Age: time.Since(t.readAt), Unread: t.readAt.IsZero(), Digest: t.digest()}
+	word = Word{Stream: stream, Next: t.next, Age: boottime.Since(t.readAt), Unread: t.readAt.IsZero(), Digest: t.digest()}
 	switch {
 	case t.next < 0 || from >= t.next:
 		return word, false
@@ -101,7 +102,7 @@
 		return false
 	}
 	readAt := asOf.Add(-word.Age)
-	fresh := time.Since(readAt) < toldFor(word.Stream)
+	fresh := boottime.Since(readAt) < toldFor(word.Stream)
 	if fresh {
 		r.noteBack(word.Stream, word.Next)
 	}
@@ -153,7 +154,7 @@
 func (r *Registry) Told() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Now().Before(r.tail(sharedlog.Operator).toldUntil)
+	return boottime.Now().Before(r.tail(sharedlog.Operator).toldUntil)
 }
 
 // Lost reports whether this box cannot read the operators' stream.
@@ -180,7 +181,7 @@
 	for ctx.Err() == nil {
 		wake := r.readItself.Wait()
 		r.mu.Lock()
-		left := time.Until(r.tail(stream).toldUntil)
+		left := boottime.Until(r.tail(stream).toldUntil)
 		r.mu.Unlock()
 		if left <= 0 {
 			return waited
--- a/internal/registry/weights.go
+++ b/internal/registry/weights.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
@@ -88,7 +89,7 @@
 		for _, named := range versions[max(len(versions)-versionsTold, 0):] {
 			heard := Heard{Version: named.Version, Found: named.Found()}
 			if !heard.Found {
-				heard.Age = time.Since(named.NamedAfter)
+				heard.Age = boottime.Since(named.NamedAfter)
 			}
 			told[model] = append(told[model], heard)
 		}
@@ -128,10 +129,10 @@
 		found := versions[at].Found()
 		versions[at].NamedAfter = namedAfter
 		if found {
-			r.cfg.Logger.Info().Str("model", model).Int("weights", version).Dur("age", time.Since(namedAfter)).Msg("weights_dated")
+			r.cfg.Logger.Info().Str("model", model).Int("weights", version).Dur("age", boottime.Since(namedAfter)).Msg("weights_dated")
 		}
 	case at < len(versions) && versions[at].Found():
-		versions = slices.Insert(versions, at, NamedWeights{Version: version, LearntAt: time.Now(), NamedAfter: namedAfter})
+		versions = slices.Insert(versions, at, NamedWeights{Version: version, LearntAt: boottime.Now(), NamedAfter: namedAfter})
 	default:
 		return false
 	}
@@ -170,11 +171,11 @@
 	}
 	kept := r.weights[named.Model]
 	kept = kept[max(len(kept)-versionsKept+1, 0):]
-	next := NamedWeights{Version: named.Version, LearntAt: time.Now(), NamedAfter: r.tail(sharedlog.Operator).readAt}
+	next := NamedWeights{Version: named.Version, LearntAt: boottime.Now(), NamedAfter: r.tail(sharedlog.Operator).readAt}
 	r.weights[named.Model] = append(slices.Clone(kept), next)
 	event := r.cfg.Logger.Info().Str("model", named.Model).Int("weights", named.Version).Int64("offset", offset).Bool("found", next.Found())
 	if !next.Found() {
-		event.Dur("age_at_most", time.Since(next.NamedAfter))
+		event.Dur("age_at_most", boottime.Since(next.NamedAfter))
 	}
 	event.Msg("weights_named")
 }
--- a/internal/retire/retire.go
+++ b/internal/retire/retire.go
@@ -32,6 +32,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/registry"
 )
@@ -103,7 +104,7 @@
 // MayFetch reports whether a part made by a version of a model's weights may be
 // fetched.
 func (p *Policy) MayFetch(model string, weights int, partID string) bool {
-	return time.Since(p.lastInTouch(model)) <= retirement(partID) && !p.retired(model, weights, partID)
+	return boottime.Since(p.lastInTouch(model)) <= retirement(partID) && !p.retired(model, weights, partID)
 }
 
 // lastInTouch gives the last moment at which the box was in touch, as far as a model
@@ -114,7 +115,7 @@
 	defer p.mu.Unlock()
 	switch {
 	case inTouch:
-		p.inTouchAt[model] = time.Now()
+		p.inTouchAt[model] = boottime.Now()
 	case outdated:
 		return time.Time{}
 	}
@@ -124,13 +125,13 @@
 // inTouch reports whether the box knows of all weights that were named until lately;
 // outdated says that another box knows of newer ones.
 func (p *Policy) inTouch(model string) (inTouch, outdated bool) {
-	if time.Since(p.cfg.Registry.OperatorReadAt()) <= registry.ReadFresh {
+	if boottime.Since(p.cfg.Registry.OperatorReadAt()) <= registry.ReadFresh {
 		return true, false
 	}
 	newest := p.cfg.Registry.Weights(model).Version
 	agreeing := 1
 	for _, peer := range p.cfg.Peers() {
-		if time.Since(peer.At) > heardFresh {
+		if boottime.Since(peer.At) > heardFresh {
 			continue
 		}
 		if peer.Weights[model] > newest {
@@ -149,7 +150,7 @@
 	if !outdated {
 		return false
 	}
-	return since.Found() || time.Since(since.NamedAfter) >= FetchedFor(partID)
+	return since.Found() || boottime.Since(since.NamedAfter) >= FetchedFor(partID)
 }
 
 // MayFree reports whether a part may be freed.
@@ -158,7 +159,7 @@
 	if !outdated {
 		return false
 	}
-	return time.Since(since.LearntAt) > FreedAfter(partID) && p.confirmed(model, since.Version, retirement(partID)+confirmFor)
+	return boottime.Since(since.LearntAt) > FreedAfter(partID) && p.confirmed(model, since.Version, retirement(partID)+confirmFor)
 }
 
 // confirmed reports whether more than half of the boxes have known of a version for
@@ -167,13 +168,13 @@
 	p.mu.Lock()
 	known, found := p.majorities[model]
 	p.mu.Unlock()
-	if !found || known.version != version || time.Since(known.workedOutAt) > majorityFor {
+	if !found || known.version != version || boottime.Since(known.workedOutAt) > majorityFor {
 		known = p.majority(model, version)
 		p.mu.Lock()
 		p.majorities[model] = known
 		p.mu.Unlock()
 	}
-	return known.there && time.Since(known.since) >= length
+	return known.there && boottime.Since(known.since) >= length
 }
 
 // majority is since when more than half of the boxes have known of a version.
@@ -187,7 +188,7 @@
 // majority works out since when more than half of the boxes have known of a version, by
 // their recent word.
 func (p *Policy) majority(model string, version int) majority {
-	now := time.Now()
+	now := boottime.Now()
 	found := majority{version: version, workedOutAt: now}
 	var since []time.Time
 	for _, peer := range p.cfg.Peers() {
--- a/internal/roomline/roomline.go
+++ b/internal/roomline/roomline.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/waitline"
 )
 
@@ -62,7 +63,7 @@
 func (l *Line[C, P]) enter(limits waitline.Call, call C) (entry *waitline.Entry[*waiter[C, P]], place P, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	if place, ok = l.cfg.Place(call); ok {
 		l.calls.Found(now)
 		return nil, place, true
@@ -101,7 +102,7 @@
 func (l *Line[C, P]) look() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	if now.Sub(l.lookedAt) < shortestLook {
 		return
 	}
@@ -119,7 +120,7 @@
 func (l *Line[C, P]) giveUp(entry *waitline.Entry[*waiter[C, P]]) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Now().After(entry.Until) && l.calls.Leave(entry) // it may have been placed just now
+	return boottime.Now().After(entry.Until) && l.calls.Leave(entry) // it may have been placed just now
 }
 
 // abandon takes a call out of the line that nobody waits for any more. It may have been placed
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -10,6 +10,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/telemetry"
 )
 
@@ -40,7 +41,7 @@
 
 // Newest implements Log.
 func (m *Measured) Newest(ctx context.Context, stream Stream) (Page, error) {
-	began := time.Now()
+	began := boottime.Now()
 	page, err := m.log.Newest(ctx, stream)
 	m.note("newest", stream, began, err)
 	return page, err
@@ -48,7 +49,7 @@
 
 // Read implements Log.
 func (m *Measured) Read(ctx context.Context, stream Stream, from int64, wait time.Duration) (Page, error) {
-	began := time.Now()
+	began := boottime.Now()
 	page, err := m.log.Read(ctx, stream, from, wait)
 	kind := "read"
 	if wait > 0 {
@@ -60,7 +61,7 @@
 
 // Append implements Log.
 func (m *Measured) Append(ctx context.Context, stream Stream, end int64, record Record) (int64, error) {
-	began := time.Now()
+	began := boottime.Now()
 	offset, err := m.log.Append(ctx, stream, end, record)
 	m.note("append", stream, began, err)
 	return offset, err
@@ -74,7 +75,7 @@
 	scope := m.scope.Tagged(map[string]string{"kind": kind, "stream": stream.String(), "end": end})
 	scope.Counter("log_calls").Inc(1)
 	if kind != "held_read" {
-		scope.Histogram("log_call_seconds", telemetry.LatencyBuckets()).RecordDuration(time.Since(began))
+		scope.Histogram("log_call_seconds", telemetry.LatencyBuckets()).RecordDuration(boottime.Since(began))
 	}
 }
 
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -139,7 +140,7 @@
 		if w.cfg.Index.WaitWhileTold(ctx, address) {
 			next, lost = usual, false
 		}
-		due := time.Now().After(listAt) || w.cfg.Index.WantsList(address)
+		due := boottime.Now().After(listAt) || w.cfg.Index.WantsList(address)
 		listed, err := w.ask(ctx, address, next, due)
 		if due && err == nil {
 			listAt = nextList()
@@ -175,7 +176,7 @@
 	return failurePause
 }
 
-func nextList() time.Time { return time.Now().Add(listEvery/2 + rand.N(listEvery)) }
+func nextList() time.Time { return boottime.Now().Add(listEvery/2 + rand.N(listEvery)) }
 
 // log tells that a store box was lost, or that it is back when err is nil.
 func (w *Watcher) log(address string, err error) {
@@ -195,13 +196,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, q.wait+q.limit)
 	defer cancel()
-	asked := time.Now()
+	asked := boottime.Now()
 	report, err := w.cfg.Stores.Changes(ctx, address, next, q.wait)
 	if err != nil {
 		return false, err
 	}
 	report.AsOf = asked
-	if q.wait > 0 && len(report.Changes) == 0 && time.Since(asked) >= heldLeast {
+	if q.wait > 0 && len(report.Changes) == 0 && boottime.Since(asked) >= heldLeast {
 		report.AsOf = asked.Add(heldLeast)
 	}
 	if !w.cfg.Index.Apply(address, report) {
@@ -214,7 +215,7 @@
 func (w *Watcher) list(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, listLimit)
 	defer cancel()
-	asked := time.Now()
+	asked := boottime.Now()
 	report, err := w.cfg.Stores.List(ctx, address)
 	if err != nil {
 		return err
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -22,7 +23,7 @@
 	if g.count(loading) >= t.atOnce {
 		return false
 	}
-	g.under[t.server.Incarnation] = progress{loading, time.Now()}
+	g.under[t.server.Incarnation] = progress{loading, boottime.Now()}
 	return true
 }
 
@@ -30,7 +31,7 @@
 func (g *Giver) runLoad(ctx context.Context, t task) {
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
-	started := time.Now()
+	started := boottime.Now()
 	name := t.server.Incarnation
 	g.cfg.Fleet.BeginOrder(name, started.Add(loadLimit))
 	if g.cfg.Paused != nil {
@@ -45,12 +46,12 @@
 	if err != nil {
 		event = g.cfg.Logger.Warn().Str("error", err.Error())
 	}
-	event.Str("server", name).Str("model", t.model).Int("weights", t.version).Dur("took", time.Since(started)).Msg("weights_ordered")
+	event.Str("server", name).Str("model", t.model).Int("weights", t.version).Dur("took", boottime.Since(started)).Msg("weights_ordered")
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.under, name)
 	if err != nil {
-		g.notBefore[name] = time.Now().Add(retryAfter)
+		g.notBefore[name] = boottime.Now().Add(retryAfter)
 	}
 }
 
@@ -81,7 +82,7 @@
 	if report.Busy {
 		return g.awaitLoad(ctx, *t) // when that load began is not known, so nothing is learnt of it
 	}
-	began := time.Now()
+	began := boottime.Now()
 	if done, err := g.order(ctx, *t, report.Orders); err != nil || done {
 		return err
 	}
@@ -89,7 +90,7 @@
 	if err := g.awaitLoad(ctx, *t); err != nil {
 		return err
 	}
-	g.learnLoad(time.Since(began))
+	g.learnLoad(boottime.Since(began))
 	return nil
 }
 
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -21,6 +21,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/orderlease"
@@ -203,11 +204,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	name := t.server.Incarnation
-	if g.under[name].phase != 0 || time.Now().Before(g.notBefore[name]) || g.occupied() >= t.atOnce {
+	if g.under[name].phase != 0 || boottime.Now().Before(g.notBefore[name]) || g.occupied() >= t.atOnce {
 		return
 	}
 	delete(g.notBefore, name)
-	g.under[name] = progress{pausing, time.Now()}
+	g.under[name] = progress{pausing, boottime.Now()}
 	g.orders.Go(func() { g.runLoad(ctx, t) })
 }
 
@@ -227,7 +228,7 @@
 func (g *Giver) occupied() int {
 	count := 0
 	for _, reached := range g.under {
-		if reached.phase == pausing || time.Since(reached.since) < g.usualLoad-pauseBefore {
+		if reached.phase == pausing || boottime.Since(reached.since) < g.usualLoad-pauseBefore {
 			count++
 		}
 	}
--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -12,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/mechanism"
@@ -75,7 +76,7 @@
 	boxes := make([]delegate.Box, len(others))
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	for i, box := range others {
 		boxes[i], addresses[box.Name] = box.Box, box.Address
 		boxes[i].Away = box.Away || now.Before(z.avoided[box.Name])
@@ -112,7 +113,7 @@
 	if errors.Is(err, errLost) {
 		length = avoidLostFor
 	}
-	z.avoided[reader] = time.Now().Add(length)
+	z.avoided[reader] = boottime.Now().Add(length)
 }
 
 // follow asks one box until that fails, which it tells by an error, or until another is to
@@ -141,11 +142,11 @@
 // ask asks once and takes over the answer. mended holds how many lists of each store box
 // the other box's words have taken in.
 func (z *Zone) ask(connection net.Conn, buffered *bufio.Reader, mended map[string]int) error {
-	asked := time.Now()
+	asked := boottime.Now()
 	if err := frame.Write(connection, z.question(mended), ioLimit); err != nil {
 		return err
 	}
-	if err := connection.SetReadDeadline(asked.Add(answerHold + answerLimit)); err != nil {
+	if err := connection.SetReadDeadline(time.Now().Add(answerHold + answerLimit)); err != nil {
 		return err
 	}
 	var told answer
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -25,6 +25,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/mechanism"
@@ -224,7 +225,7 @@
 
 // answer tells what this box knows as soon as that is news, or when the hold is over.
 func (z *Zone) answer(ctx context.Context, asked question) answer {
-	cameAt := time.Now()
+	cameAt := boottime.Now()
 	z.cfg.Parts.Doubt(asked.Doubted)
 	atOnce := z.tellsPartsAtOnce() || asked.lacksStores()
 	for {
@@ -233,7 +234,7 @@
 			partsWake = nil
 		}
 		told, streamNews, partNews := z.look(asked)
-		told.Held, told.Lost = time.Since(cameAt), z.cfg.Registry.Lost()
+		told.Held, told.Lost = boottime.Since(cameAt), z.cfg.Registry.Lost()
 		if streamNews || atOnce && partNews || told.Held >= answerHold || ctx.Err() != nil {
 			return told
 		}
