--- /dev/null
+++ b/internal/dispatch/endings_test.go
@@ -0,0 +1,60 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/apierror"
+	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/dispatch"
+	"github.com/cometlock/cometlock/internal/engine"
+	"github.com/cometlock/cometlock/internal/flow"
+	"github.com/cometlock/cometlock/internal/retrybudget"
+)
+
+// endsUnder starts an engine that ends, with its listener, as soon as it was handed a run.
+func endsUnder(t *testing.T, name string) *config.BackendServer {
+	t.Helper()
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		_ = server.Listener.Close()
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(server.Close)
+	return &config.BackendServer{Name: name, Address: server.Listener.Addr().String()}
+}
+
+// A request that may be repeated ended as many engines as it had tries, each time it was sent. A
+// review, which is run again for as long as it waits, ended three each thirty seconds for ever.
+func TestARequestThatEndsEnginesIsHandedToNoMore(t *testing.T) {
+	g := NewWithT(t)
+	ended := 0
+	choose := func(request *flow.Request, _ []string) *apierror.Error {
+		ended++
+		request.Placement.Server = endsUnder(t, fmt.Sprint("engine-", ended))
+		return nil
+	}
+	d := dispatch.New(dispatch.Config{
+		Engines: engine.NewClient(engine.ClientConfig{}), Choose: choose, Failed: func(string) {}, Budget: retrybudget.New(retrybudget.Config{}),
+	})
+	var last *apierror.Error
+	for range 6 {
+		request := flow.NewRequest(t.Context())
+		request.Path = "/v1/completions"
+		request.OnEncode(func() []byte { return []byte(`{"prompt":"the same"}`) })
+		request.Placement.Server = endsUnder(t, fmt.Sprint("placed-", ended))
+		_, last = d.Open(request)
+		g.Expect(last).NotTo(BeNil())
+		if last.Outcome != apierror.NotRun {
+			ended++ // the server of its placement
+		}
+	}
+	g.Expect(ended).To(BeNumerically("<=", 3))
+	g.Expect(last.Code).To(Equal("ends_servers"))
+	g.Expect(last.Outcome).To(Equal(apierror.NotRun))
+	g.Expect(last.RetryAfter).To(BeNumerically(">", 0))
+}
