cometlockd hands a request that ends engines to no more than three

Callers saw nothing of it; operators would have: a request that may be repeated ended an engine for each of its tries, 18 for six sendings, and a review that waits is run again for as long as it waits, so it ended up to three engines each thirty seconds for ever.

Cause: the same as in the entry box of the platform: what is handed over is judged by the try alone. Ruled out: a bound of runs in the review itself, which the same call sent by a caller would go around, and which would give up a durable review for an outage.

Change: the dispatcher asks package quarantine before each hand-over and tells it of engines that ended without an answer (package crash) and of answers that came whole.

--- a/internal/api/models.go
+++ b/internal/api/models.go
@@ -98,6 +98,9 @@
 		return relay.Result{Failure: failure}
 	}
 	result := s.relay.Copy(request, attempt, sink)
+	if result.Failure == nil {
+		s.dispatcher.NoteServed(request)
+	}
 	if model, ok := request.Snapshot.Model(request.Model); ok && result.Failure == nil {
 		s.keeper.Offer(request.Placement.Server, request.Chain, model.KVBytesPerToken)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,15 +67,17 @@
 	keeper    *kept.Keeper
 	admit     *admit.Stage
 	pipeline  *pipeline.Pipeline
-	settle    *settle.Stage
-	claims    *claim.Service
-	reviews   *review.Service
-	budget    *retrybudget.Budget
-	router    *routed.Router
-	caller    *http.Server
-	admin     *http.Server
-	callerTLS *tlsfiles.Files
-	peerTLS   *tlsfiles.Files
+	// dispatcher hands requests to engines.
+	dispatcher *dispatch.Dispatcher
+	settle     *settle.Stage
+	claims     *claim.Service
+	reviews    *review.Service
+	budget     *retrybudget.Budget
+	router     *routed.Router
+	caller     *http.Server
+	admin      *http.Server
+	callerTLS  *tlsfiles.Files
+	peerTLS    *tlsfiles.Files
 
 	leaving atomic.Bool
 	drain   chan struct{}
@@ -190,8 +192,10 @@
 		Capacity: d.settings.RingCapacity,
 		Stages:   []flow.Stage{authenticate.New(), d.admit, placing},
 	})
-	dispatcher := dispatch.New(dispatch.Config{Engines: engines, Choose: placing.Choose, Failed: d.knowledge.Failed, Budget: d.budget})
-	relaying := relay.New(relay.Config{Engines: engines, Reopen: dispatcher.Reopen})
+	d.dispatcher = dispatch.New(dispatch.Config{
+		Engines: engines, Choose: placing.Choose, Failed: d.knowledge.Failed, Budget: d.budget, Life: d.knowledge.Life, Logger: d.logger,
+	})
+	relaying := relay.New(relay.Config{Engines: engines, Reopen: d.dispatcher.Reopen})
 	d.settle = settle.New(settle.Config{Logger: d.logger, Scope: d.metrics.Scope()})
 	d.claims = claim.New(claim.Config{Log: log, Claimer: d.incarnation, Window: d.keyWindow, Retention: d.settings.LogRetention})
 
@@ -203,7 +207,7 @@
 		Run: func(ctx context.Context, task review.Task) ([]byte, error) { return server.RunReview(ctx, task) },
 	})
 	server = api.New(api.Config{
-		Snapshot: d.follower.Snapshot, Keys: keys, Pipeline: d.pipeline, Dispatcher: dispatcher, Relay: relaying,
+		Snapshot: d.follower.Snapshot, Keys: keys, Pipeline: d.pipeline, Dispatcher: d.dispatcher, Relay: relaying,
 		Settle: d.settle, Claims: d.claims, Reviews: d.reviews, Services: plainservice.NewClient(plainservice.ClientConfig{}),
 		Zone: d.knowledge, Keeper: d.keeper, Budget: d.budget,
 	})
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -30,7 +30,7 @@
 // startLoops starts one goroutine for each duty.
 func (d *Daemon) startLoops() {
 	d.pipeline.Start(d.background)
-	for _, loop := range []func(context.Context){d.follower.Loop, d.exchange.Loop, d.settle.Loop, d.rollout.Loop, d.keeper.Loop} {
+	for _, loop := range []func(context.Context){d.follower.Loop, d.exchange.Loop, d.settle.Loop, d.rollout.Loop, d.keeper.Loop, d.dispatcher.Loop} {
 		d.loops.Go(func() { loop(d.background) })
 	}
 	d.loops.Go(func() { d.exchange.Serve(d.background, d.ports.peer) })
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/apierror"
 	"github.com/cometlock/cometlock/internal/config"
@@ -34,6 +35,10 @@
 	// Failed is told of servers that could not be reached.
 	Failed func(server string)
 	Budget *retrybudget.Budget
+	// Life gives the life of a server that is there now, and whether it is to end; nil where
+	// nothing is known of either.
+	Life   func(server string) (life string, leaving bool)
+	Logger zerolog.Logger
 }
 
 // Dispatcher hands requests to engines.
@@ -42,13 +47,17 @@
 	choose  func(request *flow.Request, exclude []string) *apierror.Error
 	failed  func(server string)
 	budget  *retrybudget.Budget
+	endings *endings
 }
 
 // New makes a dispatcher.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{engines: cfg.Engines, choose: cfg.Choose, failed: cfg.Failed, budget: cfg.Budget}
+	return &Dispatcher{engines: cfg.Engines, choose: cfg.Choose, failed: cfg.Failed, budget: cfg.Budget, endings: newEndings(cfg)}
 }
 
+// Loop finds out later which servers ended, until ctx ends.
+func (d *Dispatcher) Loop(ctx context.Context) { d.endings.crashes.Loop(ctx) }
+
 // Attempt is a run that an engine has taken.
 type Attempt struct {
 	// Server runs it.
@@ -65,6 +74,7 @@
 // as that is allowed. It counts as a first try.
 func (d *Dispatcher) Open(request *flow.Request) (*Attempt, *apierror.Error) {
 	d.budget.Earn()
+	request.Fingerprint = identify(request)
 	return d.open(request, nil, false)
 }
 
@@ -75,6 +85,9 @@
 	if !request.Repeatable {
 		return nil, apierror.Failed("run_lost", apierror.Unknown, "the run was lost and may not be repeated")
 	}
+	if d.endings.endsServers(request, lost.Server) {
+		return nil, honest(d.endings.refusal(request), true)
+	}
 	if !d.moveOn(request, lost.tried) {
 		return nil, exhausted(true)
 	}
@@ -85,6 +98,10 @@
 // that an earlier try may have run; then no later refusal makes it "not run".
 func (d *Dispatcher) open(request *flow.Request, tried []string, mayHaveRun bool) (*Attempt, *apierror.Error) {
 	for {
+		if refusal := d.endings.admit(request); refusal != nil {
+			request.Placement.Handle.Done(false)
+			return nil, honest(refusal, mayHaveRun)
+		}
 		server := request.Placement.Server
 		tried = append(tried, server.Name)
 		attempt := &Attempt{Server: server, Run: newRun(request), tried: tried}
@@ -98,7 +115,11 @@
 		}
 		request.Placement.Handle.Done(false)
 		mayHaveRun = mayHaveRun || !provesNotRun(err)
-		if failure := d.judge(request, server.Name, err); failure != nil {
+		failure := d.judge(request, server.Name, err)
+		if errors.Is(err, engine.ErrNoAnswer) && d.endings.endsServers(request, server) && failure == nil {
+			failure = d.endings.refusal(request)
+		}
+		if failure != nil {
 			return nil, honest(failure, mayHaveRun)
 		}
 		if !d.moveOn(request, tried) {
--- /dev/null
+++ b/internal/dispatch/endings.go
@@ -0,0 +1,106 @@
+// Requests that end the servers which run them: such a request is handed to no server after the
+// third, however often it is sent or, as a review that waits, run again (package quarantine).
+
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/apierror"
+	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/crash"
+	"github.com/cometlock/cometlock/internal/fingerprint"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/flow"
+	"github.com/cometlock/cometlock/internal/quarantine"
+)
+
+// codeEndsServers is why a request is refused that ends servers.
+const codeEndsServers = "ends_servers"
+
+// endings knows which requests end servers.
+type endings struct {
+	known   *quarantine.Set
+	crashes *crash.Detector
+	life    func(server string) (string, bool)
+}
+
+func newEndings(cfg Config) *endings {
+	e := &endings{life: cfg.Life}
+	if e.life == nil {
+		e.life = func(string) (string, bool) { return "", false }
+	}
+	e.known = quarantine.New(quarantine.Config{
+		// Boxes of this program do not tell each other, so each tries for itself.
+		MayTry:  func(quarantine.Request) bool { return true },
+		Changed: func(change quarantine.Change) { tellChange(cfg.Logger, change) },
+	})
+	e.crashes = crash.New(crash.Config{Logger: cfg.Logger, Refuses: crash.Refuses, Fate: e.fate, Ended: e.noteEnd})
+	return e
+}
+
+func tellChange(logger zerolog.Logger, change quarantine.Change) {
+	switch {
+	case change.Held:
+		logger.Warn().Stringer("fingerprint", change.Request).Int("ends", change.Ends).Msg("request_held")
+	case change.Released:
+		logger.Warn().Stringer("fingerprint", change.Request).Msg("request_released")
+	}
+}
+
+// identify names the request.
+func identify(request *flow.Request) fingerprint.Fingerprint {
+	caller := ""
+	if request.Organisation != nil {
+		caller = request.Organisation.Name
+	}
+	return fingerprint.Of(fingerprint.Request{Caller: caller, Method: request.Method, Target: request.Path, Body: request.EngineBody()})
+}
+
+// fate says what is known of a server by its name.
+func (e *endings) fate(server string) fleet.Fate {
+	if _, leaving := e.life(server); leaving {
+		return fleet.FateLeft
+	}
+	return fleet.FateListed
+}
+
+func (e *endings) noteEnd(loss crash.Loss) {
+	life, _ := e.life(loss.Server.Incarnation)
+	e.known.NoteEnd(quarantine.Ended{Request: loss.Request, Caller: loss.Caller, Life: xxhash.Sum64String(loss.Server.Incarnation + "@" + life)})
+}
+
+// admit gives the refusal of a request that is held.
+func (e *endings) admit(request *flow.Request) *apierror.Error {
+	if _, admitted := e.known.Admit(request.Fingerprint); admitted {
+		return nil
+	}
+	return e.refusal(request)
+}
+
+// leastPause is the time to come back where none is known.
+const leastPause = time.Second
+
+// refusal is what is said of a request that ends servers.
+func (e *endings) refusal(request *flow.Request) *apierror.Error {
+	left, _ := e.known.HeldFor(request.Fingerprint)
+	return apierror.NotReady(codeEndsServers, max(left, leastPause), "servers end when they run this request")
+}
+
+// endsServers finds out whether a server that gave no answer has ended, and reports whether the
+// request is to be handed to no other one for that: it was not the first.
+func (e *endings) endsServers(request *flow.Request, server *config.BackendServer) bool {
+	loss := crash.Loss{
+		Server: fleet.Server{Incarnation: server.Name, Address: server.Address}, Request: request.Fingerprint,
+	}
+	if request.Organisation != nil {
+		loss.Caller = xxhash.Sum64String(request.Organisation.Name)
+	}
+	return e.crashes.Judge(request.Context(), loss) && e.known.Ends(request.Fingerprint) > 1
+}
+
+// NoteServed notes that a request was answered whole.
+func (d *Dispatcher) NoteServed(request *flow.Request) { d.endings.known.NoteServed(request.Fingerprint) }
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -14,6 +14,7 @@
 
 	"github.com/cometlock/cometlock/internal/apierror"
 	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/fingerprint"
 	"github.com/cometlock/cometlock/internal/prefix"
 	"github.com/cometlock/cometlock/internal/ring"
 )
@@ -61,6 +62,9 @@
 	Chain     prefix.Chain
 	Placement Placement
 
+	// Written by dispatch: the same for each sending of the request.
+	Fingerprint fingerprint.Fingerprint
+
 	ctx  context.Context
 	done chan *apierror.Error
 	// encode writes the engine's body; body is what it wrote for bodySalt.
--- a/internal/zone/state.go
+++ b/internal/zone/state.go
@@ -99,6 +99,17 @@
 	return slots
 }
 
+// Life gives the life of a server by its last report, and whether it is to end.
+func (k *Knowledge) Life(name string) (life string, leaving bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	known, ok := k.byName[name]
+	if !ok {
+		return "", false
+	}
+	return known.incarnation, known.leaves()
+}
+
 // Available reports whether a plain service's server may get new work.
 func (k *Knowledge) Available(name string) bool {
 	k.mu.Lock()
