A server counts as ended only while another one of its zone is reached

Cause: "refused" was taken for proof that a server's process is gone. Across a cut whose connections are reset new ones are refused as well, so for each of two boxes 14 living servers ended within a second, and a call that went on from one to the next had three of them.

Ruled out: chance (both of its first ends were in the second of the cut); waiting for the registry's word alone, which comes after 2 to 4 s, too late for the three that are allowed.

Change: the detector asks up to three other servers of the zone, those first that most calls are at. Where none answers, the registry's word decides. cometlockd, whose servers are those of its own zone, goes on as before.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -2,10 +2,13 @@
 //
 // A call breaks off for many reasons: a connection is reset, a link is cut, a planned stop
 // ends it, an answer cannot be read. Only one of them is the server's own end, and two things
-// prove it. At once: the server's address refuses a new connection, so its machine is there
-// and the process is not. Later: the registry names another life of the server, or another
-// server at its address. Neither counts for a server that was to end, as its entry said, and
-// a server that merely cannot be reached proves nothing.
+// prove it. At once: the server's address refuses a new connection, while another server of its
+// zone takes one, so its machine is there and the process is not. Later: the registry names
+// another life of the server, or another server at its address. Neither counts for a server
+// that was to end, as its entry said, and a server that merely cannot be reached proves nothing.
+//
+// The other server is asked since a cut between zones may refuse connections, too: two boxes of
+// a zone that was cut off took 14 living servers each for ended, and held a request for it.
 //
 // The second proof is for a server that is back before the first is looked for, or a box that
 // comes late to look.
@@ -13,7 +16,10 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -49,8 +55,11 @@
 // Config sets up a Detector.
 type Config struct {
 	Logger zerolog.Logger
-	// Refuses reports whether an address refuses connections.
-	Refuses func(ctx context.Context, address string) bool
+	// Connect connects to an address, and gives the system's error if it cannot.
+	Connect func(ctx context.Context, address string) error
+	// Near gives the addresses of other servers that are reached as a server is, the likeliest
+	// first. Nil is for servers of the box's own zone alone, where no cut lies between.
+	Near func(server fleet.Server) []string
 	// Fate says what the registry knows of a life of a server.
 	Fate func(incarnation string) fleet.Fate
 	// Ended is told of each call under which a server ended.
@@ -103,7 +112,7 @@
 func (d *Detector) ended(ctx context.Context, server fleet.Server) bool {
 	known, first := d.life(server.Incarnation)
 	if first {
-		known.ended = d.cfg.Refuses(ctx, server.Address)
+		known.ended = d.refuses(ctx, server)
 		close(known.asked)
 		if known.ended {
 			d.cfg.Logger.Warn().Str("server", server.Incarnation).Str("service", server.Service).Str("address", server.Address).Str("proof", "refused").Msg("server_crashed")
@@ -118,6 +127,22 @@
 	}
 }
 
+// mostNear bounds the other servers that are asked: one that answers is enough, and some may have
+// ended as well.
+const mostNear = 3
+
+// refuses reports whether a server refuses connections that others of its zone take.
+func (d *Detector) refuses(ctx context.Context, server fleet.Server) bool {
+	if err := d.cfg.Connect(ctx, server.Address); !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	if d.cfg.Near == nil {
+		return true
+	}
+	near := d.cfg.Near(server)
+	return slices.ContainsFunc(near[:min(len(near), mostNear)], func(address string) bool { return d.cfg.Connect(ctx, address) == nil })
+}
+
 // askedAgain is how long the answer of a server that has not ended holds.
 const askedAgain = 20 * time.Millisecond
 
--- a/internal/dispatch/endings.go
+++ b/internal/dispatch/endings.go
@@ -38,7 +38,7 @@
 		MayTry:  func(quarantine.Request) bool { return true },
 		Changed: func(change quarantine.Change) { tellChange(cfg.Logger, change) },
 	})
-	e.crashes = crash.New(crash.Config{Logger: cfg.Logger, Refuses: crash.Refuses, Fate: e.fate, Ended: e.noteEnd})
+	e.crashes = crash.New(crash.Config{Logger: cfg.Logger, Connect: crash.Connect, Fate: e.fate, Ended: e.noteEnd})
 	return e
 }
 
--- a/internal/fleet/fate.go
+++ b/internal/fleet/fate.go
@@ -3,6 +3,14 @@
 
 package fleet
 
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+)
+
 // Fate is what became of a life of a server.
 type Fate uint8
 
@@ -34,6 +42,28 @@
 	}
 }
 
+// Near gives the addresses of other servers of a server's zone that can be reached as far as
+// this box knows, those first that most of its calls are at.
+func (f *Fleet) Near(server Server) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := boottime.Now()
+	var near []*State
+	for _, other := range f.servers {
+		if other.Zone == server.Zone && other.Address != server.Address && other.gone.IsZero() && !other.suspect(now) {
+			near = append(near, other)
+		}
+	}
+	slices.SortFunc(near, func(a, b *State) int {
+		return cmp.Or(-cmp.Compare(a.inFlight, b.inFlight), strings.Compare(a.Incarnation, b.Incarnation))
+	})
+	addresses := make([]string, len(near))
+	for i, other := range near {
+		addresses[i] = other.Address
+	}
+	return addresses
+}
+
 // replaced reports whether another life stands where one is or was. The caller holds mu.
 func (f *Fleet) replaced(state *State) bool {
 	for _, other := range f.servers {
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -8,7 +8,6 @@
 	"bufio"
 	"cmp"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -128,20 +127,20 @@
 	return p.dial(ctx, call.Address)
 }
 
-// refusalLimit bounds the wait for a server's word that nothing listens at its address. A
-// machine that is there says so at once, and calls wait for it.
-const refusalLimit = 100 * time.Millisecond
+// probeLimit bounds the wait for a connection that no call needs but that calls wait for.
+const probeLimit = 100 * time.Millisecond
 
-// Refuses reports whether the machine at an address is there and accepts no connections.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, refusalLimit)
+// Probe makes a connection to an address and keeps it for the next call there. The error is the
+// system's.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
 	defer cancel()
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	p.keep(c, shortestRest)
-	return false
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
