Hubs alone pass on at once what they heard of requests that end servers; one teardown for histories

If every box told at once what it had heard, the 64 followers of a hub would have it tell all of them 64 times. A server that ended is remembered for 2 s instead of 10: it may be back in a life that does not tell itself from the one before. Test of calls whose time passed in a suspension.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -37,8 +37,9 @@
 	lookEvery = 250 * time.Millisecond
 	lookFor   = 6 * time.Second
 	// rememberFor is how long a server that has ended is remembered, so that it is asked once
-	// and not for each call that it took along.
-	rememberFor = 10 * time.Second
+	// and not for each call that it took along. It may be back soon, in a life that does not
+	// tell itself from the one before.
+	rememberFor = 2 * time.Second
 	// mostLosses bounds the calls for which the registry is looked at; more come only of an
 	// outage, which ends no servers.
 	mostLosses = 512
--- a/internal/dispatch/endings.go
+++ b/internal/dispatch/endings.go
@@ -103,4 +103,6 @@
 }
 
 // NoteServed notes that a request was answered whole.
-func (d *Dispatcher) NoteServed(request *flow.Request) { d.endings.known.NoteServed(request.Fingerprint) }
+func (d *Dispatcher) NoteServed(request *flow.Request) {
+	d.endings.known.NoteServed(request.Fingerprint)
+}
--- a/internal/entrybox/suspects.go
+++ b/internal/entrybox/suspects.go
@@ -35,10 +35,17 @@
 // some ten along.
 const toldAtOnce = 2
 
+// tellsAtOnce reports whether others are told of a change before the next message is due: by who
+// found it out, and by hubs. If all boxes passed on what they heard, the 64 followers of a hub
+// would have it tell all of them 64 times.
+func (b *Box) tellsAtOnce(change quarantine.Change) bool {
+	return change.Ends >= toldAtOnce && (!change.Heard || b.share.Hub() == "")
+}
+
 // suspectChanged writes down what is known of a request now, tells it, and ends the calls
 // that must not go on.
 func (b *Box) suspectChanged(change quarantine.Change) {
-	if !change.Heard && change.Ends >= toldAtOnce || change.Held {
+	if b.tellsAtOnce(change) {
 		b.share.TellNow()
 	}
 	if change.Held {
--- a/internal/gateway/suspended_test.go
+++ b/internal/gateway/suspended_test.go
@@ -67,3 +67,46 @@
 	ends, _ := tried.ctx.Deadline()
 	g.Expect(time.Until(ends)).To(BeNumerically("~", promptTimeout+lateAnswer, 500*time.Millisecond))
 }
+
+// Timers stand still in a suspension, so a call that waits at a server would be held for as long
+// again. On waking the box ends those whose time is over, and no others.
+func TestCallsWhoseTimePassedInASuspensionEndOnWaking(t *testing.T) {
+	tests := []struct {
+		name      string
+		suspended time.Duration
+		status    int
+	}{
+		{"its time is over", promptTimeout + time.Second, http.StatusGatewayTimeout},
+		{"some is left", promptTimeout / 2, http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			machine := suspendtest.New(t)
+			f := fleet.New(fleet.Config{})
+			begun, release := make(chan struct{}), make(chan struct{})
+			startRunner(t, f, "r", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				close(begun)
+				<-release
+				_, _ = w.Write([]byte("answer"))
+			}))
+			c := promptCatalog(g)
+			gateway := promptGateway(newPlanProtocol(), f, emptyStore(c), c)
+			answers := make(chan *httptest.ResponseRecorder, 1)
+			go func() {
+				answer := httptest.NewRecorder()
+				gateway.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+				answers <- answer
+			}()
+			<-begun
+			machine.Suspend(test.suspended)
+			gateway.EndOverdue()
+			if test.status == http.StatusOK {
+				close(release)
+			} else {
+				defer close(release)
+			}
+			g.Expect((<-answers).Code).To(Equal(test.status))
+		})
+	}
+}
--- a/internal/loadshare/agreement_test.go
+++ b/internal/loadshare/agreement_test.go
@@ -169,6 +169,17 @@
 	return records
 }
 
+// finish ends all boxes; what is on its way arrives nowhere.
+func (h *history) finish(cancel context.CancelFunc) {
+	cancel()
+	h.fabric.heal()
+	for _, a := range h.actors {
+		a.stopped.Wait()
+	}
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
 // step has something happen to one box, or to the links of one.
 func (h *history) step(ctx context.Context) {
 	a := h.actors[h.random.IntN(len(h.actors))]
@@ -270,15 +281,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		h := &history{t: t, random: rand.New(rand.NewPCG(seed, 1)), fabric: newFabric(), named: 1}
-		defer func() {
-			cancel()
-			h.fabric.heal()
-			for _, a := range h.actors {
-				a.stopped.Wait()
-			}
-			time.Sleep(time.Second) // what is on its way arrives nowhere
-			synctest.Wait()
-		}()
+		defer h.finish(cancel)
 		h.place(zones)
 		for _, a := range h.actors {
 			h.begin(ctx, a, h.named)
--- a/internal/loadshare/hubs_test.go
+++ b/internal/loadshare/hubs_test.go
@@ -33,15 +33,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		h := &history{t: t, fabric: newFabric(), named: 1}
-		defer func() {
-			cancel()
-			h.fabric.heal()
-			for _, a := range h.actors {
-				a.stopped.Wait()
-			}
-			time.Sleep(time.Second) // what is on its way arrives nowhere
-			synctest.Wait()
-		}()
+		defer h.finish(cancel)
 		h.place(zones)
 		before(h)
 		fleets := make([]*fleet.Fleet, len(h.actors))
--- a/internal/loadshare/suspects_test.go
+++ b/internal/loadshare/suspects_test.go
@@ -127,15 +127,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		h := &history{t: t, random: rand.New(rand.NewPCG(seed, 2)), fabric: newFabric(), named: 1}
-		defer func() {
-			cancel()
-			h.fabric.heal()
-			for _, a := range h.actors {
-				a.stopped.Wait()
-			}
-			time.Sleep(time.Second) // what is on its way arrives nowhere
-			synctest.Wait()
-		}()
+		defer h.finish(cancel)
 		h.place(zones)
 		for _, a := range h.actors {
 			h.begin(ctx, a, h.named)
