--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -50,8 +50,11 @@
 	t.Helper()
 	detector := crash.New(crash.Config{
 		Logger: zerolog.Nop(),
-		Connect: func(_ context.Context, address string) error {
+		Connect: func(ctx context.Context, address string) error {
 			time.Sleep(time.Millisecond) // the way there and back
+			if err := ctx.Err(); err != nil {
+				return err
+			}
 			o.mu.Lock()
 			defer o.mu.Unlock()
 			if address == nearAddress {
@@ -163,3 +166,21 @@
 		g.Expect(detector.Judge(t.Context(), loss("r"))).To(BeTrue())
 	})
 }
+
+// The first of the calls that a server took along asks for all of them, also when its own caller
+// leaves that moment.
+func TestACallerThatLeavesKeepsNobodyFromTheProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		o := &outside{refuses: true, fate: fleet.FateListed}
+		detector := o.start(t)
+		leaving, leave := context.WithCancel(t.Context())
+		go detector.Judge(leaving, loss("first"))
+		synctest.Wait() // it asks
+		leave()
+		g.Expect(detector.Judge(t.Context(), loss("second"))).To(BeTrue())
+		time.Sleep(time.Second)
+		_, ended := o.counts()
+		g.Expect(ended).To(Equal(2))
+	})
+}
