The proof that a server ended is for all calls that it took along

Callers would have seen nothing; the ends of some requests would have been missed. Cause: the first call that breaks off asks for all, by its own context, which ends when its caller leaves or when the request comes to be held. Now it asks by one that does not end; what it waits for is bounded. TestACallerThatLeavesKeepsNobodyFromTheProof failed before.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -113,7 +113,7 @@
 func (d *Detector) ended(ctx context.Context, server fleet.Server) bool {
 	known, first := d.life(server.Incarnation)
 	if first {
-		known.ended = d.refuses(ctx, server)
+		known.ended = d.refuses(context.WithoutCancel(ctx), server) // for all, whoever leaves
 		close(known.asked)
 		if known.ended {
 			d.cfg.Logger.Warn().Str("server", server.Incarnation).Str("service", server.Service).Str("address", server.Address).Str("proof", "refused").Msg("server_crashed")
