Boxes of both programs frame their messages by one package

Package peer had written the same framing again. Frames are read as their bytes come: a length alone took up to 1 MB (a bound of 16 MB holds between boxes of cometlockd).

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -3,6 +3,7 @@
 package frame
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net"
@@ -17,17 +18,29 @@
 // lengthBytes is the length of a message's length.
 const lengthBytes = 4
 
+// allocatedAtOnce bounds what is allocated by a length alone, before its bytes have come.
+const allocatedAtOnce = 64 << 10
+
+// Encode gives a message as it goes over a connection.
+func Encode(message any) ([]byte, error) {
+	data, err := msgpack.Marshal(message)
+	if err != nil {
+		return nil, merry.Prepend(err, "encode message")
+	}
+	whole := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(data)), uint32(len(data)))
+	return append(whole, data...), nil
+}
+
 // Write writes a message within a time.
 func Write(connection net.Conn, message any, within time.Duration) error {
-	data, err := msgpack.Marshal(message)
+	whole, err := Encode(message)
 	if err != nil {
-		return merry.Prepend(err, "encode message")
+		return err
 	}
 	if err := connection.SetWriteDeadline(time.Now().Add(within)); err != nil {
 		return err
 	}
-	whole := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(data)), uint32(len(data)))
-	_, err = connection.Write(append(whole, data...))
+	_, err = connection.Write(whole)
 	return err
 }
 
@@ -41,11 +54,11 @@
 	if size > most {
 		return merry.Errorf("a message of %d bytes is too large", size)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(reader, data); err != nil {
+	data := bytes.NewBuffer(make([]byte, 0, min(size, allocatedAtOnce)))
+	if _, err := io.CopyN(data, reader, int64(size)); err != nil {
 		return err
 	}
-	if err := safepack.Unmarshal(data, message); err != nil {
+	if err := safepack.Unmarshal(data.Bytes(), message); err != nil {
 		return merry.Prepend(err, "decode message")
 	}
 	return nil
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -5,20 +5,15 @@
 // the log is down. Every second a box exchanges its status with a few others;
 // content travels only to a box that is behind and has been for a while.
 //
-// On the wire a message is its length in 4 bytes, big-endian, and msgpack.
+// On the wire a message is a frame of package frame.
 package peer
 
 import (
-	"bufio"
-	"encoding/binary"
 	"io"
 
-	"github.com/ansel1/merry/v2"
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/cometlock/cometlock/internal/configlog"
 	"github.com/cometlock/cometlock/internal/follow"
-	"github.com/cometlock/cometlock/internal/safepack"
+	"github.com/cometlock/cometlock/internal/frame"
 )
 
 // Status is what a box tells of itself.
@@ -47,39 +42,13 @@
 const maxMessageBytes = 16 << 20
 
 func writeMessage(writer io.Writer, message Message) (int, error) {
-	data, err := msgpack.Marshal(&message)
+	whole, err := frame.Encode(&message)
 	if err != nil {
-		return 0, merry.Prepend(err, "encode message")
+		return 0, err
 	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(data)), uint32(len(data)))
-	frame = append(frame, data...)
-	n, err := writer.Write(frame)
-	return n, err
+	return writer.Write(whole)
 }
 
-func readMessage(reader *bufio.Reader) (Message, error) {
-	var length [4]byte
-	if _, err := io.ReadFull(reader, length[:]); err != nil {
-		return Message{}, err
-	}
-	size := binary.BigEndian.Uint32(length[:])
-	if size > maxMessageBytes {
-		return Message{}, merry.Errorf("a message of %d bytes is too large", size)
-	}
-	data, err := io.ReadAll(io.LimitReader(reader, int64(size)))
-	if err != nil {
-		return Message{}, err
-	}
-	if len(data) != int(size) {
-		return Message{}, io.ErrUnexpectedEOF
-	}
-	return decodeMessage(data)
-}
-
-func decodeMessage(data []byte) (Message, error) {
-	var message Message
-	if err := safepack.Unmarshal(data, &message); err != nil {
-		return Message{}, merry.Prepend(err, "decode message")
-	}
-	return message, nil
+func readMessage(reader io.Reader) (message Message, err error) {
+	return message, frame.Read(reader, &message, maxMessageBytes)
 }
