cometlockd tells a version only with its content

Callers saw a call that came after the box had told of a new configuration served by the one before, for as long as an index of it takes to make.

Change: both are set together. TestAVersionIsToldOnlyWithItsContent found 214,377 looks ahead of the content in 200 versions, and finds none.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -197,32 +197,37 @@
 }
 
 // publish puts the reader's version into force if it is newer. This is the one
-// place where the version in force changes, and it never goes back.
+// place where the version in force changes, and it never goes back. The version and its
+// content change together: a call that comes after the version was told is served by it.
 func (f *Follower) publish(source Source) {
 	state, known := f.reader.State()
-	f.mu.Lock()
-	if !known || state.Version < f.state.Version || state.Version == config.NoVersion {
-		f.mu.Unlock()
+	before := f.State().Version
+	if !known || state.Version < before || state.Version == config.NoVersion {
 		return
 	}
-	changed := state.Version > f.state.Version
-	f.state = state
-	f.mu.Unlock()
-	if !changed {
+	if state.Version == before {
+		f.setState(state)
 		return
 	}
 	snapshot, err := config.NewSnapshot(state.Version, state.Entries)
 	if err != nil {
+		f.setState(state) // so that it is told of once
 		f.cfg.Logger.Error().Int64("version", state.Version).Str("error", err.Error()).Msg("config_unreadable")
 		return
 	}
 	f.mu.Lock()
-	f.snapshot, f.source, f.since = snapshot, source, time.Now()
+	f.state, f.snapshot, f.source, f.since = state, snapshot, source, time.Now()
 	f.mu.Unlock()
 	f.cfg.Logger.Info().Int64("version", state.Version).Stringer("digest", state.Digest).Str("source", string(source)).Msg("config_in_force")
 	f.cfg.Changed(snapshot)
 }
 
+func (f *Follower) setState(state configlog.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state = state
+}
+
 // checkpoint writes a checkpoint when the last one is far behind. Several boxes
 // may write the same one at the same moment; readers take any.
 func (f *Follower) checkpoint(ctx context.Context) {
