--- a/internal/entrybox/suspects.go
+++ b/internal/entrybox/suspects.go
@@ -51,15 +51,16 @@
 	if change.Held {
 		b.gateway.StopRequest(change.Request)
 	}
-	event := b.logger.Debug()
-	message := "request_suspected"
+	event, message := b.logger.Warn(), ""
 	switch {
 	case change.Held:
-		event, message = b.logger.Warn(), "request_held"
+		message = "request_held"
 	case change.Released:
-		event, message = b.logger.Warn(), "request_released"
+		message = "request_released"
 	case change.Ends >= toldAtOnce:
-		event = b.logger.Info()
+		event, message = b.logger.Info(), "request_suspected"
+	default:
+		return // each server that ends takes some ten along, and all boxes hear of them
 	}
 	event.Stringer("fingerprint", change.Request).Int("ends", change.Ends).Bool("heard", change.Heard).Msg(message)
 }
