The answer to an order to drain is not cut off

An operator who drained a box that had nothing to do saw nothing, and could not tell whether the order had come.

cli_test.go:124: expected "" to equal "box-2 is draining"

Cause: the box closed the operators' port, with the answer to this very order under way, as soon as its calls had ended. Ruled out: the order itself, which had been carried out.

Change: the port is shut down, which finishes answers under way, for half a second at most.

The test that failed stands for it; the moment cannot be forced from outside.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -74,7 +74,7 @@
 	d.reviews.Drain(ctx)
 	d.claims.Drain(ctx)
 	d.stop()
-	_ = d.admin.Close() // probes may be cut off
+	d.closeAdmin()
 	d.pipeline.Wait()
 	d.watcher.Close()
 	d.claims.Close()
@@ -85,6 +85,21 @@
 	return err
 }
 
+// adminLimit bounds the wait for answers to operators: whoever drains a box that has nothing to
+// do is answered while it ends.
+const adminLimit = 500 * time.Millisecond
+
+// closeAdmin ends the operators' port. Answers under way are finished: the answer to the order
+// to drain was cut off when the box ended at once.
+func (d *Daemon) closeAdmin() {
+	ctx, cancel := context.WithTimeout(context.Background(), adminLimit)
+	defer cancel()
+	if err := d.admin.Shutdown(ctx); err != nil {
+		d.logger.Warn().Str("error", err.Error()).Msg("operators_cut_off")
+		_ = d.admin.Close() // they were given their time
+	}
+}
+
 // gaugeInterval is the time between two looks at what gauges show.
 const gaugeInterval = time.Second
 
