Log: who ended a try that was lost, and what was left then

Cuts by the box and by the server had the same line (stream_broke_off, silent=false). try_lost and the line of a lost call now tell ended_by, what was left of the time and of the retries, how many servers had seen the call, and the version at its end.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,6 +162,8 @@
 	resumeAfter string
 	// answering says that a part of an answer has reached the caller.
 	answering bool
+	// lostBy says who ended the last try that was lost.
+	lostBy side
 	// failure is a backend server's answer that says that it failed; it is passed
 	// on unless another server does better.
 	failure *wholeAnswer
--- a/internal/gateway/settle.go
+++ b/internal/gateway/settle.go
@@ -113,9 +113,22 @@
 		event.Dur("first_event", x.firstEvent.Sub(x.arrived))
 	}
 	tellPlacement(event, x)
+	g.tellLoss(event, x)
 	event.Msg("call")
 }
 
+// tellLoss adds, for a call whose answer was lost, who ended it and what was left then.
+func (g *Gateway) tellLoss(event *zerolog.Event, x *exchange) {
+	if x.outcome != outcomeBroken && x.outcome != outcomeUnknown {
+		return
+	}
+	event.Str("ended_by", string(x.lostBy)).Dur("left", boottime.Until(x.deadline)).Int("servers_seen", x.handed).
+		Float64("retries_saved", g.cfg.Budget.State().Saved)
+	if now := g.cfg.Catalog(); now != nil {
+		event.Int64("configuration_at_end", now.Version())
+	}
+}
+
 // tellPlacement adds where a call went, or what the servers lacked that it was not placed
 // at, and what of its prompt was fetched.
 func tellPlacement(event *zerolog.Event, x *exchange) {
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -54,6 +54,7 @@
 		reason = reasonOutOfTime
 	}
 	t.finish(end)
+	t.x.lostBy = t.endedBy()
 	t.log("try_lost", reason)
 	endsServers := t.judgeEnd(end)
 	if t.x.route.MayRepeat() && !outOfTime && !endsServers {
@@ -115,5 +116,25 @@
 	server := t.chosen.hold.Server()
 	t.gateway.metrics.tryFailed(event)
 	t.gateway.cfg.Logger.Info().Str("request", t.x.facts.RequestID).Str("server", server.Incarnation).Str("service", server.Service).
-		Int("try", len(t.x.tried)).Str("reason", reason).Bool("silent", t.ranOut()).Stringer("fingerprint", t.x.fingerprint).Msg(event)
+		Int("try", len(t.x.tried)).Str("reason", reason).Bool("silent", t.ranOut()).Stringer("fingerprint", t.x.fingerprint).
+		Str("ended_by", string(t.endedBy())).Dur("left", boottime.Until(t.x.deadline)).Int("servers_seen", t.x.handed).
+		Float64("retries_saved", t.gateway.cfg.Budget.State().Saved).Msg(event)
+}
+
+// side says which end of a connection to a server ended a try.
+type side string
+
+// Sides of a try.
+const (
+	sideBox    side = "box"
+	sideServer side = "server"
+)
+
+// endedBy says who ended the try. This box closes a connection only by ending the try's context,
+// whether for silence, for the call's time, or since its caller has left.
+func (t *try) endedBy() side {
+	if t.ctx.Err() != nil {
+		return sideBox
+	}
+	return sideServer
 }
