The connection of a silent server is probed

A call now stays with a server that is silent until another one has it. Where a server's machine is gone or cut off nothing ever tells that, and a call that no other may take would wait for the whole of its time, instead of being sent again by its caller. So from the silence on at which another server is looked for, the system probes the connection each second: it answers for a process that stands still, and where nobody answers for 2 s the connection ends as one that the server closed. Connections that carry calls which go well are not probed, and cost nothing.

--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -109,7 +109,7 @@
 	}
 	return handover.Call{
 		Address: t.chosen.hold.Server().Address, Method: x.request.Method, Target: x.target(), Host: x.request.Host,
-		Header: header, Body: x.body, MaxIdle: rest, Belongs: t.belongs,
+		Header: header, Body: x.body, MaxIdle: rest, Belongs: t.belongs, Connected: t.watch.connected,
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -67,22 +67,43 @@
 	// in vain.
 	next   *try
 	before []*try
+	// probe has the system probe the connection; nil before there is one, and once it does.
+	probe func() error
 	// told is the last reason to stay that was logged.
 	told kept
 }
 
 func newWatch(t *try) *watch { return &watch{t: t} }
 
-// begin starts to look after the try. One that may have no other server after it is only noted.
+// begin starts to look after the try, if its call may run again: by another server, or by its
+// caller where no other may.
 func (w *watch) begin() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.heardAt = boottime.Now()
-	if w.t.x.route.MayRepeat() && w.t.handed < w.t.x.maxServers() {
+	if w.t.x.route.MayRepeat() {
 		w.lookIn(w.seen(w.heardAt).Limit())
 	}
 }
 
+// connected notes what has the system probe the try's connection.
+func (w *watch) connected(probe func() error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.probe = probe
+}
+
+// probeOnce has the connection of a silent server probed. The caller holds mu.
+func (w *watch) probeOnce() {
+	if w.probe == nil {
+		return
+	}
+	if err := w.probe(); err != nil {
+		w.t.gateway.cfg.Logger.Debug().Str("error", err.Error()).Msg("connection_not_probed") // it has just ended
+	}
+	w.probe = nil
+}
+
 // lookIn has the watch look after a while. The caller holds mu.
 func (w *watch) lookIn(after time.Duration) {
 	w.due = boottime.Now().Add(after)
@@ -216,6 +237,7 @@
 		w.lookIn(again)
 		return nil, ""
 	}
+	w.probeOnce()
 	if !w.begun {
 		w.t.noteFetch()
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -42,6 +42,9 @@
 	// Belongs reports whether an answer is the one to this call. A server may
 	// put an answer to an earlier call in its place; such an answer is dropped.
 	Belongs func(response *http.Response) bool
+	// Connected is told of the connection before the call is written, by what has the system
+	// probe it (see probe); it may be nil.
+	Connected func(probe func() error)
 }
 
 // maxForeignAnswers bounds the answers that are dropped while the call's own is
@@ -77,6 +80,9 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrNotHanded, merry.AppendMessage(err.Error()))
 	}
+	if call.Connected != nil {
+		call.Connected(c.probe)
+	}
 	unwatch := context.AfterFunc(ctx, c.close) // makes reads and writes under way fail
 	written := make(chan error, 1)
 	if message := append(head(call), call.Body...); len(message) <= smallMessage {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -251,3 +252,26 @@
 	g.Expect(err).To(HaveOccurred())
 	g.Eventually(gone).Should(BeClosed())
 }
+
+// A call that waits for a silent server has the system probe the connection: a process that
+// stands still keeps it, and one whose machine is gone loses it within seconds, where the call
+// would have waited for the whole of its time.
+func TestASilentConnectionIsProbedWhenAsked(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("answer")) }))
+	defer server.Close()
+	pool := handover.NewPool(handover.PoolConfig{})
+	var probe func() error
+	call := handover.Call{
+		Address: server.Listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", MaxIdle: time.Second,
+		Connected: func(found func() error) { probe = found },
+	}
+	answer, err := pool.Send(t.Context(), call)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(handover.KeepAlive(answer)).To(BeZero(), "not before it is asked for")
+	g.Expect(probe()).To(Succeed())
+	g.Expect(handover.KeepAlive(answer)).To(Equal(1))
+	_, err = io.ReadAll(answer.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	answer.Close()
+}
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -50,6 +50,10 @@
 	// server is gone or cut off. It is above the longest retransmission pause on
 	// a link that loses some packets.
 	unacknowledgedLimit = 2 * time.Second
+	// probeEvery is the time between two of the system's probes of a silent connection.
+	probeEvery = time.Second
+	// mostProbes is how many of them may stay unanswered where unacknowledgedLimit is not known.
+	mostProbes = 2
 	// longestRest is how long a connection is kept at most, and shortestRest how long
 	// whatever is learnt.
 	longestRest  = 20 * time.Second
@@ -244,6 +248,14 @@
 	return err == nil && quiet
 }
 
+// probe has the system ask the other end from now on, while nothing comes, whether it is there.
+// Its system answers also for a process that stands still. For a machine that is gone or cut off
+// nobody does, and the connection ends after unacknowledgedLimit, so that a call need not be left
+// for its server's silence to be tried elsewhere.
+func (c *connection) probe() error {
+	return c.Conn.(*net.TCPConn).SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: mostProbes})
+}
+
 func (c *connection) close() {
 	_ = c.Conn.Close() // whether the server takes note changes nothing
 }
