--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -87,3 +87,21 @@
 		})
 	}
 }
+
+// A request whose engine dropped it took a retry from the budget, and then there was no other
+// engine: the retry was gone, and requests that would have found one a moment later had none.
+func TestARetryThatFindsNoEngineIsGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	request := flow.NewRequest(t.Context())
+	request.Path, request.Repeatable = "/v1/completions", true
+	request.OnEncode(func() []byte { return []byte("{}") })
+	request.Placement.Server = serverThat(t, drops)
+	budget := retrybudget.New(retrybudget.Config{})
+	d := dispatch.New(dispatch.Config{
+		Engines: engine.NewClient(engine.ClientConfig{}), Failed: func(string) {}, Budget: budget,
+		Choose: func(*flow.Request, []string) *apierror.Error { return apierror.NotReady("none", 0, "no more") },
+	})
+	_, failure := d.Open(request)
+	g.Expect(failure).NotTo(BeNil())
+	g.Expect(budget.State().Saved).To(BeEquivalentTo(retrybudget.DefaultBurst))
+}
