A retry that no server sees is given back to the budget

The budget was charged before it was known whether there was a place. It holds for calls that find none, whose request is held, and whose server could not be reached; in cometlockd for requests for which no other engine can be chosen.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -175,7 +175,14 @@
 // moveOn places the request on a server that was not tried, and reports whether
 // there is one and the budget allows it.
 func (d *Dispatcher) moveOn(request *flow.Request, tried []string) bool {
-	return len(tried) < maxTries && d.budget.Take() && d.choose(request, tried) == nil
+	if len(tried) >= maxTries || !d.budget.Take() {
+		return false
+	}
+	if d.choose(request, tried) != nil {
+		d.budget.Return() // a retry that is not made costs nothing
+		return false
+	}
+	return true
 }
 
 // provesNotRun reports whether a failed try certainly had no effect: the engine
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,6 +157,8 @@
 	// handed counts the servers that the call was handed to: those tried but for such as
 	// no connection was made to.
 	handed int
+	// paid says that the try under way, or that is being placed, was taken from the retry budget.
+	paid bool
 	// mayHaveRun says that no later refusal makes the call "not run".
 	mayHaveRun bool
 	// resumeAfter is the last event that the caller has; the lock of the present try's watch
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,15 +48,18 @@
 	defer g.running.add(x)()
 	for {
 		if _, admitted := g.cfg.Quarantine.Admit(x.fingerprint); !admitted {
+			g.returnRetry(x)
 			g.endHeld(x)
 			return
 		}
 		chosen, ok := g.placeSoon(x)
 		if x.isStopped() {
+			g.returnRetry(x)
 			g.endUnplaced(x, chosen)
 			return
 		}
 		if !ok {
+			g.returnRetry(x)
 			x.shortage = g.shortage(x)
 			g.end(x, reasonNoServer, g.comeBack(x))
 			return
@@ -113,7 +116,21 @@
 	if !boottime.Now().Before(x.deadline) || x.request.Context().Err() != nil {
 		return false
 	}
-	return x.handed == 0 || x.handed < x.maxServers() && g.cfg.Budget.Take()
+	if x.handed == 0 {
+		return true
+	}
+	x.paid = x.handed < x.maxServers() && g.cfg.Budget.Take()
+	return x.paid
+}
+
+// returnRetry gives the retry back that was taken for a try which no server sees. When servers
+// fail together, calls would else spend the budget on tries that are never made, and those that
+// could be served elsewhere a moment later would find none.
+func (g *Gateway) returnRetry(x *exchange) {
+	if x.paid {
+		x.paid = false
+		g.cfg.Budget.Return()
+	}
 }
 
 func (x *exchange) maxServers() int { return max(x.route.MaxServers, 1) }
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -27,6 +27,7 @@
 			return t.stopped()
 		}
 		t.x.handed-- // no server has seen it, so another one may
+		t.gateway.returnRetry(x)
 		t.noteUnreached(err)
 		return nextServer
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -205,6 +205,7 @@
 	}
 	if next != nil {
 		w.t.x.handTo(next.chosen)
+		w.t.x.paid = true
 		w.t.x.placedBy, w.t.x.unplaced = placedHere, ""
 	}
 	return next
