--- /dev/null
+++ b/internal/faultproxy/faultproxy_test.go
@@ -0,0 +1,89 @@
+package faultproxy_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/faultproxy"
+)
+
+// echo answers what it is sent.
+func echo(t *testing.T, g *WithT) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// exchange sends a byte and waits for it.
+func exchange(conn net.Conn, limit time.Duration) error {
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return err
+	}
+	return receive(conn, limit)
+}
+
+func receive(conn net.Conn, limit time.Duration) error {
+	if err := conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err
+}
+
+func TestWhatAProxyDoesToConnections(t *testing.T) {
+	const soon, long = 100 * time.Millisecond, 5 * time.Second
+	tests := []struct {
+		name string
+		do   func(*faultproxy.Proxy)
+		// passes says that an open connection carries bytes meanwhile, later that it does after
+		// the link is mended, and fresh that a new one does meanwhile.
+		passes, later, fresh bool
+	}{
+		{"nothing", func(*faultproxy.Proxy) {}, true, true, true},
+		{"holds the way there", func(p *faultproxy.Proxy) { p.Set(faultproxy.Link{HoldToServer: true}) }, false, true, false},
+		{"holds the way back", func(p *faultproxy.Proxy) { p.Set(faultproxy.Link{HoldToClient: true}) }, false, true, false},
+		{"silences what is open", func(p *faultproxy.Proxy) { p.Mute() }, false, false, true},
+		{"resets", func(p *faultproxy.Proxy) { p.Reset() }, false, false, true},
+		{"delays by more", func(p *faultproxy.Proxy) { p.Set(faultproxy.Link{Delay: soon}) }, false, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			proxy, err := faultproxy.Start(echo(t, g))
+			g.Expect(err).NotTo(HaveOccurred())
+			defer proxy.Close()
+			conn, err := net.Dial("tcp", proxy.Address())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(exchange(conn, long)).To(Succeed())
+
+			test.do(proxy)
+			g.Expect(exchange(conn, soon) == nil).To(Equal(test.passes))
+			another, err := net.Dial("tcp", proxy.Address())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(exchange(another, soon) == nil).To(Equal(test.fresh))
+			proxy.Set(faultproxy.Link{})
+			if !test.passes {
+				limit := soon
+				if test.later {
+					limit = long
+				}
+				g.Expect(receive(conn, limit) == nil).To(Equal(test.later))
+			}
+		})
+	}
+}
