A soak of real entry boxes under faults from outside

cometlock-soak starts entry boxes as processes of their own before stand-ins, takes the processor from them (stop and continue), kills, replaces and reloads them, and does to the ways to servers and to the log what networks do; servers fall silent, leave and end. Series of faults overlap. Callers keep their connections until a box is gone. What they and the servers saw is held against ten promises (package soak); each check is shown to find what it looks for by a history that differs from a kept one in just that.

Store boxes are not played, so 'no freed or foreign part is read' is not checked.

--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,271 @@
+// What callers and servers saw, and the promises that it is held against.
+
+package soak
+
+import (
+	"fmt"
+	"time"
+)
+
+// Call is a kind of call.
+type Call uint8
+
+// Kinds of calls.
+const (
+	// Stream may be resumed at another server.
+	Stream Call = iota
+	// Repeatable may run more than once, Once at most once.
+	Repeatable
+	Once
+	// Probe asks which versions of the configuration are in force at a box.
+	Probe
+)
+
+// End is what a caller got.
+type End uint8
+
+// Ends of calls.
+const (
+	// Whole answers are those of the call's own server, each piece once.
+	Whole End = iota
+	// NotRun is a refusal that says so.
+	NotRun
+	// Unknown says that the call may have run, or that no answer came.
+	Unknown
+	// Cut answers broke off after a part.
+	Cut
+	// Wrong answers look whole and are not the call's.
+	Wrong
+	// Denied calls were turned away as at fault.
+	Denied
+	// Failed is a server's own failure, and Closed a connection that ended before an answer.
+	Failed
+	Closed
+)
+
+var endNames = []string{"whole", "not run", "unknown", "cut", "wrong", "denied", "failed", "closed"}
+
+func (e End) String() string { return endNames[e] }
+
+// Attempt is one call of a caller's.
+type Attempt struct {
+	ID   string
+	Call Call
+	// Box is where it was sent, and Life the number of that box's process.
+	Box, Life    int
+	Began, Ended time.Duration
+	End          End
+	// Limit is the time that the caller gave it.
+	Limit time.Duration
+	// Version is the version of the configuration that a probe asks for, or whose key the call
+	// has; zero for a key that is always good.
+	Version int
+}
+
+// Arrival is a call that came to a server and was run.
+type Arrival struct {
+	ID     string
+	Server int
+	At     time.Duration
+}
+
+// Moment is when something was declared: a version of the configuration, or a server's leaving.
+type Moment struct {
+	At      time.Duration
+	Version int
+	Server  int
+	// Until is when the server came back.
+	Until time.Duration
+}
+
+// History is all that was seen in one run.
+type History struct {
+	Faults   []Fault
+	Attempts []Attempt
+	Arrivals []Arrival
+	Versions []Moment
+	Leavings []Moment
+	// StuckBoxes are planned stops that did not end in time.
+	StuckBoxes int
+	// Length is when the last fault was over and all was to work again.
+	Length time.Duration
+}
+
+// Violation is a promise that was not kept.
+type Violation struct {
+	Promise string
+	Story   string
+}
+
+func (v Violation) String() string { return v.Promise + ": " + v.Story }
+
+// Promises.
+const (
+	PromiseOwn      = "an answer is whole and its caller's own"
+	PromiseOnce     = "a call that may not be repeated runs once"
+	PromiseNotRun   = "what is refused as not run has not run"
+	PromiseLost     = "no call is lost in ordinary work"
+	PromiseLeaving  = "a server that leaves gets nothing new"
+	PromiseForward  = "a configuration never comes back"
+	PromiseKeys     = "a key that was taken away opens nothing"
+	PromiseAllowed  = "nobody is denied what every configuration allows"
+	PromiseStops    = "a planned stop ends in time"
+	PromiseRecovers = "all calls are served again once the faults are over"
+)
+
+const (
+	// contact is how long a box must have been left alone for promises with a time to bind it.
+	contact = 3 * time.Second
+	// leaveLimit is the time in which boxes hear of a server that leaves; inForce that in which a
+	// version is in force everywhere.
+	leaveLimit = 2 * time.Second
+	inForce    = 2 * time.Second
+	// recovery is how long after the last fault calls are served again.
+	recovery = 5 * time.Second
+	// lateEnd is the part of its time after which a call may end without an answer.
+	lateEnd = 0.7
+)
+
+// Check gives the promises that a run did not keep.
+func Check(h *History) []Violation {
+	var found []Violation
+	report := func(promise, format string, args ...any) {
+		found = append(found, Violation{promise, fmt.Sprintf(format, args...)})
+	}
+	runs := h.runs()
+	for i := range h.Attempts {
+		a := &h.Attempts[i]
+		checkAnswer(a, runs[a.ID], report)
+		if h.lost(a, runs[a.ID]) {
+			report(PromiseLost, "%s", a.story())
+		}
+		if a.Began > h.Length+recovery && a.End != Whole && a.Call != Probe && a.Version == 0 {
+			report(PromiseRecovers, "%s", a.story())
+		}
+	}
+	h.checkForward(report)
+	h.checkKeys(report)
+	h.checkLeaving(report)
+	if h.StuckBoxes > 0 {
+		report(PromiseStops, "%d boxes were still there", h.StuckBoxes)
+	}
+	return found
+}
+
+type reporter func(promise, format string, args ...any)
+
+func (a *Attempt) story() string {
+	return fmt.Sprintf("%s at box %d/%d from %v to %v: %v", a.ID, a.Box, a.Life, a.Began.Round(time.Millisecond), a.Ended.Round(time.Millisecond), a.End)
+}
+
+func (h *History) runs() map[string]int {
+	runs := map[string]int{}
+	for _, arrival := range h.Arrivals {
+		runs[arrival.ID]++
+	}
+	return runs
+}
+
+func checkAnswer(a *Attempt, runs int, report reporter) {
+	switch {
+	case a.End == Wrong:
+		report(PromiseOwn, "%s", a.story())
+	case a.Call == Once && runs > 1:
+		report(PromiseOnce, "%s ran %d times", a.story(), runs)
+	case a.End == NotRun && runs > 0:
+		report(PromiseNotRun, "%s ran %d times", a.story(), runs)
+	case a.End == Denied && a.Call != Probe && a.Version == 0:
+		report(PromiseAllowed, "%s", a.story())
+	}
+}
+
+// lost reports whether a call was lost with nothing but ordinary work around it. One that crosses
+// the close of its connection and reached no server is not: its caller may send it again.
+func (h *History) lost(a *Attempt, runs int) bool {
+	if a.End != Unknown && a.End != Cut && a.End != Failed && !(a.End == Closed && runs > 0) {
+		return false
+	}
+	if a.Ended-a.Began >= time.Duration(lateEnd*float64(a.Limit)) {
+		return false
+	}
+	return !h.disturbed(a.Began-contact, a.Ended, func(f Fault) bool { return !f.Kind.Ordinary() })
+}
+
+// disturbed reports whether a fault of some kind lay in a span of time.
+func (h *History) disturbed(from, to time.Duration, counts func(Fault) bool) bool {
+	for _, fault := range h.Faults {
+		if fault.At < to && fault.End() > from && counts(fault) {
+			return true
+		}
+	}
+	return false
+}
+
+// inTouch reports whether a box was left alone with the log for long enough before a moment.
+func (h *History) inTouch(box int, at time.Duration) bool {
+	return !h.disturbed(at-contact, at, func(f Fault) bool {
+		if f.Kind == PauseBox || f.Kind == Replace || !f.Kind.Ordinary() {
+			return f.Kind.touches() == everything || f.Kind.touches() == oneBox && f.Subject == box
+		}
+		return false
+	})
+}
+
+// checkForward looks for a box that handled a call by a version older than one that it had shown
+// in the same life.
+func (h *History) checkForward(report reporter) {
+	type life struct{ box, life int }
+	for i := range h.Attempts {
+		shown := &h.Attempts[i]
+		if shown.Call != Probe || shown.End != Whole {
+			continue
+		}
+		for j := range h.Attempts {
+			later := &h.Attempts[j]
+			if later.Call == Probe && later.End == Whole && later.Version < shown.Version && later.Began > shown.Ended &&
+				(life{later.Box, later.Life}) == (life{shown.Box, shown.Life}) {
+				report(PromiseForward, "version %d after %d: %s", later.Version, shown.Version, later.story())
+			}
+		}
+	}
+}
+
+// checkKeys looks for calls that were served with the key of a version that was replaced.
+func (h *History) checkKeys(report reporter) {
+	replaced := map[int]time.Duration{}
+	for i, version := range h.Versions {
+		if i > 0 {
+			replaced[h.Versions[i-1].Version] = version.At
+		}
+	}
+	for i := range h.Attempts {
+		a := &h.Attempts[i]
+		at, gone := replaced[a.Version]
+		if a.Version > 0 && gone && a.End == Whole && a.Began > at+inForce && h.inTouch(a.Box, a.Began) {
+			report(PromiseKeys, "version %d was replaced at %v: %s", a.Version, at.Round(time.Millisecond), a.story())
+		}
+	}
+}
+
+// checkLeaving looks for calls that reached a server long after it said that it leaves.
+func (h *History) checkLeaving(report reporter) {
+	byID := map[string]*Attempt{}
+	for i := range h.Attempts {
+		byID[h.Attempts[i].ID] = &h.Attempts[i]
+	}
+	for _, leaving := range h.Leavings {
+		for _, arrival := range h.Arrivals {
+			a := byID[arrival.ID]
+			late := arrival.Server == leaving.Server && arrival.At > leaving.At+leaveLimit && arrival.At < leaving.Until
+			if late && a != nil && !h.endedSince(leaving, arrival.At) && a.Began > leaving.At && h.inTouch(a.Box, arrival.At) {
+				report(PromiseLeaving, "server %d left at %v, and was reached at %v: %s", leaving.Server, leaving.At.Round(time.Millisecond), arrival.At.Round(time.Millisecond), a.story())
+			}
+		}
+	}
+}
+
+// endedSince reports whether a server that had said it leaves ended before a moment: its next life
+// leaves no more.
+func (h *History) endedSince(leaving Moment, at time.Duration) bool {
+	return h.disturbed(leaving.At, at, func(f Fault) bool { return f.Kind == EndServer && f.Subject == leaving.Server })
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,116 @@
+package soak_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/soak"
+)
+
+const second = time.Second
+
+// Each promise is broken by a history made for it, and kept by one that differs only in what
+// excuses it; so each check is known to find what it looks for.
+func TestEachCheckFindsWhatItLooksFor(t *testing.T) {
+	lost := soak.Attempt{ID: "a", Call: soak.Stream, Began: 10 * second, Ended: 14 * second, End: soak.Cut, Limit: 12 * second}
+	with := func(a soak.Attempt, change func(*soak.Attempt)) []soak.Attempt {
+		change(&a)
+		return []soak.Attempt{a}
+	}
+	served := soak.Attempt{ID: "a", Call: soak.Once, Began: 10 * second, Ended: 11 * second, End: soak.Whole, Limit: 12 * second}
+	probes := func(first, then int, life int) []soak.Attempt {
+		return []soak.Attempt{
+			{ID: "p1", Call: soak.Probe, Box: 1, Life: 1, Began: second, Ended: second, End: soak.Whole, Version: first},
+			{ID: "p2", Call: soak.Probe, Box: 1, Life: life, Began: 2 * second, Ended: 2 * second, End: soak.Whole, Version: then},
+		}
+	}
+	versions := []soak.Moment{{At: 0, Version: 1}, {At: 5 * second, Version: 2}}
+	leaving := []soak.Moment{{At: 8 * second, Server: 3, Until: 20 * second}}
+	tests := []struct {
+		name    string
+		history soak.History
+		broken  string
+	}{
+		{"a whole answer", soak.History{Attempts: []soak.Attempt{served}}, ""},
+		{"an answer of another call", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.End = soak.Wrong })}, soak.PromiseOwn},
+		{"two runs", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a"}, {ID: "a", Server: 1}}}, soak.PromiseOnce},
+		{"two runs of a call that may", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.Call = soak.Repeatable }), Arrivals: []soak.Arrival{{ID: "a"}, {ID: "a"}}}, ""},
+		{"refused and run", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.End = soak.NotRun }), Arrivals: []soak.Arrival{{ID: "a"}}}, soak.PromiseNotRun},
+		{"cut while servers are silent", soak.History{Attempts: []soak.Attempt{lost}, Faults: []soak.Fault{{Kind: soak.SilenceServers, At: 9 * second, For: 5 * second}}}, soak.PromiseLost},
+		{"cut while a box is paused", soak.History{Attempts: []soak.Attempt{lost}, Faults: []soak.Fault{{Kind: soak.PauseBox, At: 9 * second, For: second}}}, soak.PromiseLost},
+		{"cut as its server ends", soak.History{Attempts: []soak.Attempt{lost}, Faults: []soak.Fault{{Kind: soak.EndServer, At: 9 * second, For: second}}}, ""},
+		{"cut long after a server ended", soak.History{Attempts: []soak.Attempt{lost}, Faults: []soak.Fault{{Kind: soak.EndServer, At: 5 * second, For: second}}}, soak.PromiseLost},
+		{"cut late in its time", soak.History{Attempts: with(lost, func(a *soak.Attempt) { a.Ended = 19 * second })}, ""},
+		{"denied", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.End = soak.Denied })}, soak.PromiseAllowed},
+		{"denied for an old key", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.End, a.Version = soak.Denied, 1 }), Versions: versions}, ""},
+		{"served by an old key", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.Version = 1 }), Versions: versions}, soak.PromiseKeys},
+		{"served by an old key without the log", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.Version = 1 }), Versions: versions, Faults: []soak.Fault{{Kind: soak.LogDown, At: 8 * second, For: second}}}, ""},
+		{"a configuration that comes back", soak.History{Attempts: probes(3, 2, 1)}, soak.PromiseForward},
+		{"an older one in another life", soak.History{Attempts: probes(3, 2, 2)}, ""},
+		{"a newer one", soak.History{Attempts: probes(2, 3, 1)}, ""},
+		{"a call to a server that left", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 3, At: 10500 * time.Millisecond}}, Leavings: leaving}, soak.PromiseLeaving},
+		{"a call to another server", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 2, At: 10500 * time.Millisecond}}, Leavings: leaving}, ""},
+		{"a call by a box that was paused", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 3, At: 10500 * time.Millisecond}}, Leavings: leaving, Faults: []soak.Fault{{Kind: soak.PauseBox, At: 9 * second, For: second}}}, ""},
+		{"a call to its next life", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 3, At: 10500 * time.Millisecond}}, Leavings: leaving, Faults: []soak.Fault{{Kind: soak.EndServer, Subject: 3, At: 9 * second, For: second}}}, ""},
+		{"a stop without end", soak.History{StuckBoxes: 1}, soak.PromiseStops},
+		{"refused long after the last fault", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.End = soak.NotRun }), Length: 4 * second}, soak.PromiseRecovers},
+		{"denied for an old key long after", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.End, a.Version = soak.Denied, 1 }), Versions: versions, Length: 4 * second}, ""},
+		{"refused soon after the last fault", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.End = soak.NotRun }), Length: 6 * second}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			if test.history.Length == 0 {
+				test.history.Length = 100 * second
+			}
+			found := soak.Check(&test.history)
+			if test.broken == "" {
+				g.Expect(found).To(BeEmpty())
+				return
+			}
+			g.Expect(found).To(HaveLen(1))
+			g.Expect(found[0].Promise).To(Equal(test.broken))
+		})
+	}
+}
+
+func TestASeedAlwaysGivesTheSamePlan(t *testing.T) {
+	g := NewWithT(t)
+	cfg := soak.PlanConfig{Seed: 7, Boxes: 4, Servers: 8, Length: 30 * second, Every: 500 * time.Millisecond}
+	plan := soak.Plan(cfg)
+	g.Expect(soak.Plan(cfg)).To(Equal(plan))
+	kinds := map[soak.Kind]bool{}
+	for seed := range uint64(20) {
+		cfg.Seed = seed
+		for _, fault := range soak.Plan(cfg) {
+			kinds[fault.Kind] = true
+			g.Expect(fault.At).To(BeNumerically("<", cfg.Length))
+		}
+	}
+	g.Expect(len(kinds)).To(Equal(18), "all kinds come")
+	cfg.OnlyOrdinary = true
+	for _, fault := range soak.Plan(cfg) {
+		g.Expect(fault.Kind.Ordinary()).To(BeTrue())
+	}
+}
+
+func TestShrinkingLeavesWhatIsNeeded(t *testing.T) {
+	g := NewWithT(t)
+	plan := soak.Plan(soak.PlanConfig{Seed: 7, Boxes: 4, Servers: 8, Length: 30 * second, Every: 500 * time.Millisecond})
+	first, last := plan[3], plan[len(plan)-2]
+	needs := func(faults []soak.Fault) bool {
+		return contains(faults, first) && contains(faults, last)
+	}
+	g.Expect(soak.Shrink(plan, 1000, needs)).To(Equal([]soak.Fault{first, last}))
+}
+
+func contains(faults []soak.Fault, wanted soak.Fault) bool {
+	for _, fault := range faults {
+		if fault == wanted {
+			return true
+		}
+	}
+	return false
+}
