A stream that broke off waits a second for room elsewhere

A stream whose server ended amid it was cut at once when no other server had room, since a call waits for a fifth of its objective from its arrival on. A new call that is refused is sent again; a stream of which its caller has a part is cut, so a short wait is worth more to it. Callers leave after a pause of two seconds, so it waits for one, and the next server has the other to read the prompt in.

Test: room comes 0.3 s after the end: cut before, whole now; without room it still ends within two seconds.

--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -25,8 +25,17 @@
 	return found.(*line)
 }
 
-// limits says how urgent a call is and until when it may wait for room.
+// continueWait is how long a stream that broke off waits for room elsewhere. Callers leave a stream
+// that pauses for two seconds, and its next server has to read the prompt first.
+const continueWait = time.Second
+
+// limits says how urgent a call is and until when it may wait for room. A stream of which the
+// caller has a part is not refused and sent again, but cut; so it waits also when the time in which
+// a new call may wait is long over.
 func (x *exchange) limits() waitline.Call {
+	if x.answering {
+		return waitline.Call{Urgency: x.urgency, Until: boottime.Now().Add(continueWait)}
+	}
 	return waitline.Call{Urgency: x.urgency, Until: x.arrived.Add(time.Duration(placing.WaitPart * float64(x.route.Objective)))}
 }
 
