--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -85,6 +85,10 @@
 	Arrivals []Arrival
 	Versions []Moment
 	Leavings []Moment
+	// BadFetches tell of kept parts that were fetched and should not have been.
+	BadFetches []string
+	// PartsKept and PartsFreed are what the store boxes hold at the end, and let go of before.
+	PartsKept, PartsFreed int
 	// StuckBoxes are planned stops that did not end in time.
 	StuckBoxes int
 	// Length is when the last fault was over and all was to work again.
@@ -109,6 +113,7 @@
 	PromiseForward  = "a configuration never comes back"
 	PromiseKeys     = "a key that was taken away opens nothing"
 	PromiseAllowed  = "nobody is denied what every configuration allows"
+	PromiseParts    = "kept parts are fetched whole, and only for calls of their own kind"
 	PromiseStops    = "a planned stop ends in time"
 	PromiseRecovers = "all calls are served again once the faults are over"
 )
@@ -146,6 +151,9 @@
 	h.checkForward(report)
 	h.checkKeys(report)
 	h.checkLeaving(report)
+	for _, story := range h.BadFetches {
+		report(PromiseParts, "%s", story)
+	}
 	if h.StuckBoxes > 0 {
 		report(PromiseStops, "%d boxes were still there", h.StuckBoxes)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,8 @@
 	PauseBox Kind = "pause_box"
 	// SilenceServers has servers say nothing for a while; they keep all that they run.
 	SilenceServers Kind = "silence_servers"
+	// NameWeights names newer weights, which all runners are to load.
+	NameWeights Kind = "name_weights"
 	// Leave has a server announce that it leaves; it serves on, and comes back later.
 	Leave Kind = "leave"
 
@@ -48,13 +50,15 @@
 	ResetLog Kind = "reset_log"
 	MuteLog  Kind = "mute_log"
 	LogDown  Kind = "log_down"
+	// EmptyStore has a store box begin another life, with nothing kept.
+	EmptyStore Kind = "empty_store"
 )
 
 // ordinary are the kinds in which no call may be lost.
-var ordinary = []Kind{Declare, Reload, Replace, PauseBox, SilenceServers, Leave}
+var ordinary = []Kind{Declare, Reload, Replace, PauseBox, SilenceServers, NameWeights, Leave}
 
 // failures are the other kinds.
-var failures = []Kind{KillBox, EndServer, DelayServer, CutToServer, CutFromServer, ResetServer, MuteServer, DelayLog, HoldLog, ResetLog, MuteLog, LogDown}
+var failures = []Kind{KillBox, EndServer, DelayServer, CutToServer, CutFromServer, ResetServer, MuteServer, DelayLog, HoldLog, ResetLog, MuteLog, LogDown, EmptyStore}
 
 // Ordinary reports whether no call may be lost for a fault of the kind.
 func (k Kind) Ordinary() bool { return slices.Contains(ordinary, k) }
@@ -62,7 +66,7 @@
 // touches says what a fault concerns.
 func (k Kind) touches() subject {
 	switch k {
-	case Declare, LogDown:
+	case Declare, LogDown, NameWeights, EmptyStore:
 		return everything
 	case Reload, Replace, PauseBox, KillBox, DelayLog, HoldLog, ResetLog, MuteLog:
 		return oneBox
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -54,6 +54,7 @@
 		{"a call to another server", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 2, At: 10500 * time.Millisecond}}, Leavings: leaving}, ""},
 		{"a call by a box that was paused", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 3, At: 10500 * time.Millisecond}}, Leavings: leaving, Faults: []soak.Fault{{Kind: soak.PauseBox, At: 9 * second, For: second}}}, ""},
 		{"a call to its next life", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 3, At: 10500 * time.Millisecond}}, Leavings: leaving, Faults: []soak.Fault{{Kind: soak.EndServer, Subject: 3, At: 9 * second, For: second}}}, ""},
+		{"a part that was freed under its fetch", soak.History{BadFetches: []string{"freed"}}, soak.PromiseParts},
 		{"a stop without end", soak.History{StuckBoxes: 1}, soak.PromiseStops},
 		{"refused long after the last fault", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.End = soak.NotRun }), Length: 4 * second}, soak.PromiseRecovers},
 		{"denied for an old key long after", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.End, a.Version = soak.Denied, 1 }), Versions: versions, Length: 4 * second}, ""},
@@ -89,7 +90,7 @@
 			g.Expect(fault.At).To(BeNumerically("<", cfg.Length))
 		}
 	}
-	g.Expect(len(kinds)).To(Equal(18), "all kinds come")
+	g.Expect(len(kinds)).To(Equal(20), "all kinds come")
 	cfg.OnlyOrdinary = true
 	for _, fault := range soak.Plan(cfg) {
 		g.Expect(fault.Kind.Ordinary()).To(BeTrue())
