--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -197,9 +197,8 @@
 
 // leavesOrders reports whether another box reads for this one, so that it need not follow who
 // gives orders. The one that would read next does all the same: a box that begins to follow
-// cannot tell how long ago the last record was written, and waits out the gap from then on:
-// when the giver was cut off between two new versions the next order came at 26.6 s instead
-// of 25.3 s of the day.
+// cannot tell how long ago the last record was written, and would wait out the whole gap from then
+// on before the next order.
 func (b *Box) leavesOrders() bool { return b.registry.Told() && !b.readers.Standby() }
 
 // shortName is a life's name as it stands in each message between boxes.
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -68,7 +68,7 @@
 
 // ChooseUnless is Choose, but leaves a call alone if the server that it would take is of a kind:
 // then it describes that one and gives its zone, empty when there is none. A call that looked
-// first and chose then had all servers described to it twice, 150 µs each time for 163 of them.
+// first and chose then would have all servers described to it twice.
 func (f *Fleet) ChooseUnless(query Query, leave func(best *placing.Candidate) bool) (hold *Hold, zone string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -31,8 +31,7 @@
 	repeatableRest = 20 * time.Second
 	// lateAnswer is how long after the deadline an answer is still taken in. A server stops at
 	// the time that it was given, but what it made may lie unread at a box that lacks the
-	// processor: 55 calls of a day's first seconds got a 504 though they had run well. It is
-	// well below the half second by which a call must have ended after its route's time.
+	// processor, and its caller would get a 504 though the call has run well. It is well below the half second by which a call must have ended after its route's time.
 	lateAnswer = 150 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is taken in whole.
 	maxAnswerBytes = 16 << 20
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -38,7 +38,7 @@
 const (
 	// DefaultDialTimeout is many times the way to any zone of a region and back, and
 	// below the second after which the system sends a lost packet of a new connection
-	// again; longer waits were of no use to the 219 calls of a day whose server was cut off.
+	// again; longer waits are of no use to calls whose server is cut off.
 	DefaultDialTimeout = 150 * time.Millisecond
 	// DefaultIdlePerServer is what one box keeps of a server's connections; a
 	// server takes some 100 of all boxes together.
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -4,16 +4,14 @@
 // The load that it answers: a burst while runners are silent. Boxes that each place by what
 // they know of all others' work send 59 boxes' prompts to the runner that was least busy 0.3 s
 // ago, whose memory then holds five times what fits; prompts wait there while what was fetched
-// for them is thrown away, and are read anew, which holds up everybody else's answers. In the
-// model of that load (package sitebench) 0.11 to 0.18 of the worth is left, and 0.73 to 0.77 with
-// owners (three seeds).
+// for them is thrown away, and are read anew, which holds up everybody else's answers.
 //
 // An owner is a hint with a fallback: no lease, nothing replicated, no promise rests on it. It
 // follows from which boxes there are (package delegate), as hubs do; where there are hubs it is
 // the hub of its zone, which hears most of the zone's work first-hand, and small zones share
 // one. What it granted it counts at once, until the asker's own word on its work can hold the
-// call (owner.go). Boxes that disagree on the owner for a moment have two, each of which knows of the other's calls as late as boxes without
-// owners do. An asker that gets no answer within answerLimit chooses by itself and leaves that
+// call (owner.go). Boxes that disagree on the owner for a moment have two, each of which knows of
+// the other's calls as late as boxes without owners do. An asker that gets no answer within answerLimit chooses by itself and leaves that
 // owner alone for a while, so an owner that dies, stands still or is cut off costs one wait of
 // each box.
 //
--- a/internal/placing/admit.go
+++ b/internal/placing/admit.go
@@ -12,27 +12,19 @@
 	// at a runner. More would make this call late, and the urgent ones behind it.
 	ReadPart = 0.6
 	// BusyPart is the part of the slots of the best runner that is known to be taken from which
-	// on short prompts are placed by an owner. In the model of the worst load (package sitebench,
-	// means of four seeds) the worth is 0.695 if they never are, 0.736 with a half, 0.759 with a
-	// quarter, 0.755 if they always are; on a calm day 0, a fifteenth, a half and all of them
-	// are, for the same worth.
+	// on short prompts are placed by an owner. Nearly idle runners need nobody who knows their work
+	// exactly, and a question a call would be wasted.
 	BusyPart = 0.5
 	// MemoryPart is the part of a runner's memory that known calls may take. The rest
-	// is for calls of other boxes that are not known yet, and for short prompts. Of 0.6,
-	// 0.75 and 0.9 the second lost least on any of three sites: mean worth 0.711, 0.732 and
-	// 0.736 where memory is what is scarce, 0.750, 0.744 and 0.735 where runners get twice
-	// as many prompts a second, 0.723, 0.729 and 0.731 on the third.
+	// is for calls of other boxes that are not known yet, and for short prompts.
 	MemoryPart = 0.75
 	// HeadroomPart is the same for the one box that a runner's headroom belongs to:
-	// nobody else fills it meanwhile, so less is kept free. With 0.9 the mean worth of
-	// twelve days, two seeds each, rose from 0.649 to 0.680, with 0.97 it was the same,
-	// and with a MemoryPart of 0.5 or 0.7 beside it less.
+	// nobody else fills it meanwhile, so less is kept free.
 	HeadroomPart = 0.9
 	// WaitPart is the part of the objective that a call waits for room; then it is
 	// refused while it can still be served in time elsewhere or later. Calls that waited
 	// longer were late as often as not once they had room, and kept it from new ones for
-	// seconds: waiting for as long as the objective allows earned 0.684 instead of 0.705
-	// (mean worth of three days, two seeds each), and waiting on though late 0.664.
+	// seconds.
 	WaitPart = 0.2
 )
 
--- a/internal/roomline/roomline.go
+++ b/internal/roomline/roomline.go
@@ -97,8 +97,7 @@
 
 // look places the calls for which there is room now, in their order. One for which there
 // is none holds up nobody: with runners' memory full for long prompts, short ones and those
-// that need other weights still find some (mean worth of three days, two seeds each, 0.679
-// with a strict order and 0.687 without).
+// that need other weights still find some.
 func (l *Line[C, P]) look() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -38,8 +38,8 @@
 	avoidFor = 2 * time.Second
 	// avoidLostFor is the same for one that cannot read the log, and mostLost how many of
 	// these are left one after the other: then it is the log that is down, and no other
-	// box would do better. While a reader alone was cut off from the log, all boxes of its
-	// zone read for themselves: 700 of 2,700 calls of a day at 82 boxes.
+	// box would do better. If a reader alone is cut off from the log, all boxes of its zone
+	// would else read for themselves.
 	avoidLostFor = 5 * time.Second
 	mostLost     = 2
 )
