Test: a call is handed to a server that is as silent as its own (fails)

The server that was asked stood still too, had no calls, and so was not suspected; it refused after its silence, when the first had been left.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,9 @@
 	ServersAge func() time.Duration
 	// OutdatedAfter is when answers by older weights have lost all their worth.
 	OutdatedAfter time.Duration
+	// Answers reports whether a runner answers at all, whatever it is busy with; nil where none
+	// can be asked.
+	Answers func(ctx context.Context, server fleet.Server) bool
 	// Quarantine knows which requests end servers, Crashed reports whether the server of a
 	// call that broke off has ended; nil where nothing of it is known.
 	Quarantine *quarantine.Set
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -81,6 +81,43 @@
 	}
 }
 
+// Five streams were cut in a soak of real processes in which nothing failed. Their servers had
+// stood still, and so had the one that was asked, though nobody had noticed, since it had no calls:
+// it neither refused the call nor ran it. After 200 ms the call was taken to be there and the first
+// server was left; 3 s later the second refused it, as it had been given other weights meanwhile:
+//
+//	try_lost try=1 reason=stream_broke_off silent=true ended_by=box server=engines-2
+//	server_refused try=2 reason=421 server=engines-4
+//	call outcome=broken tries=2 events=15 left=9293 reason=no_server_answered
+func TestACallIsNotHandedToAServerThatIsSilentToo(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprintf("begun %t", begun), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := fleet.New(fleet.Config{})
+			startRunner(t, f, "first", silentFor(silentLength, begun, nil))
+			c := silentCatalog(g, 2)
+			gateway := promptGateway(newPlanProtocol(), f, emptyStore(c), c)
+			gateway.cfg.Answers = func(ctx context.Context, server fleet.Server) bool {
+				if server.Incarnation != "second" {
+					return true
+				}
+				<-ctx.Done()
+				return false
+			}
+			answers := make(chan string, 1)
+			go func() { answers <- serveStream(gateway) }()
+			g.Eventually(func() int { return inFlight(f) }).Should(Equal(1))
+			startSecond(t, f, func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(silentLength)
+				refuse(w, r)
+			})
+			g.Expect(<-answers).To(Equal(wholeFrom("first", begun)))
+			g.Eventually(func() int { return inFlight(f) }).Should(BeZero())
+		})
+	}
+}
+
 // The first server speaks while the second is asked: it is the one that goes on, and the second
 // is told at once that nobody waits for it.
 func TestAServerThatSpeaksAgainKeepsItsCall(t *testing.T) {
