A call is offered only to a runner that answers at all

Callers saw streams cut in a standstill of several servers: the call had been handed to one that was as silent as its own, but idle, so that nothing was suspected. That no refusal came within 200 ms was taken for having the call.

Now a runner is asked for its report before it is handed a call of a silent server; one that does not answer in 150 ms is suspected, so that no crowd of calls asks it. A plain service, which cannot be asked, must have answered the call itself. Nothing is asked while servers speak.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -238,11 +238,17 @@
 		Budget: b.budget, Boxes: b.share.Boxes, Headroom: b.share.OwnsHeadroom, Lag: b.share.Lag,
 		Places: b.places, Box: b.settings.Box,
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.WeightsLimit,
-		ServersAge: b.registry.ServersAge, Quarantine: b.quarantine, Crashed: b.crashes.Judge,
+		Answers: b.answers, ServersAge: b.registry.ServersAge, Quarantine: b.quarantine, Crashed: b.crashes.Judge,
 	})
 	b.assembleServers()
 }
 
+// answers reports whether a runner answers at all: it is asked for its report, which takes no slot.
+func (b *Box) answers(ctx context.Context, server fleet.Server) bool {
+	_, err := b.cfg.Runners.Report(ctx, server)
+	return err == nil
+}
+
 // configure takes over a new configuration.
 func (b *Box) configure(next *catalog.Catalog) {
 	b.parts.Configure(next.Services())
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -32,10 +32,14 @@
 	left bool
 }
 
-func newOffer(t *try) *offer { return &offer{t: t, reached: true, done: make(chan struct{})} }
+func newOffer(t *try) *offer { return &offer{t: t, done: make(chan struct{})} }
 
-// begin hands the call over. What the server is told is written down before this returns.
+// begin hands the call over, once. What the server is told is written down before this returns.
 func (o *offer) begin() {
+	if o.reached {
+		return
+	}
+	o.reached = true
 	message := o.t.message()
 	go o.run(message)
 }
@@ -68,9 +72,12 @@
 	return o.answer, o.err
 }
 
-// leave takes the call back from the server. It may have begun to run it.
+// leave takes the call back from the server, which may have begun to run it if it has seen it.
 func (o *offer) leave() {
-	o.mayHaveRun = true
+	o.mayHaveRun = o.reached
+	if !o.reached {
+		o.t.gateway.cfg.Budget.Return()
+	}
 	o.t.cancel()
 	o.t.finish(fleet.EndAbandoned)
 	o.t.log("try_withdrawn", "not_needed")
@@ -82,12 +89,20 @@
 	}
 }
 
-// inVain reports whether the server has said that it does not take the call, or cannot go on with
-// what the caller has of an answer. It waits for nothing.
-func (o *offer) inVain(begun bool) bool {
+// isDone reports whether the server has answered, or will not.
+func (o *offer) isDone() bool {
 	select {
 	case <-o.done:
+		return true
 	default:
+		return false
+	}
+}
+
+// inVain reports whether the server has said that it does not take the call, or cannot go on with
+// what the caller has of an answer. It waits for nothing.
+func (o *offer) inVain(begun bool) bool {
+	if !o.isDone() {
 		return false // it is at work
 	}
 	switch {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -2,18 +2,20 @@
 // silent for too long asks another one, and leaves the first only when that one has taken it.
 //
 // Whoever left first and then asked lost answers that would have come: the route may allow no
-// other server, the retry budget may be spent, no server may have room, and the one that looked
-// as if it had may refuse. So all of that is found out beside the silent try, which goes on as
-// long as any of it says no, and whose answer counts if it comes meanwhile. Two servers run a
-// call side by side for askLimit at most.
+// other server, the retry budget may be spent, no server may have room, the one that looked as if
+// it had may refuse, or be as silent as the first. So all of that is found out beside the silent
+// try, which goes on as long as any of it says no, and whose answer counts if it comes meanwhile.
+// Two servers run a call side by side for askLimit at most.
 
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/silence"
 )
 
@@ -23,6 +25,10 @@
 // running at its earlier server.
 const askLimit = 200 * time.Millisecond
 
+// answerLimit is how long a runner may take to answer at all before it is handed a call of a silent
+// one. A sound one answers in a few milliseconds.
+const answerLimit = 150 * time.Millisecond
+
 // watchState says what a watch does.
 type watchState uint8
 
@@ -46,6 +52,7 @@
 	keptByTime   kept = "no_time_left"
 	keptByBudget kept = "no_retry_saved"
 	keptByRoom   kept = "no_sound_server_with_room"
+	keptBySilent kept = "the_other_server_is_silent_too"
 	keptByHold   kept = reasonEndsServers
 )
 
@@ -175,6 +182,7 @@
 	defer w.mu.Unlock()
 	if w.state == asking {
 		w.state = taken
+		w.next.offer.begin()
 	}
 	return w.state == taken
 }
@@ -211,18 +219,64 @@
 	return next
 }
 
-// look is what the timer does.
+// look is what the timer does: it finds another server, sees whether that one answers at all, hands
+// the call over there, and sees whether it is refused.
 func (w *watch) look() {
 	next, reason := w.ask()
 	if reason != "" {
 		w.t.log("try_kept", string(reason))
 	}
-	if next != nil {
-		next.offer.await(askLimit)
-		if w.inVain(next) {
-			next.offer.end()
-		}
+	if next == nil {
+		return
+	}
+	if !next.answers() {
+		w.drop(next)
+		return
+	}
+	if !w.handOver(next) {
+		return
+	}
+	next.offer.await(askLimit)
+	if w.inVain(next) {
+		next.offer.end()
+	}
+}
+
+// answers reports whether the server of a try says anything, though not to the call. Those that
+// cannot be asked are believed to.
+func (t *try) answers() bool {
+	if t.chosen.namespace == "" || t.gateway.cfg.Answers == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, answerLimit)
+	defer cancel()
+	return t.gateway.cfg.Answers(ctx, t.chosen.hold.Server())
+}
+
+// drop leaves a server that does not answer. Nobody else is to be handed to it for a while either.
+func (w *watch) drop(next *try) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.next != next || w.state != asking {
+		return // taken back, or taken over without an answer
+	}
+	w.next, w.state = nil, watching
+	w.lookIn(w.seen(boottime.Now()).Again())
+	w.t.gateway.cfg.Budget.Return()
+	next.cancel()
+	next.finish(fleet.EndUnreachable)
+	next.log("try_kept", string(keptBySilent))
+}
+
+// handOver hands the call over, unless it was taken back meanwhile.
+func (w *watch) handOver(next *try) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.next != next || w.state != asking {
+		return false
 	}
+	next.offer.begin()
+	return true
 }
 
 // ask asks another server, if the silence has lasted and all that it takes is there. Otherwise it
@@ -244,7 +298,6 @@
 	}
 	if next, reason = w.find(); next != nil {
 		w.state, w.next = asking, next
-		next.offer.begin()
 		return next, ""
 	}
 	if reason != keptByRoute {
@@ -299,6 +352,12 @@
 		w.lookIn(w.seen(boottime.Now()).Again())
 		return true
 	}
+	if next.chosen.namespace == "" && !next.offer.isDone() {
+		// Nothing shows that it is at work, and a sound plain service would have answered.
+		w.withdraw()
+		w.lookIn(w.seen(boottime.Now()).Again())
+		return false
+	}
 	w.state = taken
 	w.t.cancel()
 	return false
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/retrybudget"
@@ -317,3 +318,59 @@
 	defer b.mu.Unlock()
 	return b.text.String()
 }
+
+// plainProtocol is planProtocol for calls without a prompt.
+type plainProtocol struct{ *planProtocol }
+
+func (plainProtocol) WriteHandover(http.Header, call.Handover) {}
+
+// A plain service that neither refuses a call nor answers it soon shows nothing, so the call stays
+// where it is; one that answers takes it.
+func TestAPlainCallStaysUnlessAnotherServerAnswers(t *testing.T) {
+	answer := func(text string, after time.Duration) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-time.After(after):
+				_, _ = w.Write([]byte(text))
+			case <-r.Context().Done():
+			}
+		}
+	}
+	tests := []struct {
+		name   string
+		second time.Duration
+		want   string
+	}{
+		{"it answers", 0, "second"},
+		{"it is silent too", time.Hour, "first"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := fleet.New(fleet.Config{})
+			startRunner(t, f, "first", answer("first", silentLength))
+			c := plainCatalog(g)
+			gateway := promptGateway(plainProtocol{&planProtocol{facts: call.Facts{RequestID: "q"}}}, f, emptyStore(c), c)
+			answers := make(chan string, 1)
+			go func() { answers <- serveStream(gateway) }()
+			g.Eventually(func() int { return inFlight(f) }).Should(Equal(1))
+			startSecond(t, f, answer("second", test.second))
+			g.Expect(<-answers).To(Equal(test.want))
+			g.Eventually(func() int { return inFlight(f) }).Should(BeZero())
+		})
+	}
+}
+
+// plainCatalog has one route to a plain service, whose calls may be repeated.
+func plainCatalog(g *WithT) *catalog.Catalog {
+	made, err := catalog.New(catalog.Config{
+		Version: 1, Limits: catalog.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 16}, Services: []catalog.Service{{Name: "r"}},
+		Routes: []catalog.Route{{
+			Name: "pages", Host: "example.com", PathPrefix: "/", Kind: catalog.Repeatable, MaxServers: 2,
+			Objective: 150 * time.Millisecond, Timeout: 10 * time.Second, Splits: []catalog.Split{{Service: "r", Weight: 1}}, Public: true,
+		}},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	return made
+}
