--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -91,6 +91,8 @@
 	PartsKept, PartsFreed int
 	// StuckBoxes are planned stops that did not end in time.
 	StuckBoxes int
+	// Grace is the time that a box has for a planned stop.
+	Grace time.Duration
 	// Length is when the last fault was over and all was to work again.
 	Length time.Duration
 }
@@ -129,6 +131,10 @@
 	recovery = 5 * time.Second
 	// lateEnd is the part of its time after which a call may end without an answer.
 	lateEnd = 0.7
+	// lastOfGrace is the part of the time for a planned stop after which calls may be cut off that
+	// were taken within takenAfterStop of the order.
+	lastOfGrace    = 5.0 / 6
+	takenAfterStop = 3 * time.Second
 )
 
 // Check gives the promises that a run did not keep.
@@ -193,12 +199,24 @@
 	if a.End != Unknown && a.End != Cut && a.End != Failed && !(a.End == Closed && runs > 0) {
 		return false
 	}
-	if a.Ended-a.Began >= time.Duration(lateEnd*float64(a.Limit)) {
+	if a.Ended-a.Began >= time.Duration(lateEnd*float64(a.Limit)) || h.outlastedStop(a) {
 		return false
 	}
 	return !h.disturbed(a.Began-contact, a.Ended, func(f Fault) bool { return !f.Kind.Ordinary() })
 }
 
+// outlastedStop reports whether a call that a box took soon after the order to stop was still at
+// work at its server when nearly all of the box's time for that was over.
+func (h *History) outlastedStop(a *Attempt) bool {
+	for _, fault := range h.Faults {
+		last := fault.At + time.Duration(lastOfGrace*float64(h.Grace))
+		if fault.Kind == Replace && fault.Subject == a.Box && a.Began <= fault.At+takenAfterStop && a.Ended >= last && a.Ended <= fault.At+h.Grace {
+			return true
+		}
+	}
+	return false
+}
+
 // disturbed reports whether a fault of some kind lay in a span of time.
 func (h *History) disturbed(from, to time.Duration, counts func(Fault) bool) bool {
 	for _, fault := range h.Faults {
