--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -124,7 +124,14 @@
 func TestAServerThatSpeaksAgainKeepsItsCall(t *testing.T) {
 	g := NewWithT(t)
 	f := fleet.New(fleet.Config{})
-	startRunner(t, f, "first", silentFor(silentLimit+askLimit/2, true, nil))
+	startRunner(t, f, "first", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sendEvent(w, "first", 1)
+		time.Sleep(silentLimit + askLimit/2)
+		sendEvent(w, "first", 2)
+		time.Sleep(2 * askLimit) // longer than the second would need to take the call
+		sendEvent(w, "first", 3)
+		sendEvent(w, "first", 4)
+	}))
 	c := silentCatalog(g, 2)
 	gateway := promptGateway(newPlanProtocol(), f, emptyStore(c), c)
 	answers := make(chan string, 1)
@@ -165,6 +172,28 @@
 	g.Expect(runs.Load()).To(BeEquivalentTo(1))
 }
 
+// The second server broke off and may have run the call; then the first says that it has not run
+// it. What is said of the call must hold for both.
+func TestACallThatAnotherServerMayHaveRunIsNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	f := fleet.New(fleet.Config{})
+	startRunner(t, f, "first", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(silentLength)
+		refuse(w, r)
+	}))
+	c := silentCatalog(g, 2)
+	gateway := promptGateway(newPlanProtocol(), f, emptyStore(c), c)
+	answers := make(chan int, 1)
+	go func() {
+		answer := httptest.NewRecorder()
+		gateway.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+		answers <- answer.Code
+	}()
+	g.Eventually(func() int { return inFlight(f) }).Should(Equal(1))
+	startSecond(t, f, breakOff)
+	g.Expect(<-answers).To(Equal(http.StatusBadGateway), "unknown, and not 'not run'")
+}
+
 // The caller leaves while a second server is asked: neither goes on.
 func TestNoServerIsAskedForACallerWhoLeft(t *testing.T) {
 	g := NewWithT(t)
