--- a/internal/partindex/partindex.go
+++ b/internal/partindex/partindex.go
@@ -23,38 +23,6 @@
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
-// Key names a part under the namespace that it was made under.
-type Key struct {
-	Namespace string
-	ID        string
-}
-
-// Change is one event of a store box: a part is whole, or gone.
-type Change struct {
-	Key
-	// Tokens is how much of the part is kept; 0 when it is gone.
-	Tokens int
-}
-
-// Report is an answer of a store box to "what changed" or "what do you keep".
-type Report struct {
-	// Life changes when the store box restarts.
-	Life int64
-	// Next is where the next question begins.
-	Next int64
-	// Gap says that events before these are missing.
-	Gap     bool
-	Changes []Change
-	// Unfinished are parts that are being written, or that broke off and hold their
-	// room all the same, with the room that they take; only a list tells of them.
-	Unfinished []Change
-	// ClockMillis is the servers' clock, 0 when the report does not say.
-	ClockMillis int64
-	// AsOf is a moment at which the store box lived this life and had told all that
-	// it kept: not later than its answer, however long that was on its way.
-	AsOf time.Time
-}
-
 const (
 	// freshFor is how long a store box's word counts. The boxes ask three times a
 	// second, so one lost answer does no harm.
@@ -304,59 +272,3 @@
 		delete(x.saving, change.Key)
 	}
 }
-
-// Freeable lists parts of a store box that may be freed, those that broke off
-// included: nobody writes under weights whose parts may be freed.
-func (x *Index) Freeable(address string, mayFree func(Key) bool, most int) (parts []Key, life int64) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	s := x.find(address)
-	if s == nil || boottime.Since(s.heardAt) > freshFor {
-		return nil, 0
-	}
-	for _, kept := range []map[Key]int{s.held, s.unfinished} {
-		for key := range kept {
-			if len(parts) < most && mayFree(key) {
-				parts = append(parts, key)
-			}
-		}
-	}
-	return parts, s.life
-}
-
-// NoteFreed notes that parts were freed: the event that says so may be lost, and of parts
-// that were not whole there is none.
-func (x *Index) NoteFreed(address string, life int64, parts []Key) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	s := x.find(address)
-	if s == nil || s.life != life {
-		return
-	}
-	for _, key := range parts {
-		s.used -= s.held[key] + s.unfinished[key]
-		delete(s.held, key)
-		delete(s.unfinished, key)
-	}
-}
-
-// State is what gauges show of one store box.
-type State struct {
-	Name string
-	// Parts counts the parts that it keeps, Used their tokens.
-	Parts int
-	Used  int
-	// Age is how old its last word is.
-	Age time.Duration
-}
-
-// State describes the store boxes.
-func (x *Index) State() []State {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	states := make([]State, len(x.stores))
-	for i, s := range x.stores {
-		states[i] = State{s.name, len(s.held), s.used, boottime.Since(s.heardAt)}
-	}
-	return states
-}
