--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/handover"
 	"github.com/cometlock/cometlock/internal/retrybudget"
 )
 
@@ -403,3 +405,71 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	return made
 }
+
+// slowCaller takes a while for one piece of its answer.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	pause time.Duration
+}
+
+func (c *slowCaller) Write(piece []byte) (int, error) {
+	if c.Body.Len() > 0 {
+		time.Sleep(c.pause)
+		c.pause = 0
+	}
+	return c.ResponseRecorder.Write(piece)
+}
+
+// A box that waits for a slow caller does not read its server meanwhile, which was taken for the
+// server's silence: another server was asked, and ran the call for nothing.
+func TestASlowCallerDoesNotMakeAServerSilent(t *testing.T) {
+	g := NewWithT(t)
+	f := fleet.New(fleet.Config{})
+	startRunner(t, f, "first", serveRest("first", 0))
+	c := silentCatalog(g, 2)
+	gateway := promptGateway(newPlanProtocol(), f, emptyStore(c), c)
+	caller := &slowCaller{httptest.NewRecorder(), silentLength}
+	ended := make(chan struct{})
+	go func() {
+		gateway.ServeHTTP(caller, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+		close(ended)
+	}()
+	g.Eventually(func() int { return inFlight(f) }).Should(Equal(1))
+	var runs atomic.Int64
+	startSecond(t, f, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		serveRest("second", 0)(w, r)
+	})
+	g.Eventually(ended, "5s").Should(BeClosed())
+	g.Expect(caller.Body.String()).To(Equal(wholeFrom("first", true)))
+	g.Expect(runs.Load()).To(BeZero())
+}
+
+// The whole answer has come just as the call was taken over elsewhere. It is delivered.
+func TestAnAnswerThatIsThereIsDelivered(t *testing.T) {
+	g := NewWithT(t)
+	f := fleet.New(fleet.Config{})
+	startRunner(t, f, "first", serveRest("first", 0))
+	startRunner(t, f, "second", serveRest("second", 0))
+	c := silentCatalog(g, 2)
+	gateway := promptGateway(newPlanProtocol(), f, emptyStore(c), c)
+	caller := httptest.NewRecorder()
+	x := gateway.newExchange(caller, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+	g.Expect(gateway.accept(x)).To(BeTrue())
+	chosen, ok := gateway.place(x)
+	g.Expect(ok).To(BeTrue())
+	x.handTo(chosen)
+	tried := gateway.newTry(x, chosen)
+	tried.watch.due = time.Now()
+	tried.watch.heardAt = tried.watch.due.Add(-time.Hour)
+	next, _ := tried.watch.startAsking()
+	g.Expect(next).NotTo(BeNil())
+	g.Expect(tried.watch.takeOver()).To(BeTrue())
+
+	then := tried.relayWhole(&handover.Answer{Status: http.StatusOK, Header: http.Header{}, Body: strings.NewReader("answer")})
+	g.Expect(then).To(Equal(nextEnd))
+	g.Expect(tried.watch.close(false)).To(BeNil(), "nobody goes on with it")
+	g.Expect(caller.Body.String()).To(Equal("answer"))
+	g.Expect(x.handed).To(Equal(2), "the second has seen it")
+	g.Eventually(func() int { return inFlight(f) }).Should(BeZero())
+}
