A slow caller is no silence of its server, and an answer that is there is delivered

Callers that took an event slowly had their calls run by a second server for nothing: the box did not read the first one meanwhile, and took that for silence. The watch now knows when an event is being passed on, and counts from its end. A whole answer, or a stream that ended properly, is delivered also when another server has just been given the call, which is taken back from there.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -109,6 +109,10 @@
 		return nil, ""
 	}
 	seen := w.seen(boottime.Now())
+	if w.passing {
+		w.lookIn(seen.Limit())
+		return nil, ""
+	}
 	if elsewhere, again := seen.Judge(); !elsewhere {
 		w.lookIn(again)
 		return nil, ""
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,9 +20,10 @@
 // never looks whole, and another server can be tried instead.
 func (t *try) relayWhole(answer *handover.Answer) next {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	if !t.watch.hear() || err != nil || len(body) > maxAnswerBytes {
+	if err != nil || len(body) > maxAnswerBytes {
 		return t.lost("answer_broke_off", fleet.EndUnreachable)
 	}
+	t.watch.hearAll()
 	x := t.x
 	whole := &wholeAnswer{status: answer.Status, header: forwardable(answer.Header), body: body}
 	if answer.Status < http.StatusInternalServerError {
@@ -67,7 +68,8 @@
 	reader := eventstream.NewReader(answer.Body)
 	for {
 		event, err := reader.Next()
-		if errors.Is(err, io.EOF) && t.watch.hear() {
+		if errors.Is(err, io.EOF) {
+			t.watch.hearAll()
 			return t.streamEnded(answer)
 		}
 		if err != nil {
@@ -80,6 +82,7 @@
 		if fresh {
 			t.pass(answer, event)
 		}
+		t.watch.passed()
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -39,6 +39,8 @@
 	// answer has come.
 	heardAt time.Time
 	begun   bool
+	// passing says that an event is being passed on, so that nothing is read from the server.
+	passing bool
 	// next is the try that is asked, or that has taken the call; before are those asked earlier
 	// in vain.
 	next   *try
@@ -98,35 +100,29 @@
 	}
 }
 
-// hear notes a sign of the server, which makes another one needless. It reports false when the
-// call goes on elsewhere already, so that the sign comes too late.
-func (w *watch) hear() bool {
+// hearAll notes that the whole answer has come, which is delivered also if the call has just gone
+// on elsewhere.
+func (w *watch) hearAll() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.heard()
-}
-
-// heard is hear; the caller holds mu.
-func (w *watch) heard() bool {
-	if w.state == taken {
-		return false
-	}
-	w.heardAt = boottime.Now()
-	if w.state == asking {
+	if w.next != nil {
 		w.withdraw()
 	}
-	return true
 }
 
-// hearEvent is hear for an event of a stream, whose id is noted as the last one that the caller
-// has. Fresh says that the caller has not had it.
+// hearEvent notes an event of a stream, which makes another server needless, and its id as the last
+// one that the caller has. Fresh says that the caller has not had it. It is not ours when the call
+// goes on elsewhere already, so that it comes too late. After it passed is called.
 func (w *watch) hearEvent(id string) (fresh, ours bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.heard() {
+	if w.state == taken {
 		return false, false
 	}
-	w.begun = true
+	if w.state == asking {
+		w.withdraw()
+	}
+	w.begun, w.passing = true, true
 	if id == "" {
 		return true, true
 	}
@@ -137,6 +133,14 @@
 	return true, true
 }
 
+// passed notes that the caller has the event, and the server is read again. While a slow caller
+// holds the box up, what its server says lies unread, and that is no silence.
+func (w *watch) passed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heardAt, w.passing = boottime.Now(), false
+}
+
 // withdraw takes the call back from the server that is asked. The caller holds mu.
 func (w *watch) withdraw() {
 	w.next.offer.leave()
