--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -126,9 +126,10 @@
 func TestAServerThatSpeaksAgainKeepsItsCall(t *testing.T) {
 	g := NewWithT(t)
 	f := fleet.New(fleet.Config{})
+	asked, left := make(chan struct{}), make(chan struct{})
 	startRunner(t, f, "first", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		sendEvent(w, "first", 1)
-		time.Sleep(silentLimit + askLimit/2)
+		<-asked
 		sendEvent(w, "first", 2)
 		time.Sleep(2 * askLimit) // longer than the second would need to take the call
 		sendEvent(w, "first", 3)
@@ -139,8 +140,8 @@
 	answers := make(chan string, 1)
 	go func() { answers <- serveStream(gateway) }()
 	g.Eventually(func() int { return inFlight(f) }).Should(Equal(1))
-	left := make(chan struct{})
 	startSecond(t, f, func(_ http.ResponseWriter, r *http.Request) {
+		close(asked)
 		<-r.Context().Done()
 		close(left)
 	})
@@ -153,13 +154,12 @@
 func TestACallWhoseSilentServerEndsGoesOnWhereItWasOffered(t *testing.T) {
 	g := NewWithT(t)
 	f := fleet.New(fleet.Config{})
-	startRunner(t, f, "first", func() http.HandlerFunc {
-		return func(w http.ResponseWriter, _ *http.Request) {
-			sendEvent(w, "first", 1)
-			time.Sleep(silentLimit + askLimit/2)
-			panic(http.ErrAbortHandler)
-		}
-	}())
+	asked := make(chan struct{})
+	startRunner(t, f, "first", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sendEvent(w, "first", 1)
+		<-asked
+		panic(http.ErrAbortHandler)
+	}))
 	c := silentCatalog(g, 2)
 	gateway := promptGateway(newPlanProtocol(), f, emptyStore(c), c)
 	answers := make(chan string, 1)
@@ -167,7 +167,9 @@
 	g.Eventually(func() int { return inFlight(f) }).Should(Equal(1))
 	var runs atomic.Int64
 	startSecond(t, f, func(w http.ResponseWriter, r *http.Request) {
-		runs.Add(1)
+		if runs.Add(1) == 1 {
+			close(asked)
+		}
 		serveRest("second", askLimit)(w, r)
 	})
 	g.Expect(<-answers).To(Equal(wholeFrom("second", true)))
@@ -224,9 +226,7 @@
 }
 
 const (
-	// silentLimit is when calls of these tests look for another server amid a stream, and
-	// silentLength well above it.
-	silentLimit  = 1200 * time.Millisecond
+	// silentLength is well above the time after which calls of these tests look for another server.
 	silentLength = 2 * time.Second
 	silentEvents = 4
 )
