Test: a history's box is waited for only when its loops have ended

A box waits for its loops first and then for what they began (entrybox, shutDown), so this was the test's own order and no fault of boxes. Both are still waited for, in that order.

--- a/internal/loadshare/hubs_test.go
+++ b/internal/loadshare/hubs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,8 +194,14 @@
 	a.share.TakeBoxes(h.list())
 	ctx, a.stop = context.WithCancel(ctx)
 	listener := h.fabric.listen(a.name)
+	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){a.share.LoopLink, a.share.LoopForget} {
-		a.stopped.Go(func() { loop(ctx) })
+		loops.Go(func() { loop(ctx) })
 	}
-	a.stopped.Go(func() { share.LoopAccept(ctx, listener); share.Wait() })
+	loops.Go(func() { share.LoopAccept(ctx, listener) })
+	// The loops begin what the share waits for, so they end first, as in a box.
+	a.stopped.Go(func() {
+		loops.Wait()
+		share.Wait()
+	})
 }
