Servers of an evacuated zone get no calls

Cause: records evacuate/ZONE of the operators' stream were read by nobody.

Now the registry takes them from what is new in the stream's tail, which names what a whole reading or another box's report no longer holds, so a zone is also taken back by being named no more. The fleet leaves the servers of evacuated zones out wherever one is chosen: choices, grants of owners and their use, retries, calls beside unresponsive servers.

Holds since there is one place that all choices go through (eligible), and the zone's state goes by offsets, like a server's.

--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -96,6 +96,7 @@
 	scope.Gauge("requests_suspected").Update(float64(suspected))
 	scope.Gauge("order_lease_held").Update(oneIf(b.lease.Held()))
 	scope.Gauge("servers_known").Update(float64(b.fleet.Known()))
+	scope.Gauge("zones_evacuated").Update(float64(len(b.fleet.Evacuated())))
 	scope.Gauge("servers_read_age_seconds").Update(b.registry.ServersAge().Seconds())
 	scope.Gauge("boxes_known").Update(float64(b.share.Boxes()))
 	scope.Gauge("is_hub").Update(oneIf(b.share.Hub() == ""))
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -161,7 +161,7 @@
 	if state.Leaving || !f.present(state, now) || now.Before(state.pausedUntil) || now.Before(state.orderedUntil) {
 		return false
 	}
-	if query.In != nil && !query.In(state.Zone) {
+	if f.evacuated.Active(state.Zone) || query.In != nil && !query.In(state.Zone) {
 		return false
 	}
 	if query.ConnectionLimit > 0 && state.inFlight >= query.ConnectionLimit {
--- /dev/null
+++ b/internal/fleet/evacuate.go
@@ -0,0 +1,55 @@
+// Evacuated zones: their servers get no calls, by whatever way a call is placed.
+
+package fleet
+
+import (
+	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/evacuation"
+)
+
+// Evacuate takes over a record of the operators on a zone.
+func (f *Fleet) Evacuate(change evacuation.Change) {
+	defer f.freed.Send() // waiting calls are placed anew, or end
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.evacuated.Apply(change, boottime.Now()) {
+		return
+	}
+	event := "zone_returned"
+	if change.Active {
+		event = "zone_evacuated"
+	}
+	f.cfg.Logger.Info().Str("evacuated", change.Zone).Int64("offset", change.Offset).Int("calls", f.callsIn(change.Zone)).Msg(event)
+}
+
+// callsIn counts the calls of this box that run in a zone. The caller holds mu.
+func (f *Fleet) callsIn(zone string) int {
+	calls := 0
+	for _, state := range f.servers {
+		if state.Zone == zone {
+			calls += state.inFlight
+		}
+	}
+	return calls
+}
+
+// Evacuated lists the evacuated zones.
+func (f *Fleet) Evacuated() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuated.All()
+}
+
+// HasServers reports whether a service has a server that may take calls now or soon: one that is
+// listed, does not drain and is in no evacuated zone.
+func (f *Fleet) HasServers(service string, in func(zone string) bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := boottime.Now()
+	for _, state := range f.byService[service] {
+		if !state.Leaving && f.present(state, now) && !f.evacuated.Active(state.Zone) && (in == nil || in(state.Zone)) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/evacuation"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -85,6 +86,8 @@
 	// readRate is how many prompt tokens a runner reads in a millisecond, as
 	// learnt.
 	readRate float64
+	// evacuated holds the zones whose servers get no calls.
+	evacuated evacuation.Zones
 }
 
 // New makes a fleet without servers.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -18,6 +18,7 @@
 
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/evacuation"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -33,6 +34,9 @@
 type Decoder interface {
 	// Declaration gives nil for records of no interest.
 	Declaration(record sharedlog.Record) (*Declaration, error)
+	// Evacuation gives false for records that evacuate no zone and take none back. A record
+	// without a value takes back what its key said.
+	Evacuation(record sharedlog.Record) (evacuation.Change, bool)
 	// Server gives a server, or that it is gone.
 	Server(record sharedlog.Record) (fleet.Update, error)
 }
@@ -214,6 +218,7 @@
 		r.takeBoxes(news)
 	default:
 		r.takeDeclarations(records)
+		r.takeEvacuations(news)
 	}
 }
 
@@ -257,6 +262,16 @@
 	}
 }
 
+// takeEvacuations passes on which zones are evacuated or taken back. It goes by what is new in
+// the stream rather than by records: a whole reading takes a zone back by not naming it.
+func (r *Registry) takeEvacuations(news []entry) {
+	for _, next := range news {
+		if change, found := r.cfg.Decoder.Evacuation(next.record); found {
+			r.cfg.Fleet.Evacuate(change)
+		}
+	}
+}
+
 func (r *Registry) takeDeclarations(records []sharedlog.Record) {
 	for _, record := range records {
 		declaration, err := r.cfg.Decoder.Declaration(record)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/evacuation"
 	"github.com/cometlock/cometlock/internal/fakelog"
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
@@ -27,6 +29,8 @@
 	switch {
 	case string(record.Value) == "bad":
 		return nil, errors.New("not understood")
+	case strings.HasPrefix(record.Key, "evacuate/"):
+		return nil, nil
 	case record.Key == "config":
 		made, err := catalog.New(catalog.Config{Version: int64(len(record.Value))})
 		return &registry.Declaration{Catalog: made}, err
@@ -35,6 +39,11 @@
 	}
 }
 
+func (decoder) Evacuation(record sharedlog.Record) (evacuation.Change, bool) {
+	zone, found := strings.CutPrefix(record.Key, "evacuate/")
+	return evacuation.Change{Zone: zone, Active: len(record.Value) > 0, Offset: record.Offset}, found
+}
+
 func (decoder) Server(record sharedlog.Record) (fleet.Update, error) {
 	update := fleet.Update{Key: record.Key, Offset: record.Offset}
 	if len(record.Value) > 0 {
--- a/internal/registry/turn_test.go
+++ b/internal/registry/turn_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/evacuation"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
@@ -20,6 +21,10 @@
 	return &Declaration{Catalog: made}, err
 }
 
+func (lengths) Evacuation(sharedlog.Record) (evacuation.Change, bool) {
+	return evacuation.Change{}, false
+}
+
 func (lengths) Server(record sharedlog.Record) (fleet.Update, error) {
 	return fleet.Update{Key: record.Key, Offset: record.Offset, Server: &fleet.Server{Incarnation: record.Key}}, nil
 }
--- a/internal/zonereader/zonereader_test.go
+++ b/internal/zonereader/zonereader_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/delegate"
+	"github.com/cometlock/cometlock/internal/evacuation"
 	"github.com/cometlock/cometlock/internal/fakelog"
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
@@ -35,6 +36,10 @@
 	return &registry.Declaration{Catalog: made}, err
 }
 
+func (decoder) Evacuation(sharedlog.Record) (evacuation.Change, bool) {
+	return evacuation.Change{}, false
+}
+
 func (decoder) Server(record sharedlog.Record) (fleet.Update, error) {
 	update := fleet.Update{Key: record.Key, Offset: record.Offset}
 	if len(record.Value) > 0 {
