--- a/internal/retire/boxes_test.go
+++ b/internal/retire/boxes_test.go
@@ -13,8 +13,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
-	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/evacuation"
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
@@ -28,7 +28,9 @@
 	return &registry.Declaration{Weights: &registry.WeightsNamed{Model: "m", Version: len(record.Value)}}, nil
 }
 
-func (decoder) Evacuation(sharedlog.Record) (evacuation.Change, bool) { return evacuation.Change{}, false }
+func (decoder) Evacuation(sharedlog.Record) (evacuation.Change, bool) {
+	return evacuation.Change{}, false
+}
 
 func (decoder) Server(sharedlog.Record) (fleet.Update, error) { return fleet.Update{}, nil }
 
