Cold servers are called by one box each, within what they bear

Cause: placing took a cold server for 20 ms dearer, and nothing counted calls. How long a server is cold was believed until its next entry, and not counted down.

Weighed: the owner of a zone grants places at its cold servers (79 owners after all boxes started anew, each with a full bound; a hop for each call); a share for each box (26 calls among 79 boxes: less than one). Instead one box of the zone, by rendezvous over the boxes on the log's list, calls a cold server, with calls of its own: 28 cold servers of a zone belong to 20 boxes, each of which gets about as many calls as its servers may. It admits half of the bound within 1.3 s, so the bound holds for two boxes that take themselves for the one. It waits for three seconds after it was listed, and a call that was admitted must be handed over within 150 ms, so that a box that froze sends nothing late.

Holds for retries (all choices go through eligible), for owners (they grant warm servers only), for calls beside unresponsive servers (warm only), for zones that are taken back (cold for as long as a start, whatever the entries say yet) and for plain services. Not counted: the entry's lag when a server turns cold unannounced.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -66,6 +66,10 @@
 	Name string
 	// ConnectionLimit bounds the connections to each server, of all boxes.
 	ConnectionLimit int
+	// ColdStart is how long a server is cold after its start, and ColdPerSecond how many calls a
+	// second it bears then; zero is no bound.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engine is set for runners, Store for a store box.
 	Engine *Engine
 	Store  *Store
--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -21,6 +21,7 @@
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/coldstart"
 	"github.com/cometlock/cometlock/internal/crash"
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
@@ -154,7 +155,10 @@
 // assembleBeliefs makes what the box believes: the backend servers, the kept parts,
 // the configuration.
 func (b *Box) assembleBeliefs() {
-	b.fleet = fleet.New(fleet.Config{Logger: b.logger, Off: b.settings.Off, Heartbeat: b.settings.ServerHeartbeat})
+	b.fleet = fleet.New(fleet.Config{
+		Logger: b.logger, Off: b.settings.Off, Heartbeat: b.settings.ServerHeartbeat,
+		CallsCold: func(zone, server string) bool { return b.share.CallsCold(zone, server) },
+	})
 	b.parts = partindex.New(partindex.Config{News: &b.partNews, Off: b.settings.Off, FirstWait: b.firstWait()})
 	b.registry = registry.New(registry.Config{
 		Log: b.log, Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, Changed: b.configure, News: &b.news,
@@ -252,9 +256,22 @@
 // configure takes over a new configuration.
 func (b *Box) configure(next *catalog.Catalog) {
 	b.parts.Configure(next.Services())
+	b.fleet.SetColdLimits(b.coldLimits(next.Services()))
 	b.watcher.Configure(b.background)
 }
 
+// coldLimits gives what is allowed at the cold servers of each service.
+func (b *Box) coldLimits(services []catalog.Service) map[string]coldstart.Limit {
+	limits := make(map[string]coldstart.Limit, len(services))
+	for _, service := range services {
+		limits[service.Name] = coldstart.Limit{
+			Length: service.ColdStart, PerSecond: service.ColdPerSecond,
+			Overage: b.settings.ColdOverage, Slack: b.settings.ColdSlack,
+		}
+	}
+	return limits
+}
+
 // mayFree reports whether a kept part may be freed. Namespaces that this box cannot
 // read are left alone.
 func (b *Box) mayFree(part partindex.Key) bool {
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -37,6 +37,10 @@
 	// each call, and so many more.
 	RetryRatio float64
 	RetrySlack float64
+	// ColdOverage and ColdSlack bound what all boxes together send a cold server in any second:
+	// so many times what it bears, and so many calls more.
+	ColdOverage float64
+	ColdSlack   float64
 	// Off holds mechanisms that are switched off.
 	Off mechanism.Off
 	// SystemStarts says that the whole system starts for the first time.
@@ -57,6 +61,7 @@
 	DefaultWeightsLimit = 12 * time.Second
 	DefaultRetryRatio   = 0.2
 	DefaultRetrySlack   = 56
+	DefaultColdOverage  = 1.0
 )
 
 // withDefaults fills in what the settings leave open.
@@ -68,5 +73,6 @@
 	s.ServerHeartbeat = cmp.Or(s.ServerHeartbeat, fleet.DefaultHeartbeat)
 	s.RetryRatio = cmp.Or(s.RetryRatio, DefaultRetryRatio)
 	s.RetrySlack = cmp.Or(s.RetrySlack, DefaultRetrySlack)
+	s.ColdOverage = cmp.Or(s.ColdOverage, DefaultColdOverage)
 	return s
 }
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -50,6 +50,8 @@
 	In func(zone string) bool
 	// SoundOnly leaves out servers that are suspected also when all are.
 	SoundOnly bool
+	// WarmOnly leaves out cold servers: the call is another box's.
+	WarmOnly bool
 }
 
 // Choose places a call and counts it at its server. It gives nil when no server
@@ -107,7 +109,7 @@
 		return nil
 	}
 	query.Load.TokenCost = f.tokenCost()
-	candidate := f.describe(state, query)
+	candidate := f.describe(state, query, now)
 	f.arrivals.note(float64(candidate.WorkTokens)*query.Load.TokenCost, now)
 	return f.hold(state, candidate, query, now)
 }
@@ -121,7 +123,7 @@
 	candidates := make([]placing.Candidate, 0, len(sound))
 	kept := sound[:0]
 	for _, state := range sound {
-		candidate := f.describe(state, query)
+		candidate := f.describe(state, query, now)
 		if placing.Admits(query.Load, &candidate) {
 			candidates, kept = append(candidates, candidate), append(kept, state)
 		}
@@ -164,6 +166,9 @@
 	if f.evacuated.Active(state.Zone) || query.In != nil && !query.In(state.Zone) {
 		return false
 	}
+	if f.isSpared(state, now) || query.WarmOnly && f.isCold(state, now) {
+		return false
+	}
 	if query.ConnectionLimit > 0 && state.inFlight >= query.ConnectionLimit {
 		return false
 	}
@@ -178,13 +183,14 @@
 
 // describe gives what placing needs to know of a server for a call: the work of all boxes
 // there, and what the call itself would bring. The caller holds mu.
-func (f *Fleet) describe(state *State, query Query) placing.Candidate {
+func (f *Fleet) describe(state *State, query Query, now time.Time) placing.Candidate {
 	others := f.othersAt(state.Incarnation)
 	candidate := placing.Candidate{
 		Name: state.Incarnation, InFlight: state.inFlight + others.inFlight, Slots: state.Slots,
 		PendingTokens: state.pendingTokens + others.pendingTokens, HeldTokens: f.heldAt(state),
 		Headroom:  query.Headroom != nil && query.Headroom(state.Incarnation),
-		OtherZone: state.Zone != query.Zone, Failing: state.failing, Cold: state.ColdFor > 0,
+		OtherZone: state.Zone != query.Zone, Failing: state.failing, Cold: f.isCold(state, now),
+		Exclusive: f.isBounded(state, now),
 	}
 	if query.Model != "" {
 		weights := state.weights(query.Model)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/coldstart"
 	"github.com/cometlock/cometlock/internal/evacuation"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -31,6 +32,9 @@
 	Returning time.Duration
 	// Heartbeat is how often servers write their entries.
 	Heartbeat time.Duration
+	// CallsCold reports whether it is this box that calls a cold server of a zone; nil stands for
+	// a box alone.
+	CallsCold func(zone, incarnation string) bool
 }
 
 const (
@@ -88,6 +92,8 @@
 	readRate float64
 	// evacuated holds the zones whose servers get no calls.
 	evacuated evacuation.Zones
+	// coldLimits bounds the calls to cold servers, by service.
+	coldLimits map[string]coldstart.Limit
 }
 
 // New makes a fleet without servers.
@@ -164,6 +170,9 @@
 	} else if state.Leaving != update.Server.Leaving {
 		f.log("server_leaving", update.Server, update.Offset)
 	}
+	if update.Offset > state.offset || state.offset == 0 {
+		state.coldUntil = boottime.Now().Add(update.Server.ColdFor)
+	}
 	state.Server, state.offset, state.gone = *update.Server, update.Offset, time.Time{}
 }
 
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -31,6 +31,8 @@
 	// reading is how long the server was expected to take to read this prompt and those
 	// before it.
 	reading time.Duration
+	// handOverBy is until when the call may be handed over; zero where that is not bounded.
+	handOverBy time.Time
 }
 
 // Overdue gives how much later it is than when the first event was expected.
@@ -42,6 +44,15 @@
 // Server gives the server as it was when the call was placed.
 func (h *Hold) Server() Server { return h.server }
 
+// MayHandOver reports whether the call may still be handed over: a place at a cold server is for
+// the moment.
+func (h *Hold) MayHandOver() bool {
+	return h.handOverBy.IsZero() || boottime.Now().Before(h.handOverBy)
+}
+
+// Cold reports whether the server was cold when the call was placed.
+func (h *Hold) Cold() bool { return !h.handOverBy.IsZero() }
+
 // Weights gives the weight version that the call was placed for.
 func (h *Hold) Weights() int { return h.weights }
 
@@ -61,8 +72,10 @@
 	if !state.gone.IsZero() {
 		goneFor = now.Sub(state.gone)
 	}
+	handOverBy := f.noteCold(state, now)
 	return &Hold{
-		fleet: f, state: state, tokens: candidate.WorkTokens, server: state.Server, weights: state.weights(query.Model),
+		handOverBy: handOverBy,
+		fleet:      f, state: state, tokens: candidate.WorkTokens, server: state.Server, weights: state.weights(query.Model),
 		held: query.Load.Tokens, since: now, alone: candidate.PendingTokens == 0, goneFor: goneFor,
 		reading: time.Duration(float64(candidate.PendingTokens+candidate.WorkTokens) * query.Load.TokenCost * float64(time.Millisecond)),
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -8,6 +8,8 @@
 	"maps"
 	"math"
 	"time"
+
+	"github.com/cometlock/cometlock/internal/coldstart"
 )
 
 // Server is what a backend server says of itself in the registry.
@@ -27,7 +29,7 @@
 	Slots   int
 	// Leaving servers take nothing new.
 	Leaving bool
-	// ColdFor is how much longer the server is slow after its start.
+	// ColdFor is how much longer the server is cold, as of its entry (package coldstart).
 	ColdFor time.Duration
 	// Weights are the versions of the models that a runner holds.
 	Weights map[string]int
@@ -70,6 +72,10 @@
 	pausedUntil time.Time
 	// orderedUntil holds calls back while this box has the server load weights.
 	orderedUntil time.Time
+	// coldUntil is until when the server is cold by its entry, which was written before it was
+	// read; coldCalls are the calls that this box has sent it since.
+	coldUntil time.Time
+	coldCalls coldstart.Window
 	// heldWeights is what the server was found to hold later than its record.
 	heldWeights map[string]int
 }
--- a/internal/fleet/shortage.go
+++ b/internal/fleet/shortage.go
@@ -16,17 +16,29 @@
 type Shortage struct {
 	Listed, Sound, WithoutTime, WithoutMemory int
 	InFlight, HeldTokens                      int
+	// Evacuated are servers of evacuated zones, and Spared cold ones that this box keeps calls
+	// from.
+	Evacuated, Spared int
 }
 
 // Shortage describes the servers that a call is not placed at.
 func (f *Fleet) Shortage(query Query) Shortage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	sound := f.sound(query, boottime.Now())
+	now := boottime.Now()
+	sound := f.sound(query, now)
 	query.Load.TokenCost = f.tokenCost()
 	shortage := Shortage{Listed: len(f.byService[query.Service]), Sound: len(sound)}
+	for _, state := range f.byService[query.Service] {
+		switch {
+		case f.evacuated.Active(state.Zone):
+			shortage.Evacuated++
+		case f.isSpared(state, now):
+			shortage.Spared++
+		}
+	}
 	for _, state := range sound {
-		candidate := f.describe(state, query)
+		candidate := f.describe(state, query, now)
 		shortage.InFlight += candidate.InFlight
 		shortage.HeldTokens += candidate.HeldTokens
 		if !placing.HasTime(query.Load, &candidate) {
--- a/internal/gateway/settle.go
+++ b/internal/gateway/settle.go
@@ -137,11 +137,14 @@
 		if gone := hold.GoneFor(); gone > 0 {
 			event.Dur("gone_for", gone)
 		}
+		if hold.Cold() {
+			event.Bool("cold", true)
+		}
 	}
 	if x.reason == reasonNoServer {
 		short := x.shortage
 		event.Int("servers", short.Listed).Int("sound", short.Sound).Int("without_time", short.WithoutTime).Int("without_memory", short.WithoutMemory).
-			Int("in_flight", short.InFlight).Int("held_tokens", short.HeldTokens)
+			Int("in_flight", short.InFlight).Int("held_tokens", short.HeldTokens).Int("evacuated", short.Evacuated).Int("cold_spared", short.Spared)
 	}
 	if prompt := x.facts.Prompt; prompt != nil && x.route != nil {
 		event.Int("prompt_tokens", prompt.Tokens).Int("unfetched_tokens", x.choice.plan.Missing).
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -7,11 +7,16 @@
 	"net/http"
 	"strings"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/handover"
 )
 
+// errPlaceExpired says that the call's place at a cold server was for an earlier moment.
+var errPlaceExpired = merry.Sentinel("the place at the cold server has expired")
+
 // try is one server's part in a call.
 type try struct {
 	gateway *Gateway
@@ -92,6 +97,9 @@
 	if t.offer != nil {
 		return t.offer.wait()
 	}
+	if !t.chosen.hold.MayHandOver() {
+		return nil, errPlaceExpired
+	}
 	return t.gateway.cfg.Pool.Send(t.ctx, t.message())
 }
 
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -19,6 +19,9 @@
 // noAnswer judges a try that brought nothing.
 func (t *try) noAnswer(err error) next {
 	x := t.x
+	if errors.Is(err, errPlaceExpired) {
+		return t.expired()
+	}
 	if errors.Is(err, handover.ErrNotHanded) {
 		if t.callerGone() {
 			return t.left()
@@ -35,6 +38,18 @@
 	return t.lost("no_answer", fleet.EndUnreachable)
 }
 
+// expired judges a try at a cold server that came too late to be handed over.
+func (t *try) expired() next {
+	if t.callerGone() {
+		return t.left()
+	}
+	t.x.handed--
+	t.gateway.returnRetry(t.x)
+	t.finish(fleet.EndAbandoned)
+	t.log("not_handed_over", errPlaceExpired.Error())
+	return nextServer
+}
+
 // noteUnreached notes that the server could not be reached.
 func (t *try) noteUnreached(err error) {
 	t.finish(fleet.EndUnreachable)
--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -128,10 +128,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.announced, s.announcedOffset = true, offset
+	s.noteAnnounced(offset)
 	return true
 }
 
+// noteAnnounced notes that this box is listed. The caller holds mu.
+func (s *Share) noteAnnounced(offset int64) {
+	if !s.announced {
+		s.announcedAt = boottime.Now()
+	}
+	s.announced, s.announcedOffset = true, offset
+}
+
 // TakeBoxes takes over what is new in the list of boxes. From the first time on boxes come
 // from the list alone.
 func (s *Share) TakeBoxes(records []sharedlog.Record) {
@@ -141,6 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.othersAt = time.Time{}
+	clear(s.coldOwners)
 	if !s.followed {
 		s.followed = true
 		for box, known := range s.peers {
@@ -180,7 +189,7 @@
 	says := box.Life == own.Life || box == sameButLife
 	switch {
 	case says && !s.announced:
-		s.announced, s.announcedOffset = true, record.Offset
+		s.noteAnnounced(record.Offset)
 	case !says && s.announced && record.Offset > s.announcedOffset:
 		s.announced = false
 		s.unlisted.Send()
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -111,6 +111,10 @@
 	announced       bool
 	announcedOffset int64
 	followed        bool
+	// announcedAt is when this box found itself listed, in this life.
+	announcedAt time.Time
+	// coldOwners remembers which box calls each cold server, by the present list.
+	coldOwners map[string]string
 	// unlisted is woken when this box was taken off the list.
 	unlisted waiting.Signal
 	// handedAt is when it was last another box's turn to be handed the configuration,
@@ -145,7 +149,7 @@
 	s := &Share{
 		cfg: cfg, started: boottime.Now(), peers: map[string]*peer{}, telling: map[string]*telling{}, heard: map[string]*word{},
 		known: map[string]*standing{}, avoided: map[string]time.Time{}, handedAt: map[string]time.Time{},
-		headroom: map[string]string{}, answers: map[string]bool{}, outward: newBoard(), inward: newBoard(),
+		headroom: map[string]string{}, coldOwners: map[string]string{}, answers: map[string]bool{}, outward: newBoard(), inward: newBoard(),
 	}
 	s.server = frame.NewServer(cfg.Logger, s.serve)
 	return s
--- a/internal/placing/admit.go
+++ b/internal/placing/admit.go
@@ -39,8 +39,12 @@
 
 // AsksOwner reports whether a call of some prompt tokens is placed by the owner of the runners,
 // which knows their work exactly, rather than by what its box knows: a long prompt always, since
-// a runner has room for five, and a short one when the best runner is not nearly idle.
+// a runner has room for five, and a short one when the best runner is not nearly idle. Where no
+// other box calls the best one, this box knows its work best.
 func AsksOwner(tokens int, best *Candidate) bool {
+	if best != nil && best.Exclusive {
+		return false
+	}
 	return tokens >= HomePart || best == nil || best.Slots > 0 && float64(best.InFlight) >= BusyPart*float64(best.Slots)
 }
 
