--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -6,10 +6,10 @@
 // other one is busy, so each entry box finds them the least loaded.
 //
 // Boxes share no counter. One box, which rendezvous hashing over the listed boxes gives (package
-// loadshare), calls a cold server, and its Window admits half of what the platform allows in a
-// second. So two boxes may take themselves for that one at a time without breaking the bound: the
-// one by the newest list, and one that has been cut off since an earlier list. A box waits for some
-// seconds after it was listed before it calls any, so that boxes which read the list agree by then.
+// loadshare), calls a cold server. Lists differ by their lag, so a box begins some seconds after it
+// was listed, and stops when it is about to leave or knows nothing new of the servers for as long.
+// Its Window admits half of what the platform allows in a second, so the bound also holds while two
+// boxes take themselves for the one.
 package coldstart
 
 import (
--- a/internal/loadshare/cold.go
+++ b/internal/loadshare/cold.go
@@ -12,13 +12,16 @@
 
 // coldTenure is how long this box must have been listed, in this life, before it calls cold servers.
 // Within it other boxes read the list anew, and what an earlier life of this box sent has arrived.
-const coldTenure = 3 * time.Second
+const coldTenure = 4 * time.Second
 
 // maxColdOwners bounds the answers that are remembered, one for each life of a cold server.
 const maxColdOwners = 4096
 
 // CallsCold reports whether it is this box that calls a cold server of a zone.
 func (s *Share) CallsCold(zone, server string) bool {
+	if !s.cfg.MayCallCold() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.followed || !s.announced || boottime.Since(s.announcedAt) < coldTenure {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -70,6 +70,8 @@
 	Adopt    func(registry.Snapshot)
 	// Quarantine knows which requests end servers; nil stands for one that knows nothing.
 	Quarantine *quarantine.Set
+	// MayCallCold reports whether this box may call cold servers at all; nil means that it may.
+	MayCallCold func() bool
 	// Off holds mechanisms that are switched off.
 	Off mechanism.Off
 	// Dial connects to another box; nil stands for TCP.
@@ -143,6 +145,9 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
+	if cfg.MayCallCold == nil {
+		cfg.MayCallCold = func() bool { return true }
+	}
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New(quarantine.Config{})
 	}
--- a/internal/registry/read.go
+++ b/internal/registry/read.go
@@ -148,8 +148,8 @@
 	t := r.tail(stream)
 	t.next = max(t.next, page.Next)
 	t.reread = t.reread && !whole
-	if page.Next >= page.End && upTo.After(t.readAt) {
-		t.readAt = upTo
+	if page.Next >= page.End {
+		r.knownUpTo(stream, upTo)
 	}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -101,6 +101,8 @@
 	weights map[string][]NamedWeights
 	lost    map[sharedlog.Stream]bool
 	tails   map[sharedlog.Stream]*tail
+	// serversReadAt is that of the servers' stream, for readers that must not wait for mu.
+	serversReadAt atomic.Pointer[time.Time]
 
 	// readItself ends the waiting for the word of another box, and reads says that it has
 	// ever been sent.
@@ -160,9 +162,22 @@
 
 // ServersAge is how long ago this box knew all that the servers' stream then held.
 func (r *Registry) ServersAge() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return boottime.Since(r.tail(sharedlog.Servers).readAt)
+	if readAt := r.serversReadAt.Load(); readAt != nil {
+		return boottime.Since(*readAt)
+	}
+	return boottime.Since(time.Time{})
+}
+
+// knownUpTo notes a moment up to which all records of a stream are known. The caller holds mu.
+func (r *Registry) knownUpTo(stream sharedlog.Stream, readAt time.Time) {
+	t := r.tail(stream)
+	if !readAt.After(t.readAt) {
+		return
+	}
+	t.readAt = readAt
+	if stream == sharedlog.Servers {
+		r.serversReadAt.Store(&readAt)
+	}
 }
 
 // LoopOperator follows the operators' stream until ctx ends.
--- a/internal/registry/told.go
+++ b/internal/registry/told.go
@@ -117,9 +117,7 @@
 		return fresh // this box knew more already, and when
 	}
 	t.next = word.Next
-	if readAt.After(t.readAt) {
-		t.readAt = readAt
-	}
+	r.knownUpTo(word.Stream, readAt)
 	t.toldUntil = readAt.Add(toldFor(word.Stream))
 	r.noteCompared(t, word)
 	return fresh
