Calls run in the regions alone that their route and organisation allow

allowedRegions of routes and tenants were not read. Where both name some a region must be among both. The zones of other regions are left out wherever a server is chosen; the call's prompt is saved in store boxes of allowed regions only; a box whose own region is not allowed does not wait at the owner of its zone. A zone whose region is not known is not allowed.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -54,6 +54,8 @@
 	Public bool
 	// Resumable streams may go on at another runner after the last event.
 	Resumable bool
+	// Regions are those that calls may run in; none means all.
+	Regions []string
 }
 
 // MayRepeat reports whether a call may run a second time.
@@ -106,6 +108,8 @@
 	Isolated bool
 	// Urgency goes before that of the route, where it is set.
 	Urgency *int
+	// Regions are those that its calls may run in; none means all.
+	Regions []string
 }
 
 // Limits bound what callers may send.
--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -182,7 +182,7 @@
 	b.share = loadshare.New(loadshare.Config{
 		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Life: shortName(b.name), Zone: b.settings.Zone, Address: b.PeerAddress(), Reader: b.ReaderAddress(), Places: b.PlacesAddress(),
 		Cores: b.settings.Cores, Off: b.settings.Off, Named: b.registry.Tell, Heard: b.registry.Hear, Snapshot: b.registry.Snapshot,
-		Lacks: b.registry.Lacks, Adopt: b.registry.Adopt, Quarantine: b.quarantine,
+		Lacks: b.registry.Lacks, Adopt: b.registry.Adopt, Quarantine: b.quarantine, MayCallCold: b.mayCallCold,
 	})
 	b.readers = zonereader.New(zonereader.Config{
 		Registry: b.registry, Parts: b.parts, Logger: b.logger, News: &b.news, PartNews: &b.partNews, Others: b.otherBoxes, Known: b.share.Known,
@@ -240,7 +240,7 @@
 		Protocol: b.cfg.Protocol, Pool: b.pool,
 		Off: b.settings.Off, Fleet: b.fleet, Parts: b.parts, Logger: b.logger, Scope: b.metrics.Scope(), Zone: b.settings.Zone,
 		Budget: b.budget, Boxes: b.share.Boxes, Headroom: b.share.OwnsHeadroom, Lag: b.share.Lag,
-		Places: b.places, Box: b.settings.Box,
+		Places: b.places, Box: b.settings.Box, Regions: b.settings.Regions,
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.WeightsLimit,
 		Answers: b.answers, ServersAge: b.registry.ServersAge, Quarantine: b.quarantine, Crashed: b.crashes.Judge,
 	})
@@ -272,6 +272,16 @@
 	return limits
 }
 
+// coldKnowledge is how old the knowledge of the servers of a box may be that calls cold ones. One
+// that is out of touch for longer goes by a list of boxes by which others may go no more.
+const coldKnowledge = 3 * time.Second
+
+// mayCallCold reports whether this box may call cold servers. One that is leaving stops before it is
+// taken off the list, so that the box which calls them next does not add to what this one sent.
+func (b *Box) mayCallCold() bool {
+	return !b.leaving.Load() && b.registry.ServersAge() < coldKnowledge
+}
+
 // mayFree reports whether a kept part may be freed. Namespaces that this box cannot
 // read are left alone.
 func (b *Box) mayFree(part partindex.Key) bool {
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -14,6 +14,8 @@
 type Settings struct {
 	Box  string
 	Zone string
+	// Regions gives the region of each availability zone.
+	Regions map[string]string
 	// IP addresses and ports for callers, for the balancer, for other boxes' work, for boxes
 	// that follow this one, and for boxes that ask it for places; port 0 takes a free one.
 	CallerAddress string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,8 @@
 	Scope    tally.Scope
 	// Zone is the availability zone of this box.
 	Zone string
+	// Regions gives the region of each zone.
+	Regions map[string]string
 	// Catalog gives the configuration in force, or nil before the first.
 	Catalog func() *catalog.Catalog
 	// Weights knows which versions of weights were named.
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -19,6 +19,9 @@
 // take the call.
 var errNotTaken = merry.Sentinel("the server that the owner gave may not take the call")
 
+// errOtherRegion says that the call may not run in this box's region.
+var errOtherRegion = merry.Sentinel("the call may not run in the region of this box")
+
 // Who placed a call, in the log.
 const (
 	placedHere    = "this_box"
@@ -65,7 +68,7 @@
 func (g *Gateway) askZones(x *exchange, zone string, query fleet.Query, asked places.Question) (*fleet.Hold, error) {
 	var before []string
 	rest := query
-	rest.In = func(zone string) bool { return !slices.Contains(before, zone) }
+	rest.In = func(zone string) bool { return !slices.Contains(before, zone) && g.mayRunIn(x, zone) }
 	for len(before) < mostZones && zone != "" {
 		if hold, err := g.askZone(x, zone, query, asked); hold != nil && err == nil {
 			return hold, nil
@@ -73,6 +76,9 @@
 		before = append(before, zone)
 		_, zone, _ = g.cfg.Fleet.Best(rest)
 	}
+	if !g.mayRunIn(x, g.cfg.Zone) {
+		return nil, errOtherRegion // it waits at this box
+	}
 	asked.Wait = max(boottime.Until(x.limits().Until), 0)
 	return g.askZone(x, g.cfg.Zone, query, asked)
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -72,7 +72,7 @@
 // none, or goes to a service that reads none.
 func (g *Gateway) ask(x *exchange) (fleet.Query, *plans) {
 	query := fleet.Query{
-		Service: x.service.Name, Zone: g.cfg.Zone, Exclude: x.tried,
+		Service: x.service.Name, Zone: g.cfg.Zone, Exclude: x.tried, In: g.allowedZones(x),
 		Load: placing.Query{Spread: x.number * homeSeed},
 		// Shared with one box more than is known, which may have just started.
 		ConnectionLimit: max(x.service.ConnectionLimit/(g.cfg.Boxes()+1), leastConnections),
@@ -144,6 +144,7 @@
 	made.plan = p.gateway.cfg.Parts.Plan(partindex.Query{
 		Namespace: name, Parts: prompt.Parts, PromptTokens: prompt.Tokens, BytesPerToken: p.x.service.Engine.BytesPerToken,
 		Save:     weights >= p.newest,
+		SaveIn:   p.gateway.allowedZones(p.x),
 		MayFetch: func(id string) bool { return p.gateway.cfg.Retire.MayFetch(prompt.Model, weights, id) },
 	})
 	p.made[weights] = made
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -60,7 +60,7 @@
 		if !ok {
 			g.returnRetry(x)
 			x.shortage = g.shortage(x)
-			g.end(x, reasonNoServer, g.comeBack(x))
+			g.end(x, g.unplacedReason(x, x.shortage), g.comeBack(x))
 			return
 		}
 		x.handTo(chosen)
--- a/internal/gateway/settle.go
+++ b/internal/gateway/settle.go
@@ -141,7 +141,7 @@
 			event.Bool("cold", true)
 		}
 	}
-	if x.reason == reasonNoServer {
+	if x.reason == reasonNoServer || x.reason == reasonEvacuated || x.reason == reasonNoRegion {
 		short := x.shortage
 		event.Int("servers", short.Listed).Int("sound", short.Sound).Int("without_time", short.WithoutTime).Int("without_memory", short.WithoutMemory).
 			Int("in_flight", short.InFlight).Int("held_tokens", short.HeldTokens).Int("evacuated", short.Evacuated).Int("cold_spared", short.Spared)
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -45,7 +45,7 @@
 	defer g.waiting.Add(-1)
 	began := boottime.Now()
 	defer func() { x.placeTime += boottime.Since(began) }()
-	if !g.cfg.Fleet.HasServers(x.service.Name, nil) {
+	if !g.cfg.Fleet.HasServers(x.service.Name, g.allowedZones(x)) {
 		return choice{}, false // waiting brings none
 	}
 	if x.facts.Prompt == nil || x.service.Engine == nil || !g.cfg.Off.On(mechanism.WaitingLine) {
--- a/internal/partindex/plan.go
+++ b/internal/partindex/plan.go
@@ -59,6 +59,8 @@
 	MayFetch func(id string) bool
 	// Save says that parts that no store box keeps are worth saving.
 	Save bool
+	// SaveIn reports whether parts may be saved in a zone; nil where they may in all.
+	SaveIn func(zone string) bool
 }
 
 // Plan looks up the shared parts of a prompt.
@@ -79,7 +81,7 @@
 		key := Key{query.Namespace, part.ID}
 		s := x.holding(key, now)
 		if query.Save && s == nil {
-			plan.Save[i] = x.place(key, part.Tokens, now)
+			plan.Save[i] = x.place(key, part.Tokens, query.SaveIn, now)
 		}
 		if s == nil || !query.MayFetch(part.ID) || s.spare(now) {
 			contiguous = false
--- a/internal/partindex/save.go
+++ b/internal/partindex/save.go
@@ -31,13 +31,13 @@
 
 // place chooses the store box for a part that none keeps, or nothing when it is
 // being saved already or has no room anywhere. All boxes choose alike.
-func (x *Index) place(key Key, tokens int, now time.Time) string {
+func (x *Index) place(key Key, tokens int, in func(zone string) bool, now time.Time) string {
 	if asked, ok := x.saving[key]; ok && now.Sub(asked.at) < savingFor {
 		return ""
 	}
-	best := x.choose(key, tokens, now, tokens <= smallPart)
+	best := x.choose(key, tokens, in, now, tokens <= smallPart)
 	if best == nil {
-		best = x.choose(key, tokens, now, tokens > smallPart)
+		best = x.choose(key, tokens, in, now, tokens > smallPart)
 	}
 	if best == nil {
 		return ""
@@ -93,11 +93,11 @@
 
 // choose takes, among the quick or the other store boxes with room, the one that
 // weighted rendezvous hashing gives the part.
-func (x *Index) choose(key Key, tokens int, now time.Time, quick bool) *store {
+func (x *Index) choose(key Key, tokens int, in func(zone string) bool, now time.Time, quick bool) *store {
 	var best *store
 	var bestScore float64
 	for _, s := range x.stores {
-		if s.quick != quick || !x.hasRoom(s, tokens, now) {
+		if s.quick != quick || in != nil && !in(s.config.Zone) || !x.hasRoom(s, tokens, now) {
 			continue
 		}
 		if score := rendezvous(s.name, key, float64(s.config.CapacityTokens)); best == nil || score > bestScore {
