Tests: what a window of a cold server admits

A table of limits and arrivals: in any second at most this box's part, and in ten seconds at least what a server bears that is called all the time.

--- /dev/null
+++ b/internal/coldstart/coldstart_test.go
@@ -0,0 +1,58 @@
+package coldstart_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/coldstart"
+)
+
+// A window admits its part of what all boxes may send in a second, however the calls come.
+func TestAWindowAdmitsItsPart(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit coldstart.Limit
+		// pause lies between two calls, and most is what may be admitted in any second.
+		pause time.Duration
+		most  int
+		// least is what must be admitted in ten seconds.
+		least int
+	}{
+		{"all at once", coldstart.Limit{PerSecond: 14, Overage: 1.5, Slack: 5}, time.Millisecond, 13, 90},
+		{"one after the other", coldstart.Limit{PerSecond: 14, Overage: 1.5, Slack: 5}, 90 * time.Millisecond, 13, 90},
+		{"fewer than allowed", coldstart.Limit{PerSecond: 14, Overage: 1.5, Slack: 5}, 250 * time.Millisecond, 4, 40},
+		{"no more than it bears for long", coldstart.Limit{PerSecond: 4, Overage: 3, Slack: 20}, time.Millisecond, 5, 35},
+		{"a bound of one", coldstart.Limit{PerSecond: 1, Overage: 1}, time.Millisecond, 1, 7},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var window coldstart.Window
+			var admitted []time.Time
+			begin := time.Now()
+			for now := begin; now.Sub(begin) < 10*time.Second; now = now.Add(test.pause) {
+				if window.HasRoom(test.limit, now) {
+					window.Admit(now)
+					admitted = append(admitted, now)
+				}
+			}
+			most, first := 0, 0
+			for i, at := range admitted {
+				for at.Sub(admitted[first]) >= time.Second {
+					first++
+				}
+				most = max(most, i-first+1)
+			}
+			g.Expect(most).To(BeNumerically("<=", test.most))
+			g.Expect(len(admitted)).To(BeNumerically(">=", test.least))
+		})
+	}
+}
+
+func TestALimitWithoutARateBoundsNothing(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(coldstart.Limit{Length: time.Second, Overage: 1}.Bounded()).To(BeFalse())
+	g.Expect(coldstart.Limit{PerSecond: 1}.Bounded()).To(BeTrue())
+}
