--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -175,7 +175,7 @@
 	for _, name := range call.service.Servers {
 		server, ok := call.request.Snapshot.Server(name)
 		switch {
-		case !ok:
+		case !ok || call.request.Snapshot.Evacuated(server.Zone):
 		case server.Zone != s.zone.Zone():
 			far = append(far, server)
 		case s.zone.Available(name):
--- a/internal/cli/boxes.go
+++ b/internal/cli/boxes.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"text/tabwriter"
@@ -74,7 +75,8 @@
 		Age          string `json:"age"`
 		LogReachable bool   `json:"log_reachable"`
 	} `json:"config"`
-	Admit struct {
+	Evacuated []string `json:"evacuated_zones,omitempty"`
+	Admit     struct {
 		Waiting  int `json:"waiting"`
 		InFlight int `json:"in_flight"`
 	} `json:"admit"`
@@ -139,7 +141,23 @@
 		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", state.Box, state.Zone, readiness(state), state.Config.Version, state.Config.Source,
 			state.Config.Age, yesNo(state.Config.LogReachable), state.Admit.Waiting, state.Admit.InFlight, len(state.Reviews.Waiting), state.Reviews.AtRisk)
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	if zones := evacuatedZones(states); len(zones) > 0 {
+		fmt.Fprintf(t.out, "evacuated zones: %s\n", strings.Join(zones, ", "))
+	}
+	return nil
+}
+
+// evacuatedZones lists the zones that are evacuated as any box knows.
+func evacuatedZones(states []boxState) []string {
+	var zones []string
+	for _, state := range states {
+		zones = append(zones, state.Evacuated...)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
 }
 
 func readiness(state boxState) string {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -125,6 +125,18 @@
 	g.Expect(fleet.Box(1).Wait()).To(Succeed())
 }
 
+func TestEvacuatingAZone(t *testing.T) {
+	g := NewWithT(t)
+	_, env := fleetOf(t)
+	file := changedFile(t, "{name: zone-a, region: local}", "{name: zone-a, region: local, evacuated: true}")
+	g.Expect(run(env, "plan", file).out).To(ContainSubstring("zones/zone-a"))
+	applied := run(env, "apply", "--wait", file)
+	g.Expect(applied.code).To(Equal(cli.ExitOK), applied.err)
+	g.Expect(run(env, "status").out).To(ContainSubstring("evacuated zones: zone-a"))
+	g.Expect(run(env, "apply", "--wait", "../../examples/local.yaml").code).To(Equal(cli.ExitOK))
+	g.Expect(run(env, "status").out).NotTo(ContainSubstring("evacuated"))
+}
+
 func TestAnApplyWhoseAnswerIsLostIsLookedUp(t *testing.T) {
 	g := NewWithT(t)
 	fleet, env := fleetOf(t)
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -86,6 +86,8 @@
 type Zone struct {
 	Name   string `yaml:"name" json:"name"`
 	Region string `yaml:"region" json:"region"`
+	// Evacuated zones' runners and plain servers get no new requests.
+	Evacuated bool `yaml:"evacuated,omitempty" json:"evacuated,omitempty" jsonschema:"description=Whether runners and servers of plain services there get no new requests."`
 }
 
 // Organisation is a customer: the unit of isolation and of fair shares.
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -22,6 +22,8 @@
 	models   map[string]*Model
 	servers  map[string]*BackendServer
 	services map[string]*PlainService
+	// evacuated holds the names of evacuated zones.
+	evacuated map[string]bool
 }
 
 // NewSnapshot indexes the entries of one version. The version is the offset of
@@ -40,6 +42,11 @@
 		models:   map[string]*Model{},
 		servers:  map[string]*BackendServer{},
 		services: map[string]*PlainService{},
+
+		evacuated: map[string]bool{},
+	}
+	for _, zone := range file.Zones {
+		s.evacuated[zone.Name] = zone.Evacuated
 	}
 	for i := range file.Organisations {
 		s.addOrganisation(&file.Organisations[i])
@@ -70,6 +77,9 @@
 // Version is the offset of the log record that made this configuration.
 func (s *Snapshot) Version() int64 { return s.version }
 
+// Evacuated reports whether the servers of a zone get no new requests.
+func (s *Snapshot) Evacuated(zone string) bool { return s.evacuated[zone] }
+
 // Digest identifies the content.
 func (s *Snapshot) Digest() Digest { return s.digest }
 
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -31,6 +31,7 @@
 	Settled     int64               `json:"settled"`
 	Routed      int64               `json:"routed_in_flight"`
 	Config      follow.Status       `json:"config"`
+	Evacuated   []string            `json:"evacuated_zones,omitempty"`
 	Rings       []ring.State        `json:"rings"`
 	Admit       admit.State         `json:"admit"`
 	Retries     retrybudget.State   `json:"retries"`
@@ -50,7 +51,7 @@
 		Box: d.settings.Box, Zone: d.settings.Zone, Incarnation: d.incarnation, Version: version.Version,
 		Uptime: time.Since(d.started).Round(time.Millisecond).String(), Ready: reason == "", Unready: reason, Leaving: d.leaving.Load(),
 		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc, Settled: d.settle.Settled(), Routed: d.router.InFlight(),
-		Config: d.follower.Status(), Rings: append(d.pipeline.State(), d.settle.Ring()), Admit: d.admit.State(),
+		Config: d.follower.Status(), Evacuated: d.router.Evacuated(), Rings: append(d.pipeline.State(), d.settle.Ring()), Admit: d.admit.State(),
 		Retries: d.budget.State(), Claims: d.claims.State(), Reviews: d.reviews.State(), Kept: d.keeper.State(), ServersOf: d.knowledge.State(), Peers: d.exchange.State(),
 	}
 }
--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -209,6 +209,25 @@
 		Expect(answer.Body).To(ContainSubstring("organisation=lot-central "))
 	})
 
+	It("is served from another zone while the own one is evacuated, and from its own afterwards", func() {
+		fleet := start(testfleet.Config{})
+		servedBy := func(evacuated bool) string {
+			file := fleet.Set().File()
+			for i := range file.Zones {
+				file.Zones[i].Evacuated = evacuated && file.Zones[i].Name == "zone-a"
+			}
+			version, err := fleet.Apply(file)
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(func() int64 { return fleet.Box(0).State().Config.Version }, "20s").Should(Equal(version))
+			return do(fleet.Box(0), testfleet.Call{Path: "/services/booking/receipts", Key: testfleet.KeyLot}).Body
+		}
+		Expect(servedBy(true)).To(HavePrefix("booking-zone-b-1 "))
+		answer := do(fleet.Box(0), testfleet.Call{Path: completions, Body: chat("Tell me", 2, true)})
+		Expect(answer.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(outcome(answer)).To(Equal(apierror.NotRun), answer.Body)
+		Expect(servedBy(false)).To(HavePrefix("booking-zone-a-1 "))
+	})
+
 	It("is served from another zone when the own zone's server is gone", func() {
 		fleet := start(testfleet.Config{})
 		file := fleet.Set().File()
--- a/internal/routed/configure_test.go
+++ b/internal/routed/configure_test.go
@@ -3,6 +3,7 @@
 package routed_test
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -28,3 +29,43 @@
 	s.configure(g, func(file *config.File) { file.Routes = nil })
 	g.Expect(s.send("GET", "shop.example", "/page", "").status).To(Equal(404))
 }
+
+func TestServersOfAnEvacuatedZoneGetNoRoutedCalls(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t, g)
+	inZones := func(evacuated ...string) {
+		s.configure(g, func(file *config.File) {
+			file.Zones = []config.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}}
+			for i := range file.Zones {
+				file.Zones[i].Evacuated = slices.Contains(evacuated, file.Zones[i].Name)
+			}
+			for i := range file.BackendServers {
+				if file.BackendServers[i].Name == "shop-1" {
+					file.BackendServers[i].Zone = "b"
+				}
+			}
+		})
+	}
+	tests := []struct {
+		name      string
+		evacuated []string
+		status    int
+		prefix    string
+	}{
+		{"the other zone", []string{"b"}, 200, "shop-2 "},
+		{"the own zone", []string{"a"}, 200, "shop-1 "},
+		{"both", []string{"a", "b"}, 503, ""},
+		{"none", nil, 200, "shop-2 "},
+	}
+	for _, test := range tests {
+		inZones(test.evacuated...)
+		for range 5 {
+			got := s.send("GET", "shop.example", "/page", "")
+			g.Expect(got.status).To(Equal(test.status), test.name)
+			if test.status == 200 {
+				g.Expect(got.body).To(HavePrefix(test.prefix), test.name)
+			}
+		}
+		g.Expect(s.router.Evacuated()).To(Equal(test.evacuated), test.name)
+	}
+}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -19,6 +19,7 @@
 	"github.com/cometlock/cometlock/internal/api"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/evacuation"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/gateway"
 	"github.com/cometlock/cometlock/internal/handover"
@@ -85,6 +86,9 @@
 		return
 	}
 	r.snapshot = snapshot
+	for _, zone := range snapshot.File().Zones {
+		r.fleet.Evacuate(evacuation.Change{Zone: zone.Name, Active: zone.Evacuated, Offset: snapshot.Version()})
+	}
 	r.tellFleet()
 	r.catalog.Store(next)
 }
@@ -98,6 +102,9 @@
 	r.fleet.Replace(serversOf(r.snapshot, r.beliefs, r.words))
 }
 
+// Evacuated lists the evacuated zones.
+func (r *Router) Evacuated() []string { return r.fleet.Evacuated() }
+
 // InFlight counts the routed calls under way.
 func (r *Router) InFlight() int64 { return r.gateway.InFlight() }
 
--- a/internal/zone/choose.go
+++ b/internal/zone/choose.go
@@ -115,7 +115,7 @@
 }
 
 func (s *server) eligible(query Query, now time.Time) bool {
-	if s.config.Role != config.RoleRunner || s.leaves() || s.coolingDown(now) {
+	if s.config.Role != config.RoleRunner || s.leaves() || s.evacuated || s.coolingDown(now) {
 		return false
 	}
 	for _, name := range query.Exclude {
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -68,6 +68,8 @@
 	// lists; either takes it out.
 	leaving       bool
 	listedLeaving bool
+	// evacuated says that its zone is.
+	evacuated bool
 
 	// sent counts the runs that this box has sent and that are not finished,
 	// sentTokens their prompt work that has not led to a first token yet.
@@ -135,10 +137,12 @@
 		wanted[entry.Name] = true
 		k.put(entry)
 	}
+	evacuated := snapshot.Evacuated(k.zone)
 	for name, known := range k.byName {
 		if !wanted[name] {
 			k.remove(known)
 		}
+		known.evacuated = evacuated
 	}
 }
 
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -17,9 +17,17 @@
 
 // newKnowledge knows a zone with so many runners of one model.
 func newKnowledge(runners int) *Knowledge {
+	k := New(Config{Zone: "a"})
+	k.Configure(snapshotOf(runners, false))
+	return k
+}
+
+// snapshotOf is a configuration of a zone with so many runners.
+func snapshotOf(runners int, evacuated bool) *config.Snapshot {
 	file := &config.File{
 		Objectives: config.Objectives{FirstTokenWeight: 1, RecomputeWeight: 1},
 		Models:     []config.Model{{Name: "m", Weights: "v1", PrefillTokensPerSecond: 8000}},
+		Zones:      []config.Zone{{Name: "a", Region: "r", Evacuated: evacuated}},
 	}
 	for i := range runners {
 		file.BackendServers = append(file.BackendServers, config.BackendServer{
@@ -34,9 +42,22 @@
 	if err != nil {
 		panic(err)
 	}
-	k := New(Config{Zone: "a"})
-	k.Configure(snapshot)
-	return k
+	return snapshot
+}
+
+func TestRunnersOfAnEvacuatedZoneGetNothing(t *testing.T) {
+	g := NewWithT(t)
+	k := newKnowledge(2)
+	placed := func() bool {
+		policy := decide.TwoHomes{Spare: decide.DefaultSpare, Factor: decide.DefaultFactor}
+		_, ok := Choose(k, policy, Query{Model: "m", Weights: "v1", Chain: chainOf("rulebook", 4)})
+		return ok
+	}
+	g.Expect(placed()).To(BeTrue())
+	k.Configure(snapshotOf(2, true))
+	g.Expect(placed()).To(BeFalse())
+	k.Configure(snapshotOf(2, false))
+	g.Expect(placed()).To(BeTrue())
 }
 
 func chainOf(text string, blocks int) prefix.Chain {
