--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -85,6 +85,8 @@
 	Arrivals []Arrival
 	Versions []Moment
 	Leavings []Moment
+	// Evacuations are those of the second zone, and Colds are when servers said that they are cold.
+	Evacuations, Colds []Moment
 	// BadFetches tell of kept parts that were fetched and should not have been.
 	BadFetches []string
 	// PartsKept and PartsFreed are what the store boxes hold at the end, and let go of before.
@@ -107,17 +109,19 @@
 
 // Promises.
 const (
-	PromiseOwn      = "an answer is whole and its caller's own"
-	PromiseOnce     = "a call that may not be repeated runs once"
-	PromiseNotRun   = "what is refused as not run has not run"
-	PromiseLost     = "no call is lost in ordinary work"
-	PromiseLeaving  = "a server that leaves gets nothing new"
-	PromiseForward  = "a configuration never comes back"
-	PromiseKeys     = "a key that was taken away opens nothing"
-	PromiseAllowed  = "nobody is denied what every configuration allows"
-	PromiseParts    = "kept parts are fetched whole, and only for calls of their own kind"
-	PromiseStops    = "a planned stop ends in time"
-	PromiseRecovers = "all calls are served again once the faults are over"
+	PromiseOwn       = "an answer is whole and its caller's own"
+	PromiseOnce      = "a call that may not be repeated runs once"
+	PromiseNotRun    = "what is refused as not run has not run"
+	PromiseLost      = "no call is lost in ordinary work"
+	PromiseLeaving   = "a server that leaves gets nothing new"
+	PromiseEvacuated = "a server of an evacuated zone gets nothing new"
+	PromiseCold      = "a cold server gets no more than it bears"
+	PromiseForward   = "a configuration never comes back"
+	PromiseKeys      = "a key that was taken away opens nothing"
+	PromiseAllowed   = "nobody is denied what every configuration allows"
+	PromiseParts     = "kept parts are fetched whole, and only for calls of their own kind"
+	PromiseStops     = "a planned stop ends in time"
+	PromiseRecovers  = "all calls are served again once the faults are over"
 )
 
 const (
@@ -157,6 +161,8 @@
 	h.checkForward(report)
 	h.checkKeys(report)
 	h.checkLeaving(report)
+	h.checkEvacuated(report)
+	h.checkCold(report)
 	for _, story := range h.BadFetches {
 		report(PromiseParts, "%s", story)
 	}
@@ -275,10 +281,7 @@
 
 // checkLeaving looks for calls that reached a server long after it said that it leaves.
 func (h *History) checkLeaving(report reporter) {
-	byID := map[string]*Attempt{}
-	for i := range h.Attempts {
-		byID[h.Attempts[i].ID] = &h.Attempts[i]
-	}
+	byID := h.byID()
 	for _, leaving := range h.Leavings {
 		for _, arrival := range h.Arrivals {
 			a := byID[arrival.ID]
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,14 @@
 		return []soak.Attempt{a}
 	}
 	served := soak.Attempt{ID: "a", Call: soak.Once, Began: 10 * second, Ended: 11 * second, End: soak.Whole, Limit: 12 * second}
+	repeated := served
+	repeated.Call = soak.Repeatable
+	arrivals := func(server int, times ...time.Duration) (all []soak.Arrival) {
+		for _, at := range times {
+			all = append(all, soak.Arrival{ID: "a", Server: server, At: at})
+		}
+		return all
+	}
 	probes := func(first, then int, life int) []soak.Attempt {
 		return []soak.Attempt{
 			{ID: "p1", Call: soak.Probe, Box: 1, Life: 1, Began: second, Ended: second, End: soak.Whole, Version: first},
@@ -57,6 +65,12 @@
 		{"a call to another server", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 2, At: 10500 * time.Millisecond}}, Leavings: leaving}, ""},
 		{"a call by a box that was paused", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 3, At: 10500 * time.Millisecond}}, Leavings: leaving, Faults: []soak.Fault{{Kind: soak.PauseBox, At: 9 * second, For: second}}}, ""},
 		{"a call to its next life", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 3, At: 10500 * time.Millisecond}}, Leavings: leaving, Faults: []soak.Fault{{Kind: soak.EndServer, Subject: 3, At: 9 * second, For: second}}}, ""},
+		{"a call to an evacuated zone", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 2, At: 10500 * time.Millisecond}}, Evacuations: leaving}, soak.PromiseEvacuated},
+		{"a call to the other zone", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a", Server: 1, At: 10500 * time.Millisecond}}, Evacuations: leaving}, ""},
+		{"a call that began before the evacuation", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.Began = 7 * second }), Arrivals: []soak.Arrival{{ID: "a", Server: 2, At: 10500 * time.Millisecond}}, Evacuations: leaving}, ""},
+		{"three calls in a second at a cold server", soak.History{Attempts: []soak.Attempt{repeated}, Arrivals: arrivals(3, 10500*time.Millisecond, 10600*time.Millisecond, 11400*time.Millisecond), Colds: leaving}, soak.PromiseCold},
+		{"two of them, and a third later", soak.History{Attempts: []soak.Attempt{repeated}, Arrivals: arrivals(3, 10500*time.Millisecond, 10600*time.Millisecond, 11500*time.Millisecond), Colds: leaving}, ""},
+		{"three at a server that is not cold", soak.History{Attempts: []soak.Attempt{repeated}, Arrivals: arrivals(4, 10500*time.Millisecond, 10600*time.Millisecond, 11400*time.Millisecond), Colds: leaving}, ""},
 		{"a part that was freed under its fetch", soak.History{BadFetches: []string{"freed"}}, soak.PromiseParts},
 		{"a stop without end", soak.History{StuckBoxes: 1}, soak.PromiseStops},
 		{"refused long after the last fault", soak.History{Attempts: with(served, func(a *soak.Attempt) { a.End = soak.NotRun }), Length: 4 * second}, soak.PromiseRecovers},
