A life of a server that ended is called by nobody

Cause: each box found out for itself that the life it knew was over, paused for half a second, and asked again, while the entry of the old life stood in the registry for three heartbeats more.

Now the box that finds another incarnation at the address keeps calls from the one that ended until its entry has lapsed, and tells the others as it tells them of servers that load weights: the messages stay as they are. A newer entry of the same incarnation takes that back.

Test: fleet TestALifeThatEndedIsCalledByNobody.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -176,6 +176,7 @@
 	}
 	if update.Offset > state.offset || state.offset == 0 {
 		state.coldUntil = boottime.Now().Add(update.Server.ColdFor)
+		state.replacedUntil = time.Time{}
 	}
 	state.Server, state.offset, state.gone = *update.Server, update.Offset, time.Time{}
 }
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -138,6 +138,8 @@
 	EndMoved
 	// EndAbandoned calls were given up by the caller.
 	EndAbandoned
+	// EndReplaced calls were refused by another incarnation at the server's address.
+	EndReplaced
 )
 
 // Pauses after refusals.
@@ -147,8 +149,17 @@
 	busyPause = 60 * time.Millisecond
 	// movedPause spans the lag of the registry after a change of weights.
 	movedPause = 500 * time.Millisecond
+	// lapsedHeartbeats is after how many without a write an entry lapses.
+	lapsedHeartbeats = 3
+	// lapseMargin is the lag of the registry after that.
+	lapseMargin = time.Second
 )
 
+// lapseTime is how long the entry of a server that was replaced may stay in the registry.
+func lapseTime(heartbeat time.Duration) time.Duration {
+	return lapsedHeartbeats*heartbeat + lapseMargin
+}
+
 // Done gives the place back and notes what the call showed of the server.
 func (h *Hold) Done(end End) {
 	defer h.fleet.freed.Send()
@@ -173,6 +184,8 @@
 		h.state.pausedUntil = now.Add(busyPause)
 	case EndMoved:
 		h.state.pausedUntil = now.Add(movedPause)
+	case EndReplaced:
+		h.state.replacedUntil = now.Add(lapseTime(h.fleet.cfg.Heartbeat))
 	case EndAbandoned:
 	}
 }
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -20,7 +20,7 @@
 	// HeldTokens is the memory that the box's calls take there.
 	HeldTokens int `msgpack:"h,omitempty"`
 	// PausedFor is how much longer the box keeps new calls from the server because
-	// it is having it load weights.
+	// it is having it load weights, or has found another incarnation at its address.
 	PausedFor time.Duration `msgpack:"p,omitempty"`
 	// Weights are versions that the box found the server to hold.
 	Weights map[string]int `msgpack:"w,omitempty"`
@@ -34,7 +34,7 @@
 	now := boottime.Now()
 	var loads []Load
 	for _, state := range f.servers {
-		paused := max(state.orderedUntil.Sub(now), 0)
+		paused := max(state.orderedUntil.Sub(now), state.replacedUntil.Sub(now), 0)
 		newer := state.newerWeights()
 		if state.inFlight == 0 && paused == 0 && newer == nil {
 			continue
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -70,6 +70,9 @@
 	suspicion    time.Duration
 	// pausedUntil holds calls back from a runner that is changing weights or full.
 	pausedUntil time.Time
+	// replacedUntil holds calls back since another incarnation answers at the address: this one has
+	// ended, whatever its entry still says. Other boxes are told.
+	replacedUntil time.Time
 	// orderedUntil holds calls back while this box has the server load weights.
 	orderedUntil time.Time
 	// coldUntil is until when the server is cold by its entry, which was written before it was
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -105,13 +105,17 @@
 func (t *try) noteRefusal(answer *handover.Answer, marks call.Marks) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerBytes)) // so that the connection can be kept
 	server := t.chosen.hold.Server()
-	if answer.Status == http.StatusMisdirectedRequest {
+	replaced := marks.Server != "" && marks.Server != server.CalledBy()
+	switch {
+	case answer.Status == http.StatusMisdirectedRequest && replaced:
+		t.finish(fleet.EndReplaced)
+	case answer.Status == http.StatusMisdirectedRequest:
 		t.finish(fleet.EndMoved)
-	} else {
+	default:
 		t.finish(fleet.EndBusy)
 	}
 	t.log("server_refused", strconv.Itoa(answer.Status))
-	if marks.Server != "" && marks.Server != server.CalledBy() {
+	if replaced {
 		t.gateway.cfg.Logger.Info().Str("server", server.Incarnation).Str("address", server.Address).Str("found", marks.Server).Msg("address_reused")
 	}
 }
