--- a/internal/partindex/pace.go
+++ b/internal/partindex/pace.go
@@ -23,7 +23,7 @@
 	// have waited for other prompts at its runner.
 	paceSamples = 4
 	// slowFetch is how much later than those of other store boxes they must have come. To
-	// read a usual part takes 80 to 240 ms. Of 300, 350, 600 and 700 ms the first did best.
+	// read a usual part takes 80 to 240 ms.
 	slowFetch = 300 * time.Millisecond
 	// trySlowEvery is the time between two fetches of a box from a slow store box, which
 	// show whether it still is.
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -73,9 +73,8 @@
 	// callCost is what each call in flight adds to the next one's time: a step of
 	// the batch grows by 0.05 to 0.12 ms with each, and an answer has some 20.
 	callCost = 2.0
-	// zoneCost covers the way to another zone and back, and the price of the bytes: a
-	// long prompt's 17 KB cost about a hundredth of its worth, as a wait of some
-	// milliseconds does. Of 1.5, 6 and 12 ms, six did best.
+	// zoneCost covers the way to another zone and back, and the bytes that cross between
+	// zones.
 	zoneCost = 6.0
 	// lagCost is what each millisecond by which the word from other zones is older than
 	// usualLag adds: what is known of their runners is out of date by so much.
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -117,8 +117,7 @@
 
 // runnersPerLoad gives how many runners load at once: one of five. More of them load
 // more slowly, and fewer are left to serve; fewer leave older weights answering for
-// longer. Of 7, 5 and 3, five served best on all four days with new weights that were
-// tried.
+// longer.
 const runnersPerLoad = 5
 
 // phase says how far a runner under orders is.
