--- a/internal/roomline/roomline_test.go
+++ b/internal/admission/admission_test.go
@@ -1,4 +1,4 @@
-package roomline
+package admission
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cometlock/cometlock/internal/waiting"
-	"github.com/cometlock/cometlock/internal/waitline"
+	"github.com/cometlock/cometlock/internal/waitqueue"
 )
 
 // room has places for calls, and tells when one is free.
@@ -18,7 +18,7 @@
 	freed waiting.Signal
 }
 
-func (r *room) line() *Line[string, string] {
+func (r *room) queue() *Queue[string, string] {
 	return New(Config[string, string]{Freed: r.freed.Wait, Place: func(call string) (string, bool) {
 		if r.free == 0 {
 			return "", false
@@ -28,7 +28,7 @@
 	}})
 }
 
-func soon(wait time.Duration) waitline.Call { return waitline.Call{Until: time.Now().Add(wait)} }
+func soon(wait time.Duration) waitqueue.Call { return waitqueue.Call{Until: time.Now().Add(wait)} }
 
 func TestWait(t *testing.T) {
 	tests := []struct {
@@ -53,22 +53,22 @@
 				if test.freeAfter == 0 {
 					r.free = 1
 				}
-				l := r.line()
+				q := r.queue()
 				ctx, cancel := context.WithTimeout(context.Background(), test.leave)
 				defer cancel()
 				time.AfterFunc(test.freeAfter, func() {
-					l.mu.Lock()
+					q.mu.Lock()
 					r.free++
-					l.mu.Unlock()
+					q.mu.Unlock()
 					r.freed.Send()
 				})
 				began := time.Now()
 				time.Sleep(time.Nanosecond) // past the moment itself
-				place, ok := l.Wait(ctx, soon(test.wait), "a")
+				place, ok := q.Wait(ctx, soon(test.wait), "a")
 				g.Expect(place).To(Equal(test.place))
 				g.Expect(ok).To(Equal(test.place != ""))
 				g.Expect(time.Since(began)).To(BeNumerically("~", test.took, 5*time.Millisecond))
-				g.Expect(l.calls.Len()).To(BeZero())
+				g.Expect(q.calls.Len()).To(BeZero())
 				time.Sleep(2 * time.Second)
 			})
 		})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,8 +96,8 @@
 	inFlight atomic.Int64
 	waiting  atomic.Int64
 	number   atomic.Uint64
-	// lines holds the calls that wait for room, by service.
-	lines   sync.Map
+	// queues holds the calls that wait for room, by service.
+	queues  sync.Map
 	running running
 }
 
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -1,28 +1,28 @@
 // Waiting for room. Calls with prompts that find no runner with the time and the memory
-// for them wait in the line of their service (package roomline).
+// for them wait in the queue of their service (package admission).
 
 package gateway
 
 import (
 	"time"
 
+	"github.com/cometlock/cometlock/internal/admission"
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/placing"
-	"github.com/cometlock/cometlock/internal/roomline"
-	"github.com/cometlock/cometlock/internal/waitline"
+	"github.com/cometlock/cometlock/internal/waitqueue"
 )
 
-// line holds the calls to a service that wait for room.
-type line = roomline.Line[*exchange, choice]
+// queue holds the calls to a service that wait for room.
+type queue = admission.Queue[*exchange, choice]
 
-// line gives the line of a service.
-func (g *Gateway) line(service string) *line {
-	if found, ok := g.lines.Load(service); ok {
-		return found.(*line)
+// queue gives the queue of a service.
+func (g *Gateway) queue(service string) *queue {
+	if found, ok := g.queues.Load(service); ok {
+		return found.(*queue)
 	}
-	found, _ := g.lines.LoadOrStore(service, roomline.New(roomline.Config[*exchange, choice]{Place: g.place, Freed: g.cfg.Fleet.Freed}))
-	return found.(*line)
+	found, _ := g.queues.LoadOrStore(service, admission.New(admission.Config[*exchange, choice]{Place: g.place, Freed: g.cfg.Fleet.Freed}))
+	return found.(*queue)
 }
 
 // continueWait is how long a stream that broke off waits for room elsewhere. Callers leave a stream
@@ -32,11 +32,11 @@
 // limits says how urgent a call is and until when it may wait for room. A stream of which the
 // caller has a part is not refused and sent again, but cut; so it waits also when the time in which
 // a new call may wait is long over.
-func (x *exchange) limits() waitline.Call {
+func (x *exchange) limits() waitqueue.Call {
 	if x.answering {
-		return waitline.Call{Urgency: x.urgency, Until: boottime.Now().Add(continueWait)}
+		return waitqueue.Call{Priority: x.urgency, Until: boottime.Now().Add(continueWait)}
 	}
-	return waitline.Call{Urgency: x.urgency, Until: x.arrived.Add(time.Duration(placing.WaitPart * float64(x.route.Objective)))}
+	return waitqueue.Call{Priority: x.urgency, Until: x.arrived.Add(time.Duration(placing.WaitPart * float64(x.route.Objective)))}
 }
 
 // placeSoon places a call, and lets one with a prompt wait for its turn.
@@ -54,5 +54,5 @@
 	if chosen, ok, answered := g.placeByOwner(x); answered {
 		return chosen, ok
 	}
-	return g.line(x.service.Name).Wait(x.ctx, x.limits(), x)
+	return g.queue(x.service.Name).Wait(x.ctx, x.limits(), x)
 }
--- a/internal/places/owner.go
+++ b/internal/places/owner.go
@@ -12,10 +12,10 @@
 	"slices"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/admission"
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
-	"github.com/cometlock/cometlock/internal/roomline"
-	"github.com/cometlock/cometlock/internal/waitline"
+	"github.com/cometlock/cometlock/internal/waitqueue"
 )
 
 const (
@@ -38,22 +38,22 @@
 // Give chooses a server for a call, which may wait for its turn. It gives nil when there was no
 // room.
 func (p *Places) Give(ctx context.Context, q Question) *fleet.Grant {
-	limits := waitline.Call{Urgency: q.Urgency, Until: boottime.Now().Add(min(q.Wait, longestWait))}
-	place, ok := p.line(q.Service).Wait(ctx, limits, q)
+	limits := waitqueue.Call{Priority: q.Urgency, Until: boottime.Now().Add(min(q.Wait, longestWait))}
+	place, ok := p.queue(q.Service).Wait(ctx, limits, q)
 	if !ok {
 		return nil
 	}
 	return place
 }
 
-// line gives the line of a service.
-func (p *Places) line(service string) *line {
+// queue gives the queue of a service.
+func (p *Places) queue(service string) *queue {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	found := p.lines[service]
+	found := p.queues[service]
 	if found == nil {
-		found = roomline.New(roomline.Config[Question, *fleet.Grant]{Place: p.place, Freed: p.cfg.Fleet.Freed})
-		p.lines[service] = found
+		found = admission.New(admission.Config[Question, *fleet.Grant]{Place: p.place, Freed: p.cfg.Fleet.Freed})
+		p.queues[service] = found
 	}
 	return found
 }
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -28,12 +28,12 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/admission"
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/mechanism"
-	"github.com/cometlock/cometlock/internal/roomline"
 )
 
 // Box is an entry box, with where others ask it for places.
@@ -72,16 +72,16 @@
 	// open connections to owners, by address.
 	silent map[string]time.Time
 	idle   map[string][]idleConnection
-	// lines holds the calls that wait here, by service, and open the grants that still count.
-	lines map[string]*line
-	open  []grant
+	// queues holds the calls that wait here, by service, and open the grants that still count.
+	queues map[string]*queue
+	open   []grant
 	// lapsing says that a timer is set which ends them.
 	lapsing bool
 	server  *frame.Server
 }
 
-// line holds calls that wait for a place.
-type line = roomline.Line[Question, *fleet.Grant]
+// queue holds calls that wait for a place.
+type queue = admission.Queue[Question, *fleet.Grant]
 
 // Errors of a box that gave no place.
 var (
@@ -101,7 +101,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	p := &Places{cfg: cfg, silent: map[string]time.Time{}, idle: map[string][]idleConnection{}, lines: map[string]*line{}}
+	p := &Places{cfg: cfg, silent: map[string]time.Time{}, idle: map[string][]idleConnection{}, queues: map[string]*queue{}}
 	p.server = frame.NewServer(cfg.Logger, p.serve)
 	return p
 }
