--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -210,13 +211,22 @@
 	}
 }
 
+// memoryCell writes an amount of memory in MB. A slope below zero is one within the noise of its
+// measurement, and no memory.
+func memoryCell(mb float64) string {
+	if mb < 0 {
+		return "within noise"
+	}
+	return strconv.FormatFloat(mb, 'f', 2, 64)
+}
+
 // Print writes the table, its sums and where a limit is passed.
 func Print(out io.Writer, size Size, rows []Row, limits Limits) {
 	fmt.Fprintf(out, "one entry box of %d in %d zones, before %d runners, %d organisations, %d contexts, %.0f requests/s, %d changes a day\n\n",
 		size.Nodes, size.Zones, size.Runners, size.Organisations, size.Contexts, size.RequestsPerSec, size.ChangesPerDay)
 	fmt.Fprintf(out, "| mechanism | state | memory MB | core %% | bytes/s | appends/s |\n|---|---|---:|---:|---:|---:|\n")
 	for _, r := range rows {
-		fmt.Fprintf(out, "| %s | %s | %.2f | %.4f | %.0f | %.3f |\n", r.Mechanism, r.State, r.MemoryMB, r.CorePart, r.Bytes, r.Appends)
+		fmt.Fprintf(out, "| %s | %s | %s | %.4f | %.0f | %.3f |\n", r.Mechanism, r.State, memoryCell(r.MemoryMB), r.CorePart, r.Bytes, r.Appends)
 	}
 	var appends float64
 	for _, r := range rows {
