Tests: owners leave out cold servers that have no bound (fail)

Found on reading: WarmOnly goes by coldness, and not by whether calls are bounded. Fails on this commit: TestOwnersGrantPlacesAtColdServersUnlessTheirCallsAreBounded.

--- /dev/null
+++ b/internal/fleet/cold_test.go
@@ -0,0 +1,36 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/coldstart"
+)
+
+// Owners place most prompts, and grant no places at cold servers whose calls are bounded, since one
+// box alone counts those. A platform that names no bound has cold servers too: left out as well, they
+// would have served no prompt until they were warm.
+func TestOwnersGrantPlacesAtColdServersUnlessTheirCallsAreBounded(t *testing.T) {
+	tests := []struct {
+		name    string
+		limit   coldstart.Limit
+		granted bool
+	}{
+		{"no bound", coldstart.Limit{Length: time.Second}, true},
+		{"a bound", coldstart.Limit{Length: time.Second, PerSecond: 14, Overage: 1}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := New(Config{})
+			f.SetColdLimits(map[string]coldstart.Limit{"s": test.limit})
+			f.Apply([]Update{{Key: "r", Offset: 1, Server: &Server{
+				Incarnation: "r", Service: "s", Slots: 4, ColdFor: time.Minute, Weights: map[string]int{"m": 1},
+			}}})
+			g.Expect(f.Grant(grantQuery()) != nil).To(Equal(test.granted))
+			g.Expect(f.Choose(grantQuery())).NotTo(BeNil(), "the box that calls it")
+		})
+	}
+}
