Owners grant places at cold servers whose calls are not bounded

Callers before a platform that names no bound would have been served by no cold server that an owner places for: WarmOnly left out all cold ones.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -50,7 +50,8 @@
 	In func(zone string) bool
 	// SoundOnly leaves out servers that are suspected also when all are.
 	SoundOnly bool
-	// WarmOnly leaves out cold servers: the call is another box's.
+	// WarmOnly leaves out servers whose calls are bounded while they are cold: the call is another
+	// box's, or is made beside another try.
 	WarmOnly bool
 }
 
@@ -167,7 +168,7 @@
 	if f.evacuated.Active(state.Zone) || query.In != nil && !query.In(state.Zone) {
 		return false
 	}
-	if f.isSpared(state, now) || query.WarmOnly && f.isCold(state, now) {
+	if f.isSpared(state, now) || query.WarmOnly && f.isBounded(state, now) {
 		return false
 	}
 	if query.ConnectionLimit > 0 && state.inFlight >= query.ConnectionLimit {
