--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -29,7 +29,11 @@
 			f.Apply([]Update{{Key: "r", Offset: 1, Server: &Server{
 				Incarnation: "r", Service: "s", Slots: 4, ColdFor: time.Minute, Weights: map[string]int{"m": 1},
 			}}})
-			g.Expect(f.Grant(grantQuery()) != nil).To(Equal(test.granted))
+			granted := f.Grant(grantQuery())
+			g.Expect(granted != nil).To(Equal(test.granted))
+			if granted != nil {
+				granted.End() // the runner's memory takes one prompt
+			}
 			g.Expect(f.Choose(grantQuery())).NotTo(BeNil(), "the box that calls it")
 		})
 	}
