--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/cometlock/cometlock/internal/evacuation"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/placing"
 )
@@ -58,3 +59,35 @@
 		})
 	}
 }
+
+// A stream whose server ended waits for a server also while its service has none: here their zone is
+// evacuated for a moment. A new call is refused at once then, but this one would be cut.
+func TestAStreamThatBrokeOffWaitsForAServer(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := fleet.New(fleet.Config{})
+	breakOffNow := make(chan struct{})
+	startRunner(t, f, "first", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sendEvent(w, "first", 1)
+		<-breakOffNow
+		panic(http.ErrAbortHandler)
+	}))
+	c := silentCatalog(g, 2)
+	protocol := newPlanProtocol()
+	protocol.facts.Prompt = longAnswers()
+	gateway := promptGateway(protocol, f, emptyStore(c), c)
+	answers := make(chan string, 1)
+	go func() { answers <- serveStream(gateway) }()
+	g.Eventually(func() int { return inFlight(f) }).Should(Equal(1))
+	startSecond(t, f, serveRest("second", 0))
+	evacuate := func(active bool, offset int64) {
+		for _, zone := range []string{"", "a", "z"} {
+			f.Evacuate(evacuation.Change{Zone: zone, Active: active, Offset: offset})
+		}
+	}
+	evacuate(true, 1)
+	g.Expect(f.HasServers("r", nil)).To(BeFalse())
+	close(breakOffNow)
+	time.AfterFunc(300*time.Millisecond, func() { evacuate(false, 2) })
+	g.Expect(<-answers).To(Equal(wholeFrom("second", true)))
+}
