--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -45,8 +45,10 @@
 	defer g.waiting.Add(-1)
 	began := boottime.Now()
 	defer func() { x.placeTime += boottime.Since(began) }()
-	if !g.cfg.Fleet.HasServers(x.service.Name, g.allowedZones(x)) {
-		return choice{}, false // waiting brings none
+	// A stream of which the caller has a part is not refused and sent again, but cut, so it waits
+	// also for servers that may come back.
+	if !x.answering && !g.cfg.Fleet.HasServers(x.service.Name, g.allowedZones(x)) {
+		return choice{}, false
 	}
 	if x.facts.Prompt == nil || x.service.Engine == nil || !g.cfg.Off.On(mechanism.WaitingLine) {
 		return g.place(x)
