gateway: the log distinguishes connections that the kernel gave up

ended_by was "server" for each attempt that the box had not cancelled, so the log could not tell a connection that the server closed from one that the kernel closed after its timeout. It is "network" for the latter. Only the log changes; a lost attempt is handled as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,6 +36,8 @@
 	watch *watch
 	// asyncSend is set for an attempt that was started as a hedge.
 	asyncSend *asyncSend
+	// connErr is the error of the connection to the server, if the attempt was lost by one.
+	connErr error
 }
 
 // newAttempt creates the attempt of a call that was just assigned to a server.
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -36,6 +36,7 @@
 		return stepNextServer
 	}
 	x.mayHaveRun = true
+	a.connErr = err
 	return a.handleLost("no_answer", fleet.OutcomeUnreachable)
 }
 
@@ -165,6 +166,9 @@
 const (
 	sideBox    side = "box"
 	sideServer side = "server"
+	// sideNetwork: neither side has closed it; the server's machine did not acknowledge anything for
+	// so long that the kernel of the box gave up.
+	sideNetwork side = "network"
 )
 
 // closedBy returns the side that ended the attempt. The box closes a connection only by cancelling
@@ -174,5 +178,8 @@
 	if a.ctx.Err() != nil {
 		return sideBox
 	}
+	if handover.TimedOut(a.connErr) {
+		return sideNetwork
+	}
 	return sideServer
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -9,9 +9,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -25,6 +27,10 @@
 	ErrNoResponse = merry.Sentinel("the backend server sent no response")
 )
 
+// TimedOut reports whether an error of Send or of a response's body is that of a connection which
+// the kernel has closed, because nothing from the server's machine arrived for too long.
+func TimedOut(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
+
 // Request is one call as it is sent to a backend server.
 type Request struct {
 	Address string
@@ -92,7 +98,7 @@
 	if err != nil {
 		stopCancel()
 		c.close()
-		return nil, merry.Wrap(ErrNoResponse, merry.AppendMessage(err.Error()))
+		return nil, merry.Wrap(ErrNoResponse, merry.AppendMessage(err.Error()), merry.WithCause(err))
 	}
 	response := &Response{
 		Status: parsed.StatusCode, Header: parsed.Header,
