Failing tests: a short outage of a server's machine ends its calls

A socket filter makes a connection drop what it receives, which on the real kernel looks like a machine that is unreachable for a moment. The first probe falls into the outage, and with a user timeout of 2 s the kernel needs no second one. A request written during an outage of 1.7 s is lost at 2.43 s.

--- /dev/null
+++ b/internal/handover/unresponsive_test.go
@@ -0,0 +1,135 @@
+package handover_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/blackhole"
+	"github.com/cometlock/cometlock/internal/handover"
+)
+
+// Connections to sound servers broke: with a TCP user timeout, the kernel gives up after a single
+// unanswered keep-alive probe, and retransmits no more after 1.4 s.
+func TestAShortOutageOfAServersMachineKeepsItsCalls(t *testing.T) {
+	tests := []struct {
+		name string
+		// from and until bound the outage, counted from when the request is written; answered is when
+		// the server responds.
+		from, until, answered time.Duration
+		probed                bool
+	}{
+		{"while it is probed", 300 * time.Millisecond, 1400 * time.Millisecond, 2700 * time.Millisecond, true},
+		{"while it is probed for the second time", 1300 * time.Millisecond, 2700 * time.Millisecond, 3500 * time.Millisecond, true},
+		{"while the request is written", 0, 1700 * time.Millisecond, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			accepted := make(chan *net.TCPConn, 1)
+			s := serveAccepted(t, accepted, func(_ int, r *http.Request, c net.Conn) bool {
+				time.Sleep(test.answered)
+				_, _ = io.WriteString(c, responseText(r.Header.Get("X-Id"), "hello"))
+				return true
+			})
+			pool := handover.NewPool(handover.PoolConfig{})
+			g.Expect(pool.Probe(t.Context(), s.address)).To(Succeed())
+			connection := <-accepted
+			outage := time.AfterFunc(test.from, func() { dropFor(t, connection, test.until-test.from) })
+			defer outage.Stop()
+			if test.from == 0 {
+				outage.Stop()
+				dropFor(t, connection, test.until)
+			}
+			r := request(s, "1")
+			if test.probed {
+				r.OnConnect = func(enableKeepAlive func() error) { g.Expect(enableKeepAlive()).To(Succeed()) }
+			}
+			body, err := get(pool, r)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(body).To(Equal("hello"))
+		})
+	}
+}
+
+// A call must not wait until its deadline at a server whose machine has failed.
+func TestAFailedMachineIsDetected(t *testing.T) {
+	const maxDetection = 8 * time.Second
+	tests := []struct {
+		name   string
+		probed bool
+	}{{"while the request is written", false}, {"while the server works", true}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			accepted := make(chan *net.TCPConn, 1)
+			received := make(chan struct{})
+			s := serveAccepted(t, accepted, func(int, *http.Request, net.Conn) bool {
+				close(received)
+				<-t.Context().Done()
+				return false
+			})
+			pool := handover.NewPool(handover.PoolConfig{})
+			g.Expect(pool.Probe(t.Context(), s.address)).To(Succeed())
+			connection := <-accepted
+			if !test.probed {
+				dropFor(t, connection, time.Hour)
+			} else {
+				go func() {
+					<-received
+					dropFor(t, connection, time.Hour)
+				}()
+			}
+			r := request(s, "1")
+			r.OnConnect = func(enableKeepAlive func() error) {
+				if test.probed {
+					g.Expect(enableKeepAlive()).To(Succeed())
+				}
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), maxDetection)
+			defer cancel()
+			_, err := pool.Send(ctx, r)
+			g.Expect(err).To(MatchError(handover.ErrNoResponse))
+			g.Expect(handover.TimedOut(err)).To(BeTrue(), "%v", err)
+		})
+	}
+}
+
+// serveAccepted is serve, and passes the accepted connections on.
+func serveAccepted(t *testing.T, accepted chan<- *net.TCPConn, handle func(int, *http.Request, net.Conn) bool) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &server{address: listener.Addr().String()}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- connection.(*net.TCPConn)
+			go s.serveConnection(connection, handle)
+		}
+	}()
+	return s
+}
+
+// dropFor makes a connection drop what it receives for some time.
+func dropFor(t *testing.T, connection *net.TCPConn, length time.Duration) {
+	restore, err := blackhole.Drop(connection)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	time.AfterFunc(length, func() { _ = restore() }) // the test may have closed the connection
+}
