handover: a short outage of a server's machine keeps its calls

Callers saw: a stream that was cut, or a 502, seconds before its deadline, although its server was sound. Cause: connections have a TCP user timeout of 2 s and are probed each second. With a user timeout Linux ignores the count of probes and closes the connection once one probe is unanswered and nothing has arrived for 2 s. The only probe that counts is sent at 1 s; if the machine is unreachable just then, the connection ends at 2 s, however short the outage. A request that is written during an outage is retransmitted after 0.2, 0.6 and 1.4 s and then not before the timeout. The log says ended_by=network. Change: the timeout is 4 s, within which three probes and four retransmissions are sent, so that some follow any outage of up to two seconds. TestAFailedMachineIsDetected: a failed machine is still detected within 8 s. What waits longer is a call at a failed machine that no other server may take. Ruled out: fewer probes or a larger count, since the kernel ignores the count.

--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -45,14 +45,17 @@
 )
 
 const (
-	// userTimeout is the TCP user timeout: a connection is closed when sent bytes stay
-	// unacknowledged for so long, because the server has failed or is partitioned. It is above the
-	// longest retransmission delay on a link that loses some packets.
-	userTimeout = 2 * time.Second
-	// keepAliveInterval is the time between keep-alive probes on an idle connection.
+	// userTimeout is the TCP user timeout: the kernel closes a connection once sent bytes stay
+	// unacknowledged for so long, or nothing has arrived for so long and a keep-alive probe is
+	// unanswered, whatever the limit on the number of probes. A sound server may be unreachable for
+	// a second or so. Within the timeout the kernel sends three probes, and four retransmissions, so
+	// that some follow after any outage of up to two seconds.
+	userTimeout = 4 * time.Second
+	// keepAliveInterval is the time between keep-alive probes, of which the first is sent after a
+	// connection has been idle for so long. Linux counts it in whole seconds.
 	keepAliveInterval = time.Second
-	// maxUnansweredProbes is how many probes may stay unanswered on systems without TCP_USER_TIMEOUT.
-	maxUnansweredProbes = 2
+	// maxUnansweredProbes gives the same time on systems without TCP_USER_TIMEOUT.
+	maxUnansweredProbes = int(userTimeout/keepAliveInterval) - 1
 	// maxIdleLimit is the longest idle time after which a connection is still reused, and minIdleLimit
 	// the shortest value that the learned limit can fall to.
 	maxIdleLimit = 20 * time.Second
