Failing tests: two more ways in which a live server's connection is closed

Keep-alive is turned on when the call looks for another server, two objectives or more after it was sent. The user timeout counts from when something last arrived. If the connection has been idle for more than 3 s by then, one unanswered probe ends it a second later: an outage of 1.4 s lost the call after 4.53 s.

The user timeout also counts while the receive window is closed, although the server's kernel answers each window probe. A stopped server, or one that reads its body late, lost a call with a body of 1 MB after 4.27 s.

--- a/internal/handover/unresponsive_test.go
+++ b/internal/handover/unresponsive_test.go
@@ -133,3 +133,53 @@
 	}
 	time.AfterFunc(length, func() { _ = restore() }) // the test may have closed the connection
 }
+
+// Keep-alive was turned on for a connection that had been idle for almost the user timeout, and the
+// kernel closed it a second later, after a single unanswered probe.
+func TestAShortOutageKeepsACallThatIsProbedLate(t *testing.T) {
+	const outageStart, probedFrom, outageEnd, answered = 3300 * time.Millisecond, 3500 * time.Millisecond, 4700 * time.Millisecond, 6 * time.Second
+	t.Parallel()
+	g := NewWithT(t)
+	accepted := make(chan *net.TCPConn, 1)
+	s := serveAccepted(t, accepted, func(_ int, r *http.Request, c net.Conn) bool {
+		time.Sleep(answered)
+		_, _ = io.WriteString(c, responseText(r.Header.Get("X-Id"), "hello"))
+		return true
+	})
+	pool := handover.NewPool(handover.PoolConfig{})
+	g.Expect(pool.Probe(t.Context(), s.address)).To(Succeed())
+	connection := <-accepted
+	outage := time.AfterFunc(outageStart, func() { dropFor(t, connection, outageEnd-outageStart) })
+	defer outage.Stop()
+	r := request(s, "1")
+	r.OnConnect = func(enableKeepAlive func() error) {
+		time.AfterFunc(probedFrom, func() { g.Expect(enableKeepAlive()).To(Succeed()) })
+	}
+	body, err := get(pool, r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("hello"))
+}
+
+// A stopped server reads nothing, so its receive window closes amid a long body. The kernel counted
+// that as unacknowledged, although the server's machine answered each window probe.
+func TestAStalledServerKeepsACallWithALongBody(t *testing.T) {
+	const stall, bodyBytes = 6 * time.Second, 1 << 20
+	t.Parallel()
+	g := NewWithT(t)
+	accepted := make(chan *net.TCPConn, 1)
+	s := serveAccepted(t, accepted, func(_ int, r *http.Request, c net.Conn) bool {
+		time.Sleep(stall)
+		received, err := io.Copy(io.Discard, r.Body)
+		if err != nil || received != bodyBytes {
+			return false
+		}
+		_, _ = io.WriteString(c, responseText(r.Header.Get("X-Id"), "hello"))
+		return true
+	})
+	pool := handover.NewPool(handover.PoolConfig{})
+	r := request(s, "1")
+	r.Method, r.Body = http.MethodPost, make([]byte, bodyBytes)
+	body, err := get(pool, r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("hello"))
+}
