handover: no user timeout while a connection is probed, nor for long bodies

Callers saw: a cut stream or a 502, seconds before the deadline, although the server was sound. Cause: the user timeout counts from when something last arrived, so a connection that had been idle for more than 3 s when it was first probed ended after one unanswered probe. The timeout also counts while a stopped server's receive window is closed, although its kernel answers each window probe. Change: the user timeout is off once a probed call is acknowledged, so that the number of unanswered probes decides: three, within 4 s as before. It is off from the start for bodies above 32 KB, half of the receive window that Linux offers by default. A connection in the pool has it again. What waits longer is a call with a long body whose machine fails before it has acknowledged the body: it moves when its server is silent, or ends at its deadline.

--- a/internal/handover/export_test.go
+++ b/internal/handover/export_test.go
@@ -7,16 +7,24 @@
 )
 
 // KeepAlive returns the socket's SO_KEEPALIVE option.
-func KeepAlive(response *Response) int {
+func KeepAlive(response *Response) int { return option(response, unix.SOL_SOCKET, unix.SO_KEEPALIVE) }
+
+// UserTimeout returns the socket's TCP_USER_TIMEOUT option, in milliseconds.
+func UserTimeout(response *Response) int {
+	return option(response, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+}
+
+func option(response *Response, level, name int) int {
 	raw, err := response.conn.Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		panic(err)
 	}
 	setting := 0
-	if err := raw.Control(func(fd uintptr) {
-		setting, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
-	}); err != nil {
+	if err := raw.Control(func(fd uintptr) { setting, err = unix.GetsockoptInt(int(fd), level, name) }); err != nil {
 		panic(err)
 	}
 	return setting
 }
+
+// AwaitWritten waits until the call has been written, without which its connection is not reused.
+func AwaitWritten(response *Response) { response.written <- <-response.written }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -84,6 +84,12 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrNotSent, merry.AppendMessage(err.Error()))
 	}
+	if len(request.Body) > longBodyBytes {
+		if err := c.turnUserTimeoutOff(); err != nil {
+			c.close()
+			return nil, merry.Wrap(ErrNotSent, merry.AppendMessage(err.Error()))
+		}
+	}
 	if request.OnConnect != nil {
 		request.OnConnect(c.enableKeepAlive)
 	}
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,15 +47,21 @@
 
 const (
 	// userTimeout is the TCP user timeout: the kernel closes a connection once sent bytes stay
-	// unacknowledged for so long, or nothing has arrived for so long and a keep-alive probe is
-	// unanswered, whatever the limit on the number of probes. A sound server may be unreachable for
-	// a second or so. Within the timeout the kernel sends three probes, and four retransmissions, so
-	// that some follow after any outage of up to two seconds.
+	// unacknowledged for so long. A sound server may be unreachable for a second or so. Within the
+	// timeout the kernel retransmits four times, so that some follow after any outage of up to two
+	// seconds.
 	userTimeout = 4 * time.Second
+	// noUserTimeout turns the user timeout off.
+	noUserTimeout = 0
+	// longBodyBytes is the length above which a body may not fit into the receive window of a server
+	// that does not read. The user timeout also counts while the window is closed, although the
+	// server's machine answers; so it is off for longer bodies, and the call's deadline applies.
+	longBodyBytes = 32 << 10
 	// keepAliveInterval is the time between keep-alive probes, of which the first is sent after a
 	// connection has been idle for so long. Linux counts it in whole seconds.
 	keepAliveInterval = time.Second
-	// maxUnansweredProbes gives the same time on systems without TCP_USER_TIMEOUT.
+	// maxUnansweredProbes is how many probes in a row stay unanswered before the kernel closes the
+	// connection; some of them follow after any outage of up to two seconds.
 	maxUnansweredProbes = int(userTimeout/keepAliveInterval) - 1
 	// maxIdleLimit is the longest idle time after which a connection is still reused, and minIdleLimit
 	// the shortest value that the learned limit can fall to.
@@ -92,6 +99,8 @@
 	idleUntil time.Time
 	// tainted is set once a response to another call was received.
 	tainted bool
+	// userTimeoutOff is set while the user timeout is off.
+	userTimeoutOff atomic.Bool
 }
 
 // NewPool creates an empty pool.
@@ -101,16 +110,25 @@
 	return &Pool{cfg: cfg, idle: map[string][]*connection{}, maxIdle: map[string]time.Duration{}, dialer: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1, Control: setUserTimeout}}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, the time for which sent bytes may stay unacknowledged.
+// setUserTimeout is the dialer's hook that sets the user timeout.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	return writeUserTimeout(raw, userTimeout)
+}
+
+// writeUserTimeout sets TCP_USER_TIMEOUT, the time for which sent bytes may stay unacknowledged.
+func writeUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	return control(raw, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
-	if err != nil {
+}
+
+// control runs an operation on the descriptor of a socket.
+func control(raw syscall.RawConn, operation func(fd int) error) error {
+	var operationErr error
+	if err := raw.Control(func(fd uintptr) { operationErr = operation(int(fd)) }); err != nil {
 		return err
 	}
-	return setErr
+	return operationErr
 }
 
 // connect returns a usable idle connection, or a new one.
@@ -193,6 +211,10 @@
 
 // putIdle puts a connection into the pool.
 func (p *Pool) putIdle(c *connection, limit time.Duration) {
+	if c.restoreUserTimeout() != nil {
+		c.close()
+		return
+	}
 	now := boottime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -253,10 +275,54 @@
 
 // enableKeepAlive turns on TCP keep-alive probes. The server's kernel answers them even if the
 // process is stopped. If the machine has failed or is partitioned, they stay unanswered and the
-// connection breaks after userTimeout. So the box detects a lost machine without giving up calls at
-// servers that only stall.
+// connection breaks. So the box detects a lost machine without giving up calls at servers that only
+// stall.
+//
+// With a user timeout, the kernel ignores the limit on the number of probes, and closes a connection
+// that has been idle for long after a single unanswered one. So the user timeout is off once the
+// whole call is acknowledged. Until then the kernel sends no probes, and the user timeout is needed.
 func (c *connection) enableKeepAlive() error {
-	return c.Conn.(*net.TCPConn).SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxUnansweredProbes})
+	tcp := c.Conn.(*net.TCPConn)
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	unacknowledged := 0
+	err = control(raw, func(fd int) (err error) {
+		unacknowledged, err = unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if unacknowledged == 0 {
+		if err := c.turnUserTimeoutOff(); err != nil {
+			return err
+		}
+	}
+	return tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxUnansweredProbes})
+}
+
+// turnUserTimeoutOff turns the user timeout off until the connection is idle in the pool.
+func (c *connection) turnUserTimeoutOff() error {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	c.userTimeoutOff.Store(true)
+	return writeUserTimeout(raw, noUserTimeout)
+}
+
+// restoreUserTimeout turns the user timeout on again, if it was turned off.
+func (c *connection) restoreUserTimeout() error {
+	if !c.userTimeoutOff.Swap(false) {
+		return nil
+	}
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	return writeUserTimeout(raw, userTimeout)
 }
 
 func (c *connection) close() {
--- a/internal/handover/unresponsive_test.go
+++ b/internal/handover/unresponsive_test.go
@@ -183,3 +183,33 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(body).To(Equal("hello"))
 }
+
+// Without a user timeout, a call on a reused connection would wait until its deadline at a failed machine.
+func TestAReusedConnectionHasAUserTimeout(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, r *http.Request, c net.Conn) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, responseText(r.Header.Get("X-Id"), "hello"))
+		return true
+	})
+	pool := handover.NewPool(handover.PoolConfig{})
+	timeout := func(r handover.Request) int {
+		response, err := pool.Send(t.Context(), r)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer response.Close()
+		_, err = io.ReadAll(response.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		handover.AwaitWritten(response)
+		return handover.UserTimeout(response)
+	}
+	plain, long, probed := request(s, "1"), request(s, "2"), request(s, "3")
+	long.Method, long.Body = http.MethodPost, make([]byte, 1<<20)
+	probed.OnConnect = func(enableKeepAlive func() error) { g.Expect(enableKeepAlive()).To(Succeed()) }
+	usual := timeout(plain)
+	g.Expect(usual).To(BeNumerically(">", 0))
+	g.Expect(timeout(long)).To(BeZero())
+	g.Expect(timeout(plain)).To(Equal(usual))
+	g.Expect(timeout(probed)).To(BeZero())
+	g.Expect(timeout(plain)).To(Equal(usual))
+	g.Expect(s.connections.Load()).To(BeEquivalentTo(1))
+}
