api: each chunk of a stream has a write deadline of its own

Callers saw: a stream cut at the first large chunk after the engine had paused for more than 30 s. Cause: the write deadline was set only when a chunk was flushed. A chunk that exceeds net/http's buffer is written before that, under the deadline of the flush before. Change: a stream's deadline is set before each chunk and before a failure is reported. Answers in one piece are written as before.

--- a/internal/api/sink.go
+++ b/internal/api/sink.go
@@ -51,6 +51,7 @@
 func (s *httpSink) Write(chunk engine.Chunk, more bool) error {
 	s.buffer = s.buffer[:0]
 	if s.stream {
+		s.extendDeadline() // that of the last flush may have passed while the engine paused
 		s.buffer = appendEvent(s.buffer, chunk)
 	} else {
 		s.buffer = append(s.buffer, chunk.Data...)
@@ -65,9 +66,14 @@
 }
 
 func (s *httpSink) flush() error {
+	s.extendDeadline()
+	return s.controller.Flush()
+}
+
+// extendDeadline sets the deadline of the next write.
+func (s *httpSink) extendDeadline() {
 	// Only the response writers of tests do not support deadlines.
 	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return s.controller.Flush()
 }
 
 // appendEvent encodes a chunk as a server-sent event, with its index as the event ID.
@@ -101,6 +107,7 @@
 		return
 	}
 	s.buffer = append(append(append(s.buffer[:0], "data: "...), data...), "\n\n"...)
+	s.extendDeadline()
 	if _, err := s.w.Write(s.buffer); err == nil {
 		_ = s.flush() // a second failure cannot be reported
 	}
