Failing test: an outage late in a long call ends it

A call with an objective of 1.7 s or more looks for another server, and turns keep-alive probes on, when nothing has arrived for 3.4 s or more. Linux then probes at once and, since the user timeout of 4 s counts from the last byte received, closes the connection after that one probe: 502 after 4.43 and 5.01 s with 5 s left, at an outage of 1.2 s, ended_by=network.

--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -28,27 +28,7 @@
 			t.Parallel()
 			g := NewWithT(t)
 			f := fleet.New(fleet.Config{})
-			stream := stallingStream(silence, started, nil)
-			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				connection := r.Context().Value(connectionKey{}).(syscall.Conn)
-				time.AfterFunc(outageStart, func() {
-					restore, err := blackhole.Drop(connection)
-					if err != nil {
-						t.Error(err)
-						return
-					}
-					time.AfterFunc(outageLength, func() { _ = restore() }) // the box may have closed the connection
-				})
-				stream(w, r)
-			}))
-			server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-				return context.WithValue(ctx, connectionKey{}, c)
-			}
-			server.Start()
-			t.Cleanup(server.Close)
-			f.Apply([]fleet.Update{{Key: "first", Offset: 1, Server: &fleet.Server{
-				Incarnation: "first", Service: "r", Address: server.Listener.Addr().String(), Slots: 4, Weights: map[string]int{"m": 1},
-			}}})
+			startUnreachableFor(t, f, stallingStream(silence, started, nil), outageStart, outageLength)
 			c := resumableCatalog(g, 1)
 			gateway := promptGateway(newPlanProtocol(), f, emptyIndex(c), c)
 			var logged syncBuffer
@@ -57,3 +37,47 @@
 		})
 	}
 }
+
+// startUnreachableFor starts the server "first", which is unreachable for some time in each call.
+func startUnreachableFor(t *testing.T, f *fleet.Fleet, handler http.Handler, from, length time.Duration) {
+	t.Helper()
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		connection := r.Context().Value(connectionKey{}).(syscall.Conn)
+		time.AfterFunc(from, func() {
+			restore, err := blackhole.Drop(connection)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			time.AfterFunc(length, func() { _ = restore() }) // the box may have closed the connection
+		})
+		handler.ServeHTTP(w, r)
+	}))
+	server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, c)
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	f.Apply([]fleet.Update{{Key: "first", Offset: 1, Server: &fleet.Server{
+		Incarnation: "first", Service: "r", Address: server.Listener.Addr().String(), Slots: 4, Weights: map[string]int{"m": 1},
+	}}})
+}
+
+// A call with a long objective looks for another server late. When probes began only then, nothing had
+// arrived for longer than the kernel waits for, so a single unanswered probe ended the connection.
+func TestAnOutageLateInALongCallEndsNoCall(t *testing.T) {
+	const outageLength, silence = 1200 * time.Millisecond, 6500 * time.Millisecond
+	for _, objective := range []time.Duration{1700 * time.Millisecond, 2 * time.Second} {
+		t.Run(objective.String(), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := fleet.New(fleet.Config{})
+			startUnreachableFor(t, f, stallingStream(silence, false, nil), 2*objective-100*time.Millisecond, outageLength)
+			c := resumableCatalogWith(g, 1, objective)
+			gateway := promptGateway(newPlanProtocol(), f, emptyIndex(c), c)
+			var logged syncBuffer
+			gateway.cfg.Logger = zerolog.New(&logged)
+			g.Expect(serveStream(gateway)).To(Equal(fullStream("first", false)), logged.String)
+		})
+	}
+}
--- a/internal/gateway/stalledservers_test.go
+++ b/internal/gateway/stalledservers_test.go
@@ -28,12 +28,17 @@
 // resumableCatalog is promptCatalog with a short objective and a given number of servers for a
 // call.
 func resumableCatalog(g *WithT, maxServers int) *catalog.Catalog {
+	return resumableCatalogWith(g, maxServers, 300*time.Millisecond)
+}
+
+// resumableCatalogWith is resumableCatalog with another objective.
+func resumableCatalogWith(g *WithT, maxServers int, objective time.Duration) *catalog.Catalog {
 	made, err := catalog.New(catalog.Config{
 		Version: 1, Limits: catalog.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 16},
 		Services: []catalog.Service{{Name: "r", Engine: &catalog.Engine{CapacityTokens: 100_000, BytesPerToken: 1000}}},
 		Routes: []catalog.Route{{
 			Name: "prompts", Host: "example.com", PathPrefix: "/", Kind: catalog.Stream, Resumable: true, MaxServers: maxServers,
-			Objective: 300 * time.Millisecond, Timeout: 10 * time.Second, Splits: []catalog.Split{{Service: "r", Weight: 1}}, Public: true,
+			Objective: objective, Timeout: 10 * time.Second, Splits: []catalog.Split{{Service: "r", Weight: 1}}, Public: true,
 		}},
 	})
 	g.Expect(err).NotTo(HaveOccurred())
