gateway: probes of a silent server begin after a second

Callers with an objective of 1.7 s or more saw a 502 after an outage of about a second, with time left. Cause: keep-alive was turned on when the call looks for another server, after two objectives or, at a runner that others hear of, five. The kernel counts the user timeout from the last byte received, so by then it had passed and one unanswered probe ended the connection. Change: the watch checks after a second at the latest and turns keep-alive on then. When a call looks for another server is as before.

--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -113,11 +113,14 @@
 		w.scheduleCheck(observed.IdleLimit())
 		return nil, ""
 	}
-	if another, recheckAfter := observed.ShouldTryAnother(); !another {
-		w.scheduleCheck(recheckAfter)
+	another, recheckAfter := observed.ShouldTryAnother()
+	if another || observed.Idle >= keepAliveAfter {
+		w.enableKeepAliveOnce()
+	}
+	if !another {
+		w.scheduleNextCheck(recheckAfter, observed.Idle)
 		return nil, ""
 	}
-	w.enableKeepAliveOnce()
 	if !w.started {
 		w.current.recordFetchDelay()
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -24,6 +24,11 @@
 	closed
 )
 
+// keepAliveAfter is the idle time after which keep-alive is turned on, even if the call looks for another
+// server much later. The kernel counts its timeout from when something last arrived, however late the
+// first probe is, so probes that begin late leave no time for a second one.
+const keepAliveAfter = time.Second
+
 // watch watches the server of one attempt. The call's goroutine reports what is received; the timer
 // looks for another server.
 type watch struct {
@@ -60,7 +65,7 @@
 	defer w.mu.Unlock()
 	w.lastReceivedAt = boottime.Now()
 	if w.current.x.route.IsRepeatable() {
-		w.scheduleCheck(w.observe(w.lastReceivedAt).IdleLimit())
+		w.scheduleCheck(min(w.observe(w.lastReceivedAt).IdleLimit(), keepAliveAfter))
 	}
 }
 
@@ -83,6 +88,15 @@
 	w.enableKeepAlive = nil
 }
 
+// scheduleNextCheck schedules a check after the given time, or earlier if keep-alive is to be turned on
+// before. The caller holds mu.
+func (w *watch) scheduleNextCheck(after, idle time.Duration) {
+	if w.enableKeepAlive != nil && idle < keepAliveAfter {
+		after = min(after, keepAliveAfter-idle)
+	}
+	w.scheduleCheck(after)
+}
+
 // scheduleCheck sets the timer for the next check. The caller holds mu.
 func (w *watch) scheduleCheck(after time.Duration) {
 	w.checkDue = boottime.Now().Add(after)
