gateway: a call whose caller seems to be gone is never ended as if it were served

Callers that close only their own direction of the connection (RFC 9112, 9.6) saw an empty 200, or a cut stream with the end of a complete one. Cause: Go's HTTP server ends the context of a call when it can read no more; the gateway then returned from its handler without a response, and the server sent an empty 200, or ended the stream properly. Change: such a call gets a refusal or an error that says whether it may have run, and a response that has begun is aborted. Its outcome in the log is still 'gone'; status is now that of the error.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -112,7 +112,7 @@
 		return g.reject(x, http.StatusRequestEntityTooLarge, "body_too_large")
 	}
 	if x.request.Context().Err() != nil {
-		x.outcome, x.reason = outcomeGone, "caller_left_in_body"
+		g.endGone(x, "caller_left_in_body")
 		return false
 	}
 	return g.reject(x, http.StatusBadRequest, "body_unreadable")
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -65,6 +65,18 @@
 	g.writeError(x, status, reason, "the request may have run; no answer came back")
 }
 
+// endGone ends a call whose caller has disconnected, as far as the box can tell: the caller may have closed
+// only its own direction. So it gets an error, or its response is aborted. If the handler just returned,
+// Go's HTTP server would send an empty 200, or end a stream as if it were complete.
+func (g *Gateway) endGone(x *exchange, reason string) {
+	if x.responseStarted {
+		x.outcome, x.reason = outcomeGone, reason
+		panic(http.ErrAbortHandler)
+	}
+	g.endWithoutResponse(x, reason, retryAfterBusy)
+	x.outcome = outcomeGone
+}
+
 // abortResponse ends a response of which the caller has a part: it closes the connection, so that
 // the part cannot be taken for a complete response.
 func (g *Gateway) abortResponse(x *exchange, reason string) {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -146,7 +146,7 @@
 // endCallerLeft ends a call whose caller has disconnected.
 func (a *attempt) endCallerLeft() nextStep {
 	a.release(fleet.OutcomeAbandoned)
-	a.x.outcome, a.x.reason = outcomeGone, "caller_left"
+	a.gateway.endGone(a.x, "caller_left")
 	return stepDone
 }
 
