handover: a timeout that the write got is reported as one

Cause: the kernel reports its timeout to whichever of the write and the read comes first. With a long body it is the write, and the read then sees the end of the connection. Change: after a failed read, Send waits for the write, which closing the connection ends, and returns its timeout. Result: TestATimeoutAmidALongBodyIsNotTheServersClose passes; the package passes with -race.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -97,7 +97,10 @@
 	parsed, err := c.readMatching(request)
 	if err != nil {
 		stopCancel()
-		c.close()
+		c.close() // also ends the write
+		if writeErr := <-written; TimedOut(writeErr) {
+			err = writeErr // the kernel reports the timeout once, here to the write
+		}
 		return nil, merry.Wrap(ErrNoResponse, merry.AppendMessage(err.Error()), merry.WithCause(err))
 	}
 	response := &Response{
