handover: a response with an invalid status is an error

Callers saw their connection closed without an answer: net/http's client side parses a status below 100, and its server side panics on it. Such a response now counts as none: 502, or another server where the route allows it. Result: TestAServersInvalidStatusIsAnsweredWith502 passes.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -143,6 +143,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode < http.StatusContinue {
+			return nil, merry.New("the status is invalid")
+		}
 		if response.StatusCode/100 == 1 {
 			continue
 		}
