Failing test: a call inherits the probes of an earlier call on its connection

A call that may run once does not turn probes on: nothing else can be done for it, so it waits for its server to the end of its time. On a connection that an earlier call had probed it was lost in an outage of some seconds.

--- a/internal/handover/unresponsive_test.go
+++ b/internal/handover/unresponsive_test.go
@@ -102,6 +102,31 @@
 	}
 }
 
+// A call that does not turn probes on was lost in an outage if an earlier call on its connection had.
+func TestProbesEndWithTheirCall(t *testing.T) {
+	const outage, answered = 5 * time.Second, 6 * time.Second
+	g := NewWithT(t)
+	accepted := make(chan *net.TCPConn, 1)
+	s := serveAccepted(t, accepted, func(_ int, r *http.Request, c net.Conn) bool {
+		if r.Header.Get("X-Id") == "2" {
+			time.Sleep(answered)
+		}
+		_, _ = io.WriteString(c, responseText(r.Header.Get("X-Id"), "hello"))
+		return true
+	})
+	pool := handover.NewPool(handover.PoolConfig{})
+	first := request(s, "1")
+	first.OnConnect = func(enableKeepAlive func() error) { g.Expect(enableKeepAlive()).To(Succeed()) }
+	_, err := get(pool, first)
+	g.Expect(err).NotTo(HaveOccurred())
+	connection := <-accepted
+	time.AfterFunc(300*time.Millisecond, func() { dropFor(t, connection, outage) })
+	body, err := get(pool, request(s, "2"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("hello"))
+	g.Expect(accepted).To(BeEmpty(), "the connection was reused")
+}
+
 // serveAccepted is serve, and passes the accepted connections on.
 func serveAccepted(t *testing.T, accepted chan<- *net.TCPConn, handle func(int, *http.Request, net.Conn) bool) *server {
 	t.Helper()
