handover: probes end with the call that turned them on

Cause: keep-alive stayed on for a connection that went back to the pool, so a later call that must not be given up early was given up after 4 s of an outage, or not, by the history of its connection. Change: a connection that is reused is not probed until its call asks for it. Idle ones still are.

--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -92,6 +93,8 @@
 	idleUntil time.Time
 	// tainted is set once a response to another call was received.
 	tainted bool
+	// probed is set while keep-alive is on.
+	probed atomic.Bool
 }
 
 // NewPool creates an empty pool.
@@ -124,7 +127,7 @@
 		if now.Before(c.idleUntil) && now.Sub(c.idleSince) <= request.MaxIdle {
 			open := c.isIdle()
 			p.learnMaxIdle(request.Address, now.Sub(c.idleSince), open)
-			if open {
+			if open && c.disableKeepAlive() == nil {
 				return c, nil
 			}
 		}
@@ -256,9 +259,19 @@
 // connection breaks after userTimeout. So the box detects a lost machine without giving up calls at
 // servers that only stall.
 func (c *connection) enableKeepAlive() error {
+	c.probed.Store(true)
 	return c.Conn.(*net.TCPConn).SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxUnansweredProbes})
 }
 
+// disableKeepAlive ends the probes that an earlier call has turned on: whether the connection of a call is
+// probed must not depend on the calls before it.
+func (c *connection) disableKeepAlive() error {
+	if !c.probed.Swap(false) {
+		return nil
+	}
+	return c.Conn.(*net.TCPConn).SetKeepAlive(false)
+}
+
 func (c *connection) close() {
 	_ = c.Conn.Close() // an error changes nothing for this side
 }
