--- a/internal/handover/export_test.go
+++ b/internal/handover/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -28,3 +29,16 @@
 
 // AwaitWritten waits until the call has been written, without which its connection is not reused.
 func AwaitWritten(response *Response) { response.written <- <-response.written }
+
+// LongBodyBytes is the longest body that is written with a user timeout.
+const LongBodyBytes = longBodyBytes
+
+// SetSendBuffer sets the size of the send buffers of a pool's new connections, in bytes.
+func SetSendBuffer(pool *Pool, size int) {
+	pool.dialer.Control = func(network, address string, raw syscall.RawConn) error {
+		if err := setUserTimeout(network, address, raw); err != nil {
+			return err
+		}
+		return control(raw, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, size) })
+	}
+}
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -99,8 +99,9 @@
 	idleUntil time.Time
 	// tainted is set once a response to another call was received.
 	tainted bool
-	// userTimeoutOff is set while the user timeout is off.
+	// userTimeoutOff is set while the user timeout is off, and probed while keep-alive is on.
 	userTimeoutOff atomic.Bool
+	probed         atomic.Bool
 }
 
 // NewPool creates an empty pool.
@@ -142,7 +143,7 @@
 		if now.Before(c.idleUntil) && now.Sub(c.idleSince) <= request.MaxIdle {
 			open := c.isIdle()
 			p.learnMaxIdle(request.Address, now.Sub(c.idleSince), open)
-			if open {
+			if open && c.disableKeepAlive() == nil {
 				return c, nil
 			}
 		}
@@ -300,6 +301,7 @@
 			return err
 		}
 	}
+	c.probed.Store(true)
 	return tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxUnansweredProbes})
 }
 
@@ -325,6 +327,15 @@
 	return writeUserTimeout(raw, userTimeout)
 }
 
+// disableKeepAlive ends the probes that an earlier call has turned on: whether the connection of a call is
+// probed must not depend on the calls before it.
+func (c *connection) disableKeepAlive() error {
+	if !c.probed.Swap(false) {
+		return nil
+	}
+	return c.Conn.(*net.TCPConn).SetKeepAlive(false)
+}
+
 func (c *connection) close() {
 	_ = c.Conn.Close() // an error changes nothing for this side
 }
