handover: interim responses do not count as foreign ones

Cause: responses to other calls are bounded to two, and 1xx counted among them, so a server that sends three lost the call: 502, or another server. Change: they are skipped. Result: TestInterimResponsesAreSkipped passes; handover with -race and gateway pass.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -137,18 +137,11 @@
 
 // readMatching reads responses until one belongs to the call.
 func (c *connection) readMatching(request Request) (*http.Response, error) {
-	httpRequest := &http.Request{Method: request.Method}
 	for range maxForeignResponses + 1 {
-		response, err := http.ReadResponse(c.reader, httpRequest)
+		response, err := c.readFinal(request.Method)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusContinue {
-			return nil, merry.New("the status is invalid")
-		}
-		if response.StatusCode/100 == 1 {
-			continue
-		}
 		if request.Matches == nil || request.Matches(response) {
 			return response, nil
 		}
@@ -160,6 +153,23 @@
 	return nil, merry.New("the responses belong to other calls")
 }
 
+// readFinal reads the next response that is not an interim one (1xx). A server may send any number of
+// those; the call's deadline bounds them.
+func (c *connection) readFinal(method string) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusContinue {
+			return nil, merry.New("the status is invalid")
+		}
+		if response.StatusCode/100 != 1 {
+			return response, nil
+		}
+	}
+}
+
 // completeReader records when the body has been read to its proper end.
 type completeReader struct{ response *Response }
 
