gateway: a call without a body gets no read deadline

Change: the read deadline for the body is set only where there is a body. With one, the HTTP server clears the deadline itself at the end of the body, before it begins to read in the background.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -90,8 +90,12 @@
 func (g *Gateway) readBody(x *exchange) bool {
 	limit := x.catalog.Limits().BodyBytes
 	connection := http.NewResponseController(x.writer)
-	if err := connection.SetReadDeadline(time.Now().Add(boottime.Until(x.deadline))); err != nil {
-		g.cfg.Logger.Debug().Str("error", err.Error()).Msg("no_read_deadline") // the response writers of tests support no deadlines
+	// The server already reads from the connection of a call without a body, to learn whether the caller
+	// disconnects. A deadline would end that read, and the call would count as abandoned.
+	if x.request.ContentLength != 0 {
+		if err := connection.SetReadDeadline(time.Now().Add(boottime.Until(x.deadline))); err != nil {
+			g.cfg.Logger.Debug().Str("error", err.Error()).Msg("no_read_deadline") // the response writers of tests support no deadlines
+		}
 	}
 	body, err := x.readAllBody(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	if err == nil {
