Failing tests: a request on an idle connection is dropped unread

Cause: a read deadline that has passed makes a read fail even if bytes have arrived before it. If the process gets no CPU time until the idle timeout is over, the server closes the connection with a whole request in its receive buffer, although the caller sent it in time. And the deadline is set when the connection becomes idle, so a longer idle timeout in a new configuration applies to the next idle period alone: callers that use connections for the configured time lose a request.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -17,12 +17,17 @@
 // connectionPair returns the server's end of a connection, accepted through a Listener, and the
 // client's end.
 func connectionPair(g *WithT) (server, client net.Conn) {
+	return connectionPairWith(g, func() callerconn.Timeouts { return callerconn.Timeouts{} })
+}
+
+// connectionPairWith is connectionPair with timeouts.
+func connectionPairWith(g *WithT, timeouts func() callerconn.Timeouts) (server, client net.Conn) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer listener.Close()
 	client, err = net.Dial("tcp", listener.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
-	server, err = callerconn.Listener{Listener: listener, Timeouts: func() callerconn.Timeouts { return callerconn.Timeouts{} }}.Accept()
+	server, err = callerconn.Listener{Listener: listener, Timeouts: timeouts}.Accept()
 	g.Expect(err).NotTo(HaveOccurred())
 	return server, client
 }
