callerconn: an idle connection with an unread request stays open

Change: when the idle timeout of a connection is over, the connection stays open if the configured timeout has become longer meanwhile, or if bytes are in its receive buffer, which get 100 ms to be read. Neither applies once the server waits for the headers of a call, whose timeout is as strict as before.

A request can still be lost if it arrives between the check of the receive buffer and the close; its caller may repeat it.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -9,14 +9,20 @@
 // runs, so its caller may retry it.
 //
 // Second, the timeouts for idle connections and for request headers follow the configuration. Those of
-// the server itself are fixed when it starts.
+// the server itself are fixed when it starts. An idle connection whose timeout is over stays open if the
+// timeout has become longer, or if bytes have arrived that the server has not read.
 package callerconn
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Timeouts holds the configurable timeouts of connections; for a zero value, the server's own applies.
@@ -62,9 +68,11 @@
 	active bool
 	idle   bool
 	// received is set if bytes were received since the connection became idle, idleTimeoutSet if the
-	// server has set the deadline for the idle time.
+	// server has set the deadline for the idle time. idleSince is when it did so, and zero again once it
+	// waits for the headers of a call, whose first bytes it may have read with the call before.
 	received       bool
 	idleTimeoutSet bool
+	idleSince      time.Time
 }
 
 func (c *conn) track(state http.ConnState) {
@@ -72,7 +80,7 @@
 	defer c.mu.Unlock()
 	c.active = state == http.StateActive
 	c.idle = state == http.StateIdle
-	c.received, c.idleTimeoutSet = false, false
+	c.received, c.idleTimeoutSet, c.idleSince = false, false, time.Time{}
 }
 
 // SetReadDeadline implements net.Conn. The server sets a deadline for the idle time, and then one for
@@ -96,9 +104,10 @@
 	case c.active:
 		return 0
 	case c.idle && !c.idleTimeoutSet:
-		c.idleTimeoutSet = true
+		c.idleTimeoutSet, c.idleSince = true, time.Now()
 		return c.timeouts().Idle
 	default:
+		c.idleSince = time.Time{}
 		return c.timeouts().Header
 	}
 }
@@ -106,6 +115,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendIdle() {
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 || err != nil {
 		// After an error, the rest of a partly received call will not arrive.
 		c.mu.Lock()
@@ -115,6 +127,45 @@
 	return n, err
 }
 
+// lateReadTime is the time to read the bytes that have arrived before the end of the idle timeout.
+const lateReadTime = 100 * time.Millisecond
+
+// extendIdle sets a later deadline for a connection whose idle timeout is over, and reports whether it
+// may be read again: if the timeout has become longer, or if bytes have arrived. The deadline makes
+// reads fail even then, which happens when the process gets no CPU time until the timeout is over.
+func (c *conn) extendIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() || c.received {
+		return false
+	}
+	extension := time.Until(c.idleSince.Add(c.timeouts().Idle))
+	if extension <= 0 {
+		if !hasUnreadBytes(c.Conn) {
+			return false
+		}
+		extension = lateReadTime
+	}
+	return c.Conn.SetReadDeadline(time.Now().Add(extension)) == nil
+}
+
+// hasUnreadBytes reports whether bytes have arrived on a connection that were not read.
+func hasUnreadBytes(connection net.Conn) bool {
+	socket, ok := connection.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT) // n is -1 after an error
+	})
+	return err == nil && n > 0
+}
+
 // Close implements net.Conn. It ignores the close of an idle connection that has received bytes.
 func (c *conn) Close() error {
 	c.mu.Lock()
