--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -1,13 +1,18 @@
 // Package faultproxy is a TCP proxy that injects network faults between two processes of a test. It
-// delays bytes, holds them back in one direction or both, resets connections, and blackholes open
-// connections while new ones work.
+// delays bytes, holds them back in one direction or both, resets connections, blackholes open
+// connections while new ones work, and partitions its clients from the server.
 package faultproxy
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cometlock/cometlock/internal/blackhole"
 )
 
 // Link is the state of the link that the proxy simulates.
@@ -21,12 +26,16 @@
 
 // Proxy forwards connections to one server.
 type Proxy struct {
-	listener net.Listener
-	server   string
+	address string
+	server  string
 
-	mu     sync.Mutex
-	link   Link
-	closed bool
+	mu sync.Mutex
+	// listener is nil while new connections are refused.
+	listener *net.TCPListener
+	// restores end the dropping of packets.
+	restores []func() error
+	link     Link
+	closed   bool
 	// changed is closed and replaced when the link changes, connections are blackholed or the
 	// proxy closes.
 	changed chan struct{}
@@ -48,17 +57,86 @@
 
 // Start starts a proxy that accepts connections on a free port of the loopback interface.
 func Start(server string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, server: server, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
-	go p.acceptLoop()
+	p := &Proxy{address: listener.Addr().String(), listener: listener, server: server, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
+	go p.acceptLoop(p.listener)
 	return p, nil
 }
 
 // Address returns the address that clients connect to.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
+
+// Partition is how clients are partitioned from the server.
+type Partition uint8
+
+// Kinds of partition.
+const (
+	// PartitionSilent drops the packets of open and of new connections.
+	PartitionSilent Partition = iota + 1
+	// PartitionReset resets the open connections and refuses new ones.
+	PartitionReset
+	// PartitionNew refuses new connections, while the open ones work.
+	PartitionNew
+)
+
+// Partition partitions the clients from the server until Heal.
+func (p *Proxy) Partition(kind Partition) error {
+	if kind == PartitionReset {
+		defer p.Reset()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if kind != PartitionSilent {
+		closing := p.listener
+		p.listener = nil
+		return closing.Close()
+	}
+	restore, err := blackhole.Drop(p.listener)
+	if err != nil {
+		return err
+	}
+	p.restores = append(p.restores, restore)
+	for pair := range p.pairs {
+		if restore, err := blackhole.Drop(pair.client); err == nil { // the client may have closed it
+			p.restores = append(p.restores, restore)
+		}
+	}
+	return nil
+}
+
+// Heal ends a partition.
+func (p *Proxy) Heal() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, restore := range p.restores {
+		_ = restore() // the connection may have been closed
+	}
+	p.restores = nil
+	if p.listener != nil || p.closed {
+		return nil
+	}
+	listener, err := listen(p.address)
+	if err != nil {
+		return err
+	}
+	p.listener = listener
+	go p.acceptLoop(listener)
+	return nil
+}
+
+// listen opens a listener without Multipath TCP, whose sockets accept no filters.
+func listen(address string) (*net.TCPListener, error) {
+	cfg := net.ListenConfig{}
+	cfg.SetMultipathTCP(false)
+	listener, err := cfg.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, merry.Prepend(err, "open the proxy's port")
+	}
+	return listener.(*net.TCPListener), nil
+}
 
 // SetLink changes the state of the link.
 func (p *Proxy) SetLink(link Link) {
@@ -95,8 +173,10 @@
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close() // an error leaves nothing else to do
 	p.mu.Lock()
+	if p.listener != nil {
+		_ = p.listener.Close() // an error leaves nothing else to do
+	}
 	p.closed = true
 	p.notifyChange()
 	p.mu.Unlock()
@@ -114,9 +194,9 @@
 	_ = p.server.Close()
 }
 
-func (p *Proxy) acceptLoop() {
+func (p *Proxy) acceptLoop(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return // the listener is closed
 		}
