gateway: boxes that do not reach a service forward its calls through others

Cause: a box had only its own links. Each call found out by itself, by a dial of up to 150 ms for each server, and was then refused; no code passed it on to a box that reaches the servers. Ruled out: being unready, since open connections stay and a zone that is mostly unready gets all boxes back.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -34,8 +34,10 @@
 	"github.com/cometlock/cometlock/internal/namespace"
 	"github.com/cometlock/cometlock/internal/orderlease"
 	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/peerpath"
 	"github.com/cometlock/cometlock/internal/places"
 	"github.com/cometlock/cometlock/internal/quarantine"
+	"github.com/cometlock/cometlock/internal/reach"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/retrybudget"
@@ -95,10 +97,16 @@
 	memory *membudget.Budget
 	// crashes detects which servers crashed under which requests, and quarantine determines which
 	// requests caused it.
-	crashes      *crash.Detector
-	quarantine   *quarantine.Set
+	crashes    *crash.Detector
+	quarantine *quarantine.Set
+	// reach detects services that this box does not reach, and peerPaths has the boxes through which
+	// calls for them are forwarded.
+	reach        *reach.Monitor
+	peerPaths    *peerpath.Paths
 	callerServer *http.Server
 	readyServer  *http.Server
+	// forwardServer serves the calls that other boxes forward; nil if this box takes none.
+	forwardServer *http.Server
 	// metricsServer serves metrics at a separate address; nil if there is none.
 	metricsServer *http.Server
 
@@ -187,7 +195,7 @@
 	})
 	b.watcher = storewatch.New(storewatch.Config{Stores: b.cfg.Stores, Index: b.parts, Logger: b.logger, MayFree: b.mayFree})
 	reports := loadshare.Config{
-		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Incarnation: shortIncarnation(b.incarnation), Zone: b.settings.Zone, Address: b.PeerAddress(), ReaderAddress: b.ReaderAddress(), PlacesAddress: b.PlacesAddress(),
+		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Incarnation: shortIncarnation(b.incarnation), Zone: b.settings.Zone, Address: b.PeerAddress(), ReaderAddress: b.ReaderAddress(), PlacesAddress: b.PlacesAddress(), ForwardAddress: b.ForwardAddress(),
 		Cores: b.settings.Cores, Mechanisms: b.settings.Mechanisms, NamedVersions: b.registry.WeightsForPeers, MergeNamedVersions: b.registry.MergeWeights, Snapshot: b.registry.Snapshot,
 		FirstSystemStart: b.settings.FirstSystemStart, AppendTime: b.settings.LogAppendTime,
 		NeedsSnapshot: b.registry.NeedsSnapshot, ApplySnapshot: b.registry.Adopt, Quarantine: b.quarantine, MayCallCold: b.mayCallCold, Parts: b.parts,
@@ -276,6 +284,7 @@
 		IsResponsive: b.isResponsive, ServerListAge: b.registry.ServersAge, Quarantine: b.quarantine, ConfirmCrash: b.crashes.Check,
 		Memory: b.memory,
 	}
+	b.assembleForwarding(&cfg)
 	if b.shares != nil {
 		cfg.Excess, cfg.Admitted, cfg.Queued = b.shares.excess, b.shares.admitted, b.shares.queued
 	}
@@ -359,7 +368,7 @@
 	time.Sleep(b.settings.UnreadyDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), boottime.Until(end))
 	defer cancel()
-	err := b.callerServer.Shutdown(ctx)
+	err := b.shutDownCalls(ctx)
 	if err != nil {
 		b.logger.Error().Int64("calls", b.gateway.InFlight()).Str("error", err.Error()).Msg("calls_aborted")
 	}
@@ -369,6 +378,7 @@
 		_ = b.metricsServer.Close() // so may a collector's request
 	}
 	// The loops start work that the watcher and the others wait for, so the loops end first.
+	b.reach.Stop()
 	b.loops.Wait()
 	b.watcher.Wait()
 	b.share.Wait()
--- a/internal/entrybox/ports.go
+++ b/internal/entrybox/ports.go
@@ -26,8 +26,8 @@
 // metricsPath is the path of the metrics, on the balancer's port and on the metrics port.
 const metricsPath = "/metrics"
 
-// ports are the open ports of a box; metrics is nil without a separate address.
-type ports struct{ callers, ready, peers, readers, places, metrics net.Listener }
+// ports are the open ports of a box; forward and metrics are nil without an address of their own.
+type ports struct{ callers, ready, peers, readers, places, forward, metrics net.Listener }
 
 // openPorts opens all ports before anything runs, so that a port in use is reported as one clear
 // error.
@@ -42,10 +42,11 @@
 		{"peers", b.settings.PeerAddress, &b.ports.peers},
 		{"readers", b.settings.ReaderAddress, &b.ports.readers},
 		{"places", b.settings.PlacesAddress, &b.ports.places},
+		{"forward", b.settings.ForwardAddress, &b.ports.forward},
 		{"metrics", b.settings.MetricsAddress, &b.ports.metrics},
 	} {
-		if port.address == "" && port.listener == &b.ports.metrics {
-			continue // a separate address for metrics is optional
+		if port.address == "" && (port.listener == &b.ports.metrics || port.listener == &b.ports.forward) {
+			continue // these ports are optional
 		}
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
@@ -59,7 +60,7 @@
 
 // closePorts closes the ports of a box that fails to start.
 func (b *Box) closePorts() {
-	for _, listener := range []net.Listener{b.ports.callers, b.ports.ready, b.ports.peers, b.ports.readers, b.ports.places, b.ports.metrics} {
+	for _, listener := range []net.Listener{b.ports.callers, b.ports.ready, b.ports.peers, b.ports.readers, b.ports.places, b.ports.forward, b.ports.metrics} {
 		if listener != nil {
 			_ = listener.Close() // not used yet
 		}
@@ -82,12 +83,26 @@
 // PlacesAddress returns the address at which boxes request places at servers.
 func (b *Box) PlacesAddress() string { return b.ports.places.Addr().String() }
 
+// ForwardAddress returns the address for calls that other boxes forward, or "" if there is none.
+func (b *Box) ForwardAddress() string {
+	if b.ports.forward == nil {
+		return ""
+	}
+	return b.ports.forward.Addr().String()
+}
+
 // assembleServers creates the HTTP servers of the ports.
 func (b *Box) assembleServers() {
 	b.callerServer = &http.Server{
 		Handler: http.HandlerFunc(b.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: callerconn.TrackState,
 	}
+	if b.ports.forward != nil {
+		b.forwardServer = &http.Server{
+			Handler: http.HandlerFunc(b.serveForwarded), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeaderBytes,
+			ConnState: callerconn.TrackState,
+		}
+	}
 	b.readyServer = &http.Server{Handler: b.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	if b.ports.metrics != nil {
 		b.metricsServer = &http.Server{Handler: b.metricsHandler(), ReadHeaderTimeout: headerTimeout}
@@ -100,6 +115,11 @@
 	if b.metricsServer != nil {
 		b.serve(b.metricsServer, b.ports.metrics)
 	}
+	if b.forwardServer != nil {
+		// The idle time of callers' connections does not apply: it may be shorter than the time for
+		// which other boxes keep theirs.
+		b.serve(b.forwardServer, callerconn.Listener{Listener: b.ports.forward, Timeouts: func() callerconn.Timeouts { return callerconn.Timeouts{} }})
+	}
 	b.serve(b.callerServer, callerconn.Listener{Listener: b.ports.callers, Timeouts: b.callerLimits})
 }
 
@@ -120,6 +140,14 @@
 	b.gateway.ServeHTTP(w, r)
 }
 
+// serveForwarded serves one call that another box forwards.
+func (b *Box) serveForwarded(w http.ResponseWriter, r *http.Request) {
+	if b.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	b.gateway.ServeForwarded(w, r)
+}
+
 // callerLimits returns the limits of callers' connections from the configuration in force.
 func (b *Box) callerLimits() callerconn.Timeouts {
 	configuration := b.registry.Catalog()
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -23,6 +23,9 @@
 	PeerAddress   string
 	ReaderAddress string
 	PlacesAddress string
+	// ForwardAddress is the IP address and port for calls that other boxes forward to this one. If it
+	// is empty, the box takes none.
+	ForwardAddress string
 	// MetricsAddress serves only collectors of metrics. Where it is empty they use the balancer's
 	// address, which serves metrics in any case.
 	MetricsAddress string
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -42,6 +43,28 @@
 	}
 }
 
+// SampleAddresses returns the addresses of some servers of a service, at random, that are listed and not
+// draining.
+func (f *Fleet) SampleAddresses(service string, count int) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sample []string
+	seen := 0
+	for state := range f.groups[service].all() {
+		if state.isDraining() || !state.delistedAt.IsZero() {
+			continue
+		}
+		seen++
+		if len(sample) < count {
+			sample = append(sample, state.Address)
+		} else if at := rand.IntN(seen); at < count { // reservoir sampling
+			sample[at] = state.Address
+		}
+	}
+	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
+	return sample
+}
+
 // ZonePeers returns the addresses of the other servers in a server's zone that this box considers
 // reachable, sorted by this box's calls in flight, most first.
 func (f *Fleet) ZonePeers(server Server) []string {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -20,6 +20,7 @@
 // accept reads the headers of a call, finds its route and sets its deadline.
 func (g *Gateway) accept(x *exchange) bool {
 	x.info = g.cfg.Protocol.ReadRequest(x.request.Header)
+	x.readForwardState()
 	x.resumeAfter = x.info.ResumeAfter
 	x.catalog = g.cfg.Catalog()
 	if x.catalog == nil {
--- a/internal/gateway/asyncsend.go
+++ b/internal/gateway/asyncsend.go
@@ -124,7 +124,7 @@
 }
 
 func (s *asyncSend) responseInfo() call.ResponseInfo {
-	return s.hedge.gateway.cfg.Protocol.ReadResponse(s.response.Status, s.response.Header)
+	return s.hedge.responseInfo(s.response)
 }
 
 // finishFailed releases the attempt of a failed send and records what the failure shows about the
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,7 +79,10 @@
 		return a.handleNoResponse(err)
 	}
 	defer response.Close()
-	info := a.gateway.cfg.Protocol.ReadResponse(response.Status, response.Header)
+	info := a.responseInfo(response)
+	if a.peer() != nil {
+		a.countReached(response)
+	}
 	if info.NotRun {
 		return a.handleRefusal(response, info)
 	}
@@ -112,11 +115,13 @@
 		return nil, errPlacementExpired
 	}
 	sent := boottime.Now()
+	a.noteSent()
 	response, err := a.gateway.cfg.Pool.Send(a.ctx, request)
 	if err != nil {
 		return nil, err
 	}
-	info := a.gateway.cfg.Protocol.ReadResponse(response.Status, response.Header)
+	a.noteContact()
+	info := a.responseInfo(response)
 	a.gateway.cfg.Fleet.ApplyAdvisory(a.respondingServer(response.Status, info), advisory.Answer{
 		Advisory: info.Advisory, Sent: sent, Received: boottime.Now(), Genuine: info.Genuine,
 	})
@@ -127,6 +132,9 @@
 // server's address.
 func (a *attempt) respondingServer(status int, info call.ResponseInfo) string {
 	server := a.chosen.hold.Server()
+	if a.peer() != nil {
+		return info.Server // unknown to the fleet if empty
+	}
 	if status == http.StatusMisdirectedRequest && info.Server != "" && info.Server != server.TargetName() {
 		return info.Server
 	}
@@ -138,6 +146,9 @@
 }
 
 func (a *attempt) buildRequest() handover.Request {
+	if a.peer() != nil {
+		return a.buildForward()
+	}
 	x := a.x
 	header := endToEndHeaders(x.request.Header)
 	a.gateway.cfg.Protocol.WriteForwardInfo(header, x.forwardInfo(a.chosen, a.gateway.serverTimeout(x, a.chosen)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,8 +32,10 @@
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/membudget"
 	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/peerpath"
 	"github.com/cometlock/cometlock/internal/places"
 	"github.com/cometlock/cometlock/internal/quarantine"
+	"github.com/cometlock/cometlock/internal/reach"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/retrybudget"
@@ -93,6 +95,10 @@
 	ConfirmCrash func(ctx context.Context, loss crash.BrokenCall) bool
 	// Memory bounds the memory that calls hold; nil means that there is no bound.
 	Memory *membudget.Budget
+	// Reach detects services that this box does not reach, and Peers has the boxes through which
+	// calls for them are forwarded. Both are nil where calls are not forwarded.
+	Reach *reach.Monitor
+	Peers *peerpath.Paths
 }
 
 // WeightVersions looks up the announced versions of weights.
@@ -110,6 +116,8 @@
 	inFlight  atomic.Int64
 	waiting   atomic.Int64
 	callCount atomic.Uint64
+	// forwarded is the number of calls in flight that other boxes have forwarded to this one.
+	forwarded atomic.Int64
 	// tieSeed makes the tie-breakers of this box different from those of other boxes.
 	tieSeed uint64
 	// queues holds the calls that wait for capacity, by service.
@@ -137,13 +145,18 @@
 
 // ServeHTTP takes one call through the stages.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.serveExchange(g.newExchange(w, r), false)
+}
+
+// serveExchange takes a call through the stages. overLimit means that it is a forwarded one for which this
+// box has no capacity.
+func (g *Gateway) serveExchange(x *exchange, overLimit bool) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := g.newExchange(w, r)
 	defer x.cancel(nil)
 	defer g.recordCall(x)
 	defer x.finishWriting()
-	if !g.accept(x) || !g.authorise(x) || !g.admitMemory(x) || !g.readBody(x) {
+	if !g.accept(x) || !g.authorise(x) || g.refuseForwarded(x, overLimit) || !g.admitMemory(x) || !g.readBody(x) {
 		return
 	}
 	g.serve(x)
@@ -159,11 +172,16 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
-	// Written by accept.
-	catalog *catalog.Catalog
-	info    call.RequestInfo
-	route   *catalog.Route
-	service *catalog.Service
+	// forwarded is set for a call that another box has forwarded.
+	forwarded bool
+
+	// Written by accept. serversAllowed is the number of servers that another box allows for a call
+	// that it has forwarded; 0 means that the route decides.
+	serversAllowed int
+	catalog        *catalog.Catalog
+	info           call.RequestInfo
+	route          *catalog.Route
+	service        *catalog.Service
 	// deadline is the earlier one of the caller's and the route's deadline.
 	deadline time.Time
 
@@ -186,6 +204,11 @@
 	// serversReached counts the servers that the call was sent to: those attempted, except those
 	// that no connection was made to.
 	serversReached int
+	// unreached counts the servers that no connection could be made to, and pathsTried the boxes that
+	// the call was forwarded to. pathRefusal is why the last of them refused it.
+	unreached   int
+	pathsTried  int
+	pathRefusal pathRefusal
 	// tookRetry is set if the current attempt, or the one that is being placed, took a retry from
 	// the budget.
 	tookRetry bool
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -20,7 +20,7 @@
 
 // placement is the server chosen for a call and the plan for its prompt.
 type placement struct {
-	hold *fleet.Hold
+	hold hold
 	plan partindex.Plan
 	// namespace is that of the plan; empty without a prompt.
 	namespace string
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -39,6 +39,7 @@
 func (g *Gateway) refuse(x *exchange, reason string, retryAfter time.Duration) bool {
 	x.outcome = outcomeRefused
 	g.cfg.Protocol.WriteFailure(x.writer.Header(), call.FailureInfo{RetryAfter: retryAfter})
+	x.setForwardResult(reason, retryAfter)
 	return g.writeError(x, http.StatusServiceUnavailable, reason, "the request was not run; it may be sent again")
 }
 
@@ -46,6 +47,7 @@
 func (g *Gateway) reject(x *exchange, status int, reason string) bool {
 	x.outcome = outcomeRejected
 	g.cfg.Protocol.WriteFailure(x.writer.Header(), call.FailureInfo{})
+	x.setForwardResult(reason, 0)
 	return g.writeError(x, status, reason, "the request cannot be served as it is")
 }
 
@@ -58,6 +60,7 @@
 	}
 	x.outcome = outcomeUnknown
 	g.cfg.Protocol.WriteFailure(x.writer.Header(), call.FailureInfo{MayHaveRun: true})
+	x.setForwardResult(reason, 0)
 	status := http.StatusBadGateway
 	if !boottime.Now().Before(x.deadline) {
 		status = http.StatusGatewayTimeout
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,7 +22,7 @@
 // the whole response, it is passed on as it is read.
 func (a *attempt) relayBuffered(response *handover.Response) nextStep {
 	x := a.x
-	buffered := &bufferedResponse{status: response.Status, header: endToEndHeaders(response.Header)}
+	buffered := &bufferedResponse{status: response.Status, header: a.responseHeaders(response)}
 	complete, err := buffered.body.read(response.Body, response.Length(), x.memory)
 	if err != nil {
 		buffered.body.drop(x.memory)
@@ -78,6 +78,7 @@
 	for name, values := range response.header {
 		x.writer.Header()[name] = values
 	}
+	x.setForwardReached()
 	x.writer.Header().Set("Content-Length", strconv.Itoa(response.body.size))
 	x.writer.WriteHeader(response.status)
 	response.body.writeTo(x.writer, x.memory)
@@ -218,12 +219,18 @@
 		return
 	}
 	x.responseStarted, x.status = true, response.Status
-	for name, values := range endToEndHeaders(response.Header) {
+	for name, values := range a.responseHeaders(response) {
 		x.writer.Header()[name] = values
 	}
+	x.setForwardReached()
 	x.writer.WriteHeader(response.Status)
 }
 
+// responseHeaders returns the headers of a response that the caller gets.
+func (a *attempt) responseHeaders(response *handover.Response) http.Header {
+	return withoutForwardHeaders(endToEndHeaders(response.Header))
+}
+
 // isNewer reports whether an event's id follows the last one that was relayed. Ids that are not
 // numbers count as newer.
 func isNewer(last, id string) bool {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -31,11 +31,15 @@
 			return a.handleQuarantined()
 		}
 		a.x.serversReached-- // the server has not received the call, so another one may be tried
+		a.noteUnreached()
 		a.gateway.returnRetry(x)
 		a.recordUnreachable(err)
 		return stepNextServer
 	}
 	x.mayHaveRun = true
+	if a.peer() != nil {
+		a.countReached(nil)
+	}
 	a.connErr = err
 	return a.handleLost("no_answer", fleet.OutcomeUnreachable)
 }
@@ -59,6 +63,9 @@
 	a.log("not_handed_over", err.Error())
 }
 
+// reasonServerRejected is the reason for rejecting a call that a server has rejected as invalid.
+const reasonServerRejected = "server_rejected"
+
 // reasonOutOfTime is the logged reason of a call whose deadline passed before its response was
 // complete.
 const reasonOutOfTime = "out_of_time"
@@ -96,8 +103,8 @@
 	if a.watch.switchToHedge() {
 		return stepSwitched
 	}
-	if response.Status == http.StatusBadRequest && !a.x.responseStarted {
-		a.gateway.reject(a.x, http.StatusBadRequest, "server_rejected")
+	if response.Status == http.StatusBadRequest && !a.x.responseStarted && (a.peer() == nil || readForwardResult(response.Header).reason == reasonServerRejected) {
+		a.gateway.reject(a.x, http.StatusBadRequest, reasonServerRejected)
 		return stepDone
 	}
 	return stepNextServer
@@ -107,6 +114,10 @@
 // server.
 func (a *attempt) recordRefusal(response *handover.Response, info call.ResponseInfo) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes)) // so that the connection can be reused
+	if a.peer() != nil {
+		a.recordForwardRefusal(response)
+		return
+	}
 	server := a.chosen.hold.Server()
 	replaced := info.Server != "" && info.Server != server.TargetName()
 	switch {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,7 +48,9 @@
 
 // serve tries servers until the call has a final result.
 func (g *Gateway) serve(x *exchange) {
-	g.cfg.Budget.Deposit()
+	if !x.forwarded {
+		g.cfg.Budget.Deposit()
+	}
 	defer g.active.add(x)()
 	for {
 		if _, admitted := g.cfg.Quarantine.Admit(x.fingerprint); !admitted {
@@ -56,7 +58,7 @@
 			g.endQuarantined(x)
 			return
 		}
-		chosen, ok := g.placeOrWait(x)
+		chosen, ok := g.chooseServer(x)
 		if x.isQuarantined() {
 			g.returnRetry(x)
 			g.endQuarantinedUnsent(x, chosen)
@@ -64,6 +66,10 @@
 		}
 		if !ok {
 			g.returnRetry(x)
+			if x.pathRefusal.reason != "" {
+				g.endCall(x, x.pathRefusal.reason, x.pathRefusal.retryAfter)
+				return
+			}
 			x.shortage = g.shortage(x)
 			g.endCall(x, g.unplacedReason(x, x.shortage), g.retryAfter(x))
 			return
@@ -178,7 +184,12 @@
 	}
 }
 
-func (x *exchange) maxServers() int { return max(x.route.MaxServers, 1) }
+func (x *exchange) maxServers() int {
+	if x.serversAllowed > 0 {
+		return min(x.serversAllowed, max(x.route.MaxServers, 1))
+	}
+	return max(x.route.MaxServers, 1)
+}
 
 // mayRetry reports whether the call may run once more after it may have run.
 func (x *exchange) mayRetry() bool {
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -181,7 +181,7 @@
 		w.scheduleCheck(w.observe(boottime.Now()).RecheckInterval())
 		return true
 	}
-	if hedge.chosen.namespace == "" && !hedge.asyncSend.isDone() {
+	if hedge.chosen.namespace == "" && hedge.peer() == nil && !hedge.asyncSend.isDone() {
 		// Nothing shows that the server is working, and a healthy plain service would have
 		// responded.
 		w.cancelHedge()
@@ -195,7 +195,12 @@
 
 // placeHedge chooses a healthy server for a hedge. It neither waits for capacity nor sends a
 // request to an owner box: the chosen server refuses the call if it has no capacity.
+//
+// If this box does not reach the service, it chooses another box to forward the call to.
 func (g *Gateway) placeHedge(x *exchange, pastHedges []*attempt) (placement, bool) {
+	if !g.reaches(x) {
+		return g.chooseHedgePath(x, pastHedges)
+	}
 	query, plans := g.fleetQuery(x)
 	query.HealthyOnly, query.UncappedOnly = true, true
 	query.Exclude = append([]string(nil), x.attempted...)
--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -46,6 +46,8 @@
 	ReaderAddress string `msgpack:"v,omitempty"`
 	// PlacesAddress serves requests for places at the servers that the box owns.
 	PlacesAddress string `msgpack:"p,omitempty"`
+	// ForwardAddress serves calls that other boxes forward.
+	ForwardAddress string `msgpack:"f,omitempty"`
 	// Cores is the number of CPU cores that the box may use.
 	Cores float64 `msgpack:"c,omitempty"`
 }
@@ -56,7 +58,9 @@
 	zone          string
 	readerAddress string
 	placesAddress string
-	cores         float64
+	// forwardAddress is empty for boxes that take no forwarded calls.
+	forwardAddress string
+	cores          float64
 	// listed is whether the box is in the log; otherwise it was added because it sent a message.
 	listed bool
 }
@@ -219,7 +223,7 @@
 
 // announcement returns the entry of this box.
 func (s *Share) announcement() announcement {
-	return announcement{Address: s.cfg.Address, Incarnation: s.cfg.Incarnation, Zone: s.cfg.Zone, ReaderAddress: s.cfg.ReaderAddress, PlacesAddress: s.cfg.PlacesAddress, Cores: s.cfg.Cores}
+	return announcement{Address: s.cfg.Address, Incarnation: s.cfg.Incarnation, Zone: s.cfg.Zone, ReaderAddress: s.cfg.ReaderAddress, PlacesAddress: s.cfg.PlacesAddress, ForwardAddress: s.cfg.ForwardAddress, Cores: s.cfg.Cores}
 }
 
 // applyRecord adds, updates or removes a box.
@@ -238,7 +242,7 @@
 		delete(s.peers, record.Key)
 		return
 	}
-	s.peers[record.Key] = &peer{address: box.Address, zone: box.Zone, readerAddress: box.ReaderAddress, placesAddress: box.PlacesAddress, cores: box.Cores, listed: true}
+	s.peers[record.Key] = &peer{address: box.Address, zone: box.Zone, readerAddress: box.ReaderAddress, placesAddress: box.PlacesAddress, forwardAddress: box.ForwardAddress, cores: box.Cores, listed: true}
 	delete(s.avoided, record.Key) // its new entry shows that it has just started
 }
 
@@ -265,6 +269,8 @@
 	ReaderAddress string
 	// PlacesAddress serves requests for places at the servers that it owns.
 	PlacesAddress string
+	// ForwardAddress serves calls that other boxes forward; empty if the box takes none.
+	ForwardAddress string
 }
 
 // Candidates lists the other boxes, which may read the log for this one unless they are
@@ -275,7 +281,7 @@
 	boxes := s.candidates(boottime.Now())
 	candidates := make([]Candidate, len(boxes))
 	for i, box := range boxes {
-		candidates[i] = Candidate{Box: box, ReaderAddress: s.peers[box.Name].readerAddress, PlacesAddress: s.peers[box.Name].placesAddress}
+		candidates[i] = Candidate{Box: box, ReaderAddress: s.peers[box.Name].readerAddress, PlacesAddress: s.peers[box.Name].placesAddress, ForwardAddress: s.peers[box.Name].forwardAddress}
 		candidates[i].Unavailable = box.Unavailable || candidates[i].ReaderAddress == ""
 	}
 	return candidates
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -53,13 +53,14 @@
 	Box         string
 	Incarnation string
 	// Address is where other boxes connect to this one. ReaderAddress serves the boxes that read
-	// the log through it, PlacesAddress serves requests for places at the servers that it owns.
-	// Zone is its availability zone, and Cores the number of CPU cores that it may use.
-	Address       string
-	ReaderAddress string
-	PlacesAddress string
-	Zone          string
-	Cores         float64
+	// the log through it, PlacesAddress serves requests for places at the servers that it owns, and
+	// ForwardAddress, which may be empty, serves calls that other boxes forward. Zone is its availability zone, and Cores the number of CPU cores that it may use.
+	Address        string
+	ReaderAddress  string
+	PlacesAddress  string
+	ForwardAddress string
+	Zone           string
+	Cores          float64
 	// FirstSystemStart is true when the whole system starts for the first time, and AppendTime is
 	// the time that the log takes for an append; zero stands for DefaultAppendTime.
 	FirstSystemStart bool
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -62,6 +62,9 @@
 	// MemoryBudget bounds the memory that is held for calls, and takes in the answers of slow
 	// callers.
 	MemoryBudget Mechanism = "memory-budget"
+	// PeerForwarding forwards calls through other boxes while this one does not reach the servers of a
+	// service.
+	PeerForwarding Mechanism = "peer-forwarding"
 )
 
 // All returns all mechanisms.
@@ -69,7 +72,7 @@
 	return []Mechanism{
 		ZoneReaders, Hubs, Owners, WaitingLine, Homes, Headroom, SlowStores, SharedLateness, FetchChoice, StoreKinds, KeptConnections, Suspicion, ReadRates, PausedLoading,
 		Slots, BriefCalls, FullZones, FairShares, ReturnTimes,
-		LoadPace, MemoryBudget,
+		LoadPace, MemoryBudget, PeerForwarding,
 	}
 }
 
