gateway: a refusal waits for an unread body until the deadline at most

Change: before a refusal of a call whose body was not read, the box sets the read deadline that it sets when it reads a body. A body that arrives in time is still read to its end first, since closing the connection at once would reset it under its sender.

--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -72,8 +72,27 @@
 	panic(http.ErrAbortHandler)
 }
 
+// limitUnreadBody bounds the time for which the server reads a body that the box has not read, which it
+// does before it sends the response: the call is refused at its deadline at the latest. A body that
+// arrives in time is read to its end, so that its sender gets the refusal and not a reset.
+func (x *exchange) limitUnreadBody() {
+	if x.request.ContentLength == 0 || !x.bodyReadAt.IsZero() {
+		return
+	}
+	deadline := x.deadline
+	if deadline.IsZero() { // a call without a route
+		deadline = x.arrived.Add(defaultTimeout)
+		if x.info.MaxWait > 0 {
+			deadline = x.arrived.Add(min(defaultTimeout, x.info.MaxWait))
+		}
+	}
+	// The response writers of tests support no deadlines.
+	_ = http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(boottime.Until(deadline)))
+}
+
 func (g *Gateway) writeError(x *exchange, status int, reason, message string) bool {
 	x.status, x.reason = status, reason
+	x.limitUnreadBody()
 	body, err := json.Marshal(errorBody{errorDetail{reason, message}})
 	if err != nil {
 		g.cfg.Logger.Error().Str("error", err.Error()).Msg("refusal_not_encoded")
