weightorders: a box that does not reach runners leaves orders to others

Effect: new weights wait for the end of a partition. A box that held the order lease and had lost its links to the runners renewed the lease twice a second, so no other box took over, and took runners out of service for orders that it could not send.

--- a/internal/entrybox/weights.go
+++ b/internal/entrybox/weights.go
@@ -26,6 +26,7 @@
 		Runners: b.cfg.Runners, Fleet: b.fleet, Lease: b.lease, Logger: b.logger, Holder: b.incarnation, Mechanisms: b.settings.Mechanisms, OnPause: func() { b.share.SendNow() },
 		Models: b.registry.DeclaredModels, TargetVersion: func(model string) int { return b.registry.Weights(model).Version },
 		TimeLeft: b.weightsTimeLeft, Limits: b.runnerLimits, LoadsKnown: b.knowsLoads,
+		Reaches: func(service string) bool { return !b.reach.Unreachable(service) },
 	}
 }
 
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,6 +91,8 @@
 	// Limits returns what calls may use at one runner of a service; nil means that it has no
 	// limits.
 	Limits func(service string) loadpace.Limits
+	// Reaches reports whether this box reaches the servers of a service; nil means that it does.
+	Reaches func(service string) bool
 	// LoadsKnown reports whether this box knows the load of the other boxes; nil means that it
 	// doesn't.
 	LoadsKnown func() bool
@@ -197,7 +200,7 @@
 func (c *Controller) scan(ctx context.Context) {
 	for _, model := range c.cfg.Models() {
 		version := c.cfg.TargetVersion(model)
-		behind := c.cfg.Fleet.ServersBehind(model, version)
+		behind := c.reachable(c.cfg.Fleet.ServersBehind(model, version))
 		if len(behind) == 0 {
 			continue
 		}
@@ -208,6 +211,15 @@
 	}
 }
 
+// reachable returns the servers of services that this box reaches. A box that reached none would renew the
+// lease all the same, and keep runners out of service for orders that do not arrive.
+func (c *Controller) reachable(behind []fleet.BehindServer) []fleet.BehindServer {
+	if c.cfg.Reaches == nil {
+		return behind
+	}
+	return slices.DeleteFunc(behind, func(server fleet.BehindServer) bool { return !c.cfg.Reaches(server.Service) })
+}
+
 // startTasks starts tasks for as many runners as may be out of service.
 func (c *Controller) startTasks(ctx context.Context, model string, version int, behind []fleet.BehindServer) {
 	work := c.cfg.Fleet.ModelWork(model)
