waiting: no timer for a wait without a time

Cause: in a synctest bubble all timers share one context of the race detector. The root of the bubble runs the timers in the heap, but a goroutine that receives from a timer that has already expired runs that timer itself (maybeRunChan), and two goroutines that do so at a time use the context together. The shadow stack of the context then under- or overflows. The faults appear later, where the detector hashes or replays that stack, usually when a deadline of net.Pipe fires and starts a goroutine at the end of a test. ForOrSignal made such timers when a box's load changed after more than changedInterval. Change: ForOrSignal returns at once if the duration is not positive, as For does. The tests' network is unchanged.

--- a/internal/waiting/signal.go
+++ b/internal/waiting/signal.go
@@ -32,8 +32,13 @@
 	}
 }
 
-// ForOrSignal waits for a duration, until wake is closed or until ctx ends, whichever comes first.
+// ForOrSignal waits for a duration, until wake is closed or until ctx ends, whichever comes first. It
+// does not wait if the duration is not positive: the race detector may crash when several goroutines
+// of a synctest bubble receive from timers that have already expired.
 func ForOrSignal(ctx context.Context, duration time.Duration, wake <-chan struct{}) {
+	if duration <= 0 {
+		return
+	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/internal/waiting/signal_test.go
@@ -0,0 +1,29 @@
+package waiting_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+// A goroutine that receives from an expired timer runs the timer itself. In a synctest bubble all
+// timers share one context of the race detector, which crashes when two goroutines use it at a time.
+func TestWaitsWithoutATimeDoNotCrashTheRaceDetector(t *testing.T) {
+	const (
+		goroutines = 64
+		waits      = 3000
+	)
+	synctest.Test(t, func(t *testing.T) {
+		var running sync.WaitGroup
+		for range goroutines {
+			running.Go(func() {
+				for range waits {
+					waiting.ForOrSignal(t.Context(), 0, nil)
+				}
+			})
+		}
+		running.Wait()
+	})
+}
