loadshare: a state does not age with a hub that stopped sending

Seen: TestHubsPassOnWhichBoxesAreRunning, a report's age of 1.804 s where 1.5 s is the bound; package retire does not use older reports. Cause: of the rosters that list a box, its state kept the one that was newest when the set of reports or a roster last changed, and took its age from that one only. Path in a failed run: as the boxes start, box-2-0 is a hub for a moment and receives the roster of box-1-0, the hub of another zone. box-1-0 then follows the choice of box-2-1 and sends nothing to box-2-0 from 1.604 s on. At 3 s box-2-0 still has that report, 1.396 s after its arrival (reports expire after 1.44 s), with a roster that is 1.804 s old, while the roster of its own hub box-2-1 lists the same box with an age of 0.606 s. Change: a state keeps all rosters that list it and uses the newest at the time of the question.

--- a/internal/loadshare/peerstate.go
+++ b/internal/loadshare/peerstate.go
@@ -25,16 +25,22 @@
 	weights     map[string]int
 	// knownSince is when this box first received each version from this incarnation.
 	knownSince map[string]time.Time
-	// sentAfter is a time after which the box sent this state, as of the last merge, and roster the
-	// newest roster that lists this state, after rosterChanges changes of it. While the roster does
-	// not change, each update of it shows that the box has sent this state since.
-	sentAfter     time.Time
-	roster        *remoteRoster
-	rosterChanges uint64
+	// sentAfter is a time after which the box sent this state, as of the last merge.
+	sentAfter time.Time
+	// listings are the rosters that list this state. All are kept, since the sender of the newest one
+	// may stop sending before the others.
+	listings []listing
 	// isFollower is whether the box reports directly to this one, as a follower.
 	isFollower bool
 }
 
+// listing is a roster that lists a state, after a number of changes of the roster. While the roster
+// does not change, each update of it shows that the box has sent this state since.
+type listing struct {
+	roster  *remoteRoster
+	changes uint64
+}
+
 // merge applies an entry of the box that was sent after a given time.
 func (p *peerState) merge(entry rosterEntry, sentAfter, now time.Time) {
 	if p.incarnation != entry.Incarnation {
@@ -55,21 +61,19 @@
 
 // mergeRoster applies the entry of the box in a roster.
 func (p *peerState) mergeRoster(entry rosterEntry, roster *remoteRoster, now time.Time) {
-	if p.incarnation != entry.Incarnation {
-		p.roster = nil
-	}
 	p.merge(entry, roster.sentAfter, now)
-	if p.roster == nil || roster.sentAfter.After(p.roster.sentAfter) {
-		p.roster, p.rosterChanges = roster, roster.changes
-	}
+	p.listings = append(p.listings, listing{roster, roster.changes})
 }
 
 // lastSent returns a time after which the box sent this state.
 func (p *peerState) lastSent() time.Time {
-	if p.roster != nil && p.roster.changes == p.rosterChanges && p.roster.sentAfter.After(p.sentAfter) {
-		return p.roster.sentAfter
+	latest := p.sentAfter
+	for _, l := range p.listings {
+		if l.roster.changes == l.changes && l.roster.sentAfter.After(latest) {
+			latest = l.roster.sentAfter
+		}
 	}
-	return p.sentAfter
+	return latest
 }
 
 // entry returns the entry of the box in a roster.
@@ -110,7 +114,7 @@
 	previous := s.states
 	s.states = make(map[string]*peerState, len(previous))
 	for name := range s.reports {
-		s.stateOf(previous, name).roster = nil
+		s.stateOf(previous, name)
 	}
 	s.mergeReports(now)
 	for _, last := range s.reports {
@@ -143,7 +147,7 @@
 	if state = previous[name]; state == nil {
 		state = &peerState{}
 	}
-	state.isFollower, state.sentAfter, state.roster = false, state.lastSent(), nil
+	state.isFollower, state.sentAfter, state.listings = false, state.lastSent(), state.listings[:0]
 	s.states[name] = state
 	return state
 }
