registry: more frequent polling begins at once

Seen: TestBoxesThatStartTogetherReadTheLogOnce, two boxes read for all zones instead of one. Cause: the readers of the other zones leave a root whose view is older than 650 ms, and avoid it for 5 s; one of them becomes a second root. A box that becomes the root set its shorter intervals, but they applied from the next read on. The long poll of 0.8 s of the operators' stream that it had begun as the reader of its zone went on, and the pause of 0.6 s between reads of the servers' stream too. It needs no load: the times at which boxes start to look, which are random at the first start of the system, decide. Change: SetPolling ends the present pause or long poll if it changes the intervals. A long poll that it ends costs one more call of the log. ResetPolling applies from the next read on, as before.

--- a/internal/registry/read.go
+++ b/internal/registry/read.go
@@ -5,9 +5,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -49,6 +52,7 @@
 func (r *Registry) readLoop(ctx context.Context, stream sharedlog.Stream) {
 	failed, retryDelay := 0, minRetryDelay
 	wait := time.Duration(0) // the first, full read is no long poll
+	changed := r.pollingChange(stream)
 	for ctx.Err() == nil {
 		waited := r.waitWhileValid(ctx, stream)
 		if waited {
@@ -56,7 +60,11 @@
 		}
 		from := r.nextRead(stream)
 		sentAt := boottime.Now()
-		page, full, err := sharedlog.ReadNext(ctx, r.cfg.Log, stream, from, wait, readTimeout(failed, waited))
+		page, full, err := r.read(ctx, changed, stream, from, wait, readTimeout(failed, waited))
+		if errors.Is(err, errPollingChanged) {
+			wait = 0
+			continue
+		}
 		if err != nil {
 			r.recordLogLost(ctx, stream, sentAt, err)
 			wait = 0
@@ -78,6 +86,7 @@
 			sentAt = completeUpTo(sentAt, wait)
 		}
 		r.recordRead(stream, sentAt, page, full)
+		changed = r.pollingChange(stream)
 		next := r.currentPolling(stream)
 		wait = jitterLongPoll(next.longPoll)
 		if len(page.Records) > 0 && next.afterRecords > 0 {
@@ -87,11 +96,36 @@
 			waiting.For(ctx, minRetryDelay) // limits the call rate to a log that retains nothing
 		}
 		if full || page.Next >= page.End {
-			waiting.For(ctx, next.pause)
+			waiting.ForOrSignal(ctx, next.pause, changed)
 		}
 	}
 }
 
+// errPollingChanged means that a long poll ended since the polling has changed.
+var errPollingChanged = merry.Sentinel("the polling has changed")
+
+// pollingChange returns a channel that is closed when the polling of a stream changes.
+func (r *Registry) pollingChange(stream sharedlog.Stream) <-chan struct{} {
+	if stream == sharedlog.Boxes {
+		return nil // no other box depends on the age of its view
+	}
+	return r.pollingSet.Chan()
+}
+
+// read reads a stream from an offset. A long poll ends when the polling changes.
+func (r *Registry) read(ctx context.Context, changed <-chan struct{}, stream sharedlog.Stream, from int64, wait, timeout time.Duration) (page sharedlog.Page, full bool, err error) {
+	if wait == 0 {
+		return sharedlog.ReadNext(ctx, r.cfg.Log, stream, from, wait, timeout)
+	}
+	reading, cancel := waiting.WithSignal(ctx, changed)
+	defer cancel()
+	page, full, err = sharedlog.ReadNext(reading, r.cfg.Log, stream, from, wait, timeout)
+	if err != nil && ctx.Err() == nil && reading.Err() != nil {
+		return page, full, errPollingChanged
+	}
+	return page, full, err
+}
+
 // waitBeforeRetry waits after a number of failed calls in a row. A follower retries once soon,
 // since only its connection may be dead, and then seldom. While it can read neither stream it keeps
 // retrying just one of them. The wait of a follower ends early when it has to read directly.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -109,6 +109,8 @@
 	// pollInterval and longPoll replace those of cfg if they are not zero, in nanoseconds.
 	pollInterval atomic.Int64
 	longPoll     atomic.Int64
+	// pollingSet is signalled when these are set.
+	pollingSet waiting.Signal
 
 	// reloadFromReader is set by SetReloadFromReader.
 	reloadFromReader atomic.Bool
@@ -214,14 +216,21 @@
 }
 
 // SetPolling sets the time between two reads of the servers' stream, and the longest wait of a read
-// of the operators' stream, from the next read on.
+// of the operators' stream. If they change, the present pause or long poll ends, since it may be longer
+// than the view may be old: the readers of other zones would leave a new root at once.
 func (r *Registry) SetPolling(pollInterval, longPoll time.Duration) {
-	r.pollInterval.Store(int64(pollInterval))
-	r.longPoll.Store(int64(longPoll))
+	before := r.pollInterval.Swap(int64(pollInterval))
+	beforeLongPoll := r.longPoll.Swap(int64(longPoll))
+	if before != int64(pollInterval) || beforeLongPoll != int64(longPoll) {
+		r.pollingSet.Broadcast()
+	}
 }
 
-// ResetPolling makes this box read the streams as configured.
-func (r *Registry) ResetPolling() { r.SetPolling(0, 0) }
+// ResetPolling makes this box read the streams as configured, from the next read on.
+func (r *Registry) ResetPolling() {
+	r.pollInterval.Store(0)
+	r.longPoll.Store(0)
+}
 
 func (r *Registry) currentPolling(stream sharedlog.Stream) polling {
 	switch stream {
--- a/internal/waiting/signal.go
+++ b/internal/waiting/signal.go
@@ -47,3 +47,20 @@
 	case <-ctx.Done():
 	}
 }
+
+// WithSignal returns a context that ends when wake is closed. The caller calls cancel once it no longer
+// needs the context.
+func WithSignal(ctx context.Context, wake <-chan struct{}) (ending context.Context, cancel context.CancelFunc) {
+	ending, cancel = context.WithCancel(ctx)
+	go runCancel(ending, cancel, wake)
+	return ending, cancel
+}
+
+// runCancel cancels a context when wake is closed.
+func runCancel(ctx context.Context, cancel context.CancelFunc, wake <-chan struct{}) {
+	select {
+	case <-wake:
+		cancel()
+	case <-ctx.Done():
+	}
+}
--- a/internal/waiting/signal_test.go
+++ b/internal/waiting/signal_test.go
@@ -27,3 +27,22 @@
 		running.Wait()
 	})
 }
+
+func TestAContextWithSignalEndsWithEither(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var signal waiting.Signal
+		signalled, cancelSignalled := waiting.WithSignal(t.Context(), signal.Chan())
+		defer cancelSignalled()
+		cancelled, cancel := waiting.WithSignal(t.Context(), signal.Chan())
+		cancel()
+		synctest.Wait()
+		if signalled.Err() != nil || cancelled.Err() == nil {
+			t.Errorf("before the signal: %v, cancelled: %v", signalled.Err(), cancelled.Err())
+		}
+		signal.Broadcast()
+		synctest.Wait()
+		if signalled.Err() == nil {
+			t.Error("the context did not end with the signal")
+		}
+	})
+}
