loadshare: the longest tests run in parallel

These tests share no state and depend on no real time, so they and their subtests run in parallel. Those that use suspendtest or real connections stay sequential; go test runs them before the parallel ones. No history, seed or bound has changed.

--- a/internal/loadshare/cold_test.go
+++ b/internal/loadshare/cold_test.go
@@ -229,6 +229,7 @@
 }
 
 func TestAllBoxesTogetherRespectTheLimitOfAColdServer(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	const histories = 40
 	for seed := range uint64(histories) {
@@ -249,6 +250,7 @@
 // The same histories detect code without one of its guards: then a second box sends its part too,
 // or one box sends it twice. The guards leave that margin for what the boxes cannot know.
 func TestColdServerHistoriesDetectInjectedFaults(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		prepare func(*coldHistory)
@@ -258,6 +260,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			const histories = 60
 			worst := 0
--- a/internal/loadshare/limits_test.go
+++ b/internal/loadshare/limits_test.go
@@ -245,6 +245,7 @@
 }
 
 func TestAllBoxesTogetherRespectTheRateLimitOfAServer(t *testing.T) {
+	t.Parallel()
 	counted := 0
 	for _, zones := range [][]int{{3, 2}, {9, 8, 8}} {
 		for _, seed := range seedsOf(t, 2) {
@@ -264,6 +265,7 @@
 
 // The limit must not be kept by sending nothing, whichever boxes have calls.
 func TestALimitedServerIsUsed(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		callers int
@@ -276,6 +278,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			h := playLimits(t, 1, zonesOf25, func(h *limitHistory) {
 				h.noEvents, h.callers = true, test.callers
--- a/internal/loadshare/manyhubs_test.go
+++ b/internal/loadshare/manyhubs_test.go
@@ -16,6 +16,7 @@
 // of all boxes from the hub that it follows, and from each other hub the load of that hub's followers
 // again: each call counted two or three times, and the messages grew with boxes times hubs.
 func TestALoadCountsOnceInAZoneWithSeveralHubs(t *testing.T) {
+	t.Parallel()
 	runFleet(t, zonesWithSeveralHubs, func(g *WithT, h *history, fleets []*fleet.Fleet) {
 		hubs := map[string]bool{}
 		for _, b := range h.simBoxes[:140] {
--- a/internal/loadshare/peerstate_test.go
+++ b/internal/loadshare/peerstate_test.go
@@ -320,6 +320,7 @@
 }
 
 func TestPeerStatesAreTrueInRandomHistories(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		zones []int
@@ -331,6 +332,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			total := 0
 			for _, seed := range seedsOf(t, test.seeds) {
 				fault, counted := play(t, seed, test.zones)
