--- a/internal/waiting/signal.go
+++ b/internal/waiting/signal.go
@@ -32,8 +32,13 @@
 	}
 }
 
-// ForOrSignal waits for a duration, until wake is closed or until ctx ends, whichever comes first.
+// ForOrSignal waits for a duration, until wake is closed or until ctx ends, whichever comes first. It
+// does not wait if the duration is not positive: the race detector may crash when several goroutines
+// of a synctest bubble receive from timers that have already expired.
 func ForOrSignal(ctx context.Context, duration time.Duration, wake <-chan struct{}) {
+	if duration <= 0 {
+		return
+	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
@@ -42,3 +47,20 @@
 	case <-ctx.Done():
 	}
 }
+
+// WithSignal returns a context that ends when wake is closed. The caller calls cancel once it no longer
+// needs the context.
+func WithSignal(ctx context.Context, wake <-chan struct{}) (ending context.Context, cancel context.CancelFunc) {
+	ending, cancel = context.WithCancel(ctx)
+	go runCancel(ending, cancel, wake)
+	return ending, cancel
+}
+
+// runCancel cancels a context when wake is closed.
+func runCancel(ctx context.Context, cancel context.CancelFunc, wake <-chan struct{}) {
+	select {
+	case <-wake:
+		cancel()
+	case <-ctx.Done():
+	}
+}
