A call returns to its first server after a late refusal of its hedge

Cause: after refusalTimeout (200 ms) a call counts as running at its hedge's server and the first attempt is cancelled. If that server refuses later, or loses the call before it has sent an event, a route of two servers allows no other one: the call got a 502, or its stream was cut, although its first server was sound.

Change: such a call may return to the server that it was switched away from, if no other server takes it. The return is an ordinary attempt: it takes a retry from the budget, resumes after the last event that the caller has, and waits to the deadline if the server is still unresponsive. The server must be listed and not drain; fleet.Query.SuspectAllowed lets PlaceAt pass over its being suspect, which this call itself has caused. It does not count as a further server, also when it cannot be reached, so no third server gets the call. A call returns once at most. Without a retry, or if the server may not take the call, the call ends as before, with no_server_answered; an unused retry goes back to the budget.

Weighed against it: a longer refusalTimeout, or leaving the first connection open and unread until the hedge sends an event: two servers would run one call for longer than the allowed 400 ms. A second hedge beside the late one: needs a third server, which the route does not allow. A third server goes before the return where the route allows one, since the first may still be unresponsive.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -54,6 +54,9 @@
 	ZoneAllowed func(zone string) bool
 	// HealthyOnly excludes suspect servers even if all are suspect.
 	HealthyOnly bool
+	// SuspectAllowed is an incarnation at which PlaceAt places the call although it is suspect; empty
+	// for none.
+	SuspectAllowed string
 	// UncappedOnly excludes servers at which this box counts its calls because they are cold or set
 	// a rate limit. It is set if the call belongs to another box, or is made in parallel to another
 	// try.
@@ -104,14 +107,17 @@
 	return best, servers.zone(query), state != nil
 }
 
-// PlaceAt counts a call at a server that another box chose for it. It returns nil if the server may
+// PlaceAt counts a call at a given server: one that another box chose for it, or one to which it returns. It returns nil if the server may
 // not take the call by this box's own view.
 func (f *Fleet) PlaceAt(query Query, incarnation string) *Hold {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := boottime.Now()
 	state := f.servers[incarnation]
-	if state == nil || state.Service != query.Service || !f.isEligible(state, query, now) || state.isSuspect(now) {
+	if state == nil || state.Service != query.Service || !f.isEligible(state, query, now) {
+		return nil
+	}
+	if state.isSuspect(now) && incarnation != query.SuspectAllowed {
 		return nil
 	}
 	f.addLearned(&query)
--- a/internal/fleet/grant_test.go
+++ b/internal/fleet/grant_test.go
@@ -55,6 +55,22 @@
 			f.Apply([]Update{{Key: "r", Offset: 2, Server: &Server{Incarnation: "r", Service: "s", Leaving: true, Weights: map[string]int{"m": 1}}}})
 		}, false},
 		{"recently unreachable", func(f *Fleet, _ *Query) { f.Choose(grantQuery()).Done(OutcomeUnreachable) }, false},
+		{"recently unreachable, which the query allows", func(f *Fleet, query *Query) {
+			f.Choose(grantQuery()).Done(OutcomeUnreachable)
+			query.SuspectAllowed = "r"
+		}, true},
+		{"recently unreachable, which the query allows of another", func(f *Fleet, query *Query) {
+			f.Choose(grantQuery()).Done(OutcomeUnreachable)
+			query.SuspectAllowed = "q"
+		}, false},
+		{"leaving, and may be suspect", func(f *Fleet, query *Query) {
+			f.Apply([]Update{{Key: "r", Offset: 2, Server: &Server{Incarnation: "r", Service: "s", Leaving: true, Weights: map[string]int{"m": 1}}}})
+			query.SuspectAllowed = "r"
+		}, false},
+		{"delisted, and may be suspect", func(f *Fleet, query *Query) {
+			f.Replace(nil)
+			query.SuspectAllowed = "r"
+		}, false},
 		{"unknown server", func(f *Fleet, _ *Query) { f.Replace(nil); clear(f.servers) }, false},
 		{"weights not allowed", func(_ *Fleet, query *Query) { query.VersionCost = func(int) (float64, bool) { return 0, false } }, false},
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,6 +36,9 @@
 	watch *watch
 	// asyncSend is set for an attempt that was started as a hedge.
 	asyncSend *asyncSend
+	// switchedFrom is the unresponsive server from which the call was switched to this attempt; empty
+	// if it was not, or if the attempt there had failed.
+	switchedFrom string
 	// connErr is the error of the connection to the server, if the attempt was lost by one.
 	connErr error
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,6 +189,10 @@
 	// tookRetry is set if the current attempt, or the one that is being placed, took a retry from
 	// the budget.
 	tookRetry bool
+	// fallback is the unresponsive server that the call was switched away from, and to which it may
+	// return; empty if there is none. returned is set once it has returned.
+	fallback string
+	returned bool
 	// mayHaveRun is set once the call can no longer be reported as "not run", whatever servers
 	// respond later.
 	mayHaveRun bool
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -24,6 +24,8 @@
 	plan partindex.Plan
 	// namespace is that of the plan; empty without a prompt.
 	namespace string
+	// isReturn is set if the call returns to a server that it was sent to before.
+	isReturn bool
 	// serverListAge is the age of the server list at placement.
 	serverListAge time.Duration
 }
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -30,10 +30,10 @@
 		if x.isQuarantined() {
 			return a.handleQuarantined()
 		}
-		a.x.serversReached-- // the server has not received the call, so another one may be tried
+		a.uncountServer()
 		a.gateway.returnRetry(x)
 		a.recordUnreachable(err)
-		return stepNextServer
+		return a.nextServer()
 	}
 	x.mayHaveRun = true
 	a.connErr = err
@@ -45,11 +45,19 @@
 	if a.callerLeft() {
 		return a.endCallerLeft()
 	}
-	a.x.serversReached--
+	a.uncountServer()
 	a.gateway.returnRetry(a.x)
 	a.release(fleet.OutcomeAbandoned)
 	a.log("not_handed_over", errPlacementExpired.Error())
-	return stepNextServer
+	return a.nextServer()
+}
+
+// uncountServer records that the server has not received the call by this attempt, so that another one
+// may be tried. The server of a return has received it before.
+func (a *attempt) uncountServer() {
+	if !a.chosen.isReturn {
+		a.x.serversReached--
+	}
 }
 
 // recordUnreachable records that the server could not be reached.
@@ -84,7 +92,7 @@
 	}
 	repeatedCrash := a.isRepeatedCrash(end)
 	if a.x.route.IsRepeatable() && !outOfTime && !repeatedCrash {
-		return stepNextServer
+		return a.nextServer()
 	}
 	a.gateway.endCall(a.x, reason, 0)
 	return stepDone
@@ -100,7 +108,7 @@
 		a.gateway.reject(a.x, http.StatusBadRequest, "server_rejected")
 		return stepDone
 	}
-	return stepNextServer
+	return a.nextServer()
 }
 
 // recordRefusal records that the server did not run the call, and what the refusal shows about the
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -46,6 +46,10 @@
 // describes the state of the servers.
 const reasonNoServer = "no_server"
 
+// reasonNoServerAnswered is the reason for ending a call that its servers refused or lost, and that may
+// not be sent to a further one.
+const reasonNoServerAnswered = "no_server_answered"
+
 // serve tries servers until the call has a final result.
 func (g *Gateway) serve(x *exchange) {
 	g.cfg.Budget.Deposit()
@@ -56,7 +60,7 @@
 			g.endQuarantined(x)
 			return
 		}
-		chosen, ok := g.placeOrWait(x)
+		chosen, ok := g.placeNext(x)
 		if x.isQuarantined() {
 			g.returnRetry(x)
 			g.endQuarantinedUnsent(x, chosen)
@@ -64,8 +68,7 @@
 		}
 		if !ok {
 			g.returnRetry(x)
-			x.shortage = g.shortage(x)
-			g.endCall(x, g.unplacedReason(x, x.shortage), g.retryAfter(x))
+			g.endUnplaced(x)
 			return
 		}
 		x.recordForward(chosen)
@@ -73,7 +76,7 @@
 			return
 		}
 		if !g.takeRetry(x) {
-			g.endCall(x, "no_server_answered", retryAfterBusy)
+			g.endCall(x, reasonNoServerAnswered, retryAfterBusy)
 			return
 		}
 	}
@@ -83,7 +86,9 @@
 func (x *exchange) recordForward(chosen placement) {
 	x.placement = chosen
 	x.attempted = append(x.attempted, chosen.hold.Server().Incarnation)
-	x.serversReached++
+	if !chosen.isReturn {
+		x.serversReached++
+	}
 }
 
 // retryAfter returns when a call that found no server should be sent again: at the time that the queue
@@ -154,8 +159,8 @@
 	g.endWithoutResponse(x, reason, retryAfter)
 }
 
-// takeRetry reports whether the route, the time left and the retry budget allow another server, and
-// takes a retry from the budget. Until a server has received the call, the next one does not count
+// takeRetry reports whether the route, the time left and the retry budget allow another server, or the
+// return to an earlier one, and takes a retry from the budget. Until a server has received the call, the next one does not count
 // as a retry.
 func (g *Gateway) takeRetry(x *exchange) bool {
 	if !boottime.Now().Before(x.deadline) || x.request.Context().Err() != nil {
@@ -164,7 +169,7 @@
 	if x.serversReached == 0 {
 		return true
 	}
-	x.tookRetry = x.serversReached < x.maxServers() && g.cfg.Budget.TryWithdraw()
+	x.tookRetry = (x.serversReached < x.maxServers() || x.mayReturn()) && g.cfg.Budget.TryWithdraw()
 	return x.tookRetry
 }
 
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -189,6 +189,7 @@
 		return false
 	}
 	w.state = switched
+	hedge.switchedFrom = w.current.chosen.hold.Server().Incarnation
 	w.current.cancel()
 	return false
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -183,6 +183,13 @@
 	return w.state == switched
 }
 
+// hasStarted reports whether a part of the response was received for the caller.
+func (w *watch) hasStarted() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.started
+}
+
 // close ends the watch with its attempt, and records the failed and cancelled hedges on the call.
 // If the call switches to a hedge, close returns that one; otherwise it cancels any hedge.
 func (w *watch) close(switching bool) *attempt {
