--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// admitsCalls reports whether the budget has room for a new call.
+func (s *slowReaders) admitsCalls() bool {
+	call, admitted := s.budget.Admit("other", callOverhead)
+	if admitted {
+		call.Close()
+	}
+	return admitted
+}
+
 // fillBudget lets other calls in progress hold all of the budget but room.
 func (s *slowReaders) fillBudget(room int64) (others []*membudget.Call) {
 	for {
@@ -173,12 +182,15 @@
 			t.Parallel()
 			s := startSlowReaders(t, memoryBudget, tt.runner)
 			var connections []*net.TCPConn
-			for _, count := range []int{24, 8} {
-				for range count {
-					connections = append(connections, s.send("prompt"))
-				}
-				time.Sleep(400 * time.Millisecond) // the callers read nothing meanwhile
+			for range 24 {
+				connections = append(connections, s.send("prompt"))
+			}
+			// The callers read nothing meanwhile.
+			s.g.Eventually(s.admitsCalls, 10*time.Second, time.Millisecond).Should(BeFalse(), "the budget is held")
+			for range 8 {
+				connections = append(connections, s.send("prompt"))
 			}
+			time.Sleep(400 * time.Millisecond)
 			var group sync.WaitGroup
 			var served, refused atomic.Int64
 			for _, connection := range connections {
