reach: a response during a probe counts for more than the probe

Where only new connections are refused, probes fail while responses arrive over kept connections. The service was found unreachable and reachable by turns, ten times a second. A probe that fails is now ignored if a server has responded since it began.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -155,7 +155,7 @@
 		m.mu.Unlock()
 		return
 	}
-	t.probing = true
+	t.beginProbe()
 	m.probes.Add(1)
 	m.mu.Unlock()
 	defer m.probes.Done()
@@ -170,7 +170,7 @@
 func (m *Monitor) noteProbe(service string, reached bool) {
 	t := m.tracker(service)
 	if reached {
-		t.probedAt, t.probing = boottime.Now(), false
+		t.endProbe(boottime.Now())
 		m.noteContact(service)
 		return
 	}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -31,9 +31,11 @@
 	pendingSince time.Time
 	// failures counts the connections that failed since the last contact.
 	failures int
-	// probedAt is when the last probe ended; probing is set during one.
-	probedAt time.Time
-	probing  bool
+	// probedAt is when the last probe ended; probing is set during one, and contactInProbe if a server
+	// has responded since it began.
+	probedAt       time.Time
+	probing        bool
+	contactInProbe bool
 	// unreachable is set while no server can be reached, since unreachableSince.
 	unreachable      bool
 	unreachableSince time.Time
@@ -51,6 +53,7 @@
 func (t *tracker) noteContact() (ended bool) {
 	ended = t.unreachable
 	t.pendingSince, t.failures, t.unreachable = time.Time{}, 0, false
+	t.contactInProbe = t.probing
 	return ended
 }
 
@@ -76,11 +79,18 @@
 	}
 }
 
-// noteProbe records the result of a probe that has failed at all servers. It reports whether the service
-// has become unreachable by it.
+// beginProbe records that a probe begins.
+func (t *tracker) beginProbe() { t.probing, t.contactInProbe = true, false }
+
+// endProbe records that a probe has ended.
+func (t *tracker) endProbe(now time.Time) { t.probedAt, t.probing = now, false }
+
+// noteFailedProbe records that a probe has failed at all servers. It reports whether the service has become
+// unreachable by it. A response that arrived meanwhile counts for more: where only new connections are
+// refused, the service would otherwise be found unreachable and reachable by turns.
 func (t *tracker) noteFailedProbe(now time.Time) (began bool) {
-	t.probedAt, t.probing = now, false
-	if t.unreachable {
+	t.endProbe(now)
+	if t.unreachable || t.contactInProbe {
 		return false
 	}
 	t.unreachable, t.unreachableSince = true, now
