--- a/internal/peerpath/peerpath.go
+++ b/internal/peerpath/peerpath.go
@@ -7,8 +7,9 @@
 // the calls of many partitioned boxes spread over all others. Among these it takes the one of two random
 // ones with fewer of its calls (power of two choices).
 //
-// If boxes of several names all refuse, the servers have probably failed, and nothing is forwarded for a
-// while: otherwise a fleet whose servers are gone would be busy with forwarding.
+// If many boxes are unusable and none serves a call, the servers have probably failed, or this box does not
+// reach the other boxes either. Then nothing is forwarded for a while: otherwise a fleet whose servers are
+// gone would be busy with forwarding, and a box that is alone would delay what it refuses.
 package peerpath
 
 import (
@@ -31,10 +32,12 @@
 	avoidDuration = time.Second
 	// limitedDuration is the same for a box that takes no more forwarded calls at the moment.
 	limitedDuration = 100 * time.Millisecond
-	// maxUnreachable is the number of boxes that must report that they do not reach the service, with no
-	// call served in between, before nothing is forwarded for pauseDuration.
-	maxUnreachable = 4
-	pauseDuration  = 500 * time.Millisecond
+	// maxUnusable is the number of boxes that must be found unusable, with no call served in between,
+	// before nothing is forwarded for pauseDuration. Boxes that do not reach the service refuse long
+	// before others respond. Where a third of the boxes is partitioned, half of them find four such
+	// boxes before the first response, and one in a hundred finds twelve.
+	maxUnusable   = 12
+	pauseDuration = 500 * time.Millisecond
 	// rankingTTL is how long a ranking of the boxes is used. The list of boxes rarely changes.
 	rankingTTL = time.Second
 )
@@ -81,13 +84,13 @@
 	inFlight map[string]int
 	// avoided maps boxes, each with a service or with "" for all, to when they may be used again.
 	avoided map[avoidKey]time.Time
-	// failures has what boxes report about the services that they do not reach.
+	// failures has the boxes that were unusable for a service since its last served call.
 	failures map[string]*failures
 }
 
 type avoidKey struct{ box, service string }
 
-// failures are the boxes that reported that they do not reach a service.
+// failures are the boxes that could not be reached, or that reported that they do not reach a service.
 type failures struct {
 	boxes       map[string]bool
 	pausedUntil time.Time
@@ -140,23 +143,24 @@
 		delete(p.failures, service)
 	case Unreachable:
 		p.avoid(avoidKey{box, service}, now, avoidDuration)
-		p.noteUnreachable(box, service, now)
+		p.noteUnusable(box, service, now)
 	case Failed:
 		p.avoid(avoidKey{box: box}, now, avoidDuration)
+		p.noteUnusable(box, service, now)
 	case Limited:
 		p.avoid(avoidKey{box: box}, now, limitedDuration)
 	}
 }
 
-// noteUnreachable records that a box does not reach a service. The caller holds mu.
-func (p *Paths) noteUnreachable(box, service string, now time.Time) {
+// noteUnusable records that a call to a service could not be forwarded through a box. The caller holds mu.
+func (p *Paths) noteUnusable(box, service string, now time.Time) {
 	failed := p.failures[service]
 	if failed == nil {
 		failed = &failures{boxes: map[string]bool{}}
 		p.failures[service] = failed
 	}
 	failed.boxes[box] = true
-	if len(failed.boxes) >= maxUnreachable {
+	if len(failed.boxes) >= maxUnusable {
 		failed.boxes, failed.pausedUntil = map[string]bool{}, now.Add(pauseDuration)
 	}
 }
