--- a/internal/gateway/asyncsend.go
+++ b/internal/gateway/asyncsend.go
@@ -144,7 +144,7 @@
 		return
 	}
 	if s.err != nil {
-		a.connErr = s.err
+		a.watch.noteConnError(s.err)
 		a.release(fleet.OutcomeUnreachable)
 		a.log("try_lost", "no_answer")
 		return
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,7 +36,8 @@
 	watch *watch
 	// asyncSend is set for an attempt that was started as a hedge.
 	asyncSend *asyncSend
-	// connErr is the error of the connection to the server, if the attempt was lost by one.
+	// connErr is the error of the connection to the server, if the attempt was lost by one; the lock of
+	// the watch guards it, since checks log who ended the attempt.
 	connErr error
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -26,7 +26,7 @@
 	complete, err := buffered.body.read(response.Body, response.Length(), x.memory)
 	if err != nil {
 		buffered.body.drop(x.memory)
-		a.connErr = err
+		a.watch.noteConnError(err)
 		return a.handleLost("answer_broke_off", fleet.OutcomeUnreachable)
 	}
 	if !complete {
@@ -110,7 +110,7 @@
 		var n int
 		var err error
 		if n, ended, err = fill(response.Body, piece); err != nil {
-			a.connErr = err
+			a.watch.noteConnError(err)
 			return a.endPassOn()
 		}
 		x.bytesSent += int64(n)
@@ -148,7 +148,7 @@
 			return a.finishStream(response)
 		}
 		if err != nil {
-			a.connErr = err
+			a.watch.noteConnError(err)
 			return a.handleLost("stream_broke_off", fleet.OutcomeUnreachable)
 		}
 		fresh, accepted := a.watch.eventReceived(event.ID)
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -40,7 +40,7 @@
 	if a.peer() != nil {
 		a.countReached(nil)
 	}
-	a.connErr = err
+	a.watch.noteConnError(err)
 	return a.handleLost("no_answer", fleet.OutcomeUnreachable)
 }
 
@@ -189,7 +189,7 @@
 	if a.ctx.Err() != nil {
 		return sideBox
 	}
-	if handover.TimedOut(a.connErr) {
+	if handover.TimedOut(a.watch.connError()) {
 		return sideNetwork
 	}
 	return sideServer
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// noteConnError stores the error of the attempt's connection.
+func (w *watch) noteConnError(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.current.connErr = err
+}
+
+// connError returns the error of the attempt's connection.
+func (w *watch) connError() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.current.connErr
+}
+
 // onConnect stores the function that turns on keep-alive for the attempt's connection.
 func (w *watch) onConnect(enableKeepAlive func() error) {
 	w.mu.Lock()
