gateway: count the servers and retries of forwarded calls

A response that states no number of servers does not come from a box: it now shows nothing, and counts as all servers that were left. A call had been sent to three servers where its route allows two.

While a call is at another box, which may use all servers that are left, it is not hedged from here.

A hedge that another box refuses counts as the servers that it states, and not as one. Its retry, and that of a forwarded call which no server got, returns to the budget. What a refusal means for the call is applied by the call's goroutine and no longer by the timer of the hedge.

--- a/internal/gateway/asyncsend.go
+++ b/internal/gateway/asyncsend.go
@@ -16,10 +16,13 @@
 // asyncSend forwards a call to the server of a hedge, while the first attempt continues.
 type asyncSend struct {
 	hedge *attempt
-	// reached is set if the server may have received the call, mayHaveRun if it may have run it.
-	// The lock of the first attempt's watch guards both.
-	reached    bool
+	// started is set once the call is sent. servers is the number of servers that may have received the call, several for one that is
+	// forwarded; mayHaveRun is set if one may have run it. refusal is that of another box. The lock of
+	// the first attempt's watch guards them.
+	started    bool
+	servers    int
 	mayHaveRun bool
+	refusal    *forwardResult
 
 	// done is closed when the response headers have arrived, or the send has failed; response and
 	// err are set before that.
@@ -39,10 +42,10 @@
 // start forwards the call, unless it has started already. The request is built before start
 // returns.
 func (s *asyncSend) start() {
-	if s.reached {
+	if s.started {
 		return
 	}
-	s.reached = true
+	s.started, s.servers = true, s.hedge.serversAllowed()
 	request := s.hedge.buildRequest()
 	go s.run(request)
 }
@@ -77,8 +80,8 @@
 
 // cancelSend cancels the call at the server, which may have begun to run it if the call has reached it.
 func (s *asyncSend) cancelSend() {
-	s.mayHaveRun = s.reached
-	if !s.reached {
+	s.mayHaveRun = s.started
+	if !s.started {
 		s.hedge.gateway.cfg.Budget.Refund()
 	}
 	s.hedge.cancel()
@@ -110,12 +113,13 @@
 	}
 	switch {
 	case errors.Is(s.err, handover.ErrNotSent), errors.Is(s.err, errPlacementExpired):
-		s.reached = false
+		s.servers = 0
 		return true
 	case s.err != nil:
 		s.mayHaveRun = true
 		return true
 	case s.responseInfo().NotRun:
+		s.noteRefusal()
 		return true
 	}
 	accepted := s.responseInfo().Genuine && s.response.Status < http.StatusInternalServerError && (!started || isEventStream(s.response))
@@ -123,6 +127,18 @@
 	return !accepted
 }
 
+// noteRefusal records a refusal by another box, which may have sent the call to no server.
+func (s *asyncSend) noteRefusal() {
+	if s.hedge.peer() == nil {
+		return
+	}
+	result := readForwardResult(s.response.Header)
+	s.refusal, s.servers = &result, s.hedge.statedServers(s.response)
+	if s.servers == 0 {
+		s.hedge.gateway.cfg.Budget.Refund()
+	}
+}
+
 func (s *asyncSend) responseInfo() call.ResponseInfo {
 	return s.hedge.responseInfo(s.response)
 }
@@ -163,7 +179,8 @@
 	x := s.hedge.x
 	x.attempted = append(x.attempted, s.hedge.chosen.hold.Server().Incarnation)
 	x.mayHaveRun = x.mayHaveRun || s.mayHaveRun
-	if s.reached {
-		x.serversReached++
+	x.serversReached += s.servers
+	if s.refusal != nil {
+		x.applyForwardResult(*s.refusal)
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,6 +85,9 @@
 		a.countReached(response)
 	}
 	if info.NotRun {
+		if a.peer() != nil {
+			a.applyForwardRefusal(response)
+		}
 		return a.handleRefusal(response, info)
 	}
 	a.x.mayHaveRun = true
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -196,7 +196,7 @@
 	x := a.x
 	header := endToEndHeaders(x.request.Header)
 	header.Set(headerForwardRemaining, strconv.FormatInt(max(boottime.Until(x.deadline).Milliseconds(), 1), 10))
-	header.Set(headerForwardServers, strconv.Itoa(x.maxServers()-a.serversReached+1))
+	header.Set(headerForwardServers, strconv.Itoa(a.serversAllowed()))
 	header.Set(headerForwardResume, x.resumeAfter)
 	maxIdle := maxIdleOnce
 	if x.route.IsRepeatable() {
@@ -208,6 +208,15 @@
 	}
 }
 
+// serversAllowed returns the number of servers that the attempt may send the call to: one, or those that are
+// left for another box.
+func (a *attempt) serversAllowed() int {
+	if a.peer() == nil {
+		return 1
+	}
+	return max(a.x.maxServers()-a.serversReached+1, 1)
+}
+
 // pathRefusal is why the calls of this box are refused where it does not reach the service.
 type pathRefusal struct {
 	reason     string
@@ -226,8 +235,10 @@
 // forwardResult is what another box states about a forwarded call.
 type forwardResult struct {
 	// outcome is empty if the response is that of a server.
-	outcome    outcome
-	reason     string
+	outcome outcome
+	reason  string
+	// stated is false for a response that states no number of servers, which is not that of a box.
+	stated     bool
 	reached    int
 	retryAfter time.Duration
 }
@@ -243,21 +254,22 @@
 	}
 	return forwardResult{
 		outcome: outcome(header.Get(headerForwardOutcome)), reason: header.Get(headerForwardReason),
-		reached: number(headerForwardReached), retryAfter: time.Duration(number(headerForwardRetry)) * time.Millisecond,
+		stated: header.Get(headerForwardReached) != "", reached: number(headerForwardReached), retryAfter: time.Duration(number(headerForwardRetry)) * time.Millisecond,
 	}
 }
 
 // responseInfo returns the metadata of a response. What another box has decided itself is not genuine, and
-// means that the call was not run if the box says so.
+// means that the call was not run if the box says so. A response without the headers of a box, from whatever
+// listens at its address, shows nothing.
 func (a *attempt) responseInfo(response *handover.Response) call.ResponseInfo {
 	info := a.gateway.cfg.Protocol.ReadResponse(response.Status, response.Header)
 	if a.peer() == nil {
 		return info
 	}
-	switch result := readForwardResult(response.Header); result.outcome {
-	case "":
+	switch result := readForwardResult(response.Header); {
+	case result.stated && result.outcome == "":
 		info.NotRun = false // a server's refusal ends at the other box
-	case outcomeRefused, outcomeRejected:
+	case result.stated && (result.outcome == outcomeRefused || result.outcome == outcomeRejected):
 		info.NotRun, info.Genuine, info.Advisory = true, false, advisory.Advisory{}
 	default:
 		info.NotRun, info.Genuine, info.Advisory = false, false, advisory.Advisory{}
@@ -265,28 +277,50 @@
 	return info
 }
 
-// recordForwardRefusal records that the other box has not run the call, and what its refusal shows.
-func (a *attempt) recordForwardRefusal(response *handover.Response) {
-	result := readForwardResult(response.Header)
-	path := a.peer()
-	switch {
-	case result.reason == reasonUnreachable:
-		path.ended = peerpath.Unreachable
-	case result.reason == reasonForwardLimit:
-		path.ended = peerpath.Limited
-	case result.outcome == outcomeRejected:
-		// The other box may have another version of the configuration.
-		path.ended = peerpath.Served
+// pathOutcome returns what a refusal by another box shows about the path.
+func (r forwardResult) pathOutcome() peerpath.Outcome {
+	switch r.reason {
+	case reasonUnreachable:
+		return peerpath.Unreachable
+	case reasonForwardLimit:
+		return peerpath.Limited
 	default:
-		// The fleet has no capacity for the call, which other boxes would find too.
-		path.ended = peerpath.Served
-		a.x.pathsTried = maxPathsTried
-		a.x.pathRefusal = pathRefusal{reason: result.reason, retryAfter: result.retryAfter}
+		return peerpath.Served
 	}
+}
+
+// isFinal reports whether a refusal ends the search for another box: the fleet has no capacity for the call,
+// which other boxes would find too. A rejection is not final, since the other box may have another version
+// of the configuration.
+func (r forwardResult) isFinal() bool {
+	return r.pathOutcome() == peerpath.Served && r.outcome != outcomeRejected
+}
+
+// recordForwardRefusal records what the refusal of another box shows about the path. It also runs on the
+// timer of another attempt, and changes nothing of the call.
+func (a *attempt) recordForwardRefusal(response *handover.Response) {
+	result := readForwardResult(response.Header)
+	a.peer().ended = result.pathOutcome()
 	a.release(fleet.OutcomeBusy)
 	a.log("forward_refused", result.reason)
 }
 
+// applyForwardRefusal applies the refusal of another box to the call. A retry that no server got returns to
+// the budget.
+func (a *attempt) applyForwardRefusal(response *handover.Response) {
+	if a.statedServers(response) == 0 {
+		a.gateway.returnRetry(a.x)
+	}
+	a.x.applyForwardResult(readForwardResult(response.Header))
+}
+
+// applyForwardResult ends the search for another box if a refusal is final.
+func (x *exchange) applyForwardResult(result forwardResult) {
+	if result.isFinal() {
+		x.pathsTried, x.pathRefusal = maxPathsTried, pathRefusal{reason: result.reason, retryAfter: result.retryAfter}
+	}
+}
+
 // countReached counts the servers that a forwarded call was sent to, in place of the box itself. Where the
 // box has not stated them, all that were left count.
 func (a *attempt) countReached(response *handover.Response) {
@@ -296,7 +330,16 @@
 		x.serversReached = x.maxServers()
 		return
 	}
-	x.serversReached = min(x.serversReached+readForwardResult(response.Header).reached, x.maxServers())
+	x.serversReached = min(x.serversReached+a.statedServers(response), x.maxServers())
+}
+
+// statedServers returns the number of servers that a forwarded call was sent to: all that the other box was
+// allowed if it states none.
+func (a *attempt) statedServers(response *handover.Response) int {
+	if result := readForwardResult(response.Header); result.stated {
+		return min(result.reached, a.serversAllowed())
+	}
+	return a.serversAllowed()
 }
 
 // withoutForwardHeaders removes the headers between boxes.
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -144,13 +144,13 @@
 	x, g := w.current.x, w.current.gateway
 	added := 1
 	for _, past := range w.pastHedges {
-		if past.asyncSend.reached {
-			added++
-		}
+		added += past.asyncSend.servers
 	}
 	switch _, held := g.cfg.Quarantine.HeldFor(x.fingerprint); {
 	case held:
 		return nil, stayQuarantined
+	case w.current.peer() != nil:
+		return nil, stayRouteLimit // the other box may use all servers that are left, and hedges itself
 	case w.current.serversReached+added > x.maxServers():
 		return nil, stayRouteLimit
 	case !boottime.Now().Before(x.deadline):
