gateway: split forward.go

forward.go keeps the choice of a box and the request; the place at another box is in forwardhold.go, and what another box states in forwardresult.go. cmpRefusal, which compared nothing, is replaced by a condition. No change of behaviour.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -1,7 +1,8 @@
 // Forwarding a call through another box. A box that does not reach the servers of a service (package
 // reach) sends the calls for it to a box that does (package peerpath), over HTTP, as if the caller had sent
 // them there. The other box places the call, retries it and relays the response; to this box it is like a
-// server, which states in its own headers what happened where no server's response shows it.
+// server (forwardhold.go), which states in its own headers what happened where no server's response shows it
+// (forwardresult.go).
 //
 // A call is forwarded once only: a box does not forward what another one has forwarded. It counts once in
 // the retry budget, and the other box gets what is left of the servers that the route allows. A call whose
@@ -10,36 +11,12 @@
 package gateway
 
 import (
-	"net/http"
-	"slices"
 	"strconv"
+	"strings"
 	"time"
 
-	"github.com/cometlock/cometlock/internal/advisory"
 	"github.com/cometlock/cometlock/internal/boottime"
-	"github.com/cometlock/cometlock/internal/call"
-	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/handover"
-	"github.com/cometlock/cometlock/internal/peerpath"
-)
-
-// Headers between boxes. They are valid only at the port for forwarded calls.
-const (
-	forwardHeaderPrefix = "Cometlock-Forward-"
-	// headerForwardRemaining is the time left for the call, in milliseconds, headerForwardServers the
-	// number of servers that it may still be sent to, and headerForwardResume the id of the last event
-	// that the caller has.
-	headerForwardRemaining = forwardHeaderPrefix + "Remaining"
-	headerForwardServers   = forwardHeaderPrefix + "Servers"
-	headerForwardResume    = forwardHeaderPrefix + "Resume"
-	// headerForwardOutcome is the outcome of a call that ended without a server's response, and
-	// headerForwardReason the reason. headerForwardReached is the number of servers that the call was
-	// sent to.
-	headerForwardOutcome = forwardHeaderPrefix + "Outcome"
-	headerForwardReason  = forwardHeaderPrefix + "Reason"
-	headerForwardReached = forwardHeaderPrefix + "Reached"
-	// headerForwardRetry is the time after which a refused call should be sent again, in milliseconds.
-	headerForwardRetry = forwardHeaderPrefix + "Retry"
 )
 
 const (
@@ -58,66 +35,6 @@
 	reasonForwardLimit = "forward_limit"
 )
 
-// hold is a call's place at a server, or at a box that it is forwarded to.
-type hold interface {
-	Server() fleet.Server
-	MayHandOver() bool
-	NoteEvent()
-	Done(outcome fleet.Outcome)
-	Weights() int
-	Cold() bool
-	Limited() bool
-	DelistedFor() time.Duration
-	ExpectedFirstEvent() time.Duration
-	Overdue() time.Duration
-	IsResponsive() bool
-}
-
-// peerHold is a call's place at another box.
-type peerHold struct {
-	paths   *peerpath.Paths
-	box     peerpath.Box
-	service string
-	// ended replaces the outcome of Done, where the other box has stated one.
-	ended peerpath.Outcome
-}
-
-// peerPrefix distinguishes the names of boxes from those of servers.
-const peerPrefix = "box/"
-
-func (h *peerHold) Server() fleet.Server {
-	return fleet.Server{Incarnation: peerPrefix + h.box.Name, Service: h.service, Address: h.box.Address, Zone: h.box.Zone}
-}
-
-func (h *peerHold) Done(outcome fleet.Outcome) {
-	switch {
-	case h.ended != 0:
-		h.paths.Done(h.box.Name, h.service, h.ended)
-	case outcome == fleet.OutcomeUnreachable:
-		h.paths.Done(h.box.Name, h.service, peerpath.Failed)
-	case outcome == fleet.OutcomeAbandoned:
-		h.paths.Done(h.box.Name, h.service, peerpath.Abandoned)
-	default:
-		h.paths.Done(h.box.Name, h.service, peerpath.Served)
-	}
-}
-
-func (h *peerHold) MayHandOver() bool                 { return true }
-func (h *peerHold) NoteEvent()                        {}
-func (h *peerHold) Weights() int                      { return 0 }
-func (h *peerHold) Cold() bool                        { return false }
-func (h *peerHold) Limited() bool                     { return false }
-func (h *peerHold) DelistedFor() time.Duration        { return 0 }
-func (h *peerHold) ExpectedFirstEvent() time.Duration { return 0 }
-func (h *peerHold) Overdue() time.Duration            { return 0 }
-func (h *peerHold) IsResponsive() bool                { return true }
-
-// peer returns the box that the attempt forwards the call to, or nil if it goes to a server.
-func (a *attempt) peer() *peerHold {
-	forwarded, _ := a.chosen.hold.(*peerHold)
-	return forwarded
-}
-
 // reaches reports whether this box reaches servers of the call's service.
 func (g *Gateway) reaches(x *exchange) bool {
 	return g.cfg.Reach == nil || !g.cfg.Reach.Unreachable(x.service.Name)
@@ -145,7 +62,9 @@
 	}
 	if !g.reaches(x) {
 		// The call would wait for one server after the other.
-		x.pathRefusal = cmpRefusal(x.pathRefusal, pathRefusal{reason: reasonUnreachable, retryAfter: retryAfterNoServers})
+		if x.pathRefusal.reason == "" {
+			x.pathRefusal = pathRefusal{reason: reasonUnreachable, retryAfter: retryAfterNoServers}
+		}
 		return placement{}, false
 	}
 	return g.placeOrWait(x)
@@ -184,8 +103,8 @@
 func (x *exchange) triedPaths() []string {
 	var tried []string
 	for _, name := range x.attempted {
-		if len(name) > len(peerPrefix) && name[:len(peerPrefix)] == peerPrefix {
-			tried = append(tried, name[len(peerPrefix):])
+		if box, ok := strings.CutPrefix(name, peerPrefix); ok {
+			tried = append(tried, box)
 		}
 	}
 	return tried
@@ -217,141 +136,6 @@
 	return max(a.x.maxServers()-a.serversReached+1, 1)
 }
 
-// pathRefusal is why the calls of this box are refused where it does not reach the service.
-type pathRefusal struct {
-	reason     string
-	retryAfter time.Duration
-}
-
-// cmpRefusal returns the first refusal that has a reason.
-func cmpRefusal(refusals ...pathRefusal) pathRefusal {
-	at := slices.IndexFunc(refusals, func(r pathRefusal) bool { return r.reason != "" })
-	if at < 0 {
-		return pathRefusal{}
-	}
-	return refusals[at]
-}
-
-// forwardResult is what another box states about a forwarded call.
-type forwardResult struct {
-	// outcome is empty if the response is that of a server.
-	outcome outcome
-	reason  string
-	// stated is false for a response that states no number of servers, which is not that of a box.
-	stated     bool
-	reached    int
-	retryAfter time.Duration
-}
-
-// readForwardResult reads the headers of another box's response.
-func readForwardResult(header http.Header) forwardResult {
-	number := func(name string) int {
-		n, err := strconv.Atoi(header.Get(name))
-		if err != nil {
-			return 0
-		}
-		return max(n, 0)
-	}
-	return forwardResult{
-		outcome: outcome(header.Get(headerForwardOutcome)), reason: header.Get(headerForwardReason),
-		stated: header.Get(headerForwardReached) != "", reached: number(headerForwardReached), retryAfter: time.Duration(number(headerForwardRetry)) * time.Millisecond,
-	}
-}
-
-// responseInfo returns the metadata of a response. What another box has decided itself is not genuine, and
-// means that the call was not run if the box says so. A response without the headers of a box, from whatever
-// listens at its address, shows nothing.
-func (a *attempt) responseInfo(response *handover.Response) call.ResponseInfo {
-	info := a.gateway.cfg.Protocol.ReadResponse(response.Status, response.Header)
-	if a.peer() == nil {
-		return info
-	}
-	switch result := readForwardResult(response.Header); {
-	case result.stated && result.outcome == "":
-		info.NotRun = false // a server's refusal ends at the other box
-	case result.stated && (result.outcome == outcomeRefused || result.outcome == outcomeRejected):
-		info.NotRun, info.Genuine, info.Advisory = true, false, advisory.Advisory{}
-	default:
-		info.NotRun, info.Genuine, info.Advisory = false, false, advisory.Advisory{}
-	}
-	return info
-}
-
-// pathOutcome returns what a refusal by another box shows about the path.
-func (r forwardResult) pathOutcome() peerpath.Outcome {
-	switch r.reason {
-	case reasonUnreachable:
-		return peerpath.Unreachable
-	case reasonForwardLimit:
-		return peerpath.Limited
-	default:
-		return peerpath.Served
-	}
-}
-
-// isFinal reports whether a refusal ends the search for another box: the fleet has no capacity for the call,
-// which other boxes would find too. A rejection is not final, since the other box may have another version
-// of the configuration.
-func (r forwardResult) isFinal() bool {
-	return r.pathOutcome() == peerpath.Served && r.outcome != outcomeRejected
-}
-
-// recordForwardRefusal records what the refusal of another box shows about the path. It also runs on the
-// timer of another attempt, and changes nothing of the call.
-func (a *attempt) recordForwardRefusal(response *handover.Response) {
-	result := readForwardResult(response.Header)
-	a.peer().ended = result.pathOutcome()
-	a.release(fleet.OutcomeBusy)
-	a.log("forward_refused", result.reason)
-}
-
-// applyForwardRefusal applies the refusal of another box to the call. A retry that no server got returns to
-// the budget.
-func (a *attempt) applyForwardRefusal(response *handover.Response) {
-	if a.statedServers(response) == 0 {
-		a.gateway.returnRetry(a.x)
-	}
-	a.x.applyForwardResult(readForwardResult(response.Header))
-}
-
-// applyForwardResult ends the search for another box if a refusal is final.
-func (x *exchange) applyForwardResult(result forwardResult) {
-	if result.isFinal() {
-		x.pathsTried, x.pathRefusal = maxPathsTried, pathRefusal{reason: result.reason, retryAfter: result.retryAfter}
-	}
-}
-
-// countReached counts the servers that a forwarded call was sent to, in place of the box itself. Where the
-// box has not stated them, all that were left count.
-func (a *attempt) countReached(response *handover.Response) {
-	x := a.x
-	x.serversReached--
-	if response == nil {
-		x.serversReached = x.maxServers()
-		return
-	}
-	x.serversReached = min(x.serversReached+a.statedServers(response), x.maxServers())
-}
-
-// statedServers returns the number of servers that a forwarded call was sent to: all that the other box was
-// allowed if it states none.
-func (a *attempt) statedServers(response *handover.Response) int {
-	if result := readForwardResult(response.Header); result.stated {
-		return min(result.reached, a.serversAllowed())
-	}
-	return a.serversAllowed()
-}
-
-// withoutForwardHeaders removes the headers between boxes.
-func withoutForwardHeaders(header http.Header) http.Header {
-	for name := range header {
-		if len(name) > len(forwardHeaderPrefix) && name[:len(forwardHeaderPrefix)] == forwardHeaderPrefix {
-			delete(header, name)
-		}
-	}
-	return header
-}
-
 // noteSent, noteContact and noteUnreached record for package reach what this box's own links show.
 func (a *attempt) noteSent() {
 	if a.gateway.cfg.Reach != nil && a.peer() == nil {
