gateway: forwarding tests use no closed port that another test may open

A closed port of one test was opened again by another test that ran in parallel, whose box then counted the calls of both: 14 forwarded calls where five were sent, once in four runs. The tests use an address where nothing listens.

--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -190,7 +190,7 @@
 					others = append(others, other)
 					switch kind {
 					case "closed":
-						other.peers.Close()
+						first.closeLastOther()
 					case "partitioned":
 						other.partition(g)
 					}
--- a/internal/gateway/forwardboxes_test.go
+++ b/internal/gateway/forwardboxes_test.go
@@ -301,6 +301,12 @@
 	}
 }
 
+// closeLastOther replaces the address of the last one of the other boxes by one where nothing listens. A port
+// that is closed could be opened again by another test.
+func (b *forwardBox) closeLastOther() {
+	b.others[len(b.others)-1].Address = unreachableAddress
+}
+
 // unreachableServers returns the entries of servers that the box cannot connect to.
 func unreachableServers(names ...string) []fleet.Server {
 	var servers []fleet.Server
--- a/internal/gateway/forwardhedge_test.go
+++ b/internal/gateway/forwardhedge_test.go
@@ -65,7 +65,7 @@
 						case "partitioned":
 							other.partition(g)
 						case "closed":
-							other.peers.Close()
+							first.closeLastOther()
 						}
 					}
 					responses := make(chan callerResponse, 1)
