--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,7 +39,8 @@
 	// switchedFrom is the unresponsive server from which the call was switched to this attempt; empty
 	// if it was not, or if the attempt there had failed.
 	switchedFrom string
-	// connErr is the error of the connection to the server, if the attempt was lost by one.
+	// connErr is the error of the connection to the server, if the attempt was lost by one; the lock of
+	// the watch guards it, since checks log who ended the attempt.
 	connErr error
 }
 
@@ -87,6 +88,9 @@
 		a.countReached(response)
 	}
 	if info.NotRun {
+		if a.peer() != nil {
+			a.applyForwardRefusal(response)
+		}
 		return a.handleRefusal(response, info)
 	}
 	a.x.mayHaveRun = true
