settings: an address for calls that other boxes forward

Cause: cometlockd has no port at which another box could forward a call to it. It is optional, and an unspecified IP address is refused, because other boxes get the address as it is. Result: the setting is read and checked. Nothing uses it yet.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,11 +23,13 @@
 
 // Settings holds the settings of the daemon.
 type Settings struct {
-	Box          string
-	Zone         string
-	Listen       string
-	Admin        string
-	Peer         string
+	Box    string
+	Zone   string
+	Listen string
+	Admin  string
+	Peer   string
+	// Forward is the address for calls that other entry boxes forward, or empty.
+	Forward      string
 	Log          string
 	BoxList      string
 	Seeds        []string
@@ -75,6 +77,7 @@
 		{"listen", "127.0.0.1:8080", "IP address and port for callers", address(func(s *Settings) *string { return &s.Listen })},
 		{"admin", "127.0.0.1:8081", "IP address and port for operators", address(func(s *Settings) *string { return &s.Admin })},
 		{"peer", "127.0.0.1:8082", "IP address and port for other entry boxes", address(func(s *Settings) *string { return &s.Peer })},
+		{"forward", "", "IP address and port for calls that other entry boxes forward; empty: this box neither takes nor forwards any", setForward},
 		{"log", "", "IP address and port of the platform's log service", address(func(s *Settings) *string { return &s.Log })},
 		{"box-list", "", "IP address and port of the platform's list of boxes; empty: none", optionalAddress(func(s *Settings) *string { return &s.BoxList })},
 		{"seeds", "", "addresses of other entry boxes, separated by commas", setSeeds},
@@ -189,6 +192,14 @@
 	}
 }
 
+// setForward accepts no unspecified IP address, since other boxes get the address as it is.
+func setForward(s *Settings, value string) error {
+	if parsed, err := netip.ParseAddrPort(value); err == nil && parsed.Addr().IsUnspecified() {
+		return merry.Errorf("%q is not an address at which other boxes can reach this one", value)
+	}
+	return optionalAddress(func(s *Settings) *string { return &s.Forward })(s, value)
+}
+
 func duration(field func(*Settings) *time.Duration) setter {
 	return func(s *Settings, value string) error {
 		parsed, err := time.ParseDuration(value)
