cometlockd: routed calls of unreachable services are forwarded

Cause: only the platform's program forwards calls of services whose servers a box does not reach. The routes of cometlockd's own configuration use the same package gateway without it. Boxes learn each other's forward address from the status that peers exchange, as a further field that boxes of the previous version skip. The port uses the TLS files of the peers' port, so handover.Pool makes connections with TLS where a request asks for it. A forwarded call keeps its id, and counts in its organisation's limit at the box of its caller only: if it counted at both, a partition of some boxes would lower the limit for the callers of all. A caller can no longer declare the product's own headers as those of its connection, since they would be missing at the other box.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,9 +77,11 @@
 	budget       *retrybudget.Budget
 	router       *routed.Router
 	callerServer *http.Server
-	admin        *http.Server
-	callerTLS    *tlsfiles.Reloader
-	peerTLS      *tlsfiles.Reloader
+	// forwardServer serves the calls that other boxes forward; nil if this box takes none.
+	forwardServer *http.Server
+	admin         *http.Server
+	callerTLS     *tlsfiles.Reloader
+	peerTLS       *tlsfiles.Reloader
 
 	leaving        atomic.Bool
 	drainRequested chan struct{}
@@ -90,9 +92,9 @@
 	ports      ports
 }
 
-// ports holds the listeners of a box.
+// ports holds the listeners of a box; forward is nil without an address of its own.
 type ports struct {
-	caller, admin, peer net.Listener
+	caller, admin, peer, forward net.Listener
 }
 
 // New assembles a daemon and opens its ports. The daemon serves nothing until Run is called.
@@ -122,7 +124,10 @@
 	for _, port := range []struct {
 		address  string
 		listener *net.Listener
-	}{{d.settings.Listen, &d.ports.caller}, {d.settings.Admin, &d.ports.admin}, {d.settings.Peer, &d.ports.peer}} {
+	}{{d.settings.Listen, &d.ports.caller}, {d.settings.Admin, &d.ports.admin}, {d.settings.Peer, &d.ports.peer}, {d.settings.Forward, &d.ports.forward}} {
+		if port.address == "" {
+			continue // only the port for forwarded calls may have none
+		}
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			d.closePorts()
@@ -134,7 +139,7 @@
 }
 
 func (d *Daemon) closePorts() {
-	for _, listener := range []net.Listener{d.ports.caller, d.ports.admin, d.ports.peer} {
+	for _, listener := range []net.Listener{d.ports.caller, d.ports.admin, d.ports.peer, d.ports.forward} {
 		if listener != nil {
 			_ = listener.Close() // no connection was accepted
 		}
@@ -219,8 +224,10 @@
 	d.router = routed.New(routed.Config{
 		Logger: d.logger, Scope: d.metrics.Scope(), Zone: d.settings.Zone, BoxCount: d.boxCount, Budget: d.budget, Next: server.Handler(),
 		LimitPosition: func(_, server string) advisory.Position { return d.gossiper.LimitPosition(server, false) },
+		Forwarding:    d.forwarding(),
 	})
 	d.callerServer = &http.Server{Handler: d.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	d.forwardServer = d.newForwardServer()
 	d.admin = &http.Server{Handler: d.newAdminServer().Handler(), ReadHeaderTimeout: headerTimeout}
 	return nil
 }
@@ -248,7 +255,7 @@
 
 func (d *Daemon) peerConfig() peer.Config {
 	cfg := peer.Config{
-		Self:    peer.Status{Box: d.settings.Box, Zone: d.settings.Zone, Incarnation: d.incarnation},
+		Self:    peer.Status{Box: d.settings.Box, Zone: d.settings.Zone, Incarnation: d.incarnation, ForwardAddress: d.ForwardAddress()},
 		Address: d.PeerAddress(), Seeds: d.settings.Seeds, BoxList: boxlist.Static(nil),
 		Source: d.follower, Logger: d.logger, OnBoxList: d.applyBoxList, AdvisoryReports: d.advisoryReports, ApplyAdvisoryReports: d.applyAdvisoryReports,
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -16,9 +16,10 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	d.startLoops()
 	d.serve(d.admin, d.ports.admin)
+	d.startForwardServer()
 	d.serve(d.callerServer, d.ports.caller)
 	d.logger.Info().Str("version", version.Version).Str("callers", d.CallerAddress()).Str("admin", d.AdminAddress()).
-		Str("peers", d.PeerAddress()).Str("incarnation", d.incarnation).Msg("started")
+		Str("peers", d.PeerAddress()).Str("forward", d.ForwardAddress()).Str("incarnation", d.incarnation).Msg("started")
 	select {
 	case <-ctx.Done():
 		d.beginDrain()
@@ -55,6 +56,9 @@
 	d.stop()
 	d.reviews.Close()
 	_ = d.callerServer.Close()
+	if d.forwardServer != nil {
+		_ = d.forwardServer.Close()
+	}
 	_ = d.admin.Close()
 	d.beginDrain()
 }
@@ -68,13 +72,14 @@
 	time.Sleep(d.settings.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
 	defer cancel()
-	err := d.callerServer.Shutdown(ctx)
+	err := d.shutDownCalls(ctx)
 	if err != nil {
 		d.logger.Error().Str("error", err.Error()).Msg("requests_aborted")
 	}
 	d.reviews.Drain(ctx)
 	d.claims.Drain(ctx)
 	d.stop()
+	d.router.Close()
 	d.shutDownAdmin()
 	d.pipeline.Wait()
 	d.watcher.Close()
--- a/internal/e2e/partitioned_test.go
+++ b/internal/e2e/partitioned_test.go
@@ -94,7 +94,7 @@
 		Zones:      []string{},
 		EditConfig: f.addServers,
 		EditSettings: func(s *settings.Settings) {
-			s.PeerTLS = files
+			s.PeerTLS, s.Forward = files, "127.0.0.1:0"
 			if started < partitioned {
 				s.BoxList = list.Listener.Addr().String()
 			}
@@ -234,6 +234,9 @@
 	if answer.Status != http.StatusOK && outcome(answer) == "" {
 		return firstTry{violation: fmt.Sprintf("status %d without an outcome", answer.Status)}
 	}
+	if answer.Status != http.StatusOK {
+		GinkgoWriter.Printf("%s %s at %s: status %d %s\n", call.Path, call.Header["Idempotency-Key"], box.CallerAddress(), answer.Status, errorCode(answer))
+	}
 	return firstTry{served: answer.Status == http.StatusOK && answer.Header.Get("X-Run") != "" && !answer.Broken}
 }
 
--- a/internal/entrybox/forwarding.go
+++ b/internal/entrybox/forwarding.go
@@ -26,21 +26,14 @@
 // forwardingBoxes returns the available boxes that take forwarded calls: those of this box's region, or all
 // if there are none.
 func (b *Box) forwardingBoxes() []peerpath.Box {
-	var near, all []peerpath.Box
+	var boxes []peerpath.Box
 	for _, other := range b.share.Candidates() {
 		if other.Box.Unavailable || other.ForwardAddress == "" {
 			continue
 		}
-		box := peerpath.Box{Name: other.Name, Zone: other.Zone, Address: other.ForwardAddress}
-		all = append(all, box)
-		if b.settings.Regions[other.Zone] == b.settings.Regions[b.settings.Zone] {
-			near = append(near, box)
-		}
-	}
-	if len(near) > 0 {
-		return near
+		boxes = append(boxes, peerpath.Box{Name: other.Name, Zone: other.Zone, Address: other.ForwardAddress})
 	}
-	return all
+	return peerpath.InRegion(boxes, b.settings.Zone, b.settings.Regions)
 }
 
 // shutDownCalls closes the ports for calls and waits until the calls in flight have ended.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -205,6 +205,7 @@
 	return handover.Request{
 		Address: a.chosen.hold.Server().Address, Method: x.request.Method, Target: x.target(), Host: x.request.Host,
 		Header: header, Body: x.body, MaxIdle: maxIdle, Matches: a.matches, OnConnect: a.watch.onConnect,
+		TLS: a.gateway.cfg.PeerTLS,
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -99,6 +100,8 @@
 	// calls for them are forwarded. Both are nil where calls are not forwarded.
 	Reach *reach.Monitor
 	Peers *peerpath.Paths
+	// PeerTLS returns the TLS configuration for connections to other boxes; nil without TLS.
+	PeerTLS func() *tls.Config
 }
 
 // WeightVersions looks up the announced versions of weights.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net/http"
@@ -49,6 +50,9 @@
 	// OnConnect is called before the call is written, with a function that turns on keep-alive for
 	// the connection (see enableKeepAlive); it may be nil.
 	OnConnect func(enableKeepAlive func() error)
+	// TLS returns the configuration for a new connection; nil means that the connection is not
+	// encrypted. All calls to an address must agree on that.
+	TLS func() *tls.Config
 }
 
 // maxForeignResponses bounds the responses to other calls that are dropped while waiting for the
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -28,12 +29,21 @@
 // serve starts a server. handle gets each call, writes to the connection, and returns whether the
 // connection stays open.
 func serve(t *testing.T, handle func(call int, request *http.Request, connection net.Conn) bool) *server {
+	t.Helper()
+	return serveWith(t, nil, handle)
+}
+
+// serveWith starts a server with TLS, if secured is set.
+func serveWith(t *testing.T, secured *tls.Config, handle func(call int, request *http.Request, connection net.Conn) bool) *server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := &server{address: listener.Addr().String()}
+	if secured != nil {
+		listener = tls.NewListener(listener, secured)
+	}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"strconv"
@@ -74,6 +75,9 @@
 	openFactor   = 1.05
 	// announcedMargin is subtracted from the idle timeout that a server announces.
 	announcedMargin = time.Second
+	// handshakeTimeout bounds a TLS handshake: a round trip, and some milliseconds of CPU at each side.
+	// Nothing of the call has been sent until then, so it can go elsewhere.
+	handshakeTimeout = 2 * DefaultDialTimeout
 	// readBufferSize is the size of a connection's read buffer, in bytes; responses are about 1 KB.
 	readBufferSize = 4 << 10
 )
@@ -91,7 +95,9 @@
 
 // connection is a pooled connection, used by one call at a time.
 type connection struct {
+	// Conn is the socket, or the TLS connection over it.
 	net.Conn
+	socket  *net.TCPConn
 	address string
 	reader  *bufio.Reader
 	// idleSince is when the last call ended, idleUntil when the connection is too old to be reused.
@@ -149,7 +155,7 @@
 		}
 		c.close()
 	}
-	return p.dial(ctx, request.Address)
+	return p.dial(ctx, request.Address, request.TLS)
 }
 
 // probeTimeout bounds the time to connect in Probe, whose result calls wait for.
@@ -160,7 +166,7 @@
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	c, err := p.dial(ctx, address)
+	c, err := p.dial(ctx, address, nil)
 	if err != nil {
 		return err
 	}
@@ -168,7 +174,7 @@
 	return nil
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) dial(ctx context.Context, address string, secured func() *tls.Config) (*connection, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -176,7 +182,23 @@
 	if p.cfg.OnDial != nil {
 		p.cfg.OnDial()
 	}
-	return &connection{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	c := &connection{Conn: raw, socket: raw.(*net.TCPConn), address: address}
+	if secured != nil {
+		if c.Conn, err = shakeHands(ctx, raw, secured()); err != nil {
+			_ = raw.Close() // an error changes nothing for this side
+			return nil, err
+		}
+	}
+	c.reader = bufio.NewReaderSize(c.Conn, readBufferSize)
+	return c, nil
+}
+
+// shakeHands returns a TLS connection over a socket after the handshake.
+func shakeHands(ctx context.Context, raw net.Conn, cfg *tls.Config) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	secured := tls.Client(raw, cfg)
+	return secured, secured.HandshakeContext(ctx)
 }
 
 // learnMaxIdle updates the maximum idle time from an idle connection that was found open or closed.
@@ -260,7 +282,7 @@
 // isIdle reports whether an idle connection is open and has no data to read. Data received between
 // calls belongs to no call.
 func (c *connection) isIdle() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.socket.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -283,8 +305,7 @@
 // that has been idle for long after a single unanswered one. So the user timeout is off once the
 // whole call is acknowledged. Until then the kernel sends no probes, and the user timeout is needed.
 func (c *connection) enableKeepAlive() error {
-	tcp := c.Conn.(*net.TCPConn)
-	raw, err := tcp.SyscallConn()
+	raw, err := c.socket.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -302,12 +323,12 @@
 		}
 	}
 	c.probed.Store(true)
-	return tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxUnansweredProbes})
+	return c.socket.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxUnansweredProbes})
 }
 
 // turnUserTimeoutOff turns the user timeout off until the connection is idle in the pool.
 func (c *connection) turnUserTimeoutOff() error {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.socket.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -320,7 +341,7 @@
 	if !c.userTimeoutOff.Swap(false) {
 		return nil
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.socket.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -333,9 +354,11 @@
 	if !c.probed.Swap(false) {
 		return nil
 	}
-	return c.Conn.(*net.TCPConn).SetKeepAlive(false)
+	return c.socket.SetKeepAlive(false)
 }
 
+// close closes the socket. A TLS connection sends no close_notify, for which it would wait while the other
+// side does not read; HTTP states where a message ends.
 func (c *connection) close() {
-	_ = c.Conn.Close() // an error changes nothing for this side
+	_ = c.socket.Close() // an error changes nothing for this side
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -27,6 +27,9 @@
 	Version int64 `msgpack:"v" json:"version"`
 	// Leaving is set when the box is about to stop.
 	Leaving bool `msgpack:"l" json:"leaving"`
+	// ForwardAddress is the address at which the box takes forwarded calls. It is empty if the box takes
+	// none, as boxes of earlier versions do.
+	ForwardAddress string `msgpack:"f,omitempty" json:"forward,omitempty"`
 	// AdvisoryReports contains the advisories that the box received from backend servers, by server.
 	AdvisoryReports map[string]*advisory.Report `msgpack:"a,omitempty" json:"advised,omitempty"`
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -78,3 +78,20 @@
 	exchanges[0].handleStatus(exchanges[1].selfStatus())
 	g.Expect(applied).To(Equal(sent))
 }
+
+// A box that has stopped, or takes no forwarded calls, must get none.
+func TestOnlyLivePeersWithAForwardAddressGetForwardedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		x := New(Config{Self: Status{Box: "me", Zone: "a", ForwardAddress: "127.0.0.1:6"}, Source: emptySource{}, Logger: zerolog.Nop()})
+		x.handleStatus(Status{Box: "me", ForwardAddress: "127.0.0.1:6"})
+		x.handleStatus(Status{Box: "previous version"})
+		x.handleStatus(Status{Box: "leaving", Leaving: true, ForwardAddress: "127.0.0.1:7"})
+		x.handleStatus(Status{Box: "takes", ForwardAddress: "127.0.0.1:8"})
+		boxes := x.ForwardingBoxes()
+		g.Expect(boxes).To(HaveLen(1))
+		g.Expect(boxes[0].ForwardAddress).To(Equal("127.0.0.1:8"))
+		time.Sleep(peerTimeout)
+		g.Expect(x.ForwardingBoxes()).To(BeEmpty())
+	})
+}
--- a/internal/peer/state.go
+++ b/internal/peer/state.go
@@ -65,6 +65,19 @@
 	return live
 }
 
+// ForwardingBoxes returns the status of the live peers that take forwarded calls.
+func (g *Gossiper) ForwardingBoxes() []Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var boxes []Status
+	for _, peer := range g.peers {
+		if peer.status.ForwardAddress != "" && !peer.status.Leaving && time.Since(peer.receivedAt) < peerTimeout {
+			boxes = append(boxes, peer.status)
+		}
+	}
+	return boxes
+}
+
 // LimitPosition returns the position of this box among the live boxes that share the rate limit of a
 // server: those of this box's zone, or all boxes.
 func (g *Gossiper) LimitPosition(server string, inZone bool) advisory.Position {
--- a/internal/peerpath/peerpath.go
+++ b/internal/peerpath/peerpath.go
@@ -46,6 +46,20 @@
 	Address string
 }
 
+// InRegion returns the boxes of a zone's region, or all if there are none.
+func InRegion(boxes []Box, zone string, regions map[string]string) []Box {
+	var near []Box
+	for _, box := range boxes {
+		if regions[box.Zone] == regions[zone] {
+			near = append(near, box)
+		}
+	}
+	if len(near) == 0 {
+		return boxes
+	}
+	return near
+}
+
 // Outcome is the result of a forwarded call, as far as it concerns the path.
 type Outcome uint8
 
--- a/internal/routed/headers.go
+++ b/internal/routed/headers.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/api"
@@ -43,6 +44,7 @@
 	headerResumeAfter  = "Last-Event-Id"
 	headerKey          = "Authorization"
 	headerEncodings    = "Accept-Encoding"
+	headerConnection   = "Connection"
 	headerRetryAfter   = "Retry-After" // HTTP allows only whole seconds
 )
 
@@ -56,6 +58,28 @@
 	headerRemaining, headerNamespace, headerPriority, headerIncarnation,
 }
 
+// headerPrefix is the prefix of the product's own headers.
+const headerPrefix = "Cometlock-"
+
+// keepOwnHeaders removes the headers that boxes read from those that a caller declares as headers of its
+// connection. They would be missing at a box that the call is forwarded to.
+func keepOwnHeaders(header http.Header) {
+	declared := header.Values(headerConnection)
+	if len(declared) == 0 {
+		return
+	}
+	var kept []string
+	for _, names := range declared {
+		for name := range strings.SplitSeq(names, ",") {
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if name != headerKey && !strings.HasPrefix(name, headerPrefix) {
+				kept = append(kept, name)
+			}
+		}
+	}
+	header.Set(headerConnection, strings.Join(kept, ", "))
+}
+
 // Headers reads and writes the headers of routed calls; it implements call.Protocol.
 type Headers struct{}
 
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -24,6 +24,7 @@
 	"github.com/cometlock/cometlock/internal/gateway"
 	"github.com/cometlock/cometlock/internal/handover"
 	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/reach"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/retrybudget"
@@ -44,6 +45,8 @@
 	LimitPosition func(zone, server string) advisory.Position
 	// Next serves the calls that match no route.
 	Next http.Handler
+	// Forwarding is set if this box forwards calls and takes forwarded ones.
+	Forwarding *Forwarding
 }
 
 // Router serves routed calls.
@@ -51,6 +54,8 @@
 	cfg     Config
 	fleet   *fleet.Fleet
 	gateway *gateway.Gateway
+	// reach detects services that this box does not reach; nil if calls are not forwarded.
+	reach   *reach.Monitor
 	catalog atomic.Pointer[catalog.Catalog]
 	// probeClient sends the requests that this box makes to check whether a server responds.
 	probeClient http.Client
@@ -72,12 +77,15 @@
 	// No parts are kept for routed calls and no weights are declared for them, so the part index
 	// stays empty, and so does the registry, which follows no log.
 	emptyRegistry := registry.New(registry.Config{Logger: cfg.Logger})
-	r.gateway = gateway.New(gateway.Config{
-		Protocol: Headers{}, Pool: handover.NewPool(handover.PoolConfig{}), Fleet: r.fleet, Parts: partindex.New(partindex.Config{}),
+	pool := handover.NewPool(handover.PoolConfig{})
+	gatewayConfig := gateway.Config{
+		Protocol: Headers{}, Pool: pool, Fleet: r.fleet, Parts: partindex.New(partindex.Config{}),
 		Budget: cfg.Budget, BoxCount: cfg.BoxCount, Logger: cfg.Logger, Scope: cfg.Scope.SubScope("routed"), Zone: cfg.Zone,
 		Catalog: r.catalog.Load, Weights: emptyRegistry, IsResponsive: r.isResponsive,
 		Retire: retire.New(retire.Config{Registry: emptyRegistry, Peers: func() []retire.Peer { return nil }, Boxes: cfg.BoxCount}),
-	})
+	}
+	r.assembleForwarding(&gatewayConfig, pool)
+	r.gateway = gateway.New(gatewayConfig)
 	return r
 }
 
@@ -130,6 +138,7 @@
 		return
 	}
 	id := "req_" + uuid.NewString()
+	keepOwnHeaders(request.Header)
 	request.Header.Set(api.HeaderRequestID, id)
 	w.Header().Set(api.HeaderRequestID, id)
 	release, refusal := r.admit(request.Header)
