Failing test: a partitioned box refuses forwarded calls with no_server

Cause: a forwarded call may come to a box that is partitioned too and does not know it yet, or whose kept connections still work. It tries all servers and refuses the call for want of a server, which the first box takes for a refusal by the fleet: it forwards the call no more. Change: a test with two partitioned boxes and one that reaches the servers.

--- a/internal/routed/forwarded_test.go
+++ b/internal/routed/forwarded_test.go
@@ -57,6 +57,18 @@
 	return partitioned
 }
 
+// A box that has not detected yet that it is partitioned must not look like a fleet without capacity.
+func TestACallForwardedToAPartitionedBoxIsForwardedToAnother(t *testing.T) {
+	for range 10 { // the first box is chosen at random
+		g := NewWithT(t)
+		sound := startDeployment(t, g)
+		alsoPartitioned := partition(t, g)
+		partitioned := partition(t, g, forwardedTo(t, "partitioned too", alsoPartitioned), forwardedTo(t, "sound", sound))
+		got := partitioned.send("POST", "shop.example", "/charges/1", "text")
+		g.Expect(got.status).To(Equal(http.StatusOK), got.body)
+	}
+}
+
 func TestForwardedCallsKeepTheirIDAndHeaders(t *testing.T) {
 	for _, test := range []struct {
 		name    string
