gateway: a box that cannot connect to its servers refuses forwarded calls as unreachable

Cause: a box that gets a forwarded call before it knows that it is partitioned tries all servers and refuses the call with no_server. The first box takes that for want of capacity in the fleet, and refuses the call too. Change: a forwarded call that fails to connect to four servers, or to two and finds no other, is refused with service_unreachable. Result: the failing test passes.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -46,6 +46,9 @@
 	// maxUnreached is the number of servers that a call fails to reach before it is forwarded, although
 	// the service does not count as unreachable: kept connections may work while new ones are refused.
 	maxUnreached = 2
+	// maxUnreachedForwarded is the number of servers that a forwarded call fails to reach before this box
+	// refuses it. It is higher, since where some servers have failed, other boxes do not reach them either.
+	maxUnreachedForwarded = 4
 	// maxPathsTried is the number of boxes that a call is forwarded to before it is refused.
 	maxPathsTried = 3
 	// minForwardTime is the least time left with which a call is forwarded.
@@ -143,12 +146,22 @@
 			return chosen, true
 		}
 	}
-	if !g.reaches(x) {
+	if !g.reaches(x) || x.forwarded && x.unreached >= maxUnreachedForwarded {
 		// The call would wait for one server after the other.
-		x.pathRefusal = cmpRefusal(x.pathRefusal, pathRefusal{reason: reasonUnreachable, retryAfter: retryAfterNoServers})
+		x.refuseUnreachable()
 		return placement{}, false
 	}
-	return g.placeOrWait(x)
+	chosen, ok := g.placeOrWait(x)
+	if !ok && x.forwarded && x.unreached >= maxUnreached {
+		x.refuseUnreachable()
+	}
+	return chosen, ok
+}
+
+// refuseUnreachable sets the reason for a call that this box cannot serve since it does not reach the
+// service. For another box it means that the fleet may have capacity, and that a third one may serve it.
+func (x *exchange) refuseUnreachable() {
+	x.pathRefusal = cmpRefusal(x.pathRefusal, pathRefusal{reason: reasonUnreachable, retryAfter: retryAfterNoServers})
 }
 
 // choosePath chooses a box to forward the call to.
