--- a/internal/gateway/forwardboxes_test.go
+++ b/internal/gateway/forwardboxes_test.go
@@ -39,7 +39,7 @@
 	testKey       = "X-Key"
 	testRemaining = "X-Remaining"
 	testResume    = "Last-Event-Id"
-	testNotRun    = "X-Not-Run"
+	testNotRun    = "X-Unrun"
 	testSigned    = "X-Signed"
 	testRetry     = "X-Retry"
 )
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -103,8 +103,8 @@
 // was not the first server to crash under this request; the call is then not retried. After a first
 // crash, the other calls that were lost with the server are best retried at once.
 func (a *attempt) isRepeatedCrash(end fleet.Outcome) (repeated bool) {
-	if end != fleet.OutcomeUnreachable || a.closedBy() == sideBox || a.gateway.cfg.ConfirmCrash == nil {
-		return false
+	if end != fleet.OutcomeUnreachable || a.closedBy() == sideBox || a.gateway.cfg.ConfirmCrash == nil || a.peer() != nil {
+		return false // the other box detects crashes of its servers; its own end shows nothing about the request
 	}
 	x := a.x
 	loss := crash.BrokenCall{Server: a.chosen.hold.Server(), Request: x.fingerprint, Caller: xxhash.Sum64String(x.callerName())}
