gateway: half a second to connect to another box

Cause, from its log: 14 dials to other boxes ended with an i/o timeout after 150 ms on a machine short of processor time, each of which excludes its box for a second; with four other boxes none was left, and calls were refused as service_unreachable. Change: a dial to another box may take 500 ms. Dials to servers keep 150 ms: there are many to choose from.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -28,6 +28,9 @@
 	maxUnreachedForwarded = 4
 	// maxPathsTried is the number of boxes that a call is forwarded to before it is refused.
 	maxPathsTried = 3
+	// forwardDialTimeout bounds the time to connect to another box. It is longer than for servers, of which
+	// there are many: a box that lacks CPU for a moment would find no other box, and refuse its calls.
+	forwardDialTimeout = 500 * time.Millisecond
 	// minForwardTime is the least time left with which a call is forwarded.
 	minForwardTime = 5 * time.Millisecond
 )
@@ -137,7 +140,7 @@
 	return handover.Request{
 		Address: a.chosen.hold.Server().Address, Method: x.request.Method, Target: x.target(), Host: x.request.Host,
 		Header: header, Body: x.body, MaxIdle: maxIdle, Matches: a.matches, OnConnect: a.watch.onConnect,
-		TLS: a.gateway.cfg.PeerTLS,
+		DialTimeout: forwardDialTimeout, TLS: a.gateway.cfg.PeerTLS,
 	}
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -50,6 +50,8 @@
 	// OnConnect is called before the call is written, with a function that turns on keep-alive for
 	// the connection (see enableKeepAlive); it may be nil.
 	OnConnect func(enableKeepAlive func() error)
+	// DialTimeout bounds the time to connect; zero selects that of the pool.
+	DialTimeout time.Duration
 	// TLS returns the configuration for a new connection; nil means that the connection is not
 	// encrypted. All calls to an address must agree on that.
 	TLS func() *tls.Config
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -155,7 +155,7 @@
 		}
 		c.close()
 	}
-	return p.dial(ctx, request.Address, request.TLS)
+	return p.dial(ctx, request)
 }
 
 // probeTimeout bounds the time to connect in Probe, whose result calls wait for.
@@ -166,7 +166,7 @@
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	c, err := p.dial(ctx, address, nil)
+	c, err := p.dial(ctx, Request{Address: address})
 	if err != nil {
 		return err
 	}
@@ -174,17 +174,19 @@
 	return nil
 }
 
-func (p *Pool) dial(ctx context.Context, address string, secured func() *tls.Config) (*connection, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+func (p *Pool) dial(ctx context.Context, request Request) (*connection, error) {
+	dialer := p.dialer
+	dialer.Timeout = cmp.Or(request.DialTimeout, dialer.Timeout)
+	raw, err := dialer.DialContext(ctx, "tcp", request.Address)
 	if err != nil {
 		return nil, err
 	}
 	if p.cfg.OnDial != nil {
 		p.cfg.OnDial()
 	}
-	c := &connection{Conn: raw, socket: raw.(*net.TCPConn), address: address}
-	if secured != nil {
-		if c.Conn, err = shakeHands(ctx, raw, secured()); err != nil {
+	c := &connection{Conn: raw, socket: raw.(*net.TCPConn), address: request.Address}
+	if request.TLS != nil {
+		if c.Conn, err = shakeHands(ctx, raw, request.TLS()); err != nil {
 			_ = raw.Close() // an error changes nothing for this side
 			return nil, err
 		}
