routed tests: servers that nothing reaches have ports that nobody can open

Cause: the test opened a server for each name and closed it before the next. The kernel gives a closed port to a later server, of this or another test, so two servers of one configuration had the same address.

The assertions are unchanged.

--- a/internal/routed/deployment_test.go
+++ b/internal/routed/deployment_test.go
@@ -27,6 +27,8 @@
 	name   string
 	answer http.HandlerFunc
 	http   *httptest.Server
+	// unreachable is the address of a server that nothing can connect to, which has no http.
+	unreachable string
 
 	mu      sync.Mutex
 	headers []http.Header
@@ -48,6 +50,13 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s %s", s.name, r.Method, r.URL.RequestURI(), body)
 }
 
+func (s *server) address() string {
+	if s.http == nil {
+		return s.unreachable
+	}
+	return s.http.Listener.Addr().String()
+}
+
 func (s *server) calls() int { return len(s.receivedHeaders()) }
 
 func (s *server) receivedHeaders() []http.Header {
@@ -123,8 +132,8 @@
 func (s *deployment) configure(g *WithT, change func(*config.File)) {
 	text := fileText
 	for name, server := range s.servers {
-		text = strings.Replace(text, "address: "+strings.ToUpper(name)+",", "address: '"+server.http.Listener.Addr().String()+"',", 1)
-		text = strings.Replace(text, "address: "+strings.ToUpper(name)+"}", "address: '"+server.http.Listener.Addr().String()+"'}", 1)
+		text = strings.Replace(text, "address: "+strings.ToUpper(name)+",", "address: '"+server.address()+"',", 1)
+		text = strings.Replace(text, "address: "+strings.ToUpper(name)+"}", "address: '"+server.address()+"'}", 1)
 	}
 	file, err := config.Parse([]byte(text))
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/routed/forwarded_test.go
+++ b/internal/routed/forwarded_test.go
@@ -40,10 +40,9 @@
 func partition(t *testing.T, g *WithT, others ...peerpath.Box) *deployment {
 	t.Helper()
 	partitioned := &deployment{servers: map[string]*server{}}
-	for _, name := range serverNames {
-		gone := httptest.NewServer(http.NotFoundHandler())
-		partitioned.servers[name] = &server{name: name, http: gone}
-		gone.Close()
+	for i, name := range serverNames {
+		// Nothing listens on these ports. One that is closed could be opened again by another server.
+		partitioned.servers[name] = &server{name: name, unreachable: fmt.Sprint("127.0.0.2:", 1+i)}
 	}
 	partitioned.router = routed.New(routed.Config{
 		Logger: zerolog.Nop(), Scope: tally.NoopScope, Zone: "a", BoxCount: func() int { return 2 },
