weightorders: a load that is about to end makes room for the next runner at low demand too

Cause: with spare capacity, the runners that are out of service are bounded by two fifths of all, and 15 of 18 loading slots are in use on average. A runner whose load was about to end counted until it had ended, while without spare capacity it does not count for its last 200 ms, which the pause of the next runner takes anyway.

Change: the same rule in both cases.

--- a/internal/loadpace/loadpace.go
+++ b/internal/loadpace/loadpace.go
@@ -80,9 +80,6 @@
 	return Pace{Out: slots, Loading: slots}
 }
 
-// DrainsAhead reports whether runners drain besides those that load.
-func (p Pace) DrainsAhead() bool { return p.Out > p.Loading }
-
 // Decide returns the pace for a state.
 func Decide(s State) Pace {
 	pace := Fixed(s.Listed)
--- a/internal/weightorders/pace.go
+++ b/internal/weightorders/pace.go
@@ -102,9 +102,8 @@
 	outInZone map[string]int
 }
 
-// newSelection counts the runners of a model that are out of service. Unless runners drain besides
-// those that load, runners whose loads are about to end do not count, so that the pause of the next
-// ones ends with these loads. The caller holds mu.
+// newSelection counts the runners of a model that are out of service. Runners whose loads are about to
+// end do not count, so that the pause of the next ones ends with these loads. The caller holds mu.
 func (c *Controller) newSelection(state *modelState, model string, work fleet.ModelWork, behind []fleet.BehindServer) *selection {
 	s := &selection{pace: state.pace, work: work, behind: len(behind), behindInZone: map[string]int{}, outInZone: map[string]int{}}
 	for _, server := range behind {
@@ -112,8 +111,8 @@
 	}
 	ending := state.learned.Load() - pauseBeforeOrder
 	for _, reached := range c.tasks {
-		overlaps := !state.pace.DrainsAhead() && reached.phase == loading && boottime.Since(reached.since) >= ending
-		if reached.model == model && !overlaps {
+		aboutToEnd := reached.phase == loading && boottime.Since(reached.since) >= ending
+		if reached.model == model && !aboutToEnd {
 			s.add(reached.zone)
 		}
 	}
