loadshare: a box that left the list is no candidate from that moment on

What callers saw: not seen. The fault was found by reading, while the cause of a deadlock was looked for.

Cause: Candidates looks up each cached candidate in the list of boxes. A record that removes a box takes it from the list, and the cache was invalidated only after all records had been applied, under the lock taken once more. Candidates called in between dereferenced nil, which ends the box and all of its calls. With many records, as after a power failure, that moment is longer.

Why this works: the record that changes the list invalidates the cache under the same lock.

Test: panicked before, passes.

--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -238,6 +238,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.candidatesAt = time.Time{} // the cached candidates are boxes in peers
 	if box.Address == "" {
 		delete(s.peers, record.Key)
 		return
