registry: the return of the log blocks no placement

A platform test with 60 callers of streams at one box and a log that is down for 120 ms every 420 ms stopped for good within 60 s (go test -race, one run, ended by its timeout of 85 s): the registry, in recordLogBack, waited for the lock of the fleet while it held its own, and each placement, in OutdatedSince, waited for the lock of the registry while it held that of the fleet. Cause: recordLogBack informed the fleet with the registry's lock held. It does so only when a read of the servers' stream fails and a later one succeeds, which happens on a busy machine without any fault of the log. The box then serves no call and cannot stop; its callers wait until they give up. Change: the fleet is informed without the registry's lock. Ruled out for this cause: the proxies, which hold their lock for system calls only.

--- a/internal/registry/read.go
+++ b/internal/registry/read.go
@@ -207,16 +207,23 @@
 }
 
 func (r *Registry) recordLogBack(stream sharedlog.Stream, next int64) {
+	if !r.clearLost(stream) {
+		return
+	}
+	r.cfg.Logger.Info().Stringer("stream", stream).Int64("offset", next).Msg("log_recovered")
+	switch stream {
+	case sharedlog.Servers:
+		r.cfg.Fleet.NoteRegistryRecovery() // without mu: the fleet asks for versions of weights while it holds its lock
+	case sharedlog.Operator:
+		r.logBack.Broadcast()
+	}
+}
+
+// clearLost records that a stream can be read, and reports whether it could not be read before.
+func (r *Registry) clearLost(stream sharedlog.Stream) (wasLost bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.lost[stream] {
-		r.lost[stream] = false
-		r.cfg.Logger.Info().Stringer("stream", stream).Int64("offset", next).Msg("log_recovered")
-		switch stream {
-		case sharedlog.Servers:
-			r.cfg.Fleet.NoteRegistryRecovery()
-		case sharedlog.Operator:
-			r.logBack.Broadcast()
-		}
-	}
+	wasLost = r.lost[stream]
+	r.lost[stream] = false
+	return wasLost
 }
