loadshare: a report blocks no choice of parts to fetch or to free

Seen: by reading, in a search for locks that are taken in both orders. Cause: package partindex asks package retire under its lock whether a part may be fetched or freed, and that asks package loadshare for the states of the other boxes: for each part of older weights that is to be freed, and for fetches once the operators' records are older than registry.MaxReadAge. A report took the samples of fetches from partindex under loadshare's lock. When both happen at once, the box stops for good. Change: the samples are taken without loadshare's lock.

--- a/internal/loadshare/send.go
+++ b/internal/loadshare/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
@@ -130,6 +131,7 @@
 	own := s.cfg.Fleet.Loads()
 	m := message{Box: s.cfg.Box, Incarnation: s.cfg.Incarnation, NamedVersions: s.cfg.NamedVersions(), NeedsSnapshot: s.cfg.NeedsSnapshot(), Snapshot: s.snapshotFor(box)}
 	full, otherZonesDue := s.addReports(&m, box, own)
+	m.extension.LinkSamples = s.takeLinkSamples(box)
 	if !full {
 		if s.usesDue(box) {
 			m.extension.Uses = s.cfg.Uses() // without mu: whether this box grants places depends on the candidates
@@ -167,7 +169,6 @@
 	m.Suspects, m.SuspectsGeneration = s.cfg.Quarantine.ChangesSince(since)
 	if link := s.links[box]; link != nil {
 		m.WantsReports = link.selected
-		m.extension.LinkSamples, link.samplesSent = s.cfg.Parts.LinkSamplesSince(link.samplesSent, s.passesSamplesTo(box))
 		m.Urgent, link.urgentCount = link.urgentCount != s.urgentCount, s.urgentCount
 		if otherZonesDue = now.Sub(link.otherZonesAt) >= otherZoneInterval; otherZonesDue {
 			link.otherZonesAt = now
@@ -190,15 +191,35 @@
 	return true
 }
 
-// passesSamplesTo returns which boxes' samples of fetches this one passes on to another: those of all
-// others to its followers, and those of its followers to all others. The caller holds mu.
-func (s *Share) passesSamplesTo(box string) func(via string) bool {
+// takeLinkSamples returns the samples of fetches that are to be sent to another box next.
+func (s *Share) takeLinkSamples(box string) []partindex.LinkSample {
+	s.mu.Lock()
+	link, since := s.links[box], uint64(0)
+	if link != nil {
+		since = link.samplesSent
+	}
+	s.mu.Unlock()
+	if link == nil {
+		return nil
+	}
+	// Without mu: the index calls package retire, and that this one, while it holds its own lock.
+	samples, position := s.cfg.Parts.LinkSamplesSince(since, func(via string) bool { return s.passesSamples(via, box) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	link.samplesSent = position
+	return samples
+}
+
+// passesSamples reports whether this box passes on the samples of fetches that it got by a message of one
+// box to another: those of all others to its followers, and those of its followers to all others.
+func (s *Share) passesSamples(via, box string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	follows := func(name string) bool {
 		last := s.reports[name]
 		return last != nil && last.hub == s.cfg.Box
 	}
-	toFollower := follows(box)
-	return func(via string) bool { return via != box && (toFollower || follows(via)) }
+	return via != box && (follows(box) || follows(via))
 }
 
 // rosterFor returns the changes of the roster that another box does not have yet. The caller holds
