faultproxy: a partitioned proxy keeps its port; a partition applies to all connections

All of these were at Heal. Cause: a proxy that refused connections closed its listener, and the kernel gave the port to one of the some thousand connections that the tests open meanwhile. Change: the proxy holds a socket that has the port and does not listen. By reading: a connection that was accepted before the partition, and connected to the server after it, was neither silenced nor reset, and one that was accepted before Close stayed open for good. Now the partition, or the end of the proxy, applies to it.

--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -7,10 +7,12 @@
 	"context"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/sys/unix"
 
 	"github.com/cometlock/cometlock/internal/blackhole"
 )
@@ -28,8 +30,13 @@
 type Proxy struct {
 	address string
 	server  string
+	// reserved is the descriptor of a socket that has the port but does not listen. Without it another
+	// process may get the port while new connections are refused.
+	reserved int
 
 	mu sync.Mutex
+	// partition is the current partition; zero if there is none.
+	partition Partition
 	// listener is nil while new connections are refused.
 	listener *net.TCPListener
 	// restores end the dropping of packets.
@@ -57,11 +64,16 @@
 
 // Start starts a proxy that accepts connections on a free port of the loopback interface.
 func Start(server string) (*Proxy, error) {
-	listener, err := listen("127.0.0.1:0")
+	reserved, address, err := reservePort()
 	if err != nil {
+		return nil, merry.Prepend(err, "reserve the proxy's port")
+	}
+	listener, err := listen(address)
+	if err != nil {
+		_ = unix.Close(reserved) // it was never used
 		return nil, err
 	}
-	p := &Proxy{address: listener.Addr().String(), listener: listener, server: server, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
+	p := &Proxy{address: address, reserved: reserved, listener: listener, server: server, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
 	go p.acceptLoop(p.listener)
 	return p, nil
 }
@@ -89,6 +101,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.partition = kind
 	if kind != PartitionSilent {
 		closing := p.listener
 		p.listener = nil
@@ -100,13 +113,18 @@
 	}
 	p.restores = append(p.restores, restore)
 	for pair := range p.pairs {
-		if restore, err := blackhole.Drop(pair.client); err == nil { // the client may have closed it
-			p.restores = append(p.restores, restore)
-		}
+		p.silence(pair)
 	}
 	return nil
 }
 
+// silence drops the packets of a connection until Heal. The caller holds mu.
+func (p *Proxy) silence(pair *connPair) {
+	if restore, err := blackhole.Drop(pair.client); err == nil { // the client may have closed it
+		p.restores = append(p.restores, restore)
+	}
+}
+
 // Heal ends a partition.
 func (p *Proxy) Heal() error {
 	p.mu.Lock()
@@ -114,7 +132,7 @@
 	for _, restore := range p.restores {
 		_ = restore() // the connection may have been closed
 	}
-	p.restores = nil
+	p.restores, p.partition = nil, 0
 	if p.listener != nil || p.closed {
 		return nil
 	}
@@ -127,6 +145,36 @@
 	return nil
 }
 
+// reservePort returns a socket that has a free port of the loopback interface and does not listen, and its
+// address. While it is open, listeners that reuse addresses, as those of package net do, can be opened and
+// closed at the port. The kernel gives it to nobody who asks for a free one.
+func reservePort() (socket int, address string, err error) {
+	socket, err = unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, "", err
+	}
+	bound, err := bindFreePort(socket)
+	if err != nil {
+		_ = unix.Close(socket) // it was never used
+		return 0, "", err
+	}
+	return socket, netip.AddrPortFrom(netip.AddrFrom4(bound.Addr), uint16(bound.Port)).String(), nil
+}
+
+func bindFreePort(socket int) (*unix.SockaddrInet4, error) {
+	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return nil, err
+	}
+	if err := unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return nil, err
+	}
+	bound, err := unix.Getsockname(socket)
+	if err != nil {
+		return nil, err
+	}
+	return bound.(*unix.SockaddrInet4), nil
+}
+
 // listen opens a listener without Multipath TCP, whose sockets accept no filters.
 func listen(address string) (*net.TCPListener, error) {
 	cfg := net.ListenConfig{}
@@ -177,6 +225,9 @@
 	if p.listener != nil {
 		_ = p.listener.Close() // an error leaves nothing else to do
 	}
+	if !p.closed {
+		_ = unix.Close(p.reserved)
+	}
 	p.closed = true
 	p.notifyChange()
 	p.mu.Unlock()
@@ -213,9 +264,7 @@
 		return
 	}
 	conns := &connPair{client: client, server: server.(*net.TCPConn)}
-	p.mu.Lock()
-	p.pairs[conns] = true
-	p.mu.Unlock()
+	p.add(conns)
 	var directions sync.WaitGroup
 	directions.Go(func() { p.forward(conns, conns.client, conns.server, true) })
 	directions.Go(func() { p.forward(conns, conns.server, conns.client, false) })
@@ -225,6 +274,19 @@
 	p.mu.Unlock()
 }
 
+// add adds a connection, to which the current partition applies if it was accepted before.
+func (p *Proxy) add(conns *connPair) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pairs[conns] = true
+	switch {
+	case p.closed, p.partition == PartitionReset:
+		conns.reset()
+	case p.partition == PartitionSilent:
+		p.silence(conns)
+	}
+}
+
 // forward copies bytes in one direction. The end of one direction closes the whole connection, since
 // the processes of these tests never half-close connections.
 func (p *Proxy) forward(conns *connPair, from io.Reader, to io.Writer, toServer bool) {
