reservedport: servers of tests that stop listening keep their ports

Seen: by reading, after the faults of routed (two servers at one address) and of faultproxy (the address in use). Stand-ins that crash and start again, engines that are gone in package dispatch, and servers of package routed that are closed in a test each gave up a port that the test uses afterwards. Cause: the kernel gives a closed port to the next socket that asks for one, of any test of the machine. Change: package reservedport reserves a port until the end of the test, as faultproxy did; all of these use it. Nobody answers in place of a closed server, and a server starts again at its address. Assertions are unchanged.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -21,10 +21,16 @@
 func newCrashingServer(t *testing.T, name string) *config.BackendServer {
 	t.Helper()
 	var server *httptest.Server
-	server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	server = httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		_ = server.Listener.Close()
 		panic(http.ErrAbortHandler)
 	}))
+	_ = server.Listener.Close() // it was never used
+	var err error
+	if server.Listener, err = reservePort(t).Listen(); err != nil {
+		t.Fatal(err)
+	}
+	server.Start()
 	t.Cleanup(server.Close)
 	return &config.BackendServer{Name: name, Address: server.Listener.Addr().String()}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 	"github.com/cometlock/cometlock/internal/dispatch"
 	"github.com/cometlock/cometlock/internal/engine"
 	"github.com/cometlock/cometlock/internal/flow"
+	"github.com/cometlock/cometlock/internal/reservedport"
 	"github.com/cometlock/cometlock/internal/retrybudget"
 )
 
@@ -23,6 +24,17 @@
 	drops   = "drops"   // accepts the run and closes the connection
 )
 
+// reservePort reserves a port until the end of the test.
+func reservePort(t *testing.T) *reservedport.Port {
+	t.Helper()
+	port, err := reservedport.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(port.Close)
+	return port
+}
+
 func newServer(t *testing.T, behaviour string) *config.BackendServer {
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		switch {
@@ -36,11 +48,11 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	server := httptest.NewServer(http.HandlerFunc(handler))
-	t.Cleanup(server.Close)
 	if behaviour == gone {
-		server.Close()
+		return &config.BackendServer{Name: behaviour, Address: reservePort(t).Address()}
 	}
+	server := httptest.NewServer(http.HandlerFunc(handler))
+	t.Cleanup(server.Close)
 	return &config.BackendServer{Name: behaviour, Address: server.Listener.Addr().String()}
 }
 
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -4,17 +4,13 @@
 package faultproxy
 
 import (
-	"context"
 	"io"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-	"golang.org/x/sys/unix"
-
 	"github.com/cometlock/cometlock/internal/blackhole"
+	"github.com/cometlock/cometlock/internal/reservedport"
 )
 
 // Link is the state of the link that the proxy simulates.
@@ -28,11 +24,8 @@
 
 // Proxy forwards connections to one server.
 type Proxy struct {
-	address string
-	server  string
-	// reserved is the descriptor of a socket that has the port but does not listen. Without it another
-	// process may get the port while new connections are refused.
-	reserved int
+	port   *reservedport.Port
+	server string
 
 	mu sync.Mutex
 	// partition is the current partition; zero if there is none.
@@ -64,22 +57,22 @@
 
 // Start starts a proxy that accepts connections on a free port of the loopback interface.
 func Start(server string) (*Proxy, error) {
-	reserved, address, err := reservePort()
+	port, err := reservedport.New()
 	if err != nil {
-		return nil, merry.Prepend(err, "reserve the proxy's port")
+		return nil, err
 	}
-	listener, err := listen(address)
+	listener, err := port.Listen()
 	if err != nil {
-		_ = unix.Close(reserved) // it was never used
+		port.Close()
 		return nil, err
 	}
-	p := &Proxy{address: address, reserved: reserved, listener: listener, server: server, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
+	p := &Proxy{port: port, listener: listener, server: server, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
 	go p.acceptLoop(p.listener)
 	return p, nil
 }
 
 // Address returns the address that clients connect to.
-func (p *Proxy) Address() string { return p.address }
+func (p *Proxy) Address() string { return p.port.Address() }
 
 // Partition is how clients are partitioned from the server.
 type Partition uint8
@@ -136,7 +129,7 @@
 	if p.listener != nil || p.closed {
 		return nil
 	}
-	listener, err := listen(p.address)
+	listener, err := p.port.Listen()
 	if err != nil {
 		return err
 	}
@@ -145,47 +138,6 @@
 	return nil
 }
 
-// reservePort returns a socket that has a free port of the loopback interface and does not listen, and its
-// address. While it is open, listeners that reuse addresses, as those of package net do, can be opened and
-// closed at the port. The kernel gives it to nobody who asks for a free one.
-func reservePort() (socket int, address string, err error) {
-	socket, err = unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return 0, "", err
-	}
-	bound, err := bindFreePort(socket)
-	if err != nil {
-		_ = unix.Close(socket) // it was never used
-		return 0, "", err
-	}
-	return socket, netip.AddrPortFrom(netip.AddrFrom4(bound.Addr), uint16(bound.Port)).String(), nil
-}
-
-func bindFreePort(socket int) (*unix.SockaddrInet4, error) {
-	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
-		return nil, err
-	}
-	if err := unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		return nil, err
-	}
-	bound, err := unix.Getsockname(socket)
-	if err != nil {
-		return nil, err
-	}
-	return bound.(*unix.SockaddrInet4), nil
-}
-
-// listen opens a listener without Multipath TCP, whose sockets accept no filters.
-func listen(address string) (*net.TCPListener, error) {
-	cfg := net.ListenConfig{}
-	cfg.SetMultipathTCP(false)
-	listener, err := cfg.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, merry.Prepend(err, "open the proxy's port")
-	}
-	return listener.(*net.TCPListener), nil
-}
-
 // SetLink changes the state of the link.
 func (p *Proxy) SetLink(link Link) {
 	p.mu.Lock()
@@ -225,9 +177,7 @@
 	if p.listener != nil {
 		_ = p.listener.Close() // an error leaves nothing else to do
 	}
-	if !p.closed {
-		_ = unix.Close(p.reserved)
-	}
+	p.port.Close()
 	p.closed = true
 	p.notifyChange()
 	p.mu.Unlock()
--- a/internal/faultproxy/partition_test.go
+++ b/internal/faultproxy/partition_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/reservedport"
 )
 
 // startServer starts a server that sends a byte on each connection, and returns its address.
@@ -80,7 +82,10 @@
 			proxy, err := Start(echo.Addr().String())
 			g.Expect(err).NotTo(HaveOccurred())
 			defer proxy.Close()
-			accepting, err := listen("127.0.0.1:0")
+			port, err := reservedport.New()
+			g.Expect(err).NotTo(HaveOccurred())
+			defer port.Close()
+			accepting, err := port.Listen()
 			g.Expect(err).NotTo(HaveOccurred())
 			defer accepting.Close()
 			client, err := net.Dial("tcp", accepting.Addr().String())
--- a/internal/routed/deployment_test.go
+++ b/internal/routed/deployment_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/reservedport"
 	"github.com/cometlock/cometlock/internal/retrybudget"
 	"github.com/cometlock/cometlock/internal/routed"
 )
@@ -107,6 +109,19 @@
 
 var serverNames = []string{"shop-1", "shop-2", "shop-new", "engine-1", "engine-2"}
 
+// listenAtReservedPort replaces a listener by one whose port refuses connections once it is closed, until the
+// end of the test.
+func listenAtReservedPort(t *testing.T, g *WithT, unused net.Listener) net.Listener {
+	t.Helper()
+	g.Expect(unused.Close()).To(Succeed())
+	port, err := reservedport.New()
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(port.Close)
+	listener, err := port.Listen()
+	g.Expect(err).NotTo(HaveOccurred())
+	return listener
+}
+
 func startDeployment(t *testing.T, g *WithT) *deployment {
 	t.Helper()
 	s := &deployment{servers: map[string]*server{}}
@@ -114,6 +129,7 @@
 		fake := &server{name: name}
 		fake.http = httptest.NewUnstartedServer(fake)
 		fake.http.Config.DisableGeneralOptionsHandler = true // an unresponsive server answers no OPTIONS request
+		fake.http.Listener = listenAtReservedPort(t, g, fake.http.Listener)
 		fake.http.Start()
 		t.Cleanup(fake.http.Close)
 		s.servers[name] = fake
