--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -4,15 +4,13 @@
 package faultproxy
 
 import (
-	"context"
 	"io"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/cometlock/cometlock/internal/blackhole"
+	"github.com/cometlock/cometlock/internal/reservedport"
 )
 
 // Link is the state of the link that the proxy simulates.
@@ -26,10 +24,12 @@
 
 // Proxy forwards connections to one server.
 type Proxy struct {
-	address string
-	server  string
+	port   *reservedport.Port
+	server string
 
 	mu sync.Mutex
+	// partition is the current partition; zero if there is none.
+	partition Partition
 	// listener is nil while new connections are refused.
 	listener *net.TCPListener
 	// restores end the dropping of packets.
@@ -57,17 +57,22 @@
 
 // Start starts a proxy that accepts connections on a free port of the loopback interface.
 func Start(server string) (*Proxy, error) {
-	listener, err := listen("127.0.0.1:0")
+	port, err := reservedport.New()
+	if err != nil {
+		return nil, err
+	}
+	listener, err := port.Listen()
 	if err != nil {
+		port.Close()
 		return nil, err
 	}
-	p := &Proxy{address: listener.Addr().String(), listener: listener, server: server, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
+	p := &Proxy{port: port, listener: listener, server: server, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
 	go p.acceptLoop(p.listener)
 	return p, nil
 }
 
 // Address returns the address that clients connect to.
-func (p *Proxy) Address() string { return p.address }
+func (p *Proxy) Address() string { return p.port.Address() }
 
 // Partition is how clients are partitioned from the server.
 type Partition uint8
@@ -89,6 +94,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.partition = kind
 	if kind != PartitionSilent {
 		closing := p.listener
 		p.listener = nil
@@ -100,13 +106,18 @@
 	}
 	p.restores = append(p.restores, restore)
 	for pair := range p.pairs {
-		if restore, err := blackhole.Drop(pair.client); err == nil { // the client may have closed it
-			p.restores = append(p.restores, restore)
-		}
+		p.silence(pair)
 	}
 	return nil
 }
 
+// silence drops the packets of a connection until Heal. The caller holds mu.
+func (p *Proxy) silence(pair *connPair) {
+	if restore, err := blackhole.Drop(pair.client); err == nil { // the client may have closed it
+		p.restores = append(p.restores, restore)
+	}
+}
+
 // Heal ends a partition.
 func (p *Proxy) Heal() error {
 	p.mu.Lock()
@@ -114,11 +125,11 @@
 	for _, restore := range p.restores {
 		_ = restore() // the connection may have been closed
 	}
-	p.restores = nil
+	p.restores, p.partition = nil, 0
 	if p.listener != nil || p.closed {
 		return nil
 	}
-	listener, err := listen(p.address)
+	listener, err := p.port.Listen()
 	if err != nil {
 		return err
 	}
@@ -127,17 +138,6 @@
 	return nil
 }
 
-// listen opens a listener without Multipath TCP, whose sockets accept no filters.
-func listen(address string) (*net.TCPListener, error) {
-	cfg := net.ListenConfig{}
-	cfg.SetMultipathTCP(false)
-	listener, err := cfg.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, merry.Prepend(err, "open the proxy's port")
-	}
-	return listener.(*net.TCPListener), nil
-}
-
 // SetLink changes the state of the link.
 func (p *Proxy) SetLink(link Link) {
 	p.mu.Lock()
@@ -177,6 +177,7 @@
 	if p.listener != nil {
 		_ = p.listener.Close() // an error leaves nothing else to do
 	}
+	p.port.Close()
 	p.closed = true
 	p.notifyChange()
 	p.mu.Unlock()
@@ -213,9 +214,7 @@
 		return
 	}
 	conns := &connPair{client: client, server: server.(*net.TCPConn)}
-	p.mu.Lock()
-	p.pairs[conns] = true
-	p.mu.Unlock()
+	p.add(conns)
 	var directions sync.WaitGroup
 	directions.Go(func() { p.forward(conns, conns.client, conns.server, true) })
 	directions.Go(func() { p.forward(conns, conns.server, conns.client, false) })
@@ -225,6 +224,19 @@
 	p.mu.Unlock()
 }
 
+// add adds a connection, to which the current partition applies if it was accepted before.
+func (p *Proxy) add(conns *connPair) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pairs[conns] = true
+	switch {
+	case p.closed, p.partition == PartitionReset:
+		conns.reset()
+	case p.partition == PartitionSilent:
+		p.silence(conns)
+	}
+}
+
 // forward copies bytes in one direction. The end of one direction closes the whole connection, since
 // the processes of these tests never half-close connections.
 func (p *Proxy) forward(conns *connPair, from io.Reader, to io.Writer, toServer bool) {
