gateway: a call that its server fails continues at its hedge

What callers saw: a call whose server was unresponsive for a moment and then answered with an error got that error, or a 502, although another server had the call already and would have served it.

Cause: a lost or refused attempt continues at the hedge that is in progress. An error response, and a stream that ends without an event and without a stated length, did not: each counted as the complete response, which cancels the hedge. The cancelled hedge counts as a server, so a route of two servers allowed no further one.

Change: the hedge is cancelled only by a response that the caller gets. After an error response, before the deadline, the call continues at the hedge's server, as after a lost attempt; the error response is kept and delivered if that server fails too. The same applies to an error response that is passed on for lack of memory, of which nothing has been sent then.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -32,8 +32,8 @@
 	if !complete {
 		return a.passOn(response, &buffered.body)
 	}
-	a.watch.responseReceived()
 	if response.Status < http.StatusInternalServerError {
+		a.watch.responseReceived()
 		a.recordServed(response.Status)
 		x.writeResponse(buffered)
 		return stepDone
@@ -41,10 +41,22 @@
 	a.release(fleet.OutcomeFailed)
 	a.log("server_failed", strconv.Itoa(response.Status))
 	x.setServerFailure(buffered)
-	if x.mayRetry() {
+	step := a.afterServerFailure()
+	if step == stepDone {
+		a.gateway.endCall(x, "server_failed", 0)
+	}
+	return step
+}
+
+// afterServerFailure returns how a call continues after a server's error response: at the server of a
+// hedge that is in progress, at another one, or not at all.
+func (a *attempt) afterServerFailure() nextStep {
+	if boottime.Now().Before(a.x.deadline) && a.watch.switchToHedge() {
+		return stepSwitched
+	}
+	if a.x.mayRetry() {
 		return stepNextServer
 	}
-	a.gateway.endCall(x, "server_failed", 0)
 	return stepDone
 }
 
@@ -88,11 +100,13 @@
 // No other server can be tried from here on, except after an error response.
 func (a *attempt) passOn(response *handover.Response, read *pieces) nextStep {
 	x := a.x
-	if response.Status >= http.StatusInternalServerError && x.mayRetry() {
-		read.drop(x.memory)
-		a.release(fleet.OutcomeFailed)
-		a.log("server_failed", strconv.Itoa(response.Status))
-		return stepNextServer
+	if response.Status >= http.StatusInternalServerError {
+		if step := a.afterServerFailure(); step != stepDone {
+			read.drop(x.memory)
+			a.release(fleet.OutcomeFailed)
+			a.log("server_failed", strconv.Itoa(response.Status))
+			return step
+		}
 	}
 	if _, accepted := a.watch.eventReceived(""); !accepted {
 		read.drop(x.memory)
@@ -144,7 +158,6 @@
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			a.watch.responseReceived()
 			return a.finishStream(response)
 		}
 		if err != nil {
@@ -247,6 +260,7 @@
 	if a.x.eventsSent == 0 && !response.Framed() {
 		return a.handleLost("stream_empty", fleet.OutcomeFailed)
 	}
+	a.watch.responseReceived()
 	a.writeStreamHeader(response)
 	a.release(fleet.OutcomeServed)
 	a.gateway.cfg.Quarantine.NoteServed(a.x.fingerprint)
