api: no response waits without a limit for a body that is not used

What callers saw, on cometlockd only: a caller that had stopped within its body got no response where the box needs no body: refused calls of plain services, also those that no server can take, refusals by an organisation's limit on routes, unknown paths and methods, and the paths that take no body.

Cause: net/http reads what a handler has left of a body before it sends the response, without a time limit, since the server has no read timeout. The gateway bounds that by the call's deadline; here only model requests and new responses did (drain).

Change: all these read the rest of the body first, up to 64 KiB and a second, as the others did. Once the body has been read to its end, its deadline is taken off again: net/http reads in the background from then on, and a deadline that passes there cancels the contexts of all further requests of the connection. Without a body, none is set.

--- a/internal/api/accept.go
+++ b/internal/api/accept.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
 
 	"github.com/cometlock/cometlock/internal/apierror"
 	"github.com/cometlock/cometlock/internal/config"
@@ -227,15 +228,43 @@
 	}
 }
 
-// drainTimeout bounds the time for reading the rest of the body of a rejected request.
-const drainTimeout = time.Second
+const (
+	// drainTimeout bounds the time for reading a body that is not used.
+	drainTimeout = time.Second
+	// maxDrainedBytes bounds what is read of such a body.
+	maxDrainedBytes = 64 << 10
+)
 
-// drain reads and discards the rest of the body of a rejected request, up to 64 KiB and drainTimeout,
-// so that the caller receives the error response. The read deadline remains set: a caller that has
-// stopped sending must not keep the connection open after the response either.
+// drain is DrainBody for a server whose callers have less time.
 func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
-	deadline := time.Now().Add(min(drainTimeout, s.bodyTimeout))
+	drainBody(w, r, min(drainTimeout, s.bodyTimeout))
+}
+
+// DrainBody reads and discards the rest of a body that is not used, up to 64 KiB and a second. net/http reads
+// such a body before it sends the response: without a bound the caller would get none while it stops within
+// the body, and if the body was not read, the caller might get a reset in place of the response.
+func DrainBody(w http.ResponseWriter, r *http.Request) { drainBody(w, r, drainTimeout) }
+
+func drainBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) {
+	if r.ContentLength == 0 {
+		return
+	}
+	controller := http.NewResponseController(w)
 	// Only the response writers of tests do not support deadlines.
-	_ = http.NewResponseController(w).SetReadDeadline(deadline)
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, 64<<10))
+	_ = controller.SetReadDeadline(time.Now().Add(timeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainedBytes))
+	if err == nil && n < maxDrainedBytes {
+		// net/http reads in the background after the end of the body. A deadline that passes then would
+		// cancel the contexts of all further requests of the connection. Otherwise the deadline remains:
+		// a caller that has stopped sending must not keep the connection open after the response either.
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+}
+
+// dropBody is the middleware of paths that use no body.
+func (s *Server) dropBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		s.drain(c.Response(), c.Request())
+		return next(c)
+	}
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -85,23 +85,23 @@
 func (s *Server) Handler() http.Handler {
 	router := echo.New()
 	router.HideBanner, router.HidePort = true, true
-	router.HTTPErrorHandler = handleRouteError
+	router.HTTPErrorHandler = s.handleRouteError
 	router.POST("/v1/chat/completions", s.serveChat)
 	router.POST("/v1/completions", s.serveCompletion)
-	router.GET("/v1/models", s.serveModels)
-	router.GET("/v1/answers/:id", s.serveAnswer)
-	router.DELETE("/v1/answers/:id", s.serveCancelAnswer)
+	router.GET("/v1/models", s.serveModels, s.dropBody)
+	router.GET("/v1/answers/:id", s.serveAnswer, s.dropBody)
+	router.DELETE("/v1/answers/:id", s.serveCancelAnswer, s.dropBody)
 	router.POST("/v1/responses", s.serveCreateResponse)
-	router.GET("/v1/responses/:id", s.serveGetResponse)
-	router.POST("/v1/responses/:id/cancel", s.serveCancelResponse)
-	router.DELETE("/v1/responses/:id", s.serveDeleteResponse)
+	router.GET("/v1/responses/:id", s.serveGetResponse, s.dropBody)
+	router.POST("/v1/responses/:id/cancel", s.serveCancelResponse, s.dropBody)
+	router.DELETE("/v1/responses/:id", s.serveDeleteResponse, s.dropBody)
 	router.Any("/services/:name", s.serveService)
 	router.Any("/services/:name/*", s.serveService)
 	return router
 }
 
 // handleRouteError responds to a request that matches no route.
-func handleRouteError(err error, c echo.Context) {
+func (s *Server) handleRouteError(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
 	}
@@ -110,5 +110,6 @@
 		refusal = apierror.BadRequest("method_not_allowed", "this path does not take %s", c.Request().Method)
 		refusal.Status = http.StatusMethodNotAllowed
 	}
+	s.drain(c.Response(), c.Request())
 	WriteError(c.Response(), refusal)
 }
--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -53,6 +53,7 @@
 		refusal = s.pipeline.Run(request)
 	}
 	if refusal != nil {
+		s.drain(w, r)
 		s.refuse(w, request, refusal)
 		return nil
 	}
@@ -63,7 +64,7 @@
 	case replay != nil:
 		s.replay(w, request, *replay)
 	default:
-		s.runService(w, call, claimed)
+		s.runService(w, r, call, claimed)
 	}
 	return nil
 }
@@ -111,10 +112,11 @@
 }
 
 // runService sends a call to a server of the service and the response back to the caller.
-func (s *Server) runService(w http.ResponseWriter, call *serviceCall, claimed *claimedRun) {
+func (s *Server) runService(w http.ResponseWriter, r *http.Request, call *serviceCall, claimed *claimedRun) {
 	response, failure := s.callService(call)
 	if failure != nil {
 		claimed.finish(failure, claim.StoredResponse{})
+		s.drain(w, r)
 		s.refuse(w, call.request, failure)
 		return
 	}
--- a/internal/routed/limit_test.go
+++ b/internal/routed/limit_test.go
@@ -1,7 +1,10 @@
 package routed_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -45,3 +48,24 @@
 	pending.Wait()
 	g.Expect(s.send("POST", "shop.example", "/charges/1", "").body).To(Equal("done"))
 }
+
+// A refusal by the limit waited without a time limit for a caller that had stopped within its body.
+func TestARefusalByTheLimitDoesNotWaitForTheBody(t *testing.T) {
+	g := NewWithT(t)
+	s := startDeployment(t, g)
+	s.configure(g, func(file *config.File) {
+		for i := range file.Organisations {
+			file.Organisations[i].MaxInFlight = 0
+		}
+	})
+	connection, err := net.Dial("tcp", s.front.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer connection.Close()
+	_, err = io.WriteString(connection, "POST / HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer key\r\nContent-Length: 100\r\n\r\npart")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(connection.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	g.Expect(response.StatusCode).To(Equal(http.StatusTooManyRequests))
+}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -144,6 +144,7 @@
 	release, refusal := r.admit(request.Header)
 	if refusal != nil {
 		r.cfg.Logger.Warn().Str("request", id).Str("reason", refusal.Code).Str("detail", refusal.Message).Msg("call_refused")
+		api.DrainBody(w, request)
 		api.WriteError(w, refusal)
 		return
 	}
