api: the stream of a deleted review ends with an error event

Its caller got keep-alive comments without a pause between them, as fast as it read them, and the box spent a processor on it.

Cause: awaitEnd cancels the context of a wait and only then checks whether it has ended, so every error counted as the end of the keep-alive interval, also that of a review that no longer exists. If the caller closed only its own direction, the stream ended as if it were complete.

Change: only the end of the interval continues the wait. Any other error ends the stream with an error event, as a failed read of the answer did already.

--- a/internal/api/responsestream.go
+++ b/internal/api/responsestream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -69,30 +70,30 @@
 	created := newResponse(queued, nil)
 	writer.send(responseEvent{Type: "response.created", Response: &created})
 	writer.send(responseEvent{Type: "response.in_progress", Response: &created})
-	ended, ok := s.awaitEnd(r.Context(), writer, current)
-	if !ok {
-		return
+	ended, err := s.awaitEnd(r.Context(), writer, current)
+	var answer []byte
+	if err == nil {
+		answer, err = s.completedAnswer(r.Context(), ended)
 	}
-	answer, err := s.completedAnswer(r.Context(), ended)
-	if err != nil {
-		writer.sink.headerSent = true
-		writer.sink.fail(reviewRefusal(err))
-		return
+	switch {
+	case err == nil:
+		writer.sendEnd(newResponse(ended, answer))
+	case r.Context().Err() != nil:
+		writer.fail(flow.CallerGone()) // the caller may have closed only its own direction
+	default:
+		writer.fail(reviewRefusal(err))
 	}
-	writer.sendEnd(newResponse(ended, answer))
 }
 
-// awaitEnd waits for a review to end and sends keep-alive comments to the caller meanwhile.
-func (s *Server) awaitEnd(ctx context.Context, writer *eventWriter, current review.Review) (review.Review, bool) {
+// awaitEnd waits for a review to end and sends keep-alive comments to the caller meanwhile. It returns an
+// error if the caller has disconnected, or if the review was deleted.
+func (s *Server) awaitEnd(ctx context.Context, writer *eventWriter, current review.Review) (review.Review, error) {
 	for {
 		waitCtx, cancel := context.WithTimeout(ctx, keepAliveInterval)
 		ended, err := s.reviews.AwaitEnd(waitCtx, current.Meta.Organisation, current.Meta.ID)
 		cancel()
-		if err == nil {
-			return ended, true
-		}
-		if ctx.Err() != nil || waitCtx.Err() == nil {
-			return current, false // the caller disconnected, or the review was deleted
+		if !errors.Is(err, context.DeadlineExceeded) {
+			return ended, err
 		}
 		writer.keepAlive()
 	}
@@ -134,6 +135,12 @@
 	}
 }
 
+// fail ends the stream with an error event.
+func (e *eventWriter) fail(failure *apierror.Error) {
+	e.sink.headerSent = true
+	e.sink.fail(failure)
+}
+
 // sendEnd writes the events with the answer and the final event.
 func (e *eventWriter) sendEnd(ended response) {
 	for i := range ended.Output {
--- a/internal/e2e/reviews_test.go
+++ b/internal/e2e/reviews_test.go
@@ -142,6 +142,24 @@
 		Expect(do(fleet.Box(0), testfleet.Call{Path: reviewsPath + "/" + id}).Status).To(Equal(http.StatusNotFound))
 	})
 
+	// The stream did not end: the box sent keep-alive comments to its caller, without a pause between them.
+	It("ends its streams with an error when it is deleted", func() {
+		fleet := start(testfleet.Config{Engine: fakeengine.Config{DecodeInterval: time.Second}})
+		id := readReview(do(fleet.Box(0), newReview("A long brief", nil))).ID
+		streamed := make(chan testfleet.Response, 1)
+		go func() {
+			defer GinkgoRecover()
+			streamed <- do(fleet.Box(0), testfleet.Call{Path: reviewsPath + "/" + id + "?stream=true"})
+		}()
+		Eventually(func() int { total, _ := startCounts(fleet); return total }, "20s", "5ms").Should(Equal(1))
+		Consistently(streamed, "200ms").ShouldNot(Receive())
+		Expect(do(fleet.Box(0), testfleet.Call{Path: reviewsPath + "/" + id, Method: http.MethodDelete}).Status).To(Equal(http.StatusOK))
+		var got testfleet.Response
+		Eventually(streamed, "10s").Should(Receive(&got))
+		events := testfleet.EventData(got.Body)
+		Expect(events[len(events)-1]).To(ContainSubstring("response_not_found"), got.Body)
+	})
+
 	It("that will miss its deadline is reported as at risk before", func() {
 		fleet := start(testfleet.Config{Zones: []string{"zone-a"}, Engine: fakeengine.Config{Faults: fakeengine.Faults{RejectStatus: http.StatusServiceUnavailable}}})
 		deadline := 3 * time.Second
