gateway: a HEAD request gets its server's response

What callers saw: a HEAD request to a path that serves a stream got a 502 and ran at each server that its route allows; to any other path, its response stated a length of 0.

Cause: the response to HEAD has headers only. With the type of a stream and no length it looked like a stream that was cut before its first event, which counts as lost; otherwise the length of the body that was read replaced that of the server.

Evidence: both rows of TestAHeadRequestGetsItsServersResponse failed before the change.

Change: the response to HEAD is never read as a stream, and its stated length is passed on.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,7 +97,7 @@
 	if !info.Genuine {
 		return a.handleLost("answer_not_genuine", fleet.OutcomeFailed)
 	}
-	if isEventStream(response) {
+	if isEventStream(response) && !a.x.isHead() {
 		return a.relayStream(response)
 	}
 	if a.x.responseStarted {
@@ -152,6 +152,9 @@
 	return response.Status/100 == 2 && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 }
 
+// isHead reports whether the call's response has headers only.
+func (x *exchange) isHead() bool { return x.request.Method == http.MethodHead }
+
 func (a *attempt) buildRequest() handover.Request {
 	if a.peer() != nil {
 		return a.buildForward()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,7 +23,11 @@
 func (a *attempt) relayBuffered(response *handover.Response) nextStep {
 	x := a.x
 	buffered := &bufferedResponse{status: response.Status, header: a.responseHeaders(response)}
-	complete, err := buffered.body.read(response.Body, response.Length(), x.memory)
+	length := response.Length()
+	if x.isHead() {
+		buffered.statedLength, length = length, 0
+	}
+	complete, err := buffered.body.read(response.Body, length, x.memory)
 	if err != nil {
 		buffered.body.drop(x.memory)
 		a.watch.noteConnError(err)
@@ -74,6 +78,9 @@
 	status int
 	header http.Header
 	body   pieces
+	// statedLength is the length that the response to a HEAD request states for the body that it does not
+	// have, or -1.
+	statedLength int64
 }
 
 // setServerFailure replaces the error response that the caller gets unless another server succeeds.
@@ -91,7 +98,13 @@
 		x.writer.Header()[name] = values
 	}
 	x.setForwardReached()
-	x.writer.Header().Set("Content-Length", strconv.Itoa(response.body.size))
+	length := int64(response.body.size)
+	if x.isHead() {
+		length = response.statedLength
+	}
+	if length >= 0 {
+		x.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	x.writer.WriteHeader(response.status)
 	response.body.writeTo(x.writer, x.memory)
 }
