engine: a run is resumed for at least a second

What callers saw, on cometlockd only: a stream ended with answer_lost, and a request that must run once with a 502, if new connections to the engine failed at once for as little as 0.4 s, as in a partition that resets them, although the engine still worked on the run. A repeatable request was run a second time.

Cause: ResumeWithRetry states one to two seconds, but with the default factor of the backoff package (1.5) its five delays of 20 ms and more add up to 0.13 to 0.39 s.

Change: the delays grow by a factor of 3, with a jitter of a fifth, and add up to 1.0 to 1.5 s. What it costs: a repeatable request without a chunk whose engine has crashed, and refuses connections, is run elsewhere about a second later. An engine that has restarted has no such run, which ends the attempts at once as before.

--- a/internal/engine/resume.go
+++ b/internal/engine/resume.go
@@ -14,6 +14,10 @@
 	MaxResumeAttempts  = 6
 	initialResumeDelay = 20 * time.Millisecond
 	maxResumeDelay     = 500 * time.Millisecond
+	// resumeDelayFactor and resumeDelayJitter make the delays of all attempts add up to 1.0 to 1.5 s; with the
+	// defaults of package backoff it is a third of a second.
+	resumeDelayFactor = 3
+	resumeDelayJitter = 0.2
 )
 
 // ResumeWithRetry resumes a run after a chunk, and retries with exponential backoff for one
@@ -23,6 +27,8 @@
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = initialResumeDelay
 	waits.MaxInterval = maxResumeDelay
+	waits.Multiplier = resumeDelayFactor
+	waits.RandomizationFactor = resumeDelayJitter
 	return backoff.Retry(ctx, func() (*Stream, error) {
 		stream, err := c.Resume(ctx, address, run, after)
 		if errors.Is(err, ErrUnknownRun) || errors.Is(err, ErrWrongWeights) {
