entrybox: calls that outlast the stop of their box get an answer

What callers saw: when the time of a box to stop was over, the connections of all calls in flight were closed. A call that waited for capacity got no refusal, although it had not run and could not run any more; one at a server got no answer. A caller may send a call that must run once again only after a refusal.

Cause: half a second before the end of its time the box gave up waiting for its calls and let the process end, without ending the calls themselves.

In a process, its exit resets their connections.

Change: the box then cancels the calls, as it does when a machine resumes from a suspension, and waits up to 0.2 s until they have their responses: a refusal for those that no server has, a 502 for others. A stream of which its caller has a part is cut as before. No other server is tried, and the servers do not count as failed. A refusal of a forwarded call by such a box does not end the search for another box.

Not covered: calls whose body is still being read, and cometlockd, whose time to stop is ten minutes by default.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -359,6 +359,19 @@
 // stopMargin is how long before the stop timeout the calls still in flight are cut off.
 const stopMargin = 500 * time.Millisecond
 
+// abortTimeout is the time that the calls in flight have for an error response when they are aborted.
+const abortTimeout = 200 * time.Millisecond
+
+// abortCalls ends the calls that outlast the stop, and waits until their callers have a response.
+func (b *Box) abortCalls() {
+	b.gateway.CancelAll()
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	if err := b.shutDownCalls(ctx); err != nil {
+		b.logger.Error().Int64("calls", b.gateway.InFlight()).Str("error", err.Error()).Msg("calls_not_ended")
+	}
+}
+
 // shutDown performs a planned stop: it reports unready, accepts calls for UnreadyDelay, finishes
 // the calls in flight, and then stops the loops.
 func (b *Box) shutDown() error {
@@ -371,6 +384,7 @@
 	err := b.shutDownCalls(ctx)
 	if err != nil {
 		b.logger.Error().Int64("calls", b.gateway.InFlight()).Str("error", err.Error()).Msg("calls_aborted")
+		b.abortCalls()
 	}
 	b.stop()
 	_ = b.readyServer.Close() // a readiness poll may be cut off
--- a/internal/gateway/fallback.go
+++ b/internal/gateway/fallback.go
@@ -61,6 +61,10 @@
 // endUnplaced ends a call that no server can take. If its route allows no further server, a shortage of
 // servers is not the cause.
 func (g *Gateway) endUnplaced(x *exchange) {
+	if x.outlastsStop() {
+		g.endCall(x, reasonStopping, retryAfterBusy)
+		return
+	}
 	if x.serversReached >= x.maxServers() {
 		g.endCall(x, reasonNoServerAnswered, retryAfterBusy)
 		return
--- a/internal/gateway/forwardresult.go
+++ b/internal/gateway/forwardresult.go
@@ -93,6 +93,8 @@
 		return peerpath.Unreachable
 	case reasonForwardLimit:
 		return peerpath.Limited
+	case reasonStopping:
+		return peerpath.Failed
 	default:
 		return peerpath.Served
 	}
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -30,6 +30,9 @@
 		if x.isQuarantined() {
 			return a.handleQuarantined()
 		}
+		if x.outlastsStop() {
+			return a.handleStopping()
+		}
 		a.uncountServer()
 		a.noteUnreached()
 		a.gateway.returnRetry(x)
@@ -86,6 +89,9 @@
 	if a.x.isQuarantined() {
 		return a.handleQuarantined()
 	}
+	if a.x.outlastsStop() {
+		return a.handleStopping()
+	}
 	outOfTime := !boottime.Now().Before(a.x.deadline)
 	if outOfTime {
 		end = fleet.OutcomeFailed // the response is late, which may be due to load
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -165,7 +165,7 @@
 // return to an earlier one, and takes a retry from the budget. Until a server has received the call, the next one does not count
 // as a retry.
 func (g *Gateway) takeRetry(x *exchange) bool {
-	if !boottime.Now().Before(x.deadline) || x.request.Context().Err() != nil {
+	if !boottime.Now().Before(x.deadline) || x.request.Context().Err() != nil || x.outlastsStop() {
 		return false
 	}
 	if x.serversReached == 0 {
