gateway tests: waits for capacity by the paused clock

The failed test then waited for its own server without an end. Cause: both tests bounded a wait of 200 ms by the wall clock, at 350 and at 150 ms. The first one also took two calls in flight for two calls that have a place: a third call could get the place of the second. Change: both run in a bubble with places that the test takes itself, and need no server. The first expects exactly 200 ms, and the second no wait at all.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -113,28 +114,25 @@
 }
 
 func TestAQueuedCallIsRefusedWhenItsRequestIsQuarantined(t *testing.T) {
-	g := NewWithT(t)
-	e := newCrashGateway(g, false)
-	protocol := newPlanProtocol()
-	protocol.info.Prompt = largeMemoryPrompt()
-	e.cfg.Protocol = protocol
-	release := make(chan struct{})
-	defer close(release)
-	startRunner(t, e.fleet, "r", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
-	for range 2 { // as many as fit into its memory
-		hold := e.fleet.Choose(fleet.Query{Service: "r", Model: "m", PrefillWork: func(int) int { return 0 }, VersionCost: func(int) (float64, bool) { return 0, true }, Load: memoryQuery(40_000)})
-		g.Expect(hold).NotTo(BeNil())
-		defer hold.Done(fleet.OutcomeAbandoned)
-	}
-	responses := make(chan *httptest.ResponseRecorder, 1)
-	began := time.Now()
-	go func() { responses <- e.call() }()
-	g.Eventually(e.Waiting).Should(BeEquivalentTo(1))
-	e.recordCrashes("x", "y", "z")
-	response := <-responses
-	g.Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
-	g.Expect(response.Body.String()).To(ContainSubstring(reasonCrashesServers))
-	g.Expect(time.Since(began)).To(BeNumerically("<", 150*time.Millisecond), "before its wait deadline")
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		e := newCrashGateway(g, false)
+		protocol := newPlanProtocol()
+		protocol.info.Prompt = largeMemoryPrompt()
+		e.cfg.Protocol = protocol
+		e.fleet.Apply([]fleet.Update{{Key: "r", Offset: 1, Server: &fleet.Server{Incarnation: "r", Service: "r", Slots: 4, Weights: map[string]int{"m": 1}}}})
+		fillMemory(g, e.fleet)
+		responses := make(chan *httptest.ResponseRecorder, 1)
+		began := time.Now()
+		go func() { responses <- e.call() }()
+		synctest.Wait()
+		g.Expect(e.Waiting()).To(BeEquivalentTo(1))
+		e.recordCrashes("x", "y", "z")
+		response := <-responses
+		g.Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(response.Body.String()).To(ContainSubstring(reasonCrashesServers))
+		g.Expect(time.Since(began)).To(BeZero(), "before its wait deadline")
+	})
 }
 
 // When a server crashes, most of the calls lost with it are not the cause, and are retried at
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -60,30 +61,32 @@
 // If responses take longer than calls may wait, calls that find no capacity are refused after a fifth
 // of the objective, without having run.
 func TestACallWaitsForAFifthOfItsObjective(t *testing.T) {
-	g := NewWithT(t)
-	release := make(chan struct{})
-	f := fleet.New(fleet.Config{})
-	startRunner(t, f, "r", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		<-release
-		_, _ = w.Write([]byte("answer"))
-	}))
-	c := promptCatalog(g)
-	protocol := newPlanProtocol()
-	protocol.info.Prompt = largeMemoryPrompt()
-	gateway := promptGateway(protocol, f, emptyIndex(c), c)
-	var first sync.WaitGroup
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := fleet.New(fleet.Config{})
+		f.Apply([]fleet.Update{{Key: "r", Offset: 1, Server: &fleet.Server{Incarnation: "r", Service: "r", Slots: 4, Weights: map[string]int{"m": 1}}}})
+		c := promptCatalog(g)
+		protocol := newPlanProtocol()
+		protocol.info.Prompt = largeMemoryPrompt()
+		gateway := promptGateway(protocol, f, emptyIndex(c), c)
+		fillMemory(g, f)
+		began := time.Now()
+		recorder := httptest.NewRecorder()
+		gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+		g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(time.Since(began)).To(Equal(200*time.Millisecond), "the objective is a second")
+	})
+}
+
+// fillMemory places as many prompts at the only runner as fit into its memory, for the whole test.
+func fillMemory(g *WithT, f *fleet.Fleet) {
+	query := fleet.Query{
+		Service: "r", Model: "m", PrefillWork: func(int) int { return 0 }, VersionCost: func(int) (float64, bool) { return 0, true },
+		Load: memoryQuery(40_000),
+	}
 	for range 2 {
-		first.Go(func() { serveOne(g, gateway) })
+		g.Expect(f.Choose(query)).NotTo(BeNil())
 	}
-	g.Eventually(gateway.InFlight).Should(BeEquivalentTo(2))
-	g.Eventually(gateway.Waiting).Should(BeZero())
-	began := time.Now()
-	recorder := httptest.NewRecorder()
-	gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
-	g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
-	g.Expect(time.Since(began)).To(BeNumerically("~", 200*time.Millisecond, 150*time.Millisecond), "the objective is a second")
-	close(release)
-	first.Wait()
 }
 
 // largeMemoryPrompt is a prompt that is processed quickly, but takes 40,000 tokens of memory.
