zonereader: the last page of a view is encoded once while the view is the same

Cause: only pages that another one follows were kept, so each follower that started had the last page of each of three streams encoded for itself, one follower after the other: with 986 followers more than the 0.7 s for which a follower waits, so followers connected again and the reader worked for connections that nobody read any more.

Ruled out: keeping the last page for a time, as the others are kept. It would make a view older, and readers leave a root whose view is 0.65 s old.

Change: the last page is kept while the reader's view has the same offset and digest, and gets the age of the view when it is sent. A view with records past its offset has no digest and is encoded each time.

--- a/internal/registry/loadpage.go
+++ b/internal/registry/loadpage.go
@@ -50,9 +50,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(stream)
-	page := LoadPage{Update: StreamUpdate{
-		Stream: stream, Full: true, Next: s.next, Age: boottime.Since(s.readAt), NeverRead: s.readAt.IsZero(), Digest: s.digest(),
-	}}
+	page := LoadPage{Update: s.view(stream)}
+	page.Update.Full = true
 	if !cursor.Begun || cursor.Floor != s.deltaFloor {
 		page.Restarted = true
 		cursor = LoadCursor{Start: s.next, Floor: s.deltaFloor, Begun: true, Offset: -1}
--- a/internal/registry/updates.go
+++ b/internal/registry/updates.go
@@ -98,12 +98,30 @@
 // otherwise it reads the stream in full.
 func (r *Registry) SetReloadFromReader(reload bool) { r.reloadFromReader.Store(reload) }
 
+// View describes this box's view of a stream, without its records.
+func (r *Registry) View(stream sharedlog.Stream) StreamUpdate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state(stream).view(stream)
+}
+
+// view describes the view of a stream, without its records.
+func (s *streamState) view(stream sharedlog.Stream) StreamUpdate {
+	return StreamUpdate{Stream: stream, Next: s.next, Age: boottime.Since(s.readAt), NeverRead: s.readAt.IsZero(), Digest: s.digest()}
+}
+
+// IsSameView reports whether two updates describe views with the same records. Views with records
+// past their offset may differ.
+func (u StreamUpdate) IsSameView(other StreamUpdate) bool {
+	return u.Next == other.Next && u.Digest == other.Digest && u.Digest != noDigest
+}
+
 // UpdateSince returns this box's changes of a stream since an offset, and whether there are any.
 func (r *Registry) UpdateSince(stream sharedlog.Stream, from int64) (update StreamUpdate, hasChanges bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(stream)
-	update = StreamUpdate{Stream: stream, Next: s.next, Age: boottime.Since(s.readAt), NeverRead: s.readAt.IsZero(), Digest: s.digest()}
+	update = s.view(stream)
 	switch {
 	case s.next < 0 || from >= s.next:
 		return update, false
--- a/internal/zonereader/page.go
+++ b/internal/zonereader/page.go
@@ -56,23 +56,36 @@
 }
 
 // pageCache keeps encoded pages. An entry that changes while its page is kept is sent again at the
-// end of the load, so a page may be as old as its followers' loads. The last page is not kept: it
-// dates the view.
+// end of the load, so a page may be as old as its followers' loads. The last page must contain all
+// changes, so it is used only while the view is the same.
 type pageCache struct {
 	mu    sync.Mutex
 	pages map[pageKey]cachedPage
 }
 
+// get returns a page that is kept and still valid, given the view without its records. The last page
+// is dated by that view. The caller holds mu.
+func (c *pageCache) get(key pageKey, view registry.StreamUpdate) (cachedPage, bool) {
+	found, ok := c.pages[key]
+	if !ok || boottime.Since(found.at) >= pageCacheTime || !found.More && !found.update.IsSameView(view) {
+		return cachedPage{}, false
+	}
+	if !found.More {
+		found.update.Age, found.update.NeverRead = view.Age, view.NeverRead
+	}
+	return found, true
+}
+
 // getOrEncode returns a page, which it encodes unless it is kept. Followers that request a page at the
 // same time wait for one encoding of it.
-func (c *pageCache) getOrEncode(key pageKey, encode func() (cachedPage, error)) (cachedPage, error) {
+func (c *pageCache) getOrEncode(key pageKey, view func() registry.StreamUpdate, encode func() (cachedPage, error)) (cachedPage, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if found, ok := c.pages[key]; ok && boottime.Since(found.at) < pageCacheTime {
+	if found, ok := c.get(key, view()); ok {
 		return found, nil
 	}
 	next, err := encode()
-	if err != nil || !next.More {
+	if err != nil {
 		return next, err
 	}
 	if c.pages == nil {
@@ -85,7 +98,8 @@
 
 // loadPage returns the page of this box's view of a stream at a cursor.
 func (m *Member) loadPage(stream sharedlog.Stream, cursor registry.LoadCursor) (cachedPage, error) {
-	return m.pages.getOrEncode(pageKey{stream, cursor}, func() (cachedPage, error) { return m.encodePage(stream, cursor) })
+	view := func() registry.StreamUpdate { return m.cfg.Registry.View(stream) }
+	return m.pages.getOrEncode(pageKey{stream, cursor}, view, func() (cachedPage, error) { return m.encodePage(stream, cursor) })
 }
 
 func (m *Member) encodePage(stream sharedlog.Stream, cursor registry.LoadCursor) (cachedPage, error) {
