zonereader: responses share the encoded pages of a view

Cause: each response held its own copy of the pages in it, twice while it was encoded, until its follower had received them.

Change: a page is kept in its encoded form, which responses send as it is, after the other fields. The message is the same on the wire, but for the order of its fields, which have names.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -58,6 +58,21 @@
 	return send(connection, encoded, timeout)
 }
 
+// WriteParts writes a message that is encoded in several parts, with a timeout. The parts are not
+// copied, so that messages to many boxes can share them.
+func WriteParts(connection net.Conn, parts [][]byte, timeout time.Duration) error {
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	buffers := append(net.Buffers{binary.BigEndian.AppendUint32(nil, uint32(size))}, parts...)
+	if err := connection.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	_, err := buffers.WriteTo(connection)
+	return err
+}
+
 func send(connection net.Conn, encoded []byte, timeout time.Duration) error {
 	if err := connection.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return err
--- a/internal/zonereader/page.go
+++ b/internal/zonereader/page.go
@@ -9,6 +9,7 @@
 	"compress/flate"
 	"io"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,8 +39,22 @@
 	Next      registry.LoadCursor `msgpack:"n"`
 	Restarted bool                `msgpack:"r"`
 	More      bool                `msgpack:"m"`
-	// Packed holds the compressed records.
+	// Packed holds the compressed records. It is the last field, and part of encoded.
 	Packed []byte `msgpack:"p"`
+
+	// encoded is the encoded page, which the responses to all followers share.
+	encoded []byte
+}
+
+// encode encodes the page.
+func (p *page) encode() error {
+	encoded, err := msgpack.Marshal(p)
+	if err != nil {
+		return merry.Prepend(err, "encode page")
+	}
+	p.encoded = slices.Clone(encoded)
+	p.Packed = p.encoded[len(encoded)-len(p.Packed):]
+	return nil
 }
 
 // pageKey identifies a page by the cursor of its request.
@@ -113,7 +128,7 @@
 		update: loaded.Update, at: boottime.Now(),
 	}
 	next.update.Records = nil
-	return next, nil
+	return next, next.encode()
 }
 
 // packRecords encodes and compresses records.
--- a/internal/zonereader/page_test.go
+++ b/internal/zonereader/page_test.go
@@ -1,6 +1,7 @@
 package zonereader
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/registry"
+	"github.com/cometlock/cometlock/internal/safepack"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
@@ -112,3 +114,37 @@
 		g.Expect(changed.update.Next).To(Equal(first.update.Next + 1))
 	})
 }
+
+// Responses share encoded pages, which are added to the encoded response by hand.
+func TestAResponseWithSharedPagesIsDecodedAsUsual(t *testing.T) {
+	tests := []map[sharedlog.Stream]page{
+		nil,
+		{sharedlog.Servers: {}},
+		{
+			sharedlog.Operator: {Next: registry.LoadCursor{Key: "a", Begun: true}, Packed: []byte("some records")},
+			sharedlog.Servers:  {More: true, Restarted: true, Packed: make([]byte, 70_000)},
+			sharedlog.Boxes:    {Packed: make([]byte, 300)},
+		},
+	}
+	for _, pages := range tests {
+		g := NewWithT(t)
+		sent := response{Streams: []registry.StreamUpdate{{Stream: sharedlog.Servers, Next: 5}}, Held: time.Second, LogLost: true, Relayed: true, Pages: map[sharedlog.Stream]page{}}
+		for stream, next := range pages {
+			g.Expect(next.encode()).To(Succeed())
+			sent.Pages[stream] = next
+		}
+		parts, err := sent.encode()
+		g.Expect(err).NotTo(HaveOccurred())
+		var received response
+		g.Expect(safepack.Unmarshal(bytes.Join(parts, nil), &received)).To(Succeed())
+		g.Expect(received.Pages).To(HaveLen(len(pages)))
+		for stream, next := range pages {
+			g.Expect(received.Pages[stream].Next).To(Equal(next.Next))
+			g.Expect(received.Pages[stream].More).To(Equal(next.More))
+			g.Expect(received.Pages[stream].Restarted).To(Equal(next.Restarted))
+			g.Expect(received.Pages[stream].Packed).To(BeEquivalentTo(next.Packed))
+		}
+		received.Pages, sent.Pages = nil, nil
+		g.Expect(received).To(Equal(sent))
+	}
+}
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -237,7 +237,7 @@
 			return
 		}
 		sent := m.respond(ctx, received)
-		if err := frame.Write(connection, &sent, ioTimeout); err != nil {
+		if err := sent.write(connection); err != nil {
 			return
 		}
 	}
