zonereader: at most eight responses are made at a time

Cause: all followers that start together had their responses made at the same time, each with an entry for each of 71 store boxes and a buffer for its encoding, and the processor switched between them: all of that was held until the last ones were done.

Change: a request waits, in the order of arrival, while eight responses are being made. Making one waits for nothing, so this costs no time; the transfer is not included. The time for which a request was held is taken before its changes are collected, so that an update counts as no newer than it is.

--- a/internal/zonereader/encode.go
+++ b/internal/zonereader/encode.go
@@ -5,27 +5,14 @@
 package zonereader
 
 import (
-	"net"
-
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
-
-	"github.com/cometlock/cometlock/internal/frame"
 )
 
 // pagesField is the name of response.Pages in messages.
 const pagesField = "g"
 
-// write sends the response.
-func (r response) write(connection net.Conn) error {
-	parts, err := r.encode()
-	if err != nil {
-		return err
-	}
-	return frame.WriteParts(connection, parts, ioTimeout)
-}
-
 // encode returns the encoded response in parts. It equals that of package msgpack, except that the
 // pages are the last field.
 func (r response) encode() (parts [][]byte, err error) {
--- a/internal/zonereader/request_test.go
+++ b/internal/zonereader/request_test.go
@@ -1,6 +1,7 @@
 package zonereader
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
@@ -51,12 +52,11 @@
 		if err := safepack.Unmarshal(raw, &decoded); err != nil {
 			b.Fatal(err)
 		}
-		sent := reader.respond(context.Background(), decoded)
-		encoded, err := msgpack.Marshal(&sent)
+		parts, err := reader.respond(context.Background(), decoded)
 		if err != nil {
 			b.Fatal(err)
 		}
-		size = len(encoded)
+		size = len(bytes.Join(parts, nil))
 	}
 	b.ReportMetric(float64(len(raw)), "B/question")
 	b.ReportMetric(float64(size), "B/answer")
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -105,7 +105,9 @@
 	pages pageCache
 	// followers counts the boxes that are connected to this one.
 	followers int
-	server    *frame.Server
+	// responding bounds the responses that are made at a time.
+	responding chan struct{}
+	server     *frame.Server
 }
 
 // New returns a member that reads directly.
@@ -122,7 +124,7 @@
 	if cfg.BoxesKnown == nil {
 		cfg.BoxesKnown = func() bool { return true }
 	}
-	m := &Member{cfg: cfg, avoided: map[string]time.Time{}}
+	m := &Member{cfg: cfg, avoided: map[string]time.Time{}, responding: make(chan struct{}, maxResponding)}
 	m.server = frame.NewServer(cfg.Logger, m.serve)
 	return m
 }
@@ -216,6 +218,10 @@
 	ioTimeout = 300 * time.Millisecond
 )
 
+// maxResponding bounds the responses that are made at a time, without their transfer. Making one takes
+// only processor time, and up to some 100 KB until it is encoded.
+const maxResponding = 8
+
 // LoopAccept serves followers until ctx ends.
 func (m *Member) LoopAccept(ctx context.Context, listener net.Listener) {
 	m.server.LoopAccept(ctx, listener)
@@ -236,8 +242,12 @@
 		if err := frame.Read(reader, &received, maxRequestBytes); err != nil {
 			return
 		}
-		sent := m.respond(ctx, received)
-		if err := sent.write(connection); err != nil {
+		sent, err := m.respond(ctx, received)
+		if err != nil {
+			m.cfg.Logger.Error().Str("error", err.Error()).Msg("response_not_encoded")
+			return
+		}
+		if err := frame.WriteParts(connection, sent, ioTimeout); err != nil {
 			return
 		}
 	}
@@ -274,9 +284,9 @@
 	return m.followers <= maxPushFollowers
 }
 
-// respond returns the changes since a request's positions, at the end of the long poll or as soon as
-// there are changes that end it early.
-func (m *Member) respond(ctx context.Context, r request) response {
+// respond returns the encoded response to a request: the changes since its positions, at the end of
+// the long poll or as soon as there are changes that end it early.
+func (m *Member) respond(ctx context.Context, r request) ([][]byte, error) {
 	receivedAt := boottime.Now()
 	m.cfg.Parts.MarkOverdue(r.Doubted)
 	push := m.pushesParts() || r.hasUnknownStore()
@@ -289,14 +299,28 @@
 		if !push {
 			partsWake = nil
 		}
-		next, streamsChanged, partsChanged := m.collect(r)
-		next.Held, next.LogLost = boottime.Since(receivedAt), m.cfg.Registry.LogLost()
-		next.Relayed = m.Following() != ""
-		if streamsChanged || push && partsChanged || next.Held >= hold || ctx.Err() != nil {
-			return next
+		held := boottime.Since(receivedAt)
+		next, isDue, err := m.tryRespond(r, receivedAt, push, held >= hold || ctx.Err() != nil)
+		if isDue || err != nil {
+			return next, err
 		}
-		m.waitForChange(ctx, hold-next.Held, streamsWake, partsWake)
+		m.waitForChange(ctx, hold-held, streamsWake, partsWake)
+	}
+}
+
+// tryRespond returns the encoded response to a request if it is due: at the end of the long poll, or
+// when there are changes that end it.
+func (m *Member) tryRespond(r request, receivedAt time.Time, push, overdue bool) (encoded [][]byte, isDue bool, err error) {
+	m.responding <- struct{}{}
+	defer func() { <-m.responding }()
+	held := boottime.Since(receivedAt)
+	next, streamsChanged, partsChanged := m.collect(r)
+	if !overdue && !streamsChanged && !(push && partsChanged) {
+		return nil, false, nil
 	}
+	next.Held, next.LogLost, next.Relayed = held, m.cfg.Registry.LogLost(), m.Following() != ""
+	encoded, err = next.encode()
+	return encoded, true, err
 }
 
 // waitForChange waits for a time, or until either signal.
@@ -350,6 +374,7 @@
 		streamsChanged = streamsChanged || changed
 	}
 	parts := 0
+	collected.Stores = make([]packedUpdate, 0, len(r.Stores))
 	for address, since := range r.Stores {
 		update, changed, known := m.cfg.Parts.UpdateSince(address, since)
 		if update.Full && parts > maxPartsPerResponse {
