zonereader: responses are copied out of the buffer in which they are encoded

Cause: the buffer grows by doubling, and a response held all of it until its follower had received it, 64 KB for 40 KB of parts.

--- a/internal/zonereader/encode.go
+++ b/internal/zonereader/encode.go
@@ -5,46 +5,47 @@
 package zonereader
 
 import (
+	"bytes"
+	"errors"
+	"slices"
+	"sync"
+
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
-	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // pagesField is the name of response.Pages in messages.
 const pagesField = "g"
 
+// buffers holds buffers in which responses are encoded. A response is copied from its buffer, since a
+// buffer that grows may be twice as large as what is in it.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
 // encode returns the encoded response in parts. It equals that of package msgpack, except that the
 // pages are the last field.
 func (r response) encode() (parts [][]byte, err error) {
+	buffer := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(buffer)
+	buffer.Reset()
+	encoder := msgpack.NewEncoder(buffer)
 	pages := r.Pages
 	r.Pages = nil
-	next, err := msgpack.Marshal(&r)
-	if err != nil {
+	if err := encoder.Encode(&r); err != nil {
 		return nil, merry.Prepend(err, "encode response")
 	}
 	if len(pages) == 0 {
-		return [][]byte{next}, nil
+		return [][]byte{slices.Clone(buffer.Bytes())}, nil
 	}
-	next[0]++ // the first byte is the type of a small map plus the number of its fields
-	if next, err = appendEncoded(next, pagesField); err != nil {
-		return nil, err
+	buffer.Bytes()[0]++ // the first byte is the type of a small map plus the number of its fields
+	if err := errors.Join(encoder.EncodeString(pagesField), encoder.EncodeMapLen(len(pages))); err != nil {
+		return nil, merry.Prepend(err, "encode response")
 	}
-	next = append(next, msgpcode.FixedMapLow+byte(len(pages)))
 	for stream, page := range pages {
-		if next, err = appendEncoded(next, stream); err != nil {
-			return nil, err
+		if err := encoder.Encode(stream); err != nil {
+			return nil, merry.Prepend(err, "encode response")
 		}
-		parts = append(parts, next, page.encoded)
-		next = nil
+		parts = append(parts, slices.Clone(buffer.Bytes()), page.encoded)
+		buffer.Reset()
 	}
 	return parts, nil
 }
-
-// appendEncoded appends an encoded value.
-func appendEncoded(data []byte, value any) ([]byte, error) {
-	encoded, err := msgpack.Marshal(value)
-	if err != nil {
-		return nil, merry.Prepend(err, "encode response")
-	}
-	return append(data, encoded...), nil
-}
