zonereader: a bound on full states of store boxes under way

Cause: each follower that started was sent up to 2,000 parts of store boxes at once, and the state of all 71 store boxes was copied for each request before most of it was left out: 284 MB of copies for the first requests of 200 followers, and 40 KB held for each until it had received them.

Ruled out: the same bound for pages of views.

Change: 32 responses with full states are under way at a time. A follower that finds no room waits for the rest of its long poll in the order of arrival, and is then told that the state is not known yet, which it is used to from readers that have just started. Pages of views do not wait. A state that is not sent is not copied.

--- a/internal/partindex/relay.go
+++ b/internal/partindex/relay.go
@@ -145,6 +145,19 @@
 	return positions
 }
 
+// NeedsFull reports whether the update of a store box after a position would hold its full state.
+func (x *Index) NeedsFull(address string, since Position) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	s := x.find(address)
+	return s != nil && s.epoch != 0 && s.needsFull(since)
+}
+
+// needsFull reports whether the changes after a position are not known.
+func (s *store) needsFull(since Position) bool {
+	return since.Epoch != s.epoch || !s.relay.covers(since.Next, s.next)
+}
+
 // UpdateSince returns the state of a store box after a position, and whether it contains changes.
 // known is false if the store box is not configured here. If its current epoch is not known, the
 // update is marked Unknown.
@@ -163,7 +176,7 @@
 	if x.clock > 0 {
 		update.ClockMillis = x.clock + boottime.Since(x.clockAt).Milliseconds()
 	}
-	if since.Epoch != s.epoch || !s.relay.covers(since.Next, s.next) {
+	if s.needsFull(since) {
 		update.Full, update.Listed = true, true
 		update.Parts, update.Unfinished = parts(s.held), parts(s.unfinished)
 		return update, true, true
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -105,6 +105,8 @@
 	pages pageCache
 	// followers counts the boxes that are connected to this one.
 	followers int
+	// transfers bounds the full states of store boxes that are under way to followers.
+	transfers transfers
 	// responding bounds the responses that are made at a time.
 	responding chan struct{}
 	server     *frame.Server
@@ -124,7 +126,7 @@
 	if cfg.BoxesKnown == nil {
 		cfg.BoxesKnown = func() bool { return true }
 	}
-	m := &Member{cfg: cfg, avoided: map[string]time.Time{}, responding: make(chan struct{}, maxResponding)}
+	m := &Member{cfg: cfg, avoided: map[string]time.Time{}, responding: make(chan struct{}, maxResponding), transfers: make(transfers, maxTransfers)}
 	m.server = frame.NewServer(cfg.Logger, m.serve)
 	return m
 }
@@ -242,17 +244,23 @@
 		if err := frame.Read(reader, &received, maxRequestBytes); err != nil {
 			return
 		}
-		sent, err := m.respond(ctx, received)
-		if err != nil {
-			m.cfg.Logger.Error().Str("error", err.Error()).Msg("response_not_encoded")
-			return
-		}
-		if err := frame.WriteParts(connection, sent, ioTimeout); err != nil {
+		if err := m.answer(ctx, connection, received); err != nil {
 			return
 		}
 	}
 }
 
+// answer sends the response to a request.
+func (m *Member) answer(ctx context.Context, connection net.Conn, r request) error {
+	sent, release, err := m.respond(ctx, r)
+	defer release()
+	if err != nil {
+		m.cfg.Logger.Error().Str("error", err.Error()).Msg("response_not_encoded")
+		return err
+	}
+	return frame.WriteParts(connection, sent, ioTimeout)
+}
+
 // hasUnknownStore reports whether the follower knows nothing of a store box. After a power failure
 // all boxes start at once, and until they know which parts are kept, all prompts are prefilled
 // again.
@@ -285,8 +293,9 @@
 }
 
 // respond returns the encoded response to a request: the changes since its positions, at the end of
-// the long poll or as soon as there are changes that end it early.
-func (m *Member) respond(ctx context.Context, r request) ([][]byte, error) {
+// the long poll or as soon as there are changes that end it early. The caller calls release once the
+// response has been sent.
+func (m *Member) respond(ctx context.Context, r request) (encoded [][]byte, release func(), err error) {
 	receivedAt := boottime.Now()
 	m.cfg.Parts.MarkOverdue(r.Doubted)
 	push := m.pushesParts() || r.hasUnknownStore()
@@ -294,28 +303,39 @@
 	if r.Hold > 0 {
 		hold = min(r.Hold, longPoll)
 	}
+	isOverdue := func() bool { return boottime.Since(receivedAt) >= hold || ctx.Err() != nil }
+	room := room{transfers: m.transfers}
 	for {
 		streamsWake, partsWake := m.cfg.StreamsChanged.Chan(), m.cfg.PartsChanged.Chan()
 		if !push {
 			partsWake = nil
 		}
-		held := boottime.Since(receivedAt)
-		next, isDue, err := m.tryRespond(r, receivedAt, push, held >= hold || ctx.Err() != nil)
+		if (push || isOverdue()) && m.needsFullState(r) {
+			room.acquire(ctx, m.roomWait(r, hold-boottime.Since(receivedAt)))
+		}
+		next, isDue, err := m.tryRespond(r, receivedAt, responseLimits{push: push, overdue: isOverdue(), fullStates: room.acquired})
 		if isDue || err != nil {
-			return next, err
+			return next, room.release, err
 		}
-		m.waitForChange(ctx, hold-held, streamsWake, partsWake)
+		m.waitForChange(ctx, hold-boottime.Since(receivedAt), streamsWake, partsWake)
 	}
 }
 
-// tryRespond returns the encoded response to a request if it is due: at the end of the long poll, or
-// when there are changes that end it.
-func (m *Member) tryRespond(r request, receivedAt time.Time, push, overdue bool) (encoded [][]byte, isDue bool, err error) {
+// responseLimits defines which changes make a response due, and what it may contain.
+type responseLimits struct {
+	// push means that changes of store boxes make it due, and overdue that it is due in any case.
+	push, overdue bool
+	// fullStates means that it may contain full states of store boxes.
+	fullStates bool
+}
+
+// tryRespond returns the encoded response to a request if it is due.
+func (m *Member) tryRespond(r request, receivedAt time.Time, limits responseLimits) (encoded [][]byte, isDue bool, err error) {
 	m.responding <- struct{}{}
 	defer func() { <-m.responding }()
 	held := boottime.Since(receivedAt)
-	next, streamsChanged, partsChanged := m.collect(r)
-	if !overdue && !streamsChanged && !(push && partsChanged) {
+	next, streamsChanged, partsChanged := m.collect(r, limits.fullStates)
+	if !limits.overdue && !streamsChanged && !(limits.push && partsChanged) {
 		return nil, false, nil
 	}
 	next.Held, next.LogLost, next.Relayed = held, m.cfg.Registry.LogLost(), m.Following() != ""
@@ -365,8 +385,8 @@
 }
 
 // collect returns the changes since a request's positions, and whether a stream or a store box has
-// changed.
-func (m *Member) collect(r request) (collected response, streamsChanged, partsChanged bool) {
+// changed. Without fullStates it defers what has to be sent in full of a store box.
+func (m *Member) collect(r request, fullStates bool) (collected response, streamsChanged, partsChanged bool) {
 	for _, stream := range registry.ForwardedStreams() {
 		update, changed := m.collectStream(r, stream, &collected)
 		collected.Streams = append(collected.Streams, update)
@@ -376,10 +396,12 @@
 	parts := 0
 	collected.Stores = make([]packedUpdate, 0, len(r.Stores))
 	for address, since := range r.Stores {
-		update, changed, known := m.cfg.Parts.UpdateSince(address, since)
-		if update.Full && parts > maxPartsPerResponse {
-			update = partindex.StoreUpdate{Address: address, Unknown: true} // sent in full with the next response
+		if m.cfg.Parts.NeedsFull(address, since) && (!fullStates || parts > maxPartsPerResponse) {
+			collected.Stores = append(collected.Stores, pack(partindex.StoreUpdate{Address: address, Unknown: true}))
+			partsChanged = true
+			continue // it is sent with a later response
 		}
+		update, changed, known := m.cfg.Parts.UpdateSince(address, since)
 		if known {
 			parts += len(update.Parts)
 			collected.Stores = append(collected.Stores, pack(update))
