storewatch: a store box is lost only after it was found

Cause: the first failed poll of a store box was logged as its loss, also when neither this box nor its reader had ever had an answer of it. When the whole system starts, boxes poll store boxes that have not started yet: a line for each box and store box.

Change: store_box_lost is logged for a store box of which this box has a state. Those that have not answered within 15 s are one line with their number, store_boxes_not_found, and another when the number has changed, each 15 s at most.

--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +68,10 @@
 	// one. A store box answers a dozen clients, and those that poll for a zone have priority.
 	minFollowerPause    = time.Second
 	followerPauseSpread = 2 * time.Second
+	// notFoundAfter is how long a store box that has never answered may be starting. It is also the
+	// time between two log lines on such store boxes, which have maxLoggedAddresses addresses each.
+	notFoundAfter      = 15 * time.Second
+	maxLoggedAddresses = 6
 	// freeInterval is the mean time between two checks for parts to free, followerFreeInterval the
 	// same in a box that follows another one, and maxFreed bounds the parts freed in one check.
 	// Only boxes that poll a store box themselves check, which is one box in a zone with a reader;
@@ -82,7 +87,10 @@
 
 	mu    sync.Mutex
 	stops map[string]context.CancelFunc
-	loops sync.WaitGroup
+	// notFound is the number of store boxes that had not been found at notFoundLoggedAt.
+	notFound         int
+	notFoundLoggedAt time.Time
+	loops            sync.WaitGroup
 }
 
 // New returns a watcher without loops.
@@ -135,7 +143,7 @@
 // pollLoop polls one store box until ctx ends.
 func (w *Watcher) pollLoop(ctx context.Context, address string) {
 	next, unreachable := normalPoll, false
-	listAt := nextList()
+	listAt, startedAt := nextList(), boottime.Now()
 	for ctx.Err() == nil {
 		if w.cfg.Index.WaitToPoll(ctx, address) {
 			next, unreachable = normalPoll, false
@@ -145,9 +153,13 @@
 		if due && err == nil {
 			listAt = nextList()
 		}
-		if failed := err != nil; failed != unreachable && ctx.Err() == nil {
+		switch failed := err != nil; {
+		case failed == unreachable || ctx.Err() != nil:
+		case !failed || w.isFound(address):
 			unreachable = failed
 			w.logReachable(address, err)
+		case boottime.Since(startedAt) >= notFoundAfter:
+			w.logNotFound(err)
 		}
 		switch {
 		case err != nil:
@@ -178,6 +190,29 @@
 // nextList returns when a store box is to be listed next.
 func nextList() time.Time { return boottime.Now().Add(listInterval/2 + rand.N(listInterval)) }
 
+// isFound reports whether a store box has ever answered this box or its reader.
+func (w *Watcher) isFound(address string) bool {
+	_, list := w.cfg.Index.Position(address)
+	return !list
+}
+
+// logNotFound logs how many store boxes have not been found, when their number has changed.
+func (w *Watcher) logNotFound(err error) {
+	var missing []string
+	for _, address := range w.cfg.Index.Addresses() {
+		if !w.isFound(address) {
+			missing = append(missing, address)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now := boottime.Now(); len(missing) != w.notFound && now.Sub(w.notFoundLoggedAt) >= notFoundAfter {
+		w.notFound, w.notFoundLoggedAt = len(missing), now
+		slices.Sort(missing)
+		w.cfg.Logger.Warn().Strs("addresses", missing[:min(len(missing), maxLoggedAddresses)]).Int("count", len(missing)).Str("error", err.Error()).Msg("store_boxes_not_found")
+	}
+}
+
 // logReachable logs that a store box became unreachable, or that it is reachable again if err is
 // nil.
 func (w *Watcher) logReachable(address string, err error) {
