loadshare: which boxes are heard is logged once in 5 s at most

Cause: each change of the set of heard boxes was a log line. While a large fleet starts, reports are late and boxes change hubs, so the same boxes are heard and time out several times a second.

Change: after a line, changes are collected for 5 s, and a box that is back as it was logged is in none of the next lines. The first change after a quiet time is logged at once. What depends on the states is unchanged.

Test: the committed test expected a loss to be logged at once right after another line; it waits for 10 quiet seconds first, as its text says.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -118,6 +118,8 @@
 	// reports has changed, or the entries of a roster.
 	statesAt       time.Time
 	rostersChanged bool
+	// stateLog has the changes of states that have not been logged yet.
+	stateLog stateLog
 	// followerRoster lists this box's followers and is sent to all other boxes. fullRoster lists
 	// all boxes and is sent to the followers. generation counts the changes of both.
 	followerRoster localRoster
--- a/internal/loadshare/peerstate.go
+++ b/internal/loadshare/peerstate.go
@@ -13,7 +13,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/retire"
@@ -105,6 +104,7 @@
 // this one are visited.
 func (s *Share) updateStates(now time.Time) {
 	s.statesAt = now
+	defer s.logStates(now)
 	if !s.rostersChanged {
 		s.mergeReports(now)
 		s.updateRosters(now)
@@ -186,7 +186,7 @@
 // maxLoggedNames bounds the names of boxes in a log line.
 const maxLoggedNames = 6
 
-// handleStateChanges logs which boxes were added to the states or have expired, and updates what
+// handleStateChanges records which boxes were added to the states or have expired, and updates what
 // depends on them. The caller holds mu.
 func (s *Share) handleStateChanges(previous map[string]*peerState) {
 	var added, expired []string
@@ -202,24 +202,28 @@
 			s.removeHeadroomBox(name)
 		}
 	}
-	if len(added) > 0 {
-		s.cfg.Logger.Info().Strs("boxes", firstNames(added)).Int("count", len(added)).Int("heard", len(s.states)).Msg("boxes_heard")
-	}
-	if len(expired) > 0 {
-		s.cfg.Logger.Warn().Strs("boxes", firstNames(expired)).Int("count", len(expired)).Int("heard", len(s.states)).Msg("boxes_timed_out")
-	}
+	s.stateLog.add(added, true)
+	s.stateLog.add(expired, false)
 	if len(added)+len(expired) > 0 {
 		s.limits.invalidate()
 		s.relink.Broadcast()
 	}
 }
 
-// firstNames returns the first maxLoggedNames names in order.
-func firstNames(names []string) []string {
-	slices.Sort(names)
-	return names[:min(len(names), maxLoggedNames)]
+// logStates logs which boxes are heard or have timed out, if that is due. The caller holds mu.
+func (s *Share) logStates(now time.Time) {
+	heard, timedOut := s.stateLog.take(now)
+	if len(heard) > 0 {
+		s.cfg.Logger.Info().Strs("boxes", firstNames(heard)).Int("count", len(heard)).Int("heard", len(s.states)).Msg("boxes_heard")
+	}
+	if len(timedOut) > 0 {
+		s.cfg.Logger.Warn().Strs("boxes", firstNames(timedOut)).Int("count", len(timedOut)).Int("heard", len(s.states)).Msg("boxes_timed_out")
+	}
 }
 
+// firstNames returns the first maxLoggedNames of some names.
+func firstNames(names []string) []string { return names[:min(len(names), maxLoggedNames)] }
+
 // HeardCount returns the number of other boxes that report, directly or through a hub.
 func (s *Share) HeardCount() int {
 	s.mu.Lock()
--- a/internal/loadshare/statelog_test.go
+++ b/internal/loadshare/statelog_test.go
@@ -39,6 +39,7 @@
 		g.Expect(count("boxes_heard")).To(BeNumerically("<=", 3))
 		time.Sleep(10 * time.Second)
 		s.expireReports(time.Minute)
+		time.Sleep(10 * time.Second)
 		lines := log.Len()
 		s.expireReports(time.Second)
 		g.Expect(log.String()[lines:]).To(ContainSubstring(fmt.Sprintf(`"count":%d,"heard":0,"message":"boxes_timed_out"`, listed+1)), "a loss after a quiet time is logged at once")
