zonereader: a reader is lost only after it was found

Cause: a reader was logged as followed when it was chosen and as lost when the connection to it failed, also when it had never answered. A box that starts before the others of its zone tries one after the other within milliseconds, again every two seconds.

Change: reader_followed is logged with the reader's first response, and reader_lost for a connection on which it has answered. Readers that were not found are counted, with a line readers_not_found in 5 s at most.

Test: in the committed test the box that starts was as large as the others and became the reader itself before it had tried all of them; it is small now, as most boxes are. The expectations are unchanged.

--- a/internal/zonereader/directory.go
+++ b/internal/zonereader/directory.go
@@ -81,7 +81,7 @@
 	for range bootstrapAttempts {
 		chosen := role{following: reader.Name}
 		m.setRole(chosen)
-		err := m.follow(ctx, reader, chosen)
+		_, err := m.follow(ctx, reader, chosen)
 		if err == nil || m.cfg.BoxesKnown() {
 			return
 		}
--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -52,7 +52,9 @@
 	// reader would do better. Without leaving, a reader that alone is cut off from the log would
 	// make all boxes of its zone read directly.
 	avoidLostDuration = 5 * time.Second
-	maxLostInRow      = 2
+	// notFoundInterval is the time between two log lines on readers that were not found.
+	notFoundInterval = 5 * time.Second
+	maxLostInRow     = 2
 )
 
 // errReaderLostLog means that the reader cannot read the log.
@@ -72,7 +74,8 @@
 			waiting.For(ctx, chooseInterval)
 			continue
 		}
-		if err := m.follow(ctx, reader, chosen); err != nil && ctx.Err() == nil {
+		if found, err := m.follow(ctx, reader, chosen); err != nil && ctx.Err() == nil {
+			m.logFailure(reader.Name, found, err)
 			m.avoid(reader.Name, err)
 		}
 	}
@@ -115,6 +118,9 @@
 	before, first := m.current, !m.roleLogged
 	m.current, m.roleLogged = next, true
 	m.advertised = m.advertised && next.reader
+	if next.following == "" {
+		m.loggedFollowing = role{}
+	}
 	m.mu.Unlock()
 	if next == before && !first {
 		return
@@ -127,7 +133,9 @@
 	if next.reader && (!before.reader || first) {
 		m.cfg.Parts.PollDirectly()
 	}
-	m.logRole(next)
+	if next.following == "" {
+		m.cfg.Logger.Info().Bool("root", next.root).Msg("direct_reading_started")
+	}
 }
 
 // applyPolling makes the root poll the log more often than other boxes would.
@@ -139,17 +147,39 @@
 	m.cfg.Registry.ResetPolling()
 }
 
-func (m *Member) logRole(next role) {
-	if next.following != "" {
-		m.cfg.Logger.Info().Str("reader", next.following).Bool("zone_reader", next.reader).Msg("reader_followed")
+// noteFound logs that this box follows a reader, when the reader has sent its first response.
+func (m *Member) noteFound(s *session) {
+	if s.found {
 		return
 	}
-	m.cfg.Logger.Info().Bool("root", next.root).Msg("direct_reading_started")
+	s.found = true
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.loggedFollowing != s.role {
+		m.loggedFollowing = s.role
+		m.cfg.Logger.Info().Str("reader", s.role.following).Bool("zone_reader", s.role.reader).Msg("reader_followed")
+	}
+}
+
+// logFailure logs why a reader is left. Readers that have sent no response may be starting, and all
+// others of a zone may be tried within a second, so these are counted in one line.
+func (m *Member) logFailure(reader string, found bool, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if found {
+		m.loggedFollowing = role{}
+		m.cfg.Logger.Warn().Str("reader", reader).Str("error", err.Error()).Msg("reader_lost")
+		return
+	}
+	m.notFound++
+	if now := boottime.Now(); now.Sub(m.notFoundLoggedAt) >= notFoundInterval {
+		m.cfg.Logger.Warn().Str("reader", reader).Int("count", m.notFound).Str("error", err.Error()).Msg("readers_not_found")
+		m.notFound, m.notFoundLoggedAt = 0, now
+	}
 }
 
 // avoid excludes a reader that failed from the choice for a while.
 func (m *Member) avoid(reader string, err error) {
-	m.cfg.Logger.Warn().Str("reader", reader).Str("error", err.Error()).Msg("reader_lost")
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	length := avoidDuration
@@ -160,27 +190,27 @@
 }
 
 // follow polls a reader until that fails, which it returns as an error, or until this box is to
-// follow another one.
-func (m *Member) follow(ctx context.Context, reader Box, chosen role) error {
+// follow another one. found reports whether the reader has sent a response.
+func (m *Member) follow(ctx context.Context, reader Box, chosen role) (found bool, err error) {
 	connection, err := m.cfg.Dial(ctx, reader.Address)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer context.AfterFunc(ctx, func() { _ = connection.Close() })() // when this box stops
 	defer connection.Close()
 	s := newSession(connection, chosen)
 	for ctx.Err() == nil {
 		if err := m.poll(s); err != nil {
-			return err
+			return s.found, err
 		}
 		if len(s.loads) == 0 && !chosen.reader { // the next page of a view is requested at once
 			waiting.For(ctx, requestPause)
 		}
 		if !m.shouldStay(s) {
-			return nil
+			return s.found, nil
 		}
 	}
-	return nil
+	return s.found, nil
 }
 
 // shouldStay reports whether the reader is still the one to follow. Until the list of boxes is
@@ -212,6 +242,7 @@
 	if err := frame.Read(s.buffered, &received, maxResponseBytes); err != nil {
 		return err
 	}
+	m.noteFound(s)
 	if m.shouldLeave(received.LogLost || s.isStale(received.Streams)) {
 		return errReaderLostLog
 	}
--- a/internal/zonereader/notfound_test.go
+++ b/internal/zonereader/notfound_test.go
@@ -52,14 +52,14 @@
 		defer f.wait.Wait()
 		defer cancel()
 		running := f.list[0]
-		others := []zonereader.Box{running.self}
+		others := []zonereader.Box{{Box: delegate.Box{Name: running.self.Name, Zone: "z", Cores: 2}, Address: running.self.Address}}
 		for i := range 30 {
 			name := fmt.Sprint("starting-", i)
-			others = append(others, zonereader.Box{Box: delegate.Box{Name: name, Zone: "z"}, Address: name})
+			others = append(others, zonereader.Box{Box: delegate.Box{Name: name, Zone: "z", Cores: 2}, Address: name})
 		}
 		var log logBuffer
 		var connected atomic.Bool
-		newcomer := newBox(zonereader.Box{Box: delegate.Box{Name: "new", Zone: "z"}, Address: "new"})
+		newcomer := newBox(zonereader.Box{Box: delegate.Box{Name: "new", Zone: "z", Cores: 0.2}, Address: "new"})
 		newcomer.log = &countingLog{Log: f.log}
 		newcomer.registry = registry.New(registry.Config{
 			Log: newcomer.log, Decoder: decoder{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop(),
--- a/internal/zonereader/session.go
+++ b/internal/zonereader/session.go
@@ -19,6 +19,8 @@
 	// role is this box's role while it follows the reader.
 	role     role
 	buffered *bufio.Reader
+	// found means that the reader has sent a response.
+	found bool
 	// openedAt is when the session began.
 	openedAt time.Time
 	// chosenAt is when the reader was last found to be the one to follow, and chosenBy the position
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -89,6 +89,11 @@
 	// current is this box's role. roleLogged means that it has been chosen and logged.
 	current    role
 	roleLogged bool
+	// loggedFollowing is the role in which this box was last logged as following a reader, until the
+	// reader is left. notFound counts the readers that were not found since notFoundLoggedAt.
+	loggedFollowing  role
+	notFound         int
+	notFoundLoggedAt time.Time
 	// advertised means that the directory has an entry of this box as a reader.
 	advertised bool
 	// roleChanged is signalled when this box becomes a reader or a follower.
