registry: servers share equal weights, services and zones

Cause: each decoded entry had its own map of weights, of some 250 bytes for one model, and its own strings of its service and zone.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -97,6 +97,8 @@
 	// applyMu serializes the application of records, which come from the log and from other boxes,
 	// so that each batch is compared with the result of the one before.
 	applyMu sync.Mutex
+	// shared has the values that entries of servers have in common. applyMu guards it.
+	shared sharedValues
 
 	mu sync.Mutex
 	// weights holds the versions declared for each model, the newest last.
@@ -304,7 +306,7 @@
 }
 
 // decode adds records to a batch, and decodes those of servers. Other writers may add records to
-// the registry: one that cannot be decoded names no server that may be used.
+// the registry: one that cannot be decoded names no server that may be used. The caller holds applyMu.
 func (r *Registry) decode(stream sharedlog.Stream, records []sharedlog.Record, b *batch) {
 	b.records = make([]decodedRecord, 0, len(records))
 	for _, record := range records {
@@ -312,6 +314,9 @@
 		if stream == sharedlog.Servers {
 			update, err := r.cfg.Decoder.Server(record)
 			next.server, next.undecodable = update.Server, err != nil
+			if next.server != nil {
+				r.shared.share(next.server)
+			}
 			r.logUndecodable(record, err)
 		}
 		b.records = append(b.records, next)
