fleet: statements of servers take memory only where there are any

Cause: the state of each server had 168 bytes for what the server states about itself in its answers. A box of a large fleet calls few of the servers.

Change: they are allocated with the first answer to this box or the first report of one. Until then methods that record nothing work on an empty value.

--- a/internal/fleet/advisory.go
+++ b/internal/fleet/advisory.go
@@ -23,7 +23,7 @@
 	if state == nil {
 		return
 	}
-	if change := state.statements.ApplyAnswer(answer); change != (advisory.Change{}) {
+	if change := state.ownStatements().ApplyAnswer(answer); change != (advisory.Change{}) {
 		f.logAdvisory(state, change, sourceAnswer, boottime.Now())
 		f.reporting[state] = struct{}{}
 		f.loadsChanged.Broadcast() // report it to other boxes soon
@@ -33,7 +33,7 @@
 // applyReport processes another box's report of a server's statements. The caller holds mu.
 func (f *Fleet) applyReport(state *State, report *advisory.Report, now time.Time) {
 	if report != nil {
-		f.logAdvisory(state, state.statements.ApplyReport(*report, now), sourceReport, now)
+		f.logAdvisory(state, state.ownStatements().ApplyReport(*report, now), sourceReport, now)
 		f.reporting[state] = struct{}{}
 	}
 }
@@ -49,14 +49,14 @@
 	}
 	if change.Paused {
 		f.cfg.Logger.Info().Str("server", state.Incarnation).Str("service", state.Service).Str("server_zone", state.Zone).
-			Dur("pause", state.statements.PausedFor(now)).Int("in_flight", state.inFlight).Msg("server_paused")
+			Dur("pause", state.stated().PausedFor(now)).Int("in_flight", state.inFlight).Msg("server_paused")
 	}
 }
 
 // limitPosition returns this box's position among the boxes that share a server's rate limit. The
 // caller holds mu.
 func (f *Fleet) limitPosition(state *State, now time.Time) advisory.Position {
-	if _, _, limited := state.statements.Limit(now); !limited || f.cfg.LimitPosition == nil {
+	if _, _, limited := state.stated().Limit(now); !limited || f.cfg.LimitPosition == nil {
 		return advisory.Position{}
 	}
 	return f.cfg.LimitPosition(state.Zone, state.Incarnation)
@@ -65,7 +65,7 @@
 // isCapped reports whether this box counts its calls at a server, so that only calls that it places
 // for itself may go there. The caller holds mu.
 func (f *Fleet) isCapped(state *State, now time.Time) bool {
-	_, _, limited := state.statements.Limit(now)
+	_, _, limited := state.stated().Limit(now)
 	return limited || f.isBounded(state, now)
 }
 
@@ -76,7 +76,7 @@
 	defer f.mu.Unlock()
 	now := boottime.Now()
 	for _, state := range f.servers {
-		share, named := state.statements.Share(now, f.limitPosition(state, now))
+		share, named := state.stated().Share(now, f.limitPosition(state, now))
 		if !named || !state.delistedAt.IsZero() {
 			continue
 		}
@@ -90,7 +90,7 @@
 
 // logLimit logs a change of a server's rate limit. The caller holds mu.
 func (f *Fleet) logLimit(state *State, source string, now time.Time) {
-	perSecond, age, limited := state.statements.Limit(now)
+	perSecond, age, limited := state.stated().Limit(now)
 	event := "server_limit_ended"
 	if limited {
 		event = "server_limit_named"
@@ -107,7 +107,7 @@
 	now := boottime.Now()
 	reports := map[string]*advisory.Report{}
 	for state := range f.reporting {
-		if report := state.statements.Report(now); report != nil {
+		if report := state.stated().Report(now); report != nil {
 			reports[state.Incarnation] = report
 		}
 	}
--- a/internal/fleet/availability.go
+++ b/internal/fleet/availability.go
@@ -29,7 +29,7 @@
 		if state.isDraining() || !f.isPresent(state, now) || f.evacuated.IsEvacuated(state.Zone) || zoneAllowed != nil && !zoneAllowed(state.Zone) {
 			continue
 		}
-		wait, here := state.statements.Wait(now, f.limitPosition(state, now))
+		wait, here := state.stated().Wait(now, f.limitPosition(state, now))
 		if !best.HasServers || here && !best.ForThisBox || here == best.ForThisBox && wait < best.Wait {
 			best = Availability{HasServers: true, Wait: wait, ForThisBox: here}
 		}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -258,13 +258,13 @@
 // isEligible reports whether a server may take a call, regardless of whether it is suspect. The
 // caller holds mu.
 func (f *Fleet) isEligible(state *State, query Query, now time.Time) bool {
-	if state.isDraining() || state.statements.PausedFor(now) > 0 || !f.isPresent(state, now) || now.Before(state.pausedUntil) || now.Before(state.weightOrderUntil) || now.Before(state.replacedUntil) {
+	if state.isDraining() || state.stated().PausedFor(now) > 0 || !f.isPresent(state, now) || now.Before(state.pausedUntil) || now.Before(state.weightOrderUntil) || now.Before(state.replacedUntil) {
 		return false
 	}
 	if f.evacuated.IsEvacuated(state.Zone) || query.ZoneAllowed != nil && !query.ZoneAllowed(state.Zone) {
 		return false
 	}
-	if f.isColdExcluded(state, now) || !state.statements.HasRoom(now, f.limitPosition(state, now)) || query.UncappedOnly && f.isCapped(state, now) {
+	if f.isColdExcluded(state, now) || !state.stated().HasRoom(now, f.limitPosition(state, now)) || query.UncappedOnly && f.isCapped(state, now) {
 		return false
 	}
 	if query.ConnectionLimit > 0 && state.inFlight >= query.ConnectionLimit {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -196,7 +196,7 @@
 		state.replacedUntil = time.Time{}
 	}
 	if state.Leaving && !update.Server.Leaving {
-		state.statements.NoteReady(boottime.Now())
+		state.ownStatements().NoteReady(boottime.Now())
 	}
 	f.setEntry(state, update)
 }
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -62,7 +62,7 @@
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	now := boottime.Now()
-	if h.state.statements.Draining() || h.state.statements.PausedFor(now) > 0 {
+	if h.state.stated().Draining() || h.state.stated().PausedFor(now) > 0 {
 		return false
 	}
 	return h.handOverBy.IsZero() || now.Before(h.handOverBy)
@@ -96,7 +96,7 @@
 	if !state.delistedAt.IsZero() {
 		delistedFor = now.Sub(state.delistedAt)
 	}
-	cold, limited := f.countColdCall(state, now), state.statements.NoteSent(now, f.limitPosition(state, now))
+	cold, limited := f.countColdCall(state, now), state.stated().NoteSent(now, f.limitPosition(state, now))
 	handOverBy := time.Time{}
 	if cold || limited {
 		handOverBy = now.Add(coldstart.AdmissionValidity)
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -39,7 +39,7 @@
 	var loads []Load
 	for state := range f.reporting {
 		paused := max(state.weightOrderUntil.Sub(now), state.replacedUntil.Sub(now), 0)
-		newer, report := state.newerWeights(), state.statements.Report(now)
+		newer, report := state.newerWeights(), state.stated().Report(now)
 		if state.inFlight == 0 && paused == 0 && newer == nil && report == nil {
 			delete(f.reporting, state)
 			continue
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -46,8 +46,28 @@
 		s.Slots == other.Slots && s.Leaving == other.Leaving && s.ColdFor == other.ColdFor && maps.Equal(s.Weights, other.Weights)
 }
 
+// noStatements stands for the statements of servers that have made none. It is never modified.
+var noStatements advisory.Server
+
+// stated returns what the server states about itself, for methods that record nothing. NoteSent
+// records calls only of servers that state a limit.
+func (s *State) stated() *advisory.Server {
+	if s.statements == nil {
+		return &noStatements
+	}
+	return s.statements
+}
+
+// ownStatements returns the statements of the server, for recording one.
+func (s *State) ownStatements() *advisory.Server {
+	if s.statements == nil {
+		s.statements = &advisory.Server{}
+	}
+	return s.statements
+}
+
 // isDraining reports whether the server drains according to its entry or its answers.
-func (s *State) isDraining() bool { return s.Leaving || s.statements.Draining() }
+func (s *State) isDraining() bool { return s.Leaving || s.stated().Draining() }
 
 // State is a server with this box's observations about it. The fleet's lock guards all fields.
 type State struct {
@@ -91,8 +111,9 @@
 	// it was read. coldCalls are the calls that this box has sent it while cold.
 	coldUntil time.Time
 	coldCalls coldstart.Window
-	// statements is what the server states about itself in its answers.
-	statements advisory.Server
+	// statements is what the server states about itself in its answers; nil before the first one. A
+	// box of a large fleet calls few of the servers.
+	statements *advisory.Server
 	// recent is the decaying number of calls that this box placed at the server, at recentAt.
 	recent   float64
 	recentAt time.Time
--- a/internal/fleet/shortage.go
+++ b/internal/fleet/shortage.go
@@ -43,9 +43,9 @@
 			shortage.Evacuated++
 		case f.isColdExcluded(state, now):
 			shortage.ColdExcluded++
-		case !state.statements.HasRoom(now, f.limitPosition(state, now)):
+		case !state.stated().HasRoom(now, f.limitPosition(state, now)):
 			shortage.Limited++
-		case state.statements.PausedFor(now) > 0:
+		case state.stated().PausedFor(now) > 0:
 			shortage.Paused++
 		}
 	}
