--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -145,6 +145,8 @@
 	// snapshotTurnAt is when another box was last due to receive the configuration, from this box
 	// or, in a large fleet, from others.
 	snapshotTurnAt map[string]time.Time
+	// snapshotsUnderWay has an element for each snapshot that is being sent.
+	snapshotsUnderWay chan struct{}
 	// headroomOwners caches the owner of each server's headroom.
 	headroomOwners map[string]string
 	// totals is the load of this box and of all boxes that report to it, as of totalsAt.
@@ -190,7 +192,7 @@
 	}
 	s := &Share{
 		cfg: cfg, started: boottime.Now(), peers: map[string]*peer{}, links: map[string]*peerLink{}, reports: map[string]*report{},
-		states: map[string]*peerState{}, avoided: map[string]time.Time{}, snapshotTurnAt: map[string]time.Time{},
+		states: map[string]*peerState{}, avoided: map[string]time.Time{}, snapshotTurnAt: map[string]time.Time{}, snapshotsUnderWay: make(chan struct{}, maxSnapshotsUnderWay),
 		headroomOwners: map[string]string{}, coldOwners: map[string]string{}, everReported: map[string]bool{}, loadSources: map[string]bool{}, followerRoster: newLocalRoster(), fullRoster: newLocalRoster(),
 	}
 	s.server = frame.NewServer(cfg.Logger, s.serve)
--- a/internal/loadshare/send.go
+++ b/internal/loadshare/send.go
@@ -93,15 +93,24 @@
 			return
 		}
 		wake := s.urgent.Chan()
-		m := s.compose(box)
-		m.Address, address = address, ""
-		if err := s.writeMessage(connection, m); err != nil {
+		if err := s.sendReport(connection, box, address); err != nil {
 			return
 		}
+		address = ""
 		s.waitToSend(ctx, box, wake)
 	}
 }
 
+// sendReport sends one report, with this box's address unless that is empty.
+func (s *Share) sendReport(connection net.Conn, box, address string) error {
+	m := s.compose(box)
+	m.Address = address
+	if m.Snapshot = s.takeSnapshot(box); m.Snapshot != nil {
+		defer s.releaseSnapshot()
+	}
+	return s.writeMessage(connection, m)
+}
+
 // SendNow sends a report to all peers at once, for an urgent change that they and their followers
 // must receive before the next report is due.
 func (s *Share) SendNow() {
@@ -125,10 +134,11 @@
 	return s.everReported[box] && boottime.Since(s.started)-max(opened, echoed) > limit
 }
 
-// compose builds the message for another box, with this box's load and what it forwards.
+// compose builds the message for another box, with this box's load and what it forwards, but without
+// a snapshot.
 func (s *Share) compose(box string) message {
 	own := s.cfg.Fleet.Loads()
-	m := message{Box: s.cfg.Box, Incarnation: s.cfg.Incarnation, NamedVersions: s.cfg.NamedVersions(), NeedsSnapshot: s.cfg.NeedsSnapshot(), Snapshot: s.snapshotFor(box)}
+	m := message{Box: s.cfg.Box, Incarnation: s.cfg.Incarnation, NamedVersions: s.cfg.NamedVersions(), NeedsSnapshot: s.cfg.NeedsSnapshot()}
 	full, otherZonesDue := s.addReports(&m, box, own)
 	if !full {
 		if s.usesDue(box) {
--- a/internal/loadshare/withoutlog.go
+++ b/internal/loadshare/withoutlog.go
@@ -21,6 +21,29 @@
 // There are several because any of them may be cut off from the box that needs it.
 const snapshotSenders = 8
 
+// maxSnapshotsUnderWay bounds the messages with a snapshot that a box holds until they have been
+// sent: each takes up to 1 MB while it is encoded. All followers of a hub may need one at the same
+// time, when the log is slow while all boxes start. The others get theirs with a later message.
+const maxSnapshotsUnderWay = 16
+
+// takeSnapshot returns the snapshot to send to a box with the next message, if there is room for one
+// more under way. The caller calls releaseSnapshot when the message has been sent.
+func (s *Share) takeSnapshot(box string) *registry.Snapshot {
+	select {
+	case s.snapshotsUnderWay <- struct{}{}:
+	default:
+		return nil
+	}
+	snapshot := s.snapshotFor(box)
+	if snapshot == nil {
+		s.releaseSnapshot()
+	}
+	return snapshot
+}
+
+// releaseSnapshot makes room for another snapshot.
+func (s *Share) releaseSnapshot() { <-s.snapshotsUnderWay }
+
 // learnPeer adds a box that sent a report, while the list has not been read.
 func (s *Share) learnPeer(m message) {
 	s.mu.Lock()
