--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -12,7 +12,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cometlock/cometlock/internal/call"
-	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/fleet"
 )
 
@@ -39,8 +38,7 @@
 		counts.Unlock()
 		_, _ = w.Write([]byte("answer"))
 	}))
-	// A busy machine takes its time for the calls before.
-	c := changedCatalog(g, func(route *catalog.Route) { route.Objective, route.Timeout = 100*time.Second, 100*time.Second })
+	c := promptCatalog(g)
 	protocol := newPlanProtocol()
 	protocol.info.Prompt = largeMemoryPrompt() // of a capacity of 100,000 tokens
 	gateway := promptGateway(protocol, f, emptyIndex(c), c)
