handover: a connection whose write ends just after the response is reused

Cause: a long body is written by a goroutine. When the response had been read before that goroutine reported the end of its write, the connection was closed.

Change: Close leaves the connection to a goroutine that waits for the end of the write for 50 ms. The test's server reads the body first; what it expects is unchanged.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -208,19 +208,44 @@
 	return r.parsed.ContentLength >= 0 || len(r.parsed.TransferEncoding) > 0
 }
 
-// Close releases the response. The connection goes back to the pool if the call was written
-// and the response read completely, and nothing more was received.
+// writtenTimeout bounds the wait for the end of a write after the response has been read. Usually only the
+// goroutine that writes has yet to report it; a server may also respond before it has read the whole call.
+const writtenTimeout = 50 * time.Millisecond
+
+// Close releases the response. The connection goes back to the pool if the response was read completely,
+// nothing more was received, and the call is written by then or soon after.
 func (r *Response) Close() {
-	notCancelled := r.stopCancel()
+	if notCancelled := r.stopCancel(); !notCancelled || !r.reusable() {
+		r.conn.close()
+		return
+	}
 	select {
 	case err := <-r.written:
-		if err == nil && notCancelled && r.reusable() {
-			r.pool.putIdle(r.conn, announcedMaxIdle(r.Header))
-			return
-		}
+		r.release(err)
 	default:
+		go r.runRelease()
+	}
+}
+
+// runRelease waits for the end of the write and releases the connection.
+func (r *Response) runRelease() {
+	timer := time.NewTimer(writtenTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-r.written:
+		r.release(err)
+	case <-timer.C:
+		r.conn.close()
+	}
+}
+
+// release puts the connection into the pool if the call was written.
+func (r *Response) release(writeErr error) {
+	if writeErr != nil {
+		r.conn.close()
+		return
 	}
-	r.conn.close()
+	r.pool.putIdle(r.conn, announcedMaxIdle(r.Header))
 }
 
 func (r *Response) reusable() bool {
--- a/internal/handover/tls_test.go
+++ b/internal/handover/tls_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -30,6 +31,8 @@
 	files := loadFiles(t, g, testcerts.New(g), 1)
 	const perConnection = 3
 	s := serveWith(t, files.ServerConfig(), func(call int, r *http.Request, c net.Conn) bool {
+		// A connection whose call is not yet written when its response has been read is not reused.
+		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = c.Write([]byte(responseText(r.Header.Get("X-Id"), strings.Repeat("x", 100_000))))
 		return call%perConnection != 0
 	})
