--- a/internal/gateway/expired_test.go
+++ b/internal/gateway/expired_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/fleet"
 )
@@ -32,6 +33,8 @@
 	startRunner(t, f, "r", serveEvents("first", 0))
 	c := promptCatalogWithTimeout(g, time.Nanosecond)
 	gateway := promptGateway(newPlanProtocol(), f, emptyIndex(c), c)
+	var logged syncBuffer
+	gateway.cfg.Logger = zerolog.New(&logged)
 	box := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Host = "example.com"
 		gateway.ServeHTTP(slowWriter{w}, r)
@@ -51,4 +54,5 @@
 		}
 	}
 	g.Expect(empty).To(BeZero(), "of %d calls", calls)
+	g.Expect(logged.String()).NotTo(ContainSubstring(`"outcome":"gone"`))
 }
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -81,3 +81,20 @@
 		})
 	}
 }
+
+// When probes began only once a call looked for another server, a call with a long objective waited for a
+// machine that was gone for longer than its objective.
+func TestAMachineThatIsGoneIsNoticedLongBeforeALongObjective(t *testing.T) {
+	t.Parallel()
+	const objective, timeout = 8 * time.Second, 8 * time.Second
+	g := NewWithT(t)
+	f := fleet.New(fleet.Config{})
+	startUnreachableFor(t, f, stallingStream(timeout, false, nil), 100*time.Millisecond, timeout)
+	c := resumableCatalogWith(g, 2, objective)
+	gateway := promptGateway(newPlanProtocol(), f, emptyIndex(c), c)
+	bodies := make(chan string, 1)
+	go func() { bodies <- serveStream(gateway) }()
+	g.Eventually(func() int { return inFlight(f) }).Should(Equal(1))
+	startSecond(t, f, serveEvents("second", 0))
+	g.Eventually(bodies, timeout).Should(Receive(Equal(fullStream("second", false))))
+}
--- a/internal/handover/unresponsive_test.go
+++ b/internal/handover/unresponsive_test.go
@@ -62,9 +62,17 @@
 func TestAFailedMachineIsDetected(t *testing.T) {
 	const maxDetection = 8 * time.Second
 	tests := []struct {
-		name   string
-		probed bool
-	}{{"while the request is written", false}, {"while the server works", true}}
+		name string
+		// written means that the machine fails before the request is written, and probed that probes are
+		// turned on, after some time.
+		written bool
+		probed  bool
+		after   time.Duration
+	}{
+		{"while the request is written", true, false, 0},
+		{"while the request is written, before probes are turned on", true, true, 500 * time.Millisecond},
+		{"while the server works", false, true, 0},
+	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -79,7 +87,7 @@
 			pool := handover.NewPool(handover.PoolConfig{})
 			g.Expect(pool.Probe(t.Context(), s.address)).To(Succeed())
 			connection := <-accepted
-			if !test.probed {
+			if test.written {
 				dropFor(t, connection, time.Hour)
 			} else {
 				go func() {
@@ -89,7 +97,10 @@
 			}
 			r := request(s, "1")
 			r.OnConnect = func(enableKeepAlive func() error) {
-				if test.probed {
+				switch {
+				case test.probed && test.after > 0:
+					time.AfterFunc(test.after, func() { g.Expect(enableKeepAlive()).To(Succeed()) })
+				case test.probed:
 					g.Expect(enableKeepAlive()).To(Succeed())
 				}
 			}
