callerconn: an idle timeout that the configuration no longer has ends

What callers saw: a connection that was idle when a version of the configuration took the idle timeout away was closed by the old one, while its caller still used it.

Cause: the check whether the timeout has become longer took none for an idle time of zero; the server's own timeout of 60 s applies then.

Evidence: the new row of TestALongerIdleTimeoutAppliesToIdleConnections failed before the change.

Change: without a configured timeout, the end that the server had set counts.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -73,6 +73,8 @@
 	received       bool
 	idleTimeoutSet bool
 	idleSince      time.Time
+	// serverIdleEnd is the end of the idle time by the server's own timeout.
+	serverIdleEnd time.Time
 	// headerExtended is set if the current header timeout was extended.
 	headerExtended bool
 }
@@ -90,23 +92,23 @@
 // changed.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	if !deadline.IsZero() {
-		if timeout := c.nextTimeout(); timeout > 0 {
+		if timeout := c.nextTimeout(deadline); timeout > 0 {
 			deadline = time.Now().Add(timeout)
 		}
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// nextTimeout returns the timeout of what the connection waits for next, or zero if the deadline is
-// not to be changed.
-func (c *conn) nextTimeout() time.Duration {
+// nextTimeout returns the timeout of what the connection waits for next, or zero if the deadline, which is the
+// server's, is not to be changed.
+func (c *conn) nextTimeout(deadline time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.active:
 		return 0
 	case c.idle && !c.idleTimeoutSet:
-		c.idleTimeoutSet, c.idleSince = true, time.Now()
+		c.idleTimeoutSet, c.idleSince, c.serverIdleEnd = true, time.Now(), deadline
 		return c.timeouts().Idle
 	default:
 		c.idleSince, c.headerExtended = time.Time{}, false
@@ -144,7 +146,7 @@
 	}
 	isIdle := !c.idleSince.IsZero() && !c.received
 	extension := lateReadTime
-	if left := time.Until(c.idleSince.Add(c.timeouts().Idle)); isIdle && left > 0 {
+	if left := time.Until(c.idleEnd()); isIdle && left > 0 {
 		extension = left
 	} else if !isIdle && c.headerExtended || !hasUnreadBytes(c.Conn) {
 		return false
@@ -153,6 +155,14 @@
 	return c.Conn.SetReadDeadline(time.Now().Add(extension)) == nil
 }
 
+// idleEnd returns the end of the idle time by the timeout that applies now. The caller holds mu.
+func (c *conn) idleEnd() time.Time {
+	if timeout := c.timeouts().Idle; timeout > 0 {
+		return c.idleSince.Add(timeout)
+	}
+	return c.serverIdleEnd
+}
+
 // hasUnreadBytes reports whether bytes have arrived on a connection that were not read.
 func hasUnreadBytes(connection net.Conn) bool {
 	socket, ok := connection.(syscall.Conn)
--- a/internal/callerconn/idle_test.go
+++ b/internal/callerconn/idle_test.go
@@ -38,26 +38,34 @@
 }
 
 // A connection that was idle when the configuration got a longer idle timeout was closed by the shorter
-// one, while its caller still used it.
+// one, while its caller still used it. So was one whose idle timeout the configuration no longer had.
 func TestALongerIdleTimeoutAppliesToIdleConnections(t *testing.T) {
-	g := NewWithT(t)
-	var idle atomic.Int64
-	idle.Store(int64(shortIdle))
-	server, client := connectionPairWith(g, func() callerconn.Timeouts { return callerconn.Timeouts{Idle: time.Duration(idle.Load())} })
-	defer client.Close()
-	callerconn.TrackState(server, http.StateIdle)
-	g.Expect(server.SetReadDeadline(time.Now().Add(farDeadline))).To(Succeed())
-	idle.Store(int64(farDeadline))
-	sent := make(chan error, 1)
-	time.AfterFunc(2*shortIdle, func() {
-		_, err := io.WriteString(client, wholeRequest)
-		sent <- err
-	})
-	received := make([]byte, len(wholeRequest))
-	_, err := io.ReadFull(server, received)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(<-sent).To(Succeed())
-	g.Expect(string(received)).To(Equal(wholeRequest))
+	tests := []struct {
+		name  string
+		after time.Duration
+	}{{"longer", farDeadline}, {"that of the server", 0}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var idle atomic.Int64
+			idle.Store(int64(shortIdle))
+			server, client := connectionPairWith(g, func() callerconn.Timeouts { return callerconn.Timeouts{Idle: time.Duration(idle.Load())} })
+			defer client.Close()
+			callerconn.TrackState(server, http.StateIdle)
+			g.Expect(server.SetReadDeadline(time.Now().Add(farDeadline))).To(Succeed())
+			idle.Store(int64(test.after))
+			sent := make(chan error, 1)
+			time.AfterFunc(2*shortIdle, func() {
+				_, err := io.WriteString(client, wholeRequest)
+				sent <- err
+			})
+			received := make([]byte, len(wholeRequest))
+			_, err := io.ReadFull(server, received)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(<-sent).To(Succeed())
+			g.Expect(string(received)).To(Equal(wholeRequest))
+		})
+	}
 }
 
 // A request that had arrived on a new connection was dropped unread in the same way, if the process got no
