peerpath: a box that serves is not avoided for one slow connection

Cause: its log has seven refusals in a row, service_unreachable, and a TLS handshake that the caller's box gave up. Both other boxes had served calls on kept connections; a new connection took over half a second, and the box was avoided for a second. With two other boxes none was left.

Ruled out: a longer time to connect, which delays each call to a box that has failed.

Change: a box that served a call within the last half second is not avoided when no connection can be made. The call itself goes to another box, as before. A box that states that it stops, or that breaks off, is avoided at once.

Result: the new test fails without the change.

--- a/internal/gateway/forwardhold.go
+++ b/internal/gateway/forwardhold.go
@@ -45,7 +45,7 @@
 	case h.ended != 0:
 		h.paths.Done(h.box.Name, h.service, h.ended)
 	case outcome == fleet.OutcomeUnreachable:
-		h.paths.Done(h.box.Name, h.service, peerpath.Failed)
+		h.paths.Done(h.box.Name, h.service, peerpath.Unconnected)
 	case outcome == fleet.OutcomeAbandoned:
 		h.paths.Done(h.box.Name, h.service, peerpath.Abandoned)
 	default:
--- a/internal/peerpath/peerpath.go
+++ b/internal/peerpath/peerpath.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -30,6 +31,9 @@
 	// avoidDuration is how long a box that could not be reached, or does not reach the service, gets no
 	// calls. A partition lasts for seconds.
 	avoidDuration = time.Second
+	// aliveFor is how long after a served call a box is not avoided because no connection could be made.
+	// A box that lacks CPU accepts new connections late while it serves calls on others.
+	aliveFor = 500 * time.Millisecond
 	// limitedDuration is the same for a box that takes no more forwarded calls at the moment.
 	limitedDuration = 100 * time.Millisecond
 	// maxUnusable is the number of boxes that must be found unusable, with no call served in between,
@@ -72,7 +76,9 @@
 	Served Outcome = iota + 1
 	// Unreachable: the box does not reach the service.
 	Unreachable
-	// Failed: the box could not be reached, or broke off.
+	// Unconnected: no connection to the box could be made in time.
+	Unconnected
+	// Failed: the box broke off, or is stopping.
 	Failed
 	// Limited: the box takes no more forwarded calls at the moment.
 	Limited
@@ -96,6 +102,8 @@
 	ranked   []Box
 	rankedAt time.Time
 	inFlight map[string]int
+	// servedAt has when boxes last served a call, if that is less than aliveFor ago.
+	servedAt map[string]time.Time
 	// avoided maps boxes, each with a service or with "" for all, to when they may be used again.
 	avoided map[avoidKey]time.Time
 	// failures has the boxes that were unusable for a service since its last served call.
@@ -112,7 +120,7 @@
 
 // New returns Paths.
 func New(cfg Config) *Paths {
-	return &Paths{cfg: cfg, inFlight: map[string]int{}, avoided: map[avoidKey]time.Time{}, failures: map[string]*failures{}}
+	return &Paths{cfg: cfg, inFlight: map[string]int{}, servedAt: map[string]time.Time{}, avoided: map[avoidKey]time.Time{}, failures: map[string]*failures{}}
 }
 
 // Choose returns the box for a call to a service, other than those excluded by name, and counts the call
@@ -155,9 +163,16 @@
 	switch outcome {
 	case Served:
 		delete(p.failures, service)
+		maps.DeleteFunc(p.servedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= aliveFor })
+		p.servedAt[box] = now
 	case Unreachable:
 		p.avoid(avoidKey{box, service}, now, avoidDuration)
 		p.noteUnusable(box, service, now)
+	case Unconnected:
+		if now.Sub(p.servedAt[box]) >= aliveFor {
+			p.avoid(avoidKey{box: box}, now, avoidDuration)
+			p.noteUnusable(box, service, now)
+		}
 	case Failed:
 		p.avoid(avoidKey{box: box}, now, avoidDuration)
 		p.noteUnusable(box, service, now)
--- a/internal/peerpath/peerpath_test.go
+++ b/internal/peerpath/peerpath_test.go
@@ -312,3 +312,35 @@
 		g.Expect(late.Load()).To(BeNumerically("<", calls/2))
 	})
 }
+
+// A box that lacked CPU served calls on kept connections while a new one took too long. It was avoided all the
+// same, and where it was the only other box, calls were refused for a second.
+func TestABoxThatServesIsAvoidedForOneSlowConnection(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		after   time.Duration
+		outcome Outcome
+		avoided bool
+	}{
+		{"served just before", 0, Unconnected, false},
+		{"served long ago", aliveFor, Unconnected, true},
+		{"stopping", 0, Failed, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				p := New(Config{Self: "a", Others: func() []Box { return []Box{{Name: "b"}} }})
+				for _, outcome := range []Outcome{Served, test.outcome} {
+					box, ok := p.Choose(testService, nil)
+					g.Expect(ok).To(BeTrue())
+					if outcome == test.outcome {
+						time.Sleep(test.after)
+					}
+					p.Done(box.Name, testService, outcome)
+				}
+				_, ok := p.Choose(testService, nil)
+				g.Expect(ok).NotTo(Equal(test.avoided))
+			})
+		})
+	}
+}
