orderlease: a failed append fails all who wait for it

Cause: Permit holds a mutex during its append, and each of those who wait for the mutex appends again. A box that does not reach the log fails them one after the other, 0.7 s each, and their runners stay out of service meanwhile. The wait for the mutex did not heed the caller's context either.

Ruled out: a shorter timeout of the append, since a slow log needs it.

--- a/internal/orderlease/orderlease.go
+++ b/internal/orderlease/orderlease.go
@@ -75,8 +75,9 @@
 type Lease struct {
 	cfg Config
 
-	// appendMu lets one goroutine append at a time.
-	appendMu sync.Mutex
+	// appending holds one element while a goroutine appends. It is no mutex, so that those who wait for it
+	// heed their contexts.
+	appending chan struct{}
 
 	mu sync.Mutex
 	// next is the offset after the last observed record; caughtUp reports that the stream has been
@@ -90,12 +91,17 @@
 	otherAt time.Time
 	// fence is the offset of the first record of this box since then.
 	fence int64
+	// failedAt is when an append of this box last failed. Those who waited for it do not try again, so
+	// that they do not wait one after the other.
+	failedAt time.Time
 	// permittedUntil is until when this box may send orders.
 	permittedUntil time.Time
 }
 
 // New returns a lease that this box does not hold.
-func New(cfg Config) *Lease { return &Lease{cfg: cfg} }
+func New(cfg Config) *Lease {
+	return &Lease{cfg: cfg, appending: make(chan struct{}, 1)}
+}
 
 // Loop follows the stream until ctx ends.
 func (l *Lease) Loop(ctx context.Context) {
@@ -189,15 +195,20 @@
 	if l.Idle() {
 		return 0, false
 	}
-	l.appendMu.Lock()
-	defer l.appendMu.Unlock()
+	asked := boottime.Now()
+	select {
+	case l.appending <- struct{}{}:
+		defer func() { <-l.appending }()
+	case <-ctx.Done():
+		return 0, false
+	}
 	l.mu.Lock()
 	now := boottime.Now()
 	if l.last == l.cfg.Holder && now.Before(l.permittedUntil) && l.gapElapsed(now) {
 		defer l.mu.Unlock()
 		return l.fence, true
 	}
-	if !l.caughtUp || (l.last != l.cfg.Holder && l.last != "" && now.Sub(l.lastAt) < takeoverAfter) {
+	if !l.caughtUp || l.failedAt.After(asked) || (l.last != l.cfg.Holder && l.last != "" && now.Sub(l.lastAt) < takeoverAfter) {
 		l.mu.Unlock()
 		return 0, false
 	}
@@ -229,12 +240,13 @@
 	}
 	sent := boottime.Now()
 	offset, err := l.cfg.Log.Append(ctx, sharedlog.Orders, end, sharedlog.Record{Value: value})
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err != nil {
+		l.failedAt = boottime.Now()
 		l.cfg.Logger.Info().Int64("end", end).Str("error", err.Error()).Msg("order_lease_not_taken")
 		return false
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.observe(l.cfg.Holder, offset)
 	if l.next == offset+1 {
 		l.permittedUntil = sent.Add(permitFor)
--- a/internal/orderlease/orderlease_test.go
+++ b/internal/orderlease/orderlease_test.go
@@ -108,6 +108,26 @@
 	}
 }
 
+// A box that does not reach the log kept its runners out of service while their tasks waited for one failing
+// append after the other.
+func TestFailedAppendsDoNotQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		log := fakesharedlog.New()
+		lease := start(ctx, log, "a")
+		log.Underlying().SetFaults(fakelog.Faults{Delay: time.Hour})
+		began := time.Now()
+		var waiting sync.WaitGroup
+		for range 20 {
+			waiting.Go(func() { permitted(ctx, lease) })
+		}
+		waiting.Wait()
+		g.Expect(time.Since(began)).To(BeNumerically("<=", time.Second))
+	})
+}
+
 // history lets four boxes send orders for two minutes of virtual time.
 func history(random *rand.Rand) []order {
 	ctx, cancel := context.WithCancel(context.Background())
