orderlease, weightorders: a box that takes over waits for the gap runner by runner

Seen: the holder of the order lease was cut off in a trough, and no box sent orders for the rest of it.

Cause: the gap between the orders of two boxes was kept over all runners, while it is required between orders to one runner: runners do not check fences, so an order of the previous holder must not follow a new one there. Nobody knew which runners the previous holder could have ordered. A record of the lease lists them now, and a record permits orders to these only. The next holder waits for the gap with the listed runners, and orders the others at once. A record without a list (of the previous version, or one that the log no longer retains) permits orders to all runners, as before. Tasks whose lease may be lost end before they have an order, so that their runners serve.

Ruled out: a shorter gap (a user's rule); a shorter time until a box takes over (1.2 s: a slow log delays a renewal by most of that).

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -59,6 +59,9 @@
 	// LoadPace takes more or fewer runners out of service for loads of weights, by the demand and by
 	// the time that is left.
 	LoadPace Mechanism = "load-pace"
+	// RunnerGaps separates orders of two boxes by the gap of the order lease runner by runner, and not
+	// over all runners.
+	RunnerGaps Mechanism = "runner-gaps"
 	// MemoryBudget bounds the memory that is held for calls, and takes in the answers of slow
 	// callers.
 	MemoryBudget Mechanism = "memory-budget"
@@ -72,7 +75,7 @@
 	return []Mechanism{
 		ZoneReaders, Hubs, Owners, WaitingLine, Homes, Headroom, SlowStores, SharedLateness, FetchChoice, StoreKinds, KeptConnections, Suspicion, ReadRates, PausedLoading,
 		Slots, BriefCalls, FullZones, FairShares, ReturnTimes,
-		LoadPace, MemoryBudget, PeerForwarding,
+		LoadPace, RunnerGaps, MemoryBudget, PeerForwarding,
 	}
 }
 
--- a/internal/orderlease/orderlease.go
+++ b/internal/orderlease/orderlease.go
@@ -15,6 +15,13 @@
 // between. A box that starts does not know when the records that it finds were appended, and
 // treats them as new.
 //
+// A record lists the runners to which it permits orders, so a box that takes over waits for the gap
+// only with runners that records of others listed (Permit). It may order the rest as soon as it holds
+// the lease. The argument is the one above, runner by runner: an order is sent only under the newest
+// record of its box, within permitFor of the append, to a runner that this record lists. A record
+// without a list, as a previous version of this package appends it, permits orders to all runners, and
+// so do records that this box could not read.
+//
 // The lease is not renewed while there is nothing to order, so the first order after an idle
 // period waits for a single append.
 package orderlease
@@ -22,6 +29,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -53,7 +61,9 @@
 	// takes (4 ms), and short because a box that takes over waits for it.
 	permitFor = 500 * time.Millisecond
 	// takeoverAfter is how long a holder may append nothing before another box tries to take over.
-	// A holder with orders left appends twice a second.
+	// A holder with orders left appends twice a second. It exceeds permitFor and gapMargin by the age
+	// of a runner's report: once a box has taken over, a runner that reports no order in progress
+	// executes none of the previous holder, unless an order is executed late.
 	takeoverAfter = 1200 * time.Millisecond
 	// gapMargin is added to the gap for orders in transit.
 	gapMargin = 250 * time.Millisecond
@@ -69,6 +79,9 @@
 // record is the value of a record in the stream.
 type record struct {
 	Holder string `msgpack:"h"`
+	// Listed means that the record permits orders only to the runners with the hashes in Runners.
+	Listed  bool     `msgpack:"l,omitempty"`
+	Runners []uint32 `msgpack:"r,omitempty"`
 }
 
 // Lease is this box's view of which box may send orders.
@@ -87,20 +100,25 @@
 	// last is the holder of the last record, and lastAt the time at which this box observed it.
 	last   string
 	lastAt time.Time
-	// otherAt is when this box last observed a record of another box.
-	otherAt time.Time
+	// otherAt is when this box last observed a record of another box, unlistedAt one that permits
+	// orders to all runners, and listedAt those that list a runner, by the runner's hashes.
+	otherAt, unlistedAt time.Time
+	listedAt            map[uint32]time.Time
 	// fence is the offset of the first record of this box since then.
 	fence int64
 	// failedAt is when an append of this box last failed. Those who waited for it do not try again, so
 	// that they do not wait one after the other.
 	failedAt time.Time
-	// permittedUntil is until when this box may send orders.
+	// permittedUntil is until when this box may send orders under its newest record, which permits
+	// them to the runners in permitted, or to all if permitsAll is set.
 	permittedUntil time.Time
+	permitted      map[uint32]bool
+	permitsAll     bool
 }
 
 // New returns a lease that this box does not hold.
 func New(cfg Config) *Lease {
-	return &Lease{cfg: cfg, appending: make(chan struct{}, 1)}
+	return &Lease{cfg: cfg, appending: make(chan struct{}, 1), listedAt: map[uint32]time.Time{}}
 }
 
 // Loop follows the stream until ctx ends.
@@ -147,7 +165,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if first > l.next {
-		l.next, l.otherAt, l.last = first, boottime.Now(), ""
+		now := boottime.Now()
+		l.next, l.otherAt, l.unlistedAt, l.last = first, now, now, ""
 	}
 }
 
@@ -159,27 +178,40 @@
 		if err := safepack.Unmarshal(r.Value, &decoded); err != nil {
 			l.cfg.Logger.Error().Int64("offset", r.Offset).Str("error", err.Error()).Msg("order_lease_not_decoded")
 		}
-		l.observe(decoded.Holder, r.Offset)
+		l.observe(decoded, r.Offset)
 	}
 	l.caughtUp = l.caughtUp || page.Next >= page.End
 }
 
 // observe processes the record at an offset, once. The caller holds mu.
-func (l *Lease) observe(holder string, offset int64) {
+func (l *Lease) observe(r record, offset int64) {
 	if offset < l.next {
 		return
 	}
 	now := boottime.Now()
-	if holder != l.cfg.Holder {
+	if r.Holder != l.cfg.Holder {
 		l.otherAt = now
 		l.permittedUntil = time.Time{}
+		l.observeRunners(r, now)
 	} else if l.last != l.cfg.Holder {
 		l.fence = offset
 	}
-	if holder != l.last {
-		l.cfg.Logger.Info().Str("holder", holder).Int64("offset", offset).Msg("order_lease_taken")
+	if r.Holder != l.last {
+		l.cfg.Logger.Info().Str("holder", r.Holder).Int64("offset", offset).Msg("order_lease_taken")
+	}
+	l.next, l.last, l.lastAt = offset+1, r.Holder, now
+}
+
+// observeRunners records which runners another box may order. The caller holds mu.
+func (l *Lease) observeRunners(r record, now time.Time) {
+	if !r.Listed {
+		l.unlistedAt = now
+		return
+	}
+	maps.DeleteFunc(l.listedAt, func(_ uint32, at time.Time) bool { return now.Sub(at) > gapAfterRecord(l.cfg.Gap) })
+	for _, runner := range r.Runners {
+		l.listedAt[runner] = now
 	}
-	l.next, l.last, l.lastAt = offset+1, holder, now
 }
 
 // Held reports whether the last record of the stream is this box's.
@@ -189,9 +221,76 @@
 	return l.last == l.cfg.Holder
 }
 
-// Permit requests permission to send orders now. It returns the fencing token for the orders, and
-// false if another box may be sending orders or the append failed.
-func (l *Lease) Permit(ctx context.Context) (fence int64, ok bool) {
+// MayBeLost reports whether this box has not renewed the lease for so long that another may have taken it.
+func (l *Lease) MayBeLost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last != l.cfg.Holder || boottime.Since(l.permittedUntil) > takeoverAfter-permitFor
+}
+
+// ClosedUntil returns the time before which this box may not order a runner, because another box may
+// have done so. It is in the past if there is none.
+func (l *Lease) ClosedUntil(runner Runner) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closedUntil(runner)
+}
+
+// closedUntil is ClosedUntil. The caller holds mu.
+func (l *Lease) closedUntil(runner Runner) time.Time {
+	latest := l.unlistedAt
+	for _, hash := range runner.hashes() {
+		if at := l.listedAt[hash]; at.After(latest) {
+			latest = at
+		}
+	}
+	if latest.IsZero() {
+		return latest
+	}
+	return latest.Add(gapAfterRecord(l.cfg.Gap))
+}
+
+// gapAfterRecord returns how long after a record of another box this box sends no orders that the record
+// permits.
+func gapAfterRecord(gap time.Duration) time.Duration { return permitFor + gap + gapMargin }
+
+// Hold takes or renews the lease if that is necessary, and reports whether this box holds it. planned
+// returns the runners that it is about to order.
+func (l *Lease) Hold(ctx context.Context, planned func() []Runner) bool {
+	always := func(time.Time) bool { return true }
+	_, ok := l.request(ctx, func() record { return listing(planned()) }, always, always)
+	return ok
+}
+
+// Permit requests permission to send an order to a runner now. It returns the fencing token for the
+// order, and false if another box may have ordered the runner recently or if an append failed. The
+// record that it appends, if one is necessary, lists all the runners that planned returns.
+func (l *Lease) Permit(ctx context.Context, runner Runner, planned func() []Runner) (fence int64, ok bool) {
+	if boottime.Now().Before(l.ClosedUntil(runner)) {
+		return 0, false
+	}
+	return l.request(
+		ctx, func() record { return listing(append(planned(), runner)) },
+		func(time.Time) bool { return l.lists(runner) },
+		func(now time.Time) bool { return now.After(l.closedUntil(runner)) },
+	)
+}
+
+// PermitAll requests permission to send orders to all runners now, like Permit.
+func (l *Lease) PermitAll(ctx context.Context) (fence int64, ok bool) {
+	return l.request(
+		ctx, func() record { return record{} },
+		func(time.Time) bool { return l.permitsAll },
+		func(now time.Time) bool {
+			return l.otherAt.IsZero() || now.Sub(l.otherAt) > gapAfterRecord(l.cfg.Gap)
+		},
+	)
+}
+
+// request returns whether the newest record permits what is asked for, after it has appended another
+// one if necessary. covers reports whether the record does, and open whether the gap to the orders of
+// other boxes has elapsed. Both are called with mu held.
+func (l *Lease) request(ctx context.Context, next func() record, covers, open func(time.Time) bool) (fence int64, ok bool) {
 	if l.Idle() {
 		return 0, false
 	}
@@ -204,9 +303,9 @@
 	}
 	l.mu.Lock()
 	now := boottime.Now()
-	if l.last == l.cfg.Holder && now.Before(l.permittedUntil) && l.gapElapsed(now) {
+	if l.last == l.cfg.Holder && now.Before(l.permittedUntil) && covers(now) {
 		defer l.mu.Unlock()
-		return l.fence, true
+		return l.fence, open(now)
 	}
 	if !l.caughtUp || l.failedAt.After(asked) || (l.last != l.cfg.Holder && l.last != "" && now.Sub(l.lastAt) < takeoverAfter) {
 		l.mu.Unlock()
@@ -214,26 +313,34 @@
 	}
 	end := l.next
 	l.mu.Unlock()
-	if !l.append(ctx, end) {
+	if !l.append(ctx, end, next()) {
 		return 0, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now = boottime.Now()
-	return l.fence, l.last == l.cfg.Holder && now.Before(l.permittedUntil) && l.gapElapsed(now)
+	return l.fence, l.last == l.cfg.Holder && now.Before(l.permittedUntil) && covers(now) && open(now)
 }
 
-// gapElapsed reports whether the gap to the orders of all other boxes has elapsed. The caller
-// holds mu.
-func (l *Lease) gapElapsed(now time.Time) bool {
-	return l.otherAt.IsZero() || now.Sub(l.otherAt) > permitFor+l.cfg.Gap+gapMargin
+// lists reports whether the newest record of this box permits orders to a runner. The caller holds mu.
+func (l *Lease) lists(runner Runner) bool {
+	if l.permitsAll {
+		return true
+	}
+	for _, hash := range runner.hashes() {
+		if !l.permitted[hash] {
+			return false
+		}
+	}
+	return true
 }
 
 // append appends a record of this box if the stream ends at the given offset.
-func (l *Lease) append(ctx context.Context, end int64) bool {
+func (l *Lease) append(ctx context.Context, end int64, r record) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	value, err := msgpack.Marshal(record{Holder: l.cfg.Holder})
+	r.Holder = l.cfg.Holder
+	value, err := msgpack.Marshal(r)
 	if err != nil {
 		l.cfg.Logger.Error().Str("error", err.Error()).Msg("order_lease_not_encoded")
 		return false
@@ -247,9 +354,12 @@
 		l.cfg.Logger.Info().Int64("end", end).Str("error", err.Error()).Msg("order_lease_not_taken")
 		return false
 	}
-	l.observe(l.cfg.Holder, offset)
+	l.observe(r, offset)
 	if l.next == offset+1 {
-		l.permittedUntil = sent.Add(permitFor)
+		l.permittedUntil, l.permitsAll, l.permitted = sent.Add(permitFor), !r.Listed, map[uint32]bool{}
+		for _, hash := range r.Runners {
+			l.permitted[hash] = true
+		}
 	}
 	return true
 }
--- a/internal/orderlease/orderlease_test.go
+++ b/internal/orderlease/orderlease_test.go
@@ -34,7 +34,7 @@
 		defer cancel()
 		lease := start(ctx, fakesharedlog.New(), "a")
 		before := time.Now()
-		_, ok := lease.Permit(ctx)
+		_, ok := lease.PermitAll(ctx)
 		g.Expect(ok).To(BeTrue())
 		g.Expect(time.Since(before)).To(BeZero())
 	})
@@ -46,7 +46,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		log := fakesharedlog.New()
-		_, ok := start(ctx, log, "a").Permit(ctx)
+		_, ok := start(ctx, log, "a").PermitAll(ctx)
 		g.Expect(ok).To(BeTrue())
 		time.Sleep(time.Hour)
 		late := start(ctx, log, "b")
@@ -60,7 +60,7 @@
 }
 
 func permitted(ctx context.Context, lease *orderlease.Lease) bool {
-	_, ok := lease.Permit(ctx)
+	_, ok := lease.PermitAll(ctx)
 	return ok
 }
 
@@ -83,6 +83,7 @@
 // order is an order that a box sent.
 type order struct {
 	holder string
+	runner string
 	fence  int64
 	at     time.Time
 }
@@ -94,7 +95,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			random := rand.New(rand.NewPCG(seed, 1))
-			orders := history(random)
+			orders := history(random, func(ctx context.Context, lease *orderlease.Lease, _ *rand.Rand) (string, int64, bool) {
+				fence, ok := lease.PermitAll(ctx)
+				return "", fence, ok
+			})
 			g.Expect(len(orders)).To(BeNumerically(">", 20), "seed %d", seed)
 			for i := 1; i < len(orders); i++ {
 				before, now := orders[i-1], orders[i]
@@ -108,6 +112,47 @@
 	}
 }
 
+// Boxes that take over order other runners at once, so only the list in the records separates two orders to
+// the same runner. Boxes of the previous version, which append records without a list, take part.
+func TestOrdersOfTwoBoxesToOneRunnerAreSeparatedByTheGap(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			random := rand.New(rand.NewPCG(seed, 1))
+			orders := history(random, func(ctx context.Context, lease *orderlease.Lease, random *rand.Rand) (string, int64, bool) {
+				if seed%3 == 0 && random.IntN(4) == 0 {
+					fence, ok := lease.PermitAll(ctx)
+					return "", fence, ok
+				}
+				runner := fmt.Sprint("runner-", random.IntN(30))
+				planned := func() []orderlease.Runner {
+					return []orderlease.Runner{{Incarnation: fmt.Sprint("runner-", random.IntN(30))}}
+				}
+				fence, ok := lease.Permit(ctx, orderlease.Runner{Incarnation: runner}, planned)
+				return runner, fence, ok
+			})
+			g.Expect(len(orders)).To(BeNumerically(">", 20), "seed %d", seed)
+			early := 0
+			for i, now := range orders {
+				for _, before := range orders[:i] {
+					if before.holder == now.holder {
+						continue
+					}
+					if before.runner != "" && now.runner != "" && before.runner != now.runner {
+						if now.at.Sub(before.at) < gap {
+							early++
+						}
+						continue
+					}
+					g.Expect(now.at.Sub(before.at)).To(BeNumerically(">", gap), "seed %d", seed)
+					g.Expect(now.fence).To(BeNumerically(">", before.fence), "seed %d", seed)
+				}
+			}
+			g.Expect(seed%3 == 0 || early > 0).To(BeTrue(), "seed %d: boxes that take over wait with all runners", seed)
+		})
+	}
+}
+
 // A box that does not reach the log kept its runners out of service while their tasks waited for one failing
 // append after the other.
 func TestFailedAppendsDoNotQueue(t *testing.T) {
@@ -128,8 +173,11 @@
 	})
 }
 
+// request requests permission for an order, and returns the runner that it is for.
+type request func(ctx context.Context, lease *orderlease.Lease, random *rand.Rand) (runner string, fence int64, ok bool)
+
 // history lets four boxes send orders for two minutes of virtual time.
-func history(random *rand.Rand) []order {
+func history(random *rand.Rand, ask request) []order {
 	ctx, cancel := context.WithCancel(context.Background())
 	log := fakesharedlog.New()
 	var mu sync.Mutex
@@ -141,9 +189,9 @@
 		pauses := rand.New(rand.NewPCG(random.Uint64(), 2))
 		boxes.Go(func() {
 			for ctx.Err() == nil {
-				if fence, ok := lease.Permit(ctx); ok {
+				if runner, fence, ok := ask(ctx, lease, pauses); ok {
 					mu.Lock()
-					orders = append(orders, order{name, fence, time.Now()})
+					orders = append(orders, order{name, runner, fence, time.Now()})
 					mu.Unlock()
 				}
 				pause := 100 * time.Millisecond
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -16,6 +16,9 @@
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
+// errLeaseLost reports that no order may be sent. A runner does not stay out of service for one then.
+var errLeaseLost = merry.Sentinel("lease not held: another box may be sending orders")
+
 // runLoad performs one task.
 func (c *Controller) runLoad(ctx context.Context, t task) {
 	name := t.server.Incarnation
@@ -59,6 +62,9 @@
 			drained = true
 			c.addDrain(t, boottime.Since(t.started))
 		}
+		if c.cfg.Lease.MayBeLost() {
+			return drained, errLeaseLost
+		}
 		if c.claimSlot(t, drained) {
 			return drained, nil
 		}
@@ -171,9 +177,9 @@
 func (c *Controller) order(ctx context.Context, t task, accepted int64) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	fence, permitted := c.cfg.Lease.Permit(ctx)
+	fence, permitted := c.permit(ctx, t.server)
 	if !permitted {
-		return false, merry.New("lease not held: another box may be sending orders")
+		return false, errLeaseLost
 	}
 	order := Order{Model: t.model, Version: t.version, Holder: c.cfg.Holder, Fence: fence, AfterOrders: accepted}
 	done, err := c.cfg.Runners.Order(ctx, t.server, order)
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -136,13 +136,16 @@
 	pausing phase = iota + 1
 	// loading runners have received an order.
 	loading
+	// watched runners may have received an order of another box.
+	watched
 )
 
 // progress is the state of a task.
 type progress struct {
-	phase phase
-	model string
-	zone  string
+	phase  phase
+	runner orderlease.Runner
+	model  string
+	zone   string
 	// held is the version that the runner had when the task began.
 	held  int
 	since time.Time
@@ -204,7 +207,7 @@
 		if len(behind) == 0 {
 			continue
 		}
-		if _, permitted := c.cfg.Lease.Permit(ctx); !permitted {
+		if !c.hold(ctx) {
 			return
 		}
 		c.startTasks(ctx, model, version, behind)
@@ -228,7 +231,9 @@
 	defer c.mu.Unlock()
 	state := c.model(model)
 	c.updatePace(state, model, listed, work, behind)
+	open := c.watchClosed(ctx, state, model, version, behind)
 	next := c.newSelection(state, model, work, behind)
+	behind = open
 	for len(behind) > 0 {
 		count := countSameVersion(behind)
 		for _, exceed := range []bool{false, true} {
@@ -250,7 +255,7 @@
 		return false
 	}
 	delete(c.retryAt, name)
-	c.tasks[name] = progress{phase: pausing, model: t.model, zone: t.server.Zone, held: t.held, since: t.started}
+	c.tasks[name] = progress{phase: pausing, runner: leaseRunner(t.server), model: t.model, zone: t.server.Zone, held: t.held, since: t.started}
 	t.state.pausing++
 	c.orders.Go(func() { c.runLoad(ctx, t) })
 	return true
@@ -264,10 +269,10 @@
 	state := t.state
 	report := paceReport{state.pausing + state.loading, state.pace.Out, state.latest, state.known}
 	name := t.server.Incarnation
-	if c.tasks[name].phase == loading {
-		state.loading--
-	} else {
+	if c.tasks[name].phase == pausing {
 		state.pausing--
+	} else {
+		state.loading--
 	}
 	delete(c.tasks, name)
 	if err != nil {
