weightorders: a box leaves the lease to one that reaches more runners

Seen: a zone with the holder of the order lease was cut off, both sides reached the log, and the runners of the other zones got no order until the links were back. A holder that reached no runner at all kept the lease for 0.6 s and others waited another 1.2 s; its runners stayed out of service.

Cause: whether a box reaches runners was known for a whole service only. A holder that reaches the runners of its own zone went on renewing the lease, and spent loading slots on runners whose polls ran into their timeout.

Change: three different runners of a zone that do not respond, with none that does in between, make the zone unreachable to this box: its runners get no tasks, those that pause serve again, and two are polled every 0.5 s. A holder that does not reach more than half of all runners, or none of those left, releases the lease by a record, after which others need not wait 1.2 s. The next holder trusts reports of listed runners from 0.6 s after the release. If nobody takes the lease for 2.4 s, the box goes on with what it reaches.

--- a/internal/orderlease/orderlease.go
+++ b/internal/orderlease/orderlease.go
@@ -61,12 +61,13 @@
 	// takes (4 ms), and short because a box that takes over waits for it.
 	permitFor = 500 * time.Millisecond
 	// takeoverAfter is how long a holder may append nothing before another box tries to take over.
-	// A holder with orders left appends twice a second. It exceeds permitFor and gapMargin by the age
-	// of a runner's report: once a box has taken over, a runner that reports no order in progress
-	// executes none of the previous holder, unless an order is executed late.
+	// A holder with orders left appends twice a second. It exceeds permitFor, gapMargin and
+	// reportAge together (SettledAt).
 	takeoverAfter = 1200 * time.Millisecond
 	// gapMargin is added to the gap for orders in transit.
 	gapMargin = 250 * time.Millisecond
+	// reportAge is the greatest usual age of a runner's report.
+	reportAge = 350 * time.Millisecond
 	// callTimeout bounds an append, readHold is how long a read waits for a record, and
 	// failurePause is the pause after a failed call.
 	callTimeout  = 700 * time.Millisecond
@@ -82,6 +83,8 @@
 	// Listed means that the record permits orders only to the runners with the hashes in Runners.
 	Listed  bool     `msgpack:"l,omitempty"`
 	Runners []uint32 `msgpack:"r,omitempty"`
+	// Released means that the box sends no more orders, so that others need not wait to take over.
+	Released bool `msgpack:"x,omitempty"`
 }
 
 // Lease is this box's view of which box may send orders.
@@ -100,6 +103,8 @@
 	// last is the holder of the last record, and lastAt the time at which this box observed it.
 	last   string
 	lastAt time.Time
+	// released reports that the last record releases the lease.
+	released bool
 	// otherAt is when this box last observed a record of another box, unlistedAt one that permits
 	// orders to all runners, and listedAt those that list a runner, by the runner's hashes.
 	otherAt, unlistedAt time.Time
@@ -199,7 +204,7 @@
 	if r.Holder != l.last {
 		l.cfg.Logger.Info().Str("holder", r.Holder).Int64("offset", offset).Msg("order_lease_taken")
 	}
-	l.next, l.last, l.lastAt = offset+1, r.Holder, now
+	l.next, l.last, l.lastAt, l.released = offset+1, r.Holder, now, r.Released
 }
 
 // observeRunners records which runners another box may order. The caller holds mu.
@@ -307,7 +312,7 @@
 		defer l.mu.Unlock()
 		return l.fence, open(now)
 	}
-	if !l.caughtUp || l.failedAt.After(asked) || (l.last != l.cfg.Holder && l.last != "" && now.Sub(l.lastAt) < takeoverAfter) {
+	if !l.caughtUp || l.failedAt.After(asked) || !l.isFree(now) {
 		l.mu.Unlock()
 		return 0, false
 	}
@@ -322,6 +327,53 @@
 	return l.fence, l.last == l.cfg.Holder && now.Before(l.permittedUntil) && covers(now) && open(now)
 }
 
+// Free reports whether this box may try to take the lease.
+func (l *Lease) Free() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.caughtUp && l.isFree(boottime.Now())
+}
+
+// isFree reports whether this box may append the next record. The caller holds mu.
+func (l *Lease) isFree(now time.Time) bool {
+	return l.last == l.cfg.Holder || l.last == "" || l.released || now.Sub(l.lastAt) >= takeoverAfter
+}
+
+// Release lets other boxes take the lease at once. This box sends no orders until it takes the lease
+// again.
+func (l *Lease) Release(ctx context.Context) {
+	select {
+	case l.appending <- struct{}{}:
+		defer func() { <-l.appending }()
+	case <-ctx.Done():
+		return
+	}
+	l.mu.Lock()
+	if l.last != l.cfg.Holder || l.released || boottime.Since(l.lastAt) >= takeoverAfter {
+		l.mu.Unlock()
+		return
+	}
+	l.permittedUntil = time.Time{}
+	end := l.next
+	l.mu.Unlock()
+	l.append(ctx, end, record{Listed: true, Released: true})
+}
+
+// Quiet returns for how long no box has appended a record.
+func (l *Lease) Quiet() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return boottime.Since(l.lastAt)
+}
+
+// SettledAt returns the time from which the report of a runner includes all orders of other boxes that
+// sent some before this box took the lease.
+func (l *Lease) SettledAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.otherAt.Add(gapMargin + reportAge)
+}
+
 // lists reports whether the newest record of this box permits orders to a runner. The caller holds mu.
 func (l *Lease) lists(runner Runner) bool {
 	if l.permitsAll {
@@ -355,7 +407,7 @@
 		return false
 	}
 	l.observe(r, offset)
-	if l.next == offset+1 {
+	if l.next == offset+1 && !r.Released {
 		l.permittedUntil, l.permitsAll, l.permitted = sent.Add(permitFor), !r.Listed, map[uint32]bool{}
 		for _, hash := range r.Runners {
 			l.permitted[hash] = true
--- a/internal/orderlease/orderlease_test.go
+++ b/internal/orderlease/orderlease_test.go
@@ -124,6 +124,9 @@
 					fence, ok := lease.PermitAll(ctx)
 					return "", fence, ok
 				}
+				if random.IntN(20) == 0 {
+					lease.Release(ctx)
+				}
 				runner := fmt.Sprint("runner-", random.IntN(30))
 				planned := func() []orderlease.Runner {
 					return []orderlease.Runner{{Incarnation: fmt.Sprint("runner-", random.IntN(30))}}
@@ -214,3 +217,22 @@
 	synctest.Wait()
 	return orders
 }
+
+// A box that releases the lease lets others begin at once, so it must not send orders under the permission that
+// it still has, even if it does not reach the log.
+func TestNoOrderIsPermittedAfterARelease(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			log := fakesharedlog.New()
+			lease := start(ctx, log, "a")
+			g.Expect(permitted(ctx, lease)).To(BeTrue())
+			log.Underlying().SetFaults(fakelog.Faults{Down: down})
+			lease.Release(ctx)
+			log.Underlying().SetFaults(fakelog.Faults{Down: true})
+			g.Expect(permitted(ctx, lease)).To(BeFalse())
+		})
+	}
+}
--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -65,6 +65,9 @@
 		if c.cfg.Lease.MayBeLost() {
 			return drained, errLeaseLost
 		}
+		if !c.reaches(t.server) {
+			return drained, errUnreachable
+		}
 		if c.claimSlot(t, drained) {
 			return drained, nil
 		}
@@ -170,7 +173,9 @@
 func (c *Controller) poll(ctx context.Context, server fleet.Server) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return c.cfg.Runners.Report(ctx, server)
+	report, err := c.cfg.Runners.Report(ctx, server)
+	c.noteReach(server, err)
+	return report, err
 }
 
 // order sends the order. The permission of the lease is checked last, right before sending.
--- a/internal/weightorders/takeover.go
+++ b/internal/weightorders/takeover.go
@@ -79,6 +79,7 @@
 // runWatch polls a runner that another box may have ordered until it reports that it executes no order,
 // or until this box may order it.
 func (c *Controller) runWatch(ctx context.Context, t task, until time.Time) {
+	waiting.For(ctx, boottime.Until(c.cfg.Lease.SettledAt()))
 	for boottime.Now().Before(until) {
 		report, err := c.poll(ctx, t.server)
 		if err == nil && (c.recordAndCheck(t, report) || !report.Busy) {
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -175,12 +174,18 @@
 	retryAt map[string]time.Time
 	// models holds the state of the loads of each model.
 	models map[string]*modelState
+	// zones holds whether the runners of each zone respond.
+	zones  map[string]*zoneReach
 	orders sync.WaitGroup
+
+	// minoritySince is since when more than half of the runners are to load and out of reach. Only
+	// the scans use it.
+	minoritySince time.Time
 }
 
 // New returns a controller.
 func New(cfg Config) *Controller {
-	return &Controller{cfg: cfg, tasks: map[string]progress{}, retryAt: map[string]time.Time{}, models: map[string]*modelState{}}
+	return &Controller{cfg: cfg, tasks: map[string]progress{}, retryAt: map[string]time.Time{}, models: map[string]*modelState{}, zones: map[string]*zoneReach{}}
 }
 
 // Loop scans for runners with an older version until ctx ends.
@@ -201,26 +206,38 @@
 }
 
 func (c *Controller) scan(ctx context.Context) {
-	for _, model := range c.cfg.Models() {
-		version := c.cfg.TargetVersion(model)
-		behind := c.reachable(c.cfg.Fleet.ServersBehind(model, version))
-		if len(behind) == 0 {
+	holds := c.cfg.Lease.Held()
+	if !holds && (c.cfg.Lease.Idle() || !c.cfg.Lease.Free()) {
+		return
+	}
+	models := c.cfg.Models()
+	reachable := make([][]fleet.BehindServer, len(models))
+	reached, behind, runners := 0, 0, 0
+	for i, model := range models {
+		servers := c.cfg.Fleet.ServersBehind(model, c.cfg.TargetVersion(model))
+		behind += len(servers)
+		if len(servers) > 0 {
+			runners += c.cfg.Fleet.CountHolders(model)
+		}
+		reachable[i] = c.reachable(ctx, servers, holds)
+		reached += len(reachable[i])
+	}
+	if behind == 0 {
+		return
+	}
+	if !c.mayHold(reached, behind-reached, runners) {
+		c.cfg.Lease.Release(ctx)
+		return
+	}
+	for i, model := range models {
+		if len(reachable[i]) == 0 {
 			continue
 		}
 		if !c.hold(ctx) {
 			return
 		}
-		c.startTasks(ctx, model, version, behind)
-	}
-}
-
-// reachable returns the servers of services that this box reaches. A box that reached none would renew the
-// lease all the same, and keep runners out of service for orders that do not arrive.
-func (c *Controller) reachable(behind []fleet.BehindServer) []fleet.BehindServer {
-	if c.cfg.Reaches == nil {
-		return behind
+		c.startTasks(ctx, model, c.cfg.TargetVersion(model), reachable[i])
 	}
-	return slices.DeleteFunc(behind, func(server fleet.BehindServer) bool { return !c.cfg.Reaches(server.Service) })
 }
 
 // startTasks starts tasks for as many runners as may be out of service.
