--- a/internal/weightorders/cutoff_test.go
+++ b/internal/weightorders/cutoff_test.go
@@ -16,6 +16,7 @@
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/loadpace"
+	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/orderlease"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/weightorders"
@@ -162,6 +163,8 @@
 type cutPlay struct {
 	fleet *busyFleet
 	boxes []*cutBox
+	// mechanisms are those of all boxes.
+	mechanisms mechanism.Switches
 
 	mu      sync.Mutex
 	orders  []sentOrder
@@ -212,7 +215,7 @@
 	box := &cutBox{name: name, zone: zone, play: p, kill: kill}
 	lease := orderlease.New(orderlease.Config{Log: cutLog{log, box}, Logger: zerolog.Nop(), Holder: name, Gap: orderGap})
 	box.controller = weightorders.New(weightorders.Config{
-		Runners: box, Fleet: p.fleet.fleet, Lease: lease, Logger: zerolog.Nop(), Holder: name,
+		Runners: box, Fleet: p.fleet.fleet, Lease: lease, Logger: zerolog.Nop(), Holder: name, Mechanisms: p.mechanisms,
 		Models: func() []string { return []string{"m"} }, TargetVersion: p.fleet.target, TimeLeft: p.fleet.timeLeft,
 		Limits: func(string) loadpace.Limits { return loadpace.Limits{} }, LoadsKnown: func() bool { return !box.current().alone },
 		Reaches: box.reaches,
@@ -241,10 +244,15 @@
 // playFault plays a rollout in a trough in which boxes have faults from 1.5 s after the declaration. faults returns the
 // fault of each box, given the one that holds the lease.
 func playFault(g *WithT, boxes int, faults func(box, holder *cutBox) fault) outcome {
+	g.THelper()
+	return (&cutPlay{fleet: newBusyFleet(3 * time.Second)}).run(g, boxes, faults)
+}
+
+// run is playFault.
+func (p *cutPlay) run(g *WithT, boxes int, faults func(box, holder *cutBox) fault) outcome {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer time.Sleep(settleTime)
 	defer cancel()
-	p := &cutPlay{fleet: newBusyFleet(3 * time.Second)}
 	go p.fleet.loopCalls(ctx, 0.25)
 	log := fakesharedlog.New()
 	for i := range boxes {
@@ -423,3 +431,22 @@
 		g.Expect(playFault(g, 1, cutZoneFromAll).took).To(BeNumerically("<=", longestRollout))
 	})
 }
+
+// With the mechanism switched off, the gap must hold between orders to any two runners.
+func TestWithoutRunnerGapsAllOrdersAreSeparatedByTheGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		switches, err := mechanism.Parse(string(mechanism.RunnerGaps))
+		g.Expect(err).NotTo(HaveOccurred())
+		p := &cutPlay{fleet: newBusyFleet(3 * time.Second), mechanisms: switches}
+		p.run(g, 3, onlyHolder(fault{killed: true}))
+		holders := map[string]bool{}
+		for i, order := range p.orders {
+			holders[order.holder] = true
+			if i > 0 && order.holder != p.orders[i-1].holder {
+				g.Expect(order.at.Sub(p.orders[i-1].at)).To(BeNumerically(">", orderGap))
+			}
+		}
+		g.Expect(holders).To(HaveLen(2))
+	})
+}
