weightorders: random faults of several boxes keep the limits of a rollout

Four boxes with one of seven faults each, drawn by a seed. No order to a runner within the gap of another box's, rising fencing tokens, one in five loads at once, one load a runner, all runners loaded.

A first bound, of 14.5 s for the rollout, failed at seed 118 (14.56 s). Its trace shows no box with a link to the store, so two thirds of the rollout began after the fault; the bound is now the fault, the time until a box takes over, and the 7 s that a rollout may take in a trough, and the seed stays.

--- a/internal/weightorders/cutoff_test.go
+++ b/internal/weightorders/cutoff_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,6 +28,8 @@
 	orderGap = 3 * time.Second
 	// thawTime is how long after a thaw or a repaired link orders may arrive that were on their way.
 	thawTime = 300 * time.Millisecond
+	// troughRollout bounds a rollout in a trough.
+	troughRollout = 7 * time.Second
 	// faultAfter is when the fault begins after the declaration of a version, and faultTime how long it lasts.
 	faultAfter = 1500 * time.Millisecond
 	faultTime  = 6600 * time.Millisecond
@@ -450,3 +453,20 @@
 		g.Expect(holders).To(HaveLen(2))
 	})
 }
+
+// Any box may have any fault at the same time as the others. However the lease moves, orders of two boxes to one
+// runner must be separated by the gap, no more than one in five runners may load at once, and each must load once.
+// Where no box reaches the store, as with seed 118, the rollout begins again when the fault has ended.
+func TestRandomFaultsOfSeveralBoxesKeepTheLimits(t *testing.T) {
+	kinds := []fault{
+		{}, {store: true}, {runners: allZones}, {runners: allZones[:1]}, {runners: allZones[1:]}, {store: true, runners: allZones[1:], alone: true}, {alone: true},
+	}
+	for _, seed := range []uint64{0, 1, 2, 3, 4, 5, 6, 7, 118} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			random := rand.New(rand.NewPCG(seed, 3))
+			result := playFault(g, 4, func(_, _ *cutBox) fault { return kinds[random.IntN(len(kinds))] })
+			g.Expect(result.took).To(BeNumerically("<=", faultAfter+faultTime+takeover+troughRollout), "seed %d", seed)
+		})
+	}
+}
