--- a/internal/weightorders/load.go
+++ b/internal/weightorders/load.go
@@ -16,6 +16,9 @@
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
+// errLeaseLost reports that no order may be sent. A runner does not stay out of service for one then.
+var errLeaseLost = merry.Sentinel("lease not held: another box may be sending orders")
+
 // runLoad performs one task.
 func (c *Controller) runLoad(ctx context.Context, t task) {
 	name := t.server.Incarnation
@@ -59,6 +62,12 @@
 			drained = true
 			c.addDrain(t, boottime.Since(t.started))
 		}
+		if c.cfg.Lease.MayBeLost() {
+			return drained, errLeaseLost
+		}
+		if !c.reaches(t.server) {
+			return drained, errUnreachable
+		}
 		if c.claimSlot(t, drained) {
 			return drained, nil
 		}
@@ -164,16 +173,18 @@
 func (c *Controller) poll(ctx context.Context, server fleet.Server) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return c.cfg.Runners.Report(ctx, server)
+	report, err := c.cfg.Runners.Report(ctx, server)
+	c.noteReach(server, err)
+	return report, err
 }
 
 // order sends the order. The permission of the lease is checked last, right before sending.
 func (c *Controller) order(ctx context.Context, t task, accepted int64) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	fence, permitted := c.cfg.Lease.Permit(ctx)
+	fence, permitted := c.permit(ctx, t.server)
 	if !permitted {
-		return false, merry.New("lease not held: another box may be sending orders")
+		return false, errLeaseLost
 	}
 	order := Order{Model: t.model, Version: t.version, Holder: c.cfg.Holder, Fence: fence, AfterOrders: accepted}
 	done, err := c.cfg.Runners.Order(ctx, t.server, order)
--- a/internal/weightorders/weightorders.go
+++ b/internal/weightorders/weightorders.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -136,13 +135,16 @@
 	pausing phase = iota + 1
 	// loading runners have received an order.
 	loading
+	// watched runners may have received an order of another box.
+	watched
 )
 
 // progress is the state of a task.
 type progress struct {
-	phase phase
-	model string
-	zone  string
+	phase  phase
+	runner orderlease.Runner
+	model  string
+	zone   string
 	// held is the version that the runner had when the task began.
 	held  int
 	since time.Time
@@ -172,12 +174,18 @@
 	retryAt map[string]time.Time
 	// models holds the state of the loads of each model.
 	models map[string]*modelState
+	// zones holds whether the runners of each zone respond.
+	zones  map[string]*zoneReach
 	orders sync.WaitGroup
+
+	// minoritySince is since when more than half of the runners are to load and out of reach. Only
+	// the scans use it.
+	minoritySince time.Time
 }
 
 // New returns a controller.
 func New(cfg Config) *Controller {
-	return &Controller{cfg: cfg, tasks: map[string]progress{}, retryAt: map[string]time.Time{}, models: map[string]*modelState{}}
+	return &Controller{cfg: cfg, tasks: map[string]progress{}, retryAt: map[string]time.Time{}, models: map[string]*modelState{}, zones: map[string]*zoneReach{}}
 }
 
 // Loop scans for runners with an older version until ctx ends.
@@ -198,28 +206,40 @@
 }
 
 func (c *Controller) scan(ctx context.Context) {
-	for _, model := range c.cfg.Models() {
-		version := c.cfg.TargetVersion(model)
-		behind := c.reachable(c.cfg.Fleet.ServersBehind(model, version))
-		if len(behind) == 0 {
+	holds := c.cfg.Lease.Held()
+	if !holds && (c.cfg.Lease.Idle() || !c.cfg.Lease.Free()) {
+		return
+	}
+	models := c.cfg.Models()
+	reachable := make([][]fleet.BehindServer, len(models))
+	reached, behind, runners := 0, 0, 0
+	for i, model := range models {
+		servers := c.cfg.Fleet.ServersBehind(model, c.cfg.TargetVersion(model))
+		behind += len(servers)
+		if len(servers) > 0 {
+			runners += c.cfg.Fleet.CountHolders(model)
+		}
+		reachable[i] = c.reachable(ctx, servers, holds)
+		reached += len(reachable[i])
+	}
+	if behind == 0 {
+		return
+	}
+	if !c.mayHold(reached, behind-reached, runners) {
+		c.cfg.Lease.Release(ctx)
+		return
+	}
+	for i, model := range models {
+		if len(reachable[i]) == 0 {
 			continue
 		}
-		if _, permitted := c.cfg.Lease.Permit(ctx); !permitted {
+		if !c.hold(ctx) {
 			return
 		}
-		c.startTasks(ctx, model, version, behind)
+		c.startTasks(ctx, model, c.cfg.TargetVersion(model), reachable[i])
 	}
 }
 
-// reachable returns the servers of services that this box reaches. A box that reached none would renew the
-// lease all the same, and keep runners out of service for orders that do not arrive.
-func (c *Controller) reachable(behind []fleet.BehindServer) []fleet.BehindServer {
-	if c.cfg.Reaches == nil {
-		return behind
-	}
-	return slices.DeleteFunc(behind, func(server fleet.BehindServer) bool { return !c.cfg.Reaches(server.Service) })
-}
-
 // startTasks starts tasks for as many runners as may be out of service.
 func (c *Controller) startTasks(ctx context.Context, model string, version int, behind []fleet.BehindServer) {
 	work := c.cfg.Fleet.ModelWork(model)
@@ -228,7 +248,9 @@
 	defer c.mu.Unlock()
 	state := c.model(model)
 	c.updatePace(state, model, listed, work, behind)
+	open := c.watchClosed(ctx, state, model, version, behind)
 	next := c.newSelection(state, model, work, behind)
+	behind = open
 	for len(behind) > 0 {
 		count := countSameVersion(behind)
 		for _, exceed := range []bool{false, true} {
@@ -250,7 +272,7 @@
 		return false
 	}
 	delete(c.retryAt, name)
-	c.tasks[name] = progress{phase: pausing, model: t.model, zone: t.server.Zone, held: t.held, since: t.started}
+	c.tasks[name] = progress{phase: pausing, runner: leaseRunner(t.server), model: t.model, zone: t.server.Zone, held: t.held, since: t.started}
 	t.state.pausing++
 	c.orders.Go(func() { c.runLoad(ctx, t) })
 	return true
@@ -264,10 +286,10 @@
 	state := t.state
 	report := paceReport{state.pausing + state.loading, state.pace.Out, state.latest, state.known}
 	name := t.server.Incarnation
-	if c.tasks[name].phase == loading {
-		state.loading--
-	} else {
+	if c.tasks[name].phase == pausing {
 		state.pausing--
+	} else {
+		state.loading--
 	}
 	delete(c.tasks, name)
 	if err != nil {
