gateway memory test: all calls are accepted before the first answer

Seen: TestMemoryHeldForSlowReadersIsBounded, "buffered answers", served 16 calls of the 20 wanted (go test -race -count=3 of the package beside other tests and busy processes, load 62 on 12 cores, 1 of 3). Cause: the test needs 24 calls accepted before answers, which take 100 ms, fill the budget. A busy machine takes longer to send them, and the box refuses the rest, as it should. Change: the runner answers once it has all 24 calls, and all of them must be served, not 20. With that, "streams" failed once in 15 runs at a load of 77: the runner cuts a stream off that it cannot write for a second, and the callers read nothing for 400 ms of it. Now they read nothing for a whole second and the runner cuts off after five. The cut-off after a second has its own test, which is unchanged.

--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -159,12 +159,15 @@
 }
 
 // sendLongStream sends a stream of answerBytes, and cuts it off if a write takes a second.
-func sendLongStream(w http.ResponseWriter, _ *http.Request) {
+func sendLongStream(w http.ResponseWriter, _ *http.Request) { sendLongStreamWithin(w, time.Second) }
+
+// sendLongStreamWithin is sendLongStream with another time limit for a write.
+func sendLongStreamWithin(w http.ResponseWriter, limit time.Duration) {
 	time.Sleep(runTime)
 	w.Header().Set("Content-Type", "text/event-stream")
 	event := "data: " + strings.Repeat("x", 1<<10) + "\n\n"
 	for sent := 0; sent < answerBytes; sent += len(event) {
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Second))
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit))
 		if _, err := io.WriteString(w, event); err != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -174,23 +177,37 @@
 // Callers that read slowly must not make a box hold more than its budget, and calls that it has
 // accepted must be completed.
 func TestMemoryHeldForSlowReadersIsBounded(t *testing.T) {
+	// The runner waits for a box without room for longer than the callers read nothing, and for a busy
+	// machine besides.
+	const unread, cutOff = time.Second, 5 * time.Second
+	sendStream := func(w http.ResponseWriter, _ *http.Request) { sendLongStreamWithin(w, cutOff) }
 	for _, tt := range []struct {
 		name   string
 		runner http.HandlerFunc
-	}{{"buffered answers", sendAnswer}, {"streams", sendLongStream}} {
+	}{{"buffered answers", sendAnswer}, {"streams", sendStream}} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			s := startSlowReaders(t, memoryBudget, tt.runner)
+			accepted := make(chan struct{})
+			s := startSlowReaders(t, memoryBudget, func(w http.ResponseWriter, r *http.Request) {
+				<-accepted
+				tt.runner(w, r)
+			})
+			answer := sync.OnceFunc(func() { close(accepted) })
+			t.Cleanup(answer)
+			const early = 24
 			var connections []*net.TCPConn
-			for range 24 {
+			for range early {
 				connections = append(connections, s.send("prompt"))
 			}
+			// No answer fills the budget before all of these calls are accepted.
+			s.g.Eventually(s.calls.Load, 10*time.Second, time.Millisecond).Should(BeEquivalentTo(early))
+			answer()
 			// The callers read nothing meanwhile.
 			s.g.Eventually(s.admitsCalls, 10*time.Second, time.Millisecond).Should(BeFalse(), "the budget is held")
 			for range 8 {
 				connections = append(connections, s.send("prompt"))
 			}
-			time.Sleep(400 * time.Millisecond)
+			time.Sleep(unread)
 			var group sync.WaitGroup
 			var served, refused atomic.Int64
 			for _, connection := range connections {
@@ -208,7 +225,7 @@
 			}
 			group.Wait()
 			s.g.Expect(served.Load()).To(Equal(s.calls.Load()), "calls in progress are completed")
-			s.g.Expect(served.Load()).To(BeNumerically(">=", 20))
+			s.g.Expect(served.Load()).To(BeNumerically(">=", early))
 			s.g.Expect(refused.Load()).To(BeNumerically(">=", 8), "calls that come while the budget is held")
 			s.g.Expect(s.mostHeld.Load()).To(And(BeNumerically(">", 2<<20), BeNumerically("<=", memoryBudget.Total)))
 			s.g.Eventually(s.budget.Held).Should(BeZero())
