advisory: what servers state about their brittleness, and their room

Change: ReadAdvisory reads the header, and selfheaders Cometlock-Brittle. A record keeps the statement, the room that was learned from refusals, and the time for which refusals block the server.

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -1,6 +1,6 @@
 // Package advisory records what a backend server states about itself in its answers: the request
-// rate that it accepts from all boxes together, whether it is draining, and whether it requests a
-// pause from one box.
+// rate that it accepts from all boxes together, whether it is draining, whether it requests a pause
+// from one box, and whether it is brittle.
 //
 // An answer is newer than the server's entry in the registry, which may lag by seconds, or not be
 // written at all while the registry is down. A Record holds the newest statement of one incarnation
@@ -40,6 +40,10 @@
 	PerSecond float64
 	// Pause is how long the server wants no requests from the box that it answers.
 	Pause time.Duration
+	// Brittle is what the answer states about brittleness: the server fails if it refuses more than
+	// MaxRefusals calls in a second for want of room.
+	Brittle     LimitStatement
+	MaxRefusals float64
 }
 
 // Answer is an advisory with the times of its request and response.
@@ -137,6 +141,7 @@
 	// pausedUntil is the end of the pause that the server requested from this box. It is not reported to
 	// other boxes.
 	pausedUntil time.Time
+	brittleness
 }
 
 // Change describes the effect of a statement.
@@ -144,11 +149,13 @@
 	// Limit means that the rate limit changed, Draining that the server began to drain, and Paused
 	// that a pause began.
 	Limit, Draining, Paused bool
+	// Brittle means that the server became brittle or ceased to be, and Room that its room changed.
+	Brittle, Room bool
 }
 
 // ApplyAnswer applies the statements of an answer.
 func (r *Record) ApplyAnswer(answer Answer) Change {
-	change := Change{Limit: r.applyAnswerLimit(answer)}
+	change := Change{Limit: r.applyAnswerLimit(answer), Brittle: r.applyAnswerBrittle(answer)}
 	if answer.Draining {
 		r.ownDrainingAt = answer.Received
 		change.Draining = r.noteDraining(answer.Received)
--- /dev/null
+++ b/internal/advisory/brittle.go
@@ -0,0 +1,298 @@
+// A brittle server fails if it refuses more calls in a second than it states. Its room, the number of
+// calls that it holds for all boxes together, is learned from refusals, and each box keeps to its
+// share of the room.
+
+package advisory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// minMaxRefusals is assumed for a server that states fewer. It is above zero, which stands for a
+	// server that isn't brittle.
+	minMaxRefusals = 0.5
+	// roomDecrease is the part of the room that remains after a refusal.
+	roomDecrease = 7.0 / 8
+	// refusalWeight is the weight of one refusal in the room that is learned before a server is
+	// brittle. The counts of other boxes are as old as their reports, so that a single sample may be
+	// wrong by several calls.
+	refusalWeight = 0.125
+	// refusalWindow is the time in which a server counts its refusals.
+	refusalWindow = time.Second
+	// fillTime is how long it takes until a server that has just started gets calls for all its room.
+	fillTime = 2 * time.Second
+)
+
+// BrittleReport is what one box reports to others about the brittleness of a server, from its own
+// calls there.
+type BrittleReport struct {
+	// MaxRefusals is what the server stated, zero if it is no longer brittle, and Age the age of the
+	// statement. Known is false without a statement to this box.
+	Known       bool          `msgpack:"k,omitempty"`
+	MaxRefusals float64       `msgpack:"m,omitempty"`
+	Age         time.Duration `msgpack:"a,omitempty"`
+	// Room is the room that the box last learned for all boxes, zero if none, and RoomAge how long
+	// ago that was. Raised means that it was raised.
+	Room    float64       `msgpack:"r,omitempty"`
+	Raised  bool          `msgpack:"u,omitempty"`
+	RoomAge time.Duration `msgpack:"g,omitempty"`
+	// BlockedFor is how much longer the server gets no calls after a refusal.
+	BlockedFor time.Duration `msgpack:"b,omitempty"`
+}
+
+// Aged returns the report as it is to be forwarded after some time has passed.
+func (r *BrittleReport) Aged(passed time.Duration) *BrittleReport {
+	if r == nil {
+		return nil
+	}
+	later := *r
+	later.Age += passed
+	later.RoomAge += passed
+	later.BlockedFor = max(later.BlockedFor-passed, 0)
+	return &later
+}
+
+// AfterTransit returns the report as it applies at the receiver; see Report.AfterTransit. Without a
+// bound on the time in transit, it neither ends brittleness nor raises the room.
+func (r *BrittleReport) AfterTransit(longest time.Duration, known bool) *BrittleReport {
+	if r == nil {
+		return nil
+	}
+	received := *r
+	received.Age += max(longest, 0)
+	received.Known = r.Known && (known || r.MaxRefusals > 0)
+	if r.Raised {
+		received.RoomAge += max(longest, 0)
+		if !known {
+			received.Room = 0
+		}
+	}
+	return &received
+}
+
+// MergeBrittle returns the newest statements of two reports, either of which may be nil.
+func MergeBrittle(a, b *BrittleReport) *BrittleReport {
+	if a == nil || b == nil {
+		return cmp.Or(a, b)
+	}
+	joined := *a
+	if b.Known && (!a.Known || b.Age < a.Age) {
+		joined.Known, joined.MaxRefusals, joined.Age = true, b.MaxRefusals, b.Age
+	}
+	if b.Room > 0 && (a.Room == 0 || b.RoomAge < a.RoomAge) {
+		joined.Room, joined.Raised, joined.RoomAge = b.Room, b.Raised, b.RoomAge
+	}
+	joined.BlockedFor = max(a.BlockedFor, b.BlockedFor)
+	return &joined
+}
+
+// room is the room that was learned at a time; raised means that it was raised then.
+type room struct {
+	calls  float64
+	raised bool
+	at     time.Time
+}
+
+// brittleness is what is known about the brittleness of one incarnation of a server.
+type brittleness struct {
+	// brittle is the newest statement, with the refusals per second, and ownBrittle the newest from
+	// this box's own answers.
+	brittle, ownBrittle limit
+	// room is the newest known room, and ownRoom the newest that this box has learned while the
+	// server was brittle. before is the room that was learned while it was not.
+	room, ownRoom room
+	before        float64
+	// filledAt is when the server may get calls for all its room.
+	filledAt time.Time
+	// blockedUntil is the time until which the server gets no calls after refusals, and ownBlocked
+	// the part of it that is due to this box's calls. refusals are the times of the last refusals
+	// that this box knows of.
+	blockedUntil, ownBlocked time.Time
+	refusals                 []time.Time
+}
+
+// Brittle returns how many calls a brittle server may refuse in a second, or false if it isn't
+// brittle.
+func (b *brittleness) Brittle() (maxRefusals float64, brittle bool) {
+	return b.brittle.perSecond, b.brittle.perSecond > 0
+}
+
+// Inherit makes a server that has just started brittle like the others of its service, until it
+// makes a statement itself. known is the room of one of them; zero if unknown.
+func (b *brittleness) Inherit(maxRefusals, known float64, now time.Time) {
+	if b.brittle.at.IsZero() {
+		b.brittle = limit{perSecond: maxRefusals, at: now}
+	}
+	if known > 0 && b.room.calls == 0 {
+		b.room = room{calls: known}
+	}
+	b.filledAt = now.Add(fillTime)
+}
+
+// BlockedFor returns how much longer the server gets no calls because it refused some.
+func (b *brittleness) BlockedFor(now time.Time) time.Duration {
+	return max(b.blockedUntil.Sub(now), 0)
+}
+
+// Room returns the number of calls that the server holds for all boxes; zero if it is unknown.
+func (b *brittleness) Room(slots int) float64 {
+	switch {
+	case b.room.calls > 0:
+		return b.room.calls
+	case b.before > 0:
+		return b.before
+	default:
+		return float64(slots)
+	}
+}
+
+// RoomShare returns how many calls this box may have at a brittle server. The shares of all boxes
+// add up to no more than the room.
+func (b *brittleness) RoomShare(slots int, position Position, now time.Time) int {
+	calls := b.Room(slots)
+	if missing := b.filledAt.Sub(now); missing > 0 {
+		calls *= 1 - float64(missing)/float64(fillTime)
+	}
+	return roomShare(max(calls, 1), position)
+}
+
+// roomShare divides a room among boxes in whole calls.
+func roomShare(calls float64, position Position) int {
+	present := max(position.Present, 1)
+	portion := int(calls * float64(present) / float64(max(position.Listed, present)))
+	share := portion / present
+	if position.Rank < portion%present {
+		share++
+	}
+	return share
+}
+
+// LearnRefusal learns from a refusal for want of room at which inFlight calls of all boxes, this one
+// included, were known to be at the server. trial means that the call exceeded the known room.
+func (b *brittleness) LearnRefusal(inFlight, slots int, trial bool, now time.Time) Change {
+	calls := b.Room(slots)
+	if _, brittle := b.Brittle(); !brittle {
+		sample := float64(max(inFlight-1, 1))
+		if calls == 0 {
+			calls = sample
+		}
+		b.before = calls + refusalWeight*(sample-calls)
+		return Change{}
+	}
+	if calls == 0 {
+		calls = float64(inFlight)
+	}
+	if !trial {
+		calls = max(min(calls*roomDecrease, calls-1), 1)
+	}
+	b.room = room{calls: calls, at: now}
+	b.ownRoom = b.room
+	b.noteRefusal(now)
+	b.ownBlocked = b.blockedUntil
+	return Change{Room: true}
+}
+
+// Grow raises the room by one call, after a call that exceeded the room was served.
+func (b *brittleness) Grow(slots int, now time.Time) Change {
+	b.room = room{b.Room(slots) + 1, true, now}
+	b.ownRoom = b.room
+	return Change{Room: true}
+}
+
+// noteRefusal records a refusal, and blocks the server for a time that is short after the first one
+// in a second and a whole second when the server withstands no more.
+func (b *brittleness) noteRefusal(now time.Time) {
+	b.countRefusal(now, now)
+	used := min(float64(len(b.refusals))/max(b.brittle.perSecond, minMaxRefusals), 1)
+	if until := now.Add(time.Duration(used * used * float64(refusalWindow))); until.After(b.blockedUntil) {
+		b.blockedUntil = until
+	}
+}
+
+// countRefusal adds a refusal to those of the last second.
+func (b *brittleness) countRefusal(at, now time.Time) {
+	b.refusals = slices.DeleteFunc(append(b.refusals, at), func(at time.Time) bool { return now.Sub(at) >= refusalWindow })
+}
+
+func (b *brittleness) applyAnswerBrittle(answer Answer) (changed bool) {
+	next := limit{max(answer.MaxRefusals, minMaxRefusals), answer.Received}
+	switch answer.Brittle {
+	case LimitNamed:
+	case LimitMalformed:
+		if b.brittle.perSecond == 0 {
+			return false
+		}
+		next.perSecond = b.brittle.perSecond
+	case LimitAbsent:
+		if !answer.Genuine || b.brittle.at.IsZero() {
+			return false
+		}
+		next = limit{at: answer.Sent}
+	}
+	if next.at.After(b.ownBrittle.at) {
+		b.ownBrittle = next
+	}
+	return b.applyBrittle(next)
+}
+
+func (b *brittleness) applyBrittle(next limit) (changed bool) {
+	if !next.at.After(b.brittle.at) {
+		return false
+	}
+	changed = next.perSecond != b.brittle.perSecond
+	b.brittle = next
+	if next.perSecond == 0 {
+		b.filledAt, b.blockedUntil, b.ownBlocked = time.Time{}, time.Time{}, time.Time{}
+	}
+	return changed
+}
+
+// raiseMargin is how much newer than the known room a raised one must be. A report is repeated, and
+// dated a little differently each time; it must not undo a refusal just after it.
+const raiseMargin = 500 * time.Millisecond
+
+// ApplyBrittleReport applies another box's report. Only a raised room may exceed the known one: a box
+// that has just started learns from a refusal without knowing what the others have learned.
+func (b *brittleness) ApplyBrittleReport(report BrittleReport, now time.Time) Change {
+	change := Change{}
+	if report.Known && report.MaxRefusals >= 0 {
+		change.Brittle = b.applyBrittle(limit{report.MaxRefusals, now.Add(-max(report.Age, 0))})
+	}
+	next := room{report.Room, report.Raised, now.Add(-max(report.RoomAge, 0))}
+	switch known := b.room.calls; {
+	case next.calls < 1 || next.calls == known:
+	case known == 0, next.calls < known && next.at.After(b.room.at), next.raised && next.at.Sub(b.room.at) > raiseMargin:
+		if !next.raised {
+			b.countRefusal(next.at, now)
+		}
+		b.room, change.Room = next, true
+	}
+	if until := now.Add(min(report.BlockedFor, refusalWindow)); report.BlockedFor > 0 && until.After(b.blockedUntil) {
+		b.blockedUntil = until
+	}
+	return change
+}
+
+// BrittleReport returns the report for other boxes, or nil if there is nothing to report. The room is
+// reported for as long as the server is brittle, for boxes that start.
+func (b *brittleness) BrittleReport(now time.Time) *BrittleReport {
+	report := BrittleReport{}
+	reportedFor := limitReportedFor
+	if b.ownBrittle.perSecond == 0 {
+		reportedFor = endReportedFor
+	}
+	if !b.ownBrittle.at.IsZero() && now.Sub(b.ownBrittle.at) <= reportedFor {
+		report.Known, report.MaxRefusals, report.Age = true, b.ownBrittle.perSecond, now.Sub(b.ownBrittle.at)
+	}
+	if _, brittle := b.Brittle(); brittle && b.ownRoom.calls > 0 {
+		report.Room, report.Raised, report.RoomAge = b.ownRoom.calls, b.ownRoom.raised, now.Sub(b.ownRoom.at)
+		report.BlockedFor = max(b.ownBlocked.Sub(now), 0)
+	}
+	if !report.Known && report.Room == 0 {
+		return nil
+	}
+	return &report
+}
--- a/internal/call/text.go
+++ b/internal/call/text.go
@@ -61,16 +61,19 @@
 	Limit string
 	// Draining is "1" or "true" if the server is draining.
 	Draining string
+	// Brittle is the number of refusals per second that a brittle server withstands, a decimal number.
+	Brittle string
 	// RetryAfter is the Retry-After header of RFC 9110, a date or a number of seconds, which may have
 	// decimals. Date is the time at which the response was created.
 	RetryAfter, Date string
 }
 
 // ReadAdvisory parses the headers that describe the server's state. Malformed values of Draining,
-// RetryAfter and Date are ignored; a malformed Limit is reported as such.
+// RetryAfter and Date are ignored; a malformed Limit or Brittle is reported as such.
 func ReadAdvisory(headers AdvisoryHeaders) advisory.Advisory {
 	parsed := advisory.Advisory{}
 	parsed.Limit, parsed.PerSecond = readRateLimit(headers.Limit)
+	parsed.Brittle, parsed.MaxRefusals = readRateLimit(headers.Brittle)
 	parsed.Draining, _ = strconv.ParseBool(strings.TrimSpace(headers.Draining)) // a malformed value counts as false
 	if headers.Status == http.StatusServiceUnavailable || headers.Status == http.StatusTooManyRequests {
 		parsed.Pause = readRetryAfter(headers.RetryAfter, headers.Date)
--- a/internal/selfheaders/selfheaders.go
+++ b/internal/selfheaders/selfheaders.go
@@ -16,6 +16,9 @@
 	RateLimit = "Cometlock-Rate-Limit"
 	// Draining is 1 if the server accepts no new requests.
 	Draining = "Cometlock-Draining"
+	// Brittle is the number of calls that the server may refuse in a second for want of room without
+	// failing, a decimal number.
+	Brittle = "Cometlock-Brittle"
 
 	retryAfter = "Retry-After"
 	date       = "Date"
@@ -24,6 +27,6 @@
 // Read returns the state that a response reports about its server.
 func Read(status int, header http.Header) advisory.Advisory {
 	return call.ReadAdvisory(call.AdvisoryHeaders{
-		Status: status, Limit: header.Get(RateLimit), Draining: header.Get(Draining), RetryAfter: header.Get(retryAfter), Date: header.Get(date),
+		Status: status, Limit: header.Get(RateLimit), Draining: header.Get(Draining), Brittle: header.Get(Brittle), RetryAfter: header.Get(retryAfter), Date: header.Get(date),
 	})
 }
