fleet: calls to brittle servers keep to the learned room over all boxes

Cause: each box filled every server by its own view.

Change: a box has as many calls at a brittle server as its share of the room, which is learned from refusals. A refusal lowers the room, blocks the server for a while and is reported at once, in the extension of load reports. Hedges and owners' grants avoid brittle servers. Refused calls have the reason servers_brittle and a time to come back.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -175,6 +175,7 @@
 		Logger: b.logger, Mechanisms: b.settings.Mechanisms, Heartbeat: b.settings.ServerHeartbeat,
 		OwnsColdServer: func(zone, server string) bool { return b.share.OwnsColdServer(zone, server) },
 		LimitPosition:  func(zone, server string) advisory.Position { return b.share.LimitPosition(zone, server) },
+		OnRoomChange:   func() { b.share.SendNow() },
 	})
 	b.parts = partindex.New(partindex.Config{Changed: &b.partsChanged, Mechanisms: b.settings.Mechanisms, PollDelay: b.firstReadDelay(), Box: b.settings.Box, Boxes: func() int { return b.share.BoxCount() }, OnSpeedChange: b.onSpeedChange})
 	b.registry = registry.New(registry.Config{
--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -156,6 +156,10 @@
 	limited, shared := b.fleet.CountLimited()
 	scope.Gauge("servers_limited").Update(float64(limited))
 	scope.Gauge("servers_limited_shared").Update(float64(shared))
+	brittle, room, share := b.fleet.CountBrittle()
+	scope.Gauge("servers_brittle").Update(float64(brittle))
+	scope.Gauge("servers_brittle_room").Update(room)
+	scope.Gauge("servers_brittle_share").Update(float64(share))
 	for model, version := range b.registry.NewestVersions() {
 		named := scope.Tagged(map[string]string{"model": model})
 		named.Gauge("runners_behind").Update(float64(len(b.fleet.ServersBehind(model, version))))
--- a/internal/fleet/advisory.go
+++ b/internal/fleet/advisory.go
@@ -23,7 +23,9 @@
 	if state == nil {
 		return
 	}
-	if change := state.statements.ApplyAnswer(answer); change != (advisory.Change{}) {
+	change := state.statements.ApplyAnswer(answer)
+	f.noteBrittle(state, boottime.Now())
+	if change != (advisory.Change{}) {
 		f.logAdvisory(state, change, sourceAnswer, boottime.Now())
 		f.reporting[state] = struct{}{}
 		f.loadsChanged.Broadcast() // report it to other boxes soon
@@ -43,6 +45,9 @@
 	if change.Limit {
 		f.logLimit(state, source, now)
 	}
+	if change.Brittle || change.Room {
+		f.logBrittle(state, source, now)
+	}
 	if change.Draining {
 		f.cfg.Logger.Info().Str("server", state.Incarnation).Str("service", state.Service).Str("server_zone", state.Zone).
 			Bool("entry_draining", state.Leaving).Str("source", source).Int("in_flight", state.inFlight).Msg("server_draining")
@@ -66,7 +71,7 @@
 // for itself may go there. The caller holds mu.
 func (f *Fleet) isCapped(state *State, now time.Time) bool {
 	_, _, limited := state.statements.Limit(now)
-	return limited || f.isBounded(state, now)
+	return limited || isBrittle(state) || f.isBounded(state, now)
 }
 
 // CountLimited counts the listed servers with a rate limit, and those of them whose limit this box
--- a/internal/fleet/availability.go
+++ b/internal/fleet/availability.go
@@ -30,6 +30,10 @@
 			continue
 		}
 		wait, here := state.statements.Wait(now, f.limitPosition(state, now))
+		if isBrittle(state) {
+			wait = max(wait, state.statements.BlockedFor(now))
+			here = here && f.roomShare(state, now) > 0
+		}
 		if !best.HasServers || here && !best.ForThisBox || here == best.ForThisBox && wait < best.Wait {
 			best = Availability{HasServers: true, Wait: wait, ForThisBox: here}
 		}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -57,8 +57,8 @@
 	// SuspectAllowed is an incarnation at which PlaceAt places the call although it is suspect; empty
 	// for none.
 	SuspectAllowed string
-	// UncappedOnly excludes servers at which this box counts its calls because they are cold or set
-	// a rate limit. It is set if the call belongs to another box, or is made in parallel to another
+	// UncappedOnly excludes servers at which this box counts its calls because they are cold or brittle
+	// or set a rate limit. It is set if the call belongs to another box, or is made in parallel to another
 	// try.
 	UncappedOnly bool
 }
@@ -264,6 +264,9 @@
 	if f.evacuated.IsEvacuated(state.Zone) || query.ZoneAllowed != nil && !query.ZoneAllowed(state.Zone) {
 		return false
 	}
+	if f.lacksRoom(state, now) {
+		return false
+	}
 	if f.isColdExcluded(state, now) || !state.statements.HasRoom(now, f.limitPosition(state, now)) || query.UncappedOnly && f.isCapped(state, now) {
 		return false
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,6 +39,10 @@
 	// LimitPosition returns this box's position among the boxes that share a server's rate limit;
 	// nil means that there is no other box.
 	LimitPosition func(zone, incarnation string) advisory.Position
+	// OnRoomChange is called when this box has learned that a brittle server has less or more room,
+	// which other boxes must receive at once; it may be nil. It is called
+	// with the fleet's lock held.
+	OnRoomChange func()
 }
 
 const (
@@ -114,6 +118,8 @@
 	evacuated evacuation.Zones
 	// coldLimits has the limits for calls to cold servers, by service.
 	coldLimits map[string]coldstart.Limit
+	// brittle is what is known of the services that recently had a brittle server.
+	brittle map[string]*brittleService
 }
 
 // New returns a fleet without servers.
@@ -123,7 +129,7 @@
 	return &Fleet{
 		cfg: cfg, servers: map[string]*State{}, currentIncarnation: map[string]string{}, groups: map[string]*group{},
 		reporting: map[*State]struct{}{}, failing: map[*State]struct{}{}, versions: map[servedModel][]int{},
-		remoteLoads: map[string][]Load{}, remoteTotals: map[string]workTotal{}, granted: map[string]workTotal{}, uses: map[string]*use{},
+		remoteLoads: map[string][]Load{}, remoteTotals: map[string]workTotal{}, granted: map[string]workTotal{}, uses: map[string]*use{}, brittle: map[string]*brittleService{},
 		prefillRate: initialPrefillRate, firstEventDelay: initialFirstEventDelay,
 	}
 }
@@ -198,7 +204,11 @@
 	if state.Leaving && !update.Server.Leaving {
 		state.statements.NoteReady(boottime.Now())
 	}
+	returned := state.offset == 0 || !state.delistedAt.IsZero()
 	f.setEntry(state, update)
+	if returned {
+		f.inheritBrittle(state, boottime.Now())
+	}
 }
 
 // setEntry sets the entry of a server, and lists it under its service and zone.
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -42,6 +42,8 @@
 	// limited are the possible reasons for a limit.
 	handOverBy    time.Time
 	cold, limited bool
+	// brittle means that the server was brittle, which limits the time as well.
+	brittle bool
 }
 
 // Overdue returns how much time has passed since the first event was expected.
@@ -62,7 +64,7 @@
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	now := boottime.Now()
-	if h.state.statements.Draining() || h.state.statements.PausedFor(now) > 0 {
+	if h.state.statements.Draining() || h.state.statements.PausedFor(now) > 0 || isBrittle(h.state) && h.state.statements.BlockedFor(now) > 0 {
 		return false
 	}
 	return h.handOverBy.IsZero() || now.Before(h.handOverBy)
@@ -74,6 +76,9 @@
 // Limited reports whether the server had a rate limit when the call was placed.
 func (h *Hold) Limited() bool { return h.limited }
 
+// Brittle reports whether the server was brittle when the call was placed.
+func (h *Hold) Brittle() bool { return h.brittle }
+
 // Weights returns the version of the weights that the call was placed for.
 func (h *Hold) Weights() int { return h.weights }
 
@@ -97,8 +102,8 @@
 		delistedFor = now.Sub(state.delistedAt)
 	}
 	cold, limited := f.countColdCall(state, now), state.statements.NoteSent(now, f.limitPosition(state, now))
-	handOverBy := time.Time{}
-	if cold || limited {
+	handOverBy, brittle := time.Time{}, isBrittle(state)
+	if cold || limited || brittle {
 		handOverBy = now.Add(coldstart.AdmissionValidity)
 	}
 	weights := state.weights(query.Model)
@@ -109,7 +114,7 @@
 	}
 	cost := cmp.Or(candidate.TokenCost, query.Load.TokenCost)
 	return &Hold{
-		handOverBy: handOverBy, cold: cold, limited: limited,
+		handOverBy: handOverBy, cold: cold, limited: limited, brittle: brittle,
 		fleet: f, state: state, prefillTokens: candidate.PrefillTokens, server: state.Server, weights: weights, fetchesPart: fetchesPart,
 		memoryTokens: query.Load.Tokens, answerTokens: query.AnswerTokens, placedAt: now, alone: candidate.PendingTokens == 0, delistedFor: delistedFor,
 		prefillTime: time.Duration(float64(candidate.PendingTokens+candidate.PrefillTokens) * cost * float64(time.Millisecond)),
@@ -171,6 +176,8 @@
 	OutcomeAbandoned
 	// OutcomeReplaced means that another incarnation at the server's address rejected the call.
 	OutcomeReplaced
+	// OutcomeFull means that a server without room for the call rejected it without running it.
+	OutcomeFull
 )
 
 // Pauses after rejected calls.
@@ -198,6 +205,7 @@
 	h.fleet.loadsChanged.Broadcast()
 	h.finishPrefill()
 	h.learnSlotTime(outcome, boottime.Now())
+	h.fleet.learnRoom(h.state, outcome, boottime.Now())
 	h.state.inFlight--
 	h.state.heldTokens -= h.memoryTokens
 	now := boottime.Now()
@@ -211,7 +219,7 @@
 		h.fleet.noteFailure(h.state, now, false)
 	case OutcomeUnreachable:
 		h.fleet.noteFailure(h.state, now, true)
-	case OutcomeBusy:
+	case OutcomeBusy, OutcomeFull:
 		h.state.pausedUntil = now.Add(busyPause)
 	case OutcomeMoved:
 		h.state.pausedUntil = now.Add(movedPause)
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -28,6 +28,9 @@
 	Weights map[string]int `msgpack:"w,omitempty"`
 	// Advisory is what the server stated about itself in answers to the box; nil if nothing.
 	Advisory *advisory.Report `msgpack:"a,omitempty"`
+	// Brittle is what the box knows about the brittleness of the server; nil if nothing. Messages
+	// carry it apart, since boxes of the previous version reject further fields.
+	Brittle *advisory.BrittleReport `msgpack:"-"`
 }
 
 // Loads returns this box's load at all servers at which it has work, or whose state other boxes may
@@ -39,14 +42,14 @@
 	var loads []Load
 	for state := range f.reporting {
 		paused := max(state.weightOrderUntil.Sub(now), state.replacedUntil.Sub(now), 0)
-		newer, report := state.newerWeights(), state.statements.Report(now)
-		if state.inFlight == 0 && paused == 0 && newer == nil && report == nil {
+		newer, report, brittle := state.newerWeights(), state.statements.Report(now), state.statements.BrittleReport(now)
+		if state.inFlight == 0 && paused == 0 && newer == nil && report == nil && brittle == nil {
 			delete(f.reporting, state)
 			continue
 		}
 		loads = append(loads, Load{
 			Incarnation: state.Incarnation, InFlight: state.inFlight, PendingTokens: state.pendingTokens, HeldTokens: state.heldTokens,
-			PausedFor: paused, Weights: newer, Advisory: report,
+			PausedFor: paused, Weights: newer, Advisory: report, Brittle: brittle,
 		})
 	}
 	return loads
@@ -81,6 +84,7 @@
 		if state := f.servers[load.Incarnation]; state != nil {
 			f.applyRemoteLoad(state, load, now)
 			f.applyReport(state, load.Advisory, now)
+			f.applyBrittleReport(state, load.Brittle, now)
 		}
 	}
 	if loads == nil {
--- a/internal/fleet/shortage.go
+++ b/internal/fleet/shortage.go
@@ -25,6 +25,9 @@
 	// not call, Limited those whose rate limit leaves no capacity for this box, and Paused those
 	// that requested a pause from this box.
 	Evacuated, ColdExcluded, Limited, Paused int
+	// Brittle counts the brittle servers at which this box has used up its share of the room, or
+	// which get no calls after refusals.
+	Brittle int
 }
 
 // Shortage returns why a call isn't placed at any server.
@@ -47,6 +50,8 @@
 			shortage.Limited++
 		case state.statements.PausedFor(now) > 0:
 			shortage.Paused++
+		case f.lacksRoom(state, now):
+			shortage.Brittle++
 		}
 	}
 	for _, state := range usable {
--- a/internal/gateway/forwardhold.go
+++ b/internal/gateway/forwardhold.go
@@ -18,6 +18,7 @@
 	Weights() int
 	Cold() bool
 	Limited() bool
+	Brittle() bool
 	DelistedFor() time.Duration
 	ExpectedFirstEvent() time.Duration
 	Overdue() time.Duration
@@ -58,6 +59,7 @@
 func (h *peerHold) Weights() int                      { return 0 }
 func (h *peerHold) Cold() bool                        { return false }
 func (h *peerHold) Limited() bool                     { return false }
+func (h *peerHold) Brittle() bool                     { return false }
 func (h *peerHold) DelistedFor() time.Duration        { return 0 }
 func (h *peerHold) ExpectedFirstEvent() time.Duration { return 0 }
 func (h *peerHold) Overdue() time.Duration            { return 0 }
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -148,12 +148,15 @@
 		if hold.Limited() {
 			event.Bool("rate_limited", true)
 		}
+		if hold.Brittle() {
+			event.Bool("brittle", true)
+		}
 	}
-	if x.reason == reasonNoServer || x.reason == reasonEvacuated || x.reason == reasonNoRegion || x.reason == reasonLimited {
+	if x.reason == reasonNoServer || x.reason == reasonEvacuated || x.reason == reasonNoRegion || x.reason == reasonLimited || x.reason == reasonBrittle {
 		counts := x.shortage
 		event.Int("servers", counts.Listed).Int("sound", counts.Usable).Int("without_slot", counts.WithoutSlot).Int("without_share", counts.WithoutShare).Int("without_time", counts.WithoutTime).Int("without_memory", counts.WithoutMemory).
 			Int("in_flight", counts.InFlight).Int("held_tokens", counts.HeldTokens).Int("evacuated", counts.Evacuated).Int("cold_spared", counts.ColdExcluded).
-			Int("rate_limited", counts.Limited).Int("paused", counts.Paused)
+			Int("rate_limited", counts.Limited).Int("paused", counts.Paused).Int("brittle", counts.Brittle)
 	}
 	if prompt := x.info.Prompt; prompt != nil && x.route != nil {
 		event.Int("prompt_tokens", prompt.Tokens).Int("unfetched_tokens", x.placement.plan.Missing).
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -19,6 +19,9 @@
 	// reasonLimited: all servers have requested a pause from this box, or have announced rate limits that
 	// it has used up.
 	reasonLimited = "servers_rate_limited"
+	// reasonBrittle: some servers are brittle and have no room for a call of this box, and no other takes
+	// the call.
+	reasonBrittle = "servers_brittle"
 )
 
 // allowedZones returns a predicate for the zones that a call may run in; nil where all are allowed.
@@ -50,6 +53,8 @@
 	switch {
 	case shortage.Listed > 0 && shortage.Limited+shortage.Paused == shortage.Listed:
 		return reasonLimited
+	case shortage.Brittle > 0 && shortage.Limited+shortage.Paused+shortage.Brittle == shortage.Listed:
+		return reasonBrittle
 	case shortage.Listed == 0 || g.cfg.Fleet.Availability(x.service.Name, g.allowedZones(x)).HasServers:
 		return reasonNoServer
 	case shortage.Evacuated == shortage.Listed:
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -133,6 +133,8 @@
 		a.release(fleet.OutcomeReplaced)
 	case response.Status == http.StatusMisdirectedRequest:
 		a.release(fleet.OutcomeMoved)
+	case response.Status == http.StatusServiceUnavailable:
+		a.release(fleet.OutcomeFull)
 	default:
 		a.release(fleet.OutcomeBusy)
 	}
--- a/internal/loadshare/loads.go
+++ b/internal/loadshare/loads.go
@@ -76,6 +76,7 @@
 		total.HeldTokens += load.HeldTokens
 		total.PausedFor = max(total.PausedFor, load.PausedFor-now.Sub(r.receivedAt))
 		total.Advisory = advisory.Merge(total.Advisory, load.Advisory.Aged(now.Sub(r.receivedAt)))
+		total.Brittle = advisory.MergeBrittle(total.Brittle, load.Brittle.Aged(now.Sub(r.receivedAt)))
 		totals[server] = total
 	}
 }
@@ -92,7 +93,7 @@
 			total.PendingTokens = max(total.PendingTokens-own.PendingTokens, 0)
 			total.HeldTokens = max(total.HeldTokens-own.HeldTokens, 0)
 		}
-		if total.InFlight > 0 || total.PendingTokens > 0 || total.HeldTokens > 0 || total.PausedFor > 0 || len(total.Weights) > 0 || total.Advisory != nil {
+		if total.InFlight > 0 || total.PendingTokens > 0 || total.HeldTokens > 0 || total.PausedFor > 0 || len(total.Weights) > 0 || total.Advisory != nil || total.Brittle != nil {
 			loads = append(loads, total)
 		}
 	}
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/advisory"
 	"github.com/cometlock/cometlock/internal/fairshare"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/frame"
@@ -80,12 +81,44 @@
 	// Uses lists the organisations that use most of each service, as far as the sender granted it.
 	// It is sent between boxes that grant places, every usesInterval.
 	Uses []fairshare.ServiceReport `msgpack:"v,omitempty"`
+	// Brittle has the reports of brittle servers that belong to the loads, by incarnation.
+	Brittle map[string]*advisory.BrittleReport `msgpack:"b,omitempty"`
 }
 
 func (s *Share) writeMessage(connection net.Conn, m message) error {
+	m.detachBrittle()
 	return frame.WriteExtended(connection, &m, &m.extension, ioTimeout)
 }
 
 func readMessage(reader io.Reader) (m message, err error) {
-	return m, frame.ReadExtended(reader, &m, &m.extension, maxMessageBytes)
+	if err := frame.ReadExtended(reader, &m, &m.extension, maxMessageBytes); err != nil {
+		return m, err
+	}
+	m.attachBrittle()
+	return m, nil
+}
+
+// detachBrittle adds the reports of brittle servers to the extension.
+func (m *message) detachBrittle() {
+	for _, loads := range [][]fleet.Load{m.Loads, m.OtherZoneLoads} {
+		for _, load := range loads {
+			if load.Brittle == nil {
+				continue
+			}
+			if m.extension.Brittle == nil {
+				m.extension.Brittle = map[string]*advisory.BrittleReport{}
+			}
+			m.extension.Brittle[load.Incarnation] = load.Brittle
+		}
+	}
+}
+
+// attachBrittle adds the reports of brittle servers to their loads.
+func (m *message) attachBrittle() {
+	for _, loads := range [][]fleet.Load{m.Loads, m.OtherZoneLoads} {
+		for i := range loads {
+			loads[i].Brittle = m.extension.Brittle[loads[i].Incarnation]
+		}
+	}
+	m.extension.Brittle = nil
 }
--- a/internal/loadshare/message_test.go
+++ b/internal/loadshare/message_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/cometlock/cometlock/internal/advisory"
 	"github.com/cometlock/cometlock/internal/fairshare"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/frame"
@@ -70,6 +71,7 @@
 		g.Expect(target(far)).To(Succeed())
 	}
 	sent := testMessage()
+	sent.Loads[0].Brittle = &advisory.BrittleReport{Known: true, MaxRefusals: 4, Age: 5, Room: 6, Raised: true, RoomAge: 7, BlockedFor: 8}
 	sent.extension = extension{LinkSamples: samples, Uses: []fairshare.ServiceReport{{Service: "s", Uses: []fairshare.ReportedUse{{Key: 1 << 63, Use: 2.5}}}}}
 	writeNew := func(connection net.Conn) { _ = (*Share)(nil).writeMessage(connection, sent) }
 	var old previousMessage
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -223,6 +223,7 @@
 	for _, loads := range [][]fleet.Load{m.Loads, m.OtherZoneLoads} {
 		for i := range loads {
 			loads[i].Advisory = loads[i].Advisory.AfterTransit(transit, known)
+			loads[i].Brittle = loads[i].Brittle.AfterTransit(transit, known)
 		}
 	}
 }
--- a/internal/loadshare/send.go
+++ b/internal/loadshare/send.go
@@ -169,7 +169,7 @@
 		m.WantsReports = link.selected
 		m.extension.LinkSamples, link.samplesSent = s.cfg.Parts.LinkSamplesSince(link.samplesSent, s.passesSamplesTo(box))
 		m.Urgent, link.urgentCount = link.urgentCount != s.urgentCount, s.urgentCount
-		if otherZonesDue = now.Sub(link.otherZonesAt) >= otherZoneInterval; otherZonesDue {
+		if otherZonesDue = m.Urgent || now.Sub(link.otherZonesAt) >= otherZoneInterval; otherZonesDue {
 			link.otherZonesAt = now
 		}
 	}
