advisory: one decrease of the room at a time, slow refill after refusals; replay

Refusals of calls that were placed before the servers were brittle lowered the room too.

Change: after a change of the room and after the first statement the room stays for 250 ms. Shares grow from half to all in the 250 ms after a block. Tries of more room start when a call finds no server, so that one server after the other is tried. The replay has 8 and 80 boxes, and finds two planted faults. Switch slow-return.

--- a/internal/advisory/brittle.go
+++ b/internal/advisory/brittle.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -14,8 +15,14 @@
 	// minMaxRefusals is assumed for a server that states fewer. It is above zero, which stands for a
 	// server that isn't brittle.
 	minMaxRefusals = 0.5
-	// roomDecrease is the part of the room that remains after a refusal.
-	roomDecrease = 7.0 / 8
+	// roomDecrease is the part of the room that remains after a refusal at most, and minRoomDecrease
+	// the part that remains at least if fewer calls were known to be at the server, or after a second
+	// refusal within a second, which shows that the first decrease was too small.
+	roomDecrease, minRoomDecrease = 7.0 / 8, 3.0 / 4
+	// settleTime is how long after a change of the room, or the first statement, the room isn't lowered.
+	// In that time other boxes learn of the change, and calls that were placed before it end. Without it, 80 boxes that learned
+	// of a refusal one after the other lowered the room to half of what it was.
+	settleTime = 250 * time.Millisecond
 	// refusalWeight is the weight of one refusal in the room that is learned before a server is
 	// brittle. The counts of other boxes are as old as their reports, so that a single sample may be
 	// wrong by several calls.
@@ -105,6 +112,8 @@
 	// server was brittle. before is the room that was learned while it was not.
 	room, ownRoom room
 	before        float64
+	// since is when this box learned that the server is brittle.
+	since time.Time
 	// filledAt is when the server may get calls for all its room.
 	filledAt time.Time
 	// blockedUntil is the time until which the server gets no calls after refusals, and ownBlocked
@@ -143,22 +152,30 @@
 	case b.room.calls > 0:
 		return b.room.calls
 	case b.before > 0:
-		return b.before
+		return math.Round(b.before)
 	default:
 		return float64(slots)
 	}
 }
 
 // RoomShare returns how many calls this box may have at a brittle server. The shares of all boxes
-// add up to no more than the room.
+// add up to no more than the room. After a block they grow from half of that, since all boxes would
+// fill the server at the same moment, and a room that is still too large would cost several refusals.
 func (b *brittleness) RoomShare(slots int, position Position, now time.Time) int {
 	calls := b.Room(slots)
 	if missing := b.filledAt.Sub(now); missing > 0 {
 		calls *= 1 - float64(missing)/float64(fillTime)
 	}
+	if missing := b.blockedUntil.Add(settleTime).Sub(now); missing > 0 {
+		calls *= 1 - min(float64(missing)/float64(settleTime), 1)/2
+	}
 	return roomShare(max(calls, 1), position)
 }
 
+// IsFilling reports whether the server has come back so recently that it gets calls only for a part of
+// its room.
+func (b *brittleness) IsFilling(now time.Time) bool { return now.Before(b.filledAt) }
+
 // roomShare divides a room among boxes in whole calls.
 func roomShare(calls float64, position Position) int {
 	present := max(position.Present, 1)
@@ -174,23 +191,34 @@
 // included, were known to be at the server. trial means that the call exceeded the known room.
 func (b *brittleness) LearnRefusal(inFlight, slots int, trial bool, now time.Time) Change {
 	calls := b.Room(slots)
+	admitted := float64(max(inFlight-1, 1))
 	if _, brittle := b.Brittle(); !brittle {
-		sample := float64(max(inFlight-1, 1))
-		if calls == 0 {
-			calls = sample
+		if b.before == 0 {
+			b.before = cmp.Or(calls, admitted)
 		}
-		b.before = calls + refusalWeight*(sample-calls)
+		b.before += refusalWeight * (admitted - b.before)
 		return Change{}
 	}
-	if calls == 0 {
-		calls = float64(inFlight)
+	calls = cmp.Or(calls, admitted)
+	switch {
+	case trial:
+	case now.Sub(b.room.at) < settleTime, now.Sub(b.since) < settleTime:
+	default:
+		b.forgetRefusals(now)
+		lower := min(calls-1, math.Round(calls*roomDecrease), admitted)
+		if len(b.refusals) > 0 {
+			lower = 0
+		}
+		b.room = room{calls: max(lower, math.Ceil(calls*minRoomDecrease), 1), at: now}
+		if b.room.calls == calls {
+			b.room.calls = max(calls-1, 1)
+		}
 	}
-	if !trial {
-		calls = max(min(calls*roomDecrease, calls-1), 1)
+	if b.room.calls == 0 {
+		b.room = room{calls: calls, at: now}
 	}
-	b.room = room{calls: calls, at: now}
 	b.ownRoom = b.room
-	b.noteRefusal(now)
+	b.noteRefusal(trial, now)
 	b.ownBlocked = b.blockedUntil
 	return Change{Room: true}
 }
@@ -203,18 +231,29 @@
 }
 
 // noteRefusal records a refusal, and blocks the server for a time that is short after the first one
-// in a second and a whole second when the server withstands no more.
-func (b *brittleness) noteRefusal(now time.Time) {
+// in a second and a whole second when the server withstands no more. After a refusal that wasn't a
+// trial, more calls are there than it has room for, so that new ones wait until the change is known.
+func (b *brittleness) noteRefusal(trial bool, now time.Time) {
 	b.countRefusal(now, now)
-	used := min(float64(len(b.refusals))/max(b.brittle.perSecond, minMaxRefusals), 1)
-	if until := now.Add(time.Duration(used * used * float64(refusalWindow))); until.After(b.blockedUntil) {
+	withstood := max(b.brittle.perSecond, minMaxRefusals)
+	used := min(float64(len(b.refusals))/withstood, 1)
+	block := time.Duration(used * used * float64(refusalWindow))
+	if !trial {
+		block = max(block, min(settleTime, time.Duration(float64(refusalWindow)/withstood)))
+	}
+	if until := now.Add(block); until.After(b.blockedUntil) {
 		b.blockedUntil = until
 	}
 }
 
 // countRefusal adds a refusal to those of the last second.
 func (b *brittleness) countRefusal(at, now time.Time) {
-	b.refusals = slices.DeleteFunc(append(b.refusals, at), func(at time.Time) bool { return now.Sub(at) >= refusalWindow })
+	b.refusals = append(b.refusals, at)
+	b.forgetRefusals(now)
+}
+
+func (b *brittleness) forgetRefusals(now time.Time) {
+	b.refusals = slices.DeleteFunc(b.refusals, func(at time.Time) bool { return now.Sub(at) >= refusalWindow })
 }
 
 func (b *brittleness) applyAnswerBrittle(answer Answer) (changed bool) {
@@ -243,6 +282,9 @@
 		return false
 	}
 	changed = next.perSecond != b.brittle.perSecond
+	if b.brittle.perSecond == 0 {
+		b.since = next.at
+	}
 	b.brittle = next
 	if next.perSecond == 0 {
 		b.filledAt, b.blockedUntil, b.ownBlocked = time.Time{}, time.Time{}, time.Time{}
--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -8,16 +8,20 @@
 
 	"github.com/cometlock/cometlock/internal/advisory"
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/mechanism"
 )
 
 const (
 	// brittleMemory is how long a service counts as brittle after the last statement of one of its
 	// servers, for servers that start.
 	brittleMemory = time.Minute
-	// A try of more room may cost a refusal. Tries are refusalsPerTry/N seconds apart at least, where
-	// the server withstands N refusals a second, so that they use up an eighth of these at most.
+	// A try of more room may cost a refusal. Tries of a server are refusalsPerTry/N seconds apart at
+	// least, where it withstands N refusals a second, so that they use up an eighth of these at most.
 	refusalsPerTry = 8
 	minTryInterval = time.Second
+	// minUsedRoom is the part of the room that must be known to be used when a try is served. The counts
+	// of other boxes are as old as their reports, and their calls may be as short.
+	minUsedRoom = 0.75
 	// tryTimeout bounds a try that gets no call.
 	tryTimeout = time.Second
 )
@@ -28,10 +32,9 @@
 	// room is the last known room of one of its servers; zero if unknown.
 	room float64
 	at   time.Time
-	// tried is the server that gets one call more than its known room until triedUntil, and nextTry
-	// when the next one may be tried.
-	tried               string
-	triedUntil, nextTry time.Time
+	// tried is the server that gets one call more than its known room until triedUntil.
+	tried      string
+	triedUntil time.Time
 }
 
 func isBrittle(state *State) bool {
@@ -47,7 +50,7 @@
 	}
 	service := f.brittle[state.Service]
 	if service == nil {
-		service = &brittleService{nextTry: now.Add(tryInterval(maxRefusals))}
+		service = &brittleService{}
 		f.brittle[state.Service] = service
 	}
 	service.maxRefusals, service.at = maxRefusals, now
@@ -61,7 +64,8 @@
 // inheritBrittle makes a server that has just started or returned brittle if its service is. The
 // caller holds mu.
 func (f *Fleet) inheritBrittle(state *State, now time.Time) {
-	if service := f.brittle[state.Service]; service != nil && now.Sub(service.at) <= brittleMemory {
+	service := f.brittle[state.Service]
+	if service != nil && f.cfg.Mechanisms.Enabled(mechanism.SlowReturn) && now.Sub(service.at) <= brittleMemory {
 		state.statements.Inherit(service.maxRefusals, service.room, now)
 	}
 }
@@ -123,15 +127,17 @@
 	switch {
 	case outcome == OutcomeFull:
 		change = state.statements.LearnRefusal(inFlight, state.Slots, tried, now)
+		if brittle {
+			state.nextTry = now.Add(2 * tryInterval(maxRefusals))
+		}
 		if tried {
-			service.tried, service.nextTry = "", now.Add(2*tryInterval(maxRefusals))
+			service.tried = ""
 		}
-	case !brittle || service == nil || state.inFlight < f.roomShare(state, now) || float64(inFlight) < state.statements.Room(state.Slots):
 	case tried && state.inFlight > f.roomShare(state, now):
-		change = state.statements.Grow(state.Slots, now)
-		service.tried, service.nextTry = "", now.Add(tryInterval(maxRefusals))
-	case now.After(service.triedUntil) && now.After(service.nextTry) && f.mayTry(state.Service):
-		service.tried, service.triedUntil, service.nextTry = state.Incarnation, now.Add(tryTimeout), now.Add(tryInterval(maxRefusals))
+		service.tried = ""
+		if float64(inFlight) >= minUsedRoom*state.statements.Room(state.Slots) {
+			change = state.statements.Grow(state.Slots, now)
+		}
 	}
 	if !change.Room {
 		return
@@ -144,6 +150,27 @@
 	}
 }
 
+// startTry starts to try a server above its known room when this box found none for a call, unless
+// another try is in progress. The caller holds mu.
+func (f *Fleet) startTry(query Query, now time.Time) {
+	service := f.brittle[query.Service]
+	if service == nil || query.UncappedOnly || service.tried != "" && now.Before(service.triedUntil) || !f.mayTry(query.Service) {
+		return
+	}
+	for state := range f.samples(query)[0] {
+		if !isBrittle(state) || now.Before(state.nextTry) || !f.isPresent(state, now) || state.statements.BlockedFor(now) > 0 || state.statements.IsFilling(now) {
+			continue
+		}
+		if state.nextTry.IsZero() {
+			state.nextTry = now.Add(tryInterval(service.maxRefusals)) // it has been brittle only since now
+			continue
+		}
+		service.tried, service.triedUntil = state.Incarnation, now.Add(tryTimeout)
+		state.nextTry = now.Add(tryInterval(service.maxRefusals))
+		return
+	}
+}
+
 // mayTry reports whether this box is the one that tries servers of a service. The caller holds mu.
 func (f *Fleet) mayTry(service string) bool {
 	if f.cfg.LimitPosition == nil {
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -153,6 +153,9 @@
 			break
 		}
 	}
+	if len(found.candidates) == 0 {
+		f.startTry(query, now)
+	}
 	query.Load.OtherZoneLag = float64(query.OtherZoneLag) / float64(time.Millisecond)
 	return found, query
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -93,6 +93,8 @@
 	coldCalls coldstart.Window
 	// statements is what the server states about itself in its answers.
 	statements advisory.Server
+	// nextTry is when the server may be tried above its known room, while it is brittle.
+	nextTry time.Time
 	// recent is the decaying number of calls that this box placed at the server, at recentAt.
 	recent   float64
 	recentAt time.Time
--- /dev/null
+++ b/internal/loadshare/brittle_test.go
@@ -0,0 +1,328 @@
+// Brittle servers fall over when they refuse too many calls within a second. These tests replay calls
+// of many boxes to such servers, whose room shrinks, in virtual time.
+
+package loadshare_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/advisory"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/mechanism"
+	"github.com/cometlock/cometlock/internal/placing"
+)
+
+const (
+	brittleLength = 12 * time.Second
+	brittleStep   = time.Millisecond
+	// Servers state that they are brittle from brittleBegin, and fall over from brittleContact later.
+	// From then on they have less room, also if they aren't brittle.
+	brittleBegin   = 2 * time.Second
+	brittleContact = 3 * time.Second
+	// Some servers stop for another reason at brittleStop.
+	brittleStop        = 3 * time.Second
+	brittleDown        = 4 * time.Second
+	brittleMaxRefusals = 4
+	brittleAtWork      = 6
+	brittleRoom        = 9
+	brittleShrunkRoom  = 6
+	brittleWorkTime    = 70 * time.Millisecond
+	// A server that has just started holds one call, and all only after brittleWarmUp.
+	brittleWarmUp = time.Second
+	// brittleTransit is the longest transit time of a request or an answer.
+	brittleTransit = 4 * time.Millisecond
+	// brittleAttempts is how many servers a call is sent to at most.
+	brittleAttempts = 2
+)
+
+// brittleServer is a server with a bounded queue.
+type brittleServer struct {
+	key         string
+	incarnation int
+	startedAt   time.Time
+	upAt        time.Time
+	// held counts the calls at work and waiting, and queue has those that wait.
+	held, atWork int
+	queue        []func()
+	refusals     []time.Time
+	falls        int
+}
+
+func (s *brittleServer) name() string { return fmt.Sprint(s.key, "-", s.incarnation) }
+
+// brittleHistory is one replay.
+type brittleHistory struct {
+	*history
+	fleets    []*fleet.Fleet
+	servers   []*brittleServer
+	inTransit []delivery
+	begin     time.Time
+	// brittle is whether the servers ever are. perSecond is the rate of calls.
+	brittle      bool
+	perSecond    float64
+	sent, served int
+	// refused counts the calls that servers refused while they were brittle.
+	refused int
+	// ownBound injects the fault that each box uses all the room itself, and noSlowReturn that servers
+	// which come back are filled at once.
+	ownBound, noSlowReturn bool
+	// stopped is the number of servers that stop for another reason.
+	stopped int
+}
+
+func (h *brittleHistory) startBox(ctx context.Context, b *simBox) {
+	cfg := fleet.Config{Logger: zerolog.Nop(), LimitPosition: func(zone, server string) advisory.Position { return b.share.LimitPosition(zone, server) }}
+	cfg.OnRoomChange = func() { b.share.SendNow() }
+	if h.ownBound {
+		cfg.LimitPosition = nil
+	}
+	if h.noSlowReturn {
+		cfg.Mechanisms, _ = mechanism.Parse(string(mechanism.SlowReturn))
+	}
+	boxFleet := fleet.New(cfg)
+	h.fleets = append(h.fleets, boxFleet)
+	for _, server := range h.servers {
+		server.list(boxFleet, 1)
+	}
+	h.startWithFleet(ctx, b, boxFleet)
+}
+
+// list writes the server's entry into a box's view of the registry.
+func (s *brittleServer) list(boxFleet *fleet.Fleet, offset int64) {
+	boxFleet.Apply([]fleet.Update{{Key: s.key, Offset: offset, Server: &fleet.Server{Incarnation: s.name(), Service: "s", Zone: "zone-0", Slots: brittleRoom}}})
+}
+
+// room returns how many calls a server holds now.
+func (h *brittleHistory) room(s *brittleServer, now time.Time) int {
+	room := brittleRoom
+	if now.Sub(h.begin) >= brittleBegin+brittleContact {
+		room = brittleShrunkRoom
+	}
+	if s.incarnation > 0 {
+		warm := min(float64(now.Sub(s.startedAt))/float64(brittleWarmUp), 1)
+		room = max(int(float64(room)*warm), 1)
+	}
+	return room
+}
+
+// call sends a call from a box, if a server may take it.
+func (h *brittleHistory) call(box *fleet.Fleet, tried []string) {
+	hold := box.Choose(fleet.Query{Service: "s", Zone: "zone-0", Exclude: tried, Load: placing.Query{TieBreaker: h.random.Uint64()}})
+	if hold == nil {
+		return
+	}
+	sent, target := time.Now(), hold.Server().Incarnation
+	answer := func(outcome fleet.Outcome) {
+		h.deliverAfter(h.transit(), func() {
+			answered := advisory.Answer{Sent: sent, Received: time.Now(), Genuine: true}
+			if h.brittle && time.Since(h.begin) >= brittleBegin {
+				answered.Brittle, answered.MaxRefusals = advisory.LimitNamed, brittleMaxRefusals
+			}
+			if outcome != fleet.OutcomeUnreachable {
+				box.ApplyAdvisory(target, answered)
+			}
+			hold.Done(outcome)
+			switch {
+			case outcome == fleet.OutcomeServed:
+				h.served++
+			case len(tried)+1 < brittleAttempts:
+				h.call(box, append(tried, target))
+			}
+		})
+	}
+	h.deliverAfter(h.transit(), func() {
+		for _, server := range h.servers {
+			if server.name() == target {
+				h.arrive(server, answer)
+				return
+			}
+		}
+		answer(fleet.OutcomeUnreachable)
+	})
+}
+
+// arrive gives a call to a server.
+func (h *brittleHistory) arrive(s *brittleServer, answer func(fleet.Outcome)) {
+	now := time.Now()
+	switch {
+	case now.Before(s.upAt):
+		answer(fleet.OutcomeUnreachable)
+	case s.held >= h.room(s, now):
+		for len(s.refusals) > 0 && now.Sub(s.refusals[0]) >= time.Second {
+			s.refusals = s.refusals[1:]
+		}
+		s.refusals = append(s.refusals, now)
+		h.refused++
+		answer(fleet.OutcomeFull)
+		if h.brittle && now.Sub(h.begin) >= brittleBegin+brittleContact && len(s.refusals) > brittleMaxRefusals {
+			s.falls++
+			h.stopServer(s)
+		}
+	default:
+		s.held++
+		s.queue = append(s.queue, func() { h.work(s, answer) })
+		h.startWork(s)
+	}
+}
+
+func (h *brittleHistory) startWork(s *brittleServer) {
+	for s.atWork < brittleAtWork && len(s.queue) > 0 {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		s.atWork++
+		next()
+	}
+}
+
+func (h *brittleHistory) work(s *brittleServer, answer func(fleet.Outcome)) {
+	incarnation := s.incarnation
+	h.deliverAfter(brittleWorkTime, func() {
+		if s.incarnation != incarnation || time.Now().Before(s.upAt) {
+			answer(fleet.OutcomeUnreachable)
+			return
+		}
+		s.held--
+		s.atWork--
+		answer(fleet.OutcomeServed)
+		h.startWork(s)
+	})
+}
+
+// stopServer stops a server, which comes back as a new incarnation.
+func (h *brittleHistory) stopServer(s *brittleServer) {
+	s.held, s.atWork, s.queue, s.refusals = 0, 0, nil, nil
+	s.upAt = time.Now().Add(brittleDown)
+	s.incarnation++ // the calls of the stopped one end without an answer
+	h.deliverAfter(brittleDown, func() {
+		s.startedAt = time.Now()
+		for _, boxFleet := range h.fleets {
+			s.list(boxFleet, int64(s.incarnation)+1)
+		}
+	})
+}
+
+func (h *brittleHistory) transit() time.Duration {
+	return time.Duration(h.random.Int64N(int64(brittleTransit)))
+}
+
+func (h *brittleHistory) deliverAfter(delay time.Duration, deliver func()) {
+	h.inTransit = append(h.inTransit, delivery{time.Now().Add(delay), deliver})
+}
+
+func (h *brittleHistory) deliverDue() {
+	now, inTransit := time.Now(), h.inTransit
+	h.inTransit = nil
+	for _, d := range inTransit {
+		if now.Before(d.at) {
+			h.inTransit = append(h.inTransit, d)
+		} else {
+			d.deliver()
+		}
+	}
+}
+
+// play runs the replay.
+func (h *brittleHistory) play() {
+	due, stopped := 0.0, false
+	h.begin = time.Now()
+	for time.Since(h.begin) < brittleLength {
+		if !stopped && time.Since(h.begin) >= brittleStop {
+			stopped = true
+			for _, server := range h.servers[:h.stopped] {
+				h.stopServer(server)
+			}
+		}
+		for due += h.perSecond * brittleStep.Seconds(); due >= 1; due-- {
+			h.sent++
+			h.call(h.fleets[h.random.IntN(len(h.fleets))], nil)
+		}
+		h.deliverDue()
+		time.Sleep(brittleStep)
+	}
+}
+
+// falls returns how often servers fell over.
+func (h *brittleHistory) falls() (falls int) {
+	for _, server := range h.servers {
+		falls += server.falls
+	}
+	return falls
+}
+
+// playBrittle replays calls of some boxes to as many servers in proportion as in a fleet of 8 boxes and
+// 6 servers, at a multiple of what the servers can serve.
+func playBrittle(t *testing.T, boxes int, load float64, prepare func(h *brittleHistory)) *brittleHistory {
+	t.Helper()
+	h := &brittleHistory{brittle: true, stopped: 1}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		h.history = &history{t: t, random: rand.New(rand.NewPCG(uint64(boxes), 3)), network: newNetwork(), newestVersion: 1}
+		defer h.stop(cancel)
+		h.addBoxes([]int{boxes / 2, boxes - boxes/2})
+		for i := range boxes * 6 / 8 {
+			h.servers = append(h.servers, &brittleServer{key: fmt.Sprint("server-", i)})
+		}
+		h.perSecond = load * float64(len(h.servers)*brittleAtWork) / brittleWorkTime.Seconds()
+		prepare(h)
+		for _, b := range h.simBoxes {
+			h.startBox(ctx, b)
+		}
+		time.Sleep(2 * time.Second) // until the boxes hear each other
+		h.play()
+	})
+	return h
+}
+
+func TestBrittleServersKeepServingInAReplay(t *testing.T) {
+	for _, boxes := range []int{8, 80} {
+		for _, load := range []float64{1.15, 2.2} {
+			t.Run(fmt.Sprint(boxes, " boxes, load ", load), func(t *testing.T) {
+				g := NewWithT(t)
+				usual := playBrittle(t, boxes, load, func(h *brittleHistory) { h.brittle = false })
+				h := playBrittle(t, boxes, load, func(*brittleHistory) {})
+				_, room, _ := h.fleets[0].CountBrittle()
+				share := 0
+				for _, boxFleet := range h.fleets {
+					_, _, own := boxFleet.CountBrittle()
+					share += own
+				}
+				t.Logf("%d calls: %d served, %d refused by servers and %d falls of %d servers; %d served by servers that aren't brittle; room %.1f, %d in shares", h.sent, h.served, h.refused, h.falls(), len(h.servers), usual.served, room, share)
+				g.Expect(h.falls()).To(BeNumerically("<=", 1+len(h.servers)/20))
+				g.Expect(float64(h.served)).To(BeNumerically(">=", 0.9*float64(usual.served)))
+			})
+		}
+	}
+}
+
+// The replay must show when the bound is missing, or the slow return of servers.
+func TestBrittleReplaysDetectInjectedFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(h *brittleHistory)
+	}{
+		{"each box has its own bound", func(h *brittleHistory) { h.ownBound = true }},
+		{"servers that come back are filled at once", func(h *brittleHistory) { h.noSlowReturn = true }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			const stopped = 3
+			sound := playBrittle(t, 8, 1.15, func(h *brittleHistory) { h.stopped = stopped })
+			h := playBrittle(t, 8, 1.15, func(h *brittleHistory) {
+				h.stopped = stopped
+				test.prepare(h)
+			})
+			t.Logf("%d calls: %d served and %d falls; %d served and %d falls without the fault", h.sent, h.served, h.falls(), sound.served, sound.falls())
+			g.Expect(h.falls()).To(BeNumerically(">", 1+len(h.servers)/20))
+			g.Expect(sound.falls()).To(BeNumerically("<=", 1+len(h.servers)/20))
+		})
+	}
+}
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -65,6 +65,8 @@
 	// PeerForwarding forwards calls through other boxes while this one does not reach the servers of a
 	// service.
 	PeerForwarding Mechanism = "peer-forwarding"
+	// SlowReturn fills a server that has come back slowly while its service is brittle.
+	SlowReturn Mechanism = "slow-return"
 )
 
 // All returns all mechanisms.
@@ -72,7 +74,7 @@
 	return []Mechanism{
 		ZoneReaders, Hubs, Owners, WaitingLine, Homes, Headroom, SlowStores, SharedLateness, FetchChoice, StoreKinds, KeptConnections, Suspicion, ReadRates, PausedLoading,
 		Slots, BriefCalls, FullZones, FairShares, ReturnTimes,
-		LoadPace, MemoryBudget, PeerForwarding,
+		LoadPace, MemoryBudget, PeerForwarding, SlowReturn,
 	}
 }
 
