loadshare: the replays of brittle servers run in parallel

Cause: with -race the replays of 80 boxes take minutes one after the other.

Change: they run in parallel.

Result: not measured with -race.

--- a/internal/loadshare/brittle_test.go
+++ b/internal/loadshare/brittle_test.go
@@ -285,6 +285,7 @@
 	for _, boxes := range []int{8, 80} {
 		for _, load := range []float64{1.15, 2.2} {
 			t.Run(fmt.Sprint(boxes, " boxes, load ", load), func(t *testing.T) {
+				t.Parallel()
 				g := NewWithT(t)
 				usual := playBrittle(t, boxes, load, func(h *brittleHistory) { h.brittle = false })
 				h := playBrittle(t, boxes, load, func(*brittleHistory) {})
