gateway: calls without prompts wait for room at brittle servers

Cause: with 8 boxes each has 4.5 of 36 places at six servers.

Ruled out: servers' refusals (3 a second and less), room that was learned too low (36 of 36), unused remainders of shares (31 to 37 of 36).

Change: a call without a prompt that finds no server of a service with a brittle server waits in its box's queue for a fifth of its objective, as calls with prompts do.

--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -42,6 +42,21 @@
 	return brittle
 }
 
+// IsBrittle reports whether a service has a listed server that is brittle.
+func (f *Fleet) IsBrittle(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.brittle[service] == nil {
+		return false
+	}
+	for state := range f.groups[service].all() {
+		if isBrittle(state) && state.delistedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // noteBrittle records for its service what is known of a server. The caller holds mu.
 func (f *Fleet) noteBrittle(state *State, now time.Time) {
 	maxRefusals, brittle := state.statements.Brittle()
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -1,5 +1,7 @@
 // Waiting for capacity. Calls with prompts that find no runner with enough time and memory wait in the
-// queue of their service (package admission).
+// queue of their service (package admission). So do all calls to a service with brittle servers, where
+// a box may have few calls at a time: if it refused each call that finds them in use, its share of the
+// servers' room would be idle until the next call comes.
 
 package gateway
 
@@ -34,7 +36,11 @@
 		cfg.Excess = func(organisation string) float64 { return g.cfg.Excess(service, organisation) }
 	}
 	if g.cfg.Queued != nil {
-		cfg.Queued = func(x *exchange) { g.cfg.Queued(x.shareCall()) }
+		cfg.Queued = func(x *exchange) {
+			if x.info.Prompt != nil {
+				g.cfg.Queued(x.shareCall())
+			}
+		}
 	}
 	return cfg
 }
@@ -46,9 +52,12 @@
 	}
 }
 
-// demand returns what a call with a prompt requires of a server.
+// demand returns what a call requires of a server.
 func (g *Gateway) demand(x *exchange) waitqueue.Demand {
-	query, _ := g.fleetQuery(x)
+	query, plans := g.fleetQuery(x)
+	if plans == nil {
+		return places.NewRequest(query, g.cfg.BoxName, nil).Demand(x.regionsKey())
+	}
 	return places.NewRequest(query, g.cfg.BoxName, g.cfg.Fleet.HeldVersions(query.Service, query.Model)).Demand(x.regionsKey())
 }
 
@@ -89,7 +98,8 @@
 	return available.ForThisBox && (available.Wait == 0 || !boottime.Now().Add(available.Wait).After(x.waitParams().Deadline))
 }
 
-// placeOrWait places a call; one with a prompt waits in the queue if there is no capacity.
+// placeOrWait places a call; one with a prompt or to a brittle service waits in the queue if there is no
+// capacity.
 func (g *Gateway) placeOrWait(x *exchange) (placement, bool) {
 	g.waiting.Add(1)
 	defer g.waiting.Add(-1)
@@ -99,7 +109,13 @@
 	if !g.canStartInTime(x) {
 		return placement{}, false
 	}
-	if x.info.Prompt == nil || x.service.Engine == nil || !g.cfg.Mechanisms.Enabled(mechanism.WaitingLine) {
+	if !g.cfg.Mechanisms.Enabled(mechanism.WaitingLine) {
+		return g.place(x)
+	}
+	if x.info.Prompt == nil || x.service.Engine == nil {
+		if g.cfg.Fleet.IsBrittle(x.service.Name) {
+			return g.placeInQueue(x)
+		}
 		return g.place(x)
 	}
 	if chosen, ok, decided := g.placeByOwner(x); decided {
@@ -112,7 +128,9 @@
 func (g *Gateway) placeInQueue(x *exchange) (placement, bool) {
 	queue, params := g.queue(x.service.Name), x.waitParams()
 	params.Returning = queue.HasReturned(x.returnKey())
-	params.Brief = g.cfg.Fleet.IsBrief(x.service.Name, x.info.Prompt.AnswerTokens)
+	if x.info.Prompt != nil {
+		params.Brief = g.cfg.Fleet.IsBrief(x.service.Name, x.info.Prompt.AnswerTokens)
+	}
 	chosen, ok := queue.Acquire(x.ctx, params, x)
 	if !ok && x.ctx.Err() == nil {
 		refusal := queue.Refuse(params, x.returnKey(), x.maxReturn())
