advisory: refusals of all boxes count, and lower shares to half before they stop calls

When servers state that they are brittle, boxes learn it one after the other, refusals of calls that were sent without a bound blocked servers for a second, and the room was learned as 10 to 12 where it was 9: calls on their way that are refused count as calls at the server. A refusal stopped all calls for 250 ms at least, a try above the room too. And each box counted only its own refusals: four boxes with one each in 30 ms filled the server again half a second later, which fell over by the fifth.

Change: boxes report the number of their refusals in the last second, summed as calls in flight are. Up to half of N refusals, shares are half of the room for 250 ms; above, there are no calls for 250 ms and half until (k/N)^2 s. A refused try leaves the shares. The first statement is reported at once, applies to the service's other servers until they answer, and halves the shares for 250 ms; refusals of calls from before it change nothing. Lower samples of the room weigh more. The room grows only if all of it is known to be used.

--- a/internal/advisory/brittle.go
+++ b/internal/advisory/brittle.go
@@ -20,15 +20,21 @@
 	// refusal within a second, which shows that the first decrease was too small.
 	roomDecrease, minRoomDecrease = 7.0 / 8, 3.0 / 4
 	// settleTime is how long after a change of the room, or the first statement, the room isn't lowered.
-	// In that time other boxes learn of the change, and calls that were placed before it end. Without it, 80 boxes that learned
-	// of a refusal one after the other lowered the room to half of what it was.
+	// In that time other boxes learn of the change, and calls that were placed before it end. Without it,
+	// 80 boxes that learned of a refusal one after the other lowered the room to half of what it was.
 	settleTime = 250 * time.Millisecond
-	// refusalWeight is the weight of one refusal in the room that is learned before a server is
-	// brittle. The counts of other boxes are as old as their reports, so that a single sample may be
-	// wrong by several calls.
-	refusalWeight = 0.125
+	// rampTime is how long it takes from half of the room to all of it. If all boxes filled a server at
+	// the same moment, a room that is still too large would cost several refusals.
+	rampTime = 250 * time.Millisecond
+	// decreaseWeight and increaseWeight are the weights of one refusal in the room that is learned before
+	// a server is brittle. Calls on their way that will be refused count as calls at the server, so that
+	// most samples are too high.
+	decreaseWeight, increaseWeight = 1.0 / 8, 1.0 / 32
 	// refusalWindow is the time in which a server counts its refusals.
 	refusalWindow = time.Second
+	// maxReducedRefusals is the part of the refusals withstood in a second up to which a server still gets
+	// calls for half of its room. Above, it gets none for settleTime first.
+	maxReducedRefusals = 0.5
 	// fillTime is how long it takes until a server that has just started gets calls for all its room.
 	fillTime = 2 * time.Second
 )
@@ -48,6 +54,10 @@
 	RoomAge time.Duration `msgpack:"g,omitempty"`
 	// BlockedFor is how much longer the server gets no calls after a refusal.
 	BlockedFor time.Duration `msgpack:"b,omitempty"`
+	// ReducedFor is how much longer it gets calls for half of its room.
+	ReducedFor time.Duration `msgpack:"h,omitempty"`
+	// Refusals is the number of calls of the box that the server has refused in the last second.
+	Refusals int `msgpack:"f,omitempty"`
 }
 
 // Aged returns the report as it is to be forwarded after some time has passed.
@@ -59,6 +69,7 @@
 	later.Age += passed
 	later.RoomAge += passed
 	later.BlockedFor = max(later.BlockedFor-passed, 0)
+	later.ReducedFor = max(later.ReducedFor-passed, 0)
 	return &later
 }
 
@@ -93,6 +104,8 @@
 		joined.Room, joined.Raised, joined.RoomAge = b.Room, b.Raised, b.RoomAge
 	}
 	joined.BlockedFor = max(a.BlockedFor, b.BlockedFor)
+	joined.ReducedFor = max(a.ReducedFor, b.ReducedFor)
+	joined.Refusals += b.Refusals
 	return &joined
 }
 
@@ -117,10 +130,15 @@
 	// filledAt is when the server may get calls for all its room.
 	filledAt time.Time
 	// blockedUntil is the time until which the server gets no calls after refusals, and ownBlocked
-	// the part of it that is due to this box's calls. refusals are the times of the last refusals
-	// that this box knows of.
+	// the part of it that is due to this box's calls. refusals are the times of the refusals of this
+	// box's calls in the last second.
 	blockedUntil, ownBlocked time.Time
+	// reducedUntil is the time until which calls get half of the room, and ownReduced the part of it that
+	// is due to this box's calls.
+	reducedUntil, ownReduced time.Time
 	refusals                 []time.Time
+	// otherRefusals is the number of refusals in the last second that other boxes report.
+	otherRefusals int
 }
 
 // Brittle returns how many calls a brittle server may refuse in a second, or false if it isn't
@@ -141,6 +159,14 @@
 	b.filledAt = now.Add(fillTime)
 }
 
+// Presume makes a server brittle from which there has been no statement yet, since another server of its
+// service states that it is.
+func (b *brittleness) Presume(maxRefusals float64, now time.Time) {
+	if b.brittle.at.IsZero() {
+		b.applyBrittle(limit{perSecond: maxRefusals, at: now})
+	}
+}
+
 // BlockedFor returns how much longer the server gets no calls because it refused some.
 func (b *brittleness) BlockedFor(now time.Time) time.Duration {
 	return max(b.blockedUntil.Sub(now), 0)
@@ -152,22 +178,22 @@
 	case b.room.calls > 0:
 		return b.room.calls
 	case b.before > 0:
-		return math.Round(b.before)
+		return math.Floor(b.before)
 	default:
 		return float64(slots)
 	}
 }
 
 // RoomShare returns how many calls this box may have at a brittle server. The shares of all boxes
-// add up to no more than the room. After a block they grow from half of that, since all boxes would
-// fill the server at the same moment, and a room that is still too large would cost several refusals.
+// add up to no more than the room. It is half of that after refusals, and after the first statement, when
+// boxes that don't know of it yet still place calls without a bound.
 func (b *brittleness) RoomShare(slots int, position Position, now time.Time) int {
 	calls := b.Room(slots)
 	if missing := b.filledAt.Sub(now); missing > 0 {
 		calls *= 1 - float64(missing)/float64(fillTime)
 	}
-	if missing := b.blockedUntil.Add(settleTime).Sub(now); missing > 0 {
-		calls *= 1 - min(float64(missing)/float64(settleTime), 1)/2
+	if missing := b.reducedUntil.Add(rampTime).Sub(now); missing > 0 {
+		calls *= 1 - min(float64(missing)/float64(rampTime), 1)/2
 	}
 	return roomShare(max(calls, 1), position)
 }
@@ -188,15 +214,24 @@
 }
 
 // LearnRefusal learns from a refusal for want of room at which inFlight calls of all boxes, this one
-// included, were known to be at the server. trial means that the call exceeded the known room.
-func (b *brittleness) LearnRefusal(inFlight, slots int, trial bool, now time.Time) Change {
+// included, were known to be at the server. trial means that the call exceeded the known room. A call that
+// was placed before this box knew the server to be brittle was not bounded by the room, and shows nothing
+// about it.
+func (b *brittleness) LearnRefusal(inFlight, slots int, trial bool, placed, now time.Time) Change {
 	calls := b.Room(slots)
 	admitted := float64(max(inFlight-1, 1))
 	if _, brittle := b.Brittle(); !brittle {
 		if b.before == 0 {
 			b.before = cmp.Or(calls, admitted)
 		}
-		b.before += refusalWeight * (admitted - b.before)
+		weight := decreaseWeight
+		if admitted > b.before {
+			weight = increaseWeight
+		}
+		b.before += weight * (admitted - b.before)
+		return Change{}
+	}
+	if placed.Before(b.since) {
 		return Change{}
 	}
 	calls = cmp.Or(calls, admitted)
@@ -206,7 +241,7 @@
 	default:
 		b.forgetRefusals(now)
 		lower := min(calls-1, math.Round(calls*roomDecrease), admitted)
-		if len(b.refusals) > 0 {
+		if len(b.refusals)+b.otherRefusals > 0 {
 			lower = 0
 		}
 		b.room = room{calls: max(lower, math.Ceil(calls*minRoomDecrease), 1), at: now}
@@ -219,7 +254,7 @@
 	}
 	b.ownRoom = b.room
 	b.noteRefusal(trial, now)
-	b.ownBlocked = b.blockedUntil
+	b.ownBlocked, b.ownReduced = b.blockedUntil, b.reducedUntil
 	return Change{Room: true}
 }
 
@@ -230,26 +265,38 @@
 	return Change{Room: true}
 }
 
-// noteRefusal records a refusal, and blocks the server for a time that is short after the first one
-// in a second and a whole second when the server withstands no more. After a refusal that wasn't a
-// trial, more calls are there than it has room for, so that new ones wait until the change is known.
+// noteRefusal records a refusal. After one that wasn't a trial, more calls are there than the server has
+// room for, so that there are fewer until the change is known.
 func (b *brittleness) noteRefusal(trial bool, now time.Time) {
-	b.countRefusal(now, now)
-	withstood := max(b.brittle.perSecond, minMaxRefusals)
-	used := min(float64(len(b.refusals))/withstood, 1)
-	block := time.Duration(used * used * float64(refusalWindow))
+	b.refusals = append(b.refusals, now)
+	b.forgetRefusals(now)
+	b.block(now)
 	if !trial {
-		block = max(block, min(settleTime, time.Duration(float64(refusalWindow)/withstood)))
+		interval := time.Duration(float64(refusalWindow) / max(b.brittle.perSecond, minMaxRefusals))
+		b.reducedUntil = latest(b.reducedUntil, now.Add(min(settleTime, interval)))
 	}
-	if until := now.Add(block); until.After(b.blockedUntil) {
-		b.blockedUntil = until
+}
+
+// SetOtherRefusals sets the number of refusals in the last second that other boxes report.
+func (b *brittleness) SetOtherRefusals(refusals int, now time.Time) {
+	more := refusals > b.otherRefusals
+	b.otherRefusals = refusals
+	if _, brittle := b.Brittle(); brittle && more {
+		b.forgetRefusals(now)
+		b.block(now)
 	}
 }
 
-// countRefusal adds a refusal to those of the last second.
-func (b *brittleness) countRefusal(at, now time.Time) {
-	b.refusals = append(b.refusals, at)
-	b.forgetRefusals(now)
+// block keeps calls from a server that has refused so many in the last second that few more would crash
+// it. Once its calls have ended, it gets calls for half of the room, for a time that grows with the refusals
+// to a whole second: a server that lets fewer calls wait still holds those at work.
+func (b *brittleness) block(now time.Time) {
+	used := min(float64(len(b.refusals)+b.otherRefusals)/max(b.brittle.perSecond, minMaxRefusals), 1)
+	if used <= maxReducedRefusals {
+		return
+	}
+	b.blockedUntil = latest(b.blockedUntil, now.Add(settleTime))
+	b.reducedUntil = latest(b.reducedUntil, now.Add(time.Duration(used*used*float64(refusalWindow))))
 }
 
 func (b *brittleness) forgetRefusals(now time.Time) {
@@ -284,10 +331,12 @@
 	changed = next.perSecond != b.brittle.perSecond
 	if b.brittle.perSecond == 0 {
 		b.since = next.at
+		b.reducedUntil = latest(b.reducedUntil, next.at.Add(settleTime))
 	}
 	b.brittle = next
 	if next.perSecond == 0 {
 		b.filledAt, b.blockedUntil, b.ownBlocked = time.Time{}, time.Time{}, time.Time{}
+		b.reducedUntil, b.ownReduced = time.Time{}, time.Time{}
 	}
 	return changed
 }
@@ -307,13 +356,13 @@
 	switch known := b.room.calls; {
 	case next.calls < 1 || next.calls == known:
 	case known == 0, next.calls < known && next.at.After(b.room.at), next.raised && next.at.Sub(b.room.at) > raiseMargin:
-		if !next.raised {
-			b.countRefusal(next.at, now)
-		}
 		b.room, change.Room = next, true
 	}
-	if until := now.Add(min(report.BlockedFor, refusalWindow)); report.BlockedFor > 0 && until.After(b.blockedUntil) {
-		b.blockedUntil = until
+	if report.BlockedFor > 0 {
+		b.blockedUntil = latest(b.blockedUntil, now.Add(min(report.BlockedFor, refusalWindow)))
+	}
+	if report.ReducedFor > 0 {
+		b.reducedUntil = latest(b.reducedUntil, now.Add(min(report.ReducedFor, refusalWindow)))
 	}
 	return change
 }
@@ -332,9 +381,20 @@
 	if _, brittle := b.Brittle(); brittle && b.ownRoom.calls > 0 {
 		report.Room, report.Raised, report.RoomAge = b.ownRoom.calls, b.ownRoom.raised, now.Sub(b.ownRoom.at)
 		report.BlockedFor = max(b.ownBlocked.Sub(now), 0)
+		report.ReducedFor = max(b.ownReduced.Sub(now), 0)
 	}
-	if !report.Known && report.Room == 0 {
+	b.forgetRefusals(now)
+	report.Refusals = len(b.refusals)
+	if !report.Known && report.Room == 0 && report.Refusals == 0 {
 		return nil
 	}
 	return &report
 }
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/fleet/advisory.go
+++ b/internal/fleet/advisory.go
@@ -29,6 +29,9 @@
 		f.logAdvisory(state, change, sourceAnswer, boottime.Now())
 		f.reporting[state] = struct{}{}
 		f.loadsChanged.Broadcast() // report it to other boxes soon
+		if change.Brittle && f.cfg.OnRoomChange != nil {
+			f.cfg.OnRoomChange()
+		}
 	}
 }
 
--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -21,7 +21,7 @@
 	minTryInterval = time.Second
 	// minUsedRoom is the part of the room that must be known to be used when a try is served. The counts
 	// of other boxes are as old as their reports, and their calls may be as short.
-	minUsedRoom = 0.75
+	minUsedRoom = 1.0
 	// tryTimeout bounds a try that gets no call.
 	tryTimeout = time.Second
 )
@@ -68,6 +68,11 @@
 		service = &brittleService{}
 		f.brittle[state.Service] = service
 	}
+	if service.at.IsZero() || now.Sub(service.at) > brittleMemory {
+		for other := range f.groups[state.Service].all() {
+			other.statements.Presume(maxRefusals, now)
+		}
+	}
 	service.maxRefusals, service.at = maxRefusals, now
 	service.room = state.statements.Room(state.Slots)
 }
@@ -91,6 +96,7 @@
 		return
 	}
 	change := state.statements.ApplyBrittleReport(*report, now)
+	state.statements.SetOtherRefusals(f.remoteTotals[state.Incarnation].refusals, now)
 	f.logAdvisory(state, change, sourceReport, now)
 	f.noteBrittle(state, now)
 }
@@ -130,7 +136,7 @@
 }
 
 // learnRoom learns from the result of a call, which is still counted. The caller holds mu.
-func (f *Fleet) learnRoom(state *State, outcome Outcome, now time.Time) {
+func (f *Fleet) learnRoom(state *State, outcome Outcome, placed, now time.Time) {
 	if outcome != OutcomeFull && outcome != OutcomeServed {
 		return
 	}
@@ -141,7 +147,7 @@
 	change := advisory.Change{}
 	switch {
 	case outcome == OutcomeFull:
-		change = state.statements.LearnRefusal(inFlight, state.Slots, tried, now)
+		change = state.statements.LearnRefusal(inFlight, state.Slots, tried, placed, now)
 		if brittle {
 			state.nextTry = now.Add(2 * tryInterval(maxRefusals))
 		}
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -205,7 +205,7 @@
 	h.fleet.loadsChanged.Broadcast()
 	h.finishPrefill()
 	h.learnSlotTime(outcome, boottime.Now())
-	h.fleet.learnRoom(h.state, outcome, boottime.Now())
+	h.fleet.learnRoom(h.state, outcome, h.placedAt, boottime.Now())
 	h.state.inFlight--
 	h.state.heldTokens -= h.memoryTokens
 	now := boottime.Now()
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -99,6 +99,8 @@
 	inFlight      int
 	pendingTokens int
 	heldTokens    int
+	// refusals is the number of calls that a brittle server has refused in the last second.
+	refusals int
 }
 
 // addWork adds work to the totals by server, or subtracts it if sign is -1.
@@ -107,6 +109,9 @@
 	total.inFlight += sign * load.InFlight
 	total.pendingTokens += sign * load.PendingTokens
 	total.heldTokens += sign * load.HeldTokens
+	if load.Brittle != nil {
+		total.refusals += sign * load.Brittle.Refusals
+	}
 	if total == (workTotal{}) {
 		delete(totals, load.Incarnation)
 		return
@@ -118,7 +123,7 @@
 // this box. The caller holds mu.
 func (f *Fleet) remoteWork(incarnation string) workTotal {
 	reported, granted := f.remoteTotals[incarnation], f.granted[incarnation]
-	return workTotal{reported.inFlight + granted.inFlight, reported.pendingTokens + granted.pendingTokens, reported.heldTokens + granted.heldTokens}
+	return workTotal{reported.inFlight + granted.inFlight, reported.pendingTokens + granted.pendingTokens, reported.heldTokens + granted.heldTokens, reported.refusals}
 }
 
 // remotePauseLimit bounds the pause caused by one report of another box, which repeats the report
