loadshare: the two replays of a comparison run in parallel

Cause: with -race the package took 296 s of its 300 s on a busy machine; the replays of 80 boxes are most of it.

Change: the replay with brittle servers and the one without run at the same time, and so do the ones with and without an injected fault. Servers are found by a map instead of a scan that formats each name. Sizes and bounds stay.

The replays need a package of their own; their network and boxes are test files of this one.

--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -18,14 +18,16 @@
 // each, and returns how many were served and the most that were at work.
 func burst(t *testing.T, g *WithT, calls int, duration time.Duration, brittle bool) (served int, maxRunning int64) {
 	t.Helper()
-	var running, most atomic.Int64
-	var serving atomic.Int64
+	var counts sync.Mutex
+	var running, serving atomic.Int64
+	most := int64(0)
 	f := fleet.New(fleet.Config{})
 	startRunner(t, f, "r", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		now := running.Add(1)
 		defer running.Add(-1)
-		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
-		}
+		counts.Lock()
+		most = max(most, now)
+		counts.Unlock()
 		time.Sleep(duration)
 		_, _ = w.Write([]byte("answer"))
 	}))
@@ -48,7 +50,7 @@
 		})
 	}
 	clients.Wait()
-	return int(serving.Load()), most.Load()
+	return int(serving.Load()), most
 }
 
 // Guards against calls that are refused while the room of brittle servers becomes free within a part of
--- a/internal/loadshare/brittle_test.go
+++ b/internal/loadshare/brittle_test.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,7 +62,8 @@
 	falls        int
 }
 
-func (s *brittleServer) name() string { return fmt.Sprint(s.key, "-", s.incarnation) }
+// name returns the name of the incarnation.
+func (s *brittleServer) name() string { return s.key + "-" + strconv.Itoa(s.incarnation) }
 
 // brittleCall is a call; tried has the servers that it was sent to.
 type brittleCall struct {
@@ -73,8 +76,10 @@
 	*history
 	fleets []*fleet.Fleet
 	// waiting has the calls that wait in each box.
-	waiting   map[*fleet.Fleet][]brittleCall
-	servers   []*brittleServer
+	waiting map[*fleet.Fleet][]brittleCall
+	servers []*brittleServer
+	// listening has the servers by the names of their present incarnations.
+	listening map[string]*brittleServer
 	inTransit []delivery
 	begin     time.Time
 	// brittle is whether the servers ever are. perSecond is the rate of calls.
@@ -170,11 +175,9 @@
 		})
 	}
 	h.deliverAfter(h.transit(), func() {
-		for _, server := range h.servers {
-			if server.name() == target {
-				h.arrive(server, answer)
-				return
-			}
+		if server := h.listening[target]; server != nil {
+			h.arrive(server, answer)
+			return
 		}
 		answer(fleet.OutcomeUnreachable)
 	})
@@ -232,7 +235,9 @@
 func (h *brittleHistory) stopServer(s *brittleServer) {
 	s.held, s.atWork, s.queue, s.refusals = 0, 0, nil, nil
 	s.upAt = time.Now().Add(brittleDown)
+	delete(h.listening, s.name())
 	s.incarnation++ // the calls of the stopped one end without an answer
+	h.listening[s.name()] = s
 	h.deliverAfter(brittleDown, func() {
 		s.startedAt = time.Now()
 		for _, boxFleet := range h.fleets {
@@ -301,14 +306,15 @@
 // 6 servers, at a multiple of what the servers can serve.
 func playBrittle(t *testing.T, boxes int, load float64, prepare func(h *brittleHistory)) *brittleHistory {
 	t.Helper()
-	h := &brittleHistory{brittle: true, stopped: 1, waiting: map[*fleet.Fleet][]brittleCall{}}
+	h := &brittleHistory{brittle: true, stopped: 1, waiting: map[*fleet.Fleet][]brittleCall{}, listening: map[string]*brittleServer{}}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		h.history = &history{t: t, random: rand.New(rand.NewPCG(uint64(boxes), 3)), network: newNetwork(), newestVersion: 1}
 		defer h.stop(cancel)
 		h.addBoxes([]int{boxes / 2, boxes - boxes/2})
 		for i := range boxes * 6 / 8 {
-			h.servers = append(h.servers, &brittleServer{key: fmt.Sprint("server-", i)})
+			server := &brittleServer{key: fmt.Sprint("server-", i)}
+			h.servers, h.listening[server.name()] = append(h.servers, server), server
 		}
 		h.perSecond = load * float64(len(h.servers)*brittleAtWork) / brittleWorkTime.Seconds()
 		prepare(h)
@@ -322,13 +328,16 @@
 }
 
 func TestBrittleServersKeepServingInAReplay(t *testing.T) {
+	t.Parallel()
 	for _, boxes := range []int{8, 80} {
 		for _, load := range []float64{1.15, 2.2} {
 			t.Run(fmt.Sprint(boxes, " boxes, load ", load), func(t *testing.T) {
 				t.Parallel()
 				g := NewWithT(t)
-				usual := playBrittle(t, boxes, load, func(h *brittleHistory) { h.brittle = false })
-				h := playBrittle(t, boxes, load, func(*brittleHistory) {})
+				played := playInParallel(t, func(t *testing.T, brittle bool) *brittleHistory {
+					return playBrittle(t, boxes, load, func(h *brittleHistory) { h.brittle = brittle })
+				})
+				usual, h := played[false], played[true]
 				_, room, _ := h.fleets[0].CountBrittle()
 				share := 0
 				for _, boxFleet := range h.fleets {
@@ -343,8 +352,28 @@
 	}
 }
 
+// playInParallel plays two replays at the same time, and returns them by their argument.
+func playInParallel(t *testing.T, play func(t *testing.T, which bool) *brittleHistory) map[bool]*brittleHistory {
+	t.Helper()
+	var mu sync.Mutex
+	played := map[bool]*brittleHistory{}
+	t.Run("replays", func(t *testing.T) { // it ends when both have ended
+		for _, which := range []bool{false, true} {
+			t.Run(strconv.FormatBool(which), func(t *testing.T) {
+				t.Parallel()
+				h := play(t, which)
+				mu.Lock()
+				defer mu.Unlock()
+				played[which] = h
+			})
+		}
+	})
+	return played
+}
+
 // The replay must show when the bound is missing, or the slow return of servers.
 func TestBrittleReplaysDetectInjectedFaults(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		prepare func(h *brittleHistory)
@@ -354,13 +383,17 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
-			const stopped = 3
-			sound := playBrittle(t, 8, 1.15, func(h *brittleHistory) { h.stopped = stopped })
-			h := playBrittle(t, 8, 1.15, func(h *brittleHistory) {
-				h.stopped = stopped
-				test.prepare(h)
+			played := playInParallel(t, func(t *testing.T, faulty bool) *brittleHistory {
+				return playBrittle(t, 8, 1.15, func(h *brittleHistory) {
+					h.stopped = 3
+					if faulty {
+						test.prepare(h)
+					}
+				})
 			})
+			sound, h := played[false], played[true]
 			t.Logf("%d calls: %d served and %d falls; %d served and %d falls without the fault", h.sent, h.served, h.falls(), sound.served, sound.falls())
 			g.Expect(h.falls()).To(BeNumerically(">", 1+len(h.servers)/20))
 			g.Expect(sound.falls()).To(BeNumerically("<=", 1+len(h.servers)/20))
