--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -57,8 +57,8 @@
 	// SuspectAllowed is an incarnation at which PlaceAt places the call although it is suspect; empty
 	// for none.
 	SuspectAllowed string
-	// UncappedOnly excludes servers at which this box counts its calls because they are cold or set
-	// a rate limit. It is set if the call belongs to another box, or is made in parallel to another
+	// UncappedOnly excludes servers at which this box counts its calls because they are cold or brittle
+	// or set a rate limit. It is set if the call belongs to another box, or is made in parallel to another
 	// try.
 	UncappedOnly bool
 }
@@ -153,6 +153,9 @@
 			break
 		}
 	}
+	if len(found.candidates) == 0 {
+		f.startTry(query, now)
+	}
 	query.Load.OtherZoneLag = float64(query.OtherZoneLag) / float64(time.Millisecond)
 	return found, query
 }
@@ -264,6 +267,9 @@
 	if f.evacuated.IsEvacuated(state.Zone) || query.ZoneAllowed != nil && !query.ZoneAllowed(state.Zone) {
 		return false
 	}
+	if f.lacksRoom(state, now) {
+		return false
+	}
 	if f.isColdExcluded(state, now) || !state.stated().HasRoom(now, f.limitPosition(state, now)) || query.UncappedOnly && f.isCapped(state, now) {
 		return false
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -114,6 +114,8 @@
 	// statements is what the server states about itself in its answers; nil before the first one. A
 	// box of a large fleet calls few of the servers.
 	statements *advisory.Server
+	// nextTry is when the server may be tried above its known room, while it is brittle.
+	nextTry time.Time
 	// recent is the decaying number of calls that this box placed at the server, at recentAt.
 	recent   float64
 	recentAt time.Time
--- a/internal/loadshare/send.go
+++ b/internal/loadshare/send.go
@@ -180,7 +180,7 @@
 	if link := s.links[box]; link != nil {
 		m.WantsReports = link.selected
 		m.Urgent, link.urgentCount = link.urgentCount != s.urgentCount, s.urgentCount
-		if otherZonesDue = now.Sub(link.otherZonesAt) >= otherZoneInterval; otherZonesDue {
+		if otherZonesDue = m.Urgent || now.Sub(link.otherZonesAt) >= otherZoneInterval; otherZonesDue {
 			link.otherZonesAt = now
 		}
 	}
