--- a/internal/advisory/brittle.go
+++ b/internal/advisory/brittle.go
@@ -299,7 +299,12 @@
 	b.reducedUntil = latest(b.reducedUntil, now.Add(time.Duration(used*used*float64(refusalWindow))))
 }
 
+// forgetRefusals drops the refusals that no longer count. It writes nothing if there are none: servers that
+// have stated nothing share one record.
 func (b *brittleness) forgetRefusals(now time.Time) {
+	if len(b.refusals) == 0 {
+		return
+	}
 	b.refusals = slices.DeleteFunc(b.refusals, func(at time.Time) bool { return now.Sub(at) >= refusalWindow })
 }
 
