--- a/internal/loadshare/brittle_test.go
+++ b/internal/loadshare/brittle_test.go
@@ -321,7 +321,7 @@
 		for _, b := range h.simBoxes {
 			h.startBox(ctx, b)
 		}
-		time.Sleep(2 * time.Second) // until the boxes hear each other
+		time.Sleep(2 * time.Second) // until the boxes get reports of each other
 		h.play()
 	})
 	return h
--- a/internal/loadshare/peerstate.go
+++ b/internal/loadshare/peerstate.go
@@ -210,7 +210,7 @@
 	}
 }
 
-// logStates logs which boxes are heard or have timed out, if that is due. The caller holds mu.
+// logStates logs which boxes report or have timed out, if that is due. The caller holds mu.
 func (s *Share) logStates(now time.Time) {
 	heard, timedOut := s.stateLog.take(now)
 	if len(heard) > 0 {
--- a/internal/loadshare/statelog.go
+++ b/internal/loadshare/statelog.go
@@ -1,5 +1,5 @@
-// Log lines on which boxes are heard. A line is written at once if the last one is some time ago.
-// Otherwise the changes are collected, and a box that has timed out and is heard again in the meantime
+// Log lines on which boxes report. A line is written at once if the last one is some time ago.
+// Otherwise the changes are collected, and a box that has timed out and reports again in the meantime
 // is not in any line: a large fleet that starts would write hundreds of lines a second.
 //
 // This file has no I/O and no clock; callers pass the time.
@@ -16,12 +16,12 @@
 
 // stateLog collects the changes that have not been logged yet.
 type stateLog struct {
-	// changed holds the boxes whose last line is outdated, with whether they are heard now.
+	// changed holds the boxes whose last line is outdated, with whether they report now.
 	changed  map[string]bool
 	loggedAt time.Time
 }
 
-// add records boxes that are heard from now on, or no longer.
+// add records boxes that report from now on, or no longer.
 func (l *stateLog) add(boxes []string, heard bool) {
 	if l.changed == nil {
 		l.changed = map[string]bool{}
--- a/internal/reservedport/reservedport.go
+++ b/internal/reservedport/reservedport.go
@@ -13,9 +13,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// Port is a reserved port. While nobody listens at it, connections to it are refused.
+// Port is a reserved port. While it has no listener, connections to it are refused.
 type Port struct {
-	// socket has the port and does not listen. The kernel gives the port to nobody who asks for a free
+	// socket has the port and does not listen. The kernel gives the port to no socket that asks for a free
 	// one, but sockets that reuse addresses, as listeners of package net do, may listen at it.
 	socket  int
 	address string
--- a/internal/zonereader/page_test.go
+++ b/internal/zonereader/page_test.go
@@ -83,7 +83,7 @@
 	})
 }
 
-// The last page of a view was encoded anew for each follower, one after the other: 1 ms of processor
+// The last page of a view was encoded again for each follower, one after the other: 1 ms of processor
 // and 1 MB of garbage for each of three streams. It must show what has changed all the same.
 func TestTheLastPageIsEncodedOnceUntilTheViewChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/zonereader/transfers.go
+++ b/internal/zonereader/transfers.go
@@ -1,8 +1,8 @@
 // A bound on the full states of store boxes under way to followers. Pages of views are the same for
 // all followers; these are not, and each response holds up to 100 KB of them until it has been sent.
 // After a power failure all boxes of a zone request them at once. A follower that finds no room waits
-// for the rest of its long poll, in the order of arrival. It is then told that the reader has no state
-// of the store box yet, and requests it again.
+// for the rest of its long poll, in the order of arrival. The response then says that the reader has no state
+// of the store box yet, and the follower requests it again.
 
 package zonereader
 
