Log which software version serves a call, and which stream it resumes

Two hypotheses on streams that continue at another version could not be told apart: no line named a server's software version, and none said that a caller resumed a stream, or which.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -42,6 +42,9 @@
 	Prompt *Prompt
 	// ResumeAfter is the ID of the last event that the caller received, or empty.
 	ResumeAfter string
+	// Resumes is the RequestID of the attempt that brought the first event of the stream that this
+	// call resumes, or empty.
+	Resumes string
 	// Malformed describes why the headers are invalid; empty if they are valid.
 	Malformed string
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -273,7 +273,7 @@
 
 func (f *Fleet) log(event string, server *Server, offset int64) {
 	f.cfg.Logger.Info().Str("server", server.Incarnation).Str("service", server.Service).Str("address", server.Address).
-		Str("zone", server.Zone).Bool("leaving", server.Leaving).Int64("offset", offset).Msg(event)
+		Str("zone", server.Zone).Str("software", server.Software).Bool("leaving", server.Leaving).Int64("offset", offset).Msg(event)
 }
 
 // forgetDelisted removes servers that were delisted long ago.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -33,6 +33,9 @@
 	// ColdFor is how much longer the server was cold when the entry was written (package
 	// coldstart).
 	ColdFor time.Duration
+	// Software is the version of the server's software; empty if the entry does not state it. It has
+	// no order, and is unrelated to Weights.
+	Software string
 	// Weights maps the models that a runner holds to their versions.
 	Weights map[string]int
 }
@@ -43,7 +46,7 @@
 // SameEntry reports whether two entries of a backend server have the same content.
 func (s *Server) SameEntry(other *Server) bool {
 	return s.Incarnation == other.Incarnation && s.Service == other.Service && s.Address == other.Address && s.Zone == other.Zone &&
-		s.Slots == other.Slots && s.Leaving == other.Leaving && s.ColdFor == other.ColdFor && maps.Equal(s.Weights, other.Weights)
+		s.Slots == other.Slots && s.Leaving == other.Leaving && s.ColdFor == other.ColdFor && s.Software == other.Software && maps.Equal(s.Weights, other.Weights)
 }
 
 // noStatements stands for the statements of servers that have made none. It is never modified.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -116,6 +116,9 @@
 	if !x.firstEventAt.IsZero() {
 		event.Dur("first_event", x.firstEventAt.Sub(x.arrived))
 	}
+	if x.info.ResumeAfter != "" {
+		event.Str("resumes", x.info.Resumes).Str("resume_after", x.info.ResumeAfter)
+	}
 	addPlacementFields(event, x)
 	g.addLossFields(event, x)
 	event.Msg("call")
@@ -138,7 +141,7 @@
 // its prompt.
 func addPlacementFields(event *zerolog.Event, x *exchange) {
 	if hold := x.placement.hold; hold != nil {
-		event.Str("server", hold.Server().Incarnation).Int("weights", hold.Weights()).Dur("servers_age", x.placement.serverListAge)
+		event.Str("server", hold.Server().Incarnation).Str("software", hold.Server().Software).Int("weights", hold.Weights()).Dur("servers_age", x.placement.serverListAge)
 		if gone := hold.DelistedFor(); gone > 0 {
 			event.Dur("gone_for", gone)
 		}
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -180,7 +180,7 @@
 func (a *attempt) log(event, reason string) {
 	server := a.chosen.hold.Server()
 	a.gateway.metrics.attemptFailed(event)
-	a.gateway.cfg.Logger.Info().Str("request", a.x.info.RequestID).Str("server", server.Incarnation).Str("service", server.Service).
+	a.gateway.cfg.Logger.Info().Str("request", a.x.info.RequestID).Str("server", server.Incarnation).Str("service", server.Service).Str("software", server.Software).
 		Int("try", a.number).Str("reason", reason).Bool("silent", a.watch.hasSwitched()).Stringer("fingerprint", a.x.fingerprint).
 		Str("ended_by", string(a.closedBy())).Dur("left", boottime.Until(a.x.deadline)).Int("servers_seen", a.serversReached).
 		Float64("retries_saved", a.gateway.cfg.Budget.State().Balance).Msg(event)
