A stream that its box resumes continues at the software version that began it

Callers saw streams with events of two software versions of a service. One way in: a stream whose runner ends, or becomes unresponsive, went on at the next runner, hedges and returns included, and no choice of a server compared software versions.

The version of the server that sends the first event is now a requirement of the call, like its regions: of each later choice, of hedges and returns, of the key by which waiting calls are compared, and of the box that the call is forwarded to, which states in turn which version began it. Owners of servers do not know of it and are not asked. If no server has the version, the stream is cut at once rather than after a second, so that its caller can begin anew.

TestABrokenStreamContinuesAtAnotherSoftwareVersion fails in five cases without the requirement, TestAStreamContinuesAtItsVersionThroughOtherBoxes in one. The caller's own resumption is open.

--- a/internal/fleet/advisory_test.go
+++ b/internal/fleet/advisory_test.go
@@ -113,7 +113,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newFleet("one", "two")
-		g.Expect(f.Availability("runners", nil)).To(Equal(fleet.Availability{HasServers: true, ForThisBox: true}))
+		g.Expect(f.Availability("runners", nil)).To(Equal(fleet.Availability{Listed: true, HasServers: true, ForThisBox: true}))
 		f.ApplyAdvisory("one", limitOf(0.5))
 		g.Expect(f.Availability("runners", nil).Wait).To(BeZero(), "the other server has no limit")
 		f.ApplyAdvisory("two", limitOf(0.25))
@@ -121,7 +121,7 @@
 			_, hold := choose(f)
 			hold.Done(fleet.OutcomeServed)
 		}
-		g.Expect(f.Availability("runners", nil)).To(Equal(fleet.Availability{HasServers: true, ForThisBox: true, Wait: 2 * time.Second}))
+		g.Expect(f.Availability("runners", nil)).To(Equal(fleet.Availability{Listed: true, HasServers: true, ForThisBox: true, Wait: 2 * time.Second}))
 		g.Expect(f.Availability("none", nil)).To(Equal(fleet.Availability{}))
 	})
 }
@@ -168,7 +168,7 @@
 		g.Expect(f.PlaceAt(query, "one")).To(BeNil())
 		g.Expect(f.Grant(query)).To(BeNil())
 		g.Expect(placed.MayHandOver()).To(BeFalse(), "a call placed before the statement")
-		g.Expect(f.Availability("runners", nil)).To(Equal(fleet.Availability{HasServers: true, Wait: 3 * time.Second, ForThisBox: true}))
+		g.Expect(f.Availability("runners", nil)).To(Equal(fleet.Availability{Listed: true, HasServers: true, Wait: 3 * time.Second, ForThisBox: true}))
 
 		other := newFleet("one")
 		other.SetRemoteLoads("first", f.Loads())
--- a/internal/fleet/availability.go
+++ b/internal/fleet/availability.go
@@ -10,6 +10,8 @@
 
 // Availability describes when a service accepts calls, regardless of the load of its servers.
 type Availability struct {
+	// Listed reports whether any server is listed that isn't draining, even if it is in an evacuated zone.
+	Listed bool
 	// HasServers reports whether any server may accept calls now or soon: it is listed, isn't
 	// draining, and isn't in an evacuated zone.
 	HasServers bool
@@ -19,14 +21,24 @@
 	ForThisBox bool
 }
 
-// Availability returns when a service accepts calls in some zones; in is nil for all zones.
+// Availability returns when a service accepts calls in some zones; zoneAllowed is nil for all zones.
 func (f *Fleet) Availability(service string, zoneAllowed func(zone string) bool) Availability {
+	return f.AvailabilityFor(Query{Service: service, ZoneAllowed: zoneAllowed})
+}
+
+// AvailabilityFor returns when the servers of the query's service, zones and software version accept
+// calls.
+func (f *Fleet) AvailabilityFor(query Query) Availability {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := boottime.Now()
 	best := Availability{}
-	for state := range f.groups[service].all() {
-		if state.isDraining() || !f.isPresent(state, now) || f.evacuated.IsEvacuated(state.Zone) || zoneAllowed != nil && !zoneAllowed(state.Zone) {
+	for state := range f.groups[query.Service].all() {
+		if state.isDraining() || !f.isPresent(state, now) || query.Software != nil && state.Software != *query.Software {
+			continue
+		}
+		best.Listed = true
+		if f.evacuated.IsEvacuated(state.Zone) || query.ZoneAllowed != nil && !query.ZoneAllowed(state.Zone) {
 			continue
 		}
 		wait, here := state.stated().Wait(now, f.limitPosition(state, now))
@@ -35,7 +47,7 @@
 			here = here && f.roomShare(state, now) > 0
 		}
 		if !best.HasServers || here && !best.ForThisBox || here == best.ForThisBox && wait < best.Wait {
-			best = Availability{HasServers: true, Wait: wait, ForThisBox: here}
+			best = Availability{Listed: true, HasServers: true, Wait: wait, ForThisBox: here}
 		}
 		if here && wait == 0 {
 			break
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -21,6 +21,8 @@
 	Zone string
 	// Exclude lists incarnations that were tried already.
 	Exclude []string
+	// Software is the software version of the servers that may be chosen; nil allows all.
+	Software *string
 	// Model is set for calls with a prompt.
 	Model string
 	// VersionCost returns the cost of an answer by a version of the weights, in milliseconds of
@@ -267,6 +269,9 @@
 	if f.evacuated.IsEvacuated(state.Zone) || query.ZoneAllowed != nil && !query.ZoneAllowed(state.Zone) {
 		return false
 	}
+	if query.Software != nil && state.Software != *query.Software {
+		return false
+	}
 	if f.lacksRoom(state, now) {
 		return false
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -82,6 +82,8 @@
 	failing   map[*State]struct{}
 	// versions caches the versions of weights that servers hold.
 	versions map[servedModel][]int
+	// softwareVersions caches the software versions of the servers of each service.
+	softwareVersions map[string][]string
 	// remoteLoads is the last load report of each other box, and remoteTotals their sum by server.
 	remoteLoads  map[string][]Load
 	remoteTotals map[string]workTotal
@@ -127,7 +129,7 @@
 	cfg.Heartbeat = cmp.Or(cfg.Heartbeat, DefaultHeartbeat)
 	return &Fleet{
 		cfg: cfg, servers: map[string]*State{}, currentIncarnation: map[string]string{}, groups: map[string]*group{},
-		reporting: map[*State]struct{}{}, failing: map[*State]struct{}{}, versions: map[servedModel][]int{},
+		reporting: map[*State]struct{}{}, failing: map[*State]struct{}{}, versions: map[servedModel][]int{}, softwareVersions: map[string][]string{},
 		remoteLoads: map[string][]Load{}, remoteTotals: map[string]workTotal{}, granted: map[string]workTotal{}, uses: map[string]*use{}, brittle: map[string]*brittleService{},
 		prefillRate: initialPrefillRate, firstEventDelay: initialFirstEventDelay,
 	}
@@ -218,6 +220,9 @@
 	if !maps.Equal(state.Weights, update.Server.Weights) {
 		clear(f.versions)
 	}
+	if state.Software != update.Server.Software {
+		clear(f.softwareVersions)
+	}
 	state.Server, state.offset, state.delistedAt = *update.Server, update.Offset, time.Time{}
 	f.addToGroup(state)
 }
--- a/internal/fleet/groups.go
+++ b/internal/fleet/groups.go
@@ -127,6 +127,7 @@
 		return
 	}
 	clear(f.versions)
+	delete(f.softwareVersions, state.Service)
 	state.grouped, state.order = true, xxhash.Sum64String(state.Incarnation)
 	g := f.groups[state.Service]
 	if g == nil {
@@ -149,6 +150,7 @@
 		return
 	}
 	clear(f.versions)
+	delete(f.softwareVersions, state.Service)
 	state.grouped = false
 	g := f.groups[state.Service]
 	p := g.pools[state.Zone]
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,6 +42,8 @@
 	// connErr is the error of the connection to the server, if the attempt was lost by one; the lock of
 	// the watch guards it, since checks log who ended the attempt.
 	connErr error
+	// peerSoftware is the software version that serves the call at another box, by its response.
+	peerSoftware *string
 }
 
 // newAttempt creates the attempt of a call that was just assigned to a server.
@@ -86,6 +88,7 @@
 	info := a.responseInfo(response)
 	if a.peer() != nil {
 		a.countReached(response)
+		a.peerSoftware = readForwardSoftware(response.Header)
 	}
 	if info.NotRun {
 		if a.peer() != nil {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -133,6 +133,9 @@
 	header.Set(headerForwardRemaining, strconv.FormatInt(max(boottime.Until(x.deadline).Milliseconds(), 1), 10))
 	header.Set(headerForwardServers, strconv.Itoa(a.serversAllowed()))
 	header.Set(headerForwardResume, x.resumeAfter)
+	if x.software != nil {
+		header.Set(headerForwardSoftware, *x.software)
+	}
 	maxIdle := maxIdleOnce
 	if x.route.IsRepeatable() {
 		maxIdle = maxIdleRepeatable
--- a/internal/gateway/forwarded.go
+++ b/internal/gateway/forwarded.go
@@ -42,6 +42,7 @@
 	if resume := header.Get(headerForwardResume); resume != "" {
 		x.info.ResumeAfter = resume
 	}
+	x.software = readForwardSoftware(header)
 }
 
 // setForwardResult states to the other box how a call ended that has no server's response.
--- a/internal/gateway/forwardresult.go
+++ b/internal/gateway/forwardresult.go
@@ -25,6 +25,9 @@
 	headerForwardRemaining = forwardHeaderPrefix + "Remaining"
 	headerForwardServers   = forwardHeaderPrefix + "Servers"
 	headerForwardResume    = forwardHeaderPrefix + "Resume"
+	// headerForwardSoftware is the software version that must serve the call, and in the response the one
+	// that does; without it any may.
+	headerForwardSoftware = forwardHeaderPrefix + "Software"
 	// headerForwardOutcome is the outcome of a call that ended without a server's response, and
 	// headerForwardReason the reason. headerForwardReached is the number of servers that the call was
 	// sent to.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -225,6 +225,9 @@
 	// resumeAfter is the id of the last event that the caller has; the lock of the current
 	// attempt's watch guards it.
 	resumeAfter string
+	// software is the software version that must serve the call, since the caller has events of it; nil
+	// while any may. The lock of the current attempt's watch guards it.
+	software *string
 	// responseStarted is set once a part of a response has been sent to the caller.
 	responseStarted bool
 	// lossClosedBy is the side that closed the connection of the last lost attempt.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -89,7 +89,7 @@
 // none, or when its service does not process prompts.
 func (g *Gateway) fleetQuery(x *exchange) (fleet.Query, *promptPlans) {
 	query := fleet.Query{
-		Service: x.service.Name, Zone: g.cfg.Zone, Exclude: x.attempted, ZoneAllowed: g.allowedZones(x),
+		Service: x.service.Name, Zone: g.cfg.Zone, Exclude: x.attempted, ZoneAllowed: g.allowedZones(x), Software: x.software,
 		Load: placing.Query{TieBreaker: g.tieBreaker(x.number)},
 		// Divided by one more than the number of known boxes, since a box may have just started.
 		ConnectionLimit: max(x.service.ConnectionLimit/(g.cfg.BoxCount()+1), minConnections),
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -16,6 +16,8 @@
 	reasonNoRegion = "no_server_in_allowed_regions"
 	// reasonEvacuated: all servers are in evacuated zones.
 	reasonEvacuated = "zones_evacuated"
+	// reasonNoVersion: no server has the software version that began the call's stream.
+	reasonNoVersion = "no_server_of_version"
 	// reasonLimited: all servers have requested a pause from this box, or have announced rate limits that
 	// it has used up.
 	reasonLimited = "servers_rate_limited"
@@ -55,7 +57,9 @@
 		return reasonLimited
 	case shortage.Brittle > 0 && shortage.Limited+shortage.Paused+shortage.Brittle == shortage.Listed:
 		return reasonBrittle
-	case shortage.Listed == 0 || g.cfg.Fleet.Availability(x.service.Name, g.allowedZones(x)).HasServers:
+	case x.software != nil && !g.availability(x).Listed:
+		return reasonNoVersion
+	case shortage.Listed == 0 || g.availability(x).HasServers:
 		return reasonNoServer
 	case shortage.Evacuated == shortage.Listed:
 		return reasonEvacuated
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -249,6 +249,7 @@
 		x.writer.Header()[name] = values
 	}
 	x.setForwardReached()
+	x.setForwardSoftware()
 	x.writer.WriteHeader(response.Status)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -99,7 +99,7 @@
 // that is longer.
 func (g *Gateway) retryAfter(x *exchange) time.Duration {
 	assigned := g.assignedReturn(x)
-	if wait := g.cfg.Fleet.Availability(x.service.Name, g.allowedZones(x)).Wait; wait > 0 {
+	if wait := g.availability(x).Wait; wait > 0 {
 		return max(assigned, wait+rand.N(max(wait, retryAfterNoServers)))
 	}
 	if assigned > 0 {
--- /dev/null
+++ b/internal/gateway/software_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/fleet"
+)
+
+// A stream whose server crashed or became unresponsive continued at a server of another software version,
+// and held events of both.
+func TestABrokenStreamContinuesAtAnotherSoftwareVersion(t *testing.T) {
+	tests := []struct {
+		name string
+		// stalls means that the first server becomes unresponsive, rather than crashing.
+		stalls bool
+		// others are the software versions of the other servers.
+		others []string
+		want   string
+	}{
+		{"crash, both versions", false, []string{"v2", "v2", "v1", "v2", "v2"}, fullStream("v1", true)},
+		{"crash, only the other version", false, []string{"v2"}, "id: 1\ndata: first\n\ncut"},
+		{"crash, servers without a version", false, []string{""}, "id: 1\ndata: first\n\ncut"},
+		{"stall, both versions", true, []string{"v2", "v2", "v1", "v2", "v2"}, fullStream("v1", true)},
+		{"stall, only the other version", true, []string{"v2"}, fullStream("first", true)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := fleet.New(fleet.Config{})
+			first := stallingStream(4*time.Second, true, make(chan struct{}, 1))
+			if !test.stalls {
+				first = func(w http.ResponseWriter, _ *http.Request) {
+					sendEvent(w, "first", 1)
+					time.Sleep(50 * time.Millisecond) // until the other servers are listed
+					panic(http.ErrAbortHandler)
+				}
+			}
+			startVersion(t, f, "first", "v1", first)
+			protocol := newPlanProtocol()
+			protocol.info.Prompt = largeMemoryPrompt()
+			c := resumableCatalog(g, 2)
+			gateway := promptGateway(protocol, f, emptyIndex(c), c)
+			bodies := make(chan string, 1)
+			go func() { bodies <- serveStream(gateway) }()
+			g.Eventually(func() int { return inFlight(f) }).Should(Equal(1))
+			for i, version := range test.others {
+				startVersion(t, f, string(rune('a'+i)), version, serveEvents(version, 0))
+			}
+			g.Expect(<-bodies).To(Equal(test.want))
+		})
+	}
+}
+
+// startVersion is startRunner for a software version.
+func startVersion(t *testing.T, f *fleet.Fleet, name, version string, handler http.Handler) {
+	t.Helper()
+	startRunner(t, f, name, handler)
+	server := hostedServer(f, name)
+	server.Software = version
+	f.Apply([]fleet.Update{{Key: name, Offset: 2, Server: &server}})
+}
+
+// hostedServer returns the entry of a runner in the fleet.
+func hostedServer(f *fleet.Fleet, name string) fleet.Server {
+	hold := f.PlaceAt(fleet.Query{Service: "r"}, name)
+	defer hold.Done(fleet.OutcomeAbandoned)
+	return hold.Server()
+}
+
+// A box that gets a forwarded stream continues it at the software version that began it at the first box,
+// and the first box continues what the other one began.
+func TestAStreamContinuesAtItsVersionThroughOtherBoxes(t *testing.T) {
+	t.Run("begun at the first box", func(t *testing.T) {
+		g := NewWithT(t)
+		var near, servers forwardServers
+		var first *forwardBox
+		near.start(t, "a", func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			sendEvent(w, "event", 1)
+			first.partition(g)
+			panic(http.ErrAbortHandler)
+		})
+		near.entries[0].Software = "v1"
+		for i, version := range []string{"v2", "v2", "v1", "v2"} {
+			servers.start(t, version+string(rune('a'+i)), serveEventsOf(version))
+			servers.entries[i].Software = version
+		}
+		first = startForwardBox(t, g, forwardBoxConfig{name: "first", servers: near.entries})
+		first.forwardTo(startForwardBox(t, g, forwardBoxConfig{name: "second", servers: servers.entries}))
+		response := first.send(t.Context(), pathStream, "q", "")
+		g.Expect(response.err).NotTo(HaveOccurred())
+		g.Expect(response.body).NotTo(ContainSubstring("v2"))
+		g.Expect(response.body).To(ContainSubstring("v1"))
+	})
+	t.Run("begun through another box", func(t *testing.T) {
+		g := NewWithT(t)
+		var servers, others forwardServers
+		servers.start(t, "b", func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			sendEvent(w, "v1", 1)
+			panic(http.ErrAbortHandler)
+		})
+		servers.entries[0].Software = "v1"
+		others.start(t, "c", serveEventsOf("v2"))
+		others.entries[0].Software = "v2"
+		first := startForwardBox(t, g, forwardBoxConfig{name: "first", servers: unreachableServers("a")})
+		first.forwardTo(startForwardBox(t, g, forwardBoxConfig{name: "second", servers: append(servers.entries, others.entries...)}))
+		for range 6 { // the second box chooses either server first
+			response := first.send(t.Context(), pathStream, "q", "")
+			if response.err == nil {
+				g.Expect(response.body).NotTo(ContainSubstring("v1"))
+			} else {
+				g.Expect(response.body).NotTo(ContainSubstring("v2"))
+			}
+		}
+	})
+}
+
+// serveEventsOf is serveEventsAfter with a version in each event.
+func serveEventsOf(version string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		last := r.Header.Get(testResume)
+		sign(w, r)
+		for number := 1; number <= streamEvents; number++ {
+			if isNewer(last, string(rune('0'+number))) {
+				sendEvent(w, version, number)
+			}
+		}
+	}
+}
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -13,6 +13,7 @@
 	"github.com/cometlock/cometlock/internal/admission"
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fairshare"
+	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/places"
 	"github.com/cometlock/cometlock/internal/placing"
@@ -56,18 +57,23 @@
 func (g *Gateway) demand(x *exchange) waitqueue.Demand {
 	query, plans := g.fleetQuery(x)
 	if plans == nil {
-		return places.NewRequest(query, g.cfg.BoxName, nil).Demand(x.regionsKey())
+		return places.NewRequest(query, g.cfg.BoxName, nil).Demand(x.serversKey())
 	}
-	return places.NewRequest(query, g.cfg.BoxName, g.cfg.Fleet.HeldVersions(query.Service, query.Model)).Demand(x.regionsKey())
+	return places.NewRequest(query, g.cfg.BoxName, g.cfg.Fleet.HeldVersions(query.Service, query.Model)).Demand(x.serversKey())
 }
 
-// regionsKey returns a text that is the same for calls that may run in the same regions.
-func (x *exchange) regionsKey() string {
+// serversKey returns a text that is the same for calls that may run in the same regions and at the same
+// software version.
+func (x *exchange) serversKey() string {
 	regions := slices.Concat(x.route.Regions, []string{""})
 	if x.organisation != nil {
 		regions = append(regions, x.organisation.Regions...)
 	}
-	return strings.Join(regions, ",")
+	key := strings.Join(regions, ",")
+	if x.software != nil {
+		key += "/" + *x.software
+	}
+	return key
 }
 
 // resumeWait is how long a broken stream waits for capacity at another server. Callers cancel a stream
@@ -88,16 +94,22 @@
 }
 
 // canStartInTime reports whether a server may take the call before its wait for capacity ends. A stream
-// that the caller has a part of would be cut rather than refused, so it also waits for servers that
-// may come back, but not for servers that have announced that they take no calls until later.
+// that the caller has a part of would be cut rather than refused, so it also waits for servers of
+// evacuated zones, but not for servers that have announced that they take no calls until later, or for a
+// software version that no server has.
 func (g *Gateway) canStartInTime(x *exchange) bool {
-	available := g.cfg.Fleet.Availability(x.service.Name, g.allowedZones(x))
+	available := g.availability(x)
 	if !available.HasServers {
-		return x.responseStarted
+		return x.responseStarted && available.Listed
 	}
 	return available.ForThisBox && (available.Wait == 0 || !boottime.Now().Add(available.Wait).After(x.waitParams().Deadline))
 }
 
+// availability returns when the servers that may serve a call accept calls.
+func (g *Gateway) availability(x *exchange) fleet.Availability {
+	return g.cfg.Fleet.AvailabilityFor(fleet.Query{Service: x.service.Name, ZoneAllowed: g.allowedZones(x), Software: x.software})
+}
+
 // placeOrWait places a call; one with a prompt or to a brittle service waits in the queue if there is no
 // capacity.
 func (g *Gateway) placeOrWait(x *exchange) (placement, bool) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -152,6 +152,9 @@
 		w.cancelHedge()
 	}
 	w.started, w.relayingEvent = true, true
+	if w.current.x.software == nil {
+		w.current.x.software = w.current.software()
+	}
 	if id == "" {
 		return true, true
 	}
