A stream that its caller resumes continues at the software version that began it

The other way in: a caller takes a stream up at any box, names in Resumes the request that brought its first event, and the box chose among all versions. It could not know the version: another box began the stream, and has often just crashed with many of them.

While the servers of a service have several versions, each box sends the origin of each of its streams, 20 ms after the first event at the latest, to three holders in different zones by rendezvous hashing. A box that resumes a stream asks them, all at once. Weighed: a version computed from the request's id, which fails as soon as two boxes see different versions; origins broadcast with the load reports, 1,900 a second to each of 986 boxes (27 KB a second, 2.7 MB for a hub with 100 followers, on links of 10 Mbit/s); records in the platform's log, which may be away and has a price for each call. Origins are kept until 10 s after the caller's deadline; while there is one version nothing is sent, and the streams in flight are registered when a second one appears. Without an origin a stream is resumed only if all boxes that were asked know of one version; otherwise, or if no server of the version is left, it is refused at once, not run, so that its caller can begin anew. A resumed stream may use the memory and the slots that other calls leave free.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -42,6 +42,7 @@
 	"github.com/cometlock/cometlock/internal/retrybudget"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/storewatch"
+	"github.com/cometlock/cometlock/internal/streamorigin"
 	"github.com/cometlock/cometlock/internal/telemetry"
 	"github.com/cometlock/cometlock/internal/waiting"
 	"github.com/cometlock/cometlock/internal/weightorders"
@@ -99,8 +100,10 @@
 	quarantine *quarantine.Set
 	// reach detects services that this box does not reach, and peerPaths has the boxes through which
 	// calls for them are forwarded.
-	reach        *reach.Monitor
-	peerPaths    *peerpath.Paths
+	reach     *reach.Monitor
+	peerPaths *peerpath.Paths
+	// origins has the software versions that began streams.
+	origins      *streamorigin.Origins
 	callerServer *http.Server
 	readyServer  *http.Server
 	// forwardServer serves the calls that other boxes forward; nil if this box takes none.
@@ -194,7 +197,7 @@
 	})
 	b.watcher = storewatch.New(storewatch.Config{Stores: b.cfg.Stores, Index: b.parts, Logger: b.logger, MayFree: b.mayFree})
 	reports := loadshare.Config{
-		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Incarnation: shortIncarnation(b.incarnation), Zone: b.settings.Zone, Address: b.PeerAddress(), ReaderAddress: b.ReaderAddress(), PlacesAddress: b.PlacesAddress(), ForwardAddress: b.ForwardAddress(),
+		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Incarnation: shortIncarnation(b.incarnation), Zone: b.settings.Zone, Address: b.PeerAddress(), ReaderAddress: b.ReaderAddress(), PlacesAddress: b.PlacesAddress(), ForwardAddress: b.ForwardAddress(), OriginsAddress: b.OriginsAddress(),
 		Cores: b.settings.Cores, Mechanisms: b.settings.Mechanisms, NamedVersions: b.registry.WeightsForPeers, MergeNamedVersions: b.registry.MergeWeights, Snapshot: b.registry.Snapshot,
 		FirstSystemStart: b.settings.FirstSystemStart, AppendTime: b.settings.LogAppendTime,
 		NeedsSnapshot: b.registry.NeedsSnapshot, ApplySnapshot: b.registry.Adopt, Quarantine: b.quarantine, MayCallCold: b.mayCallCold, Parts: b.parts,
@@ -218,6 +221,10 @@
 		owner.Queued = func(request places.Request) { b.shares.queued(requested(request)) }
 	}
 	b.places = places.New(owner)
+	b.origins = streamorigin.New(streamorigin.Config{
+		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress()},
+		Others: b.originHolders, Versions: b.fleet.SoftwareVersions,
+	})
 }
 
 // self returns this box's description for package delegate.
@@ -262,6 +269,16 @@
 	return boxes
 }
 
+// originHolders returns the other boxes, in the form that package streamorigin takes.
+func (b *Box) originHolders() []streamorigin.Box {
+	others := b.share.Candidates()
+	boxes := make([]streamorigin.Box, len(others))
+	for i, other := range others {
+		boxes[i] = streamorigin.Box{Name: other.Name, Zone: other.Zone, Address: other.OriginsAddress, Unavailable: other.Box.Unavailable}
+	}
+	return boxes
+}
+
 // memoryLimits returns the bounds of the memory that calls hold.
 func (b *Box) memoryLimits() membudget.Limits {
 	if !b.settings.Mechanisms.Enabled(mechanism.MemoryBudget) {
@@ -281,7 +298,7 @@
 		Places: b.places, BoxName: b.settings.Box, Regions: b.settings.Regions,
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.OutdatedAfter,
 		IsResponsive: b.isResponsive, ServerListAge: b.registry.ServersAge, Quarantine: b.quarantine, ConfirmCrash: b.crashes.Check,
-		Memory: b.memory,
+		Memory: b.memory, Origins: b.origins,
 	}
 	b.assembleForwarding(&cfg)
 	if b.shares != nil {
--- a/internal/entrybox/ports.go
+++ b/internal/entrybox/ports.go
@@ -26,8 +26,10 @@
 // metricsPath is the path of the metrics, on the balancer's port and on the metrics port.
 const metricsPath = "/metrics"
 
-// ports are the open ports of a box; forward and metrics are nil without an address of their own.
-type ports struct{ callers, ready, peers, readers, places, forward, metrics net.Listener }
+// ports are the open ports of a box; forward, origins and metrics are nil without an address of their own.
+type ports struct {
+	callers, ready, peers, readers, places, forward, origins, metrics net.Listener
+}
 
 // openPorts opens all ports before anything runs, so that a port in use is reported as one clear
 // error.
@@ -43,9 +45,10 @@
 		{"readers", b.settings.ReaderAddress, &b.ports.readers},
 		{"places", b.settings.PlacesAddress, &b.ports.places},
 		{"forward", b.settings.ForwardAddress, &b.ports.forward},
+		{"origins", b.settings.OriginsAddress, &b.ports.origins},
 		{"metrics", b.settings.MetricsAddress, &b.ports.metrics},
 	} {
-		if port.address == "" && (port.listener == &b.ports.metrics || port.listener == &b.ports.forward) {
+		if port.address == "" && (port.listener == &b.ports.metrics || port.listener == &b.ports.forward || port.listener == &b.ports.origins) {
 			continue // these ports are optional
 		}
 		listener, err := net.Listen("tcp", port.address)
@@ -60,7 +63,7 @@
 
 // closePorts closes the ports of a box that fails to start.
 func (b *Box) closePorts() {
-	for _, listener := range []net.Listener{b.ports.callers, b.ports.ready, b.ports.peers, b.ports.readers, b.ports.places, b.ports.forward, b.ports.metrics} {
+	for _, listener := range []net.Listener{b.ports.callers, b.ports.ready, b.ports.peers, b.ports.readers, b.ports.places, b.ports.forward, b.ports.origins, b.ports.metrics} {
 		if listener != nil {
 			_ = listener.Close() // not used yet
 		}
@@ -91,6 +94,14 @@
 	return b.ports.forward.Addr().String()
 }
 
+// OriginsAddress returns the address at which this box holds the origins of streams, or "" if there is none.
+func (b *Box) OriginsAddress() string {
+	if b.ports.origins == nil {
+		return ""
+	}
+	return b.ports.origins.Addr().String()
+}
+
 // assembleServers creates the HTTP servers of the ports.
 func (b *Box) assembleServers() {
 	b.callerServer = &http.Server{
--- a/internal/entrybox/run.go
+++ b/internal/entrybox/run.go
@@ -14,13 +14,16 @@
 func (b *Box) Run(ctx context.Context) error {
 	for _, loop := range []func(context.Context){
 		b.registry.LoopOperator, b.registry.LoopServers, b.lease.Loop, b.weightOrders.Loop, b.watcher.LoopFree,
-		b.registry.LoopBoxes, b.share.LoopAnnounce, b.share.LoopMaintainLinks, b.share.LoopExpireReports, b.readers.LoopFollow, b.readers.LoopAdvertise, b.crashes.Loop, b.loopCancelExpired, b.loopUpkeep,
+		b.registry.LoopBoxes, b.share.LoopAnnounce, b.share.LoopMaintainLinks, b.share.LoopExpireReports, b.readers.LoopFollow, b.readers.LoopAdvertise, b.crashes.Loop, b.origins.Loop, b.loopCancelExpired, b.loopUpkeep,
 	} {
 		b.loops.Go(func() { loop(b.background) })
 	}
 	b.loops.Go(func() { b.share.LoopAccept(b.background, b.ports.peers) })
 	b.loops.Go(func() { b.readers.LoopAccept(b.background, b.ports.readers) })
 	b.loops.Go(func() { b.places.LoopAccept(b.background, b.ports.places) })
+	if b.ports.origins != nil {
+		b.loops.Go(func() { b.origins.LoopAccept(b.background, b.ports.origins) })
+	}
 	boottime.OnResume(b.onResume)
 	b.serveAll()
 	b.logger.Info().Str("version", version.Version).Str("callers", b.CallerAddress()).Str("ready", b.ReadyAddress()).
@@ -71,6 +74,7 @@
 	b.share.Wait()
 	b.readers.Wait()
 	b.places.Wait()
+	b.origins.Wait()
 	_ = b.metrics.Close() // collectors may miss the last second
 	b.logCallCounts()
 	b.logger.Info().Msg("stopped")
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -26,6 +26,9 @@
 	// ForwardAddress is the IP address and port for calls that other boxes forward to this one. If it
 	// is empty, the box takes none.
 	ForwardAddress string
+	// OriginsAddress is the IP address and port at which this box holds the origins of streams for other
+	// boxes. If it is empty, it holds none.
+	OriginsAddress string
 	// MetricsAddress serves only collectors of metrics. Where it is empty they use the balancer's
 	// address, which serves metrics in any case.
 	MetricsAddress string
--- a/internal/gateway/fallback.go
+++ b/internal/gateway/fallback.go
@@ -74,5 +74,10 @@
 		return
 	}
 	x.shortage = g.shortage(x)
-	g.endCall(x, g.unplacedReason(x, x.shortage), g.retryAfter(x))
+	reason := g.unplacedReason(x, x.shortage)
+	if reason == reasonNoVersion {
+		g.endCall(x, reason, retryAfterBusy) // the caller may begin a new stream at once
+		return
+	}
+	g.endCall(x, reason, g.retryAfter(x))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
 	"github.com/cometlock/cometlock/internal/retrybudget"
+	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
 // Config configures a Gateway.
@@ -94,6 +95,8 @@
 	// a lost call has crashed; nil where that cannot be checked.
 	Quarantine   *quarantine.Set
 	ConfirmCrash func(ctx context.Context, loss crash.BrokenCall) bool
+	// Origins has the software versions that began streams; nil where servers state none.
+	Origins *streamorigin.Origins
 	// Memory bounds the memory that calls hold; nil means that there is no bound.
 	Memory *membudget.Budget
 	// Reach detects services that this box does not reach, and Peers has the boxes through which
@@ -159,7 +162,7 @@
 	defer x.cancel(nil)
 	defer g.recordCall(x)
 	defer x.finishWriting()
-	if !g.accept(x) || !g.authorise(x) || g.refuseForwarded(x, overLimit) || !g.admitMemory(x) || !g.readBody(x) {
+	if !g.accept(x) || !g.authorise(x) || g.refuseForwarded(x, overLimit) || !g.admitMemory(x) || !g.readBody(x) || !g.findSoftware(x) {
 		return
 	}
 	g.serve(x)
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -35,7 +35,7 @@
 // itself: no owner responded, or the call needs none.
 func (g *Gateway) placeByOwner(x *exchange) (chosen placement, ok, decided bool) {
 	x.placedBy, x.ownerError = placedByThisBox, ""
-	if g.cfg.Places == nil || !g.cfg.Places.Active() || x.software != nil { // owners choose among all versions
+	if g.cfg.Places == nil || !g.cfg.Places.Active() || g.isBoundToVersion(x) { // owners choose among all versions
 		return placement{}, false, false
 	}
 	query, plans := g.fleetQuery(x)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -121,12 +121,18 @@
 	load.PrefillLimit = maxReadDelay(x)
 	load.Tokens = x.info.Prompt.Tokens + x.info.Prompt.AnswerTokens
 	query.AnswerTokens = x.info.Prompt.AnswerTokens
-	load.Brief = g.cfg.Fleet.IsBrief(x.service.Name, query.AnswerTokens)
+	// A stream that must continue at its version uses what other calls leave free, since new streams, which
+	// any version may serve, would otherwise fill a version with few servers.
+	bound := g.isBoundToVersion(x)
+	load.Brief = bound || g.cfg.Fleet.IsBrief(x.service.Name, query.AnswerTokens)
 	long := load.Tokens >= placing.MinAffinityTokens
 	if long || g.cfg.Mechanisms.Enabled(mechanism.Slots) {
 		load.Memory = x.service.Engine.CapacityTokens
 	}
-	if long && g.cfg.Mechanisms.Enabled(mechanism.Headroom) {
+	switch {
+	case bound:
+		query.OwnsHeadroom = func(string) bool { return true }
+	case long && g.cfg.Mechanisms.Enabled(mechanism.Headroom):
 		query.OwnsHeadroom = g.cfg.OwnsHeadroom
 	}
 	if g.cfg.Mechanisms.Enabled(mechanism.Homes) {
--- a/internal/gateway/prompts_test.go
+++ b/internal/gateway/prompts_test.go
@@ -26,6 +26,8 @@
 // response with status 503 means that the call did not run.
 type planProtocol struct {
 	info call.RequestInfo
+	// failure is the last failure that the box itself reported.
+	failure call.FailureInfo
 
 	mu      sync.Mutex
 	saves   [][]string
@@ -45,7 +47,11 @@
 	return call.ResponseInfo{NotRun: status == http.StatusServiceUnavailable, Genuine: true}
 }
 
-func (p *planProtocol) WriteFailure(http.Header, call.FailureInfo) {}
+func (p *planProtocol) WriteFailure(_ http.Header, failure call.FailureInfo) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failure = failure
+}
 
 // newPlanProtocol makes a protocol whose calls all have a prompt with one shared part.
 func newPlanProtocol() *planProtocol {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -194,6 +194,7 @@
 	if x.eventsSent == 0 {
 		x.firstEventAt = boottime.Now()
 		a.recordFetchDelay()
+		a.gateway.noteOrigin(x)
 	}
 	a.chosen.hold.NoteEvent()
 	a.writeStreamHeader(response)
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -3,7 +3,79 @@
 
 package gateway
 
-import "net/http"
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/streamorigin"
+)
+
+// reasonUnknownVersion is the reason for refusing to resume a stream that may have begun at any of several
+// software versions.
+const reasonUnknownVersion = "stream_version_unknown"
+
+// originMargin is how long after the deadline of its first request a caller may resume a stream.
+const originMargin = 10 * time.Second
+
+// isBoundToVersion reports whether only some servers of the call's service may serve it, because of their
+// software version.
+func (g *Gateway) isBoundToVersion(x *exchange) bool {
+	return x.software != nil && len(g.cfg.Fleet.SoftwareVersions(x.service.Name)) > 1
+}
+
+// findSoftware finds the software version that must serve a stream which its caller resumes, and refuses
+// the call if it cannot be found. For a forwarded call the other box has done so.
+func (g *Gateway) findSoftware(x *exchange) bool {
+	if g.cfg.Origins == nil || x.forwarded || x.route.Kind != catalog.Stream || x.info.ResumeAfter == "" {
+		return true
+	}
+	var evidence streamorigin.Evidence
+	if x.info.Resumes == "" {
+		evidence.Versions = g.cfg.Fleet.SoftwareVersions(x.service.Name)
+	} else {
+		evidence = g.cfg.Origins.Find(x.ctx, streamorigin.KeyOf(x.callerName(), x.info.Resumes), x.service.Name)
+	}
+	listAge := time.Duration(0)
+	if g.cfg.ServerListAge != nil {
+		listAge = g.cfg.ServerListAge()
+	}
+	software, known := streamorigin.Decide(evidence, listAge)
+	g.logOrigin(x, evidence, known)
+	if !known {
+		return g.refuse(x, reasonUnknownVersion, retryAfterBusy)
+	}
+	x.software = software
+	return true
+}
+
+func (g *Gateway) logOrigin(x *exchange, evidence streamorigin.Evidence, known bool) {
+	g.metrics.scope.Tagged(map[string]string{"found": strconv.FormatBool(evidence.Found), "resumed": strconv.FormatBool(known)}).Counter("streams_resumed").Inc(1)
+	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).Str("software", evidence.Software).
+		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Bool("resumed", known).Msg("stream_origin")
+}
+
+// noteOrigin records which software version begins the call's stream, before the caller has its first event.
+func (g *Gateway) noteOrigin(x *exchange) {
+	if g.cfg.Origins == nil || x.forwarded || !x.route.Resumable || x.software == nil {
+		return
+	}
+	id := x.info.RequestID
+	if x.info.ResumeAfter != "" {
+		id = x.info.Resumes
+	}
+	if id == "" {
+		return
+	}
+	expires := x.deadline
+	if waits := x.arrived.Add(x.info.MaxWait); waits.After(expires) {
+		expires = waits
+	}
+	g.cfg.Origins.Note(streamorigin.KeyOf(x.callerName(), id), streamorigin.Origin{
+		Service: x.service.Name, Software: *x.software, Expires: expires.Add(originMargin),
+	})
+}
 
 // software returns the software version of the attempt's server; nil if another box has not stated which
 // version serves the call.
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
 // A stream whose server crashed or became unresponsive continued at a server of another software version,
@@ -56,6 +59,54 @@
 	}
 }
 
+// A caller that resumes a stream whose version cannot be found, or of which no server is left, is refused at
+// once, so that it can begin anew.
+func TestAResumedStreamOfAMissingVersionWaits(t *testing.T) {
+	tests := []struct {
+		name string
+		// resumes is the request that began the stream: known, unknown or not named.
+		resumes string
+		// versions are the software versions of the servers.
+		versions []string
+		status   int
+		reason   string
+	}{
+		{"a version with a server", "known", []string{"v2", "v1"}, http.StatusOK, ""},
+		{"a version without a server", "known", []string{"v2", "v3"}, http.StatusServiceUnavailable, reasonNoVersion},
+		{"an unknown version of one", "unknown", []string{"v2"}, http.StatusOK, ""},
+		{"an unknown version of several", "unknown", []string{"v1", "v2"}, http.StatusServiceUnavailable, reasonUnknownVersion},
+		{"no request named, one version", "", []string{"v2", "v2"}, http.StatusOK, ""},
+		{"no request named, several versions", "", []string{"v1", "v2"}, http.StatusServiceUnavailable, reasonUnknownVersion},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := fleet.New(fleet.Config{})
+			for i, version := range test.versions {
+				startVersion(t, f, string(rune('a'+i)), version, serveEvents(version, 0))
+			}
+			protocol := newPlanProtocol()
+			protocol.info.Prompt = largeMemoryPrompt()
+			protocol.info.ResumeAfter, protocol.info.Resumes = "1", test.resumes
+			c := resumableCatalog(g, 2)
+			gateway := promptGateway(protocol, f, emptyIndex(c), c)
+			gateway.cfg.Origins = streamorigin.New(streamorigin.Config{Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions})
+			gateway.cfg.Origins.Note(streamorigin.KeyOf("", "known"), streamorigin.Origin{Service: "r", Software: "v1", Expires: time.Now().Add(time.Minute)})
+			began := time.Now()
+			recorder := httptest.NewRecorder()
+			gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+			g.Expect(recorder.Code).To(Equal(test.status))
+			if test.status == http.StatusOK {
+				g.Expect(recorder.Body.String()).To(ContainSubstring("data: " + test.versions[len(test.versions)-1]))
+				return
+			}
+			g.Expect(recorder.Body.String()).To(ContainSubstring(test.reason))
+			g.Expect(protocol.failure.RetryAfter).To(Equal(retryAfterBusy))
+			g.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+		})
+	}
+}
+
 // startVersion is startRunner for a software version.
 func startVersion(t *testing.T, f *fleet.Fleet, name, version string, handler http.Handler) {
 	t.Helper()
--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -48,6 +48,8 @@
 	PlacesAddress string `msgpack:"p,omitempty"`
 	// ForwardAddress serves calls that other boxes forward.
 	ForwardAddress string `msgpack:"f,omitempty"`
+	// OriginsAddress is where the box holds the origins of streams.
+	OriginsAddress string `msgpack:"o,omitempty"`
 	// Cores is the number of CPU cores that the box may use.
 	Cores float64 `msgpack:"c,omitempty"`
 }
@@ -60,6 +62,8 @@
 	placesAddress string
 	// forwardAddress is empty for boxes that take no forwarded calls.
 	forwardAddress string
+	// originsAddress is empty for boxes that hold no origins of streams.
+	originsAddress string
 	cores          float64
 	// listed is whether the box is in the log; otherwise it was added because it sent a message.
 	listed bool
@@ -223,7 +227,7 @@
 
 // announcement returns the entry of this box.
 func (s *Share) announcement() announcement {
-	return announcement{Address: s.cfg.Address, Incarnation: s.cfg.Incarnation, Zone: s.cfg.Zone, ReaderAddress: s.cfg.ReaderAddress, PlacesAddress: s.cfg.PlacesAddress, ForwardAddress: s.cfg.ForwardAddress, Cores: s.cfg.Cores}
+	return announcement{Address: s.cfg.Address, Incarnation: s.cfg.Incarnation, Zone: s.cfg.Zone, ReaderAddress: s.cfg.ReaderAddress, PlacesAddress: s.cfg.PlacesAddress, ForwardAddress: s.cfg.ForwardAddress, OriginsAddress: s.cfg.OriginsAddress, Cores: s.cfg.Cores}
 }
 
 // applyRecord adds, updates or removes a box.
@@ -243,7 +247,7 @@
 		delete(s.peers, record.Key)
 		return
 	}
-	s.peers[record.Key] = &peer{address: box.Address, zone: box.Zone, readerAddress: box.ReaderAddress, placesAddress: box.PlacesAddress, forwardAddress: box.ForwardAddress, cores: box.Cores, listed: true}
+	s.peers[record.Key] = &peer{address: box.Address, zone: box.Zone, readerAddress: box.ReaderAddress, placesAddress: box.PlacesAddress, forwardAddress: box.ForwardAddress, originsAddress: box.OriginsAddress, cores: box.Cores, listed: true}
 	delete(s.avoided, record.Key) // its new entry shows that it has just started
 }
 
@@ -272,6 +276,8 @@
 	PlacesAddress string
 	// ForwardAddress serves calls that other boxes forward; empty if the box takes none.
 	ForwardAddress string
+	// OriginsAddress is where the box holds the origins of streams; empty if it holds none.
+	OriginsAddress string
 }
 
 // Candidates lists the other boxes, which may read the log for this one unless they are
@@ -282,7 +288,7 @@
 	boxes := s.candidates(boottime.Now())
 	candidates := make([]Candidate, len(boxes))
 	for i, box := range boxes {
-		candidates[i] = Candidate{Box: box, ReaderAddress: s.peers[box.Name].readerAddress, PlacesAddress: s.peers[box.Name].placesAddress, ForwardAddress: s.peers[box.Name].forwardAddress}
+		candidates[i] = Candidate{Box: box, ReaderAddress: s.peers[box.Name].readerAddress, PlacesAddress: s.peers[box.Name].placesAddress, ForwardAddress: s.peers[box.Name].forwardAddress, OriginsAddress: s.peers[box.Name].originsAddress}
 		candidates[i].Unavailable = box.Unavailable || candidates[i].ReaderAddress == ""
 	}
 	return candidates
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -59,6 +59,8 @@
 	ReaderAddress  string
 	PlacesAddress  string
 	ForwardAddress string
+	// OriginsAddress, which may be empty, is where other boxes look for the origins of streams.
+	OriginsAddress string
 	Zone           string
 	Cores          float64
 	// FirstSystemStart is true when the whole system starts for the first time, and AppendTime is
--- /dev/null
+++ b/internal/streamorigin/find.go
@@ -0,0 +1,90 @@
+// Finding the origin of a stream that a caller resumes.
+
+package streamorigin
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+)
+
+// Evidence is what is known of the origin of a stream.
+type Evidence struct {
+	// Found is set if the origin is known; Software is its version then.
+	Found    bool
+	Software string
+	// Versions are the software versions of the service's servers that this box and those that responded
+	// know of.
+	Versions []string
+	// Asked and Responded count the other boxes.
+	Asked, Responded int
+}
+
+// Find looks for the origin of a stream of a service, at this box and then at its holders.
+func (o *Origins) Find(ctx context.Context, key Key, service string) Evidence {
+	evidence := Evidence{Versions: slices.Clone(o.cfg.Versions(service))}
+	targets, origin, found := o.lookUp(key, service)
+	if found {
+		evidence.Found, evidence.Software = true, origin.Software
+		return evidence
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	responses := make(chan *response, len(targets))
+	for _, box := range targets {
+		go o.runAsk(ctx, box, request{Key: key[:], Service: service}, responses)
+	}
+	evidence.Asked = len(targets)
+	for range targets {
+		answer := <-responses
+		if answer == nil {
+			continue
+		}
+		evidence.Responded++
+		evidence.addVersions(answer.Versions)
+		if answer.Found != nil {
+			evidence.Found, evidence.Software = true, answer.Found.Software
+			return evidence
+		}
+	}
+	return evidence
+}
+
+// lookUp returns the origin if this box has it, and otherwise the boxes to ask: the holders among all
+// listed boxes, and those that replace the unavailable ones.
+func (o *Origins) lookUp(key Key, service string) (targets []Box, origin Origin, found bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := boottime.Now()
+	if origin, found = o.known.find(key, now); found && origin.Service == service {
+		return nil, origin, true
+	}
+	for _, available := range []bool{false, true} {
+		for _, box := range holders(key, o.boxes(now, available)) {
+			known := slices.ContainsFunc(targets, func(t Box) bool { return t.Name == box.Name })
+			if box.Name != o.cfg.Self.Name && !known {
+				targets = append(targets, box)
+			}
+		}
+	}
+	return targets, Origin{}, false
+}
+
+// runAsk asks a box for an origin and sends its response, nil if there is none.
+func (o *Origins) runAsk(ctx context.Context, box Box, asked request, responses chan<- *response) {
+	var answer response
+	if err := o.client.Exchange(ctx, box.Address, &asked, &answer, exchangeTimeout); err != nil {
+		responses <- nil
+		return
+	}
+	responses <- &answer
+}
+
+func (e *Evidence) addVersions(versions []string) {
+	for _, version := range versions {
+		if !slices.Contains(e.Versions, version) {
+			e.Versions = append(e.Versions, version)
+		}
+	}
+}
--- /dev/null
+++ b/internal/streamorigin/message.go
@@ -0,0 +1,90 @@
+// The messages between boxes: a request brings origins to hold, or asks for one.
+
+package streamorigin
+
+import (
+	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+)
+
+const (
+	// maxBatch bounds the origins in a request, at some 60 bytes each, and maxRequestBytes a request.
+	maxBatch         = 1000
+	maxRequestBytes  = 256 << 10
+	maxResponseBytes = 16 << 10
+	// exchangeTimeout bounds a request and its response. It is several times the round trip between
+	// regions, and short for a caller, whose first try may end after a second.
+	exchangeTimeout = 200 * time.Millisecond
+	// maxIdle bounds the idle connections to a box. The other box closes a connection after idleTimeout.
+	maxIdle     = 2
+	maxIdleTime = 20 * time.Second
+	idleTimeout = 30 * time.Second
+)
+
+// request is a message to a holder.
+type request struct {
+	// Origins are to be held.
+	Origins []wireOrigin `msgpack:"o,omitempty"`
+	// Key is the key of a stream of Service to find; empty for none.
+	Key     []byte `msgpack:"k,omitempty"`
+	Service string `msgpack:"s,omitempty"`
+}
+
+// wireOrigin is the wire form of an origin.
+type wireOrigin struct {
+	_msgpack struct{} `msgpack:",as_array"` // field names would be a third of the message
+
+	Key      []byte
+	Service  string
+	Software string
+	// Remaining is how much longer the origin is needed.
+	Remaining time.Duration
+}
+
+// response is a holder's answer.
+type response struct {
+	// Found is the origin that was asked for; nil if the box does not have it.
+	Found *wireOrigin `msgpack:"f,omitempty"`
+	// Versions are the software versions of the service's servers that the box knows of.
+	Versions []string `msgpack:"v,omitempty"`
+}
+
+// encode returns the wire form of an origin.
+func encode(key Key, origin Origin, now time.Time) wireOrigin {
+	return wireOrigin{Key: key[:], Service: origin.Service, Software: origin.Software, Remaining: origin.Expires.Sub(now)}
+}
+
+// maxRemaining bounds how long a box holds an origin for another one.
+const maxRemaining = 10 * time.Minute
+
+// decode returns the key and the origin of its wire form; ok is false if it is invalid.
+func (w *wireOrigin) decode(now time.Time) (key Key, origin Origin, ok bool) {
+	if len(w.Key) != keySize || w.Remaining <= 0 {
+		return key, origin, false
+	}
+	return Key(w.Key), Origin{Service: w.Service, Software: w.Software, Expires: now.Add(min(w.Remaining, maxRemaining))}, true
+}
+
+// handle applies a request and returns the response.
+func (o *Origins) handle(received request) response {
+	o.mu.Lock()
+	now := boottime.Now()
+	for i := range received.Origins {
+		if key, origin, ok := received.Origins[i].decode(now); ok {
+			o.known.add(key, origin, now)
+		}
+	}
+	var answer response
+	if len(received.Key) == keySize {
+		if origin, found := o.known.find(Key(received.Key), now); found && origin.Service == received.Service {
+			wire := encode(Key(received.Key), origin, now)
+			answer.Found = &wire
+		}
+	}
+	o.mu.Unlock()
+	if received.Service != "" {
+		answer.Versions = o.cfg.Versions(received.Service)
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/streamorigin/streamorigin.go
@@ -0,0 +1,185 @@
+// Package streamorigin records which software version began each stream, so that a caller who resumes a
+// stream at any box gets the rest of it from the same version.
+//
+// Servers of several versions of their software may serve one service, and what two versions write for
+// one stream does not fit together. A caller names the request that brought the first event of its
+// stream, and neither that name nor the events contain a version. The box that began the stream has
+// often crashed, together with all streams that it was relaying.
+//
+// While the servers of a service have more than one version, a box sends the origin of each stream to
+// its holders: the first boxes of three zones by rendezvous hashing of the request, or of fewer zones
+// where there are not as many. So any two boxes, or any zone, may be lost at once. A box that does not
+// have the origin asks the holders, all at once, and uses the first one that has it. Nothing is broadcast, so at
+// 2,000 boxes each one holds three times the streams that it serves itself. While a service has one
+// version nothing is sent; when a second one appears, the origins of the streams in flight are.
+//
+// A stream whose origin cannot be found is resumed only if all boxes that were asked know of one version
+// (decide.go). All state is in memory: when all holders of a stream and the box that began it restart
+// at once, its origin is lost.
+package streamorigin
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/frame"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+const (
+	// keySize is large enough that no caller finds the key of another one's stream by search.
+	keySize = 16
+	// batchDelay is how long origins are collected before they are sent. A box that crashes loses those
+	// of its last streams, which are a small part of the streams that it relays.
+	batchDelay = 20 * time.Millisecond
+	// recheckInterval is the time between two checks whether a service has a second version now.
+	recheckInterval = 250 * time.Millisecond
+	// maxSends is how often an origin is sent, since a holder may be unreachable.
+	maxSends = 3
+	// avoidDuration is how long a box that did not respond is replaced by the next one as a holder.
+	avoidDuration = 2 * time.Second
+)
+
+// Key identifies a stream by the caller and its request ID.
+type Key [keySize]byte
+
+// KeyOf returns the key of a caller's request.
+func KeyOf(caller, requestID string) Key {
+	hash := sha256.New()
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(caller)))
+	for _, text := range [][]byte{length[:], []byte(caller), []byte(requestID)} {
+		_, _ = hash.Write(text) // Write of a hash never returns an error
+	}
+	return Key(hash.Sum(nil)[:keySize])
+}
+
+// Origin is the software version that began a stream of a service.
+type Origin struct {
+	Service  string
+	Software string
+	// Expires is when the caller no longer resumes the stream.
+	Expires time.Time
+}
+
+// Box is another box with the address at which it holds origins; an empty one means that it holds none.
+type Box struct {
+	Name    string
+	Zone    string
+	Address string
+	// Unavailable boxes are asked, but origins are sent to others.
+	Unavailable bool
+}
+
+// Config configures Origins.
+type Config struct {
+	Logger zerolog.Logger
+	// Self is this box, and Others returns the other boxes that are listed.
+	Self   Box
+	Others func() []Box
+	// Versions returns the software versions of a service's servers now and in the last minute.
+	Versions func(service string) []string
+	// Dial connects to another box; nil selects TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Origins are the origins that this box has, of its own streams and of those that it holds for others.
+type Origins struct {
+	cfg    Config
+	client *frame.Client
+	server *frame.Server
+
+	mu    sync.Mutex
+	known table
+	// unsent has the origins of this box's streams that the holders may not have, by service.
+	unsent map[string][]pending
+	// avoided maps boxes that did not respond to when they are used again.
+	avoided map[string]time.Time
+	// wake is signalled when there are origins to send.
+	wake waiting.Signal
+}
+
+// pending is an origin that has to be sent.
+type pending struct {
+	key    Key
+	origin Origin
+	sends  int
+}
+
+// New returns Origins without any.
+func New(cfg Config) *Origins {
+	o := &Origins{cfg: cfg, known: newTable(), unsent: map[string][]pending{}, avoided: map[string]time.Time{}}
+	o.client = frame.NewClient(frame.ClientConfig{Dial: cfg.Dial, MaxIdle: maxIdle, MaxIdleTime: maxIdleTime, MaxResponseBytes: maxResponseBytes})
+	o.server = frame.NewServer(cfg.Logger, o.serve)
+	return o
+}
+
+// Note records that a server has sent the first event of a stream of this box, or continues one whose
+// origin was found.
+func (o *Origins) Note(key Key, origin Origin) {
+	severalVersions := o.hasSeveralVersions(origin.Service)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := boottime.Now()
+	o.known.add(key, origin, now)
+	o.addUnsent(pending{key: key, origin: origin}, now)
+	if severalVersions {
+		o.wake.Broadcast()
+	}
+}
+
+// addUnsent adds an origin to send, and drops the first ones that have expired, or those above the limit.
+// The caller holds mu.
+func (o *Origins) addUnsent(added pending, now time.Time) {
+	queue := append(o.unsent[added.origin.Service], added)
+	drop := 0
+	for drop < len(queue) && (len(queue)-drop > maxOrigins || !now.Before(queue[drop].origin.Expires)) {
+		drop++
+	}
+	o.unsent[added.origin.Service] = queue[drop:]
+}
+
+func (o *Origins) hasSeveralVersions(service string) bool { return len(o.cfg.Versions(service)) > 1 }
+
+// Loop sends origins to their holders until ctx ends.
+func (o *Origins) Loop(ctx context.Context) {
+	defer o.client.CloseIdle()
+	for ctx.Err() == nil {
+		waiting.ForOrSignal(ctx, recheckInterval, o.wake.Chan())
+		waiting.For(ctx, batchDelay)
+		o.send(ctx)
+	}
+}
+
+// LoopAccept serves other boxes until ctx ends.
+func (o *Origins) LoopAccept(ctx context.Context, listener net.Listener) {
+	o.server.LoopAccept(ctx, listener)
+}
+
+// Wait waits until all connections have been served; LoopAccept must have returned.
+func (o *Origins) Wait() { o.server.Wait() }
+
+// serve handles the requests on one connection.
+func (o *Origins) serve(ctx context.Context, connection net.Conn, reader *bufio.Reader) {
+	for ctx.Err() == nil {
+		if err := connection.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+			return
+		}
+		var received request
+		if err := frame.Read(reader, &received, maxRequestBytes); err != nil {
+			return
+		}
+		answer := o.handle(received)
+		if err := frame.Write(connection, &answer, exchangeTimeout); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/streamorigin/streamorigin_test.go
@@ -0,0 +1,290 @@
+package streamorigin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+)
+
+const service = "runners"
+
+// testBox is a box with its own view of the versions.
+type testBox struct {
+	*Origins
+	box  Box
+	stop context.CancelFunc
+
+	mu       sync.Mutex
+	versions []string
+}
+
+func (b *testBox) setVersions(versions ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.versions = versions
+}
+
+// startBoxes starts boxes in zones that know of two versions.
+func startBoxes(t *testing.T, g *WithT, zones ...string) []*testBox {
+	t.Helper()
+	boxes := make([]*testBox, len(zones))
+	listeners := make([]net.Listener, len(zones))
+	for i, zone := range zones {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		listeners[i] = listener
+		boxes[i] = &testBox{box: Box{Name: fmt.Sprint("box-", i), Zone: zone, Address: listener.Addr().String()}, versions: []string{"v1", "v2"}}
+	}
+	for i, b := range boxes {
+		others := func() []Box {
+			var others []Box
+			for _, other := range boxes {
+				if other != b {
+					others = append(others, other.box)
+				}
+			}
+			return others
+		}
+		b.Origins = New(Config{Logger: zerolog.Nop(), Self: b.box, Others: others, Versions: func(string) []string {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.versions
+		}})
+		ctx, stop := context.WithCancel(context.Background())
+		var loops sync.WaitGroup
+		loops.Go(func() { b.Loop(ctx) })
+		loops.Go(func() { b.LoopAccept(ctx, listeners[i]) })
+		b.stop = func() {
+			stop()
+			loops.Wait()
+			b.Wait()
+		}
+		t.Cleanup(b.stop)
+	}
+	return boxes
+}
+
+// beginStreams begins streams at all boxes in turn, at two versions, and waits until they are sent.
+func beginStreams(g *WithT, boxes []*testBox, count int) {
+	for number := range count {
+		boxes[number%len(boxes)].Note(keyOfNumber(number), originOf(number))
+	}
+	for _, b := range boxes {
+		g.Eventually(b.unsentCount, 5*time.Second, 5*time.Millisecond).Should(BeZero())
+	}
+	time.Sleep(exchangeTimeout) // until the last batches have arrived
+}
+
+func (o *Origins) unsentCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.unsent[service])
+}
+
+func keyOfNumber(number int) Key { return KeyOf("north", fmt.Sprint(number)) }
+
+func originOf(number int) Origin {
+	return Origin{Service: service, Software: fmt.Sprint("v", 1+number%2), Expires: time.Now().Add(time.Minute)}
+}
+
+// Boxes that crash take the streams that they relay with them, and their callers resume them elsewhere.
+// Two boxes of four, or a whole zone, must not take the origins of the streams along.
+func TestOriginsAreLostWithTheirBoxes(t *testing.T) {
+	tests := []struct {
+		name  string
+		zones []string
+		lost  []int
+	}{
+		{"none", []string{"a", "a", "a", "a"}, nil},
+		{"two boxes of four", []string{"a", "a", "a", "a"}, []int{0, 2}},
+		{"two boxes of four in four zones", []string{"a", "b", "c", "d"}, []int{1, 3}},
+		{"a zone of three boxes", []string{"a", "a", "a", "b", "b", "c", "c", "d"}, []int{0, 1, 2}},
+		{"one of two zones", []string{"a", "a", "b", "b"}, []int{2, 3}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			boxes := startBoxes(t, g, test.zones...)
+			const streams = 200
+			beginStreams(g, boxes, streams)
+			lost := map[int]bool{}
+			for _, box := range test.lost {
+				boxes[box].stop()
+				lost[box] = true
+			}
+			for number := range streams {
+				for i, b := range boxes {
+					if lost[i] {
+						continue
+					}
+					evidence := b.Find(t.Context(), keyOfNumber(number), service)
+					g.Expect(evidence.Found).To(BeTrue(), "stream %d at box %d", number, i)
+					g.Expect(evidence.Software).To(Equal(originOf(number).Software))
+				}
+			}
+		})
+	}
+}
+
+// Streams that are in flight when a second version appears have no origin anywhere but at their box.
+func TestOriginsAreSentWhenASecondVersionAppears(t *testing.T) {
+	g := NewWithT(t)
+	boxes := startBoxes(t, g, "a", "a", "a", "a")
+	for _, b := range boxes {
+		b.setVersions("v1")
+	}
+	boxes[0].Note(keyOfNumber(0), originOf(0))
+	time.Sleep(2 * recheckInterval)
+	g.Expect(boxes[0].unsentCount()).To(Equal(1), "nothing is sent while there is one version")
+	for _, b := range boxes[1:] {
+		g.Expect(b.known.origins).To(BeEmpty())
+	}
+	boxes[0].setVersions("v1", "v2")
+	g.Eventually(boxes[0].unsentCount, time.Second).Should(BeZero())
+	time.Sleep(exchangeTimeout)
+	boxes[0].stop()
+	for _, b := range boxes[1:] {
+		g.Expect(b.Find(t.Context(), keyOfNumber(0), service).Found).To(BeTrue())
+	}
+}
+
+// A box that has not read of a new version yet must learn of it from the boxes that it asks.
+func TestABoxThatKnowsOfOneVersionLearnsOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	boxes := startBoxes(t, g, "a", "a", "a", "a")
+	boxes[0].setVersions("v1")
+	evidence := boxes[0].Find(t.Context(), keyOfNumber(7), service)
+	g.Expect(evidence.Versions).To(ConsistOf("v1", "v2"))
+	_, known := Decide(evidence, 0)
+	g.Expect(known).To(BeFalse())
+}
+
+// A holder that accepts connections and never answers delays a caller's first try for a bounded time.
+func TestASilentHolderDelaysACaller(t *testing.T) {
+	g := NewWithT(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer silent.Close()
+	o := New(Config{Logger: zerolog.Nop(), Self: Box{Name: "self"}, Versions: func(string) []string { return []string{"v1"} }, Others: func() []Box {
+		return []Box{{Name: "silent", Address: silent.Addr().String()}}
+	}})
+	began := time.Now()
+	evidence := o.Find(t.Context(), keyOfNumber(0), service)
+	g.Expect(time.Since(began)).To(BeNumerically("<", 2*exchangeTimeout))
+	g.Expect(evidence).To(Equal(Evidence{Versions: []string{"v1"}, Asked: 1}))
+}
+
+func TestWhichVersionServesAResumedStream(t *testing.T) {
+	v1 := "v1"
+	tests := []struct {
+		name     string
+		evidence Evidence
+		listAge  time.Duration
+		software *string
+		known    bool
+	}{
+		{"found", Evidence{Found: true, Software: v1, Versions: []string{"v1", "v2"}}, time.Hour, &v1, true},
+		{"found, and this box does not know the version", Evidence{Found: true, Software: v1, Versions: []string{"v2"}}, 0, &v1, true},
+		{"not found, one version", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3}, 0, &v1, true},
+		{"not found, two versions", Evidence{Versions: []string{"v1", "v2"}, Asked: 3, Responded: 3}, 0, nil, false},
+		{"not found, two versions, no other box", Evidence{Versions: []string{"v1", "v2"}}, 0, nil, false},
+		{"one version, no box responds", Evidence{Versions: []string{v1}, Asked: 3}, time.Second, &v1, true},
+		{"one version, no box responds and the list is old", Evidence{Versions: []string{v1}, Asked: 3}, time.Minute, nil, false},
+		{"one version, an old list, a box responds", Evidence{Versions: []string{v1}, Asked: 3, Responded: 1}, time.Minute, &v1, true},
+		{"one version, an old list, no other box", Evidence{Versions: []string{v1}}, time.Minute, &v1, true},
+		{"no servers", Evidence{}, 0, nil, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			software, known := Decide(test.evidence, test.listAge)
+			g.Expect(software).To(Equal(test.software))
+			g.Expect(known).To(Equal(test.known))
+		})
+	}
+}
+
+// Every box of a large fleet holds about the same number of origins, in different zones, and the loss of a
+// box changes the holders of few others.
+func TestHoldersAreSpreadOverALargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	const count, zones, streams = 2000, 10, 1000
+	boxes := make([]Box, count)
+	for i := range boxes {
+		boxes[i] = Box{Name: fmt.Sprint("box-", i), Zone: fmt.Sprint("zone-", i%zones)}
+	}
+	held, moved := map[string]int{}, 0
+	for number := range streams {
+		chosen := holders(keyOfNumber(number), boxes)
+		g.Expect(chosen).To(HaveLen(replicas))
+		inZone := map[string]bool{}
+		for _, box := range chosen {
+			held[box.Name]++
+			inZone[box.Zone] = true
+		}
+		g.Expect(inZone).To(HaveLen(replicas))
+		for i, box := range holders(keyOfNumber(number), boxes[1:]) {
+			if box.Name != chosen[i].Name {
+				moved++
+			}
+		}
+	}
+	for name, origins := range held {
+		g.Expect(origins).To(BeNumerically("<=", 10), name) // 1.5 on average
+	}
+	g.Expect(moved).To(BeNumerically("<=", 15))
+}
+
+// A flood of streams must not take more memory than the bound, and the newest ones are kept.
+func TestTheTableIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	known := newTable()
+	now := time.Now()
+	for number := range maxOrigins + 1000 {
+		known.add(keyOfNumber(number), Origin{Service: service, Expires: now.Add(time.Minute)}, now)
+	}
+	g.Expect(known.origins).To(HaveLen(maxOrigins))
+	g.Expect(known.order).To(HaveLen(maxOrigins))
+	_, found := known.find(keyOfNumber(0), now)
+	g.Expect(found).To(BeFalse())
+	_, found = known.find(keyOfNumber(maxOrigins+999), now)
+	g.Expect(found).To(BeTrue())
+	known.add(keyOfNumber(0), Origin{Expires: now.Add(2 * time.Minute)}, now.Add(time.Minute))
+	g.Expect(known.origins).To(HaveLen(1), "the others have expired")
+}
+
+// A message of another box must neither crash the box nor make it keep what is invalid.
+func TestInvalidOriginsAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	o := New(Config{Logger: zerolog.Nop(), Others: func() []Box { return nil }, Versions: func(string) []string { return nil }})
+	answer := o.handle(request{Origins: []wireOrigin{
+		{Key: []byte{1}, Service: service, Remaining: time.Minute},
+		{Key: make([]byte, keySize), Service: service, Remaining: -1},
+		{Key: make([]byte, keySize), Service: service, Remaining: time.Hour},
+		{},
+	}, Key: []byte("short"), Service: service})
+	g.Expect(answer.Found).To(BeNil())
+	g.Expect(o.known.origins).To(HaveLen(1))
+	answer = o.handle(request{Key: make([]byte, keySize), Service: service})
+	g.Expect(answer.Found.Remaining).To(BeNumerically("<=", maxRemaining))
+	answer = o.handle(request{Key: make([]byte, keySize), Service: "another"})
+	g.Expect(answer.Found).To(BeNil(), "a stream of another service")
+}
+
+// BenchmarkHolders measures the cost of each stream while a service of a large fleet has several versions.
+func BenchmarkHolders(b *testing.B) {
+	boxes := make([]Box, 2000)
+	for i := range boxes {
+		boxes[i] = Box{Name: fmt.Sprint("box-", i), Zone: fmt.Sprint("zone-", i%10)}
+	}
+	for number := 0; b.Loop(); number++ {
+		holders(keyOfNumber(number), boxes)
+	}
+}
