--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -30,6 +30,9 @@
 	Parts []Part
 }
 
+// SharedParts returns the parts that other prompts may have too.
+func (p *Prompt) SharedParts() []Part { return p.Parts[:max(len(p.Parts)-1, 0)] }
+
 // RequestInfo is the metadata in a caller's request headers.
 type RequestInfo struct {
 	// RequestID identifies this attempt of the caller; a retry has another ID.
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -182,10 +182,26 @@
 	a.gateway.metrics.attemptFailed(event)
 	a.gateway.cfg.Logger.Info().Str("request", a.x.info.RequestID).Str("server", server.Incarnation).Str("service", server.Service).Str("software", server.Software).
 		Int("try", a.number).Str("reason", reason).Bool("silent", a.watch.hasSwitched()).Stringer("fingerprint", a.x.fingerprint).
-		Str("ended_by", string(a.closedBy())).Dur("left", boottime.Until(a.x.deadline)).Int("servers_seen", a.serversReached).
+		Strs("shared_parts", loggedParts(a.x.info.Prompt)).Str("ended_by", string(a.closedBy())).Dur("left", boottime.Until(a.x.deadline)).Int("servers_seen", a.serversReached).
 		Float64("retries_saved", a.gateway.cfg.Budget.State().Balance).Msg(event)
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the IDs of the first parts of a prompt that other prompts may share.
+func loggedParts(prompt *call.Prompt) []string {
+	if prompt == nil {
+		return nil
+	}
+	shared := prompt.SharedParts()
+	ids := make([]string, min(len(shared), maxLoggedParts))
+	for i := range ids {
+		ids[i] = shared[i].ID
+	}
+	return ids
+}
+
 // side is an end of a connection to a server.
 type side string
 
