--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -53,6 +53,8 @@
 	// Request identifies the request of the call, and Caller its caller.
 	Request fingerprint.Fingerprint
 	Caller  uint64
+	// Parts identify the parts of the call's prompt that other prompts may have too.
+	Parts []fingerprint.Fingerprint
 }
 
 // Config configures a Detector.
--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -98,6 +98,8 @@
 	// requests caused it.
 	crashes    *crash.Detector
 	quarantine *quarantine.Set
+	// partQuarantine is the same for the parts of prompts.
+	partQuarantine *quarantine.Set
 	// reach detects services that this box does not reach, and peerPaths has the boxes through which
 	// calls for them are forwarded.
 	reach     *reach.Monitor
@@ -200,7 +202,7 @@
 		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Incarnation: shortIncarnation(b.incarnation), Zone: b.settings.Zone, Address: b.PeerAddress(), ReaderAddress: b.ReaderAddress(), PlacesAddress: b.PlacesAddress(), ForwardAddress: b.ForwardAddress(), OriginsAddress: b.OriginsAddress(),
 		Cores: b.settings.Cores, Mechanisms: b.settings.Mechanisms, NamedVersions: b.registry.WeightsForPeers, MergeNamedVersions: b.registry.MergeWeights, Snapshot: b.registry.Snapshot,
 		FirstSystemStart: b.settings.FirstSystemStart, AppendTime: b.settings.LogAppendTime,
-		NeedsSnapshot: b.registry.NeedsSnapshot, ApplySnapshot: b.registry.Adopt, Quarantine: b.quarantine, MayCallCold: b.mayCallCold, Parts: b.parts,
+		NeedsSnapshot: b.registry.NeedsSnapshot, ApplySnapshot: b.registry.Adopt, Quarantine: b.quarantine, PartQuarantine: b.partQuarantine, MayCallCold: b.mayCallCold, Parts: b.parts,
 	}
 	if b.shares = newShares(b.settings.Mechanisms, b.fleet); b.shares != nil {
 		reports.Uses, reports.MergeUses = b.usesForPeers, b.shares.merge
@@ -297,7 +299,7 @@
 		Budget: b.budget, BoxCount: b.share.BoxCount, OwnsHeadroom: b.share.OwnsHeadroom, LoadReportAge: b.share.Lag,
 		Places: b.places, BoxName: b.settings.Box, Regions: b.settings.Regions,
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.OutdatedAfter,
-		IsResponsive: b.isResponsive, ServerListAge: b.registry.ServersAge, Quarantine: b.quarantine, ConfirmCrash: b.crashes.Check,
+		IsResponsive: b.isResponsive, ServerListAge: b.registry.ServersAge, Quarantine: b.quarantine, PartQuarantine: b.partQuarantine, ConfirmCrash: b.crashes.Check,
 		Memory: b.memory, Origins: b.origins,
 	}
 	b.assembleForwarding(&cfg)
--- a/internal/entrybox/quarantine.go
+++ b/internal/entrybox/quarantine.go
@@ -18,6 +18,11 @@
 		MayRetry: func(request quarantine.Request) bool { return b.share.RanksFirst(request.String()) },
 		OnChange: b.onQuarantineChange,
 	})
+	b.partQuarantine = quarantine.New(quarantine.Config{
+		Threshold: quarantine.PartThreshold,
+		MayRetry:  func(part quarantine.Request) bool { return b.share.RanksFirst(part.String()) },
+		OnChange:  b.onPartChange,
+	})
 	b.crashes = crash.New(crash.Config{
 		Logger: b.logger, RegistryStatus: b.fleet.RegistryStatus, Connect: b.pool.Probe, Neighbours: b.fleet.ZonePeers, OnCrash: b.noteCrash,
 	})
@@ -25,9 +30,13 @@
 
 // noteCrash records a call under which a server crashed.
 func (b *Box) noteCrash(broken crash.BrokenCall) {
-	b.quarantine.NoteCrash(quarantine.Crash{
-		Request: broken.Request, Caller: broken.Caller, Incarnation: xxhash.Sum64String(broken.Server.Incarnation),
-	})
+	incarnation := xxhash.Sum64String(broken.Server.Incarnation)
+	b.quarantine.NoteCrash(quarantine.Crash{Request: broken.Request, Caller: broken.Caller, Incarnation: incarnation})
+	parts := make([]quarantine.Crash, len(broken.Parts))
+	for i, part := range broken.Parts {
+		parts[i] = quarantine.Crash{Request: part, Caller: broken.Caller, Incarnation: incarnation}
+	}
+	b.partQuarantine.NoteCrashes(parts)
 }
 
 // immediateCrashes is the number of crashes at which a suspected request is sent to other boxes
@@ -51,14 +60,30 @@
 	if change.Held {
 		b.gateway.CancelRequest(change.Request)
 	}
+	b.logQuarantineChange("request", change)
+}
+
+// onPartChange is onQuarantineChange for a part of prompts.
+func (b *Box) onPartChange(change quarantine.Change) {
+	if b.sharesImmediately(change) {
+		b.share.SendNow()
+	}
+	if change.Held {
+		b.gateway.CancelPart(change.Request)
+	}
+	b.logQuarantineChange("part", change)
+}
+
+// logQuarantineChange logs the new state of a request or a part.
+func (b *Box) logQuarantineChange(kind string, change quarantine.Change) {
 	event, message := b.logger.Warn(), ""
 	switch {
 	case change.Held:
-		message = "request_held"
+		message = kind + "_held"
 	case change.Released:
-		message = "request_released"
+		message = kind + "_released"
 	case change.Crashes >= immediateCrashes:
-		event, message = b.logger.Info(), "request_suspected"
+		event, message = b.logger.Info(), kind+"_suspected"
 	default:
 		return // a server that crashes takes down some ten calls, and all boxes receive each of them
 	}
--- a/internal/fingerprint/fingerprint.go
+++ b/internal/fingerprint/fingerprint.go
@@ -50,6 +50,25 @@
 	return Fingerprint(mac.Sum(nil)[:size])
 }
 
+// Part contains what the fingerprint of a prompt part depends on.
+type Part struct {
+	// Isolated is the organisation whose parts are kept apart from those of others; empty for the parts
+	// that organisations share.
+	Isolated string
+	Service  string
+	Model    string
+	ID       string
+}
+
+// OfPart returns the fingerprint of a prompt part. It differs from that of any request.
+func OfPart(part Part) Fingerprint {
+	mac := hmac.New(sha256.New, []byte(part.Isolated))
+	for _, text := range []string{part.Service, part.Model, part.ID} {
+		writeField(mac, []byte(text))
+	}
+	return Fingerprint(mac.Sum(nil)[:size])
+}
+
 // writeField writes the length of a field and the field, so that different requests never
 // have the same input to the hash.
 func writeField(mac hash.Hash, field []byte) {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -101,7 +101,7 @@
 	body, err := x.readAllBody(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	if err == nil {
 		x.body, x.bodyReadAt = body, boottime.Now()
-		x.fingerprint = x.requestFingerprint()
+		x.fingerprint, x.parts = x.requestFingerprint(), x.partFingerprints()
 		_ = connection.SetReadDeadline(time.Time{}) // likewise
 		return true
 	}
@@ -131,6 +131,19 @@
 	})
 }
 
+// partFingerprints identifies the parts of the call's prompt that other prompts may have too.
+func (x *exchange) partFingerprints() []fingerprint.Fingerprint {
+	if x.info.Prompt == nil {
+		return nil
+	}
+	shared := x.info.Prompt.SharedParts()
+	parts := make([]fingerprint.Fingerprint, len(shared))
+	for i, part := range shared {
+		parts[i] = fingerprint.OfPart(fingerprint.Part{Isolated: x.isolationName(), Service: x.service.Name, Model: x.info.Prompt.Model, ID: part.ID})
+	}
+	return parts
+}
+
 // callerName returns the name of the call's organisation, or "" for a call without one.
 func (x *exchange) callerName() string {
 	if x.organisation == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,8 +93,10 @@
 	IsResponsive func(ctx context.Context, server fleet.Server) bool
 	// Quarantine holds the requests that crash servers. ConfirmCrash reports whether the server of
 	// a lost call has crashed; nil where that cannot be checked.
-	Quarantine   *quarantine.Set
-	ConfirmCrash func(ctx context.Context, loss crash.BrokenCall) bool
+	Quarantine *quarantine.Set
+	// PartQuarantine is the same for the parts of prompts.
+	PartQuarantine *quarantine.Set
+	ConfirmCrash   func(ctx context.Context, loss crash.BrokenCall) bool
 	// Origins has the software versions that began streams; nil where servers state none.
 	Origins *streamorigin.Origins
 	// Memory bounds the memory that calls hold; nil means that there is no bound.
@@ -139,6 +141,9 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New(quarantine.Config{})
 	}
+	if cfg.PartQuarantine == nil {
+		cfg.PartQuarantine = quarantine.New(quarantine.Config{Threshold: quarantine.PartThreshold})
+	}
 	return &Gateway{cfg: cfg, tieSeed: xxhash.Sum64String(cfg.BoxName), metrics: newMetrics(cfg.Scope), active: newActiveCalls()}
 }
 
@@ -204,6 +209,8 @@
 	body        []byte
 	bodyReadAt  time.Time
 	fingerprint fingerprint.Fingerprint
+	// parts identify the parts of the prompt that other prompts may have too.
+	parts []fingerprint.Fingerprint
 
 	// Written while the call is forwarded.
 	attempted []string
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
@@ -81,12 +83,60 @@
 	}
 }
 
+// CancelPart cancels the calls in flight that a held part blocks.
+func (g *Gateway) CancelPart(part fingerprint.Fingerprint) {
+	g.active.mu.Lock()
+	defer g.active.mu.Unlock()
+	for _, calls := range g.active.byRequest {
+		for x := range calls {
+			if slices.Contains(x.parts, part) && slices.Contains(g.cfg.PartQuarantine.Blocking(x.parts), part) {
+				x.cancel(errCrashesServers)
+			}
+		}
+	}
+}
+
+// noteSound records that a server has served a call, so that neither its request nor a part of its prompt
+// crashes servers.
+func (g *Gateway) noteSound(x *exchange) {
+	g.cfg.Quarantine.NoteServed(x.fingerprint)
+	for _, part := range x.parts {
+		g.cfg.PartQuarantine.NoteServed(part)
+	}
+}
+
+// admitQuarantine reports whether a call may be sent to a server: neither its request nor a part of its
+// prompt is quarantined.
+func (g *Gateway) admitQuarantine(x *exchange) bool {
+	if _, admitted := g.cfg.Quarantine.Admit(x.fingerprint); !admitted {
+		return false
+	}
+	_, admitted := g.cfg.PartQuarantine.AdmitAll(x.parts)
+	return admitted
+}
+
+// quarantinedFor reports whether a call's request or a part of its prompt is quarantined, and for how long.
+func (g *Gateway) quarantinedFor(x *exchange) (length time.Duration, held bool) {
+	length, held = g.cfg.Quarantine.HeldFor(x.fingerprint)
+	for _, part := range g.cfg.PartQuarantine.Blocking(x.parts) {
+		left, partHeld := g.cfg.PartQuarantine.HeldFor(part)
+		length, held = max(length, left), held || partHeld
+	}
+	return length, held
+}
+
+// hasRepeatedCrash reports whether several servers have crashed under a call's request, or under a part of
+// its prompt that no server has served.
+func (g *Gateway) hasRepeatedCrash(x *exchange) bool {
+	return g.cfg.Quarantine.Crashes(x.fingerprint) > 1 || slices.ContainsFunc(x.parts, g.cfg.PartQuarantine.IsSuspect)
+}
+
 // isQuarantined reports whether the call was cancelled because its request is quarantined.
 func (x *exchange) isQuarantined() bool { return errors.Is(context.Cause(x.ctx), errCrashesServers) }
 
 // endQuarantined ends a call whose request must not be sent to any server.
 func (g *Gateway) endQuarantined(x *exchange) {
-	heldFor, _ := g.cfg.Quarantine.HeldFor(x.fingerprint)
+	heldFor, _ := g.quarantinedFor(x)
 	g.endCall(x, reasonCrashesServers, max(heldFor, retryAfterBusy))
 }
 
@@ -100,13 +150,14 @@
 }
 
 // isRepeatedCrash checks whether the server of a lost call has crashed, and reports whether it
-// was not the first server to crash under this request; the call is then not retried. After a first
+// was not the first server to crash under this request, or under a part of its prompt; the call is then
+// not retried. After a first
 // crash, the other calls that were lost with the server are best retried at once.
 func (a *attempt) isRepeatedCrash(end fleet.Outcome) (repeated bool) {
 	if end != fleet.OutcomeUnreachable || a.closedBy() == sideBox || a.gateway.cfg.ConfirmCrash == nil || a.peer() != nil {
 		return false // the other box detects crashes of its servers; its own end shows nothing about the request
 	}
 	x := a.x
-	loss := crash.BrokenCall{Server: a.chosen.hold.Server(), Request: x.fingerprint, Caller: xxhash.Sum64String(x.callerName())}
-	return a.gateway.cfg.ConfirmCrash(x.ctx, loss) && a.gateway.cfg.Quarantine.Crashes(x.fingerprint) > 1
+	loss := crash.BrokenCall{Server: a.chosen.hold.Server(), Request: x.fingerprint, Caller: xxhash.Sum64String(x.callerName()), Parts: x.parts}
+	return a.gateway.cfg.ConfirmCrash(x.ctx, loss) && a.gateway.hasRepeatedCrash(x)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -68,7 +68,7 @@
 func (a *attempt) recordServed(status int) {
 	a.release(fleet.OutcomeServed)
 	if status/100 == 2 {
-		a.gateway.cfg.Quarantine.NoteServed(a.x.fingerprint)
+		a.gateway.noteSound(a.x)
 	}
 	a.x.outcome = outcomeServed
 }
@@ -278,7 +278,7 @@
 	a.watch.responseReceived()
 	a.writeStreamHeader(response)
 	a.release(fleet.OutcomeServed)
-	a.gateway.cfg.Quarantine.NoteServed(a.x.fingerprint)
+	a.gateway.noteSound(a.x)
 	a.x.outcome = outcomeServed
 	return stepDone
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -57,7 +57,7 @@
 	}
 	defer g.active.add(x)()
 	for {
-		if _, admitted := g.cfg.Quarantine.Admit(x.fingerprint); !admitted {
+		if !g.admitQuarantine(x) {
 			g.returnRetry(x)
 			g.endQuarantined(x)
 			return
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -146,7 +146,7 @@
 	for _, past := range w.pastHedges {
 		added += past.asyncSend.servers
 	}
-	switch _, held := g.cfg.Quarantine.HeldFor(x.fingerprint); {
+	switch _, held := g.quarantinedFor(x); {
 	case held:
 		return nil, stayQuarantined
 	case w.current.peer() != nil:
--- a/internal/loadshare/hubs_test.go
+++ b/internal/loadshare/hubs_test.go
@@ -179,13 +179,15 @@
 func (h *history) runLoops(ctx context.Context, b *simBox, boxFleet *fleet.Fleet) {
 	// Each incarnation has its own Share, through which the changes of its quarantine are sent.
 	var share *loadshare.Share
-	b.suspects = quarantine.New(quarantine.Config{OnChange: func(change quarantine.Change) {
+	shareChange := func(change quarantine.Change) {
 		if !change.FromPeer {
 			share.SendNow()
 		}
-	}})
+	}
+	b.suspects = quarantine.New(quarantine.Config{OnChange: shareChange})
+	b.suspectParts = quarantine.New(quarantine.Config{Threshold: quarantine.PartThreshold, OnChange: shareChange})
 	share = loadshare.New(loadshare.Config{
-		Quarantine: b.suspects, Parts: b.parts,
+		Quarantine: b.suspects, PartQuarantine: b.suspectParts, Parts: b.parts,
 		Fleet: boxFleet, Logger: zerolog.Nop(), Box: b.name, Incarnation: fmt.Sprint(b.name, "/", b.incarnation), Zone: b.zone, Cores: b.cores, Address: b.name, ReaderAddress: b.name,
 		NamedVersions: b.namedVersions, MergeNamedVersions: func(versions map[string][]registry.PeerWeights, _ time.Time) { b.mergeVersions(versions) },
 		NeedsSnapshot: func() bool { return false }, Snapshot: func(string) *registry.Snapshot { return nil }, Dial: h.network.dialFrom(b.name),
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -80,6 +80,8 @@
 	ApplySnapshot func(registry.Snapshot)
 	// Quarantine records which requests crash servers; nil stands for an empty one.
 	Quarantine *quarantine.Set
+	// PartQuarantine is the same for the parts of prompts.
+	PartQuarantine *quarantine.Set
 	// Parts has the samples of fetches from store boxes that boxes exchange; nil stands for none.
 	Parts *partindex.Index
 	// MayCallCold reports whether this box may call cold servers at all; nil means that it may.
@@ -183,6 +185,9 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New(quarantine.Config{})
 	}
+	if cfg.PartQuarantine == nil {
+		cfg.PartQuarantine = quarantine.New(quarantine.Config{})
+	}
 	if cfg.Uses == nil {
 		cfg.Uses = func() []fairshare.ServiceReport { return nil }
 	}
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -81,6 +81,11 @@
 	// Uses lists the organisations that use most of each service, as far as the sender granted it.
 	// It is sent between boxes that grant places, every usesInterval.
 	Uses []fairshare.ServiceReport `msgpack:"v,omitempty"`
+	// Parts lists the changes of the prompt parts that crash servers, up to the sender's generation
+	// PartsGeneration. PartsAck is the last generation of the receiver that the sender has.
+	Parts           []quarantine.RequestRecord `msgpack:"p,omitempty"`
+	PartsGeneration uint64                     `msgpack:"g,omitempty"`
+	PartsAck        uint64                     `msgpack:"a,omitempty"`
 	// Brittle has the reports of brittle servers that belong to the loads, by incarnation.
 	Brittle map[string]*advisory.BrittleReport `msgpack:"b,omitempty"`
 }
--- a/internal/loadshare/peerstate_test.go
+++ b/internal/loadshare/peerstate_test.go
@@ -46,14 +46,16 @@
 
 // simBox is one box of a history.
 type simBox struct {
-	name, zone  string
-	cores       float64
-	share       *loadshare.Share
-	suspects    *quarantine.Set
-	parts       *partindex.Index
-	stop        context.CancelFunc
-	stopped     sync.WaitGroup
-	incarnation int
+	name, zone string
+	cores      float64
+	share      *loadshare.Share
+	suspects   *quarantine.Set
+	// suspectParts is the same for parts of prompts.
+	suspectParts *quarantine.Set
+	parts        *partindex.Index
+	stop         context.CancelFunc
+	stopped      sync.WaitGroup
+	incarnation  int
 
 	mu    sync.Mutex
 	spans []span
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -58,6 +58,9 @@
 	// crash servers. suspectsAck is what it has of this box's.
 	suspectsGeneration uint64
 	suspectsAck        uint64
+	// partsGeneration and partsAck are the same for the prompt parts that do.
+	partsGeneration uint64
+	partsAck        uint64
 }
 
 // LoopAccept receives the messages of other boxes until ctx ends.
@@ -89,6 +92,7 @@
 		s.cfg.ApplySnapshot(*m.Snapshot)
 	}
 	s.cfg.Quarantine.Merge(m.Suspects) // before the message is acknowledged
+	s.cfg.PartQuarantine.Merge(m.extension.Parts)
 	sentAfter := s.recordReport(m)
 	s.cfg.MergeNamedVersions(m.NamedVersions, sentAfter)
 	if boottime.Since(sentAfter) <= maxSampleTransit {
@@ -184,12 +188,13 @@
 		s.everReported[m.Box] = true
 	}
 	last.receivedAt, last.incarnation, last.sentAt = boottime.Now(), m.Incarnation, m.SentAt
-	last.sentAfter, last.echoed, last.rosterAck, last.suspectsAck = time.Time{}, 0, 0, 0
+	last.sentAfter, last.echoed, last.rosterAck, last.suspectsAck, last.partsAck = time.Time{}, 0, 0, 0, 0
 	if m.EchoIncarnation == s.cfg.Incarnation {
 		last.sentAfter, last.echoed = s.started.Add(m.Echo+m.EchoHeldFor), m.Echo
 		last.rosterAck, last.rosterAckFull, last.suspectsAck = m.RosterAck, m.RosterAckFull, m.SuspectsAck
+		last.partsAck = m.extension.PartsAck
 	}
-	last.suspectsGeneration = m.SuspectsGeneration
+	last.suspectsGeneration, last.partsGeneration = m.SuspectsGeneration, m.extension.PartsGeneration
 	last.weights = make(map[string]int, len(m.NamedVersions))
 	for model, versions := range m.NamedVersions {
 		if len(versions) > 0 {
--- a/internal/loadshare/send.go
+++ b/internal/loadshare/send.go
@@ -167,16 +167,18 @@
 		m.ListedCount = len(s.peers) + 1
 	}
 	m.Loads, full = s.loadsFor(box, own, now)
-	since := uint64(0)
+	since, partsSince := uint64(0), uint64(0)
 	if last := s.reports[box]; last != nil {
 		m.Echo, m.EchoIncarnation, m.EchoHeldFor = last.sentAt, last.incarnation, now.Sub(last.receivedAt)
 		m.SuspectsAck, since = last.suspectsGeneration, last.suspectsAck
+		m.extension.PartsAck, partsSince = last.partsGeneration, last.partsAck
 		if last.roster.incarnation == last.incarnation {
 			m.RosterAck, m.RosterAckFull = last.roster.generation, last.roster.full
 		}
 		m.Roster = s.rosterFor(last, full, now)
 	}
 	m.Suspects, m.SuspectsGeneration = s.cfg.Quarantine.ChangesSince(since)
+	m.extension.Parts, m.extension.PartsGeneration = s.cfg.PartQuarantine.ChangesSince(partsSince)
 	if link := s.links[box]; link != nil {
 		m.WantsReports = link.selected
 		m.Urgent, link.urgentCount = link.urgentCount != s.urgentCount, s.urgentCount
--- a/internal/loadshare/suspects_test.go
+++ b/internal/loadshare/suspects_test.go
@@ -77,6 +77,39 @@
 	}
 }
 
+// A part of prompts that crashes servers comes in requests at all boxes, which must count its crashes
+// together, and know when it is served elsewhere. A box that has just started must get the parts too.
+func TestAllBoxesSoonHoldAPartThatCrashesServers(t *testing.T) {
+	runFleet(t, zonesOf25, func(g *WithT, h *history, _ []*fleet.Fleet) {
+		countHolding := func() int {
+			count := 0
+			for _, b := range h.simBoxes {
+				if _, admitted := b.suspectParts.AdmitAll([]quarantine.Request{request("part")}); !admitted {
+					count++
+				}
+			}
+			return count
+		}
+		for incarnation := range uint64(quarantine.PartThreshold) {
+			h.simBoxes[7*(incarnation%3)].suspectParts.NoteCrashes([]quarantine.Crash{{Request: request("part"), Caller: 1, Incarnation: incarnation}})
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(countHolding()).To(Equal(len(h.simBoxes)))
+		restarted := h.simBoxes[20]
+		restarted.stop()
+		restarted.stopped.Wait()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		h.start(ctx, restarted, 1)
+		time.Sleep(time.Second)
+		g.Expect(countHolding()).To(Equal(len(h.simBoxes)))
+		h.simBoxes[18].suspectParts.NoteServed(request("part"))
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(countHolding()).To(BeZero())
+	})
+}
+
 // A box that has just started knows no requests, and a caller may send it one at once.
 func TestARestartedBoxReceivesTheRequestsThatCrashServers(t *testing.T) {
 	runFleet(t, zonesOf25, func(g *WithT, h *history, _ []*fleet.Fleet) {
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -73,13 +73,15 @@
 // Merge merges records from another box.
 func (s *Set) Merge(records []RequestRecord) {
 	now := boottime.Now()
+	var changes []Change
 	for _, received := range records {
 		change, changed := s.mergeRecord(received, now)
 		if changed {
 			change.FromPeer = true
-			s.notify(change)
+			changes = append(changes, change)
 		}
 	}
+	s.notifyAll(changes)
 }
 
 func (s *Set) mergeRecord(received RequestRecord, now time.Time) (Change, bool) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -18,6 +18,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -49,6 +50,9 @@
 
 // Config configures a Set.
 type Config struct {
+	// Threshold is how many servers must crash under a request before it is held; zero selects
+	// HoldThreshold.
+	Threshold int
 	// MayRetry reports whether this box is the one that may try a request that has been held for
 	// long. Nil means never.
 	MayRetry func(Request) bool
@@ -91,6 +95,7 @@
 
 // New returns an empty set.
 func New(cfg Config) *Set {
+	cfg.Threshold = cmp.Or(cfg.Threshold, HoldThreshold)
 	return &Set{cfg: cfg, records: map[Request]*record{}}
 }
 
@@ -108,6 +113,18 @@
 	return s.merge(c.Request, c.Caller, []crash{{incarnation: c.Incarnation, at: now}}, now)
 }
 
+// NoteCrashes records that a server crashed under several requests at once, before any of their changes
+// is reported.
+func (s *Set) NoteCrashes(crashes []Crash) {
+	var changes []Change
+	for _, each := range crashes {
+		if change, changed := s.noteCrash(each, boottime.Now()); changed {
+			changes = append(changes, change)
+		}
+	}
+	s.notifyAll(changes)
+}
+
 // NoteServed records that a server completed a request.
 func (s *Set) NoteServed(request Request) {
 	change, changed := s.noteServed(request, boottime.Now())
@@ -124,7 +141,7 @@
 	if entry == nil || entry.count() == 0 {
 		return Change{}, false
 	}
-	held := entry.held()
+	held := s.isHeld(entry)
 	entry.excuseUntil(now)
 	s.markChanged(entry)
 	return Change{Request: request, Released: held}, true
@@ -133,7 +150,7 @@
 // merge adds crashes to the record of a request. The caller holds mu.
 func (s *Set) merge(request fingerprint.Fingerprint, caller uint64, crashes []crash, now time.Time) (Change, bool) {
 	entry := s.records[request]
-	if entry == nil || entry.expired(now) {
+	if entry == nil || s.isExpired(entry, now) {
 		delete(s.records, request)
 		entry = &record{request: request, caller: caller}
 	}
@@ -155,7 +172,7 @@
 	}
 	s.markChanged(entry)
 	after := entry.count()
-	return Change{Request: request, Crashes: after, Held: before < HoldThreshold && after >= HoldThreshold, Released: before >= HoldThreshold && after < HoldThreshold}, true
+	return Change{Request: request, Crashes: after, Held: before < s.cfg.Threshold && after >= s.cfg.Threshold, Released: before >= s.cfg.Threshold && after < s.cfg.Threshold}, true
 }
 
 // markChanged marks a record to be sent to other boxes. The caller holds mu.
@@ -183,10 +200,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry := s.records[request]
-	if entry == nil || !entry.held() {
+	if entry == nil || !s.isHeld(entry) {
 		return 0, false
 	}
-	return max(boottime.Until(entry.heldUntil()), 0), true
+	return max(boottime.Until(s.heldUntil(entry)), 0), true
 }
 
 // admitRetry admits a held request once if it may be tried. Until the outcome is known, the next
@@ -195,10 +212,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry, now := s.records[request], boottime.Now()
-	if entry == nil || !entry.held() {
+	if entry == nil || !s.isHeld(entry) {
 		return 0, true
 	}
-	if left := entry.heldUntil().Sub(now); left > 0 {
+	if left := s.heldUntil(entry).Sub(now); left > 0 {
 		return left, false // another call was admitted in the meantime
 	}
 	entry.triedAt = now
@@ -222,7 +239,7 @@
 	defer s.mu.Unlock()
 	for _, entry := range s.records {
 		switch {
-		case entry.held():
+		case s.isHeld(entry):
 			held++
 		case entry.count() > 0:
 			suspected++
@@ -231,6 +248,12 @@
 	return held, suspected
 }
 
+func (s *Set) notifyAll(changes []Change) {
+	for _, change := range changes {
+		s.notify(change)
+	}
+}
+
 func (s *Set) notify(change Change) {
 	if s.cfg.OnChange != nil {
 		s.cfg.OnChange(change)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -14,6 +14,9 @@
 	maxRecords = 1024
 	// maxCrashes bounds the crashes in one record; above that the earliest are dropped.
 	maxCrashes = 8
+	// maxUncovered is how many crashes under a sound part may be missing under the one that caused them,
+	// since the box that has seen those may not have reported them yet.
+	maxUncovered = 1
 )
 
 // crash is the crash of an incarnation of a server under a request.
@@ -31,6 +34,8 @@
 	crashes []crash
 	// triedAt is when this box tried the request again.
 	triedAt time.Time
+	// probedAt is when this box last tried it as one of several suspected parts.
+	probedAt time.Time
 	// changed is the generation of the latest change.
 	changed uint64
 }
@@ -74,7 +79,25 @@
 	return count
 }
 
-func (r *record) held() bool { return r.count() >= HoldThreshold }
+// isHeld reports whether the request of a record is held.
+func (s *Set) isHeld(r *record) bool { return r.count() >= s.cfg.Threshold }
+
+// isServed reports whether the request was ever served since its first crash.
+func (r *record) isServed() bool {
+	return slices.ContainsFunc(r.crashes, func(c crash) bool { return c.excused })
+}
+
+// isCoveredBy reports whether all but maxUncovered of the crashes that are not excused lie under another
+// request too.
+func (r *record) isCoveredBy(other *record) bool {
+	uncovered := 0
+	for _, c := range r.crashes {
+		if !c.excused && !slices.ContainsFunc(other.crashes, func(o crash) bool { return o.incarnation == c.incarnation }) {
+			uncovered++
+		}
+	}
+	return uncovered <= maxUncovered
+}
 
 // lastAt returns the time of the latest crash, or of the latest try if that is later.
 func (r *record) lastAt() time.Time {
@@ -86,18 +109,18 @@
 }
 
 // heldUntil returns when a held request may be tried again.
-func (r *record) heldUntil() time.Time {
+func (s *Set) heldUntil(r *record) time.Time {
 	length := firstRetryDelay
-	for range r.count() - HoldThreshold {
+	for range r.count() - s.cfg.Threshold {
 		length = min(retryBackoff*length, maxHold)
 	}
 	return r.lastAt().Add(length)
 }
 
-// expired reports whether the record no longer has any effect.
-func (r *record) expired(now time.Time) bool {
+// isExpired reports whether a record no longer has any effect.
+func (s *Set) isExpired(r *record, now time.Time) bool {
 	age := now.Sub(r.lastAt())
-	return age > maxHold || age > suspectTTL && !r.held()
+	return age > maxHold || age > suspectTTL && !s.isHeld(r)
 }
 
 // makeRoom removes expired records and, if that is not enough, evicts one record of the caller
@@ -109,7 +132,7 @@
 	}
 	byCaller := map[uint64]int{}
 	for request, entry := range s.records {
-		if entry.expired(now) {
+		if s.isExpired(entry, now) {
 			delete(s.records, request)
 			continue
 		}
