A box forwards calls for which its own parts of limits are used up

The platform may hand most new connections to one box for some seconds. Rate limits, the room of brittle servers, cold servers and connections are divided by boxes, whatever calls come to each, so the box of the crowd refused calls while the parts of the others were left.

Such a call goes to a box that has a part left, by the hop for services that a box does not reach. The parts stay as they are, and with them the bounds that rest on them. A box without a part refuses at once and is not asked for the service for 0.1 s. isEligible is split into what is the same at all boxes and what is this box's part.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -263,6 +263,12 @@
 // isEligible reports whether a server may take a call, regardless of whether it is suspect. The
 // caller holds mu.
 func (f *Fleet) isEligible(state *State, query Query, now time.Time) bool {
+	return f.isOpen(state, query, now) && f.hasShare(state, query, now)
+}
+
+// isOpen reports whether a server takes such calls at all, whichever box they come from. The caller
+// holds mu.
+func (f *Fleet) isOpen(state *State, query Query, now time.Time) bool {
 	if state.isDraining() || state.stated().PausedFor(now) > 0 || !f.isPresent(state, now) || now.Before(state.pausedUntil) || now.Before(state.weightOrderUntil) || now.Before(state.replacedUntil) {
 		return false
 	}
@@ -272,15 +278,6 @@
 	if query.Software != nil && state.Software != *query.Software {
 		return false
 	}
-	if f.lacksRoom(state, now) {
-		return false
-	}
-	if f.isColdExcluded(state, now) || !state.stated().HasRoom(now, f.limitPosition(state, now)) || query.UncappedOnly && f.isCapped(state, now) {
-		return false
-	}
-	if query.ConnectionLimit > 0 && state.inFlight >= query.ConnectionLimit {
-		return false
-	}
 	if query.Model != "" {
 		weights := state.weights(query.Model)
 		if _, may := query.VersionCost(weights); weights == 0 || !may {
@@ -290,6 +287,19 @@
 	return !slices.Contains(query.Exclude, state.Incarnation)
 }
 
+// hasShare reports whether this box may send one more call to a server: it has some left of what boxes
+// divide among each other. The caller holds mu.
+func (f *Fleet) hasShare(state *State, query Query, now time.Time) bool {
+	switch {
+	case f.lacksRoom(state, now), f.isColdExcluded(state, now), !state.stated().HasRoom(now, f.limitPosition(state, now)):
+		return false
+	case query.UncappedOnly && f.isCapped(state, now):
+		return false
+	default:
+		return query.ConnectionLimit == 0 || state.inFlight < query.ConnectionLimit
+	}
+}
+
 // describe returns the input of package placing for a server and a call: the work of all boxes
 // there, and the work of the call itself. The caller holds mu.
 func (f *Fleet) describe(state *State, query Query, now time.Time) placing.Candidate {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -39,6 +39,8 @@
 const (
 	reasonUnreachable  = "service_unreachable"
 	reasonForwardLimit = "forward_limit"
+	// reasonNoShare: the box has used up its part of what boxes divide among each other.
+	reasonNoShare = "no_share_left"
 )
 
 // reaches reports whether this box reaches servers of the call's service.
@@ -71,6 +73,9 @@
 		x.refuseUnreachable()
 		return placement{}, false
 	}
+	if chosen, ok, decided := g.placeElsewhere(x); decided {
+		return chosen, ok
+	}
 	chosen, ok := g.placeOrWait(x)
 	if !ok && x.forwarded && x.unreached >= maxUnreached {
 		x.refuseUnreachable()
@@ -78,6 +83,25 @@
 	return chosen, ok
 }
 
+// placeElsewhere chooses a box to forward a call to for which this box has used up its part of what boxes
+// divide among each other. New connections may all come to one box, while the parts of the others are left.
+// A forwarded call is refused, so that the first box tries another one. It returns decided=false if the call
+// stays here.
+func (g *Gateway) placeElsewhere(x *exchange) (chosen placement, ok, decided bool) {
+	if g.cfg.Peers == nil || !x.forwarded && !g.mayForward(x) {
+		return placement{}, false, false
+	}
+	if query, _ := g.fleetQuery(x); !g.cfg.Fleet.LacksShare(query) {
+		return placement{}, false, false
+	}
+	if x.forwarded {
+		x.pathRefusal = pathRefusal{reason: reasonNoShare, retryAfter: retryAfterBusy}
+		return placement{}, false, true
+	}
+	chosen, ok = g.choosePath(x)
+	return chosen, ok, ok
+}
+
 // refuseUnreachable sets the reason for a call that this box cannot serve since it does not reach the
 // service. For another box it means that the fleet may have capacity, and that a third one may serve it.
 func (x *exchange) refuseUnreachable() {
--- a/internal/gateway/forwardresult.go
+++ b/internal/gateway/forwardresult.go
@@ -96,6 +96,8 @@
 		return peerpath.Unreachable
 	case reasonForwardLimit:
 		return peerpath.Limited
+	case reasonNoShare:
+		return peerpath.NoShare
 	case reasonStopping:
 		return peerpath.Failed
 	default:
--- a/internal/peerpath/peerpath.go
+++ b/internal/peerpath/peerpath.go
@@ -34,7 +34,8 @@
 	// aliveFor is how long after a served call a box is not avoided because no connection could be made.
 	// A box that lacks CPU accepts new connections late while it serves calls on others.
 	aliveFor = 500 * time.Millisecond
-	// limitedDuration is the same for a box that takes no more forwarded calls at the moment.
+	// limitedDuration is the same for a box that takes no more forwarded calls at the moment, or none for a
+	// service.
 	limitedDuration = 100 * time.Millisecond
 	// maxUnusable is the number of boxes that must be found unusable, with no call served in between,
 	// before nothing is forwarded for pauseDuration. Boxes that do not reach the service refuse long
@@ -82,6 +83,8 @@
 	Failed
 	// Limited: the box takes no more forwarded calls at the moment.
 	Limited
+	// NoShare: the box has used up its part of what boxes divide for the service.
+	NoShare
 	// Abandoned: the call ended without a result that concerns the path.
 	Abandoned
 )
@@ -178,6 +181,8 @@
 		p.noteUnusable(box, service, now)
 	case Limited:
 		p.avoid(avoidKey{box: box}, now, limitedDuration)
+	case NoShare:
+		p.avoid(avoidKey{box, service}, now, limitedDuration)
 	}
 }
 
