The head of a server's response is bounded

Bytes that are no answer may come without end in a head. net/http holds a head until it is complete, so a few such calls took all memory of a box (2,400 MB seen, a box has 184 MB). A connection fails after 256 KiB of a head; the call ends as lost, as after any broken response. The clients of net/http in the adapter, for engines and for plain services get the bound that they have a setting for; their default is 10 MB for each connection.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -55,6 +55,9 @@
 	DefaultMaxResponseBytes = 32 << 20
 )
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 256 << 10
+
 // NewClient creates a client, which connects to an engine on the first request.
 func NewClient(cfg ClientConfig) *Client {
 	if cfg.DialTimeout == 0 {
@@ -78,6 +81,8 @@
 			ReadBufferSize:      connectionBufferBytes,
 			WriteBufferSize:     connectionBufferBytes,
 			DisableCompression:  true,
+			// A server in trouble may send a head without end.
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 	}
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -169,7 +169,9 @@
 // those; the call's deadline bounds them.
 func (c *connection) readFinal(method string) (*http.Response, error) {
 	for {
+		c.head.begin()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.head.end()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/handover/pool.go
+++ b/internal/handover/pool.go
@@ -100,6 +100,8 @@
 	socket  *net.TCPConn
 	address string
 	reader  *bufio.Reader
+	// head bounds what reader reads of a response's head.
+	head *headLimit
 	// idleSince is when the last call ended, idleUntil when the connection is too old to be reused.
 	idleSince time.Time
 	idleUntil time.Time
@@ -191,7 +193,8 @@
 			return nil, err
 		}
 	}
-	c.reader = bufio.NewReaderSize(c.Conn, readBufferSize)
+	c.head = &headLimit{source: c.Conn}
+	c.reader = bufio.NewReaderSize(c.head, readBufferSize)
 	return c, nil
 }
 
--- a/internal/plainservice/plainservice.go
+++ b/internal/plainservice/plainservice.go
@@ -57,13 +57,18 @@
 		onAdvisory: cfg.OnAdvisory,
 		repeatable: http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 		singleUse: http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 	}
 }
 
+// maxHeadBytes bounds the head of a response, since a server in trouble may send one without end.
+const maxHeadBytes = 256 << 10
+
 // Request is one call of a plain service.
 type Request struct {
 	// Address is the IP address and port of the backend server.
