An answer without a stated length is passed on after 1 MiB

A body without end was held until it was 16 MB long, for each of a server's calls, and then ended with a 502 (500 to 2,700 MB of heap seen). Such an answer is passed on as it is read once 1 MiB of it is held, and one that states its length after 16 MiB, as answers are for which there is no memory. Long answers without a length, which failed before, are served by that; a call whose answer has been passed on in part cannot be tried elsewhere. What is read of a refusal's body to use its connection again is 1 MiB too.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -96,7 +96,8 @@
 }
 
 // read reads an answer to its end. expected is its length, or -1 if that is unknown. complete is
-// false if there was no memory for the rest, which has not been read then.
+// false if the answer is too long to be buffered, or if there was no memory for the rest, which has not
+// been read then.
 func (p *pieces) read(body io.Reader, expected int64, memory *membudget.Call) (complete bool, err error) {
 	for {
 		if int64(p.size) == expected {
@@ -112,8 +113,8 @@
 		if ended || err != nil {
 			return ended, err
 		}
-		if p.size > maxBufferedBytes {
-			return false, merry.New("the answer is too long")
+		if expected < 0 && p.size > maxBufferedUnstated || p.size > maxBufferedBytes {
+			return false, nil
 		}
 	}
 }
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -127,7 +127,7 @@
 // recordRefusal records that the server did not run the call, and what the refusal shows about the
 // server.
 func (a *attempt) recordRefusal(response *handover.Response, info call.ResponseInfo) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes)) // so that the connection can be reused
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedUnstated)) // so that the connection can be reused
 	if a.peer() != nil {
 		a.recordForwardRefusal(response)
 		return
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -38,8 +38,10 @@
 	// and the caller would get a 504 although the call has run well. The limit is well below half a
 	// second, within which a call must have ended after its route's timeout.
 	lateResponseLimit = 150 * time.Millisecond
-	// maxBufferedBytes bounds a response that is buffered.
-	maxBufferedBytes = 16 << 20
+	// maxBufferedBytes bounds a response that is buffered, and maxBufferedUnstated one that does not state
+	// its length, which may have no end. Longer ones are passed on as they are read.
+	maxBufferedBytes    = 16 << 20
+	maxBufferedUnstated = 1 << 20
 )
 
 // reasonNoServer is the reason for ending a call that no server can take; the log line then
