--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -96,6 +96,8 @@
 	// calls that reached the server that they were sent to, including those that it rejected.
 	Advisories []Advisory
 	Received   []Arrival
+	// Streams are the streams of a soak with several software versions.
+	Streams []ResumableStream
 	// BadFetches describe stored parts that were fetched although they should not have been.
 	BadFetches []string
 	// PartsStored is the number of parts in the store boxes at the end, and PartsFreed the number that
@@ -178,6 +180,7 @@
 	h.checkEvacuated(report)
 	h.checkCold(report)
 	h.checkAdvisories(report)
+	h.checkVersions(report)
 	for _, details := range h.BadFetches {
 		report(InvariantParts, "%s", details)
 	}
