--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -46,7 +46,7 @@
 	if !known {
 		return g.refuse(x, reasonUnknownVersion, retryAfterBusy)
 	}
-	x.software = software
+	x.software = &software
 	return true
 }
 
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -9,22 +9,21 @@
 const maxListAge = 3 * time.Second
 
 // Decide returns the software version that must serve a resumed stream. known is false if the stream may
-// have begun at any of several versions, so that it must not be resumed. A nil version allows any.
+// have begun at any of several versions, so that it must not be resumed.
 //
 // Without the origin, the stream began while its box knew of one version, and that box has not learned of
 // a second one since, or has lost the origin. If no box knows of a second version, it is the one that there
-// is. Boxes that have not read of a new version yet ask others for that reason.
-func Decide(evidence Evidence, listAge time.Duration) (software *string, known bool) {
+// is. Boxes that have not read of a new version yet ask others for that reason. A box that has just started
+// and knows of no server cannot tell.
+func Decide(evidence Evidence, listAge time.Duration) (software string, known bool) {
 	switch {
 	case evidence.Found:
-		return &evidence.Software, true
-	case len(evidence.Versions) > 1:
-		return nil, false
+		return evidence.Software, true
+	case len(evidence.Versions) != 1:
+		return "", false
 	case evidence.Asked > 0 && evidence.Responded == 0 && listAge > maxListAge:
-		return nil, false
-	case len(evidence.Versions) == 1:
-		return &evidence.Versions[0], true
+		return "", false
 	default:
-		return nil, true
+		return evidence.Versions[0], true
 	}
 }
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -182,24 +182,24 @@
 }
 
 func TestWhichVersionServesAResumedStream(t *testing.T) {
-	v1 := "v1"
+	const v1 = "v1"
 	tests := []struct {
 		name     string
 		evidence Evidence
 		listAge  time.Duration
-		software *string
+		software string
 		known    bool
 	}{
-		{"found", Evidence{Found: true, Software: v1, Versions: []string{"v1", "v2"}}, time.Hour, &v1, true},
-		{"found, and this box does not know the version", Evidence{Found: true, Software: v1, Versions: []string{"v2"}}, 0, &v1, true},
-		{"not found, one version", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3}, 0, &v1, true},
-		{"not found, two versions", Evidence{Versions: []string{"v1", "v2"}, Asked: 3, Responded: 3}, 0, nil, false},
-		{"not found, two versions, no other box", Evidence{Versions: []string{"v1", "v2"}}, 0, nil, false},
-		{"one version, no box responds", Evidence{Versions: []string{v1}, Asked: 3}, time.Second, &v1, true},
-		{"one version, no box responds and the list is old", Evidence{Versions: []string{v1}, Asked: 3}, time.Minute, nil, false},
-		{"one version, an old list, a box responds", Evidence{Versions: []string{v1}, Asked: 3, Responded: 1}, time.Minute, &v1, true},
-		{"one version, an old list, no other box", Evidence{Versions: []string{v1}}, time.Minute, &v1, true},
-		{"no servers", Evidence{}, 0, nil, true},
+		{"found", Evidence{Found: true, Software: v1, Versions: []string{"v1", "v2"}}, time.Hour, v1, true},
+		{"found, and this box does not know the version", Evidence{Found: true, Software: v1, Versions: []string{"v2"}}, 0, v1, true},
+		{"not found, one version", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3}, 0, v1, true},
+		{"not found, two versions", Evidence{Versions: []string{"v1", "v2"}, Asked: 3, Responded: 3}, 0, "", false},
+		{"not found, two versions, no other box", Evidence{Versions: []string{"v1", "v2"}}, 0, "", false},
+		{"one version, no box responds", Evidence{Versions: []string{v1}, Asked: 3}, time.Second, v1, true},
+		{"one version, no box responds and the list is old", Evidence{Versions: []string{v1}, Asked: 3}, time.Minute, "", false},
+		{"one version, an old list, a box responds", Evidence{Versions: []string{v1}, Asked: 3, Responded: 1}, time.Minute, v1, true},
+		{"one version, an old list, no other box", Evidence{Versions: []string{v1}}, time.Minute, v1, true},
+		{"a box that has just started and knows of no server", Evidence{}, 0, "", false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
