Only the servers of a call are described where its prompt's plan is not needed

Whether this box has a share left at any server of a call was asked with the plan of its prompt, which takes a look at all its parts, for each call with a prompt.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -91,7 +91,7 @@
 	if g.cfg.Peers == nil || !x.forwarded && !g.mayForward(x) {
 		return placement{}, false, false
 	}
-	if query, _ := g.fleetQuery(x); !g.cfg.Fleet.LacksShare(query) {
+	if !g.cfg.Fleet.LacksShare(g.serversQuery(x)) {
 		return placement{}, false, false
 	}
 	if x.forwarded {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -88,17 +88,27 @@
 // fleetQuery describes a call to the fleet. The plans are those of its prompt; nil when it has
 // none, or when its service does not process prompts.
 func (g *Gateway) fleetQuery(x *exchange) (fleet.Query, *promptPlans) {
+	query := g.serversQuery(x)
+	if query.Model == "" {
+		return query, nil
+	}
+	plans := g.addPromptQuery(x, &query)
+	return query, plans
+}
+
+// serversQuery describes which servers may take a call, regardless of its prompt's work.
+func (g *Gateway) serversQuery(x *exchange) fleet.Query {
 	query := fleet.Query{
 		Service: x.service.Name, Zone: g.cfg.Zone, Exclude: x.attempted, ZoneAllowed: g.allowedZones(x), Software: x.software,
 		Load: placing.Query{TieBreaker: g.tieBreaker(x.number)},
 		// Divided by one more than the number of known boxes, since a box may have just started.
 		ConnectionLimit: max(x.service.ConnectionLimit/(g.cfg.BoxCount()+1), minConnections),
 	}
-	if x.info.Prompt == nil || x.service.Engine == nil {
-		return query, nil
+	if x.info.Prompt != nil && x.service.Engine != nil {
+		query.Model = x.info.Prompt.Model
+		query.VersionCost = func(weights int) (float64, bool) { return g.outdatedCost(query.Model, weights, x.route.Objective) }
 	}
-	plans := g.addPromptQuery(x, &query)
-	return query, plans
+	return query
 }
 
 // addPromptQuery adds the requirements of the call's prompt to a query, and returns the plans that
@@ -106,8 +116,6 @@
 func (g *Gateway) addPromptQuery(x *exchange, query *fleet.Query) *promptPlans {
 	model := x.info.Prompt.Model
 	plans := &promptPlans{gateway: g, x: x, newestVersion: g.newestVersion(model), byVersion: map[int]placement{}, madeAt: boottime.Now(), tokenTime: g.cfg.Fleet.TokenTime()}
-	query.Model = model
-	query.VersionCost = func(weights int) (float64, bool) { return g.outdatedCost(model, weights, x.route.Objective) }
 	query.PrefillWork = func(weights int) int { return plans.forVersion(weights).plan.Missing }
 	query.Fetch = func(weights int) (string, time.Duration) {
 		plan := plans.forVersion(weights).plan
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -107,7 +107,7 @@
 
 // availability returns when the servers that may serve a call accept calls.
 func (g *Gateway) availability(x *exchange) fleet.Availability {
-	return g.cfg.Fleet.AvailabilityFor(fleet.Query{Service: x.service.Name, ZoneAllowed: g.allowedZones(x), Software: x.software})
+	return g.cfg.Fleet.AvailabilityFor(g.serversQuery(x))
 }
 
 // placeOrWait places a call; one with a prompt or to a brittle service waits in the queue if there is no
