--- a/internal/frame/client.go
+++ b/internal/frame/client.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if connection := c.takeIdle(address); connection != nil {
-		err := c.exchangeOn(ctx, address, connection, request, response)
+		err := c.exchangeOn(ctx, address, connection, request, response, timeout)
 		if err == nil || ctx.Err() != nil || isTimeout(err) {
 			return err
 		}
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	return c.exchangeOn(ctx, address, connection, request, response)
+	return c.exchangeOn(ctx, address, connection, request, response, timeout)
 }
 
 func isTimeout(err error) bool {
@@ -75,11 +75,11 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// exchangeOn exchanges a request and a response on a connection, which is kept unless that fails.
-func (c *Client) exchangeOn(ctx context.Context, address string, connection net.Conn, request, response any) error {
-	stop := context.AfterFunc(ctx, func() { _ = connection.Close() }) // ends the read
-	deadline, _ := ctx.Deadline()
-	err := Write(connection, request, time.Until(deadline))
+// exchangeOn exchanges a request and a response on a connection, which is kept unless that fails. The end of
+// ctx closes it, which ends a read.
+func (c *Client) exchangeOn(ctx context.Context, address string, connection net.Conn, request, response any, timeout time.Duration) error {
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	err := Write(connection, request, timeout)
 	if err == nil {
 		err = Read(connection, response, c.cfg.MaxResponseBytes)
 	}
