--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,5 +1,5 @@
-// Requests that crash the servers which run them (package quarantine). Such a request is refused
-// before placement, and as soon as it is quarantined, its calls in flight are cancelled: those at a
+// Requests that crash the servers which run them, and parts of prompts that do (package quarantine). Such
+// a request is refused before placement, and as soon as it is quarantined, its calls in flight are cancelled: those at a
 // server, those in a queue and those that would be retried.
 
 package gateway
@@ -151,8 +151,8 @@
 
 // isRepeatedCrash checks whether the server of a lost call has crashed, and reports whether it
 // was not the first server to crash under this request, or under a part of its prompt; the call is then
-// not retried. After a first
-// crash, the other calls that were lost with the server are best retried at once.
+// not retried. After a first crash, the other calls that were lost with the server are best retried at
+// once.
 func (a *attempt) isRepeatedCrash(end fleet.Outcome) (repeated bool) {
 	if end != fleet.OutcomeUnreachable || a.closedBy() == sideBox || a.gateway.cfg.ConfirmCrash == nil || a.peer() != nil {
 		return false // the other box detects crashes of its servers; its own end shows nothing about the request
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -9,9 +9,10 @@
 // While the servers of a service have more than one version, a box sends the origin of each stream to
 // its holders: the first boxes of three zones by rendezvous hashing of the request, or of fewer zones
 // where there are not as many. So any two boxes, or any zone, may be lost at once. A box that does not
-// have the origin asks the holders, all at once, and uses the first one that has it. Nothing is broadcast, so at
-// 2,000 boxes each one holds three times the streams that it serves itself. While a service has one
-// version nothing is sent; when a second one appears, the origins of the streams in flight are.
+// have the origin asks the holders, all at once, and uses the first answer that has it. Nothing is
+// broadcast, so each box holds about three times as many origins as it begins streams, however many boxes
+// there are. While a service has one version nothing is sent; when a second one appears, the origins of the
+// streams in flight are.
 //
 // A stream whose origin cannot be found is resumed only if all boxes that were asked know of one version
 // (decide.go). All state is in memory: when all holders of a stream and the box that began it restart
