--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -186,7 +186,7 @@
 		cfg.Quarantine = quarantine.New(quarantine.Config{})
 	}
 	if cfg.PartQuarantine == nil {
-		cfg.PartQuarantine = quarantine.New(quarantine.Config{})
+		cfg.PartQuarantine = quarantine.New(quarantine.Config{Threshold: quarantine.PartThreshold})
 	}
 	if cfg.Uses == nil {
 		cfg.Uses = func() []fairshare.ServiceReport { return nil }
