A forwarded call waits at a box without a share if its first box reaches no server

Found by reading: since calls without a share are forwarded, a box that has none refused every forwarded call at once, also those whose first box does not reach the service and which waited here for room before. The first box states now that it lacks only a share. Tests of forwarding pass with the race detector; no test plays a partition before brittle servers.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -85,10 +85,11 @@
 
 // placeElsewhere chooses a box to forward a call to for which this box has used up its part of what boxes
 // divide among each other. New connections may all come to one box, while the parts of the others are left.
-// A forwarded call is refused, so that the first box tries another one. It returns decided=false if the call
+// A call that was forwarded for that reason is refused, so that the first box tries another one; one whose
+// first box does not reach the service waits here like others. It returns decided=false if the call
 // stays here.
 func (g *Gateway) placeElsewhere(x *exchange) (chosen placement, ok, decided bool) {
-	if g.cfg.Peers == nil || !x.forwarded && !g.mayForward(x) {
+	if g.cfg.Peers == nil || x.forwarded && !x.shareOnly || !x.forwarded && !g.mayForward(x) {
 		return placement{}, false, false
 	}
 	if !g.cfg.Fleet.LacksShare(g.serversQuery(x)) {
@@ -157,6 +158,9 @@
 	header.Set(headerForwardRemaining, strconv.FormatInt(max(boottime.Until(x.deadline).Milliseconds(), 1), 10))
 	header.Set(headerForwardServers, strconv.Itoa(a.serversAllowed()))
 	header.Set(headerForwardResume, x.resumeAfter)
+	if a.gateway.reaches(x) {
+		header.Set(headerForwardShare, "1")
+	}
 	if x.software != nil {
 		header.Set(headerForwardSoftware, *x.software)
 	}
--- a/internal/gateway/forwarded.go
+++ b/internal/gateway/forwarded.go
@@ -43,6 +43,7 @@
 		x.info.ResumeAfter = resume
 	}
 	x.software = readForwardSoftware(header)
+	x.shareOnly = header.Get(headerForwardShare) != ""
 }
 
 // setForwardResult states to the other box how a call ended that has no server's response.
--- a/internal/gateway/forwardresult.go
+++ b/internal/gateway/forwardresult.go
@@ -28,6 +28,9 @@
 	// headerForwardSoftware is the software version that must serve the call, and in the response the one
 	// that does; without it any may.
 	headerForwardSoftware = forwardHeaderPrefix + "Software"
+	// headerForwardShare is set for a call that the first box could serve itself if it had a share left, so
+	// that another box without one refuses it at once.
+	headerForwardShare = forwardHeaderPrefix + "Share"
 	// headerForwardOutcome is the outcome of a call that ended without a server's response, and
 	// headerForwardReason the reason. headerForwardReached is the number of servers that the call was
 	// sent to.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,6 +185,8 @@
 
 	// forwarded is set for a call that another box has forwarded.
 	forwarded bool
+	// shareOnly is set for a forwarded call whose first box has no share left, but reaches the service.
+	shareOnly bool
 
 	// Written by accept. serversAllowed is the number of servers that another box allows for a call
 	// that it has forwarded; 0 means that the route decides.
