registry: log when the store came back from a copy

The adapter reads Store-Era, log_restored is written once for each era with the position that this box had and the end of the stream, and records_expired says whether the position was past the end.

--- a/internal/fakelog/fakelog.go
+++ b/internal/fakelog/fakelog.go
@@ -36,6 +36,8 @@
 	faults  Faults
 	streams map[string]*stream
 	appends int64
+	// restores is how often the log was restored from a copy.
+	restores int64
 }
 
 type stream struct {
@@ -169,11 +171,15 @@
 // Read implements logservice.Log.
 func (l *Log) Read(ctx context.Context, name string, opts logservice.ReadOptions) (logservice.Page, error) {
 	deadline := time.Now().Add(opts.Wait)
+	restores := l.Restores()
 	for {
 		page, changed, err := l.readNow(name, opts)
 		if err != nil || len(page.Records) > 0 {
 			return page, err
 		}
+		if l.Restores() != restores {
+			return logservice.Page{}, logservice.ErrUnavailable
+		}
 		left := time.Until(deadline)
 		if left <= 0 {
 			return page, nil
@@ -197,7 +203,8 @@
 		return logservice.Page{}, nil, logservice.ErrUnavailable
 	}
 	s := l.stream(name)
-	if opts.From < s.earliest {
+	end := s.earliest + int64(len(s.records))
+	if opts.From < s.earliest || opts.From > end && l.restores > 0 {
 		return logservice.Page{}, nil, &logservice.ExpiredError{Earliest: s.earliest}
 	}
 	limit := opts.Limit
@@ -209,7 +216,7 @@
 	page := logservice.Page{
 		Records:  append([]logservice.Record(nil), s.records[first:last]...),
 		Earliest: s.earliest,
-		Next:     s.earliest + int64(len(s.records)),
+		Next:     end,
 	}
 	return page, s.changed, nil
 }
--- a/internal/fakesharedlog/fakesharedlog.go
+++ b/internal/fakesharedlog/fakesharedlog.go
@@ -36,6 +36,15 @@
 // Underlying returns the log that stores the records, for setting its faults.
 func (l *Log) Underlying() *fakelog.Log { return l.base }
 
+// Copy returns a copy of all streams.
+func (l *Log) Copy() fakelog.Copy { return l.base.Copy() }
+
+// Restore replaces all streams by a copy, as a store that comes back from one, and increments the era.
+func (l *Log) Restore(from fakelog.Copy) { l.base.Restore(from) }
+
+// Era returns the number of the history that the streams are from.
+func (l *Log) Era() int64 { return l.base.Restores() }
+
 // entry is the encoding of a record in the underlying log.
 type entry struct {
 	Key   string `msgpack:"k"`
@@ -73,12 +82,12 @@
 func (l *Log) Read(ctx context.Context, stream sharedlog.Stream, from int64, wait time.Duration) (sharedlog.Page, error) {
 	read, err := l.base.Read(ctx, stream.String(), logservice.ReadOptions{From: from, Wait: wait})
 	if expired, ok := errors.AsType[*logservice.ExpiredError](err); ok {
-		return sharedlog.Page{}, &sharedlog.RecordsExpiredError{First: expired.Earliest}
+		return sharedlog.Page{}, &sharedlog.RecordsExpiredError{First: expired.Earliest, Era: l.Era()}
 	}
 	if err != nil {
 		return sharedlog.Page{}, sharedlog.ErrUnknown
 	}
-	page := sharedlog.Page{Next: from + int64(len(read.Records)), End: read.Next}
+	page := sharedlog.Page{Next: from + int64(len(read.Records)), End: read.Next, Era: l.Era()}
 	for _, r := range read.Records {
 		var decoded entry
 		if err := safepack.Unmarshal(r.Data, &decoded); err != nil {
@@ -106,7 +115,7 @@
 			break
 		}
 	}
-	page := sharedlog.Page{Next: next, End: next}
+	page := sharedlog.Page{Next: next, End: next, Era: l.Era()}
 	for _, key := range slices.Sorted(maps.Keys(newest)) {
 		if record := newest[key]; len(record.Value) > 0 && (after == "" || key > after) {
 			page.Records = append(page.Records, record)
--- a/internal/registry/read.go
+++ b/internal/registry/read.go
@@ -74,10 +74,11 @@
 			continue
 		}
 		failed, retryDelay = 0, minRetryDelay
+		r.logEra(stream, page)
 		r.recordLogBack(stream, page.Next)
 		expired := full && from >= 0
 		if expired {
-			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", from).Int64("offset", page.Next).Msg("records_expired")
+			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", from).Int64("offset", page.Next).Int64("era", page.Era).Bool("past_end", from > page.End).Msg("records_expired")
 		}
 		if full || len(page.Records) > 0 {
 			r.apply(stream, page.Records, batch{next: page.Next, full: full, uncompacted: !full})
@@ -191,6 +192,17 @@
 	}
 }
 
+// logEra logs when the log has come back from a copy, once.
+func (r *Registry) logEra(stream sharedlog.Stream, page sharedlog.Page) {
+	r.mu.Lock()
+	before := r.era
+	r.era = max(r.era, page.Era)
+	r.mu.Unlock()
+	if before != unknownEra && page.Era > before {
+		r.cfg.Logger.Warn().Stringer("stream", stream).Int64("era", page.Era).Int64("era_before", before).Int64("known", r.Position(stream)).Int64("end", page.End).Msg("log_restored")
+	}
+}
+
 func (r *Registry) recordLogLost(ctx context.Context, stream sharedlog.Stream, sentAt time.Time, err error) {
 	if ctx.Err() != nil {
 		return
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -104,7 +104,9 @@
 	// weights holds the versions declared for each model, the newest last.
 	weights map[string][]DeclaredWeights
 	lost    map[sharedlog.Stream]bool
-	states  map[sharedlog.Stream]*streamState
+	// era is the highest era of the log that this box has read.
+	era    int64
+	states map[sharedlog.Stream]*streamState
 	// serversReadAt is the readAt of the servers' stream, for readers that must not wait for mu.
 	serversReadAt atomic.Pointer[time.Time]
 
@@ -143,10 +145,13 @@
 	}
 	return &Registry{
 		cfg: cfg, weights: map[string][]DeclaredWeights{}, lost: map[sharedlog.Stream]bool{}, streamsChanged: cfg.StreamsChanged,
-		states: map[sharedlog.Stream]*streamState{},
+		states: map[sharedlog.Stream]*streamState{}, era: unknownEra,
 	}
 }
 
+// unknownEra is the era before the first read.
+const unknownEra = -1
+
 // state returns the state of a stream. The caller holds mu.
 func (r *Registry) state(stream sharedlog.Stream) *streamState {
 	if r.states[stream] == nil {
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -28,6 +28,8 @@
 type RecordsExpiredError struct {
 	// First is the offset of the first record that still is.
 	First int64
+	// Era is the era of the log; see Page.
+	Era int64
 }
 
 // Error implements error.
@@ -88,6 +90,9 @@
 	End int64
 	// More means that the stream has keys after those of a page of newest records.
 	More bool
+	// Era is the number of the history that the log's records are from. It rises when the log comes
+	// back from a copy and has lost the records since then.
+	Era int64
 }
 
 // AnyEnd makes Append succeed wherever the stream ends.
@@ -139,7 +144,7 @@
 			return Page{}, err
 		}
 		if first {
-			all.Next, all.End = page.End, page.End
+			all.Next, all.End, all.Era = page.End, page.End, page.Era
 		}
 		all.Records = append(all.Records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
