Positions of the log hold the era, and a box holds what a copy lacks

Cause: after the store came back from a copy, offsets were compared across two histories. A box's position stayed ahead of the shorter stream: each read was refused and followed by a full read whose result did not count, and once the stream had grown past the position, reading went on there. The records before it were never read. Everything that stores or passes on an offset had the same fault: newest records by key, digests, deltas and pages between boxes, ages.

A position is now the era in the upper and the offset in the lower bits of the same integer, so all of these comparisons order histories first. The adapter derives it from Store-Era; answers of an earlier era, and without an era where one was named, are not used, an append that took effect in another era than that of its condition is unknown, and a full read begins again if the era changes between pages.

The first full view of a later era is older than what the box knows. What it lacks is held until it is written again, for at most a minute; versions and servers' sequences decide what is newer, and where there are none the comparison of both histories. Weight versions are never taken back.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -182,7 +182,7 @@
 	})
 	b.parts = partindex.New(partindex.Config{Changed: &b.partsChanged, Mechanisms: b.settings.Mechanisms, PollDelay: b.firstReadDelay(), Box: b.settings.Box, Boxes: func() int { return b.share.BoxCount() }, OnSpeedChange: b.onSpeedChange})
 	b.registry = registry.New(registry.Config{
-		Log: b.log, Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, OnCatalog: b.configure, StreamsChanged: &b.streamsChanged,
+		Log: b.log, Eras: b.log.Eras(), Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, OnCatalog: b.configure, StreamsChanged: &b.streamsChanged,
 		OnBoxes: func(records []sharedlog.Record) { b.share.ApplyBoxRecords(records) }, FirstReadDelay: b.firstReadDelay(),
 		ServersDeadline: b.settings.DrainDeadline, OperatorDeadline: b.settings.ConfigurationDeadline,
 		HasReader: func() bool { return b.readers.Following() != "" }, ReaderLostLog: func() bool { return b.readers.ReaderLostLog() },
--- a/internal/fakesharedlog/fakesharedlog.go
+++ b/internal/fakesharedlog/fakesharedlog.go
@@ -65,10 +65,17 @@
 	if err != nil {
 		return 0, merry.Prepend(err, "encode record")
 	}
-	offset, err := l.base.AppendAt(ctx, stream.String(), end, data)
+	at := end
+	if end != sharedlog.AnyEnd {
+		at = sharedlog.OffsetOf(end)
+	}
+	era := l.Era()
+	offset, err := l.base.AppendAt(ctx, stream.String(), at, data)
 	switch {
+	case err == nil && (l.Era() != era || end != sharedlog.AnyEnd && sharedlog.EraOf(end) != era):
+		return 0, sharedlog.ErrUnknown
 	case err == nil:
-		return offset, nil
+		return sharedlog.Position(era, offset), nil
 	case errors.Is(err, fakelog.ErrEndMoved):
 		return 0, sharedlog.ErrConflict
 	case errors.Is(err, logservice.ErrNotAppended):
@@ -80,20 +87,28 @@
 
 // Read implements sharedlog.Log.
 func (l *Log) Read(ctx context.Context, stream sharedlog.Stream, from int64, wait time.Duration) (sharedlog.Page, error) {
-	read, err := l.base.Read(ctx, stream.String(), logservice.ReadOptions{From: from, Wait: wait})
+	era := l.Era()
+	if err := sharedlog.CheckEra(from, era); err != nil {
+		return sharedlog.Page{}, err
+	}
+	read, err := l.base.Read(ctx, stream.String(), logservice.ReadOptions{From: sharedlog.OffsetOf(from), Wait: wait})
+	if now := l.Era(); now != era {
+		return sharedlog.Page{}, &sharedlog.HistoryChangedError{Start: sharedlog.Position(now, 0)}
+	}
 	if expired, ok := errors.AsType[*logservice.ExpiredError](err); ok {
-		return sharedlog.Page{}, &sharedlog.RecordsExpiredError{First: expired.Earliest, Era: l.Era()}
+		return sharedlog.Page{}, &sharedlog.RecordsExpiredError{First: sharedlog.Position(era, expired.Earliest)}
 	}
 	if err != nil {
 		return sharedlog.Page{}, sharedlog.ErrUnknown
 	}
-	page := sharedlog.Page{Next: from + int64(len(read.Records)), End: read.Next, Era: l.Era()}
+	next := sharedlog.Position(era, sharedlog.OffsetOf(from))
+	page := sharedlog.Page{Next: next + int64(len(read.Records)), End: sharedlog.Position(era, read.Next)}
 	for _, r := range read.Records {
 		var decoded entry
 		if err := safepack.Unmarshal(r.Data, &decoded); err != nil {
 			return sharedlog.Page{}, merry.Prepend(err, "decode record")
 		}
-		page.Records = append(page.Records, sharedlog.Record{Key: decoded.Key, Value: decoded.Value, Offset: r.Offset})
+		page.Records = append(page.Records, sharedlog.Record{Key: decoded.Key, Value: decoded.Value, Offset: sharedlog.Position(era, r.Offset)})
 	}
 	return page, nil
 }
@@ -102,7 +117,7 @@
 // only for streams without expired records. Keys are in lexical order.
 func (l *Log) NewestPage(ctx context.Context, stream sharedlog.Stream, after string) (sharedlog.Page, error) {
 	newest := map[string]sharedlog.Record{}
-	var next int64
+	next := sharedlog.Position(l.Era(), 0)
 	for {
 		page, err := l.Read(ctx, stream, next, 0)
 		if err != nil {
@@ -115,7 +130,7 @@
 			break
 		}
 	}
-	page := sharedlog.Page{Next: next, End: next, Era: l.Era()}
+	page := sharedlog.Page{Next: next, End: next}
 	for _, key := range slices.Sorted(maps.Keys(newest)) {
 		if record := newest[key]; len(record.Value) > 0 && (after == "" || key > after) {
 			page.Records = append(page.Records, record)
--- a/internal/registry/adopt_race_test.go
+++ b/internal/registry/adopt_race_test.go
@@ -21,6 +21,8 @@
 	return &Declaration{Catalog: c}, err
 }
 
+func (lengthDecoder) Rank(sharedlog.Stream, sharedlog.Record) (Rank, bool) { return Rank{}, false }
+
 func (lengthDecoder) Evacuation(sharedlog.Record) (evacuation.Change, bool) {
 	return evacuation.Change{}, false
 }
--- a/internal/registry/changes_test.go
+++ b/internal/registry/changes_test.go
@@ -36,7 +36,7 @@
 	s := newStreamState()
 	s.next = 0
 	for range 400 {
-		s.apply(randomBatch(random, 3000, s.next))
+		s.apply(randomBatch(random, 3000, s.next), nil)
 		from := s.next - int64(random.IntN(60))
 		var scanned, found []string
 		for key, known := range s.entries {
--- a/internal/registry/read.go
+++ b/internal/registry/read.go
@@ -74,11 +74,10 @@
 			continue
 		}
 		failed, retryDelay = 0, minRetryDelay
-		r.logEra(stream, page)
 		r.recordLogBack(stream, page.Next)
 		expired := full && from >= 0
-		if expired {
-			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", from).Int64("offset", page.Next).Int64("era", page.Era).Bool("past_end", from > page.End).Msg("records_expired")
+		if expired && sharedlog.EraOf(from) == sharedlog.EraOf(page.Next) {
+			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", from).Int64("offset", page.Next).Msg("records_expired")
 		}
 		if full || len(page.Records) > 0 {
 			r.apply(stream, page.Records, batch{next: page.Next, full: full, uncompacted: !full})
@@ -192,15 +191,15 @@
 	}
 }
 
-// logEra logs when the log has come back from a copy, once.
-func (r *Registry) logEra(stream sharedlog.Stream, page sharedlog.Page) {
-	r.mu.Lock()
-	before := r.era
-	r.era = max(r.era, page.Era)
-	r.mu.Unlock()
-	if before != unknownEra && page.Era > before {
-		r.cfg.Logger.Warn().Stringer("stream", stream).Int64("era", page.Era).Int64("era_before", before).Int64("known", r.Position(stream)).Int64("end", page.End).Msg("log_restored")
+// logRestored logs when a stream came back from a copy: the position that this box had before, and the
+// keys that it holds. The caller holds mu.
+func (r *Registry) logRestored(stream sharedlog.Stream, s *streamState, before int64) {
+	if before < 0 || sharedlog.EraOf(s.next) <= sharedlog.EraOf(before) {
+		return
 	}
+	r.cfg.Logger.Warn().Stringer("stream", stream).Int64("era", sharedlog.EraOf(s.next)).Int64("era_before", sharedlog.EraOf(before)).
+		Int64("offset", sharedlog.OffsetOf(s.next)).Int64("offset_before", sharedlog.OffsetOf(before)).
+		Int64("written_from", sharedlog.OffsetOf(s.held.writtenFrom)).Int("held", len(s.held.keys)).Msg("log_restored")
 }
 
 func (r *Registry) recordLogLost(ctx context.Context, stream sharedlog.Stream, sentAt time.Time, err error) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -38,11 +38,16 @@
 	Evacuation(record sharedlog.Record) (evacuation.Change, bool)
 	// Server returns a server, or an update without one if the server has been removed.
 	Server(record sharedlog.Record) (fleet.Update, error)
+	// Rank orders the records of a key of the operators' and the servers' streams by what their content
+	// says, such as a version. It returns false for records without such a statement.
+	Rank(stream sharedlog.Stream, record sharedlog.Record) (Rank, bool)
 }
 
 // Config configures a Registry.
 type Config struct {
-	Log     sharedlog.Log
+	Log sharedlog.Log
+	// Eras knows the eras of the log that this box has seen. Nil means those of this package's reads.
+	Eras    *sharedlog.Eras
 	Decoder Decoder
 	Fleet   *fleet.Fleet
 	Logger  zerolog.Logger
@@ -97,16 +102,16 @@
 	// applyMu serializes the application of records, which come from the log and from other boxes,
 	// so that each batch is compared with the result of the one before.
 	applyMu sync.Mutex
-	// shared has the values that entries of servers have in common. applyMu guards it.
-	shared sharedValues
+	// shared has the values that entries of servers have in common, and catalogRecord is the record of the
+	// configuration in force. applyMu guards both.
+	shared        sharedValues
+	catalogRecord sharedlog.Record
 
 	mu sync.Mutex
 	// weights holds the versions declared for each model, the newest last.
 	weights map[string][]DeclaredWeights
 	lost    map[sharedlog.Stream]bool
-	// era is the highest era of the log that this box has read.
-	era    int64
-	states map[sharedlog.Stream]*streamState
+	states  map[sharedlog.Stream]*streamState
 	// serversReadAt is the readAt of the servers' stream, for readers that must not wait for mu.
 	serversReadAt atomic.Pointer[time.Time]
 
@@ -136,6 +141,7 @@
 	cfg.ServersDeadline = max(cfg.ServersDeadline, DefaultDeadline)
 	cfg.OperatorDeadline = max(cfg.OperatorDeadline, DefaultDeadline)
 	cfg.StreamsChanged = cmp.Or(cfg.StreamsChanged, &waiting.Signal{})
+	cfg.Eras = cmp.Or(cfg.Eras, &sharedlog.Eras{})
 	never := func() bool { return false }
 	if cfg.HasReader == nil {
 		cfg.HasReader = never
@@ -145,13 +151,10 @@
 	}
 	return &Registry{
 		cfg: cfg, weights: map[string][]DeclaredWeights{}, lost: map[sharedlog.Stream]bool{}, streamsChanged: cfg.StreamsChanged,
-		states: map[sharedlog.Stream]*streamState{}, era: unknownEra,
+		states: map[sharedlog.Stream]*streamState{},
 	}
 }
 
-// unknownEra is the era before the first read.
-const unknownEra = -1
-
 // state returns the state of a stream. The caller holds mu.
 func (r *Registry) state(stream sharedlog.Stream) *streamState {
 	if r.states[stream] == nil {
@@ -282,7 +285,11 @@
 func (r *Registry) applyLocked(stream sharedlog.Stream, records []sharedlog.Record, b batch) {
 	r.decode(stream, records, &b)
 	r.mu.Lock()
-	changed := r.state(stream).apply(b)
+	s := r.state(stream)
+	before := s.next
+	changed := s.apply(b, func(record sharedlog.Record) (Rank, bool) { return r.cfg.Decoder.Rank(stream, record) })
+	r.logRestored(stream, s, before)
+	r.cfg.Eras.Note(s.next)
 	r.mu.Unlock()
 	if len(changed) > 0 || b.full {
 		r.streamsChanged.Broadcast()
@@ -293,7 +300,8 @@
 	case sharedlog.Boxes:
 		r.applyBoxes(changed)
 	default:
-		r.applyDeclarations(records)
+		r.moveCatalog(records)
+		r.applyDeclarations(b.records)
 		r.applyEvacuations(changed)
 	}
 }
@@ -352,27 +360,45 @@
 	}
 }
 
-func (r *Registry) applyDeclarations(records []sharedlog.Record) {
-	for _, record := range records {
+func (r *Registry) applyDeclarations(records []decodedRecord) {
+	for _, next := range records {
+		if next.outdated {
+			continue
+		}
+		record := next.record
 		declaration, err := r.cfg.Decoder.Declaration(record)
 		switch {
 		case err != nil:
 			r.cfg.Logger.Error().Str("key", record.Key).Int64("offset", record.Offset).Str("error", err.Error()).Msg("declaration_invalid")
 		case declaration == nil:
 		case declaration.Catalog != nil:
-			r.applyCatalog(declaration.Catalog, record.Offset)
+			r.applyCatalog(declaration.Catalog, record)
 		case declaration.Weights != nil:
 			r.applyWeights(*declaration.Weights, record.Offset)
 		}
 	}
 }
 
-func (r *Registry) applyCatalog(next *catalog.Catalog, offset int64) {
-	if current := r.catalog.Load(); current != nil && next.Version() <= current.Version() {
+// moveCatalog updates the position of the configuration in force, which has a new one if the log came back
+// from a copy that includes it. The caller holds applyMu.
+func (r *Registry) moveCatalog(records []sharedlog.Record) {
+	for _, record := range records {
+		if current := r.catalogRecord; record.Key == current.Key && sameValue(record, current) {
+			r.catalogRecord.Offset = max(record.Offset, current.Offset)
+		}
+	}
+}
+
+// applyCatalog puts a configuration in force. An older version than the present one comes into force only
+// if the log came back from a copy, and this box no longer holds the present one. The caller holds applyMu.
+func (r *Registry) applyCatalog(next *catalog.Catalog, record sharedlog.Record) {
+	ofLaterEra := sharedlog.EraOf(record.Offset) > sharedlog.EraOf(r.catalogRecord.Offset)
+	if current := r.catalog.Load(); current != nil && next.Version() <= current.Version() && !ofLaterEra {
 		return
 	}
 	r.catalog.Store(next)
-	r.cfg.Logger.Info().Int64("version", next.Version()).Int64("offset", offset).Msg("configuration_in_force")
+	r.catalogRecord = record
+	r.cfg.Logger.Info().Int64("version", next.Version()).Int64("offset", record.Offset).Msg("configuration_in_force")
 	if r.cfg.OnCatalog != nil {
 		r.cfg.OnCatalog(next)
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -39,6 +40,16 @@
 	}
 }
 
+// Rank returns the version of a declaration, and of a server what follows "#" in its value.
+func (decoder) Rank(stream sharedlog.Stream, record sharedlog.Record) (registry.Rank, bool) {
+	if stream == sharedlog.Operator {
+		return registry.Rank{Major: int64(len(record.Value))}, !strings.HasPrefix(record.Key, "evacuate/") && len(record.Value) > 0
+	}
+	_, sequence, found := strings.Cut(string(record.Value), "#")
+	minor, err := strconv.ParseInt(sequence, 10, 64)
+	return registry.Rank{Minor: minor}, found && err == nil
+}
+
 func (decoder) Evacuation(record sharedlog.Record) (evacuation.Change, bool) {
 	zone, found := strings.CutPrefix(record.Key, "evacuate/")
 	return evacuation.Change{Zone: zone, Evacuate: len(record.Value) > 0, Offset: record.Offset}, found
@@ -47,7 +58,7 @@
 func (decoder) Server(record sharedlog.Record) (fleet.Update, error) {
 	update := fleet.Update{Key: record.Key, Offset: record.Offset}
 	if len(record.Value) > 0 {
-		update.Server = &fleet.Server{Incarnation: record.Key, Service: "s", Leaving: string(record.Value) == "leaving"}
+		update.Server = &fleet.Server{Incarnation: record.Key, Service: "s", Leaving: strings.HasPrefix(string(record.Value), "leaving")}
 	}
 	return update, nil
 }
--- /dev/null
+++ b/internal/registry/restored.go
@@ -0,0 +1,191 @@
+// A log that came back from a copy. The copy is older than what this box has read, so a full read of it
+// would take back what was acknowledged since: a removed key, an evacuation, a server that leaves. What
+// the copy lacks stays in force, held, until it is written again, and for at most holdTime. After that
+// the log counts, since it is all that boxes that start later know.
+//
+// Records of the new era are either in the copy or were written after the return. A key whose record
+// says by itself how new it is, by a version or a sequence, is decided by that. For other keys the
+// comparison of the two histories shows which offsets were given out again.
+
+package registry
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// Rank orders the records of one key by their content.
+type Rank struct{ Major, Minor int64 }
+
+// compare returns a negative number if r is older than other, and a positive one if it is newer.
+func (r Rank) compare(other Rank) int64 {
+	if r.Major != other.Major {
+		return r.Major - other.Major
+	}
+	return r.Minor - other.Minor
+}
+
+// Ranker returns the rank of a record, and false if its content has none.
+type Ranker func(record sharedlog.Record) (Rank, bool)
+
+const (
+	// holdTime is how long a box holds what the log has lost. Operators and servers write again within
+	// seconds of the return.
+	holdTime = time.Minute
+	// holdSpread is the time over which boxes end to hold, since each then gets the stream in full.
+	holdSpread = 10 * time.Second
+)
+
+// held is what a box holds of a stream since the log came back.
+type held struct {
+	// keys are those whose newest known record the log lacks.
+	keys map[string]bool
+	// writtenFrom is the position from which all records were written after the return.
+	writtenFrom int64
+	// until is when the log counts again.
+	until time.Time
+}
+
+// isRestored reports whether a batch is the first full view of a later era.
+func (s *streamState) isRestored(b batch) bool {
+	return s.next >= 0 && b.full && sharedlog.EraOf(b.next) > sharedlog.EraOf(s.next)
+}
+
+// applyRestored applies the first full view of a later era and returns the entries that have changed.
+func (s *streamState) applyRestored(b batch, rank Ranker) (changes []entry) {
+	bounds := s.compareHistories(b, rank)
+	s.held = held{keys: map[string]bool{}, writtenFrom: bounds.writtenFrom}
+	listed := make(map[string]bool, len(b.records))
+	for i, decoded := range b.records {
+		key := decoded.record.Key
+		listed[key] = true
+		before, found := s.entries[key]
+		if found && bounds.isOlder(decoded.record, before.record, rank) {
+			b.records[i].outdated = true
+			s.held.keys[key] = true
+			continue
+		}
+		next := entry{decodedRecord: decoded, changed: decoded.record.Offset}
+		s.put(next)
+		if !found || !next.sameServer(before.decodedRecord) && !sameValue(next.record, before.record) {
+			changes = append(changes, next)
+		}
+	}
+	for key, known := range s.entries {
+		switch {
+		case listed[key] || known.isDeleted():
+		case sharedlog.OffsetOf(known.record.Offset) < bounds.common:
+			next := entry{decodedRecord: decodedRecord{record: sharedlog.Record{Key: key, Offset: b.next - 1}}, changed: b.next - 1}
+			s.put(next)
+			changes = append(changes, next)
+		default:
+			s.held.keys[key] = true
+		}
+	}
+	s.held.until = boottime.Now().Add(holdTime + rand.N(holdSpread))
+	s.reload, s.next, s.deltaFloor = false, b.next, b.next
+	s.pruneTombstones()
+	return changes
+}
+
+// sameValue reports whether two records have the same content.
+func sameValue(a, b sharedlog.Record) bool { return bytes.Equal(a.Value, b.Value) }
+
+// historyBounds is what the comparison of two histories shows about offsets of the later one.
+type historyBounds struct {
+	// common is an offset below which the two are the same.
+	common int64
+	// writtenFrom is a position from which all records were written after the return.
+	writtenFrom int64
+}
+
+// compareHistories compares the entries with the first full view of a later era. A follower does not get
+// each record of a stream whose keys are written at every heartbeat, so for a stream in which servers
+// describe themselves the comparison shows nothing.
+func (s *streamState) compareHistories(b batch, rank Ranker) historyBounds {
+	bounds := historyBounds{writtenFrom: b.next}
+	keyAt := make(map[int64]string, len(s.entries))
+	for key, known := range s.entries {
+		if known.server != nil {
+			return bounds
+		}
+		if !known.isDeleted() { // the offsets of deletions are not exact
+			keyAt[sharedlog.OffsetOf(known.record.Offset)] = key
+		}
+	}
+	for _, decoded := range b.records {
+		known := s.entries[decoded.record.Key]
+		if offset := sharedlog.OffsetOf(decoded.record.Offset); offset == sharedlog.OffsetOf(known.record.Offset) && sameValue(decoded.record, known.record) {
+			bounds.common = max(bounds.common, offset+1)
+		}
+	}
+	for _, decoded := range b.records {
+		record := decoded.record
+		offset := sharedlog.OffsetOf(record.Offset)
+		if offset < bounds.common || sharedlog.EraOf(record.Offset) != sharedlog.EraOf(b.next) {
+			continue
+		}
+		known, found := s.entries[record.Key]
+		_, reused := keyAt[offset]
+		if reused || found && isWrittenAgain(record, known.record, rank) {
+			bounds.writtenFrom = min(bounds.writtenFrom, record.Offset)
+		}
+	}
+	return bounds
+}
+
+// isWrittenAgain reports whether the content of a record shows that it was written after the known one.
+func isWrittenAgain(record, known sharedlog.Record, rank Ranker) bool {
+	if len(known.Value) == 0 {
+		return false
+	}
+	if sameValue(record, known) {
+		return sharedlog.OffsetOf(record.Offset) != sharedlog.OffsetOf(known.Offset)
+	}
+	next, ranked := rank(record)
+	before, knownRanked := rank(known)
+	return ranked && knownRanked && next.compare(before) > 0
+}
+
+// isOlder reports whether a record of a full view is older than the known one of its key.
+func (b historyBounds) isOlder(record, known sharedlog.Record, rank Ranker) bool {
+	switch {
+	case sharedlog.EraOf(record.Offset) <= sharedlog.EraOf(known.Offset):
+		return record.Offset < known.Offset // another box holds it
+	case sameValue(record, known):
+		return false
+	}
+	next, ranked := rank(record)
+	before, knownRanked := rank(known)
+	if ranked && knownRanked {
+		return next.compare(before) < 0
+	}
+	offset, knownOffset := sharedlog.OffsetOf(record.Offset), sharedlog.OffsetOf(known.Offset)
+	return offset < knownOffset && knownOffset >= b.common && record.Offset < b.writtenFrom
+}
+
+// keepsHeld reports whether a record of the present era leaves a held key as it is.
+func (s *streamState) keepsHeld(record sharedlog.Record, rank Ranker) bool {
+	if !s.held.keys[record.Key] {
+		return false
+	}
+	next, ranked := rank(record)
+	before, knownRanked := rank(s.entries[record.Key].record)
+	if ranked && knownRanked {
+		return next.compare(before) < 0
+	}
+	return record.Offset < s.held.writtenFrom
+}
+
+// endHold makes this box get the stream in full once it has held what the log lacks for long enough.
+func (s *streamState) endHold(now time.Time) {
+	if len(s.held.keys) == 0 || now.Before(s.held.until) {
+		return
+	}
+	s.held.keys = nil
+	s.rereadAll, s.reload = true, true
+}
--- /dev/null
+++ b/internal/registry/restored_test.go
@@ -0,0 +1,189 @@
+package registry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/fakelog"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// step is an event of a history of the log.
+type step struct {
+	// key and value are a record that is written; restore means that the log comes back from the copy
+	// that was taken at the step copyHere.
+	key, value        string
+	restore, copyHere bool
+	// wait is the time after the event.
+	wait time.Duration
+}
+
+const (
+	soon = 500 * time.Millisecond
+	// afterHold is when no box holds anything any more.
+	afterHold = 75 * time.Second
+)
+
+// A log that came back from a copy took back what had been acknowledged, and a box that went by its old
+// position never read what was written next.
+func TestAcknowledgedRecordsHoldUntilTheyAreWrittenAgain(t *testing.T) {
+	tests := []struct {
+		name      string
+		steps     []step
+		version   int64
+		evacuated []string
+		serving   bool
+	}{
+		{"a lost configuration holds", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vvv"}, {restore: true}}, 3, nil, false},
+		{"but not for ever", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vvv"}, {restore: true, wait: afterHold}}, 1, nil, false},
+		{"versions that are written again in order take nothing back", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vv"}, {key: "config", value: "vvv"}, {restore: true}, {key: "config", value: "vv"}}, 3, nil, false},
+		{"the next version is in force", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vv"}, {key: "config", value: "vvv"}, {restore: true}, {key: "config", value: "vvvv"}}, 4, nil, false},
+		{"the next version, before anyone reads", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vv"}, {key: "config", value: "vvv"}, {restore: true, wait: 1}, {key: "config", value: "vvvv"}}, 4, nil, false},
+		{"a lost evacuation holds", []step{{key: "config", value: "v", copyHere: true}, {key: "evacuate/a", value: "yes"}, {restore: true}}, 1, []string{"a"}, false},
+		{"an evacuation that nobody writes again ends", []step{{key: "config", value: "v", copyHere: true}, {key: "evacuate/a", value: "yes"}, {restore: true, wait: afterHold}}, 1, nil, false},
+		{"the end of an evacuation holds", []step{{key: "evacuate/a", value: "yes", copyHere: true}, {key: "evacuate/a"}, {restore: true}}, 0, nil, false},
+		{"an evacuation that ends after the return", []step{{key: "evacuate/a", value: "yes"}, {key: "config", value: "v", copyHere: true}, {key: "config", value: "vv"}, {restore: true, wait: 1}, {key: "evacuate/a"}}, 2, nil, false},
+		{"another evacuation, where offsets are given out again", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vv"}, {key: "evacuate/a", value: "yes"}, {restore: true, wait: 1}, {key: "config", value: "vvv"}, {key: "evacuate/b", value: "yes"}}, 3, []string{"a", "b"}, false},
+		{"two returns, the second before the first is read", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vv"}, {key: "config", value: "vvv"}, {restore: true, wait: 1}, {restore: true}, {key: "config", value: "vvvv"}}, 4, nil, false},
+		{"two returns in a row", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vvv"}, {restore: true}, {key: "evacuate/a", value: "yes"}, {restore: true}}, 3, []string{"a"}, false},
+		{"a server that came serves", []step{{key: "config", value: "v", copyHere: true}, {key: "server", value: "ready#1"}, {restore: true}}, 1, nil, true},
+		{"a server that leaves gets no calls", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server", value: "leaving#2"}, {restore: true}}, 0, nil, false},
+		{"a server that is gone stays so", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server"}, {restore: true}}, 0, nil, false},
+		{"a server that writes again after its entry was dropped", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server"}, {restore: true, wait: 2 * time.Second}, {key: "server", value: "ready#2", wait: time.Second}}, 0, nil, true},
+		{"a server that leaves and says so again", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server", value: "leaving#2"}, {restore: true, wait: time.Second}, {key: "server", value: "leaving#3", wait: afterHold}}, 0, nil, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(g *WithT, b *testBox) {
+				var copied fakelog.Copy
+				for _, next := range test.steps {
+					b.play(next, copied)
+					if next.copyHere {
+						copied = b.log.Copy()
+					}
+				}
+				time.Sleep(2 * soon)
+				g.Expect(b.version()).To(Equal(test.version))
+				g.Expect(b.fleet.EvacuatedZones()).To(Equal(test.evacuated))
+				g.Expect(b.hasServer()).To(Equal(test.serving))
+			})
+		})
+	}
+}
+
+// play carries out a step.
+func (b *testBox) play(next step, copied fakelog.Copy) {
+	stream := sharedlog.Operator
+	if next.key == "server" {
+		stream = sharedlog.Servers
+	}
+	if next.restore {
+		b.log.Restore(copied)
+	} else {
+		b.log.Put(stream, next.key, []byte(next.value))
+	}
+	if next.wait == 0 {
+		next.wait = soon + 500*time.Millisecond
+	}
+	time.Sleep(next.wait)
+}
+
+// Whatever is lost and written again, in whatever order: two seconds after the last write a box goes by
+// what was written last of each key, and no version is ever taken back.
+func TestViewIsThatOfTheLastWritesAfterAnyReturns(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			inBubble(t, func(g *WithT, b *testBox) {
+				w := &writer{random: rand.New(rand.NewPCG(seed, 3)), box: b, newest: map[string]string{}}
+				copies := []fakelog.Copy{b.log.Copy()}
+				highest := int64(0)
+				for range 30 {
+					w.write()
+					time.Sleep(time.Duration(w.random.IntN(1500)) * time.Millisecond)
+					g.Expect(b.version()).To(BeNumerically(">=", highest), "a version was taken back")
+					highest = b.version()
+					if w.random.IntN(4) == 0 {
+						b.log.Restore(copies[max(len(copies)-1-w.random.IntN(4), 0)])
+						time.Sleep(time.Duration(w.random.IntN(900)) * time.Millisecond)
+						w.writeAgain()
+					}
+					copies = append(copies, b.log.Copy())
+				}
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+				g.Expect(b.version()).To(BeEquivalentTo(len(w.newest["config"])))
+				g.Expect(b.fleet.EvacuatedZones()).To(Equal(w.evacuated()))
+				g.Expect(b.hasServer()).To(Equal(strings.HasPrefix(w.newest["server"], "ready")))
+			})
+		})
+	}
+}
+
+// writer writes records and knows the newest of each key.
+type writer struct {
+	random   *rand.Rand
+	box      *testBox
+	newest   map[string]string
+	sequence int
+}
+
+// write writes a record of a random key.
+func (w *writer) write() {
+	switch w.random.IntN(3) {
+	case 0:
+		w.put("config", strings.Repeat("v", len(w.newest["config"])+1+w.random.IntN(3)))
+	case 1:
+		w.put("evacuate/"+string(rune('a'+w.random.IntN(3))), []string{"", "yes"}[w.random.IntN(2)])
+	default:
+		w.putServer([]string{"ready", "leaving", ""}[w.random.IntN(3)])
+	}
+}
+
+func (w *writer) putServer(state string) {
+	if w.sequence++; state != "" {
+		state = fmt.Sprint(state, "#", w.sequence)
+	}
+	w.put("server", state)
+}
+
+func (w *writer) put(key, value string) {
+	w.newest[key] = value
+	stream := sharedlog.Operator
+	if key == "server" {
+		stream = sharedlog.Servers
+	}
+	w.box.log.Put(stream, key, []byte(value))
+}
+
+// writeAgain writes the newest record of each key again.
+func (w *writer) writeAgain() {
+	keys := make([]string, 0, len(w.newest))
+	for key := range w.newest {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		if key == "server" {
+			state, _, _ := strings.Cut(w.newest[key], "#")
+			w.putServer(state)
+			continue
+		}
+		w.put(key, w.newest[key])
+	}
+}
+
+func (w *writer) evacuated() (zones []string) {
+	for _, zone := range []string{"a", "b", "c"} {
+		if w.newest["evacuate/"+zone] != "" {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -9,6 +9,7 @@
 	"iter"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
@@ -48,10 +49,13 @@
 	rereadAll bool
 	// reload is set while the view has to be replaced by that of the reader.
 	reload bool
+	// held is what the log has lost and what this box goes by nevertheless.
+	held held
 }
 
-// nextRead returns the offset that the next read of the log begins at.
+// nextRead returns the position that the next read of the log begins at.
 func (s *streamState) nextRead() int64 {
+	s.endHold(boottime.Now())
 	if s.rereadAll {
 		return sharedlog.FromNewest
 	}
@@ -65,6 +69,8 @@
 	record      sharedlog.Record
 	server      *fleet.Server
 	undecodable bool
+	// outdated is set by apply if the box holds a newer record, which the log has lost.
+	outdated bool
 }
 
 // sameServer reports whether a record describes a server in the same way as an earlier record.
@@ -144,14 +150,21 @@
 // apply applies a batch and returns the entries that have changed. The batch may be older than the
 // current view: a key only moves to higher offsets, and an unknown key with an offset below next
 // had been deleted by then.
-func (s *streamState) apply(b batch) (changes []entry) {
+func (s *streamState) apply(b batch, rank Ranker) (changes []entry) {
+	if s.isRestored(b) {
+		return s.applyRestored(b, rank)
+	}
 	knownNext := s.next
-	for _, decoded := range b.records {
+	for i, decoded := range b.records {
 		offset := decoded.record.Offset
 		before, found := s.entries[decoded.record.Key]
+		if b.records[i].outdated = s.keepsHeld(decoded.record, rank); b.records[i].outdated {
+			continue
+		}
 		if offset < before.record.Offset || !found && offset < knownNext {
 			continue
 		}
+		delete(s.held.keys, decoded.record.Key)
 		next := entry{decodedRecord: decoded, changed: offset}
 		unchanged := next.sameServer(before.decodedRecord)
 		if unchanged && b.uncompacted {
@@ -187,7 +200,7 @@
 		if first {
 			last = max(last, known.record.Offset)
 		}
-		if listed[key] || known.record.Offset > last {
+		if listed[key] || s.held.keys[key] || known.record.Offset > last {
 			continue
 		}
 		next := entry{decodedRecord: decodedRecord{record: sharedlog.Record{Key: key, Offset: last}}, changed: last}
--- a/internal/registry/updates.go
+++ b/internal/registry/updates.go
@@ -87,7 +87,9 @@
 func (r *Registry) ReaderPosition(stream sharedlog.Stream) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s := r.state(stream); !s.reload {
+	s := r.state(stream)
+	s.endHold(boottime.Now())
+	if !s.reload {
 		return s.next
 	}
 	return sharedlog.FromNewest
--- a/internal/retire/boxes_test.go
+++ b/internal/retire/boxes_test.go
@@ -28,6 +28,10 @@
 	return &registry.Declaration{Weights: &registry.WeightsDeclaration{Model: "m", Version: len(record.Value)}}, nil
 }
 
+func (decoder) Rank(sharedlog.Stream, sharedlog.Record) (registry.Rank, bool) {
+	return registry.Rank{}, false
+}
+
 func (decoder) Evacuation(sharedlog.Record) (evacuation.Change, bool) {
 	return evacuation.Change{}, false
 }
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -19,6 +19,7 @@
 type Measured struct {
 	log   Log
 	scope tally.Scope
+	eras  Eras
 
 	mu     sync.Mutex
 	counts map[string]int
@@ -29,6 +30,9 @@
 	return &Measured{log: log, scope: scope, counts: map[string]int{}}
 }
 
+// Eras returns the eras of the responses.
+func (m *Measured) Eras() *Eras { return &m.eras }
+
 // TakeCounts returns the calls since its last call by stream, kind and outcome, such as
 // "servers/read/done", and resets the counts.
 func (m *Measured) TakeCounts() map[string]int {
@@ -43,6 +47,7 @@
 func (m *Measured) NewestPage(ctx context.Context, stream Stream, after string) (Page, error) {
 	began := boottime.Now()
 	page, err := m.log.NewestPage(ctx, stream, after)
+	m.noteEra(page.End, err)
 	m.recordCall("newest", stream, began, err)
 	return page, err
 }
@@ -51,6 +56,7 @@
 func (m *Measured) Read(ctx context.Context, stream Stream, from int64, wait time.Duration) (Page, error) {
 	began := boottime.Now()
 	page, err := m.log.Read(ctx, stream, from, wait)
+	m.noteEra(page.End, err)
 	kind := "read"
 	if wait > 0 {
 		kind = "held_read"
@@ -63,10 +69,21 @@
 func (m *Measured) Append(ctx context.Context, stream Stream, end int64, record Record) (int64, error) {
 	began := boottime.Now()
 	offset, err := m.log.Append(ctx, stream, end, record)
+	m.noteEra(offset, err)
 	m.recordCall("append", stream, began, err)
 	return offset, err
 }
 
+// noteEra records the era of a response.
+func (m *Measured) noteEra(position int64, err error) {
+	if restored, ok := errors.AsType[*HistoryChangedError](err); ok {
+		position = restored.Start
+	} else if err != nil {
+		return
+	}
+	m.eras.Note(position)
+}
+
 func (m *Measured) recordCall(kind string, stream Stream, began time.Time, err error) {
 	outcome := outcomeOf(err)
 	m.mu.Lock()
@@ -84,6 +101,9 @@
 	if _, expired := errors.AsType[*RecordsExpiredError](err); expired {
 		return "expired"
 	}
+	if _, restored := errors.AsType[*HistoryChangedError](err); restored {
+		return "restored"
+	}
 	switch {
 	case err == nil:
 		return "done"
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -26,15 +26,13 @@
 
 // RecordsExpiredError means that the requested records are no longer retained.
 type RecordsExpiredError struct {
-	// First is the offset of the first record that still is.
+	// First is the position of the first record that still is.
 	First int64
-	// Era is the era of the log; see Page.
-	Era int64
 }
 
 // Error implements error.
 func (e *RecordsExpiredError) Error() string {
-	return fmt.Sprintf("the log retains records only from offset %d on", e.First)
+	return fmt.Sprintf("the log retains records only from offset %d on", OffsetOf(e.First))
 }
 
 // Stream identifies one of the streams that boxes read.
@@ -72,33 +70,31 @@
 	}
 }
 
-// Record is the newest value of a key as of its offset. No value means that the key was deleted.
+// Record is the newest value of a key as of its position in the stream. No value means that the key was deleted.
 type Record struct {
 	_msgpack struct{} `msgpack:",as_array"` // field names would double its size
 
-	Key    string `msgpack:"k"`
-	Value  []byte `msgpack:"v"`
-	Offset int64  `msgpack:"o"`
+	Key   string `msgpack:"k"`
+	Value []byte `msgpack:"v"`
+	// Offset is a Position.
+	Offset int64 `msgpack:"o"`
 }
 
-// Page is the response to a read.
+// Page is the response to a read. Its records and positions are all of one era.
 type Page struct {
 	Records []Record
-	// Next is the offset that the next read begins at.
+	// Next is the position that the next read begins at.
 	Next int64
-	// End is the offset after the last record of the stream.
+	// End is the position after the last record of the stream.
 	End int64
 	// More means that the stream has keys after those of a page of newest records.
 	More bool
-	// Era is the number of the history that the log's records are from. It rises when the log comes
-	// back from a copy and has lost the records since then.
-	Era int64
 }
 
 // AnyEnd makes Append succeed wherever the stream ends.
 const AnyEnd = -1
 
-// FromNewest makes ReadNext read the newest record of each key, as every negative offset does.
+// FromNewest makes ReadNext read the newest record of each key, as every negative position does.
 const FromNewest = -1
 
 // Log is the platform's log.
@@ -106,21 +102,25 @@
 	// NewestPage returns the newest records of some keys of a stream that has keys: those that
 	// follow the key after in the log's order, or the first ones if after is empty.
 	NewestPage(ctx context.Context, stream Stream, after string) (Page, error)
-	// Read returns records from an offset on, waiting up to wait for the first one.
+	// Read returns records from a position on, waiting up to wait for the first one. It returns a
+	// HistoryChangedError if the position is from an earlier era.
 	Read(ctx context.Context, stream Stream, from int64, wait time.Duration) (Page, error)
-	// Append adds one record and returns its offset. With an end other than AnyEnd it does so only
-	// if the stream ends there, and returns ErrConflict otherwise.
+	// Append adds one record and returns its position. With an end other than AnyEnd it does so only
+	// if the stream ends there, and returns ErrConflict otherwise. The log compares the offset alone,
+	// so an append may take effect in a later era than that of its end, and is then ErrUnknown.
 	Append(ctx context.Context, stream Stream, end int64, record Record) (int64, error)
 }
 
-// ReadNext reads a stream that has keys for a box that follows it. At first, and when the next
-// records are no longer retained, it is a full read of the newest record of each key; otherwise it
-// returns the records from an offset on, waiting up to wait for the first one. timeout bounds a
+// ReadNext reads a stream that has keys for a box that follows it. At first, when the next records are
+// no longer retained, and when the log has come back from a copy, it is a full read of the newest record
+// of each key; otherwise it returns the records from a position on, waiting up to wait for the first one. timeout bounds a
 // read in addition to that wait; each page of a full read has pageTimeout.
 func ReadNext(ctx context.Context, log Log, stream Stream, from int64, wait, timeout time.Duration) (page Page, full bool, err error) {
 	if from >= 0 {
 		page, err = readWithTimeout(ctx, log, stream, from, wait, timeout)
-		if _, expired := errors.AsType[*RecordsExpiredError](err); !expired {
+		_, expired := errors.AsType[*RecordsExpiredError](err)
+		_, restored := errors.AsType[*HistoryChangedError](err)
+		if !expired && !restored {
 			return page, false, err
 		}
 	}
@@ -134,7 +134,7 @@
 
 // Newest returns the newest record of each key of a stream that has keys, and the offset of the
 // next read. The pages are not a consistent snapshot, so reading continues at the end that the
-// first page reports.
+// first page reports. It begins again if the log comes back from a copy between two pages.
 func Newest(ctx context.Context, log Log, stream Stream) (Page, error) {
 	var all Page
 	after := ""
@@ -143,8 +143,11 @@
 		if err != nil {
 			return Page{}, err
 		}
+		if !first && EraOf(page.End) != EraOf(all.End) {
+			return Newest(ctx, log, stream)
+		}
 		if first {
-			all.Next, all.End, all.Era = page.End, page.End, page.Era
+			all.Next, all.End = page.End, page.End
 		}
 		all.Records = append(all.Records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
--- a/internal/zonereader/page_test.go
+++ b/internal/zonereader/page_test.go
@@ -25,6 +25,10 @@
 
 func (keyDecoder) Declaration(sharedlog.Record) (*registry.Declaration, error) { return nil, nil }
 
+func (keyDecoder) Rank(sharedlog.Stream, sharedlog.Record) (registry.Rank, bool) {
+	return registry.Rank{}, false
+}
+
 func (keyDecoder) Evacuation(sharedlog.Record) (evacuation.Change, bool) {
 	return evacuation.Change{}, false
 }
--- a/internal/zonereader/testfleet_test.go
+++ b/internal/zonereader/testfleet_test.go
@@ -37,6 +37,10 @@
 	return &registry.Declaration{Catalog: c}, err
 }
 
+func (decoder) Rank(sharedlog.Stream, sharedlog.Record) (registry.Rank, bool) {
+	return registry.Rank{}, false
+}
+
 func (decoder) Evacuation(sharedlog.Record) (evacuation.Change, bool) {
 	return evacuation.Change{}, false
 }
