orderlease: a lease across eras of the log

Callers saw requests begin on a replaced version after the store came back from a copy: no box sent orders.

Cause: the same comparison across histories as in the registry, and records that are lost: a new holder may find none of the last holder's, whose permission may still run.

The lease reads its stream from the beginning of a later era. A box sends no orders until permitFor and the gap have elapsed since it first saw the era, since all lost records were appended before. An append of an earlier era permits nothing. Fences are positions and only rise. A held read ends as soon as any part of the box has seen the later era.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -192,7 +192,7 @@
 // assembleCoordination creates what the boxes do together: orders to runners, the freeing of parts,
 // and the exchange of load reports.
 func (b *Box) assembleCoordination() {
-	b.lease = orderlease.New(orderlease.Config{Log: b.log, Logger: b.logger, Holder: b.incarnation, Gap: b.settings.OrderGap, Idle: b.ignoresOrders})
+	b.lease = orderlease.New(orderlease.Config{Log: b.log, Eras: b.log.Eras(), Logger: b.logger, Holder: b.incarnation, Gap: b.settings.OrderGap, Idle: b.ignoresOrders})
 	b.weightOrders = weightorders.New(b.weightOrdersConfig())
 	b.retire = retire.New(retire.Config{
 		Registry: b.registry, Peers: func() []retire.Peer { return b.share.Peers() }, Boxes: func() int { return b.share.ListedCount() },
--- a/internal/orderlease/free.go
+++ b/internal/orderlease/free.go
@@ -53,5 +53,9 @@
 func (l *Lease) SettledAt() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.otherAt.Add(gapMargin + reportAge)
+	latest := l.otherAt
+	if lostAt := l.recordsLostAt(); lostAt.After(latest) {
+		latest = lostAt
+	}
+	return latest.Add(gapMargin + reportAge)
 }
--- a/internal/orderlease/orderlease.go
+++ b/internal/orderlease/orderlease.go
@@ -22,6 +22,12 @@
 // without a list, as a previous version of this package appends it, permits orders to all runners, and
 // so do records that this box could not read.
 //
+// If the log comes back from a copy, records of the stream may be lost, and with them what the last holder
+// was permitted. They were appended before the return, so a box sends no orders until permitFor and the
+// gap have elapsed since it first saw the new era; it reads the stream from its beginning. An append of
+// an earlier era that takes effect after the return permits nothing. Fencing tokens are positions, which
+// are higher in each later era.
+//
 // The lease is not renewed while there is nothing to order, so the first order after an idle
 // period waits for a single append.
 package orderlease
@@ -44,7 +50,9 @@
 
 // Config configures a Lease.
 type Config struct {
-	Log    sharedlog.Log
+	Log sharedlog.Log
+	// Eras knows the eras of the log that this box has seen. Nil means those of this package's reads.
+	Eras   *sharedlog.Eras
 	Logger zerolog.Logger
 	// Holder identifies this incarnation of this box.
 	Holder string
@@ -96,7 +104,7 @@
 	appending chan struct{}
 
 	mu sync.Mutex
-	// next is the offset after the last observed record; caughtUp reports that the stream has been
+	// next is the position after the last observed record; caughtUp reports that the stream has been
 	// read to its end once.
 	next     int64
 	caughtUp bool
@@ -109,7 +117,7 @@
 	// orders to all runners, and listedAt those that list a runner, by the runner's hashes.
 	otherAt, unlistedAt time.Time
 	listedAt            map[uint32]time.Time
-	// fence is the offset of the first record of this box since then.
+	// fence is the position of the first record of this box since then.
 	fence int64
 	// failedAt is when an append of this box last failed. Those who waited for it do not try again, so
 	// that they do not wait one after the other.
@@ -123,6 +131,9 @@
 
 // New returns a lease that this box does not hold.
 func New(cfg Config) *Lease {
+	if cfg.Eras == nil {
+		cfg.Eras = &sharedlog.Eras{}
+	}
 	return &Lease{cfg: cfg, appending: make(chan struct{}, 1), listedAt: map[uint32]time.Time{}}
 }
 
@@ -146,13 +157,19 @@
 func (l *Lease) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readHold+callTimeout)
 	defer cancel()
+	ctx, cancelOnEra := waiting.WithSignal(ctx, l.cfg.Eras.Changed())
+	defer cancelOnEra()
 	l.mu.Lock()
 	from, hold := l.next, readHold
-	if !l.caughtUp {
+	if newest, _ := l.cfg.Eras.Newest(); !l.caughtUp || newest > sharedlog.EraOf(from) {
 		hold = 0
 	}
 	l.mu.Unlock()
 	page, err := l.cfg.Log.Read(ctx, sharedlog.Orders, from, hold)
+	if restored, ok := errors.AsType[*sharedlog.HistoryChangedError](err); ok {
+		l.restart(restored.Start)
+		return nil
+	}
 	if trimmed, ok := errors.AsType[*sharedlog.RecordsExpiredError](err); ok {
 		l.skip(trimmed.First)
 		return nil
@@ -175,7 +192,18 @@
 	}
 }
 
+// restart continues at the beginning of the stream, in a later era of the log.
+func (l *Lease) restart(start int64) {
+	l.cfg.Eras.Note(start)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cfg.Logger.Info().Int64("era", sharedlog.EraOf(start)).Str("holder", l.last).Msg("order_lease_restored")
+	l.next, l.caughtUp = start, false
+	l.last, l.released, l.permittedUntil = "", false, time.Time{}
+}
+
 func (l *Lease) apply(page sharedlog.Page) {
+	l.cfg.Eras.Note(page.Next)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range page.Records {
@@ -185,6 +213,7 @@
 		}
 		l.observe(decoded, r.Offset)
 	}
+	l.next = max(l.next, page.Next)
 	l.caughtUp = l.caughtUp || page.Next >= page.End
 }
 
@@ -244,6 +273,9 @@
 // closedUntil is ClosedUntil. The caller holds mu.
 func (l *Lease) closedUntil(runner Runner) time.Time {
 	latest := l.unlistedAt
+	if lostAt := l.recordsLostAt(); lostAt.After(latest) {
+		latest = lostAt
+	}
 	for _, hash := range runner.hashes() {
 		if at := l.listedAt[hash]; at.After(latest) {
 			latest = at
@@ -255,6 +287,13 @@
 	return latest.Add(gapAfterRecord(l.cfg.Gap))
 }
 
+// recordsLostAt returns when this box first saw the present era, before which records of other boxes may
+// have been lost; it is zero in era 0, in which none were.
+func (l *Lease) recordsLostAt() time.Time {
+	_, seenAt := l.cfg.Eras.Newest()
+	return seenAt
+}
+
 // gapAfterRecord returns how long after a record of another box this box sends no orders that the record
 // permits.
 func gapAfterRecord(gap time.Duration) time.Duration { return permitFor + gap + gapMargin }
@@ -287,11 +326,16 @@
 		ctx, func() record { return record{} },
 		func(time.Time) bool { return l.permitsAll },
 		func(now time.Time) bool {
-			return l.otherAt.IsZero() || now.Sub(l.otherAt) > gapAfterRecord(l.cfg.Gap)
+			return isOver(l.otherAt, now, l.cfg.Gap) && isOver(l.recordsLostAt(), now, l.cfg.Gap)
 		},
 	)
 }
 
+// isOver reports whether the gap since a moment has elapsed; a zero moment never was.
+func isOver(since, now time.Time, gap time.Duration) bool {
+	return since.IsZero() || now.Sub(since) > gapAfterRecord(gap)
+}
+
 // request returns whether the newest record permits what is asked for, after it has appended another
 // one if necessary. covers reports whether the record does, and open whether the gap to the orders of
 // other boxes has elapsed. Both are called with mu held.
@@ -360,7 +404,8 @@
 		return false
 	}
 	l.observe(r, offset)
-	if l.next == offset+1 && !r.Released {
+	newest, _ := l.cfg.Eras.Newest()
+	if l.next == offset+1 && newest == sharedlog.EraOf(offset) && !r.Released {
 		l.permittedUntil, l.permitsAll, l.permitted = sent.Add(permitFor), !r.Listed, map[uint32]bool{}
 		for _, hash := range r.Runners {
 			l.permitted[hash] = true
