registry: reads when the log is in a later era

A read that is held may end long after the log came back, and a stream that was empty went on at offset 0 of the next era as if nothing had happened. A held read now ends when any part of the box sees a later era, and only FromStart reads from the beginning of whichever era.

Followers that had read the log during an outage made full reads of three streams at the moment of its return. They wait 0.5 to 0.8 s for the view of their reader first, and read in full only without it (TestFollowersWaitForTheirReaderInALaterEra).

--- a/internal/orderlease/orderlease.go
+++ b/internal/orderlease/orderlease.go
@@ -134,7 +134,7 @@
 	if cfg.Eras == nil {
 		cfg.Eras = &sharedlog.Eras{}
 	}
-	return &Lease{cfg: cfg, appending: make(chan struct{}, 1), listedAt: map[uint32]time.Time{}}
+	return &Lease{cfg: cfg, next: sharedlog.FromStart, appending: make(chan struct{}, 1), listedAt: map[uint32]time.Time{}}
 }
 
 // Loop follows the stream until ctx ends.
--- a/internal/registry/read.go
+++ b/internal/registry/read.go
@@ -65,6 +65,11 @@
 			wait = 0
 			continue
 		}
+		if restored, ok := errors.AsType[*sharedlog.HistoryChangedError](err); ok {
+			r.awaitRestored(stream, restored)
+			wait = 0
+			continue
+		}
 		if err != nil {
 			r.recordLogLost(ctx, stream, sentAt, err)
 			wait = 0
@@ -112,13 +117,20 @@
 	return r.pollingSet.Chan()
 }
 
-// read reads a stream from an offset. A long poll ends when the polling changes.
+// read reads a stream from an offset. A long poll ends when the polling changes, and when this box sees a
+// later era of the log, in which the records that the poll waits for may never come.
 func (r *Registry) read(ctx context.Context, changed <-chan struct{}, stream sharedlog.Stream, from int64, wait, timeout time.Duration) (page sharedlog.Page, full bool, err error) {
 	if wait == 0 {
 		return sharedlog.ReadNext(ctx, r.cfg.Log, stream, from, wait, timeout)
 	}
+	eraChanged := r.cfg.Eras.Changed()
+	if era, _ := r.cfg.Eras.Newest(); from >= 0 && sharedlog.EraOf(from) < era {
+		return sharedlog.ReadNext(ctx, r.cfg.Log, stream, from, 0, timeout)
+	}
 	reading, cancel := waiting.WithSignal(ctx, changed)
 	defer cancel()
+	reading, cancelOnEra := waiting.WithSignal(reading, eraChanged)
+	defer cancelOnEra()
 	page, full, err = sharedlog.ReadNext(reading, r.cfg.Log, stream, from, wait, timeout)
 	if err != nil && ctx.Err() == nil && reading.Err() != nil {
 		return page, full, errPollingChanged
--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -87,7 +87,7 @@
 		}
 	}
 	s.held.until = boottime.Now().Add(holdTime + rand.N(holdSpread))
-	s.reload, s.next, s.deltaFloor = false, b.next, b.next
+	s.reload, s.rereadAll, s.next, s.deltaFloor = false, false, b.next, b.next
 	s.pruneTombstones()
 	return changes
 }
@@ -189,3 +189,23 @@
 	s.held.keys = nil
 	s.rereadAll, s.reload = true, true
 }
+
+const (
+	// restoredReaderWait and restoredReaderSpread make up the time for which a follower that finds a later
+	// era waits for the view of its reader, before it reads the stream in full itself. Without it 2,000
+	// boxes that read the log during an outage would make full reads of three streams at once.
+	restoredReaderWait   = 500 * time.Millisecond
+	restoredReaderSpread = 300 * time.Millisecond
+)
+
+// awaitRestored makes this box get a stream in full after the log came back from a copy.
+func (r *Registry) awaitRestored(stream sharedlog.Stream, restored *sharedlog.HistoryChangedError) {
+	r.cfg.Eras.Note(restored.Start)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(stream)
+	s.rereadAll = true
+	if r.cfg.HasReader() {
+		s.validUntil = boottime.Now().Add(restoredReaderWait + rand.N(restoredReaderSpread))
+	}
+}
--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -1,18 +1,25 @@
 package registry_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/fakelog"
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // step is an event of a history of the log.
@@ -95,6 +102,56 @@
 	time.Sleep(next.wait)
 }
 
+// heldReads is a log whose held reads do not notice that it came back from a copy.
+type heldReads struct{ sharedlog.Log }
+
+// Read implements sharedlog.Log.
+func (l *heldReads) Read(ctx context.Context, stream sharedlog.Stream, from int64, wait time.Duration) (sharedlog.Page, error) {
+	waiting.For(ctx, wait)
+	if ctx.Err() != nil {
+		return sharedlog.Page{}, ctx.Err()
+	}
+	return l.Log.Read(ctx, stream, from, 0)
+}
+
+// fullReads is a log that counts full reads.
+type fullReads struct {
+	sharedlog.Log
+	count atomic.Int64
+}
+
+// NewestPage implements sharedlog.Log.
+func (l *fullReads) NewestPage(ctx context.Context, stream sharedlog.Stream, after string) (sharedlog.Page, error) {
+	l.count.Add(1)
+	return l.Log.NewestPage(ctx, stream, after)
+}
+
+// All followers that read the log during an outage made full reads of three streams when it came back.
+func TestFollowersWaitForTheirReaderInALaterEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		log := fakesharedlog.New()
+		counted := &fullReads{Log: log}
+		r := registry.New(registry.Config{
+			Log: counted, Decoder: decoder{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop(),
+			HasReader: func() bool { return true },
+		})
+		log.Put(sharedlog.Operator, "config", []byte("v"))
+		go r.LoopOperator(ctx)
+		time.Sleep(10 * time.Second)
+		g.Expect(counted.count.Load()).To(BeEquivalentTo(1))
+		log.Restore(log.Copy())
+		time.Sleep(480 * time.Millisecond)
+		g.Expect(counted.count.Load()).To(BeEquivalentTo(1))
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(counted.count.Load()).To(BeEquivalentTo(2), "the reader did not send its view")
+		g.Expect(sharedlog.EraOf(r.Position(sharedlog.Operator))).To(BeEquivalentTo(1))
+	})
+}
+
 // Whatever is lost and written again, in whatever order: two seconds after the last write a box goes by
 // what was written last of each key, and no version is ever taken back.
 func TestViewIsThatOfTheLastWritesAfterAnyReturns(t *testing.T) {
--- a/internal/sharedlog/position.go
+++ b/internal/sharedlog/position.go
@@ -23,11 +23,11 @@
 // EraOf returns the era of a position, which is negative for FromNewest.
 func EraOf(position int64) int64 { return position >> offsetBits }
 
-// OffsetOf returns the offset of a position that is not negative.
-func OffsetOf(position int64) int64 { return position & (1<<offsetBits - 1) }
+// OffsetOf returns the offset of a position, which is 0 for FromStart.
+func OffsetOf(position int64) int64 { return max(position, 0) & (1<<offsetBits - 1) }
 
-// Start is the position from which a stream is read from its beginning, in whichever era.
-const Start = 0
+// FromStart makes Read begin at the beginning of a stream, in whichever era.
+const FromStart = -2
 
 // HistoryChangedError means that the position of a read is from an earlier era than the log.
 type HistoryChangedError struct {
@@ -42,7 +42,7 @@
 
 // CheckEra returns an error if a read from a position was answered in a later era than the position's.
 func CheckEra(from, era int64) error {
-	if from == Start || EraOf(from) == era {
+	if from == FromStart || EraOf(from) == era {
 		return nil
 	}
 	return &HistoryChangedError{Start: Position(era, 0)}
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -111,16 +111,14 @@
 	Append(ctx context.Context, stream Stream, end int64, record Record) (int64, error)
 }
 
-// ReadNext reads a stream that has keys for a box that follows it. At first, when the next records are
-// no longer retained, and when the log has come back from a copy, it is a full read of the newest record
-// of each key; otherwise it returns the records from a position on, waiting up to wait for the first one. timeout bounds a
+// ReadNext reads a stream that has keys for a box that follows it. At first, and when the next records are
+// no longer retained, it is a full read of the newest record of each key; otherwise it returns the records
+// from a position on, waiting up to wait for the first one. timeout bounds a
 // read in addition to that wait; each page of a full read has pageTimeout.
 func ReadNext(ctx context.Context, log Log, stream Stream, from int64, wait, timeout time.Duration) (page Page, full bool, err error) {
 	if from >= 0 {
 		page, err = readWithTimeout(ctx, log, stream, from, wait, timeout)
-		_, expired := errors.AsType[*RecordsExpiredError](err)
-		_, restored := errors.AsType[*HistoryChangedError](err)
-		if !expired && !restored {
+		if _, expired := errors.AsType[*RecordsExpiredError](err); !expired {
 			return page, false, err
 		}
 	}
