loadshare, zonereader: lists of boxes after the log came back from a copy

Boxes that had started shortly before the return were missing in the list of boxes for good, and so were entries of the directory of readers; boxes that had stopped were listed again, and counted where limits are shared by the number of listed boxes.

Each box whose entry the log lacks writes it again, and a zone's reader enters itself again in each later era.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -184,6 +184,7 @@
 	b.registry = registry.New(registry.Config{
 		Log: b.log, Eras: b.log.Eras(), Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, OnCatalog: b.configure, StreamsChanged: &b.streamsChanged,
 		OnBoxes: func(records []sharedlog.Record) { b.share.ApplyBoxRecords(records) }, FirstReadDelay: b.firstReadDelay(),
+		OnBoxesRestored: func(has func(box string) bool) { b.share.ApplyRestored(has) },
 		ServersDeadline: b.settings.DrainDeadline, OperatorDeadline: b.settings.ConfigurationDeadline,
 		HasReader: func() bool { return b.readers.Following() != "" }, ReaderLostLog: func() bool { return b.readers.ReaderLostLog() },
 	})
@@ -202,6 +203,7 @@
 		Log: b.log, Fleet: b.fleet, Logger: b.logger, Box: b.settings.Box, Incarnation: shortIncarnation(b.incarnation), Zone: b.settings.Zone, Address: b.PeerAddress(), ReaderAddress: b.ReaderAddress(), PlacesAddress: b.PlacesAddress(), ForwardAddress: b.ForwardAddress(), OriginsAddress: b.OriginsAddress(),
 		Cores: b.settings.Cores, Mechanisms: b.settings.Mechanisms, NamedVersions: b.registry.WeightsForPeers, MergeNamedVersions: b.registry.MergeWeights, Snapshot: b.registry.Snapshot,
 		FirstSystemStart: b.settings.FirstSystemStart, AppendTime: b.settings.LogAppendTime,
+		RestoredBoxes: b.registry.RestoredBoxes, ReadsLog: func() bool { return b.readers.Following() == "" },
 		NeedsSnapshot: b.registry.NeedsSnapshot, ApplySnapshot: b.registry.Adopt, Quarantine: b.quarantine, PartQuarantine: b.partQuarantine, MayCallCold: b.mayCallCold, Parts: b.parts,
 	}
 	if b.shares = newShares(b.settings.Mechanisms, b.fleet); b.shares != nil {
@@ -211,7 +213,7 @@
 	b.readers = zonereader.New(zonereader.Config{
 		Registry: b.registry, Parts: b.parts, Logger: b.logger, StreamsChanged: &b.streamsChanged, PartsChanged: &b.partsChanged, Others: b.otherBoxes, BoxesKnown: b.share.BoxListLoaded,
 		Mechanisms: b.settings.Mechanisms, Self: zonereader.Box{Box: b.self(), Address: b.ReaderAddress()},
-		Log: b.log, FirstSystemStart: b.settings.FirstSystemStart,
+		Log: b.log, Eras: b.log.Eras(), FirstSystemStart: b.settings.FirstSystemStart,
 	})
 	owner := places.Config{
 		Fleet: b.fleet, Logger: b.logger, Mechanisms: b.settings.Mechanisms, Others: b.otherOwners, Active: b.hasOtherOwners, ReportedAt: b.share.LoadSentAfter,
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -67,6 +67,10 @@
 	// the time that the log takes for an append; zero stands for DefaultAppendTime.
 	FirstSystemStart bool
 	AppendTime       time.Duration
+	// RestoredBoxes returns the boxes that the log lists again after it came back from a copy, and the end
+	// of that stream. ReadsLog reports whether this box reads the log for itself. Both may be nil.
+	RestoredBoxes func() (boxes []string, end int64)
+	ReadsLog      func() bool
 	// NamedVersions returns the weight versions that were named for each model, as far as this box
 	// knows, oldest first. MergeNamedVersions merges those of another box, which were current at
 	// asOf, or at an unknown earlier time when asOf is zero.
@@ -146,6 +150,8 @@
 	limits limitRanks
 	// unlisted is signalled when this box was removed from the list.
 	unlisted waiting.Signal
+	// restored is signalled when the log came back from a copy.
+	restored waiting.Signal
 	// snapshotTurnAt is when another box was last due to receive the configuration, from this box
 	// or, in a large fleet, from others.
 	snapshotTurnAt map[string]time.Time
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -57,6 +57,9 @@
 	// value means that the box has left. It is also called after the first read if that lists no
 	// box. It is nil where the stream is not used.
 	OnBoxes func([]sharedlog.Record)
+	// OnBoxesRestored is called when that stream came back from a copy; has reports whether the log has
+	// the newest record of a box. It may be nil.
+	OnBoxesRestored func(has func(box string) bool)
 	// FirstReadDelay is how long after the start the operators' and the servers' streams are not
 	// read, unless this box has to read directly. A box that gets them from a reader within that
 	// time need not read them at all.
@@ -286,7 +289,7 @@
 	r.decode(stream, records, &b)
 	r.mu.Lock()
 	s := r.state(stream)
-	before := s.next
+	before, restored := s.next, s.isRestored(b)
 	changed := s.apply(b, func(record sharedlog.Record) (Rank, bool) { return r.cfg.Decoder.Rank(stream, record) })
 	r.logRestored(stream, s, before)
 	r.cfg.Eras.Note(s.next)
@@ -299,6 +302,9 @@
 		r.applyServers(changed)
 	case sharedlog.Boxes:
 		r.applyBoxes(changed)
+		if restored && r.cfg.OnBoxesRestored != nil {
+			r.cfg.OnBoxesRestored(r.hasBox)
+		}
 	default:
 		r.moveCatalog(records)
 		r.applyDeclarations(b.records)
--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -64,6 +64,9 @@
 		key := decoded.record.Key
 		listed[key] = true
 		before, found := s.entries[key]
+		if sharedlog.EraOf(decoded.record.Offset) < sharedlog.EraOf(b.next) {
+			s.held.keys[key] = true // the box that sent the view holds it
+		}
 		if found && bounds.isOlder(decoded.record, before.record, rank) {
 			b.records[i].outdated = true
 			s.held.keys[key] = true
@@ -209,3 +212,26 @@
 		s.validUntil = boottime.Now().Add(restoredReaderWait + rand.N(restoredReaderSpread))
 	}
 }
+
+// hasBox reports whether the log has the newest known record of a box.
+func (r *Registry) hasBox(box string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(sharedlog.Boxes)
+	known, found := s.entries[box]
+	return found && !known.isDeleted() && !s.held.keys[box]
+}
+
+// RestoredBoxes returns the boxes that the log lists again after it came back from a copy, though they had
+// been removed, and the end of the stream as far as this box knows.
+func (r *Registry) RestoredBoxes() (boxes []string, end int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(sharedlog.Boxes)
+	for box := range s.held.keys {
+		if s.entries[box].isDeleted() {
+			boxes = append(boxes, box)
+		}
+	}
+	return boxes, s.next
+}
--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -126,6 +126,30 @@
 	return l.Log.NewestPage(ctx, stream, after)
 }
 
+// A read of the list of boxes is held for 20 s, and a box that was missing in the copy stayed so.
+func TestHeldReadsEndWhenAnotherStreamIsOfALaterEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		log := fakesharedlog.New()
+		var missing atomic.Bool
+		r := registry.New(registry.Config{
+			Log: &heldReads{Log: log}, Decoder: decoder{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop(),
+			OnBoxes: func([]sharedlog.Record) {}, OnBoxesRestored: func(has func(string) bool) { missing.Store(!has("box")) },
+		})
+		go r.LoopOperator(ctx)
+		go r.LoopBoxes(ctx)
+		before := log.Copy()
+		log.Put(sharedlog.Boxes, "box", []byte("entry"))
+		time.Sleep(30 * time.Second)
+		log.Restore(before)
+		time.Sleep(2 * time.Second)
+		g.Expect(missing.Load()).To(BeTrue())
+	})
+}
+
 // All followers that read the log during an outage made full reads of three streams when it came back.
 func TestFollowersWaitForTheirReaderInALaterEra(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/zonereader/directory.go
+++ b/internal/zonereader/directory.go
@@ -115,13 +115,15 @@
 	return reader, found
 }
 
-// LoopAdvertise enters this box into the directory whenever it becomes a reader, until ctx ends.
+// LoopAdvertise enters this box into the directory whenever it becomes a reader, and again when the log
+// came back from a copy, until ctx ends.
 func (m *Member) LoopAdvertise(ctx context.Context) {
 	for ctx.Err() == nil {
-		wake := m.roleChanged.Chan()
+		wake, eraChanged := m.roleChanged.Chan(), m.cfg.Eras.Changed()
 		if !m.needsEntry() {
 			select {
 			case <-wake:
+			case <-eraChanged:
 			case <-ctx.Done():
 			}
 			continue
@@ -135,15 +137,17 @@
 func (m *Member) needsEntry() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.cfg.Log != nil && m.roleLogged && m.current.reader && !m.advertised
+	era, _ := m.cfg.Eras.Newest()
+	return m.cfg.Log != nil && m.roleLogged && m.current.reader && (!m.advertised || m.advertisedEra < era)
 }
 
 func (m *Member) advertise(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, advertiseTimeout)
 	defer cancel()
 	value, err := msgpack.Marshal(readerEntry{Box: m.cfg.Self.Name, Address: m.cfg.Self.Address})
+	position := int64(0)
 	if err == nil {
-		_, err = m.cfg.Log.Append(ctx, sharedlog.Readers, sharedlog.AnyEnd, sharedlog.Record{Key: m.cfg.Self.Zone, Value: value})
+		position, err = m.cfg.Log.Append(ctx, sharedlog.Readers, sharedlog.AnyEnd, sharedlog.Record{Key: m.cfg.Self.Zone, Value: value})
 	}
 	if err != nil {
 		m.cfg.Logger.Warn().Str("error", err.Error()).Msg("reader_not_advertised")
@@ -151,5 +155,5 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.advertised = m.current.reader
+	m.advertised, m.advertisedEra = m.current.reader, sharedlog.EraOf(position)
 }
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -73,6 +73,8 @@
 	// when the whole system starts for the first time.
 	Log              sharedlog.Log
 	FirstSystemStart bool
+	// Eras knows the eras of the log that this box has seen; nil means none but era 0.
+	Eras *sharedlog.Eras
 	// Mechanisms records which mechanisms are switched off.
 	Mechanisms mechanism.Switches
 	// Dial connects to another box; nil means TCP.
@@ -92,8 +94,10 @@
 	loggedFollowing  role
 	notFound         int
 	notFoundLoggedAt time.Time
-	// advertised means that the directory has an entry of this box as a reader.
-	advertised bool
+	// advertised means that the directory has an entry of this box as a reader, which was written in
+	// advertisedEra. The log may have lost it in a later one.
+	advertised    bool
+	advertisedEra int64
 	// roleChanged is signalled when this box becomes a reader or a follower.
 	roleChanged waiting.Signal
 	// avoided holds the readers that failed, and until when they are not followed.
@@ -129,6 +133,9 @@
 	if cfg.BoxesKnown == nil {
 		cfg.BoxesKnown = func() bool { return true }
 	}
+	if cfg.Eras == nil {
+		cfg.Eras = &sharedlog.Eras{}
+	}
 	m := &Member{cfg: cfg, avoided: map[string]time.Time{}, responding: make(chan struct{}, maxResponding), transfers: make(transfers, maxTransfers)}
 	m.server = frame.NewServer(cfg.Logger, m.serve)
 	return m
