zonereader: followers of an earlier version get no positions with eras

During a roll-out a follower of the previous version would take a position with an era for an offset: every later read of its own would lie below it, and what it read would not count. Requests now say that the follower knows eras; others are sent no stream of a log with eras, and read it themselves.

--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -293,7 +293,7 @@
 func (m *Member) newRequest(s *session) *request {
 	next := request{
 		Streams: map[sharedlog.Stream]int64{}, Stores: map[string]partindex.Position{}, Doubted: m.cfg.Parts.OverdueStores(),
-		Paged: true, Loads: s.cursors(),
+		Paged: true, Eras: true, Loads: s.cursors(),
 	}
 	if s.role.reader {
 		next.Hold = rootHold
--- a/internal/zonereader/serve.go
+++ b/internal/zonereader/serve.go
@@ -179,6 +179,9 @@
 // changed. Without fullStates it defers what has to be sent in full of a store box.
 func (m *Member) collect(r request, fullStates bool) (collected response, streamsChanged, partsChanged bool) {
 	for _, stream := range registry.ForwardedStreams() {
+		if !r.Eras && sharedlog.EraOf(m.cfg.Registry.Position(stream)) > 0 {
+			continue
+		}
 		update, changed := m.collectStream(r, stream, &collected)
 		collected.Streams = append(collected.Streams, update)
 		collected.Digests = append(collected.Digests, update.Digest)
--- a/internal/zonereader/versions_test.go
+++ b/internal/zonereader/versions_test.go
@@ -72,3 +72,25 @@
 		g.Expect(update.Digest != 0).To(Equal(update.Stream == sharedlog.Servers))
 	}
 }
+
+// A box of a version without eras took a position for an offset, and read nothing more from the log itself.
+func TestFollowersWithoutErasGetNoPositionsWithEras(t *testing.T) {
+	tests := []struct {
+		eras    bool
+		next    int64
+		streams int
+	}{
+		{false, 5, 3},
+		{false, sharedlog.Position(1, 5), 2},
+		{true, sharedlog.Position(1, 5), 3},
+	}
+	for _, test := range tests {
+		g := NewWithT(t)
+		streams := registry.New(registry.Config{Decoder: oneServer{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop()})
+		streams.ApplyUpdate(registry.StreamUpdate{Stream: sharedlog.Servers, Full: true, Next: test.next}, time.Now())
+		reader := New(Config{Registry: streams, Parts: partindex.New(partindex.Config{}), Logger: zerolog.Nop()})
+		sent, _, _ := reader.collect(request{Streams: map[sharedlog.Stream]int64{sharedlog.Servers: 1}, Eras: test.eras}, true)
+		g.Expect(sent.Streams).To(HaveLen(test.streams))
+		g.Expect(sent.Digests).To(HaveLen(test.streams))
+	}
+}
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -197,6 +197,9 @@
 	Loads map[sharedlog.Stream]registry.LoadCursor `msgpack:"l,omitempty"`
 	// Hold bounds the long poll; zero means longPoll.
 	Hold time.Duration `msgpack:"h,omitempty"`
+	// Eras means that the follower knows positions that hold an era. Boxes of an earlier version read a
+	// log with eras themselves: they would take such a position for an offset.
+	Eras bool `msgpack:"e,omitempty"`
 }
 
 // response holds the changes since the positions of a request.
