registry: a server that does not write again after a return is gone

A server whose entry was lost with the copy and that had ended was held for a minute, as a configuration is, and got calls that failed. A server writes its entry at each heartbeat, so the hold of that stream ends after three heartbeats and two seconds, without a read: what was not written again is gone. While the log cannot be read the hold goes on.

An entry that is written again with the same content counts as changed once, since followers hold the key, too; otherwise they took servers that live for gone (TestFollowersLearnThatAServerWroteAgain fails without it).

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -184,6 +184,7 @@
 	b.registry = registry.New(registry.Config{
 		Log: b.log, Eras: b.log.Eras(), Decoder: b.cfg.Decoder, Fleet: b.fleet, Logger: b.logger, OnCatalog: b.configure, StreamsChanged: &b.streamsChanged,
 		OnBoxes: func(records []sharedlog.Record) { b.share.ApplyBoxRecords(records) }, FirstReadDelay: b.firstReadDelay(),
+		ServerHeartbeat: b.settings.ServerHeartbeat,
 		OnBoxesRestored: func(has func(box string) bool) { b.share.ApplyRestored(has) },
 		ServersDeadline: b.settings.DrainDeadline, OperatorDeadline: b.settings.ConfigurationDeadline,
 		HasReader: func() bool { return b.readers.Following() != "" }, ReaderLostLog: func() bool { return b.readers.ReaderLostLog() },
--- a/internal/registry/read.go
+++ b/internal/registry/read.go
@@ -155,6 +155,7 @@
 
 // nextRead returns the offset that the next read begins at.
 func (r *Registry) nextRead(stream sharedlog.Stream) int64 {
+	r.endHold(stream)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.state(stream).nextRead()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -73,6 +73,8 @@
 	// OperatorDeadline that within which a configuration must be in force.
 	ServersDeadline  time.Duration
 	OperatorDeadline time.Duration
+	// ServerHeartbeat is the time between two entries of a server; zero means that it is unknown.
+	ServerHeartbeat time.Duration
 	// PollInterval is the time between two reads of the servers' stream.
 	PollInterval time.Duration
 	// LongPoll is the longest time that a read of the operators' stream waits for a record.
@@ -291,6 +293,9 @@
 	s := r.state(stream)
 	before, restored := s.next, s.isRestored(b)
 	changed := s.apply(b, func(record sharedlog.Record) (Rank, bool) { return r.cfg.Decoder.Rank(stream, record) })
+	if restored {
+		s.held.until = boottime.Now().Add(r.holdTimeOf(stream))
+	}
 	r.logRestored(stream, s, before)
 	r.cfg.Eras.Note(s.next)
 	r.mu.Unlock()
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -71,7 +71,7 @@
 
 func start(ctx context.Context, prepare func(*fakesharedlog.Log)) *testBox {
 	b := &testBox{log: fakesharedlog.New(), fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()})}
-	b.registry = registry.New(registry.Config{Log: b.log, Decoder: decoder{}, Fleet: b.fleet, Logger: zerolog.Nop()})
+	b.registry = registry.New(registry.Config{Log: b.log, Decoder: decoder{}, Fleet: b.fleet, Logger: zerolog.Nop(), ServerHeartbeat: time.Second})
 	if prepare != nil {
 		prepare(b.log)
 	}
--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -1,7 +1,8 @@
 // A log that came back from a copy. The copy is older than what this box has read, so a full read of it
 // would take back what was acknowledged since: a removed key, an evacuation, a server that leaves. What
 // the copy lacks stays in force, held, until it is written again, and for at most holdTime. After that
-// the log counts, since it is all that boxes that start later know.
+// the log counts, since it is all that boxes that start later know. A server writes its entry at each
+// heartbeat, so one that does not is gone sooner.
 //
 // Records of the new era are either in the copy or were written after the return. A key whose record
 // says by itself how new it is, by a version or a sequence, is decided by that. For other keys the
@@ -38,6 +39,10 @@
 	holdTime = time.Minute
 	// holdSpread is the time over which boxes end to hold, since each then gets the stream in full.
 	holdSpread = 10 * time.Second
+	// lapsedHeartbeats is the number of heartbeats without an entry after which a server is gone, as on the
+	// platform, and rewriteMargin is added for the time until the entry has been read.
+	lapsedHeartbeats = 3
+	rewriteMargin    = 2 * time.Second
 )
 
 // held is what a box holds of a stream since the log came back.
@@ -89,7 +94,6 @@
 			s.held.keys[key] = true
 		}
 	}
-	s.held.until = boottime.Now().Add(holdTime + rand.N(holdSpread))
 	s.reload, s.rereadAll, s.next, s.deltaFloor = false, false, b.next, b.next
 	s.pruneTombstones()
 	return changes
@@ -184,13 +188,51 @@
 	return record.Offset < s.held.writtenFrom
 }
 
-// endHold makes this box get the stream in full once it has held what the log lacks for long enough.
-func (s *streamState) endHold(now time.Time) {
+// endHold ends the hold of a stream when its time is over. Servers that have not written an entry by then
+// are gone. Other streams are got in full, and what the log lists counts.
+func (r *Registry) endHold(stream sharedlog.Stream) {
+	r.applyMu.Lock()
+	defer r.applyMu.Unlock()
+	r.mu.Lock()
+	s, now := r.state(stream), boottime.Now()
+	if now.Sub(s.readAt) > r.maxUpdateAge(stream) {
+		s.held.until = now.Add(r.holdTimeOf(stream)) // what is written now is not read
+	}
+	gone := s.endHold(stream, now)
+	r.mu.Unlock()
+	if len(gone) > 0 {
+		r.streamsChanged.Broadcast()
+		r.applyServers(gone)
+	}
+}
+
+// endHold returns the servers that are gone.
+func (s *streamState) endHold(stream sharedlog.Stream, now time.Time) (gone []entry) {
 	if len(s.held.keys) == 0 || now.Before(s.held.until) {
-		return
+		return nil
 	}
+	keys := s.held.keys
 	s.held.keys = nil
-	s.rereadAll, s.reload = true, true
+	if stream != sharedlog.Servers {
+		s.rereadAll, s.reload = true, true
+		return nil
+	}
+	for key := range keys {
+		if !s.entries[key].isDeleted() {
+			next := entry{decodedRecord: decodedRecord{record: sharedlog.Record{Key: key, Offset: s.next}}, changed: s.next}
+			s.put(next)
+			gone = append(gone, next)
+		}
+	}
+	return gone
+}
+
+// holdTimeOf returns how long this box holds what the log has lost of a stream.
+func (r *Registry) holdTimeOf(stream sharedlog.Stream) time.Duration {
+	if stream == sharedlog.Servers && r.cfg.ServerHeartbeat > 0 {
+		return lapsedHeartbeats*r.cfg.ServerHeartbeat + rewriteMargin
+	}
+	return holdTime + rand.N(holdSpread)
 }
 
 const (
--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -64,6 +64,7 @@
 		{"a server that leaves gets no calls", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server", value: "leaving#2"}, {restore: true}}, 0, nil, false},
 		{"a server that is gone stays so", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server"}, {restore: true}}, 0, nil, false},
 		{"a server that writes again after its entry was dropped", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server"}, {restore: true, wait: 2 * time.Second}, {key: "server", value: "ready#2", wait: time.Second}}, 0, nil, true},
+		{"a server that never writes again is gone", []step{{key: "config", value: "v", copyHere: true}, {key: "server", value: "ready#1"}, {restore: true, wait: 6 * time.Second}}, 1, nil, false},
 		{"a server that leaves and says so again", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server", value: "leaving#2"}, {restore: true, wait: time.Second}, {key: "server", value: "leaving#3", wait: afterHold}}, 0, nil, false},
 	}
 	for _, test := range tests {
@@ -176,6 +177,52 @@
 	})
 }
 
+// A reader tells its followers what has changed, and an entry that is written again as it was has not. The
+// followers went on to hold it, and then took the server for gone.
+func TestFollowersLearnThatAServerWroteAgain(t *testing.T) {
+	inBubble(t, func(g *WithT, reader *testBox) {
+		follower := registry.New(registry.Config{
+			Log: reader.log, Decoder: decoder{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop(), ServerHeartbeat: time.Second,
+		})
+		follow := func(length time.Duration) {
+			for range length / (100 * time.Millisecond) {
+				update, _ := reader.registry.UpdateSince(sharedlog.Servers, follower.ReaderPosition(sharedlog.Servers))
+				follower.ApplyUpdate(update, time.Now())
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		before := reader.log.Copy()
+		for range 3 {
+			reader.log.Put(sharedlog.Servers, "server", []byte("ready#1"))
+		}
+		follow(time.Second)
+		reader.log.Restore(before)
+		follow(time.Second)
+		reader.log.Put(sharedlog.Servers, "server", []byte("ready#2"))
+		follow(20 * time.Second)
+		update, _ := follower.UpdateSince(sharedlog.Servers, sharedlog.FromNewest)
+		g.Expect(update.Records).To(HaveLen(1))
+		g.Expect(sharedlog.EraOf(update.Records[0].Offset)).To(BeEquivalentTo(1))
+	})
+}
+
+// Servers that could not write again, since the log was away again, lost all calls.
+func TestServersAreHeldWhileTheLogIsAway(t *testing.T) {
+	inBubble(t, func(g *WithT, b *testBox) {
+		before := b.log.Copy()
+		b.log.Put(sharedlog.Servers, "server", []byte("ready#1"))
+		time.Sleep(time.Second)
+		b.log.Restore(before)
+		time.Sleep(time.Second)
+		b.log.Underlying().SetFaults(fakelog.Faults{Down: true})
+		time.Sleep(20 * time.Second)
+		g.Expect(b.hasServer()).To(BeTrue())
+		b.log.Put(sharedlog.Servers, "server", []byte("ready#2"))
+		time.Sleep(20 * time.Second)
+		g.Expect(b.hasServer()).To(BeTrue())
+	})
+}
+
 // Whatever is lost and written again, in whatever order: two seconds after the last write a box goes by
 // what was written last of each key, and no version is ever taken back.
 func TestViewIsThatOfTheLastWritesAfterAnyReturns(t *testing.T) {
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -9,7 +9,6 @@
 	"iter"
 	"time"
 
-	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
@@ -55,7 +54,6 @@
 
 // nextRead returns the position that the next read of the log begins at.
 func (s *streamState) nextRead() int64 {
-	s.endHold(boottime.Now())
 	if s.rereadAll {
 		return sharedlog.FromNewest
 	}
@@ -164,10 +162,11 @@
 		if offset < before.record.Offset || !found && offset < knownNext {
 			continue
 		}
+		wasHeld := s.held.keys[decoded.record.Key]
 		delete(s.held.keys, decoded.record.Key)
 		next := entry{decodedRecord: decoded, changed: offset}
 		unchanged := next.sameServer(before.decodedRecord)
-		if unchanged && b.uncompacted {
+		if unchanged && b.uncompacted && !wasHeld { // followers hold the key, too, until they get the record
 			next.changed = before.changed // no record between the two had other content
 		}
 		s.put(next)
--- a/internal/registry/updates.go
+++ b/internal/registry/updates.go
@@ -85,10 +85,10 @@
 // ReaderPosition returns the offset from which this box needs the changes of a stream from its
 // reader: that after all records that it knows, or a negative one if it needs the full view.
 func (r *Registry) ReaderPosition(stream sharedlog.Stream) int64 {
+	r.endHold(stream)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(stream)
-	s.endHold(boottime.Now())
 	if !s.reload {
 		return s.next
 	}
