Soak: returns of the log from a copy

--restores takes the log away for up to 1 s, several times in a run and overlapping with all other faults, and brings it back from a copy up to 4 s old; operators and servers write again within 1 s. A new invariant for all soaks: 6 s after the last fault all runners hold the newest weights.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -107,6 +107,11 @@
 	StuckBoxes int
 	// StopTimeout is the time that a box has for a graceful stop.
 	StopTimeout time.Duration
+	// WeightsNamed is the version of the weights that was declared last, and WeightsHeld the version that
+	// each runner holds at the end, by the number of the server. Ended is that moment.
+	WeightsNamed int
+	WeightsHeld  map[int]int
+	Ended        time.Duration
 	// FaultsEnd is when the last fault ended, after which everything should work again.
 	FaultsEnd time.Duration
 }
@@ -136,6 +141,7 @@
 	InvariantAllowed         = "a call that every configuration allows is not denied"
 	InvariantParts           = "stored parts are fetched complete, and only for calls of their own kind"
 	InvariantStops           = "a graceful stop ends in time"
+	InvariantWeights         = "all runners hold the newest weights after the faults end"
 	InvariantRecovery        = "all calls are served again after the faults end"
 )
 
@@ -181,6 +187,7 @@
 	h.checkCold(report)
 	h.checkAdvisories(report)
 	h.checkVersions(report)
+	h.checkWeights(report)
 	for _, details := range h.BadFetches {
 		report(InvariantParts, "%s", details)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -70,7 +70,7 @@
 // scope returns what a fault of this kind affects.
 func (k Kind) scope() scopeKind {
 	switch k {
-	case ApplyConfig, LogDown, UpdateWeights, EmptyStore, EvacuateZone:
+	case ApplyConfig, LogDown, UpdateWeights, EmptyStore, EvacuateZone, RestoreLog:
 		return wholeFleet
 	case ReloadSettings, RestartBox, PauseBox, KillBox, DelayLog, HoldLog, ResetLog, BlackholeLog:
 		return oneBox
@@ -97,6 +97,8 @@
 	// StallServers affects, from Target on.
 	Target      int
 	ServerCount int
+	// CopyAge is the age of the copy that RestoreLog brings back.
+	CopyAge time.Duration
 }
 
 // String formats the fault as one line of a report.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -44,6 +44,8 @@
 	}{
 		{"a complete response", soak.History{Attempts: []soak.Attempt{served}}, ""},
 		{"the response of another call", soak.History{Attempts: modified(served, func(a *soak.Attempt) { a.Outcome = soak.WrongResponse })}, soak.InvariantOwnResponse},
+		{"a runner with older weights", soak.History{WeightsNamed: 2, WeightsHeld: map[int]int{0: 1}, Ended: 107 * second}, soak.InvariantWeights},
+		{"a runner with older weights soon after the faults", soak.History{WeightsNamed: 2, WeightsHeld: map[int]int{0: 1}, Ended: 105 * second}, ""},
 		{"a stream of two software versions", soak.History{Streams: []soak.ResumableStream{{ID: "a", Versions: []string{"v1", "v2"}}}}, soak.InvariantVersions},
 		{"a stream of one software version", soak.History{Streams: []soak.ResumableStream{{ID: "a", Versions: []string{"v1"}, Resumed: true}}}, ""},
 		{"two runs", soak.History{Attempts: []soak.Attempt{served}, Arrivals: []soak.Arrival{{ID: "a"}, {ID: "a", Server: 1}}}, soak.InvariantAtMostOnce},
