logposition: positions of the log in a package of their own

The functions that read eras and offsets out of a position are used by packages that do not import the log's client, for one: log lines name the offset and, unless it is 0, the era, instead of the integer that holds both.

--- a/internal/fakesharedlog/fakesharedlog.go
+++ b/internal/fakesharedlog/fakesharedlog.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cometlock/cometlock/internal/fakelog"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/logservice"
 	"github.com/cometlock/cometlock/internal/safepack"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -67,15 +68,15 @@
 	}
 	at := end
 	if end != sharedlog.AnyEnd {
-		at = sharedlog.OffsetOf(end)
+		at = logposition.Offset(end)
 	}
 	era := l.Era()
 	offset, err := l.base.AppendAt(ctx, stream.String(), at, data)
 	switch {
-	case err == nil && (l.Era() != era || end != sharedlog.AnyEnd && sharedlog.EraOf(end) != era):
+	case err == nil && (l.Era() != era || end != sharedlog.AnyEnd && logposition.Era(end) != era):
 		return 0, sharedlog.ErrUnknown
 	case err == nil:
-		return sharedlog.Position(era, offset), nil
+		return logposition.New(era, offset), nil
 	case errors.Is(err, fakelog.ErrEndMoved):
 		return 0, sharedlog.ErrConflict
 	case errors.Is(err, logservice.ErrNotAppended):
@@ -91,24 +92,24 @@
 	if err := sharedlog.CheckEra(from, era); err != nil {
 		return sharedlog.Page{}, err
 	}
-	read, err := l.base.Read(ctx, stream.String(), logservice.ReadOptions{From: sharedlog.OffsetOf(from), Wait: wait})
+	read, err := l.base.Read(ctx, stream.String(), logservice.ReadOptions{From: logposition.Offset(from), Wait: wait})
 	if now := l.Era(); now != era {
-		return sharedlog.Page{}, &sharedlog.HistoryChangedError{Start: sharedlog.Position(now, 0)}
+		return sharedlog.Page{}, &sharedlog.HistoryChangedError{Start: logposition.New(now, 0)}
 	}
 	if expired, ok := errors.AsType[*logservice.ExpiredError](err); ok {
-		return sharedlog.Page{}, &sharedlog.RecordsExpiredError{First: sharedlog.Position(era, expired.Earliest)}
+		return sharedlog.Page{}, &sharedlog.RecordsExpiredError{First: logposition.New(era, expired.Earliest)}
 	}
 	if err != nil {
 		return sharedlog.Page{}, sharedlog.ErrUnknown
 	}
-	next := sharedlog.Position(era, sharedlog.OffsetOf(from))
-	page := sharedlog.Page{Next: next + int64(len(read.Records)), End: sharedlog.Position(era, read.Next)}
+	next := logposition.New(era, logposition.Offset(from))
+	page := sharedlog.Page{Next: next + int64(len(read.Records)), End: logposition.New(era, read.Next)}
 	for _, r := range read.Records {
 		var decoded entry
 		if err := safepack.Unmarshal(r.Data, &decoded); err != nil {
 			return sharedlog.Page{}, merry.Prepend(err, "decode record")
 		}
-		page.Records = append(page.Records, sharedlog.Record{Key: decoded.Key, Value: decoded.Value, Offset: sharedlog.Position(era, r.Offset)})
+		page.Records = append(page.Records, sharedlog.Record{Key: decoded.Key, Value: decoded.Value, Offset: logposition.New(era, r.Offset)})
 	}
 	return page, nil
 }
@@ -117,7 +118,7 @@
 // only for streams without expired records. Keys are in lexical order.
 func (l *Log) NewestPage(ctx context.Context, stream sharedlog.Stream, after string) (sharedlog.Page, error) {
 	newest := map[string]sharedlog.Record{}
-	next := sharedlog.Position(l.Era(), 0)
+	next := logposition.New(l.Era(), 0)
 	for {
 		page, err := l.Read(ctx, stream, next, 0)
 		if err != nil {
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/evacuation"
+	"github.com/cometlock/cometlock/internal/logposition"
 )
 
 // ApplyEvacuation processes an operator's record about a zone.
@@ -19,7 +20,7 @@
 	if change.Evacuate {
 		event = "zone_evacuated"
 	}
-	f.cfg.Logger.Info().Str("evacuated", change.Zone).Int64("offset", change.Offset).Int("calls", f.callsIn(change.Zone)).Msg(event)
+	f.cfg.Logger.Info().Str("evacuated", change.Zone).EmbedObject(logposition.Logged(change.Offset)).Int("calls", f.callsIn(change.Zone)).Msg(event)
 }
 
 // callsIn counts this box's calls in flight in a zone. The caller holds mu.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/coldstart"
 	"github.com/cometlock/cometlock/internal/evacuation"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -268,7 +269,7 @@
 	discovered := f.discovered
 	f.discovered = nil
 	if len(discovered) > maxDiscoveryLogs {
-		f.cfg.Logger.Info().Int("count", len(discovered)).Int64("offset", discovered[len(discovered)-1].Offset).Msg("servers_known")
+		f.cfg.Logger.Info().Int("count", len(discovered)).EmbedObject(logposition.Logged(discovered[len(discovered)-1].Offset)).Msg("servers_known")
 		return
 	}
 	for _, update := range discovered {
@@ -278,7 +279,7 @@
 
 func (f *Fleet) log(event string, server *Server, offset int64) {
 	f.cfg.Logger.Info().Str("server", server.Incarnation).Str("service", server.Service).Str("address", server.Address).
-		Str("zone", server.Zone).Str("software", server.Software).Bool("leaving", server.Leaving).Int64("offset", offset).Msg(event)
+		Str("zone", server.Zone).Str("software", server.Software).Bool("leaving", server.Leaving).EmbedObject(logposition.Logged(offset)).Msg(event)
 }
 
 // forgetDelisted removes servers that were delisted long ago.
--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -14,6 +14,7 @@
 
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/delegate"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/safepack"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -221,7 +222,7 @@
 	case !matches && s.announced && record.Offset > s.announcedOffset:
 		s.announced = false
 		s.unlisted.Broadcast()
-		s.cfg.Logger.Info().Int64("offset", record.Offset).Msg("box_no_longer_listed")
+		s.cfg.Logger.Info().EmbedObject(logposition.Logged(record.Offset)).Msg("box_no_longer_listed")
 	}
 }
 
--- a/internal/loadshare/restored.go
+++ b/internal/loadshare/restored.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -67,7 +68,7 @@
 			s.cfg.Logger.Info().Str("removed", box).Str("error", err.Error()).Msg("restored_box_not_removed")
 			return // it is tried again
 		}
-		s.cfg.Logger.Info().Str("removed", box).Int64("offset", offset).Msg("restored_box_removed")
+		s.cfg.Logger.Info().Str("removed", box).EmbedObject(logposition.Logged(offset)).Msg("restored_box_removed")
 		end = offset + 1
 	}
 }
--- a/internal/orderlease/orderlease.go
+++ b/internal/orderlease/orderlease.go
@@ -43,6 +43,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/safepack"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -161,7 +162,7 @@
 	defer cancelOnEra()
 	l.mu.Lock()
 	from, hold := l.next, readHold
-	if newest, _ := l.cfg.Eras.Newest(); !l.caughtUp || newest > sharedlog.EraOf(from) {
+	if newest, _ := l.cfg.Eras.Newest(); !l.caughtUp || newest > logposition.Era(from) {
 		hold = 0
 	}
 	l.mu.Unlock()
@@ -197,7 +198,7 @@
 	l.cfg.Eras.Note(start)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cfg.Logger.Info().Int64("era", sharedlog.EraOf(start)).Str("holder", l.last).Msg("order_lease_restored")
+	l.cfg.Logger.Info().Int64("era", logposition.Era(start)).Str("holder", l.last).Msg("order_lease_restored")
 	l.next, l.caughtUp = start, false
 	l.last, l.released, l.permittedUntil = "", false, time.Time{}
 }
@@ -209,7 +210,7 @@
 	for _, r := range page.Records {
 		var decoded record
 		if err := safepack.Unmarshal(r.Value, &decoded); err != nil {
-			l.cfg.Logger.Error().Int64("offset", r.Offset).Str("error", err.Error()).Msg("order_lease_not_decoded")
+			l.cfg.Logger.Error().EmbedObject(logposition.Logged(r.Offset)).Str("error", err.Error()).Msg("order_lease_not_decoded")
 		}
 		l.observe(decoded, r.Offset)
 	}
@@ -231,7 +232,7 @@
 		l.fence = offset
 	}
 	if r.Holder != l.last {
-		l.cfg.Logger.Info().Str("holder", r.Holder).Int64("offset", offset).Msg("order_lease_taken")
+		l.cfg.Logger.Info().Str("holder", r.Holder).EmbedObject(logposition.Logged(offset)).Msg("order_lease_taken")
 	}
 	l.next, l.last, l.lastAt, l.released = offset+1, r.Holder, now, r.Released
 }
@@ -400,12 +401,12 @@
 	defer l.mu.Unlock()
 	if err != nil {
 		l.failedAt = boottime.Now()
-		l.cfg.Logger.Info().Int64("end", end).Str("error", err.Error()).Msg("order_lease_not_taken")
+		l.cfg.Logger.Info().Int64("end", logposition.Offset(end)).Str("error", err.Error()).Msg("order_lease_not_taken")
 		return false
 	}
 	l.observe(r, offset)
 	newest, _ := l.cfg.Eras.Newest()
-	if l.next == offset+1 && newest == sharedlog.EraOf(offset) && !r.Released {
+	if l.next == offset+1 && newest == logposition.Era(offset) && !r.Released {
 		l.permittedUntil, l.permitsAll, l.permitted = sent.Add(permitFor), !r.Listed, map[uint32]bool{}
 		for _, hash := range r.Runners {
 			l.permitted[hash] = true
--- a/internal/registry/read.go
+++ b/internal/registry/read.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -81,8 +82,8 @@
 		failed, retryDelay = 0, minRetryDelay
 		r.recordLogBack(stream, page.Next)
 		expired := full && from >= 0
-		if expired && sharedlog.EraOf(from) == sharedlog.EraOf(page.Next) {
-			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", from).Int64("offset", page.Next).Msg("records_expired")
+		if expired && logposition.Era(from) == logposition.Era(page.Next) {
+			r.cfg.Logger.Info().Stringer("stream", stream).Int64("from", logposition.Offset(from)).EmbedObject(logposition.Logged(page.Next)).Msg("records_expired")
 		}
 		if full || len(page.Records) > 0 {
 			r.apply(stream, page.Records, batch{next: page.Next, full: full, uncompacted: !full})
@@ -124,7 +125,7 @@
 		return sharedlog.ReadNext(ctx, r.cfg.Log, stream, from, wait, timeout)
 	}
 	eraChanged := r.cfg.Eras.Changed()
-	if era, _ := r.cfg.Eras.Newest(); from >= 0 && sharedlog.EraOf(from) < era {
+	if era, _ := r.cfg.Eras.Newest(); from >= 0 && logposition.Era(from) < era {
 		return sharedlog.ReadNext(ctx, r.cfg.Log, stream, from, 0, timeout)
 	}
 	reading, cancel := waiting.WithSignal(ctx, changed)
@@ -207,12 +208,12 @@
 // logRestored logs when a stream came back from a copy: the position that this box had before, and the
 // keys that it holds. The caller holds mu.
 func (r *Registry) logRestored(stream sharedlog.Stream, s *streamState, before int64) {
-	if before < 0 || sharedlog.EraOf(s.next) <= sharedlog.EraOf(before) {
+	if before < 0 || logposition.Era(s.next) <= logposition.Era(before) {
 		return
 	}
-	r.cfg.Logger.Warn().Stringer("stream", stream).Int64("era", sharedlog.EraOf(s.next)).Int64("era_before", sharedlog.EraOf(before)).
-		Int64("offset", sharedlog.OffsetOf(s.next)).Int64("offset_before", sharedlog.OffsetOf(before)).
-		Int64("written_from", sharedlog.OffsetOf(s.held.writtenFrom)).Int("held", len(s.held.keys)).Msg("log_restored")
+	r.cfg.Logger.Warn().Stringer("stream", stream).Int64("era", logposition.Era(s.next)).Int64("era_before", logposition.Era(before)).
+		Int64("offset", logposition.Offset(s.next)).Int64("offset_before", logposition.Offset(before)).
+		Int64("written_from", logposition.Offset(s.held.writtenFrom)).Int("held", len(s.held.keys)).Msg("log_restored")
 }
 
 func (r *Registry) recordLogLost(ctx context.Context, stream sharedlog.Stream, sentAt time.Time, err error) {
@@ -234,7 +235,7 @@
 	if !r.clearLost(stream) {
 		return
 	}
-	r.cfg.Logger.Info().Stringer("stream", stream).Int64("offset", next).Msg("log_recovered")
+	r.cfg.Logger.Info().Stringer("stream", stream).EmbedObject(logposition.Logged(next)).Msg("log_recovered")
 	switch stream {
 	case sharedlog.Servers:
 		r.cfg.Fleet.NoteRegistryRecovery() // without mu: the fleet asks for versions of weights while it holds its lock
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -19,6 +19,7 @@
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/evacuation"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -356,7 +357,7 @@
 	known := r.state(sharedlog.Servers).entries[record.Key].undecodable
 	r.mu.Unlock()
 	if !known {
-		r.cfg.Logger.Error().Str("key", record.Key).Int64("offset", record.Offset).Str("error", err.Error()).Msg("server_entry_invalid")
+		r.cfg.Logger.Error().Str("key", record.Key).EmbedObject(logposition.Logged(record.Offset)).Str("error", err.Error()).Msg("server_entry_invalid")
 	}
 }
 
@@ -380,7 +381,7 @@
 		declaration, err := r.cfg.Decoder.Declaration(record)
 		switch {
 		case err != nil:
-			r.cfg.Logger.Error().Str("key", record.Key).Int64("offset", record.Offset).Str("error", err.Error()).Msg("declaration_invalid")
+			r.cfg.Logger.Error().Str("key", record.Key).EmbedObject(logposition.Logged(record.Offset)).Str("error", err.Error()).Msg("declaration_invalid")
 		case declaration == nil:
 		case declaration.Catalog != nil:
 			r.applyCatalog(declaration.Catalog, record)
@@ -403,13 +404,13 @@
 // applyCatalog puts a configuration in force. An older version than the present one comes into force only
 // if the log came back from a copy, and this box no longer holds the present one. The caller holds applyMu.
 func (r *Registry) applyCatalog(next *catalog.Catalog, record sharedlog.Record) {
-	ofLaterEra := sharedlog.EraOf(record.Offset) > sharedlog.EraOf(r.catalogRecord.Offset)
+	ofLaterEra := logposition.Era(record.Offset) > logposition.Era(r.catalogRecord.Offset)
 	if current := r.catalog.Load(); current != nil && next.Version() <= current.Version() && !ofLaterEra {
 		return
 	}
 	r.catalog.Store(next)
 	r.catalogRecord = record
-	r.cfg.Logger.Info().Int64("version", next.Version()).Int64("offset", record.Offset).Msg("configuration_in_force")
+	r.cfg.Logger.Info().Int64("version", next.Version()).EmbedObject(logposition.Logged(record.Offset)).Msg("configuration_in_force")
 	if r.cfg.OnCatalog != nil {
 		r.cfg.OnCatalog(next)
 	}
--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
@@ -57,7 +58,7 @@
 
 // isRestored reports whether a batch is the first full view of a later era.
 func (s *streamState) isRestored(b batch) bool {
-	return s.next >= 0 && b.full && sharedlog.EraOf(b.next) > sharedlog.EraOf(s.next)
+	return s.next >= 0 && b.full && logposition.Era(b.next) > logposition.Era(s.next)
 }
 
 // applyRestored applies the first full view of a later era and returns the entries that have changed.
@@ -69,7 +70,7 @@
 		key := decoded.record.Key
 		listed[key] = true
 		before, found := s.entries[key]
-		if sharedlog.EraOf(decoded.record.Offset) < sharedlog.EraOf(b.next) {
+		if logposition.Era(decoded.record.Offset) < logposition.Era(b.next) {
 			s.held.keys[key] = true // the box that sent the view holds it
 		}
 		if found && bounds.isOlder(decoded.record, before.record, rank) {
@@ -86,7 +87,7 @@
 	for key, known := range s.entries {
 		switch {
 		case listed[key] || known.isDeleted():
-		case sharedlog.OffsetOf(known.record.Offset) < bounds.common:
+		case logposition.Offset(known.record.Offset) < bounds.common:
 			next := entry{decodedRecord: decodedRecord{record: sharedlog.Record{Key: key, Offset: b.next - 1}}, changed: b.next - 1}
 			s.put(next)
 			changes = append(changes, next)
@@ -121,19 +122,19 @@
 			return bounds
 		}
 		if !known.isDeleted() { // the offsets of deletions are not exact
-			keyAt[sharedlog.OffsetOf(known.record.Offset)] = key
+			keyAt[logposition.Offset(known.record.Offset)] = key
 		}
 	}
 	for _, decoded := range b.records {
 		known := s.entries[decoded.record.Key]
-		if offset := sharedlog.OffsetOf(decoded.record.Offset); offset == sharedlog.OffsetOf(known.record.Offset) && sameValue(decoded.record, known.record) {
+		if offset := logposition.Offset(decoded.record.Offset); offset == logposition.Offset(known.record.Offset) && sameValue(decoded.record, known.record) {
 			bounds.common = max(bounds.common, offset+1)
 		}
 	}
 	for _, decoded := range b.records {
 		record := decoded.record
-		offset := sharedlog.OffsetOf(record.Offset)
-		if offset < bounds.common || sharedlog.EraOf(record.Offset) != sharedlog.EraOf(b.next) {
+		offset := logposition.Offset(record.Offset)
+		if offset < bounds.common || logposition.Era(record.Offset) != logposition.Era(b.next) {
 			continue
 		}
 		known, found := s.entries[record.Key]
@@ -151,7 +152,7 @@
 		return false
 	}
 	if sameValue(record, known) {
-		return sharedlog.OffsetOf(record.Offset) != sharedlog.OffsetOf(known.Offset)
+		return logposition.Offset(record.Offset) != logposition.Offset(known.Offset)
 	}
 	next, ranked := rank(record)
 	before, knownRanked := rank(known)
@@ -161,7 +162,7 @@
 // isOlder reports whether a record of a full view is older than the known one of its key.
 func (b historyBounds) isOlder(record, known sharedlog.Record, rank Ranker) bool {
 	switch {
-	case sharedlog.EraOf(record.Offset) <= sharedlog.EraOf(known.Offset):
+	case logposition.Era(record.Offset) <= logposition.Era(known.Offset):
 		return record.Offset < known.Offset // another box holds it
 	case sameValue(record, known):
 		return false
@@ -171,7 +172,7 @@
 	if ranked && knownRanked {
 		return next.compare(before) < 0
 	}
-	offset, knownOffset := sharedlog.OffsetOf(record.Offset), sharedlog.OffsetOf(known.Offset)
+	offset, knownOffset := logposition.Offset(record.Offset), logposition.Offset(known.Offset)
 	return offset < knownOffset && knownOffset >= b.common && record.Offset < b.writtenFrom
 }
 
--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -17,6 +17,7 @@
 	"github.com/cometlock/cometlock/internal/fakelog"
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -173,7 +174,7 @@
 		g.Expect(counted.count.Load()).To(BeEquivalentTo(1))
 		time.Sleep(500 * time.Millisecond)
 		g.Expect(counted.count.Load()).To(BeEquivalentTo(2), "the reader did not send its view")
-		g.Expect(sharedlog.EraOf(r.Position(sharedlog.Operator))).To(BeEquivalentTo(1))
+		g.Expect(logposition.Era(r.Position(sharedlog.Operator))).To(BeEquivalentTo(1))
 	})
 }
 
@@ -202,7 +203,7 @@
 		follow(20 * time.Second)
 		update, _ := follower.UpdateSince(sharedlog.Servers, sharedlog.FromNewest)
 		g.Expect(update.Records).To(HaveLen(1))
-		g.Expect(sharedlog.EraOf(update.Records[0].Offset)).To(BeEquivalentTo(1))
+		g.Expect(logposition.Era(update.Records[0].Offset)).To(BeEquivalentTo(1))
 	})
 }
 
--- a/internal/registry/updates.go
+++ b/internal/registry/updates.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -169,7 +170,7 @@
 // box had reached.
 func (r *Registry) logUpdate(update StreamUpdate) {
 	r.cfg.Logger.Info().Stringer("stream", update.Stream).Bool("whole", update.Full).Int("records", len(update.Records)).
-		Int64("from", r.Position(update.Stream)).Int64("offset", update.Next).Dur("age", update.Age).Msg("told")
+		Int64("from", logposition.Offset(r.Position(update.Stream))).EmbedObject(logposition.Logged(update.Next)).Dur("age", update.Age).Msg("told")
 }
 
 // checkDigest makes this box get the stream in full when the reader has a different view at the same
@@ -182,10 +183,10 @@
 	}
 	s.differs = differs
 	if !differs {
-		r.cfg.Logger.Info().Stringer("stream", update.Stream).Int64("offset", update.Next).Msg("view_converged")
+		r.cfg.Logger.Info().Stringer("stream", update.Stream).EmbedObject(logposition.Logged(update.Next)).Msg("view_converged")
 		return
 	}
-	r.cfg.Logger.Warn().Stringer("stream", update.Stream).Int64("offset", update.Next).Msg("view_diverged")
+	r.cfg.Logger.Warn().Stringer("stream", update.Stream).EmbedObject(logposition.Logged(update.Next)).Msg("view_diverged")
 	if r.reloadFromReader.Load() {
 		s.reload = true
 		return
--- a/internal/registry/weights.go
+++ b/internal/registry/weights.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
@@ -174,7 +175,7 @@
 	versions = versions[max(len(versions)-maxVersions+1, 0):]
 	next := DeclaredWeights{Version: declared.Version, LearnedAt: boottime.Now(), DeclaredAfter: r.state(sharedlog.Operator).readAt}
 	r.weights[declared.Model] = append(slices.Clone(versions), next)
-	event := r.cfg.Logger.Info().Str("model", declared.Model).Int("weights", declared.Version).Int64("offset", offset).Bool("found", next.Undated())
+	event := r.cfg.Logger.Info().Str("model", declared.Model).Int("weights", declared.Version).EmbedObject(logposition.Logged(offset)).Bool("found", next.Undated())
 	if !next.Undated() {
 		event.Dur("age_at_most", boottime.Since(next.DeclaredAfter))
 	}
--- a/internal/sharedlog/eras.go
+++ b/internal/sharedlog/eras.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
@@ -23,7 +24,7 @@
 func (e *Eras) Note(position int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if era := EraOf(position); era > e.newest {
+	if era := logposition.Era(position); era > e.newest {
 		e.newest, e.seenAt = era, boottime.Now()
 		e.changed.Broadcast()
 	}
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/cometlock/cometlock/internal/logposition"
 )
 
 // Errors of a log.
@@ -32,7 +34,7 @@
 
 // Error implements error.
 func (e *RecordsExpiredError) Error() string {
-	return fmt.Sprintf("the log retains records only from offset %d on", OffsetOf(e.First))
+	return fmt.Sprintf("the log retains records only from offset %d on", logposition.Offset(e.First))
 }
 
 // Stream identifies one of the streams that boxes read.
@@ -76,7 +78,7 @@
 
 	Key   string `msgpack:"k"`
 	Value []byte `msgpack:"v"`
-	// Offset is a Position.
+	// Offset is a position (package logposition).
 	Offset int64 `msgpack:"o"`
 }
 
@@ -141,7 +143,7 @@
 		if err != nil {
 			return Page{}, err
 		}
-		if !first && EraOf(page.End) != EraOf(all.End) {
+		if !first && logposition.Era(page.End) != logposition.Era(all.End) {
 			return Newest(ctx, log, stream)
 		}
 		if first {
--- a/internal/zonereader/directory.go
+++ b/internal/zonereader/directory.go
@@ -19,6 +19,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cometlock/cometlock/internal/delegate"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/safepack"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -155,5 +156,5 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.advertised, m.advertisedEra = m.current.reader, sharedlog.EraOf(position)
+	m.advertised, m.advertisedEra = m.current.reader, logposition.Era(position)
 }
--- a/internal/zonereader/serve.go
+++ b/internal/zonereader/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/frame"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -179,7 +180,7 @@
 // changed. Without fullStates it defers what has to be sent in full of a store box.
 func (m *Member) collect(r request, fullStates bool) (collected response, streamsChanged, partsChanged bool) {
 	for _, stream := range registry.ForwardedStreams() {
-		if !r.Eras && sharedlog.EraOf(m.cfg.Registry.Position(stream)) > 0 {
+		if !r.Eras && logposition.Era(m.cfg.Registry.Position(stream)) > 0 {
 			continue
 		}
 		update, changed := m.collectStream(r, stream, &collected)
--- a/internal/zonereader/versions_test.go
+++ b/internal/zonereader/versions_test.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/safepack"
@@ -81,8 +82,8 @@
 		streams int
 	}{
 		{false, 5, 3},
-		{false, sharedlog.Position(1, 5), 2},
-		{true, sharedlog.Position(1, 5), 3},
+		{false, logposition.New(1, 5), 2},
+		{true, logposition.New(1, 5), 3},
 	}
 	for _, test := range tests {
 		g := NewWithT(t)
