logservice: a log that lost records counts as unavailable

The product's own log protocol names no era. A log that came back from a copy looked like one without new records, or like one whose records had expired, and claims of lost records could be granted a second time. A read past its end is now an error, so boxes act as without a log: nothing that may run only once is run.

The list of the platform's words has the era's header, too.

--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -120,9 +120,12 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxPageBytes)).Decode(&page); err != nil {
 		return Page{}, merry.Wrap(ErrUnavailable, merry.WithCause(err))
 	}
-	if response.StatusCode == http.StatusGone {
+	if response.StatusCode == http.StatusGone && page.Earliest > opts.From {
 		return Page{}, &ExpiredError{Earliest: page.Earliest}
 	}
+	if response.StatusCode == http.StatusGone || page.Next < opts.From {
+		return Page{}, merry.Wrap(ErrUnavailable, merry.AppendMessagef("the log has lost records: it has none at offset %d, up to which it was read", opts.From))
+	}
 	return page, checkPage(page, opts.From)
 }
 
--- a/scripts/wirewords.sh
+++ b/scripts/wirewords.sh
@@ -4,7 +4,7 @@
 # X-Request-Id is not checked: many systems use this header, including the engines of this system.
 set -eu
 cd "$(dirname "$0")/.."
-words='X-Deadline-Ms|X-Model|X-Token-Usage|X-Prompt-Prefix|X-Expect-Instance|X-Not-Run|X-Server-Stamp|X-Instance-Id|X-Tenant|Expect-Version|Cache-Salt|Kv-Fetch|Kv-Save|Kv-Until|Kv-From|Kv-Backup|Pin-Ms|/-/(log|kv|report|order)|keyed\.(op|servers)|coldRemainingMs|pathPrefix|maxAttempts|kvStoreAddr|kvTokenBytes|nextPageToken|expectedRev|internalPortRange|machineClass'
+words='Store-Era|X-Deadline-Ms|X-Model|X-Token-Usage|X-Prompt-Prefix|X-Expect-Instance|X-Not-Run|X-Server-Stamp|X-Instance-Id|X-Tenant|Expect-Version|Cache-Salt|Kv-Fetch|Kv-Save|Kv-Until|Kv-From|Kv-Backup|Pin-Ms|/-/(log|kv|report|order)|keyed\.(op|servers)|coldRemainingMs|pathPrefix|maxAttempts|kvStoreAddr|kvTokenBytes|nextPageToken|expectedRev|internalPortRange|machineClass'
 found=$(grep -rnE "$words" --include='*.go' cmd internal || true)
 imports=$(grep -rln '"github.com/cometlock/cometlock/platform' --include='*.go' internal || true)
 if [ -n "$found$imports" ]; then
