registry: a box that starts holds what its reader holds

A box that started after the return got the view of another box, with records that the log lacks, but did not know that they are held: a lower version, written again in order, took the configuration back at that box. Records of an earlier era in a full view are now held, too.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -294,7 +294,7 @@
 	s := r.state(stream)
 	before, restored := s.next, s.isRestored(b)
 	changed := s.apply(b, func(record sharedlog.Record) (Rank, bool) { return r.cfg.Decoder.Rank(stream, record) })
-	if restored {
+	if len(s.held.keys) > 0 && s.held.until.IsZero() {
 		s.held.until = boottime.Now().Add(r.holdTimeOf(stream))
 	}
 	r.logRestored(stream, s, before)
--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -61,21 +61,30 @@
 	return s.next >= 0 && b.full && logposition.Era(b.next) > logposition.Era(s.next)
 }
 
+// hold marks a key whose newest known record the log lacks. All records from writtenFrom on were written
+// after the return.
+func (s *streamState) hold(key string, writtenFrom int64) {
+	if s.held.keys == nil {
+		s.held = held{keys: map[string]bool{}, writtenFrom: writtenFrom}
+	}
+	s.held.keys[key] = true
+}
+
 // applyRestored applies the first full view of a later era and returns the entries that have changed.
 func (s *streamState) applyRestored(b batch, rank Ranker) (changes []entry) {
 	bounds := s.compareHistories(b, rank)
-	s.held = held{keys: map[string]bool{}, writtenFrom: bounds.writtenFrom}
+	s.held = held{}
 	listed := make(map[string]bool, len(b.records))
 	for i, decoded := range b.records {
 		key := decoded.record.Key
 		listed[key] = true
 		before, found := s.entries[key]
 		if logposition.Era(decoded.record.Offset) < logposition.Era(b.next) {
-			s.held.keys[key] = true // the box that sent the view holds it
+			s.hold(key, bounds.writtenFrom) // the box that sent the view holds it
 		}
 		if found && bounds.isOlder(decoded.record, before.record, rank) {
 			b.records[i].outdated = true
-			s.held.keys[key] = true
+			s.hold(key, bounds.writtenFrom)
 			continue
 		}
 		next := entry{decodedRecord: decoded, changed: decoded.record.Offset}
@@ -92,7 +101,7 @@
 			s.put(next)
 			changes = append(changes, next)
 		default:
-			s.held.keys[key] = true
+			s.hold(key, bounds.writtenFrom)
 		}
 	}
 	s.reload, s.rereadAll, s.next, s.deltaFloor = false, false, b.next, b.next
--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -207,6 +207,31 @@
 	})
 }
 
+// A box that started after the return got the view of another box, and put an older version in force when
+// that was written again.
+func TestABoxThatStartsHoldsWhatItsReaderHolds(t *testing.T) {
+	inBubble(t, func(g *WithT, reader *testBox) {
+		reader.log.Put(sharedlog.Operator, "config", []byte("v"))
+		before := reader.log.Copy()
+		reader.log.Put(sharedlog.Operator, "config", []byte("vvv"))
+		time.Sleep(time.Second)
+		reader.log.Restore(before)
+		time.Sleep(time.Second)
+		started := registry.New(registry.Config{Log: reader.log, Decoder: decoder{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop()})
+		update, _ := reader.registry.UpdateSince(sharedlog.Operator, sharedlog.FromNewest)
+		g.Expect(started.ApplyUpdate(update, time.Now())).To(BeTrue())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		go started.LoopOperator(ctx)
+		reader.log.Put(sharedlog.Operator, "config", []byte("vv"))
+		time.Sleep(5 * time.Second)
+		g.Expect(started.Catalog().Version()).To(BeEquivalentTo(3))
+		time.Sleep(afterHold)
+		g.Expect(started.Catalog().Version()).To(BeEquivalentTo(2))
+	})
+}
+
 // Servers that could not write again, since the log was away again, lost all calls.
 func TestServersAreHeldWhileTheLogIsAway(t *testing.T) {
 	inBubble(t, func(g *WithT, b *testBox) {
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
@@ -164,6 +165,9 @@
 		}
 		wasHeld := s.held.keys[decoded.record.Key]
 		delete(s.held.keys, decoded.record.Key)
+		if b.full && logposition.Era(offset) < logposition.Era(b.next) {
+			s.hold(decoded.record.Key, b.next)
+		}
 		next := entry{decodedRecord: decoded, changed: offset}
 		unchanged := next.sameServer(before.decodedRecord)
 		if unchanged && b.uncompacted && !wasHeld { // followers hold the key, too, until they get the record
