--- a/internal/sharedlog/newest_test.go
+++ b/internal/sharedlog/newest_test.go
@@ -9,7 +9,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/cometlock/cometlock/internal/fakelog"
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
@@ -55,3 +57,40 @@
 		g.Expect(time.Since(began)).To(BeNumerically("<=", 2*time.Second))
 	})
 }
+
+// restoredPages is a log that comes back from a copy after the first page of newest records.
+type restoredPages struct {
+	*fakesharedlog.Log
+	from fakelog.Copy
+	done bool
+}
+
+func (l *restoredPages) NewestPage(ctx context.Context, stream sharedlog.Stream, after string) (sharedlog.Page, error) {
+	page, err := l.Log.NewestPage(ctx, stream, after)
+	if !l.done {
+		l.done = true
+		l.Restore(l.from)
+	}
+	return page, err
+}
+
+// Pages of two eras made up a view that the log never had.
+func TestAFullReadBeginsAgainInALaterEra(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	log.SetPageRecords(2)
+	for i := range 5 {
+		log.Put(sharedlog.Servers, fmt.Sprint("server-", i), []byte("copied"))
+	}
+	copied := log.Copy()
+	for i := range 5 {
+		log.Put(sharedlog.Servers, fmt.Sprint("server-", i), []byte("lost"))
+	}
+	page, err := sharedlog.Newest(t.Context(), &restoredPages{Log: log, from: copied}, sharedlog.Servers)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(page.Next).To(Equal(logposition.New(1, 5)))
+	for _, record := range page.Records {
+		g.Expect(string(record.Value)).To(Equal("copied"))
+		g.Expect(logposition.Era(record.Offset)).To(BeEquivalentTo(1))
+	}
+}
