registry: heartbeats alone are no difference between two histories

At a return a reader held nearly every server, since each had written heartbeats after the copy, and told its followers of the next heartbeat of each: 20,000 entries to each follower within a heartbeat. Entries that describe a server alike are not held now.

A record that happened to get its old offset again made the box take all offsets below it for common to both histories, and an evacuation below was dropped for the moment. The comparison stops at the first offset that is known to differ, and is made with entries of the last era only. The hold's own state begins anew when nothing is held, and is looked at without the lock of applying records.

--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -64,7 +64,7 @@
 // hold marks a key whose newest known record the log lacks. All records from writtenFrom on were written
 // after the return.
 func (s *streamState) hold(key string, writtenFrom int64) {
-	if s.held.keys == nil {
+	if len(s.held.keys) == 0 {
 		s.held = held{keys: map[string]bool{}, writtenFrom: writtenFrom}
 	}
 	s.held.keys[key] = true
@@ -79,17 +79,18 @@
 		key := decoded.record.Key
 		listed[key] = true
 		before, found := s.entries[key]
+		unchanged := found && (decoded.sameServer(before.decodedRecord) || sameValue(decoded.record, before.record))
 		if logposition.Era(decoded.record.Offset) < logposition.Era(b.next) {
 			s.hold(key, bounds.writtenFrom) // the box that sent the view holds it
 		}
-		if found && bounds.isOlder(decoded.record, before.record, rank) {
+		if found && !unchanged && bounds.isOlder(decoded.record, before.record, rank) {
 			b.records[i].outdated = true
 			s.hold(key, bounds.writtenFrom)
 			continue
 		}
 		next := entry{decodedRecord: decoded, changed: decoded.record.Offset}
 		s.put(next)
-		if !found || !next.sameServer(before.decodedRecord) && !sameValue(next.record, before.record) {
+		if !unchanged {
 			changes = append(changes, next)
 		}
 	}
@@ -120,38 +121,37 @@
 	writtenFrom int64
 }
 
-// compareHistories compares the entries with the first full view of a later era. A follower does not get
-// each record of a stream whose keys are written at every heartbeat, so for a stream in which servers
-// describe themselves the comparison shows nothing.
+// compareHistories compares the entries of the last era with the first full view of a later one. A follower
+// does not get each record of a stream whose keys are written at every heartbeat, so for a stream in which
+// servers describe themselves the comparison shows nothing.
 func (s *streamState) compareHistories(b batch, rank Ranker) historyBounds {
 	bounds := historyBounds{writtenFrom: b.next}
-	keyAt := make(map[int64]string, len(s.entries))
-	for key, known := range s.entries {
-		if known.server != nil {
+	known := make(map[int64]sharedlog.Record, len(s.entries)) // by offset
+	for _, e := range s.entries {
+		if e.server != nil {
 			return bounds
 		}
-		if !known.isDeleted() { // the offsets of deletions are not exact
-			keyAt[logposition.Offset(known.record.Offset)] = key
-		}
-	}
-	for _, decoded := range b.records {
-		known := s.entries[decoded.record.Key]
-		if offset := logposition.Offset(decoded.record.Offset); offset == logposition.Offset(known.record.Offset) && sameValue(decoded.record, known.record) {
-			bounds.common = max(bounds.common, offset+1)
+		if !e.isDeleted() && logposition.Era(e.record.Offset) == logposition.Era(s.next) { // the offsets of deletions are not exact
+			known[logposition.Offset(e.record.Offset)] = e.record
 		}
 	}
 	for _, decoded := range b.records {
 		record := decoded.record
-		offset := logposition.Offset(record.Offset)
-		if offset < bounds.common || logposition.Era(record.Offset) != logposition.Era(b.next) {
+		if logposition.Era(record.Offset) != logposition.Era(b.next) {
 			continue
 		}
-		known, found := s.entries[record.Key]
-		_, reused := keyAt[offset]
-		if reused || found && isWrittenAgain(record, known.record, rank) {
+		before, reused := known[logposition.Offset(record.Offset)]
+		differs := reused && (before.Key != record.Key || !sameValue(before, record))
+		if differs || isWrittenAgain(record, s.entries[record.Key].record, rank) {
 			bounds.writtenFrom = min(bounds.writtenFrom, record.Offset)
 		}
 	}
+	for _, decoded := range b.records {
+		offset := logposition.Offset(decoded.record.Offset)
+		if before, found := known[offset]; found && before.Key == decoded.record.Key && decoded.record.Offset < bounds.writtenFrom {
+			bounds.common = max(bounds.common, offset+1)
+		}
+	}
 	return bounds
 }
 
@@ -168,13 +168,11 @@
 	return ranked && knownRanked && next.compare(before) > 0
 }
 
-// isOlder reports whether a record of a full view is older than the known one of its key.
+// isOlder reports whether a record of a full view is older than the known one of its key, which has another
+// content.
 func (b historyBounds) isOlder(record, known sharedlog.Record, rank Ranker) bool {
-	switch {
-	case logposition.Era(record.Offset) <= logposition.Era(known.Offset):
+	if logposition.Era(record.Offset) <= logposition.Era(known.Offset) {
 		return record.Offset < known.Offset // another box holds it
-	case sameValue(record, known):
-		return false
 	}
 	next, ranked := rank(record)
 	before, knownRanked := rank(known)
@@ -201,6 +199,9 @@
 // endHold ends the hold of a stream when its time is over. Servers that have not written an entry by then
 // are gone. Other streams are got in full, and what the log lists counts.
 func (r *Registry) endHold(stream sharedlog.Stream) {
+	if !r.holds(stream) {
+		return
+	}
 	r.applyMu.Lock()
 	defer r.applyMu.Unlock()
 	r.mu.Lock()
@@ -216,6 +217,13 @@
 	}
 }
 
+// holds reports whether this box holds keys of a stream.
+func (r *Registry) holds(stream sharedlog.Stream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.state(stream).held.keys) > 0
+}
+
 // endHold returns the servers that are gone.
 func (s *streamState) endHold(stream sharedlog.Stream, now time.Time) (gone []entry) {
 	if len(s.held.keys) == 0 || now.Before(s.held.until) {
--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -59,6 +59,7 @@
 		{"the end of an evacuation holds", []step{{key: "evacuate/a", value: "yes", copyHere: true}, {key: "evacuate/a"}, {restore: true}}, 0, nil, false},
 		{"an evacuation that ends after the return", []step{{key: "evacuate/a", value: "yes"}, {key: "config", value: "v", copyHere: true}, {key: "config", value: "vv"}, {restore: true, wait: 1}, {key: "evacuate/a"}}, 2, nil, false},
 		{"another evacuation, where offsets are given out again", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vv"}, {key: "evacuate/a", value: "yes"}, {restore: true, wait: 1}, {key: "config", value: "vvv"}, {key: "evacuate/b", value: "yes"}}, 3, []string{"a", "b"}, false},
+		{"an offset that happens to be given to the same record again", []step{{key: "config", value: "v", copyHere: true}, {key: "evacuate/a", value: "yes"}, {key: "config", value: "vv"}, {restore: true, wait: 1}, {key: "m", value: "w", wait: 1}, {key: "config", value: "vv"}}, 2, []string{"a"}, false},
 		{"two returns, the second before the first is read", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vv"}, {key: "config", value: "vvv"}, {restore: true, wait: 1}, {restore: true}, {key: "config", value: "vvvv"}}, 4, nil, false},
 		{"two returns in a row", []step{{key: "config", value: "v", copyHere: true}, {key: "config", value: "vvv"}, {restore: true}, {key: "evacuate/a", value: "yes"}, {restore: true}}, 3, []string{"a"}, false},
 		{"a server that came serves", []step{{key: "config", value: "v", copyHere: true}, {key: "server", value: "ready#1"}, {restore: true}}, 1, nil, true},
@@ -232,6 +233,28 @@
 	})
 }
 
+// Each server had written heartbeats since the copy. The reader held all of them, and told its followers of
+// each one's next heartbeat.
+func TestServersThatOnlyWroteHeartbeatsAreNotHeld(t *testing.T) {
+	inBubble(t, func(g *WithT, b *testBox) {
+		b.log.Put(sharedlog.Servers, "server", []byte("ready#1"))
+		before := b.log.Copy()
+		b.log.Put(sharedlog.Servers, "server", []byte("ready#2"))
+		time.Sleep(time.Second)
+		b.log.Restore(before)
+		time.Sleep(time.Second)
+		from := b.registry.Position(sharedlog.Servers)
+		g.Expect(logposition.Era(from)).To(BeEquivalentTo(1))
+		b.log.Put(sharedlog.Servers, "server", []byte("ready#3"))
+		time.Sleep(time.Second)
+		update, changed := b.registry.UpdateSince(sharedlog.Servers, from)
+		g.Expect(changed).To(BeFalse())
+		g.Expect(update.Next).To(BeNumerically(">", from))
+		time.Sleep(time.Minute)
+		g.Expect(b.hasServer()).To(BeTrue())
+	})
+}
+
 // Servers that could not write again, since the log was away again, lost all calls.
 func TestServersAreHeldWhileTheLogIsAway(t *testing.T) {
 	inBubble(t, func(g *WithT, b *testBox) {
