--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -289,6 +289,7 @@
 					if w.random.IntN(4) == 0 {
 						b.log.Restore(copies[max(len(copies)-1-w.random.IntN(4), 0)])
 						time.Sleep(time.Duration(w.random.IntN(900)) * time.Millisecond)
+						g.Expect(b.version()).To(BeNumerically(">=", highest), "a version was taken back")
 						w.writeAgain()
 					}
 					copies = append(copies, b.log.Copy())
