registry: servers that are removed between a return and the first read

A server whose entry was removed after the log had come back and before a box read it counted as lost with the copy, and got calls for up to 5.6 s more. Entries that are not newer than the known ones were written before the copy, which shows up to which offset both histories are the same; what lay below and is not listed was removed since.

Evidence: TestAcknowledgedRecordsHoldUntilTheyAreWrittenAgain (a server that is removed after the return), which fails without it unless the box happens to read in between.

--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -58,11 +58,19 @@
 func (decoder) Server(record sharedlog.Record) (fleet.Update, error) {
 	update := fleet.Update{Key: record.Key, Offset: record.Offset}
 	if len(record.Value) > 0 {
-		update.Server = &fleet.Server{Incarnation: record.Key, Service: "s", Leaving: strings.HasPrefix(string(record.Value), "leaving")}
+		update.Server = &fleet.Server{Incarnation: record.Key, Service: serviceOf(record.Key), Leaving: strings.HasPrefix(string(record.Value), "leaving")}
 	}
 	return update, nil
 }
 
+// serviceOf returns the service of a server.
+func serviceOf(key string) string {
+	if key == "server of another service" {
+		return "other"
+	}
+	return "s"
+}
+
 type testBox struct {
 	log      *fakesharedlog.Log
 	fleet    *fleet.Fleet
--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -121,15 +121,13 @@
 	writtenFrom int64
 }
 
-// compareHistories compares the entries of the last era with the first full view of a later one. A follower
-// does not get each record of a stream whose keys are written at every heartbeat, so for a stream in which
-// servers describe themselves the comparison shows nothing.
+// compareHistories compares the entries of the last era with the first full view of a later one.
 func (s *streamState) compareHistories(b batch, rank Ranker) historyBounds {
 	bounds := historyBounds{writtenFrom: b.next}
 	known := make(map[int64]sharedlog.Record, len(s.entries)) // by offset
 	for _, e := range s.entries {
 		if e.server != nil {
-			return bounds
+			return historyBounds{writtenFrom: b.next, common: s.commonOfServers(b, rank)}
 		}
 		if !e.isDeleted() && logposition.Era(e.record.Offset) == logposition.Era(s.next) { // the offsets of deletions are not exact
 			known[logposition.Offset(e.record.Offset)] = e.record
@@ -155,6 +153,26 @@
 	return bounds
 }
 
+// commonOfServers returns an offset below which the servers' streams of two eras are the same. A server
+// numbers its entries, so one that is not newer than the known one was written before the copy. What is newer
+// shows nothing: a follower does not get each heartbeat.
+func (s *streamState) commonOfServers(b batch, rank Ranker) (common int64) {
+	for _, decoded := range b.records {
+		record, known := decoded.record, s.entries[decoded.record.Key].record
+		if logposition.Era(record.Offset) != logposition.Era(b.next) || len(known.Value) == 0 {
+			continue
+		}
+		offset := logposition.Offset(record.Offset)
+		same := offset == logposition.Offset(known.Offset) && sameValue(record, known)
+		next, ranked := rank(record)
+		before, knownRanked := rank(known)
+		if same || ranked && knownRanked && next.compare(before) <= 0 {
+			common = max(common, offset+1)
+		}
+	}
+	return common
+}
+
 // isWrittenAgain reports whether the content of a record shows that it was written after the known one.
 func isWrittenAgain(record, known sharedlog.Record, rank Ranker) bool {
 	if len(known.Value) == 0 {
--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -65,6 +65,7 @@
 		{"a server that came serves", []step{{key: "config", value: "v", copyHere: true}, {key: "server", value: "ready#1"}, {restore: true}}, 1, nil, true},
 		{"a server that leaves gets no calls", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server", value: "leaving#2"}, {restore: true}}, 0, nil, false},
 		{"a server that is gone stays so", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server"}, {restore: true}}, 0, nil, false},
+		{"a server that is removed after the return, before anyone reads", []step{{key: "server", value: "ready#1"}, {key: "server of another service", value: "ready#1", copyHere: true}, {restore: true, wait: 1}, {key: "server"}}, 0, nil, false},
 		{"a server that writes again after its entry was dropped", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server"}, {restore: true, wait: 2 * time.Second}, {key: "server", value: "ready#2", wait: time.Second}}, 0, nil, true},
 		{"a server that never writes again is gone", []step{{key: "config", value: "v", copyHere: true}, {key: "server", value: "ready#1"}, {restore: true, wait: 6 * time.Second}}, 1, nil, false},
 		{"a server that leaves and says so again", []step{{key: "server", value: "ready#1", copyHere: true}, {key: "server", value: "leaving#2"}, {restore: true, wait: time.Second}, {key: "server", value: "leaving#3", wait: afterHold}}, 0, nil, false},
@@ -91,7 +92,7 @@
 // play carries out a step.
 func (b *testBox) play(next step, copied fakelog.Copy) {
 	stream := sharedlog.Operator
-	if next.key == "server" {
+	if strings.HasPrefix(next.key, "server") {
 		stream = sharedlog.Servers
 	}
 	if next.restore {
