zonereader: boxes follow their readers again when the log came back from a copy

In an outage of 1.5 s and more all boxes leave their readers, which cannot read the log, for 5 s. When it came back in a later era, each of them read every stream in full: in a fleet of 90 boxes and 400 servers 75 full reads of 20 pages within a second; 2,000 boxes before 20,000 servers would need 800,000 pages.

Readers that could not read the log are followed again at once in a later era, and a box that has one to follow waits for its view: 0.5 to 0.8 s, 0.6 s more where that reader has a root, and 0.1 ms for each entry. Aim: at most a tenth of the boxes read in full.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -188,6 +188,7 @@
 		OnBoxesRestored: func(has func(box string) bool) { b.share.ApplyRestored(has) },
 		ServersDeadline: b.settings.DrainDeadline, OperatorDeadline: b.settings.ConfigurationDeadline,
 		HasReader: func() bool { return b.readers.Following() != "" }, ReaderLostLog: func() bool { return b.readers.ReaderLostLog() },
+		ExpectsReader: func() bool { return b.readers.ExpectsReader() },
 	})
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -70,6 +70,8 @@
 	// Where they are nil, both are false.
 	HasReader     func() bool
 	ReaderLostLog func() bool
+	// ExpectsReader reports whether this box follows a reader or is about to; nil stands for HasReader.
+	ExpectsReader func() bool
 	// ServersDeadline is the time within which a leaving server must get no new calls, and
 	// OperatorDeadline that within which a configuration must be in force.
 	ServersDeadline  time.Duration
@@ -152,6 +154,9 @@
 	if cfg.HasReader == nil {
 		cfg.HasReader = never
 	}
+	if cfg.ExpectsReader == nil {
+		cfg.ExpectsReader = cfg.HasReader
+	}
 	if cfg.ReaderLostLog == nil {
 		cfg.ReaderLostLog = never
 	}
--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -272,23 +272,33 @@
 }
 
 const (
-	// restoredReaderWait and restoredReaderSpread make up the time for which a follower that finds a later
-	// era waits for the view of its reader, before it reads the stream in full itself. Without it 2,000
-	// boxes that read the log during an outage would make full reads of three streams at once.
+	// restoredReaderWait and restoredReaderSpread make up the time for which a box that finds a later era
+	// waits for the view of its reader, before it reads the stream in full itself. Without it 2,000 boxes
+	// that read the log during an outage would make full reads of three streams at once.
 	restoredReaderWait   = 500 * time.Millisecond
 	restoredReaderSpread = 300 * time.Millisecond
+	// relayWait is added where the reader gets its own view from another box, for which it waits, too.
+	relayWait = 600 * time.Millisecond
+	// fullReadTime is added for each entry: a page of 50 takes the log some milliseconds.
+	fullReadTime = 100 * time.Microsecond
 )
 
 // awaitRestored makes this box get a stream in full after the log came back from a copy.
 func (r *Registry) awaitRestored(stream sharedlog.Stream, restored *sharedlog.HistoryChangedError) {
 	r.cfg.Eras.Note(restored.Start)
+	expectsReader := r.cfg.ExpectsReader()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(stream)
 	s.rereadAll = true
-	if r.cfg.HasReader() {
-		s.validUntil = boottime.Now().Add(restoredReaderWait + rand.N(restoredReaderSpread))
+	if !expectsReader {
+		return
+	}
+	wait := restoredReaderWait + rand.N(restoredReaderSpread) + time.Duration(len(s.entries))*fullReadTime
+	if r.reloadFromReader.Load() {
+		wait += relayWait
 	}
+	s.validUntil = boottime.Now().Add(wait)
 }
 
 // hasBox reports whether the log has the newest known record of a box.
--- a/internal/zonereader/directory_test.go
+++ b/internal/zonereader/directory_test.go
@@ -133,12 +133,12 @@
 	b.registry = registry.New(registry.Config{
 		Log: b.log, Decoder: decoder{}, Fleet: b.fleet, Logger: zerolog.Nop(), StreamsChanged: changed, FirstReadDelay: 4 * time.Second,
 		ServersDeadline: 5 * time.Second, OperatorDeadline: 5 * time.Second,
-		OnBoxes: list.apply,
+		OnBoxes: list.apply, Eras: &b.eras, HasReader: func() bool { return b.member.Following() != "" }, ExpectsReader: func() bool { return b.member.ExpectsReader() },
 	})
 	b.member = zonereader.New(zonereader.Config{
 		Registry: b.registry, Parts: partindex.New(partindex.Config{}), Logger: zerolog.Nop(), Self: b.self, StreamsChanged: changed,
 		Others: func() []zonereader.Box { return list.others(b.self.Name) }, BoxesKnown: list.isLoaded, Dial: f.dial,
-		Log: b.log, FirstSystemStart: f.first,
+		Log: b.log, Eras: &b.eras, FirstSystemStart: f.first,
 	})
 }
 
--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -81,6 +81,40 @@
 	}
 }
 
+// LoopForgetOutages follows readers again that could not read the log, once the log is in a later era, until
+// ctx ends. Otherwise all boxes of an outage would read the streams of that era in full.
+func (m *Member) LoopForgetOutages(ctx context.Context) {
+	for ctx.Err() == nil {
+		wake := m.cfg.Eras.Changed()
+		m.forgetOutages()
+		select {
+		case <-wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (m *Member) forgetOutages() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for reader := range m.lostLog {
+		delete(m.avoided, reader)
+	}
+	clear(m.lostLog)
+	m.lostInRow = 0
+}
+
+// ExpectsReader reports whether this box follows a reader, or is to follow one as soon as readers that could
+// not read the log are followed again.
+func (m *Member) ExpectsReader() bool {
+	if m.Following() != "" {
+		return true
+	}
+	m.forgetOutages()
+	_, chosen := m.choose()
+	return chosen.following != ""
+}
+
 // choose returns this box's role, and the reader to follow among the boxes that respond, if any.
 func (m *Member) choose() (Box, role) {
 	direct := role{reader: true}
@@ -185,6 +219,7 @@
 	length := avoidDuration
 	if errors.Is(err, errReaderLostLog) {
 		length = avoidLostDuration
+		m.lostLog[reader] = true
 	}
 	m.avoided[reader] = boottime.Now().Add(length)
 }
--- /dev/null
+++ b/internal/zonereader/restored_test.go
@@ -0,0 +1,69 @@
+package zonereader_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/fakelog"
+	"github.com/cometlock/cometlock/internal/logposition"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// maxFullReaders is the number of boxes that may read a stream in full when the log comes back: a tenth.
+const maxFullReaders = startingZones * boxesPerZone / 10
+
+// When the log came back from a copy, each box read three streams in full, and boxes whose reader was lost
+// at the same moment went by positions of the lost history.
+func TestAllZonesReadOnWhenTheLogCameBackFromACopy(t *testing.T) {
+	tests := []struct {
+		name string
+		away time.Duration
+		fail func(f *startingFleet, root *testBox)
+	}{
+		{"away for a moment", 100 * time.Millisecond, nil},
+		{"away for a second", time.Second, nil},
+		{"away for 2.5 s", 2500 * time.Millisecond, nil},
+		{"the root crashes", 100 * time.Millisecond, func(f *startingFleet, root *testBox) { f.crash(root) }},
+		{"the root is cut off from the log", 100 * time.Millisecond, func(_ *startingFleet, root *testBox) { root.log.cut.Store(true) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inZones(t, func(g *WithT, f *startingFleet) {
+				write := func(version int) { f.log.Put(sharedlog.Operator, "config", []byte(strings.Repeat("v", version))) }
+				copied := f.log.Copy()
+				for version := 2; version <= 4; version++ {
+					write(version)
+				}
+				f.log.Put(sharedlog.Servers, "server-1", []byte("leaving"))
+				time.Sleep(2 * time.Second)
+				root, before, fullBefore := f.reader(), f.calls(), f.fullReads()
+				f.log.Underlying().SetFaults(fakelog.Faults{Down: true})
+				time.Sleep(test.away)
+				f.log.Restore(copied)
+				f.log.Underlying().SetFaults(fakelog.Faults{})
+				if test.fail != nil {
+					test.fail(f, root)
+				}
+				time.Sleep(500 * time.Millisecond)
+				write(4)
+				write(5)
+				f.log.Put(sharedlog.Servers, "server-2", nil)
+				time.Sleep(2 * time.Second)
+				for _, b := range f.list {
+					if b == root && test.fail != nil {
+						continue
+					}
+					g.Expect(b.registry.Catalog().Version()).To(BeEquivalentTo(5), b.self.Name)
+					g.Expect(b.fleet.CountListed()).To(Equal(399), b.self.Name)
+					g.Expect(logposition.Era(b.registry.Position(sharedlog.Servers))).To(BeEquivalentTo(1), b.self.Name)
+				}
+				time.Sleep(3*time.Second - test.away)
+				t.Logf("%d calls of the log and %d full reads of the servers by %d boxes", f.calls()-before, f.fullReads()-fullBefore, len(f.list))
+				g.Expect(f.fullReads()-fullBefore).To(BeNumerically("<=", maxFullReaders), "the others get the view of their reader")
+			})
+		})
+	}
+}
--- a/internal/zonereader/testfleet_test.go
+++ b/internal/zonereader/testfleet_test.go
@@ -37,8 +37,9 @@
 	return &registry.Declaration{Catalog: c}, err
 }
 
-func (decoder) Rank(sharedlog.Stream, sharedlog.Record) (registry.Rank, bool) {
-	return registry.Rank{}, false
+// Rank returns the version of a configuration.
+func (decoder) Rank(stream sharedlog.Stream, record sharedlog.Record) (registry.Rank, bool) {
+	return registry.Rank{Major: int64(len(record.Value))}, stream == sharedlog.Operator
 }
 
 func (decoder) Evacuation(sharedlog.Record) (evacuation.Change, bool) {
@@ -57,7 +58,9 @@
 type countingLog struct {
 	sharedlog.Log
 	calls atomic.Int64
-	cut   atomic.Bool
+	// fullReads counts the full reads of the servers' stream that were begun.
+	fullReads atomic.Int64
+	cut       atomic.Bool
 	// silent holds the streams whose idle connection accepts a call and never responds; the next
 	// call uses a new connection.
 	silent sync.Map
@@ -74,6 +77,9 @@
 	if err := l.call(ctx, stream); err != nil {
 		return sharedlog.Page{}, err
 	}
+	if stream == sharedlog.Servers && after == "" {
+		l.fullReads.Add(1)
+	}
 	return l.Log.NewestPage(ctx, stream, after)
 }
 
@@ -105,6 +111,7 @@
 	fleet    *fleet.Fleet
 	registry *registry.Registry
 	member   *zonereader.Member
+	eras     sharedlog.Eras
 	accepts  chan net.Conn
 	closed   chan struct{}
 	// silent boxes neither receive requests nor send responses.
@@ -192,7 +199,7 @@
 
 // run starts a box.
 func (f *testFleet) run(ctx context.Context, b *testBox) {
-	for _, loop := range []func(context.Context){b.registry.LoopOperator, b.registry.LoopServers, b.member.LoopFollow} {
+	for _, loop := range []func(context.Context){b.registry.LoopOperator, b.registry.LoopServers, b.member.LoopFollow, b.member.LoopForgetOutages} {
 		f.wait.Go(func() { loop(ctx) })
 	}
 	f.wait.Go(func() { b.member.LoopAccept(ctx, b); b.member.Wait() })
@@ -244,6 +251,14 @@
 	return total
 }
 
+// fullReads returns the number of full reads of the servers' stream by all boxes.
+func (f *testFleet) fullReads() (total int64) {
+	for _, b := range f.list {
+		total += b.log.fullReads.Load()
+	}
+	return total
+}
+
 // countVersion counts the boxes with a version of the configuration, and countDraining those that
 // know that the server is leaving.
 func (f *testFleet) countVersion(version int64) (count int) {
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -100,8 +100,10 @@
 	advertisedEra int64
 	// roleChanged is signalled when this box becomes a reader or a follower.
 	roleChanged waiting.Signal
-	// avoided holds the readers that failed, and until when they are not followed.
+	// avoided holds the readers that failed, and until when they are not followed. Those that could not
+	// read the log are in lostLog until the log is in another era, which some box has read.
 	avoided map[string]time.Time
+	lostLog map[string]bool
 	// lostInRow counts the readers that were left in a row since they could not read the log.
 	lostInRow int
 	// readerLostLog means that the current reader cannot read the log.
@@ -136,7 +138,7 @@
 	if cfg.Eras == nil {
 		cfg.Eras = &sharedlog.Eras{}
 	}
-	m := &Member{cfg: cfg, avoided: map[string]time.Time{}, responding: make(chan struct{}, maxResponding), transfers: make(transfers, maxTransfers)}
+	m := &Member{cfg: cfg, avoided: map[string]time.Time{}, lostLog: map[string]bool{}, responding: make(chan struct{}, maxResponding), transfers: make(transfers, maxTransfers)}
 	m.server = frame.NewServer(cfg.Logger, m.serve)
 	return m
 }
