registry: records of an earlier era stay held

A box that knew of a later era and got a record from a reader that did not yet took the record for one of the log, and went back to an older version when it read the log in full. Every record of an earlier era than the view's is held now, not only those of full views.

--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -256,6 +256,28 @@
 	})
 }
 
+// A reader that does not know yet that the log came back sends records that are lost. A box that knew took
+// them for records of the log, and went back to an older version when it read the log in full.
+func TestRecordsOfAnEarlierEraAreHeld(t *testing.T) {
+	inBubble(t, func(g *WithT, b *testBox) {
+		b.log.Put(sharedlog.Operator, "config", []byte("v"))
+		before := b.log.Copy()
+		b.log.Put(sharedlog.Operator, "config", []byte("vv"))
+		time.Sleep(time.Second)
+		b.log.Restore(before)
+		time.Sleep(time.Second)
+		b.registry.ApplyUpdate(registry.StreamUpdate{Stream: sharedlog.Operator, Records: []sharedlog.Record{{Key: "config", Value: []byte("vvvv"), Offset: 2}}, Next: 3}, time.Now())
+		g.Expect(b.version()).To(BeEquivalentTo(4))
+		b.log.Put(sharedlog.Operator, "config", []byte("vv"))
+		b.registry.ReadDirectly()
+		time.Sleep(5 * time.Second)
+		g.Expect(b.version()).To(BeEquivalentTo(4))
+		b.log.Put(sharedlog.Operator, "config", []byte("vvvvv"))
+		time.Sleep(time.Second)
+		g.Expect(b.version()).To(BeEquivalentTo(5))
+	})
+}
+
 // Servers that could not write again, since the log was away again, lost all calls.
 func TestServersAreHeldWhileTheLogIsAway(t *testing.T) {
 	inBubble(t, func(g *WithT, b *testBox) {
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -164,9 +164,10 @@
 			continue
 		}
 		wasHeld := s.held.keys[decoded.record.Key]
-		delete(s.held.keys, decoded.record.Key)
-		if b.full && logposition.Era(offset) < logposition.Era(b.next) {
-			s.hold(decoded.record.Key, b.next)
+		if end := max(b.next, knownNext); logposition.Era(offset) < logposition.Era(end) {
+			s.hold(decoded.record.Key, end)
+		} else {
+			delete(s.held.keys, decoded.record.Key)
 		}
 		next := entry{decodedRecord: decoded, changed: offset}
 		unchanged := next.sameServer(before.decodedRecord)
