zonereader: a box that starts to read the log gets another box's view first

A reader that started after the log had come back from a copy went by the copy until operators had written again: it accepted a key that had been removed in the lost seconds, while all others held the removal. In a later era than 0 a box that is to read the log follows another box until it has the streams, for at most three times 0.6 s, and reads on from there.

Evidence: TestABoxThatReadsTheLogStartsWithWhatOthersHold, for the root and for the reader of a zone; without it both go back to version 1 of 3.

--- /dev/null
+++ b/internal/zonereader/adopt.go
@@ -0,0 +1,81 @@
+// The start of a box that reads the log itself, when the log came back from a copy: other boxes hold what the
+// copy lacks, such as the removal of a key, and this box would go by the copy. So it gets the view of another
+// box first, as a follower does, and reads the log on from there.
+
+package zonereader
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+const (
+	// adoptAttempts is the number of boxes that are asked for their view, and adoptTimeout bounds each of
+	// them, so that the first read is not delayed for long when boxes are unreachable.
+	adoptAttempts = 3
+	adoptTimeout  = 600 * time.Millisecond
+)
+
+// mayLackRecords reports whether the log may lack records that other boxes hold.
+func (m *Member) mayLackRecords() bool {
+	era, _ := m.cfg.Eras.Newest()
+	return era > 0
+}
+
+// adoptView gets the streams from another box, if this one has just started and the log may lack records.
+func (m *Member) adoptView(ctx context.Context) {
+	if !m.mayLackRecords() || m.hasView() {
+		return
+	}
+	others := m.cfg.Others()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	attempts := 0
+	for _, other := range others {
+		if other.Unavailable {
+			continue
+		}
+		if attempts++; attempts > adoptAttempts || ctx.Err() != nil {
+			return
+		}
+		err := m.adoptFrom(ctx, other)
+		if err == nil {
+			m.cfg.Logger.Info().Str("from", other.Name).Msg("view_adopted")
+			return
+		}
+		m.cfg.Logger.Info().Str("from", other.Name).Str("error", err.Error()).Msg("view_not_adopted")
+	}
+}
+
+// adoptFrom follows a box until it has sent its views of the streams.
+func (m *Member) adoptFrom(ctx context.Context, other Box) error {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	connection, err := m.cfg.Dial(ctx, other.Address)
+	if err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, func() { _ = connection.Close() })() // ends a poll that gets no response
+	defer connection.Close()
+	s := newSession(connection, role{following: other.Name})
+	for ctx.Err() == nil {
+		if err := m.poll(s); err != nil {
+			return err
+		}
+		if m.hasView() {
+			return nil
+		}
+		if len(s.loads) == 0 {
+			waiting.For(ctx, requestPause)
+		}
+	}
+	return ctx.Err()
+}
+
+// hasView reports whether this box has views of the streams that calls depend on.
+func (m *Member) hasView() bool {
+	return m.cfg.Registry.Position(sharedlog.Operator) >= 0 && m.cfg.Registry.Position(sharedlog.Servers) >= 0
+}
--- a/internal/zonereader/directory.go
+++ b/internal/zonereader/directory.go
@@ -58,6 +58,8 @@
 	}
 	switch reader, found := m.lookUp(ctx); {
 	case !found:
+	case reader.Name == m.cfg.Self.Name && m.mayLackRecords():
+		// This box gets the list first, and then the view of another box.
 	case reader.Name == m.cfg.Self.Name:
 		m.setRole(role{reader: true}) // the others will look for it here
 	default:
@@ -103,6 +105,7 @@
 		m.cfg.Logger.Warn().Str("error", err.Error()).Msg("readers_not_listed")
 		return Box{}, false
 	}
+	m.cfg.Eras.Note(page.End)
 	for _, record := range page.Records {
 		var entry readerEntry
 		if err := safepack.Unmarshal(record.Value, &entry); err != nil {
--- a/internal/zonereader/directory_test.go
+++ b/internal/zonereader/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -105,15 +106,31 @@
 		f.assembleStarting(b)
 	}
 	for _, b := range f.list {
-		f.run(ctx, b)
-		f.wait.Go(func() { b.registry.LoopBoxes(ctx) })
-		f.wait.Go(func() { b.member.LoopAdvertise(ctx) })
-		if f.first {
-			f.wait.Go(func() { f.enterLater(ctx, b) })
-		}
+		f.startOne(ctx, b)
+	}
+}
+
+func (f *startingFleet) startOne(ctx context.Context, b *testBox) {
+	f.run(ctx, b)
+	f.wait.Go(func() { b.registry.LoopBoxes(ctx) })
+	f.wait.Go(func() { b.member.LoopAdvertise(ctx) })
+	if f.first {
+		f.wait.Go(func() { f.enterLater(ctx, b) })
 	}
 }
 
+// restart replaces a box by one that starts.
+func (f *startingFleet) restart(ctx context.Context, b *testBox) *testBox {
+	f.crash(b)
+	next := newBox(b.self)
+	f.assembleStarting(next)
+	f.mu.Lock()
+	f.list[slices.Index(f.list, b)] = next
+	f.mu.Unlock()
+	f.startOne(ctx, next)
+	return next
+}
+
 // enterLater writes a box into the list once it has read it, as package loadshare does.
 func (f *startingFleet) enterLater(ctx context.Context, b *testBox) {
 	for !f.lists[b.self.Name].isLoaded() {
--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -69,6 +69,9 @@
 			continue
 		}
 		reader, chosen := m.choose()
+		if chosen.following == "" {
+			m.adoptView(ctx)
+		}
 		m.setRole(chosen)
 		if chosen.following == "" {
 			waiting.For(ctx, chooseInterval)
--- a/internal/zonereader/restored_test.go
+++ b/internal/zonereader/restored_test.go
@@ -1,6 +1,7 @@
 package zonereader_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -67,3 +68,46 @@
 		})
 	}
 }
+
+// A box that started after the return and read the log for the others went by the copy.
+func TestABoxThatReadsTheLogStartsWithWhatOthersHold(t *testing.T) {
+	for _, role := range []string{"the root", "the reader of a zone"} {
+		t.Run(role, func(t *testing.T) {
+			inZones(t, func(g *WithT, f *startingFleet) {
+				copied := f.log.Copy()
+				f.log.Put(sharedlog.Operator, "config", []byte("vvv"))
+				f.log.Put(sharedlog.Servers, "server-1", []byte("leaving"))
+				time.Sleep(2 * time.Second)
+				f.log.Restore(copied)
+				time.Sleep(3 * time.Second)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				old := f.reader()
+				if role != "the root" {
+					old = f.zoneReader()
+				}
+				started := f.restart(ctx, old)
+				for range 500 {
+					time.Sleep(10 * time.Millisecond)
+					if c := started.registry.Catalog(); c != nil {
+						g.Expect(c.Version()).To(BeEquivalentTo(3), "the lost configuration")
+					}
+				}
+				g.Expect(started.registry.Catalog()).NotTo(BeNil())
+				for _, b := range f.list {
+					g.Expect(b.registry.Catalog().Version()).To(BeEquivalentTo(3), b.self.Name)
+				}
+			})
+		})
+	}
+}
+
+// zoneReader returns the reader of a zone that follows the root.
+func (f *startingFleet) zoneReader() *testBox {
+	for _, b := range f.list {
+		if b.member.IsReader() && b.member.Following() != "" {
+			return b
+		}
+	}
+	return nil
+}
