zonereader: a reader enters itself into the directory at once in a later era

A box that had entered itself less than 5 s before the log came back from a copy wrote its entry again only after the rest of its pause. The test of the lists failed for it in 3 of 4 runs beside its neighbours and passed by itself.

--- a/internal/zonereader/directory.go
+++ b/internal/zonereader/directory.go
@@ -38,7 +38,7 @@
 	// directory, which may be starting too.
 	bootstrapAttempts = 5
 	bootstrapPause    = 300 * time.Millisecond
-	// advertisePause is the time between two entries of one box.
+	// advertisePause is the time between two entries of one box in one era of the log.
 	advertisePause = 5 * time.Second
 )
 
@@ -133,7 +133,7 @@
 			continue
 		}
 		m.advertise(ctx)
-		waiting.For(ctx, advertisePause)
+		waiting.ForOrSignal(ctx, advertisePause, eraChanged)
 	}
 }
 
