registry: log when what the log lost is no longer held

log_restored said how many keys a box holds after the log came back from a copy, but nothing said when that ended: an older configuration or evacuation then comes into force, or servers get no more calls, and whoever is on call would find only the change. log_hold_ended names the stream and the numbers.

--- a/internal/registry/restored.go
+++ b/internal/registry/restored.go
@@ -121,8 +121,13 @@
 	if now.Sub(s.readAt) > r.maxUpdateAge(stream) {
 		s.held.until = now.Add(r.holdTimeOf(stream)) // what is written now is not read
 	}
+	count := len(s.held.keys)
 	gone := s.endHold(stream, now)
+	ended := len(s.held.keys) < count
 	r.mu.Unlock()
+	if ended {
+		r.cfg.Logger.Warn().Stringer("stream", stream).Int("held", count).Int("gone", len(gone)).Msg("log_hold_ended")
+	}
 	if len(gone) > 0 {
 		r.streamsChanged.Broadcast()
 		r.applyServers(gone)
