streamorigin: log for how long the boxes asked have been running

stream_origin said how many holders responded, not whether any of them was running when the stream began, so lost copies and copies at other boxes looked the same.

The response of a holder has its uptime, and the log line the longest one.

--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -53,7 +53,7 @@
 func (g *Gateway) logOrigin(x *exchange, evidence streamorigin.Evidence, known bool) {
 	g.metrics.scope.Tagged(map[string]string{"found": strconv.FormatBool(evidence.Found), "resumed": strconv.FormatBool(known)}).Counter("streams_resumed").Inc(1)
 	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).Str("software", evidence.Software).
-		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Bool("resumed", known).Msg("stream_origin")
+		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Dur("longest_uptime", evidence.LongestUptime).Bool("resumed", known).Msg("stream_origin")
 }
 
 // noteOrigin records which software version begins the call's stream, before the caller has its first event.
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
 )
@@ -19,11 +20,14 @@
 	Versions []string
 	// Asked and Responded count the other boxes.
 	Asked, Responded int
+	// LongestUptime is how long this box or one of those that responded has been running at most. Streams that
+	// began earlier are unknown to all of them.
+	LongestUptime time.Duration
 }
 
 // Find looks for the origin of a stream of a service, at this box and then at its holders.
 func (o *Origins) Find(ctx context.Context, key Key, service string) Evidence {
-	evidence := Evidence{Versions: slices.Clone(o.cfg.Versions(service))}
+	evidence := Evidence{Versions: slices.Clone(o.cfg.Versions(service)), LongestUptime: o.uptime()}
 	targets, origin, found := o.lookUp(key, service)
 	if found {
 		evidence.Found, evidence.Software = true, origin.Software
@@ -43,6 +47,7 @@
 		}
 		evidence.Responded++
 		evidence.addVersions(answer.Versions)
+		evidence.LongestUptime = max(evidence.LongestUptime, answer.Uptime)
 		if answer.Found != nil {
 			evidence.Found, evidence.Software = true, answer.Found.Software
 			return evidence
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -48,6 +48,8 @@
 	Found *wireOrigin `msgpack:"f,omitempty"`
 	// Versions are the software versions of the service's servers that the box knows of.
 	Versions []string `msgpack:"v,omitempty"`
+	// Uptime is how long the box has been running; it has no origins from before.
+	Uptime time.Duration `msgpack:"u,omitempty"`
 }
 
 // encode returns the wire form of an origin.
@@ -85,6 +87,7 @@
 	o.mu.Unlock()
 	if received.Service != "" {
 		answer.Versions = o.cfg.Versions(received.Service)
+		answer.Uptime = o.uptime()
 	}
 	return answer
 }
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -97,6 +97,8 @@
 	cfg    Config
 	client *frame.Client
 	server *frame.Server
+	// startedAt is when the box started.
+	startedAt time.Time
 
 	mu    sync.Mutex
 	known table
@@ -117,7 +119,7 @@
 
 // New returns Origins without any.
 func New(cfg Config) *Origins {
-	o := &Origins{cfg: cfg, known: newTable(), unsent: map[string][]pending{}, avoided: map[string]time.Time{}}
+	o := &Origins{cfg: cfg, known: newTable(), unsent: map[string][]pending{}, avoided: map[string]time.Time{}, startedAt: boottime.Now()}
 	o.client = frame.NewClient(frame.ClientConfig{Dial: cfg.Dial, MaxIdle: maxIdle, MaxIdleTime: maxIdleTime, MaxResponseBytes: maxResponseBytes})
 	o.server = frame.NewServer(cfg.Logger, o.serve)
 	return o
@@ -148,6 +150,9 @@
 	o.unsent[added.origin.Service] = queue[drop:]
 }
 
+// uptime returns how long the box has been running.
+func (o *Origins) uptime() time.Duration { return boottime.Since(o.startedAt) }
+
 func (o *Origins) hasSeveralVersions(service string) bool { return len(o.cfg.Versions(service)) > 1 }
 
 // Loop sends origins to their holders until ctx ends.
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -178,6 +178,8 @@
 	began := time.Now()
 	evidence := o.Find(t.Context(), keyOfNumber(0), service)
 	g.Expect(time.Since(began)).To(BeNumerically("<", 2*exchangeTimeout))
+	g.Expect(evidence.LongestUptime).To(BeNumerically(">", 0))
+	evidence.LongestUptime = 0
 	g.Expect(evidence).To(Equal(Evidence{Versions: []string{"v1"}, Asked: 1}))
 }
 
