streamorigin: record in the log which version began a stream

Callers whose streams broke off because all boxes crashed at once were refused with stream_version_unknown, while new streams began. Which software version began a stream was only in the memory of the box that began it and of three holders, and nothing of that was left. With most boxes crashing, twice in a row, half of the streams were lost the same way.

Origins of streams that last are now recorded in the platform's log as well, in a stream of their own, and read back when no holder has one. One box records for up to 192 (small zones share one), at most every 0.1 s, and reads for the others, so calls do not grow with streams or boxes. Streams that end within 60 ms, and all streams while a service has one version, are not recorded. Another box takes over when the recorder cannot be reached or cannot write, and streams in flight are recorded again after the log came back from a copy.

Ruled out: a version computed from the request (boxes see different sets), what runners keep in their cache (parts belong to sessions and are moved), a record of each box (calls grow with the boxes), a keyed topic (records would have to be deleted, and crashed boxes leave theirs).

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -32,6 +32,7 @@
 	"github.com/cometlock/cometlock/internal/membudget"
 	"github.com/cometlock/cometlock/internal/namespace"
 	"github.com/cometlock/cometlock/internal/orderlease"
+	"github.com/cometlock/cometlock/internal/originlog"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/peerpath"
 	"github.com/cometlock/cometlock/internal/places"
@@ -104,8 +105,9 @@
 	// calls for them are forwarded.
 	reach     *reach.Monitor
 	peerPaths *peerpath.Paths
-	// origins has the software versions that began streams.
+	// origins has the software versions that began streams, and originWriter records them in the log.
 	origins      *streamorigin.Origins
+	originWriter *originlog.Writer
 	callerServer *http.Server
 	readyServer  *http.Server
 	// forwardServer serves the calls that other boxes forward; nil if this box takes none.
@@ -227,9 +229,11 @@
 		owner.Queued = func(request places.Request) { b.shares.queued(requested(request)) }
 	}
 	b.places = places.New(owner)
+	b.originWriter = originlog.NewWriter(originlog.WriterConfig{Log: b.log, Logger: b.logger})
 	b.origins = streamorigin.New(streamorigin.Config{
-		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress()},
+		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress(), Cores: b.settings.Cores},
 		Others: b.originHolders, Versions: b.fleet.SoftwareVersions,
+		Writer: b.originWriter, Reader: originlog.NewReader(originlog.ReaderConfig{Log: b.log, Logger: b.logger}), LogEra: b.logEra,
 	})
 }
 
@@ -275,12 +279,18 @@
 	return boxes
 }
 
+// logEra returns the newest era of the log that this box knows of.
+func (b *Box) logEra() int64 {
+	era, _ := b.log.Eras().Newest()
+	return era
+}
+
 // originHolders returns the other boxes, in the form that package streamorigin takes.
 func (b *Box) originHolders() []streamorigin.Box {
 	others := b.share.Candidates()
 	boxes := make([]streamorigin.Box, len(others))
 	for i, other := range others {
-		boxes[i] = streamorigin.Box{Name: other.Name, Zone: other.Zone, Address: other.OriginsAddress, Unavailable: other.Box.Unavailable}
+		boxes[i] = streamorigin.Box{Name: other.Name, Zone: other.Zone, Address: other.OriginsAddress, Cores: other.Cores, Unavailable: other.Box.Unavailable}
 	}
 	return boxes
 }
--- a/internal/fakesharedlog/fakesharedlog.go
+++ b/internal/fakesharedlog/fakesharedlog.go
@@ -114,6 +114,17 @@
 	return page, nil
 }
 
+// Bounds implements sharedlog.Log.
+func (l *Log) Bounds(ctx context.Context, stream sharedlog.Stream) (first, end int64, err error) {
+	page, err := l.Read(ctx, stream, sharedlog.FromStart, 0)
+	if expired, ok := errors.AsType[*sharedlog.RecordsExpiredError](err); ok {
+		first = expired.First
+		page, err = l.Read(ctx, stream, first, 0)
+		return first, page.End, err
+	}
+	return logposition.New(logposition.Era(page.End), 0), page.End, err
+}
+
 // NewestPage implements sharedlog.Log. It reads the stream from the beginning, so it works
 // only for streams without expired records. Keys are in lexical order.
 func (l *Log) NewestPage(ctx context.Context, stream sharedlog.Stream, after string) (sharedlog.Page, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,6 +166,7 @@
 	defer g.inFlight.Add(-1)
 	defer x.cancel(nil)
 	defer g.recordCall(x)
+	defer g.completeOrigin(x)
 	defer x.finishWriting()
 	if !g.accept(x) || !g.authorise(x) || g.refuseForwarded(x, overLimit) || !g.admitMemory(x) || !g.readBody(x) || !g.findSoftware(x) {
 		return
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -53,7 +53,7 @@
 func (g *Gateway) logOrigin(x *exchange, evidence streamorigin.Evidence, known bool) {
 	g.metrics.scope.Tagged(map[string]string{"found": strconv.FormatBool(evidence.Found), "resumed": strconv.FormatBool(known)}).Counter("streams_resumed").Inc(1)
 	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).Str("software", evidence.Software).
-		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Dur("longest_uptime", evidence.LongestUptime).Bool("resumed", known).Msg("stream_origin")
+		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).Bool("resumed", known).Msg("stream_origin")
 }
 
 // noteOrigin records which software version begins the call's stream, before the caller has its first event.
@@ -61,10 +61,7 @@
 	if g.cfg.Origins == nil || x.forwarded || !x.route.Resumable || x.software == nil {
 		return
 	}
-	id := x.info.RequestID
-	if x.info.ResumeAfter != "" {
-		id = x.info.Resumes
-	}
+	id := x.streamID()
 	if id == "" {
 		return
 	}
@@ -77,6 +74,21 @@
 	})
 }
 
+// streamID returns the request that brought the first event of the call's stream; empty if it is unknown.
+func (x *exchange) streamID() string {
+	if x.info.ResumeAfter != "" {
+		return x.info.Resumes
+	}
+	return x.info.RequestID
+}
+
+// completeOrigin records that the caller has the whole stream.
+func (g *Gateway) completeOrigin(x *exchange) {
+	if g.cfg.Origins != nil && !x.forwarded && x.outcome == outcomeServed && x.eventsSent > 0 {
+		g.cfg.Origins.Complete(streamorigin.KeyOf(x.callerName(), x.streamID()))
+	}
+}
+
 // software returns the software version of the attempt's server; nil if another box has not stated which
 // version serves the call.
 func (a *attempt) software() *string {
--- /dev/null
+++ b/internal/originlog/reader.go
@@ -0,0 +1,250 @@
+// Reading origins from the log, when a stream is resumed that no box knows.
+
+package originlog
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/logposition"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+const (
+	// firstTail is the number of records that a read begins with: what one writer appends in the horizon. It
+	// is multiplied by tailFactor until the records reach back far enough; maxTail is what the writers of
+	// 2,000 boxes append.
+	firstTail  = 600
+	tailFactor = 4
+	maxTail    = 16 * firstTail
+	// maxKnown bounds the origins that a reader holds, at some 100 bytes each; the oldest ones are dropped. At
+	// 1,900 streams a second it is what began within half a minute.
+	maxKnown = 65536
+	// readTimeout bounds a call of the log.
+	readTimeout = 700 * time.Millisecond
+	// minReadInterval is the shortest time between two reads, so that the callers of many streams that broke
+	// off together cause few.
+	minReadInterval = 50 * time.Millisecond
+	// unusedAfter is how long a reader that is not used keeps what it has read.
+	unusedAfter = 2 * Horizon
+)
+
+// ReaderConfig configures a Reader.
+type ReaderConfig struct {
+	Log    sharedlog.Log
+	Logger zerolog.Logger
+}
+
+// Reader finds origins in the log. It reads on only when it is asked.
+type Reader struct {
+	cfg ReaderConfig
+
+	// reading holds one element while a goroutine reads. It is no mutex, so that those who wait for it heed
+	// their contexts.
+	reading chan struct{}
+
+	mu sync.Mutex
+	// next is the position of the next read, or unread. readAt is when the last read began that succeeded.
+	next   int64
+	readAt time.Time
+	known  map[Key]Origin
+	// order has the keys in the order of their records.
+	order []Key
+	// versions has when the last origin of each software version was recorded, by service.
+	versions map[string]map[string]time.Time
+}
+
+// unread is the position of a reader that has read nothing yet.
+const unread = -1
+
+// NewReader returns a reader that has read nothing.
+func NewReader(cfg ReaderConfig) *Reader {
+	r := &Reader{cfg: cfg, reading: make(chan struct{}, 1)}
+	r.reset()
+	return r
+}
+
+// reset drops everything that has been read. The caller holds mu, or nobody else has the reader yet.
+func (r *Reader) reset() {
+	r.next, r.readAt = unread, time.Time{}
+	r.known, r.order, r.versions = map[Key]Origin{}, nil, map[string]map[string]time.Time{}
+}
+
+// Result is what the log has of a stream.
+type Result struct {
+	Software string
+	Found    bool
+	// Versions are the software versions of the service that began streams within the horizon.
+	Versions []string
+}
+
+// Find looks for the origin of a stream of a service, in all records up to now. An error means that the log
+// could not be read.
+func (r *Reader) Find(ctx context.Context, key Key, service string) (Result, error) {
+	if result := r.lookUp(key, service); result.Found {
+		return result, nil
+	}
+	if err := r.readOn(ctx); err != nil {
+		return Result{}, err
+	}
+	return r.lookUp(key, service), nil
+}
+
+func (r *Reader) lookUp(key Key, service string) Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var result Result
+	if origin, found := r.known[key]; found && origin.Service == service {
+		result.Found, result.Software = true, origin.Software
+	}
+	since := time.Now().Add(-Horizon)
+	for software, last := range r.versions[service] {
+		if last.After(since) {
+			result.Versions = append(result.Versions, software)
+		}
+	}
+	slices.Sort(result.Versions)
+	return result
+}
+
+// readOn reads all records up to the present end, unless that has just been done.
+func (r *Reader) readOn(ctx context.Context) error {
+	began := boottime.Now()
+	select {
+	case r.reading <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-r.reading }()
+	r.mu.Lock()
+	next, readAt := r.next, r.readAt
+	r.mu.Unlock()
+	if readAt.After(began) {
+		return nil
+	}
+	waiting.For(ctx, minReadInterval-boottime.Since(readAt))
+	at := boottime.Now()
+	if next != unread && at.Sub(readAt) > unusedAfter {
+		r.mu.Lock()
+		r.reset()
+		r.mu.Unlock()
+		next = unread
+	}
+	err := r.readFrom(ctx, next)
+	if err != nil && next != unread && isGone(err) {
+		r.mu.Lock()
+		r.next = unread // what is known stays: an origin is never changed
+		r.mu.Unlock()
+		err = r.readFrom(ctx, unread)
+	}
+	if err != nil {
+		r.cfg.Logger.Warn().Str("error", err.Error()).Msg("stream_origins_not_read")
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readAt = at
+	return nil
+}
+
+// isGone reports whether the log no longer has the records at a position.
+func isGone(err error) bool {
+	_, expired := errors.AsType[*sharedlog.RecordsExpiredError](err)
+	_, changed := errors.AsType[*sharedlog.HistoryChangedError](err)
+	return expired || changed
+}
+
+// readFrom reads from a position to the end, or the last records within the horizon if nothing has been
+// read yet.
+func (r *Reader) readFrom(ctx context.Context, from int64) error {
+	if from != unread {
+		return r.readTo(ctx, from, func(time.Time) bool { return true })
+	}
+	first, end, err := r.bounds(ctx)
+	if err != nil {
+		return err
+	}
+	for count := int64(firstTail); ; count *= tailFactor {
+		from = max(first, end-count)
+		reachesBack := from == first || count >= maxTail
+		err := r.readTo(ctx, from, func(oldest time.Time) bool { return reachesBack || time.Since(oldest) >= Horizon })
+		if !errors.Is(err, errTooRecent) {
+			return err
+		}
+	}
+}
+
+// errTooRecent means that the first record read is not old enough.
+var errTooRecent = merry.Sentinel("the first record is too recent")
+
+// readTo reads all records from a position on, unless the first of them is not old enough.
+func (r *Reader) readTo(ctx context.Context, from int64, isOldEnough func(oldest time.Time) bool) error {
+	for first := true; ; first = false {
+		page, err := r.read(ctx, from)
+		if err != nil {
+			return err
+		}
+		for i, record := range page.Records {
+			origins, at, err := decode(record.Value)
+			if err != nil {
+				r.cfg.Logger.Error().EmbedObject(logposition.Logged(record.Offset)).Str("error", err.Error()).Msg("stream_origins_invalid")
+				continue
+			}
+			if first && i == 0 && !isOldEnough(at) {
+				return errTooRecent
+			}
+			r.add(origins, at)
+		}
+		from = page.Next
+		r.mu.Lock()
+		r.next = from
+		r.mu.Unlock()
+		if from >= page.End || len(page.Records) == 0 {
+			return nil
+		}
+	}
+}
+
+func (r *Reader) read(ctx context.Context, from int64) (sharedlog.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return r.cfg.Log.Read(ctx, sharedlog.Origins, from, 0)
+}
+
+func (r *Reader) bounds(ctx context.Context) (first, end int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return r.cfg.Log.Bounds(ctx, sharedlog.Origins)
+}
+
+// add adds the origins of a record.
+func (r *Reader) add(origins []Origin, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, origin := range origins {
+		if _, known := r.known[origin.Key]; !known {
+			r.order = append(r.order, origin.Key)
+		}
+		r.known[origin.Key] = origin
+		versions := r.versions[origin.Service]
+		if versions == nil {
+			versions = map[string]time.Time{}
+			r.versions[origin.Service] = versions
+		}
+		if at.After(versions[origin.Software]) {
+			versions[origin.Software] = at
+		}
+	}
+	for len(r.order) > maxKnown {
+		delete(r.known, r.order[0])
+		r.order = r.order[1:]
+	}
+}
--- /dev/null
+++ b/internal/originlog/writer.go
@@ -0,0 +1,126 @@
+// Appending origins to the log.
+
+package originlog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+const (
+	// appendInterval is the shortest time between two records of a writer. Streams that break off sooner
+	// after their first event are not recorded.
+	appendInterval = 100 * time.Millisecond
+	// appendTimeout bounds an append; the log takes 4 ms, and 200 ms when it is slow.
+	appendTimeout = 700 * time.Millisecond
+	// minFailurePause and maxFailurePause bound the pause after an append that failed, which doubles: a
+	// refused call has its price too.
+	minFailurePause = 250 * time.Millisecond
+	maxFailurePause = 2 * time.Second
+	// maxUnrecorded bounds the origins that wait, at some 100 bytes each; the oldest ones are dropped.
+	maxUnrecorded = 32768
+	// failingAfter is how long appends fail before other boxes should use another writer.
+	failingAfter = 500 * time.Millisecond
+)
+
+// WriterConfig configures a Writer.
+type WriterConfig struct {
+	Log    sharedlog.Log
+	Logger zerolog.Logger
+}
+
+// Writer appends origins to the log.
+type Writer struct {
+	cfg WriterConfig
+
+	mu         sync.Mutex
+	unrecorded []Origin
+	// failingSince is when the first of the appends failed that have failed since the last successful one;
+	// zero if the last one succeeded.
+	failingSince time.Time
+	wake         waiting.Signal
+}
+
+// NewWriter returns a writer without origins.
+func NewWriter(cfg WriterConfig) *Writer { return &Writer{cfg: cfg} }
+
+// Add adds origins to those to append. It returns false if this box has not been able to append for a
+// while, so that another one should do it; the origins are appended later all the same.
+func (w *Writer) Add(origins []Origin) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unrecorded = append(w.unrecorded, origins...)
+	if excess := len(w.unrecorded) - maxUnrecorded; excess > 0 {
+		w.unrecorded = w.unrecorded[excess:]
+	}
+	w.wake.Broadcast()
+	return w.failingSince.IsZero() || boottime.Since(w.failingSince) < failingAfter
+}
+
+// Loop appends origins until ctx ends.
+func (w *Writer) Loop(ctx context.Context) {
+	pause := minFailurePause
+	for ctx.Err() == nil {
+		wake := w.wake.Chan()
+		batch := w.take()
+		switch {
+		case len(batch) == 0:
+			select {
+			case <-wake:
+			case <-ctx.Done():
+			}
+		case w.append(ctx, batch):
+			pause = minFailurePause
+			waiting.For(ctx, appendInterval)
+		default:
+			waiting.For(ctx, pause)
+			pause = min(2*pause, maxFailurePause)
+		}
+	}
+}
+
+// take removes and returns the origins of the next record.
+func (w *Writer) take() []Origin {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := min(len(w.unrecorded), maxPerRecord)
+	batch := w.unrecorded[:count:count]
+	w.unrecorded = w.unrecorded[count:]
+	if len(w.unrecorded) == 0 {
+		w.unrecorded = nil // its memory has been used up from the front
+	}
+	return batch
+}
+
+// append appends a record, and reports whether that succeeded. Origins that may not have been appended are
+// appended again: a record that occurs twice says the same.
+func (w *Writer) append(ctx context.Context, batch []Origin) bool {
+	value, err := encode(batch, time.Now())
+	if err == nil {
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		_, err = w.cfg.Log.Append(call, sharedlog.Origins, sharedlog.AnyEnd, sharedlog.Record{Value: value})
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err == nil {
+		w.failingSince = time.Time{}
+		return true
+	}
+	if w.failingSince.IsZero() {
+		w.failingSince = boottime.Now()
+		w.cfg.Logger.Warn().Int("origins", len(batch)).Str("error", err.Error()).Msg("stream_origins_not_recorded")
+	}
+	w.unrecorded = append(batch, w.unrecorded...)
+	if excess := len(w.unrecorded) - maxUnrecorded; excess > 0 {
+		w.unrecorded = w.unrecorded[excess:]
+	}
+	return false
+}
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -65,6 +65,15 @@
 	return page, err
 }
 
+// Bounds implements Log.
+func (m *Measured) Bounds(ctx context.Context, stream Stream) (first, end int64, err error) {
+	began := boottime.Now()
+	first, end, err = m.log.Bounds(ctx, stream)
+	m.noteEra(end, err)
+	m.recordCall("bounds", stream, began, err)
+	return first, end, err
+}
+
 // Append implements Log.
 func (m *Measured) Append(ctx context.Context, stream Stream, end int64, record Record) (int64, error) {
 	began := boottime.Now()
--- a/internal/sharedlog/measured_test.go
+++ b/internal/sharedlog/measured_test.go
@@ -23,6 +23,10 @@
 	return sharedlog.Page{}, l.err
 }
 
+func (l fixedResultLog) Bounds(context.Context, sharedlog.Stream) (first, end int64, err error) {
+	return 0, 0, l.err
+}
+
 func (l fixedResultLog) Append(context.Context, sharedlog.Stream, int64, sharedlog.Record) (int64, error) {
 	return 0, l.err
 }
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -52,6 +52,8 @@
 	Orders
 	// Readers holds which box reads the log for each availability zone, by zone.
 	Readers
+	// Origins holds the software versions that began streams; its records have no keys.
+	Origins
 )
 
 // String returns the name for logs and metrics.
@@ -67,6 +69,8 @@
 		return "orders"
 	case Readers:
 		return "readers"
+	case Origins:
+		return "origins"
 	default:
 		return "unknown"
 	}
@@ -107,6 +111,9 @@
 	// Read returns records from a position on, waiting up to wait for the first one. It returns a
 	// HistoryChangedError if the position is from an earlier era.
 	Read(ctx context.Context, stream Stream, from int64, wait time.Duration) (Page, error)
+	// Bounds returns the position of the first record of a stream that is retained, and the position after
+	// the last one.
+	Bounds(ctx context.Context, stream Stream) (first, end int64, err error)
 	// Append adds one record and returns its position. With an end other than AnyEnd it does so only
 	// if the stream ends there, and returns ErrConflict otherwise. The log compares the offset alone,
 	// so an append may take effect in a later era than that of its end, and is then ErrUnknown.
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -23,9 +23,11 @@
 	// LongestUptime is how long this box or one of those that responded has been running at most. Streams that
 	// began earlier are unknown to all of them.
 	LongestUptime time.Duration
+	// LogRead reports that the log was read up to now.
+	LogRead bool
 }
 
-// Find looks for the origin of a stream of a service, at this box and then at its holders.
+// Find looks for the origin of a stream of a service, at this box, at its holders, and then in the log.
 func (o *Origins) Find(ctx context.Context, key Key, service string) Evidence {
 	evidence := Evidence{Versions: slices.Clone(o.cfg.Versions(service)), LongestUptime: o.uptime()}
 	targets, origin, found := o.lookUp(key, service)
@@ -33,27 +35,47 @@
 		evidence.Found, evidence.Software = true, origin.Software
 		return evidence
 	}
+	asked := request{Key: key[:], Service: service}
+	o.askHolders(ctx, targets, asked, &evidence)
+	if !evidence.Found && o.cfg.Reader != nil {
+		answer := o.askRecorder(ctx, asked)
+		evidence.LogRead = answer.LogRead
+		evidence.add(&answer)
+	}
+	return evidence
+}
+
+// askHolders asks boxes for an origin, all at once, until one of them has it.
+func (o *Origins) askHolders(ctx context.Context, targets []Box, asked request, evidence *Evidence) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	responses := make(chan *response, len(targets))
 	for _, box := range targets {
-		go o.runAsk(ctx, box, request{Key: key[:], Service: service}, responses)
+		go o.runAsk(ctx, box, asked, responses)
 	}
 	evidence.Asked = len(targets)
 	for range targets {
-		answer := <-responses
-		if answer == nil {
-			continue
+		if answer := <-responses; answer != nil {
+			evidence.Responded++
+			evidence.add(answer)
 		}
-		evidence.Responded++
-		evidence.addVersions(answer.Versions)
-		evidence.LongestUptime = max(evidence.LongestUptime, answer.Uptime)
-		if answer.Found != nil {
-			evidence.Found, evidence.Software = true, answer.Found.Software
-			return evidence
+		if evidence.Found {
+			return
 		}
 	}
-	return evidence
+}
+
+// add adds what another box knows.
+func (e *Evidence) add(answer *response) {
+	for _, version := range answer.Versions {
+		if !slices.Contains(e.Versions, version) {
+			e.Versions = append(e.Versions, version)
+		}
+	}
+	e.LongestUptime = max(e.LongestUptime, answer.Uptime)
+	if answer.Found != nil {
+		e.Found, e.Software = true, answer.Found.Software
+	}
 }
 
 // lookUp returns the origin if this box has it, and otherwise the boxes to ask: the holders among all
@@ -85,11 +107,3 @@
 	}
 	responses <- &answer
 }
-
-func (e *Evidence) addVersions(versions []string) {
-	for _, version := range versions {
-		if !slices.Contains(e.Versions, version) {
-			e.Versions = append(e.Versions, version)
-		}
-	}
-}
--- a/internal/streamorigin/holders.go
+++ b/internal/streamorigin/holders.go
@@ -78,10 +78,11 @@
 func (o *Origins) avoid(box Box, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for name, until := range o.avoided {
-		if now.After(until) {
-			delete(o.avoided, name)
-		}
-	}
-	o.avoided[box.Name] = now.Add(avoidDuration)
+	avoidIn(o.avoided, box, now)
+}
+
+// avoidIn adds a box to those that are avoided for avoidDuration.
+func avoidIn(avoided map[string]time.Time, box Box, now time.Time) {
+	maps.DeleteFunc(avoided, func(_ string, until time.Time) bool { return now.After(until) })
+	avoided[box.Name] = now.Add(avoidDuration)
 }
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -3,6 +3,7 @@
 package streamorigin
 
 import (
+	"context"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
@@ -29,6 +30,10 @@
 	// Key is the key of a stream of Service to find; empty for none.
 	Key     []byte `msgpack:"k,omitempty"`
 	Service string `msgpack:"s,omitempty"`
+	// Record means that the box is to record the origins in the log, and Recorded that it is to look for Key
+	// there.
+	Record   bool `msgpack:"r,omitempty"`
+	Recorded bool `msgpack:"l,omitempty"`
 }
 
 // wireOrigin is the wire form of an origin.
@@ -50,6 +55,10 @@
 	Versions []string `msgpack:"v,omitempty"`
 	// Uptime is how long the box has been running; it has no origins from before.
 	Uptime time.Duration `msgpack:"u,omitempty"`
+	// NotRecorded means that the box cannot write to the log at present, so that another one should.
+	NotRecorded bool `msgpack:"n,omitempty"`
+	// LogRead means that the box has read the log up to now, as the request asked.
+	LogRead bool `msgpack:"l,omitempty"`
 }
 
 // encode returns the wire form of an origin.
@@ -69,7 +78,19 @@
 }
 
 // handle applies a request and returns the response.
-func (o *Origins) handle(received request) response {
+func (o *Origins) handle(ctx context.Context, received request) response {
+	answer := o.apply(received)
+	if received.Record && o.cfg.Writer != nil {
+		answer.NotRecorded = !o.recordAll(received.Origins)
+	}
+	if received.Recorded && answer.Found == nil && len(received.Key) == keySize && o.cfg.Reader != nil {
+		o.findRecorded(ctx, received, &answer)
+	}
+	return answer
+}
+
+// apply adds the origins of a request, and returns what this box knows by itself.
+func (o *Origins) apply(received request) response {
 	o.mu.Lock()
 	now := boottime.Now()
 	for i := range received.Origins {
--- /dev/null
+++ b/internal/streamorigin/recorder.go
@@ -0,0 +1,192 @@
+// Recording origins in the platform's log, through a box that does so for many others (package originlog).
+
+package streamorigin
+
+import (
+	"context"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/delegate"
+	"github.com/cometlock/cometlock/internal/originlog"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+const (
+	// recordDelay is how long origins are collected before they are recorded. Streams that end in that time,
+	// most of the brief ones, need no record.
+	recordDelay = 60 * time.Millisecond
+	// recorderTimeout bounds a request that may make the recorder read the log.
+	recorderTimeout = 500 * time.Millisecond
+	// recorderTries is the number of recorders that are asked for an origin, one after the other.
+	recorderTries = 3
+)
+
+// recorderRole is the role of a box that records the origins of others and reads them back. Few boxes do, since
+// each call of the log has a price.
+var recorderRole = delegate.Config{Role: "origins", BoxesPerDelegate: 192}
+
+// recorder returns the box that records for this one; self is set if this one does so itself.
+func (o *Origins) recorder() (box Box, self bool) {
+	others := o.cfg.Others()
+	now := boottime.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	candidates := make([]delegate.Box, 0, len(others))
+	for _, other := range others {
+		if other.Address != "" {
+			unavailable := other.Unavailable || now.Before(o.failedRecorders[other.Name])
+			candidates = append(candidates, delegate.Box{Name: other.Name, Zone: other.Zone, Cores: other.Cores, Unavailable: unavailable})
+		}
+	}
+	chosen, found := delegate.Choose(recorderRole, delegate.Box{Name: o.cfg.Self.Name, Zone: o.cfg.Self.Zone, Cores: o.cfg.Self.Cores}, candidates)
+	for _, other := range others {
+		if found && other.Name == chosen.Name {
+			return other, false
+		}
+	}
+	return o.cfg.Self, true
+}
+
+// avoidRecorder records that a box does not respond or cannot write to the log.
+func (o *Origins) avoidRecorder(box Box) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	avoidIn(o.failedRecorders, box, boottime.Now())
+}
+
+// LoopRecord hands the origins of this box's streams to the recorder until ctx ends.
+func (o *Origins) LoopRecord(ctx context.Context) {
+	for ctx.Err() == nil {
+		waiting.ForOrSignal(ctx, recheckInterval, o.recordWake.Chan())
+		waiting.For(ctx, recordDelay)
+		o.record(ctx)
+	}
+}
+
+// record hands over the origins that the recorder does not have yet.
+func (o *Origins) record(ctx context.Context) {
+	recorder, self := o.recorder()
+	for ctx.Err() == nil {
+		keys, origins := o.takeUnrecorded(recorder)
+		if len(keys) == 0 || !o.handOver(ctx, recorder, self, origins) {
+			return
+		}
+		o.mu.Lock()
+		for _, key := range keys {
+			if stream := o.own[key]; stream != nil {
+				stream.recorder = recorder.Name
+			}
+		}
+		o.mu.Unlock()
+	}
+}
+
+// takeUnrecorded returns some of the streams in flight that the recorder does not have, of services with
+// several software versions. After the log came back from a copy it has to get all of them again.
+func (o *Origins) takeUnrecorded(recorder Box) (keys []Key, origins []wireOrigin) {
+	several := map[string]bool{}
+	for _, service := range o.ownServices() {
+		several[service] = o.hasSeveralVersions(service)
+	}
+	era := o.cfg.LogEra()
+	now := boottime.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if era != o.recordedEra {
+		o.recordedEra = era
+		for _, stream := range o.own {
+			stream.recorder = ""
+		}
+	}
+	for key, stream := range o.own {
+		switch {
+		case !now.Before(stream.origin.Expires):
+			delete(o.own, key)
+		case stream.recorder != recorder.Name && several[stream.origin.Service] && len(keys) < maxBatch:
+			keys, origins = append(keys, key), append(origins, encode(key, stream.origin, now))
+		}
+	}
+	return keys, origins
+}
+
+// ownServices returns the services of this box's streams in flight.
+func (o *Origins) ownServices() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	seen := map[string]bool{}
+	var services []string
+	for _, stream := range o.own {
+		if service := stream.origin.Service; !seen[service] {
+			seen[service] = true
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// handOver hands origins to the recorder, and reports whether it took them.
+func (o *Origins) handOver(ctx context.Context, recorder Box, self bool, origins []wireOrigin) bool {
+	if self {
+		o.recordAll(origins)
+		return true
+	}
+	var taken response
+	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true}, &taken, exchangeTimeout)
+	if err == nil && !taken.NotRecorded {
+		return true
+	}
+	if ctx.Err() == nil {
+		reason := "it cannot write to the log"
+		if err != nil {
+			reason = err.Error()
+		}
+		o.cfg.Logger.Info().Str("other", recorder.Name).Int("origins", len(origins)).Str("error", reason).Msg("stream_origins_not_handed_over")
+		o.avoidRecorder(recorder)
+	}
+	return false
+}
+
+// recordAll adds origins to those that this box records. It returns false if another box should do so.
+func (o *Origins) recordAll(origins []wireOrigin) bool {
+	recorded := make([]originlog.Origin, 0, len(origins))
+	for i := range origins {
+		if len(origins[i].Key) == keySize {
+			recorded = append(recorded, originlog.Origin{Key: Key(origins[i].Key), Service: origins[i].Service, Software: origins[i].Software})
+		}
+	}
+	return o.cfg.Writer.Add(recorded)
+}
+
+// askRecorder looks for an origin in the log, through a recorder, or by itself if none can read it.
+func (o *Origins) askRecorder(ctx context.Context, asked request) response {
+	asked.Recorded = true
+	for range recorderTries {
+		recorder, self := o.recorder()
+		if self || ctx.Err() != nil {
+			break
+		}
+		var answer response
+		err := o.client.Exchange(ctx, recorder.Address, &asked, &answer, recorderTimeout)
+		if err == nil && (answer.LogRead || answer.Found != nil) {
+			return answer
+		}
+		o.avoidRecorder(recorder)
+	}
+	var answer response
+	o.findRecorded(ctx, asked, &answer)
+	return answer
+}
+
+// findRecorded looks for an origin in the log.
+func (o *Origins) findRecorded(ctx context.Context, asked request, answer *response) {
+	result, err := o.cfg.Reader.Find(ctx, Key(asked.Key), asked.Service)
+	if err != nil {
+		return // the reader has logged it
+	}
+	answer.LogRead = true
+	answer.Versions = append(answer.Versions, result.Versions...)
+	if result.Found {
+		answer.Found = &wireOrigin{Key: asked.Key, Service: asked.Service, Software: result.Software, Remaining: originlog.Horizon}
+	}
+}
--- /dev/null
+++ b/internal/streamorigin/recorder_test.go
@@ -0,0 +1,185 @@
+package streamorigin
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/originlog"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// recordedWithin is how long the record of a stream in flight may take, on a busy machine.
+const recordedWithin = 10 * time.Second
+
+// The memory of boxes is gone when all of them crash at once. Streams whose callers have a part of them must
+// continue at their versions all the same.
+func TestOriginsAreLostWhenAllBoxesCrash(t *testing.T) {
+	tests := []struct {
+		name  string
+		zones []string
+	}{
+		{"eight boxes in three zones", []string{"a", "a", "a", "b", "b", "b", "c", "c"}},
+		{"a zone with a recorder of its own", []string{"a", "a", "a", "a", "a", "a", "a", "a", "b", "b"}},
+		{"a single box", []string{"a"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			log := fakesharedlog.New()
+			logOf := func(int) sharedlog.Log { return log }
+			boxes := startBoxesWith(t, g, logOf, test.zones...)
+			const streams = 200
+			beginStreams(g, boxes, streams)
+			for _, b := range boxes {
+				g.Eventually(b.unrecordedCount, recordedWithin, 5*time.Millisecond).Should(BeZero())
+			}
+			g.Eventually(log.Underlying().Appends, recordedWithin).Should(BeNumerically(">=", 1))
+			time.Sleep(recordDelay + exchangeTimeout) // until the last record has been appended
+			for _, b := range boxes {
+				b.stop()
+			}
+			restarted := startBoxesWith(t, g, logOf, test.zones...)
+			for number := range streams {
+				evidence := restarted[number%len(restarted)].Find(t.Context(), keyOfNumber(number), service)
+				g.Expect(evidence.Found).To(BeTrue(), "stream %d", number)
+				g.Expect(evidence.Software).To(Equal(originOf(number).Software))
+			}
+			evidence := restarted[0].Find(t.Context(), keyOfNumber(streams), service)
+			g.Expect(evidence.Found).To(BeFalse())
+			g.Expect(evidence.LogRead).To(BeTrue())
+		})
+	}
+}
+
+func (o *Origins) unrecordedCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	count := 0
+	for _, stream := range o.own {
+		if stream.recorder == "" {
+			count++
+		}
+	}
+	return count
+}
+
+// failingLog is a log that a box does not reach while failing is set.
+type failingLog struct {
+	sharedlog.Log
+	failing atomic.Bool
+}
+
+func (l *failingLog) Append(ctx context.Context, stream sharedlog.Stream, end int64, record sharedlog.Record) (int64, error) {
+	if l.failing.Load() {
+		return 0, sharedlog.ErrRefused
+	}
+	return l.Log.Append(ctx, stream, end, record)
+}
+
+func (l *failingLog) Bounds(ctx context.Context, stream sharedlog.Stream) (first, end int64, err error) {
+	if l.failing.Load() {
+		return 0, 0, sharedlog.ErrRefused
+	}
+	return l.Log.Bounds(ctx, stream)
+}
+
+// The platform's log may turn single boxes away. If that happens to the recorder, another one must record.
+func TestARecorderThatCannotReachTheLogRecordsNothing(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	logs := make([]*failingLog, 4)
+	boxes := startBoxesWith(t, g, func(box int) sharedlog.Log {
+		logs[box] = &failingLog{Log: log}
+		return logs[box]
+	}, "a", "a", "a", "a")
+	recorder := boxNumber(boxes, recorderOf(boxes[0]))
+	logs[recorder].failing.Store(true)
+	number := 0
+	g.Eventually(func() string {
+		boxes[0].Note(keyOfNumber(number), originOf(number))
+		number++
+		return recorderOf(boxes[0])
+	}, recordedWithin, 20*time.Millisecond).ShouldNot(Equal(boxes[recorder].box.Name))
+	last := keyOfNumber(number)
+	boxes[0].Note(last, originOf(number))
+	g.Eventually(func() bool { return reads(g, log, last, originOf(number).Software) }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+	for i, b := range boxes {
+		if i != 0 {
+			b.stop()
+		}
+	}
+	logs[0].failing.Store(false)
+	evidence := boxes[0].Find(t.Context(), keyOfNumber(number+1), service)
+	g.Expect(evidence.LogRead).To(BeTrue(), "a box without other boxes reads by itself")
+}
+
+func recorderOf(b *testBox) string {
+	recorder, _ := b.recorder()
+	return recorder.Name
+}
+
+func boxNumber(boxes []*testBox, name string) int {
+	for i, b := range boxes {
+		if b.box.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// reads reports whether a box that has just started finds an origin in the log.
+func reads(g *WithT, log sharedlog.Log, key Key, software string) bool {
+	reader := newTestReader(log)
+	result, err := reader.Find(context.Background(), key, service)
+	g.Expect(err).NotTo(HaveOccurred())
+	return result.Found && result.Software == software
+}
+
+// Each call of the log has a price, so streams that end soon, and all streams while a service has one version,
+// cause none.
+func TestStreamsThatNeedNoRecordAreRecorded(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "a", "b")
+	for number := range 50 {
+		boxes[number%3].Note(keyOfNumber(number), originOf(number))
+		boxes[number%3].Complete(keyOfNumber(number))
+	}
+	for _, b := range boxes {
+		b.setVersions("v1")
+	}
+	boxes[0].Note(keyOfNumber(50), originOf(50))
+	time.Sleep(2*recheckInterval + recordDelay)
+	g.Expect(log.Underlying().Appends()).To(BeZero())
+	boxes[0].setVersions("v1", "v2")
+	g.Eventually(func() bool { return reads(g, log, keyOfNumber(50), "v1") }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+}
+
+// When the log comes back from a copy, the records of streams that are still in flight are gone.
+func TestStreamsInFlightAreNotRecordedAgainAfterTheLogCameBackFromACopy(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	copied := log.Copy()
+	boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "a", "b")
+	for number := range 30 {
+		boxes[number%3].Note(keyOfNumber(number), originOf(number))
+	}
+	g.Eventually(func() bool { return reads(g, log, keyOfNumber(29), "v2") }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+	log.Restore(copied)
+	for _, b := range boxes {
+		b.era.Store(1)
+	}
+	for number := range 30 {
+		g.Eventually(func() bool { return reads(g, log, keyOfNumber(number), originOf(number).Software) }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+	}
+}
+
+func newTestReader(log sharedlog.Log) *originlog.Reader {
+	return originlog.NewReader(originlog.ReaderConfig{Log: log})
+}
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -14,9 +14,12 @@
 // there are. While a service has one version nothing is sent; when a second one appears, the origins of the
 // streams in flight are.
 //
+// When all holders of a stream and the box that began it crash at once, none of that is left. So the origins
+// of streams that last are recorded in the platform's log, too, by one box for many (recorder.go), and are
+// read back when no holder has an origin.
+//
 // A stream whose origin cannot be found is resumed only if all boxes that were asked know of one version
-// (decide.go). All state is in memory: when all holders of a stream and the box that began it restart
-// at once, its origin is lost.
+// (decide.go).
 package streamorigin
 
 import (
@@ -32,6 +35,7 @@
 
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/frame"
+	"github.com/cometlock/cometlock/internal/originlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
@@ -76,6 +80,8 @@
 	Name    string
 	Zone    string
 	Address string
+	// Cores is the number of CPU cores that the box may use; zero if unknown.
+	Cores float64
 	// Unavailable boxes are asked, but origins are sent to others.
 	Unavailable bool
 }
@@ -88,6 +94,11 @@
 	Others func() []Box
 	// Versions returns the software versions of a service's servers now and in the last minute.
 	Versions func(service string) []string
+	// Writer and Reader record origins in the log and read them back, and LogEra returns the newest era of the
+	// log that this box knows of. Nil means that origins are not recorded.
+	Writer *originlog.Writer
+	Reader *originlog.Reader
+	LogEra func() int64
 	// Dial connects to another box; nil selects TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -106,8 +117,21 @@
 	unsent map[string][]pending
 	// avoided maps boxes that did not respond to when they are used again.
 	avoided map[string]time.Time
-	// wake is signalled when there are origins to send.
-	wake waiting.Signal
+	// own has the streams of this box that have not been completed.
+	own map[Key]*ownStream
+	// failedRecorders maps boxes that did not record origins to when they are used again.
+	failedRecorders map[string]time.Time
+	// recordedEra is the era of the log that the streams were recorded in.
+	recordedEra int64
+	// wake and recordWake are signalled when there are origins to send and to record.
+	wake, recordWake waiting.Signal
+}
+
+// ownStream is a stream of this box.
+type ownStream struct {
+	origin Origin
+	// recorder is the box that has recorded the origin; empty if none has.
+	recorder string
 }
 
 // pending is an origin that has to be sent.
@@ -119,7 +143,7 @@
 
 // New returns Origins without any.
 func New(cfg Config) *Origins {
-	o := &Origins{cfg: cfg, known: newTable(), unsent: map[string][]pending{}, avoided: map[string]time.Time{}, startedAt: boottime.Now()}
+	o := &Origins{cfg: cfg, known: newTable(), unsent: map[string][]pending{}, avoided: map[string]time.Time{}, own: map[Key]*ownStream{}, failedRecorders: map[string]time.Time{}, startedAt: boottime.Now()}
 	o.client = frame.NewClient(frame.ClientConfig{Dial: cfg.Dial, MaxIdle: maxIdle, MaxIdleTime: maxIdleTime, MaxResponseBytes: maxResponseBytes})
 	o.server = frame.NewServer(cfg.Logger, o.serve)
 	return o
@@ -134,11 +158,22 @@
 	now := boottime.Now()
 	o.known.add(key, origin, now)
 	o.addUnsent(pending{key: key, origin: origin}, now)
+	if len(o.own) < maxOrigins {
+		o.own[key] = &ownStream{origin: origin}
+	}
 	if severalVersions {
 		o.wake.Broadcast()
+		o.recordWake.Broadcast()
 	}
 }
 
+// Complete records that the caller has the whole stream, so that nobody resumes it.
+func (o *Origins) Complete(key Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.own, key)
+}
+
 // addUnsent adds an origin to send, and drops the first ones that have expired, or those above the limit.
 // The caller holds mu.
 func (o *Origins) addUnsent(added pending, now time.Time) {
@@ -183,7 +218,7 @@
 		if err := frame.Read(reader, &received, maxRequestBytes); err != nil {
 			return
 		}
-		answer := o.handle(received)
+		answer := o.handle(ctx, received)
 		if err := frame.Write(connection, &answer, exchangeTimeout); err != nil {
 			return
 		}
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -5,11 +5,16 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cometlock/cometlock/internal/originlog"
+	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
 const service = "runners"
@@ -19,6 +24,8 @@
 	*Origins
 	box  Box
 	stop context.CancelFunc
+	// era is the newest era of the log that the box knows of.
+	era atomic.Int64
 
 	mu       sync.Mutex
 	versions []string
@@ -30,8 +37,15 @@
 	b.versions = versions
 }
 
-// startBoxes starts boxes in zones that know of two versions.
+// startBoxes starts boxes in zones that know of two versions and record nothing.
 func startBoxes(t *testing.T, g *WithT, zones ...string) []*testBox {
+	t.Helper()
+	return startBoxesWith(t, g, nil, zones...)
+}
+
+// startBoxesWith starts boxes in zones that know of two versions. Unless it is nil, logOf returns the log that
+// a box records in.
+func startBoxesWith(t *testing.T, g *WithT, logOf func(box int) sharedlog.Log, zones ...string) []*testBox {
 	t.Helper()
 	boxes := make([]*testBox, len(zones))
 	listeners := make([]net.Listener, len(zones))
@@ -51,13 +65,23 @@
 			}
 			return others
 		}
-		b.Origins = New(Config{Logger: zerolog.Nop(), Self: b.box, Others: others, Versions: func(string) []string {
+		cfg := Config{Logger: zerolog.Nop(), Self: b.box, Others: others, Versions: func(string) []string {
 			b.mu.Lock()
 			defer b.mu.Unlock()
 			return b.versions
-		}})
+		}}
 		ctx, stop := context.WithCancel(context.Background())
 		var loops sync.WaitGroup
+		if logOf != nil {
+			log := sharedlog.NewMeasured(logOf(i), tally.NoopScope)
+			cfg.Writer, cfg.Reader = originlog.NewWriter(originlog.WriterConfig{Log: log}), originlog.NewReader(originlog.ReaderConfig{Log: log})
+			cfg.LogEra = b.era.Load
+			loops.Go(func() { cfg.Writer.Loop(ctx) })
+		}
+		b.Origins = New(cfg)
+		if logOf != nil {
+			loops.Go(func() { b.LoopRecord(ctx) })
+		}
 		loops.Go(func() { b.Loop(ctx) })
 		loops.Go(func() { b.LoopAccept(ctx, listeners[i]) })
 		b.stop = func() {
@@ -266,7 +290,7 @@
 func TestInvalidOriginsAreIgnored(t *testing.T) {
 	g := NewWithT(t)
 	o := New(Config{Logger: zerolog.Nop(), Others: func() []Box { return nil }, Versions: func(string) []string { return nil }})
-	answer := o.handle(request{Origins: []wireOrigin{
+	answer := o.handle(t.Context(), request{Origins: []wireOrigin{
 		{Key: []byte{1}, Service: service, Remaining: time.Minute},
 		{Key: make([]byte, keySize), Service: service, Remaining: -1},
 		{Key: make([]byte, keySize), Service: service, Remaining: time.Hour},
@@ -274,9 +298,9 @@
 	}, Key: []byte("short"), Service: service})
 	g.Expect(answer.Found).To(BeNil())
 	g.Expect(o.known.origins).To(HaveLen(1))
-	answer = o.handle(request{Key: make([]byte, keySize), Service: service})
+	answer = o.handle(t.Context(), request{Key: make([]byte, keySize), Service: service})
 	g.Expect(answer.Found.Remaining).To(BeNumerically("<=", maxRemaining))
-	answer = o.handle(request{Key: make([]byte, keySize), Service: "another"})
+	answer = o.handle(t.Context(), request{Key: make([]byte, keySize), Service: "another"})
 	g.Expect(answer.Found).To(BeNil(), "a stream of another service")
 }
 
