streamorigin: a box does not count itself as a holder

The holders are chosen among the other boxes. A lookup asks all holders that result if any one box is left out of the choice, since it does not know which box began the stream or took one for unavailable; up to 16 other boxes all are asked, so that a box which began the stream and lives is found, too.

TestOriginsAreLostWithTheirBoxes failed before with three of four and three of eight boxes lost (stream 6 at box 3, stream 8 at box 3).

--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// lookUp returns the origin if this box has it, and otherwise the boxes to ask: the holders among all
-// listed boxes, and those that replace the unavailable ones.
+// lookUp returns the origin if this box has it, and otherwise the boxes to ask: the possible holders among
+// all listed boxes, and those that replace the unavailable ones.
 func (o *Origins) lookUp(key Key, service string) (targets []Box, origin Origin, found bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -88,9 +88,8 @@
 		return nil, origin, true
 	}
 	for _, available := range []bool{false, true} {
-		for _, box := range holders(key, o.boxes(now, available)) {
-			known := slices.ContainsFunc(targets, func(t Box) bool { return t.Name == box.Name })
-			if box.Name != o.cfg.Self.Name && !known {
+		for _, box := range possibleHolders(key, append(o.others(now, available), o.cfg.Self)) {
+			if box.Name != o.cfg.Self.Name && !containsBox(targets, box) {
 				targets = append(targets, box)
 			}
 		}
--- a/internal/streamorigin/holders.go
+++ b/internal/streamorigin/holders.go
@@ -11,8 +11,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// replicas is the number of holders of an origin.
-const replicas = 3
+const (
+	// replicas is the number of holders of an origin.
+	replicas = 3
+	// smallFleet is the number of other boxes up to which all of them are asked for an origin. The box that
+	// began the stream has it too, and need not be a holder.
+	smallFleet = 16
+)
 
 // ranked is the index of a box with its rank for a key; the highest rank is first.
 type ranked struct {
@@ -54,6 +59,29 @@
 	return holding
 }
 
+// possibleHolders returns all boxes of a small fleet, and otherwise those that hold the origin of a key if any
+// single box did not count when its holders were chosen: the one that began the stream, which holds no copy
+// for itself, or one that it took for unavailable.
+func possibleHolders(key Key, boxes []Box) []Box {
+	if len(boxes) <= smallFleet {
+		return boxes
+	}
+	possible := holders(key, boxes)
+	for _, excluded := range slices.Clone(possible) {
+		rest := slices.DeleteFunc(slices.Clone(boxes), func(b Box) bool { return b.Name == excluded.Name })
+		for _, box := range holders(key, rest) {
+			if !containsBox(possible, box) {
+				possible = append(possible, box)
+			}
+		}
+	}
+	return possible
+}
+
+func containsBox(boxes []Box, box Box) bool {
+	return slices.ContainsFunc(boxes, func(b Box) bool { return b.Name == box.Name })
+}
+
 // mix is the finalizer of MurmurHash3. Without it, boxes would be ranked alike for similar seeds.
 func mix(hash uint64) uint64 {
 	hash = (hash ^ hash>>33) * 0xff51afd7ed558ccd
@@ -61,10 +89,10 @@
 	return hash ^ hash>>33
 }
 
-// boxes returns the boxes that may hold origins, this one included, without those that are unavailable or
-// avoided if available is set. The caller holds mu.
-func (o *Origins) boxes(now time.Time, available bool) []Box {
-	boxes := []Box{o.cfg.Self}
+// others returns the other boxes that may hold origins, without those that are unavailable or avoided if
+// available is set. The caller holds mu.
+func (o *Origins) others(now time.Time, available bool) []Box {
+	var boxes []Box
 	for _, box := range o.cfg.Others() {
 		if box.Address == "" || available && (box.Unavailable || now.Before(o.avoided[box.Name])) {
 			continue
--- a/internal/streamorigin/send.go
+++ b/internal/streamorigin/send.go
@@ -41,7 +41,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := boottime.Now()
-	boxes := o.boxes(now, true)
+	boxes := o.others(now, true)
 	queue := o.unsent[service]
 	count := min(len(queue), maxBatch)
 	if o.unsent[service] = queue[count:]; len(queue) == count {
@@ -53,9 +53,7 @@
 		}
 		each.sends++
 		for _, box := range holders(each.key, boxes) {
-			if box.Name != o.cfg.Self.Name {
-				batches[box] = append(batches[box], each)
-			}
+			batches[box] = append(batches[box], each)
 		}
 	}
 }
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -130,6 +130,8 @@
 		{"two boxes of four in four zones", []string{"a", "b", "c", "d"}, []int{1, 3}},
 		{"a zone of three boxes", []string{"a", "a", "a", "b", "b", "c", "c", "d"}, []int{0, 1, 2}},
 		{"one of two zones", []string{"a", "a", "b", "b"}, []int{2, 3}},
+		{"three boxes of four in four zones", []string{"a", "b", "c", "d"}, []int{0, 1, 2}},
+		{"three boxes of eight in four zones", []string{"a", "b", "c", "d", "a", "b", "c", "d"}, []int{0, 1, 2}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -314,3 +316,25 @@
 		holders(keyOfNumber(number), boxes)
 	}
 }
+
+// A lookup must ask the holders that the box which began the stream chose, though that box is not among them
+// and may have taken one more for unavailable.
+func TestALookupAsksOtherBoxesThanTheSender(t *testing.T) {
+	g := NewWithT(t)
+	const count, zones = 60, 4
+	boxes := make([]Box, count)
+	for i := range boxes {
+		boxes[i] = Box{Name: fmt.Sprint("box-", i), Zone: fmt.Sprint("zone-", i%zones)}
+	}
+	for number := range 200 {
+		key := keyOfNumber(number)
+		possible := possibleHolders(key, boxes)
+		g.Expect(len(possible)).To(BeNumerically("<=", 2*replicas+1))
+		for i := range boxes {
+			others := append(append([]Box(nil), boxes[:i]...), boxes[i+1:]...)
+			for _, holder := range holders(key, others) {
+				g.Expect(containsBox(possible, holder)).To(BeTrue(), "stream %d of box %d", number, i)
+			}
+		}
+	}
+}
