streamorigin: send origins again to holders that restarted

A box now tracks for each of its streams which process of which box has the origin. The response to a batch names the process, reports between boxes name it too, and when the boxes that may be holders change or start again, the origins of all streams in flight are checked and missing copies are sent. The same holds for the box that records. Sends that fail go to the replacement as before; the bound of three sends is not needed, since a box that does not respond is avoided. Origins of streams that the caller has in full are no longer sent.

TestCopiesAreLostAtHoldersThatRestart finds no origin without the comparison of processes (stream 0 of 40), and all with it.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -231,7 +231,7 @@
 	b.places = places.New(owner)
 	b.originWriter = originlog.NewWriter(originlog.WriterConfig{Log: b.log, Logger: b.logger})
 	b.origins = streamorigin.New(streamorigin.Config{
-		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress(), Cores: b.settings.Cores},
+		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress(), Process: shortIncarnation(b.incarnation), Cores: b.settings.Cores},
 		Others: b.originHolders, Versions: b.fleet.SoftwareVersions,
 		Writer: b.originWriter, Reader: originlog.NewReader(originlog.ReaderConfig{Log: b.log, Logger: b.logger}), LogEra: b.logEra,
 	})
@@ -290,7 +290,7 @@
 	others := b.share.Candidates()
 	boxes := make([]streamorigin.Box, len(others))
 	for i, other := range others {
-		boxes[i] = streamorigin.Box{Name: other.Name, Zone: other.Zone, Address: other.OriginsAddress, Cores: other.Cores, Unavailable: other.Box.Unavailable}
+		boxes[i] = streamorigin.Box{Name: other.Name, Zone: other.Zone, Address: other.OriginsAddress, Process: other.Incarnation, Cores: other.Cores, Unavailable: other.Box.Unavailable}
 	}
 	return boxes
 }
--- a/internal/loadshare/boxes.go
+++ b/internal/loadshare/boxes.go
@@ -279,6 +279,8 @@
 	ForwardAddress string
 	// OriginsAddress is where the box holds the origins of streams; empty if it holds none.
 	OriginsAddress string
+	// Incarnation is that of the box's last report; empty if there is none.
+	Incarnation string
 }
 
 // Candidates lists the other boxes, which may read the log for this one unless they are
@@ -290,6 +292,9 @@
 	candidates := make([]Candidate, len(boxes))
 	for i, box := range boxes {
 		candidates[i] = Candidate{Box: box, ReaderAddress: s.peers[box.Name].readerAddress, PlacesAddress: s.peers[box.Name].placesAddress, ForwardAddress: s.peers[box.Name].forwardAddress, OriginsAddress: s.peers[box.Name].originsAddress}
+		if state := s.states[box.Name]; state != nil {
+			candidates[i].Incarnation = state.incarnation
+		}
 		candidates[i].Unavailable = box.Unavailable || candidates[i].ReaderAddress == ""
 	}
 	return candidates
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -55,6 +55,8 @@
 	Versions []string `msgpack:"v,omitempty"`
 	// Uptime is how long the box has been running; it has no origins from before.
 	Uptime time.Duration `msgpack:"u,omitempty"`
+	// Process identifies the process of the box.
+	Process string `msgpack:"p,omitempty"`
 	// NotRecorded means that the box cannot write to the log at present, so that another one should.
 	NotRecorded bool `msgpack:"n,omitempty"`
 	// LogRead means that the box has read the log up to now, as the request asked.
@@ -80,6 +82,7 @@
 // handle applies a request and returns the response.
 func (o *Origins) handle(ctx context.Context, received request) response {
 	answer := o.apply(received)
+	answer.Process = o.cfg.Self.Process
 	if received.Record && o.cfg.Writer != nil {
 		answer.NotRecorded = !o.recordAll(received.Origins)
 	}
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -69,13 +69,17 @@
 	recorder, self := o.recorder()
 	for ctx.Err() == nil {
 		keys, origins := o.takeUnrecorded(recorder)
-		if len(keys) == 0 || !o.handOver(ctx, recorder, self, origins) {
+		if len(keys) == 0 {
+			return
+		}
+		process, taken := o.handOver(ctx, recorder, self, origins)
+		if !taken {
 			return
 		}
 		o.mu.Lock()
 		for _, key := range keys {
 			if stream := o.own[key]; stream != nil {
-				stream.recorder = recorder.Name
+				stream.recorder, stream.recorderProcess = recorder.Name, process
 			}
 		}
 		o.mu.Unlock()
@@ -85,10 +89,7 @@
 // takeUnrecorded returns some of the streams in flight that the recorder does not have, of services with
 // several software versions. After the log came back from a copy it has to get all of them again.
 func (o *Origins) takeUnrecorded(recorder Box) (keys []Key, origins []wireOrigin) {
-	several := map[string]bool{}
-	for _, service := range o.ownServices() {
-		several[service] = o.hasSeveralVersions(service)
-	}
+	several := o.servicesWithSeveralVersions()
 	era := o.cfg.LogEra()
 	now := boottime.Now()
 	o.mu.Lock()
@@ -103,38 +104,29 @@
 		switch {
 		case !now.Before(stream.origin.Expires):
 			delete(o.own, key)
-		case stream.recorder != recorder.Name && several[stream.origin.Service] && len(keys) < maxBatch:
+		case !stream.isRecordedBy(recorder) && several[stream.origin.Service] && len(keys) < maxBatch:
 			keys, origins = append(keys, key), append(origins, encode(key, stream.origin, now))
 		}
 	}
 	return keys, origins
 }
 
-// ownServices returns the services of this box's streams in flight.
-func (o *Origins) ownServices() []string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	seen := map[string]bool{}
-	var services []string
-	for _, stream := range o.own {
-		if service := stream.origin.Service; !seen[service] {
-			seen[service] = true
-			services = append(services, service)
-		}
-	}
-	return services
+// isRecordedBy reports whether a process of a box has taken the origin, as far as this one knows. A process that
+// has ended may not have written what it took.
+func (s *ownStream) isRecordedBy(recorder Box) bool {
+	return s.recorder == recorder.Name && (recorder.Process == "" || recorder.Process == s.recorderProcess)
 }
 
-// handOver hands origins to the recorder, and reports whether it took them.
-func (o *Origins) handOver(ctx context.Context, recorder Box, self bool, origins []wireOrigin) bool {
+// handOver hands origins to the recorder. It returns the process that took them; taken is false if none did.
+func (o *Origins) handOver(ctx context.Context, recorder Box, self bool, origins []wireOrigin) (process string, taken bool) {
 	if self {
 		o.recordAll(origins)
-		return true
+		return recorder.Process, true
 	}
-	var taken response
-	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true}, &taken, exchangeTimeout)
-	if err == nil && !taken.NotRecorded {
-		return true
+	var answer response
+	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true}, &answer, exchangeTimeout)
+	if err == nil && !answer.NotRecorded {
+		return answer.Process, true
 	}
 	if ctx.Err() == nil {
 		reason := "it cannot write to the log"
@@ -144,7 +136,7 @@
 		o.cfg.Logger.Info().Str("other", recorder.Name).Int("origins", len(origins)).Str("error", reason).Msg("stream_origins_not_handed_over")
 		o.avoidRecorder(recorder)
 	}
-	return false
+	return "", false
 }
 
 // recordAll adds origins to those that this box records. It returns false if another box should do so.
--- a/internal/streamorigin/send.go
+++ b/internal/streamorigin/send.go
@@ -3,14 +3,15 @@
 package streamorigin
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
-	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
 )
 
-// send sends the origins that have to be sent now, and waits for the responses.
+// send sends the origins that holders do not have, and waits for the responses.
 func (o *Origins) send(ctx context.Context) {
 	var sends sync.WaitGroup
 	for box, batch := range o.takeBatches() {
@@ -19,68 +20,101 @@
 	sends.Wait()
 }
 
-// takeBatches returns the origins to send, by holder, of the services that have several versions.
-func (o *Origins) takeBatches() map[Box][]pending {
-	var services []string
-	o.mu.Lock()
-	for service := range o.unsent {
-		services = append(services, service)
-	}
-	o.mu.Unlock()
-	batches := map[Box][]pending{}
-	for _, service := range services {
-		if o.hasSeveralVersions(service) {
-			o.addBatches(batches, service)
-		}
+// takeBatches returns the keys of the streams whose origins have to be sent, by holder.
+func (o *Origins) takeBatches() map[Box][]Key {
+	several := o.servicesWithSeveralVersions()
+	batches := map[Box][]Key{}
+	if len(several) == 0 {
+		return batches
 	}
-	return batches
-}
-
-// addBatches adds the origins of a service to the batches of their holders.
-func (o *Origins) addBatches(batches map[Box][]pending, service string) {
+	now := boottime.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := boottime.Now()
 	boxes := o.others(now, true)
-	queue := o.unsent[service]
-	count := min(len(queue), maxBatch)
-	if o.unsent[service] = queue[count:]; len(queue) == count {
-		delete(o.unsent, service)
-	}
-	for _, each := range queue[:count] {
-		if !now.Before(each.origin.Expires) {
+	o.checkAllIfChanged(boxes)
+	for key, stream := range o.own {
+		if !now.Before(stream.origin.Expires) {
+			delete(o.own, key)
+			continue
+		}
+		if stream.checked || !several[stream.origin.Service] {
 			continue
 		}
-		each.sends++
-		for _, box := range holders(each.key, boxes) {
-			batches[box] = append(batches[box], each)
+		stream.checked = true
+		for _, box := range holders(key, boxes) {
+			if !stream.hasCopyAt(box) && len(batches[box]) < maxBatch {
+				batches[box] = append(batches[box], key)
+			}
+			stream.checked = stream.checked && len(batches[box]) < maxBatch
 		}
 	}
+	return batches
 }
 
-// sendBatch sends origins to a holder. Those of a holder that does not respond are sent again, to the box
-// that replaces it.
-func (o *Origins) sendBatch(ctx context.Context, box Box, batch []pending) {
+// checkAllIfChanged makes all streams be checked for copies if the boxes that may hold them have changed or
+// have started again. The caller holds mu.
+func (o *Origins) checkAllIfChanged(boxes []Box) {
+	slices.SortFunc(boxes, func(a, b Box) int { return cmp.Compare(a.Name, b.Name) })
+	if slices.Equal(boxes, o.checkedBoxes) {
+		return
+	}
+	o.checkedBoxes = boxes
+	for _, stream := range o.own {
+		stream.checked = false
+	}
+}
+
+// hasCopyAt reports whether a box has the origin, as far as this one knows. A box that has started again is
+// empty.
+func (s *ownStream) hasCopyAt(box Box) bool {
+	process, sent := s.copies[box.Name]
+	return sent && (box.Process == "" || box.Process == process)
+}
+
+// sendBatch sends origins to a holder. Those of a holder that does not respond are sent to the box that
+// replaces it.
+func (o *Origins) sendBatch(ctx context.Context, box Box, batch []Key) {
 	now := boottime.Now()
 	var origins request
-	for _, each := range batch {
-		origins.Origins = append(origins.Origins, encode(each.key, each.origin, now))
+	o.mu.Lock()
+	for _, key := range batch {
+		if stream := o.own[key]; stream != nil {
+			origins.Origins = append(origins.Origins, encode(key, stream.origin, now))
+		}
 	}
-	var ignored response
-	if err := o.client.Exchange(ctx, box.Address, &origins, &ignored, exchangeTimeout); err != nil && ctx.Err() == nil {
+	o.mu.Unlock()
+	var answer response
+	err := o.client.Exchange(ctx, box.Address, &origins, &answer, exchangeTimeout)
+	if err != nil && ctx.Err() == nil {
 		o.cfg.Logger.Info().Str("other", box.Name).Int("origins", len(batch)).Str("error", err.Error()).Msg("stream_origins_not_sent")
 		o.avoid(box, now)
-		o.sendAgain(batch, now)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, key := range batch {
+		stream := o.own[key]
+		switch {
+		case stream == nil: // it has been completed
+		case err != nil:
+			stream.checked = false
+		default:
+			stream.copies[box.Name] = answer.Process
+		}
 	}
 }
 
-// sendAgain adds origins to those to send, unless they were sent often enough.
-func (o *Origins) sendAgain(batch []pending, now time.Time) {
+// servicesWithSeveralVersions returns the services of this box's streams that have several software versions.
+func (o *Origins) servicesWithSeveralVersions() map[string]bool {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, each := range batch {
-		if each.sends < maxSends {
-			o.addUnsent(each, now)
+	services := map[string]bool{}
+	for _, stream := range o.own {
+		services[stream.origin.Service] = true
+	}
+	o.mu.Unlock()
+	for service := range services {
+		if !o.hasSeveralVersions(service) {
+			delete(services, service)
 		}
 	}
+	return services
 }
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -47,8 +47,6 @@
 	batchDelay = 20 * time.Millisecond
 	// recheckInterval is the time between two checks whether a service has a second version now.
 	recheckInterval = 250 * time.Millisecond
-	// maxSends is how often an origin is sent, since a holder may be unreachable.
-	maxSends = 3
 	// avoidDuration is how long a box that did not respond is replaced by the next one as a holder.
 	avoidDuration = 2 * time.Second
 )
@@ -80,6 +78,8 @@
 	Name    string
 	Zone    string
 	Address string
+	// Process identifies the process of the box, which starts without origins; empty if unknown.
+	Process string
 	// Cores is the number of CPU cores that the box may use; zero if unknown.
 	Cores float64
 	// Unavailable boxes are asked, but origins are sent to others.
@@ -113,12 +113,12 @@
 
 	mu    sync.Mutex
 	known table
-	// unsent has the origins of this box's streams that the holders may not have, by service.
-	unsent map[string][]pending
 	// avoided maps boxes that did not respond to when they are used again.
 	avoided map[string]time.Time
 	// own has the streams of this box that have not been completed.
 	own map[Key]*ownStream
+	// checkedBoxes are the possible holders as of the last check of all streams, by name.
+	checkedBoxes []Box
 	// failedRecorders maps boxes that did not record origins to when they are used again.
 	failedRecorders map[string]time.Time
 	// recordedEra is the era of the log that the streams were recorded in.
@@ -130,20 +130,17 @@
 // ownStream is a stream of this box.
 type ownStream struct {
 	origin Origin
-	// recorder is the box that has recorded the origin; empty if none has.
-	recorder string
-}
-
-// pending is an origin that has to be sent.
-type pending struct {
-	key    Key
-	origin Origin
-	sends  int
+	// copies has the holders that have the origin, with the process that got it. checked is set if all present
+	// holders have got it.
+	copies  map[string]string
+	checked bool
+	// recorder is the box that has taken the origin to record it, with its process; empty if none has.
+	recorder, recorderProcess string
 }
 
 // New returns Origins without any.
 func New(cfg Config) *Origins {
-	o := &Origins{cfg: cfg, known: newTable(), unsent: map[string][]pending{}, avoided: map[string]time.Time{}, own: map[Key]*ownStream{}, failedRecorders: map[string]time.Time{}, startedAt: boottime.Now()}
+	o := &Origins{cfg: cfg, known: newTable(), avoided: map[string]time.Time{}, own: map[Key]*ownStream{}, failedRecorders: map[string]time.Time{}, startedAt: boottime.Now()}
 	o.client = frame.NewClient(frame.ClientConfig{Dial: cfg.Dial, MaxIdle: maxIdle, MaxIdleTime: maxIdleTime, MaxResponseBytes: maxResponseBytes})
 	o.server = frame.NewServer(cfg.Logger, o.serve)
 	return o
@@ -157,9 +154,8 @@
 	defer o.mu.Unlock()
 	now := boottime.Now()
 	o.known.add(key, origin, now)
-	o.addUnsent(pending{key: key, origin: origin}, now)
 	if len(o.own) < maxOrigins {
-		o.own[key] = &ownStream{origin: origin}
+		o.own[key] = &ownStream{origin: origin, copies: map[string]string{}}
 	}
 	if severalVersions {
 		o.wake.Broadcast()
@@ -174,17 +170,6 @@
 	delete(o.own, key)
 }
 
-// addUnsent adds an origin to send, and drops the first ones that have expired, or those above the limit.
-// The caller holds mu.
-func (o *Origins) addUnsent(added pending, now time.Time) {
-	queue := append(o.unsent[added.origin.Service], added)
-	drop := 0
-	for drop < len(queue) && (len(queue)-drop > maxOrigins || !now.Before(queue[drop].origin.Expires)) {
-		drop++
-	}
-	o.unsent[added.origin.Service] = queue[drop:]
-}
-
 // uptime returns how long the box has been running.
 func (o *Origins) uptime() time.Duration { return boottime.Since(o.startedAt) }
 
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -22,12 +22,15 @@
 // testBox is a box with its own view of the versions.
 type testBox struct {
 	*Origins
-	box  Box
+	others   func() []Box
+	listener net.Listener
+	// log is nil for a box that records nothing, and era its newest era that the box knows of.
+	log  sharedlog.Log
+	era  atomic.Int64
 	stop context.CancelFunc
-	// era is the newest era of the log that the box knows of.
-	era atomic.Int64
 
 	mu       sync.Mutex
+	box      Box
 	versions []string
 }
 
@@ -48,52 +51,78 @@
 func startBoxesWith(t *testing.T, g *WithT, logOf func(box int) sharedlog.Log, zones ...string) []*testBox {
 	t.Helper()
 	boxes := make([]*testBox, len(zones))
-	listeners := make([]net.Listener, len(zones))
 	for i, zone := range zones {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", freePort)
 		g.Expect(err).NotTo(HaveOccurred())
-		listeners[i] = listener
-		boxes[i] = &testBox{box: Box{Name: fmt.Sprint("box-", i), Zone: zone, Address: listener.Addr().String()}, versions: []string{"v1", "v2"}}
+		boxes[i] = &testBox{box: Box{Name: fmt.Sprint("box-", i), Zone: zone, Address: listener.Addr().String(), Process: "first"}, versions: []string{"v1", "v2"}}
+		boxes[i].listener = listener
+		if logOf != nil {
+			boxes[i].log = sharedlog.NewMeasured(logOf(i), tally.NoopScope)
+		}
 	}
-	for i, b := range boxes {
-		others := func() []Box {
-			var others []Box
+	for _, b := range boxes {
+		b.others = func() (others []Box) {
 			for _, other := range boxes {
 				if other != b {
-					others = append(others, other.box)
+					others = append(others, other.current())
 				}
 			}
 			return others
 		}
-		cfg := Config{Logger: zerolog.Nop(), Self: b.box, Others: others, Versions: func(string) []string {
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			return b.versions
-		}}
-		ctx, stop := context.WithCancel(context.Background())
-		var loops sync.WaitGroup
-		if logOf != nil {
-			log := sharedlog.NewMeasured(logOf(i), tally.NoopScope)
-			cfg.Writer, cfg.Reader = originlog.NewWriter(originlog.WriterConfig{Log: log}), originlog.NewReader(originlog.ReaderConfig{Log: log})
-			cfg.LogEra = b.era.Load
-			loops.Go(func() { cfg.Writer.Loop(ctx) })
-		}
-		b.Origins = New(cfg)
-		if logOf != nil {
-			loops.Go(func() { b.LoopRecord(ctx) })
-		}
-		loops.Go(func() { b.Loop(ctx) })
-		loops.Go(func() { b.LoopAccept(ctx, listeners[i]) })
-		b.stop = func() {
-			stop()
-			loops.Wait()
-			b.Wait()
-		}
-		t.Cleanup(b.stop)
+		b.start()
+		t.Cleanup(func() { b.stop() })
 	}
 	return boxes
 }
 
+const freePort = "127.0.0.1:0"
+
+// start starts a process of the box with empty memory.
+func (b *testBox) start() {
+	cfg := Config{Logger: zerolog.Nop(), Self: b.current(), Others: b.others, Versions: func(string) []string {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.versions
+	}}
+	ctx, stop := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	if b.log != nil {
+		cfg.Writer, cfg.Reader = originlog.NewWriter(originlog.WriterConfig{Log: b.log}), originlog.NewReader(originlog.ReaderConfig{Log: b.log})
+		cfg.LogEra = b.era.Load
+		loops.Go(func() { cfg.Writer.Loop(ctx) })
+	}
+	started, listener := New(cfg), b.listener
+	b.Origins = started
+	if b.log != nil {
+		loops.Go(func() { started.LoopRecord(ctx) })
+	}
+	loops.Go(func() { started.Loop(ctx) })
+	loops.Go(func() { started.LoopAccept(ctx, listener) })
+	b.stop = func() {
+		stop()
+		loops.Wait()
+		started.Wait()
+	}
+}
+
+// restart ends the box's process and starts another one, which the other boxes notice.
+func (b *testBox) restart(g *WithT) {
+	b.stop()
+	listener, err := net.Listen("tcp", b.current().Address)
+	g.Expect(err).NotTo(HaveOccurred())
+	b.mu.Lock()
+	b.listener, b.box.Process = listener, b.box.Process+" and next"
+	b.mu.Unlock()
+	b.start()
+}
+
+// current returns the box as others see it.
+func (b *testBox) current() Box {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.box
+}
+
 // beginStreams begins streams at all boxes in turn, at two versions, and waits until they are sent.
 func beginStreams(g *WithT, boxes []*testBox, count int) {
 	for number := range count {
@@ -108,7 +137,13 @@
 func (o *Origins) unsentCount() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.unsent[service])
+	count := 0
+	for _, stream := range o.own {
+		if !stream.checked {
+			count++
+		}
+	}
+	return count
 }
 
 func keyOfNumber(number int) Key { return KeyOf("north", fmt.Sprint(number)) }
@@ -159,6 +194,28 @@
 	}
 }
 
+// A holder that restarts is empty. When the holders of a stream restarted one after the other, no copy was
+// left, though its box was there all the time.
+func TestCopiesAreLostAtHoldersThatRestart(t *testing.T) {
+	g := NewWithT(t)
+	boxes := startBoxes(t, g, "a", "b", "c", "d", "a", "b", "c", "d")
+	const streams = 40
+	beginStreams(g, boxes[:1], streams)
+	for _, b := range boxes[1:] {
+		b.restart(g)
+		time.Sleep(recheckInterval + exchangeTimeout)
+	}
+	for _, b := range boxes {
+		g.Eventually(b.unsentCount, 5*time.Second, 5*time.Millisecond).Should(BeZero())
+	}
+	time.Sleep(exchangeTimeout) // until the last batches have arrived
+	boxes[0].stop()
+	for number := range streams {
+		evidence := boxes[1+number%7].Find(t.Context(), keyOfNumber(number), service)
+		g.Expect(evidence.Found).To(BeTrue(), "stream %d", number)
+	}
+}
+
 // Streams that are in flight when a second version appears have no origin anywhere but at their box.
 func TestOriginsAreSentWhenASecondVersionAppears(t *testing.T) {
 	g := NewWithT(t)
