streamorigin: no resumption on one known version if it may be the wrong one

A software version that was withdrawn less than a minute before all boxes crashed was known to no box afterwards. A resumed stream without an origin then continued at the one version that was left, though the other one may have begun it.

The log names the versions that began streams in the last minute, and a lookup adds them to those that boxes know. If the log cannot be read either, a stream without an origin is resumed on one known version only if this box or one that responds has been running for that minute.

TestAStreamOfAWithdrawnVersionContinuesAfterAllBoxesCrashed resumed a stream at the version that was left while the log failed.

--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -2,11 +2,19 @@
 
 package streamorigin
 
-import "time"
+import (
+	"time"
 
-// maxListAge is the age of a box's list of servers up to which it can tell without other boxes that a
-// service has one software version only.
-const maxListAge = 3 * time.Second
+	"github.com/cometlock/cometlock/internal/originlog"
+)
+
+const (
+	// maxListAge is the age of a box's list of servers up to which it can tell without other boxes that a
+	// service has one software version only.
+	maxListAge = 3 * time.Second
+	// versionMemory is how long boxes and the log remember the software versions of a service.
+	versionMemory = originlog.Horizon
+)
 
 // Decide returns the software version that must serve a resumed stream. known is false if the stream may
 // have begun at any of several versions, so that it must not be resumed.
@@ -14,7 +22,8 @@
 // Without the origin, the stream began while its box knew of one version, and that box has not learned of
 // a second one since, or has lost the origin. If no box knows of a second version, it is the one that there
 // is. Boxes that have not read of a new version yet ask others for that reason. A box that has just started
-// and knows of no server cannot tell.
+// and knows of no server cannot tell, and boxes that have all started since a second version was withdrawn
+// know of it only from the log.
 func Decide(evidence Evidence, listAge time.Duration) (software string, known bool) {
 	switch {
 	case evidence.Found:
@@ -23,6 +32,8 @@
 		return "", false
 	case evidence.Asked > 0 && evidence.Responded == 0 && listAge > maxListAge:
 		return "", false
+	case evidence.LogFailed && evidence.LongestUptime < versionMemory:
+		return "", false
 	default:
 		return evidence.Versions[0], true
 	}
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -23,8 +23,8 @@
 	// LongestUptime is how long this box or one of those that responded has been running at most. Streams that
 	// began earlier are unknown to all of them.
 	LongestUptime time.Duration
-	// LogRead reports that the log was read up to now.
-	LogRead bool
+	// LogRead reports that the log was read up to now, and LogFailed that it could not be.
+	LogRead, LogFailed bool
 }
 
 // Find looks for the origin of a stream of a service, at this box, at its holders, and then in the log.
@@ -40,6 +40,7 @@
 	if !evidence.Found && o.cfg.Reader != nil {
 		answer := o.askRecorder(ctx, asked)
 		evidence.LogRead = answer.LogRead
+		evidence.LogFailed = !answer.LogRead && answer.Found == nil
 		evidence.add(&answer)
 	}
 	return evidence
--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -183,3 +183,30 @@
 func newTestReader(log sharedlog.Log) *originlog.Reader {
 	return originlog.NewReader(originlog.ReaderConfig{Log: log})
 }
+
+// A version that was withdrawn just before all boxes crashed is known from the log alone. Its streams must not
+// continue at the version that is left.
+func TestAStreamOfAWithdrawnVersionContinuesAfterAllBoxesCrashed(t *testing.T) {
+	g := NewWithT(t)
+	log := &failingLog{Log: fakesharedlog.New()}
+	boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "a", "b")
+	for number := range 10 {
+		boxes[number%3].Note(keyOfNumber(number), originOf(number))
+	}
+	g.Eventually(func() bool { return reads(g, log, keyOfNumber(9), "v2") }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+	for _, b := range boxes {
+		b.restart(g)
+		b.setVersions("v2")
+	}
+	const unrecorded = 10
+	for _, failing := range []bool{false, true} {
+		log.failing.Store(failing)
+		for _, b := range boxes {
+			software, known := Decide(b.Find(t.Context(), keyOfNumber(unrecorded), service), 0)
+			g.Expect(known).To(BeFalse(), "resumed at %q, log failing: %v", software, failing)
+		}
+		for _, b := range boxes {
+			b.restart(g) // which has read nothing of the log
+		}
+	}
+}
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -284,6 +284,9 @@
 		{"one version, no box responds and the list is old", Evidence{Versions: []string{v1}, Asked: 3}, time.Minute, "", false},
 		{"one version, an old list, a box responds", Evidence{Versions: []string{v1}, Asked: 3, Responded: 1}, time.Minute, v1, true},
 		{"one version, an old list, no other box", Evidence{Versions: []string{v1}}, time.Minute, v1, true},
+		{"one version, boxes that have just started, the log was read", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3, LogRead: true}, 0, v1, true},
+		{"one version, boxes that have just started, the log is away", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3, LogFailed: true}, 0, "", false},
+		{"one version, a box that remembers, the log is away", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3, LogFailed: true, LongestUptime: versionMemory}, 0, v1, true},
 		{"a box that has just started and knows of no server", Evidence{}, 0, "", false},
 	}
 	for _, test := range tests {
