streamorigin: drop streams that broke off, and choose a recorder only when needed

Streams that broke off are not completed, and while a service had one version nothing removed them from the table of a box's streams: after 32,768 of them later streams were neither sent nor recorded. The recorder was also chosen four times a second, among all boxes, though nothing was to be recorded.

Expired streams are dropped every two seconds, and when the table is full. The recorder is chosen only if a service of the box's streams has several versions.

TestBrokenStreamsFillTheTableOfOwnStreams kept all 32,768 streams before.

--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -66,9 +66,13 @@
 
 // record hands over the origins that the recorder does not have yet.
 func (o *Origins) record(ctx context.Context) {
+	several := o.servicesWithSeveralVersions()
+	if len(several) == 0 {
+		return
+	}
 	recorder, self := o.recorder()
 	for ctx.Err() == nil {
-		keys, origins := o.takeUnrecorded(recorder)
+		keys, origins := o.takeUnrecorded(recorder, several)
 		if len(keys) == 0 {
 			return
 		}
@@ -88,8 +92,7 @@
 
 // takeUnrecorded returns some of the streams in flight that the recorder does not have, of services with
 // several software versions. After the log came back from a copy it has to get all of them again.
-func (o *Origins) takeUnrecorded(recorder Box) (keys []Key, origins []wireOrigin) {
-	several := o.servicesWithSeveralVersions()
+func (o *Origins) takeUnrecorded(recorder Box, several map[string]bool) (keys []Key, origins []wireOrigin) {
 	era := o.cfg.LogEra()
 	now := boottime.Now()
 	o.mu.Lock()
@@ -101,10 +104,7 @@
 		}
 	}
 	for key, stream := range o.own {
-		switch {
-		case !now.Before(stream.origin.Expires):
-			delete(o.own, key)
-		case !stream.isRecordedBy(recorder) && several[stream.origin.Service] && len(keys) < maxBatch:
+		if now.Before(stream.origin.Expires) && !stream.isRecordedBy(recorder) && several[stream.origin.Service] && len(keys) < maxBatch {
 			keys, origins = append(keys, key), append(origins, encode(key, stream.origin, now))
 		}
 	}
--- a/internal/streamorigin/send.go
+++ b/internal/streamorigin/send.go
@@ -33,11 +33,7 @@
 	boxes := o.others(now, true)
 	o.checkAllIfChanged(boxes)
 	for key, stream := range o.own {
-		if !now.Before(stream.origin.Expires) {
-			delete(o.own, key)
-			continue
-		}
-		if stream.checked || !several[stream.origin.Service] {
+		if !now.Before(stream.origin.Expires) || stream.checked || !several[stream.origin.Service] {
 			continue
 		}
 		stream.checked = true
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -27,6 +27,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -47,6 +48,8 @@
 	batchDelay = 20 * time.Millisecond
 	// recheckInterval is the time between two checks whether a service has a second version now.
 	recheckInterval = 250 * time.Millisecond
+	// dropInterval is the time between two searches for expired streams.
+	dropInterval = 2 * time.Second
 	// avoidDuration is how long a box that did not respond is replaced by the next one as a holder.
 	avoidDuration = 2 * time.Second
 )
@@ -154,6 +157,9 @@
 	defer o.mu.Unlock()
 	now := boottime.Now()
 	o.known.add(key, origin, now)
+	if len(o.own) >= maxOrigins {
+		o.dropExpired(now)
+	}
 	if len(o.own) < maxOrigins {
 		o.own[key] = &ownStream{origin: origin, copies: map[string]string{}}
 	}
@@ -170,6 +176,11 @@
 	delete(o.own, key)
 }
 
+// dropExpired drops this box's streams that callers no longer resume. The caller holds mu.
+func (o *Origins) dropExpired(now time.Time) {
+	maps.DeleteFunc(o.own, func(_ Key, stream *ownStream) bool { return !now.Before(stream.origin.Expires) })
+}
+
 // uptime returns how long the box has been running.
 func (o *Origins) uptime() time.Duration { return boottime.Since(o.startedAt) }
 
@@ -178,7 +189,14 @@
 // Loop sends origins to their holders until ctx ends.
 func (o *Origins) Loop(ctx context.Context) {
 	defer o.client.CloseIdle()
+	droppedAt := boottime.Now()
 	for ctx.Err() == nil {
+		if now := boottime.Now(); now.Sub(droppedAt) >= dropInterval {
+			droppedAt = now
+			o.mu.Lock()
+			o.dropExpired(now)
+			o.mu.Unlock()
+		}
 		waiting.ForOrSignal(ctx, recheckInterval, o.wake.Chan())
 		waiting.For(ctx, batchDelay)
 		o.send(ctx)
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -348,6 +349,36 @@
 	g.Expect(known.origins).To(HaveLen(1), "the others have expired")
 }
 
+// Streams that broke off are never completed. They must make room for later ones.
+func TestBrokenStreamsFillTheTableOfOwnStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		o := New(Config{Logger: zerolog.Nop(), Others: func() []Box { return nil }, Versions: func(string) []string { return []string{"v1"} }})
+		ctx, stop := context.WithCancel(t.Context())
+		var loops sync.WaitGroup
+		loops.Go(func() { o.Loop(ctx) })
+		for number := range maxOrigins {
+			o.Note(keyOfNumber(number), originOf(number))
+		}
+		time.Sleep(time.Minute + 2*dropInterval)
+		g.Expect(o.ownCount()).To(BeZero())
+		stop()
+		loops.Wait()
+		for number := range maxOrigins {
+			o.Note(keyOfNumber(number), originOf(number))
+		}
+		time.Sleep(time.Minute)
+		o.Note(keyOfNumber(maxOrigins), originOf(maxOrigins))
+		g.Expect(o.ownCount()).To(Equal(1))
+	})
+}
+
+func (o *Origins) ownCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.own)
+}
+
 // A message of another box must neither crash the box nor make it keep what is invalid.
 func TestInvalidOriginsAreIgnored(t *testing.T) {
 	g := NewWithT(t)
