streamorigin: a recorder that the log turns away leaves its own streams to another

The log may turn single boxes away. Other boxes then chose another recorder, but the recorder itself went on trying to write and read for its own streams, so these were neither recorded nor found.

A box for which the log does not work counts as unavailable as a recorder for itself as well, for two seconds; if no box is available each tries by itself.

TestARecorderKeepsItsOwnOriginsWhenTheLogTurnsItAway timed out after 10 s before.

--- a/internal/delegate/delegate.go
+++ b/internal/delegate/delegate.go
@@ -51,10 +51,11 @@
 	minLargeShare = 0.5
 )
 
-// Choose returns the delegate that a box follows, or false if the box is a delegate itself.
+// Choose returns the delegate that a box follows, or false if the box is a delegate itself or no box is
+// available.
 func Choose(cfg Config, self Box, others []Box) (chosen Box, found bool) {
 	delegates := delegatesOf(cfg, inGroup(self.Zone, append(slices.Clone(others), self)))
-	if slices.ContainsFunc(delegates, func(b Box) bool { return b.Name == self.Name }) {
+	if len(delegates) == 0 || slices.ContainsFunc(delegates, func(b Box) bool { return b.Name == self.Name }) {
 		return Box{}, false
 	}
 	return slices.MinFunc(delegates, byRank(self.Name)), true
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -39,7 +39,8 @@
 			candidates = append(candidates, delegate.Box{Name: other.Name, Zone: other.Zone, Cores: other.Cores, Unavailable: unavailable})
 		}
 	}
-	chosen, found := delegate.Choose(recorderRole, delegate.Box{Name: o.cfg.Self.Name, Zone: o.cfg.Self.Zone, Cores: o.cfg.Self.Cores}, candidates)
+	this := delegate.Box{Name: o.cfg.Self.Name, Zone: o.cfg.Self.Zone, Cores: o.cfg.Self.Cores, Unavailable: now.Before(o.failedRecorders[o.cfg.Self.Name])}
+	chosen, found := delegate.Choose(recorderRole, this, candidates)
 	for _, other := range others {
 		if found && other.Name == chosen.Name {
 			return other, false
@@ -120,8 +121,10 @@
 // handOver hands origins to the recorder. It returns the process that took them; taken is false if none did.
 func (o *Origins) handOver(ctx context.Context, recorder Box, self bool, origins []wireOrigin) (process string, taken bool) {
 	if self {
-		o.recordAll(origins)
-		return recorder.Process, true
+		if taken = o.recordAll(origins); !taken {
+			o.avoidRecorder(recorder)
+		}
+		return recorder.Process, taken
 	}
 	var answer response
 	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true}, &answer, exchangeTimeout)
@@ -150,23 +153,23 @@
 	return o.cfg.Writer.Add(recorded)
 }
 
-// askRecorder looks for an origin in the log, through a recorder, or by itself if none can read it.
-func (o *Origins) askRecorder(ctx context.Context, asked request) response {
+// askRecorder looks for an origin in the log, through a recorder or by itself. The log may turn some boxes away
+// and serve others.
+func (o *Origins) askRecorder(ctx context.Context, asked request) (answer response) {
 	asked.Recorded = true
-	for range recorderTries {
+	for try := 0; try < recorderTries && ctx.Err() == nil; try++ {
 		recorder, self := o.recorder()
-		if self || ctx.Err() != nil {
-			break
+		answer = response{}
+		if self {
+			o.findRecorded(ctx, asked, &answer)
+		} else if err := o.client.Exchange(ctx, recorder.Address, &asked, &answer, recorderTimeout); err != nil {
+			answer = response{}
 		}
-		var answer response
-		err := o.client.Exchange(ctx, recorder.Address, &asked, &answer, recorderTimeout)
-		if err == nil && (answer.LogRead || answer.Found != nil) {
+		if answer.LogRead || answer.Found != nil {
 			return answer
 		}
 		o.avoidRecorder(recorder)
 	}
-	var answer response
-	o.findRecorded(ctx, asked, &answer)
 	return answer
 }
 
--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -82,6 +82,13 @@
 	return l.Log.Append(ctx, stream, end, record)
 }
 
+func (l *failingLog) Read(ctx context.Context, stream sharedlog.Stream, from int64, wait time.Duration) (sharedlog.Page, error) {
+	if l.failing.Load() {
+		return sharedlog.Page{}, sharedlog.ErrRefused
+	}
+	return l.Log.Read(ctx, stream, from, wait)
+}
+
 func (l *failingLog) Bounds(ctx context.Context, stream sharedlog.Stream) (first, end int64, err error) {
 	if l.failing.Load() {
 		return 0, 0, sharedlog.ErrRefused
@@ -119,6 +126,34 @@
 	g.Expect(evidence.LogRead).To(BeTrue(), "a box without other boxes reads by itself")
 }
 
+// A box that records by itself must leave that to another one, too, when the log turns it away.
+func TestARecorderKeepsItsOwnOriginsWhenTheLogTurnsItAway(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	logs := make([]*failingLog, 3)
+	boxes := startBoxesWith(t, g, func(box int) sharedlog.Log {
+		logs[box] = &failingLog{Log: log}
+		return logs[box]
+	}, "a", "a", "b")
+	recorder := boxNumber(boxes, recorderOf(boxes[0]))
+	logs[recorder].failing.Store(true)
+	number := 0
+	g.Eventually(func() bool {
+		boxes[recorder].Note(keyOfNumber(number), originOf(number))
+		number++
+		return reads(g, log, keyOfNumber(0), "v1")
+	}, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+	evidence := boxes[recorder].Find(t.Context(), keyOfNumber(number), service)
+	g.Expect(evidence.LogRead).To(BeTrue(), "another box reads for it")
+	for _, each := range logs {
+		each.failing.Store(true)
+	}
+	for _, b := range boxes {
+		evidence := b.Find(t.Context(), keyOfNumber(number), service)
+		g.Expect(evidence.LogRead).To(BeFalse())
+	}
+}
+
 func recorderOf(b *testBox) string {
 	recorder, _ := b.recorder()
 	return recorder.Name
