streamorigin: a lookup waits until a box that has just started knows the others

A box that started read its configuration some milliseconds before the list of boxes or the servers. A resumption that came in between was refused at once, with no box asked, and a box that knows no others would read the log by itself, in a large fleet all boxes at the same time.

The lookup waits for both lists, for at most 0.3 s.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -232,7 +232,7 @@
 	b.originWriter = originlog.NewWriter(originlog.WriterConfig{Log: b.log, Logger: b.logger})
 	b.origins = streamorigin.New(streamorigin.Config{
 		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress(), Process: shortIncarnation(b.incarnation), Cores: b.settings.Cores},
-		Others: b.originHolders, Versions: b.fleet.SoftwareVersions,
+		Others: b.originHolders, Versions: b.fleet.SoftwareVersions, Started: b.knowsFleet,
 		Writer: b.originWriter, Reader: originlog.NewReader(originlog.ReaderConfig{Log: b.log, Logger: b.logger}), LogEra: b.logEra,
 	})
 }
@@ -279,6 +279,9 @@
 	return boxes
 }
 
+// knowsFleet reports whether the box has read which boxes and which servers there are.
+func (b *Box) knowsFleet() bool { return b.share.BoxListLoaded() && b.fleet.CountListed() > 0 }
+
 // logEra returns the newest era of the log that this box knows of.
 func (b *Box) logEra() int64 {
 	era, _ := b.log.Eras().Newest()
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/waiting"
 )
 
 // Evidence is what is known of the origin of a stream.
@@ -29,6 +30,7 @@
 
 // Find looks for the origin of a stream of a service, at this box, at its holders, and then in the log.
 func (o *Origins) Find(ctx context.Context, key Key, service string) Evidence {
+	o.awaitStart(ctx)
 	evidence := Evidence{Versions: slices.Clone(o.cfg.Versions(service)), LongestUptime: o.uptime()}
 	targets, origin, found := o.lookUp(key, service)
 	if found {
@@ -46,6 +48,26 @@
 	return evidence
 }
 
+const (
+	// startTimeout bounds the wait of a lookup at a box that has just started. A caller whose streams broke off
+	// with all boxes has few tries, and most boxes are that far within 50 ms.
+	startTimeout = 300 * time.Millisecond
+	// startPollInterval is the time between two checks whether the box is that far.
+	startPollInterval = 5 * time.Millisecond
+)
+
+// awaitStart waits until a box that has just started knows the boxes to ask, for at most startTimeout. Without
+// them each box would also read the log by itself.
+func (o *Origins) awaitStart(ctx context.Context) {
+	if o.cfg.Started == nil {
+		return
+	}
+	deadline := boottime.Now().Add(startTimeout)
+	for !o.cfg.Started() && boottime.Now().Before(deadline) && ctx.Err() == nil {
+		waiting.For(ctx, startPollInterval)
+	}
+}
+
 // askHolders asks boxes for an origin, all at once, until one of them has it.
 func (o *Origins) askHolders(ctx context.Context, targets []Box, asked request, evidence *Evidence) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -95,6 +95,8 @@
 	// Self is this box, and Others returns the other boxes that are listed.
 	Self   Box
 	Others func() []Box
+	// Started reports whether the box knows the other boxes and the servers. Nil means that it does.
+	Started func() bool
 	// Versions returns the software versions of a service's servers now and in the last minute.
 	Versions func(service string) []string
 	// Writer and Reader record origins in the log and read them back, and LogEra returns the newest era of the
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -429,3 +429,24 @@
 		}
 	}
 }
+
+// A box that has just started knows of no other box yet. It must ask once it does, not refuse at once.
+func TestABoxThatHasJustStartedAsksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		began := time.Now()
+		var knownAfter time.Duration
+		o := New(Config{Logger: zerolog.Nop(), Others: func() []Box { return nil }, Started: func() bool { return time.Since(began) >= knownAfter }, Versions: func(string) []string {
+			if time.Since(began) >= knownAfter {
+				return []string{"v1"}
+			}
+			return nil
+		}})
+		knownAfter = startTimeout / 2
+		g.Expect(o.Find(t.Context(), keyOfNumber(0), service).Versions).To(Equal([]string{"v1"}))
+		knownAfter = time.Hour
+		asked := time.Now()
+		g.Expect(o.Find(t.Context(), keyOfNumber(0), service).Versions).To(BeEmpty())
+		g.Expect(time.Since(asked)).To(BeNumerically("<=", startTimeout+startPollInterval))
+	})
+}
