streamorigin: no resumption on the log's one version where no box lists servers

Seen: after all boxes restarted, a box that had not read the list of servers yet resumed a stream without an origin at the only version that the log had records of. A stream of another version whose origin had not been recorded yet then held events of two versions.

Cause: versions found in the log counted as versions that boxes know of. The log has only the versions of streams that were recorded, and Decide refused at a box without servers only because it knew of no version.

Ruled out: the reader (its answer is complete as far as the log goes); the origin of a recorded stream, which is found and continues as before.

Test: TestABoxWithoutServersResumesAtTheOneVersionInTheLog, before: resumed at "v1" at each of three boxes without servers.

Find states when no box that it asked lists servers, and Decide then goes by an origin only.

--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -28,7 +28,7 @@
 	switch {
 	case evidence.Found:
 		return evidence.Software, true
-	case len(evidence.Versions) != 1:
+	case evidence.Unlisted || len(evidence.Versions) != 1:
 		return "", false
 	case evidence.Asked > 0 && evidence.Responded == 0 && listAge > maxListAge:
 		return "", false
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -16,8 +16,11 @@
 	Found    bool
 	Software string
 	// Versions are the software versions of the service's servers that this box and those that responded
-	// know of.
+	// know of, and those in the log.
 	Versions []string
+	// Unlisted reports that no box listed servers of the service before the log was read, which has only the
+	// versions of streams that were recorded.
+	Unlisted bool
 	// Asked and Responded count the other boxes.
 	Asked, Responded int
 	// LongestUptime is how long this box or one of those that responded has been running at most. Streams that
@@ -37,6 +40,7 @@
 	}
 	asked := request{Key: key[:], Service: service}
 	o.askHolders(ctx, targets, asked, &evidence)
+	evidence.Unlisted = len(evidence.Versions) == 0
 	if !evidence.Found && o.cfg.Reader != nil {
 		answer := o.askRecorder(ctx, asked)
 		evidence.LogRead = answer.LogRead
--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -210,3 +210,27 @@
 		}
 	}
 }
+
+// The log has only the versions of streams that were recorded. A box that knows of no server yet must not take
+// the one version there for the only one.
+func TestABoxWithoutServersResumesAtTheOneVersionInTheLog(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "a", "b")
+	recorded, unrecorded := keyOfNumber(0), keyOfNumber(1)
+	boxes[0].Note(recorded, originOf(0))
+	g.Eventually(func() bool { return reads(g, log, recorded, "v1") }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+	for _, b := range boxes {
+		b.restart(g)
+		b.setVersions()
+	}
+	for _, b := range boxes {
+		evidence := b.Find(t.Context(), unrecorded, service)
+		g.Expect(evidence.LogRead).To(BeTrue())
+		software, known := Decide(evidence, 0)
+		g.Expect(known).To(BeFalse(), "resumed at %q", software)
+		software, known = Decide(b.Find(t.Context(), recorded, service), 0)
+		g.Expect(known).To(BeTrue())
+		g.Expect(software).To(Equal("v1"))
+	}
+}
