streamorigin: no endless hand-over to a recorder whose report is older than its process

Seen: after a recorder restarted, each box of its group sent it the same origins over and over, without a pause, until the report of its new process arrived; the recorder appended all of them. One box with one stream had 301 KB appended in 0.6 s, 12,166 times the same key. The queue of the writer drops the oldest origins, so others can be lost.

Cause: a stream was marked with the process that the response named and compared with the process in the list, which lags behind a restart. record() runs until no stream is left, and this one always was.

Ruled out: the sending to holders has the same comparison, and checks a stream again only when the list changes.

A stream is marked with the process as listed when it was handed over. When the list changes it is handed over once more, which also covers a process that crashed before it wrote.

--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -72,14 +72,13 @@
 		if len(keys) == 0 {
 			return
 		}
-		process, taken := o.handOver(ctx, recorder, self, origins)
-		if !taken {
+		if !o.handOver(ctx, recorder, self, origins) {
 			return
 		}
 		o.mu.Lock()
 		for _, key := range keys {
 			if stream := o.own[key]; stream != nil {
-				stream.recorder, stream.recorderProcess = recorder.Name, process
+				stream.recorder, stream.recorderProcess = recorder.Name, recorder.Process
 			}
 		}
 		o.mu.Unlock()
@@ -112,21 +111,22 @@
 }
 
 // isRecordedBy reports whether a process of a box has taken the origin, as far as this one knows. A process that
-// has ended may not have written what it took.
+// has ended may not have written what it took. Both processes are as other boxes report them, which may lag
+// behind: a recorder that has restarted gets the origin once more when its report arrives.
 func (s *ownStream) isRecordedBy(recorder Box) bool {
 	return s.recorder == recorder.Name && (recorder.Process == "" || recorder.Process == s.recorderProcess)
 }
 
-// handOver hands origins to the recorder. It returns the process that took them; taken is false if none did.
-func (o *Origins) handOver(ctx context.Context, recorder Box, self bool, origins []wireOrigin) (process string, taken bool) {
+// handOver hands origins to the recorder, and reports whether it took them.
+func (o *Origins) handOver(ctx context.Context, recorder Box, self bool, origins []wireOrigin) bool {
 	if self {
 		o.recordAll(origins)
-		return recorder.Process, true
+		return true
 	}
 	var answer response
 	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true}, &answer, exchangeTimeout)
 	if err == nil && !answer.NotRecorded {
-		return answer.Process, true
+		return true
 	}
 	if ctx.Err() == nil {
 		reason := "it cannot write to the log"
@@ -136,7 +136,7 @@
 		o.cfg.Logger.Info().Str("other", recorder.Name).Int("origins", len(origins)).Str("error", reason).Msg("stream_origins_not_handed_over")
 		o.avoidRecorder(recorder)
 	}
-	return "", false
+	return false
 }
 
 // recordAll adds origins to those that this box records. It returns false if another box should do so.
--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -234,3 +234,55 @@
 		g.Expect(software).To(Equal("v1"))
 	}
 }
+
+// The other boxes know a recorder's process from its last report, which is older than the process for a while
+// after a restart. They must not hand over the same origins without end until the next report arrives.
+func TestOriginsAreHandedOverWithoutEndToARecorderThatRestarted(t *testing.T) {
+	tests := []struct {
+		name string
+		// listed is the recorder's process as the other boxes know it.
+		listed string
+	}{
+		{"the report of the process before", "first"},
+		{"no report", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			log := &measuredLog{Log: fakesharedlog.New()}
+			boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "a", "a")
+			recorder := boxes[boxNumber(boxes, recorderOf(boxes[0]))]
+			if recorder == boxes[0] {
+				boxes[0], boxes[1] = boxes[1], boxes[0]
+			}
+			recorder.restart(g)
+			recorder.setProcess(test.listed)
+			boxes[0].Note(keyOfNumber(0), originOf(0))
+			time.Sleep(10 * recordDelay)
+			once := log.bytes.Load()
+			g.Expect(once).To(BeNumerically("<", 4*keySize))
+			recorder.setProcess("first and next")
+			time.Sleep(2*recheckInterval + 2*recordDelay)
+			g.Expect(log.bytes.Load()).To(BeNumerically("<=", 2*once), "handed over again at most once")
+		})
+	}
+}
+
+// setProcess changes the process that other boxes know of.
+func (b *testBox) setProcess(process string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.box.Process = process
+}
+
+// measuredLog counts the bytes that are appended to a log.
+type measuredLog struct {
+	sharedlog.Log
+	bytes atomic.Int64
+}
+
+func (l *measuredLog) Append(ctx context.Context, stream sharedlog.Stream, end int64, record sharedlog.Record) (int64, error) {
+	l.bytes.Add(int64(len(record.Value)))
+	return l.Log.Append(ctx, stream, end, record)
+}
