streamorigin: a recorder confirms that it records

Seen: with a box of the previous program version as the recorder of its group, no stream of the group was recorded, so all of them were refused after a crash of all boxes during a roll-out of the boxes.

Cause: such a box ignores the field that asks it to record, and only a recorder that declined said so.

Ruled out: lookups.

Test: TestABoxThatRecordsNothingIsTheRecorder, before: the first stream not in the log after 10 s.

The response now states that the origins are recorded.

--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -57,8 +57,9 @@
 	Uptime time.Duration `msgpack:"u,omitempty"`
 	// Process identifies the process of the box.
 	Process string `msgpack:"p,omitempty"`
-	// NotRecorded means that the box cannot write to the log at present, so that another one should.
-	NotRecorded bool `msgpack:"n,omitempty"`
+	// Recorded means that the box records the origins, as the request asked. One that cannot write to the log at
+	// present, or does not know how to, leaves it to another one.
+	Recorded bool `msgpack:"r,omitempty"`
 	// LogRead means that the box has read the log up to now, as the request asked.
 	LogRead bool `msgpack:"l,omitempty"`
 }
@@ -84,7 +85,7 @@
 	answer := o.apply(received)
 	answer.Process = o.cfg.Self.Process
 	if received.Record && o.cfg.Writer != nil {
-		answer.NotRecorded = !o.recordAll(received.Origins)
+		answer.Recorded = o.recordAll(received.Origins)
 	}
 	if received.Recorded && answer.Found == nil && len(received.Key) == keySize && o.cfg.Reader != nil {
 		o.findRecorded(ctx, received, &answer)
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -125,11 +125,11 @@
 	}
 	var answer response
 	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true}, &answer, exchangeTimeout)
-	if err == nil && !answer.NotRecorded {
+	if err == nil && answer.Recorded {
 		return true
 	}
 	if ctx.Err() == nil {
-		reason := "it cannot write to the log"
+		reason := "it does not record them"
 		if err != nil {
 			reason = err.Error()
 		}
--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -286,3 +287,23 @@
 	l.bytes.Add(int64(len(record.Value)))
 	return l.Log.Append(ctx, stream, end, record)
 }
+
+// A box of the previous program version holds origins and records none. Streams must be recorded by another box
+// while both versions run side by side.
+func TestABoxThatRecordsNothingIsTheRecorder(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	boxes := startBoxesWith(t, g, func(box int) sharedlog.Log { return log }, "a", "a", "a", "a")
+	recorder := boxes[boxNumber(boxes, recorderOf(boxes[0]))]
+	recorder.stop()
+	listener, err := net.Listen("tcp", recorder.current().Address)
+	g.Expect(err).NotTo(HaveOccurred())
+	recorder.listener, recorder.log = listener, nil
+	recorder.start()
+	for i, b := range boxes {
+		if b != recorder {
+			b.Note(keyOfNumber(i), originOf(i))
+			g.Eventually(func() bool { return reads(g, log, keyOfNumber(i), originOf(i).Software) }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+		}
+	}
+}
