originlog: read while the log drops its oldest records

Seen: a lookup failed ("the log retains records only from offset N on") when the log dropped a record between the calls of one read, and the resumed stream was refused. With 20 s of history and ten records a second, eight boxes always read from the first record that is retained, and a record is dropped each 100 ms: a read whose calls take 200 ms each would not succeed at all.

Cause: the first position of Bounds and the read from it are different calls, and only a read that continues began again after RecordsExpiredError.

Ruled out: a read that continues at a position; it began again before, too.

Each further try leaves out some of the oldest records, four at first and four times as many each time. They would be dropped within a second.

--- a/internal/originlog/originlog_test.go
+++ b/internal/originlog/originlog_test.go
@@ -287,3 +287,36 @@
 		}
 	})
 }
+
+// expiringLog is a log that drops the oldest records of a stream before each of the next reads arrives.
+type expiringLog struct {
+	*fakesharedlog.Log
+	dropped, perRead int64
+}
+
+func (l *expiringLog) Read(ctx context.Context, stream sharedlog.Stream, from int64, wait time.Duration) (sharedlog.Page, error) {
+	l.dropped += l.perRead
+	l.Underlying().Expire(stream.String(), l.dropped)
+	return l.Log.Read(ctx, stream, from, wait)
+}
+
+// A log in use drops a record for each one that is appended, also between the calls of a reader, and more of them
+// while it is slow.
+func TestAReaderFailsWhileTheLogDropsItsOldestRecords(t *testing.T) {
+	for _, perRead := range []int64{1, 2, 4} {
+		t.Run(fmt.Sprint(perRead), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			log := &expiringLog{Log: fakesharedlog.New()}
+			const records = 200
+			fill(g, log, 0, records, 0)
+			log.perRead = perRead
+			result, err := newReader(log).Find(t.Context(), keyOf(records-1), service)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(result.Found).To(BeTrue())
+			result, err = newReader(log).Find(t.Context(), keyOf(records/2), service)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(result.Found).To(BeTrue())
+		})
+	}
+}
--- a/internal/originlog/reader.go
+++ b/internal/originlog/reader.go
@@ -25,6 +25,10 @@
 	firstTail  = 600
 	tailFactor = 4
 	maxTail    = 16 * firstTail
+	// minMargin and maxMargin bound the records that a read leaves out since the log may drop them before it
+	// arrives: 10 a second for each writer.
+	minMargin = 4
+	maxMargin = firstTail
 	// maxKnown bounds the origins that a reader holds, at some 100 bytes each; the oldest ones are dropped. At
 	// 1,900 streams a second it is what began within half a minute.
 	maxKnown = 65536
@@ -172,11 +176,19 @@
 	if err != nil {
 		return err
 	}
-	for count := int64(firstTail); ; count *= tailFactor {
+	margin := int64(minMargin)
+	for count := int64(firstTail); ; {
 		from = max(first, end-count)
 		reachesBack := from == first || count >= maxTail
 		err := r.readTo(ctx, from, func(oldest time.Time) bool { return reachesBack || time.Since(oldest) >= Horizon })
-		if !errors.Is(err, errTooRecent) {
+		expired, dropped := errors.AsType[*sharedlog.RecordsExpiredError](err)
+		switch {
+		case errors.Is(err, errTooRecent):
+			count *= tailFactor
+		case dropped && margin <= maxMargin:
+			first = min(expired.First+margin, end)
+			margin *= tailFactor
+		default:
 			return err
 		}
 	}
