originlog: one failing read for all searches that wait for it

Seen: while calls of the log hung, 200 searches at one reader were answered one after the other, the last one after 140 s, and each made a call of the log that failed. A recorder is asked by many boxes, so the callers of all streams that broke off together waited, and each refused call has its price.

Cause: searches shared a read that succeeded, but not one that failed: readAt was set on success only. The pause between reads had the same condition.

Ruled out: the limit of a call (0.7 s), which held for each of them.

Test: TestEachSearchTriesALogThatIsAway, before: 200 calls for 200 searches within 0.2 s, waits up to 139.8 s; now at most six calls and 1.45 s.

A search that began before the last read did gets its result, also an error. A read that ended because its own search was given up counts for nobody else.

--- a/internal/originlog/originlog_test.go
+++ b/internal/originlog/originlog_test.go
@@ -320,3 +320,42 @@
 		})
 	}
 }
+
+// slowFailingLog is a log whose calls fail after a delay.
+type slowFailingLog struct {
+	sharedlog.Log
+	calls atomic.Int64
+	delay time.Duration
+}
+
+func (l *slowFailingLog) Bounds(context.Context, sharedlog.Stream) (first, end int64, err error) {
+	l.calls.Add(1)
+	time.Sleep(l.delay)
+	return 0, 0, sharedlog.ErrUnknown
+}
+
+// Callers of many streams that broke off together must not cause a failing read each, nor wait for those of the
+// callers before them.
+func TestEachSearchTriesALogThatIsAway(t *testing.T) {
+	for _, delay := range []time.Duration{0, readTimeout} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				log := &slowFailingLog{delay: delay}
+				r := newReader(log)
+				var searches sync.WaitGroup
+				for number := range 200 {
+					searches.Go(func() {
+						time.Sleep(time.Duration(number) * time.Millisecond)
+						began := time.Now()
+						_, err := r.Find(t.Context(), keyOf(number), service)
+						g.Expect(err).To(HaveOccurred())
+						g.Expect(time.Since(began)).To(BeNumerically("<=", 2*readTimeout+minReadInterval))
+					})
+				}
+				searches.Wait()
+				g.Expect(log.calls.Load()).To(BeNumerically("<=", 6))
+			})
+		})
+	}
+}
--- a/internal/originlog/reader.go
+++ b/internal/originlog/reader.go
@@ -59,7 +59,10 @@
 	// next is the position of the next read, or unread. readAt is when the last read began that succeeded.
 	next   int64
 	readAt time.Time
-	known  map[Key]Origin
+	// triedAt is when the last read began, and failure why it failed.
+	triedAt time.Time
+	failure error
+	known   map[Key]Origin
 	// order has the keys in the order of their records.
 	order []Key
 	// versions has when the last origin of each software version was recorded, by service.
@@ -119,7 +122,7 @@
 	return result
 }
 
-// readOn reads all records up to the present end, unless that has just been done.
+// readOn reads all records up to the present end, unless that has just been done or tried.
 func (r *Reader) readOn(ctx context.Context) error {
 	began := boottime.Now()
 	select {
@@ -129,12 +132,12 @@
 	}
 	defer func() { <-r.reading }()
 	r.mu.Lock()
-	next, readAt := r.next, r.readAt
+	next, readAt, triedAt, failure := r.next, r.readAt, r.triedAt, r.failure
 	r.mu.Unlock()
-	if readAt.After(began) {
-		return nil
+	if triedAt.After(began) {
+		return failure
 	}
-	waiting.For(ctx, minReadInterval-boottime.Since(readAt))
+	waiting.For(ctx, minReadInterval-boottime.Since(triedAt))
 	at := boottime.Now()
 	if next != unread && at.Sub(readAt) > unusedAfter {
 		r.mu.Lock()
@@ -151,12 +154,17 @@
 	}
 	if err != nil {
 		r.cfg.Logger.Warn().Str("error", err.Error()).Msg("stream_origins_not_read")
-		return err
+		if ctx.Err() != nil {
+			return err // the search was given up, which says nothing about the log
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readAt = at
-	return nil
+	r.triedAt, r.failure = at, err
+	if err == nil {
+		r.readAt = at
+	}
+	return err
 }
 
 // isGone reports whether the log no longer has the records at a position.
