streamorigin: one time limit for the requests to all recorders of a lookup

Seen: with recorders that accept connections and never answer, a lookup took 1.7 s: 0.2 s for the holders and 0.5 s for each of three recorders, before the box read the log itself. A caller's first try may end after a second. The same happens with recorders whose calls of the log take longer than 0.5 s in all.

Cause: the limit held for each recorder.

Ruled out: the holders, which are asked at once; the box's own read of a log that answers (some milliseconds).

Test: TestSilentRecordersDelayACaller, before: 1.705 s, now below 1 s.

The limit holds for all recorders together.

--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -16,7 +16,8 @@
 	// recordDelay is how long origins are collected before they are recorded. Streams that end in that time,
 	// most of the brief ones, need no record.
 	recordDelay = 60 * time.Millisecond
-	// recorderTimeout bounds a request that may make the recorder read the log.
+	// recorderTimeout bounds the requests for an origin to recorders, which may have to read the log. The box
+	// reads the log itself after that, within the first second of its caller.
 	recorderTimeout = 500 * time.Millisecond
 	// recorderTries is the number of recorders that are asked for an origin, one after the other.
 	recorderTries = 3
@@ -153,13 +154,15 @@
 // askRecorder looks for an origin in the log, through a recorder, or by itself if none can read it.
 func (o *Origins) askRecorder(ctx context.Context, asked request) response {
 	asked.Recorded = true
+	began := boottime.Now()
 	for range recorderTries {
 		recorder, self := o.recorder()
-		if self || ctx.Err() != nil {
+		left := recorderTimeout - boottime.Since(began)
+		if self || left <= 0 || ctx.Err() != nil {
 			break
 		}
 		var answer response
-		err := o.client.Exchange(ctx, recorder.Address, &asked, &answer, recorderTimeout)
+		err := o.client.Exchange(ctx, recorder.Address, &asked, &answer, left)
 		if err == nil && (answer.LogRead || answer.Found != nil) {
 			return answer
 		}
--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/originlog"
@@ -307,3 +308,27 @@
 		}
 	}
 }
+
+// Recorders that accept connections and never answer, one after the other, must not use up a caller's first second.
+func TestSilentRecordersDelayACaller(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	box := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a")[0]
+	box.Note(keyOfNumber(0), originOf(0))
+	g.Eventually(func() bool { return reads(g, log, keyOfNumber(0), "v1") }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+	var others []Box
+	for _, name := range []string{"silent-1", "silent-2", "silent-3", "silent-4"} {
+		silent, err := net.Listen("tcp", freePort)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer silent.Close()
+		others = append(others, Box{Name: name, Zone: "a", Address: silent.Addr().String(), Cores: 1})
+	}
+	o := New(Config{
+		Logger: zerolog.Nop(), Self: Box{Name: "self", Zone: "a"}, Others: func() []Box { return others },
+		Versions: func(string) []string { return []string{"v1", "v2"} }, Reader: newTestReader(log),
+	})
+	began := time.Now()
+	evidence := o.Find(t.Context(), keyOfNumber(0), service)
+	g.Expect(evidence.Found).To(BeTrue())
+	g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+}
