--- a/internal/originlog/reader.go
+++ b/internal/originlog/reader.go
@@ -25,6 +25,10 @@
 	firstTail  = 600
 	tailFactor = 4
 	maxTail    = 16 * firstTail
+	// minMargin and maxMargin bound the records that a read leaves out since the log may drop them before it
+	// arrives: 10 a second for each writer.
+	minMargin = 4
+	maxMargin = firstTail
 	// maxKnown bounds the origins that a reader holds, at some 100 bytes each; the oldest ones are dropped. At
 	// 1,900 streams a second it is what began within half a minute.
 	maxKnown = 65536
@@ -55,7 +59,10 @@
 	// next is the position of the next read, or unread. readAt is when the last read began that succeeded.
 	next   int64
 	readAt time.Time
-	known  map[Key]Origin
+	// triedAt is when the last read began, and failure why it failed.
+	triedAt time.Time
+	failure error
+	known   map[Key]Origin
 	// order has the keys in the order of their records.
 	order []Key
 	// versions has when the last origin of each software version was recorded, by service.
@@ -115,7 +122,7 @@
 	return result
 }
 
-// readOn reads all records up to the present end, unless that has just been done.
+// readOn reads all records up to the present end, unless that has just been done or tried.
 func (r *Reader) readOn(ctx context.Context) error {
 	began := boottime.Now()
 	select {
@@ -125,12 +132,12 @@
 	}
 	defer func() { <-r.reading }()
 	r.mu.Lock()
-	next, readAt := r.next, r.readAt
+	next, readAt, triedAt, failure := r.next, r.readAt, r.triedAt, r.failure
 	r.mu.Unlock()
-	if readAt.After(began) {
-		return nil
+	if triedAt.After(began) {
+		return failure
 	}
-	waiting.For(ctx, minReadInterval-boottime.Since(readAt))
+	waiting.For(ctx, minReadInterval-boottime.Since(triedAt))
 	at := boottime.Now()
 	if next != unread && at.Sub(readAt) > unusedAfter {
 		r.mu.Lock()
@@ -147,12 +154,17 @@
 	}
 	if err != nil {
 		r.cfg.Logger.Warn().Str("error", err.Error()).Msg("stream_origins_not_read")
-		return err
+		if ctx.Err() != nil {
+			return err // the search was given up, which says nothing about the log
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readAt = at
-	return nil
+	r.triedAt, r.failure = at, err
+	if err == nil {
+		r.readAt = at
+	}
+	return err
 }
 
 // isGone reports whether the log no longer has the records at a position.
@@ -172,11 +184,19 @@
 	if err != nil {
 		return err
 	}
-	for count := int64(firstTail); ; count *= tailFactor {
+	margin := int64(minMargin)
+	for count := int64(firstTail); ; {
 		from = max(first, end-count)
 		reachesBack := from == first || count >= maxTail
 		err := r.readTo(ctx, from, func(oldest time.Time) bool { return reachesBack || time.Since(oldest) >= Horizon })
-		if !errors.Is(err, errTooRecent) {
+		expired, dropped := errors.AsType[*sharedlog.RecordsExpiredError](err)
+		switch {
+		case errors.Is(err, errTooRecent):
+			count *= tailFactor
+		case dropped && margin <= maxMargin:
+			first = min(expired.First+margin, end)
+			margin *= tailFactor
+		default:
 			return err
 		}
 	}
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -16,7 +16,8 @@
 	// recordDelay is how long origins are collected before they are recorded. Streams that end in that time,
 	// most of the brief ones, need no record.
 	recordDelay = 60 * time.Millisecond
-	// recorderTimeout bounds a request that may make the recorder read the log.
+	// recorderTimeout bounds the requests for an origin to recorders, which may have to read the log. The box
+	// reads the log itself after that, within the first second of its caller.
 	recorderTimeout = 500 * time.Millisecond
 	// recorderTries is the number of recorders that are asked for an origin, one after the other.
 	recorderTries = 3
@@ -100,14 +101,13 @@
 		if len(keys) == 0 {
 			return
 		}
-		process, taken := o.handOver(ctx, recorder, self, origins)
-		if !taken {
+		if !o.handOver(ctx, recorder, self, origins) {
 			return
 		}
 		o.mu.Lock()
 		for _, key := range keys {
 			if stream := o.own[key]; stream != nil {
-				stream.recorder, stream.recorderProcess = recorder.Name, process
+				stream.recorder, stream.recorderProcess = recorder.Name, recorder.Process
 			}
 		}
 		o.mu.Unlock()
@@ -136,33 +136,34 @@
 }
 
 // isRecordedBy reports whether a process of a box has taken the origin, as far as this one knows. A process that
-// has ended may not have written what it took.
+// has ended may not have written what it took. Both processes are as other boxes report them, which may lag
+// behind: a recorder that has restarted gets the origin once more when its report arrives.
 func (s *ownStream) isRecordedBy(recorder Box) bool {
 	return s.recorder == recorder.Name && (recorder.Process == "" || recorder.Process == s.recorderProcess)
 }
 
-// handOver hands origins to the recorder. It returns the process that took them; taken is false if none did.
-func (o *Origins) handOver(ctx context.Context, recorder Box, self bool, origins []wireOrigin) (process string, taken bool) {
+// handOver hands origins to the recorder, and reports whether it took them.
+func (o *Origins) handOver(ctx context.Context, recorder Box, self bool, origins []wireOrigin) bool {
 	if self {
-		if taken = o.recordAll(origins); !taken {
+		if !o.recordAll(origins) {
 			o.avoidRecorder(recorder)
 		}
-		return recorder.Process, taken
+		return true
 	}
 	var answer response
 	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true}, &answer, exchangeTimeout)
-	if err == nil && !answer.NotRecorded {
-		return answer.Process, true
+	if err == nil && answer.Recorded {
+		return true
 	}
 	if ctx.Err() == nil {
-		reason := "it cannot write to the log"
+		reason := "it does not record them"
 		if err != nil {
 			reason = err.Error()
 		}
 		o.cfg.Logger.Info().Str("other", recorder.Name).Int("origins", len(origins)).Str("error", reason).Msg("stream_origins_not_handed_over")
 		o.avoidRecorder(recorder)
 	}
-	return "", false
+	return false
 }
 
 // recordAll adds origins to those that this box records. It returns false if another box should do so.
@@ -178,14 +179,20 @@
 
 // askRecorder looks for an origin in the log, through a recorder or by itself. The log may turn some boxes away
 // and serve others.
-func (o *Origins) askRecorder(ctx context.Context, asked request) (answer response) {
+func (o *Origins) askRecorder(ctx context.Context, asked request) response {
 	asked.Recorded = true
-	for try := 0; try < recorderTries && ctx.Err() == nil; try++ {
+	began, selfFailed := boottime.Now(), false
+	for range recorderTries {
 		recorder, self := o.recorder()
-		answer = response{}
+		left := recorderTimeout - boottime.Since(began)
+		if self && selfFailed || left <= 0 || ctx.Err() != nil {
+			break
+		}
+		var answer response
 		if self {
 			o.findRecorded(ctx, asked, &answer)
-		} else if err := o.client.Exchange(ctx, recorder.Address, &asked, &answer, recorderTimeout); err != nil {
+			selfFailed = !answer.LogRead
+		} else if err := o.client.Exchange(ctx, recorder.Address, &asked, &answer, left); err != nil {
 			answer = response{}
 		}
 		if answer.LogRead || answer.Found != nil {
@@ -193,6 +200,10 @@
 		}
 		o.avoidRecorder(recorder)
 	}
+	var answer response
+	if !selfFailed {
+		o.findRecorded(ctx, asked, &answer)
+	}
 	return answer
 }
 
--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/originlog"
@@ -306,3 +308,123 @@
 		o.lookUp(keyOfNumber(number), service)
 	}
 }
+
+// The log has only the versions of streams that were recorded. A box that knows of no server yet must not take
+// the one version there for the only one.
+func TestABoxWithoutServersResumesAtTheOneVersionInTheLog(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "a", "b")
+	recorded, unrecorded := keyOfNumber(0), keyOfNumber(1)
+	boxes[0].Note(recorded, originOf(0))
+	g.Eventually(func() bool { return reads(g, log, recorded, "v1") }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+	for _, b := range boxes {
+		b.restart(g)
+		b.setVersions()
+	}
+	for _, b := range boxes {
+		evidence := b.Find(t.Context(), unrecorded, service)
+		g.Expect(evidence.LogRead).To(BeTrue())
+		software, known := Decide(evidence, 0)
+		g.Expect(known).To(BeFalse(), "resumed at %q", software)
+		software, known = Decide(b.Find(t.Context(), recorded, service), 0)
+		g.Expect(known).To(BeTrue())
+		g.Expect(software).To(Equal("v1"))
+	}
+}
+
+// The other boxes know a recorder's process from its last report, which is older than the process for a while
+// after a restart. They must not hand over the same origins without end until the next report arrives.
+func TestOriginsAreHandedOverWithoutEndToARecorderThatRestarted(t *testing.T) {
+	tests := []struct {
+		name string
+		// listed is the recorder's process as the other boxes know it.
+		listed string
+	}{
+		{"the report of the process before", "first"},
+		{"no report", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			log := &measuredLog{Log: fakesharedlog.New()}
+			boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "a", "a")
+			recorder := boxes[boxNumber(boxes, recorderOf(boxes[0]))]
+			if recorder == boxes[0] {
+				boxes[0], boxes[1] = boxes[1], boxes[0]
+			}
+			recorder.restart(g)
+			recorder.setProcess(test.listed)
+			boxes[0].Note(keyOfNumber(0), originOf(0))
+			time.Sleep(10 * recordDelay)
+			once := log.bytes.Load()
+			g.Expect(once).To(BeNumerically("<", 4*keySize))
+			recorder.setProcess("first and next")
+			time.Sleep(2*recheckInterval + 2*recordDelay)
+			g.Expect(log.bytes.Load()).To(BeNumerically("<=", 2*once), "handed over again at most once")
+		})
+	}
+}
+
+// setProcess changes the process that other boxes know of.
+func (b *testBox) setProcess(process string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.box.Process = process
+}
+
+// measuredLog counts the bytes that are appended to a log.
+type measuredLog struct {
+	sharedlog.Log
+	bytes atomic.Int64
+}
+
+func (l *measuredLog) Append(ctx context.Context, stream sharedlog.Stream, end int64, record sharedlog.Record) (int64, error) {
+	l.bytes.Add(int64(len(record.Value)))
+	return l.Log.Append(ctx, stream, end, record)
+}
+
+// A box of the previous program version holds origins and records none. Streams must be recorded by another box
+// while both versions run side by side.
+func TestABoxThatRecordsNothingIsTheRecorder(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	boxes := startBoxesWith(t, g, func(box int) sharedlog.Log { return log }, "a", "a", "a", "a")
+	recorder := boxes[boxNumber(boxes, recorderOf(boxes[0]))]
+	recorder.stop()
+	listener, err := net.Listen("tcp", recorder.current().Address)
+	g.Expect(err).NotTo(HaveOccurred())
+	recorder.listener, recorder.log = listener, nil
+	recorder.start()
+	for i, b := range boxes {
+		if b != recorder {
+			b.Note(keyOfNumber(i), originOf(i))
+			g.Eventually(func() bool { return reads(g, log, keyOfNumber(i), originOf(i).Software) }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+		}
+	}
+}
+
+// Recorders that accept connections and never answer, one after the other, must not use up a caller's first second.
+func TestSilentRecordersDelayACaller(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	box := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a")[0]
+	box.Note(keyOfNumber(0), originOf(0))
+	g.Eventually(func() bool { return reads(g, log, keyOfNumber(0), "v1") }, recordedWithin, 20*time.Millisecond).Should(BeTrue())
+	var others []Box
+	for _, name := range []string{"silent-1", "silent-2", "silent-3", "silent-4"} {
+		silent, err := net.Listen("tcp", freePort)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer silent.Close()
+		others = append(others, Box{Name: name, Zone: "a", Address: silent.Addr().String(), Cores: 1})
+	}
+	o := New(Config{
+		Logger: zerolog.Nop(), Self: Box{Name: "self", Zone: "a"}, Others: func() []Box { return others },
+		Versions: func(string) []string { return []string{"v1", "v2"} }, Reader: newTestReader(log),
+	})
+	began := time.Now()
+	evidence := o.Find(t.Context(), keyOfNumber(0), service)
+	g.Expect(evidence.Found).To(BeTrue())
+	g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+}
