streamorigin: record the origins of long streams again before the log drops them

Seen: a stream older than the log's history (20 s) was not in the log any more. After a crash of all boxes its resumption was refused, on routes that allow streams of that length.

Cause: an origin was recorded once, at the stream's beginning, and the reader's horizon of a minute assumed that the log keeps records for as long.

Ruled out: the reader, which found the origin for as long as the log had the record.

Test: TestLongStreamsAreLostWithTheHistoryOfTheLog, before: not found after 21 s; now found for 60 s with at most seven appends.

The origin of a stream in flight is recorded again after 10 s. Streams that end sooner cost no more than before.

--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -16,6 +16,9 @@
 	// recordDelay is how long origins are collected before they are recorded. Streams that end in that time,
 	// most of the brief ones, need no record.
 	recordDelay = 60 * time.Millisecond
+	// rerecordInterval is the time after which the origin of a stream in flight is recorded again, since the log
+	// keeps records for a bounded time. Most streams have ended by then.
+	rerecordInterval = 10 * time.Second
 	// recorderTimeout bounds the requests for an origin to recorders, which may have to read the log. The box
 	// reads the log itself after that, within the first second of its caller.
 	recorderTimeout = 500 * time.Millisecond
@@ -104,10 +107,11 @@
 		if !o.handOver(ctx, recorder, self, origins) {
 			return
 		}
+		now := boottime.Now()
 		o.mu.Lock()
 		for _, key := range keys {
 			if stream := o.own[key]; stream != nil {
-				stream.recorder, stream.recorderProcess = recorder.Name, recorder.Process
+				stream.recorder, stream.recorderProcess, stream.recordedAt = recorder.Name, recorder.Process, now
 			}
 		}
 		o.mu.Unlock()
@@ -128,18 +132,18 @@
 		}
 	}
 	for key, stream := range o.own {
-		if now.Before(stream.origin.Expires) && !stream.isRecordedBy(recorder) && several[stream.origin.Service] && len(keys) < maxBatch {
+		if now.Before(stream.origin.Expires) && !stream.isRecordedBy(recorder, now) && several[stream.origin.Service] && len(keys) < maxBatch {
 			keys, origins = append(keys, key), append(origins, encode(key, stream.origin, now))
 		}
 	}
 	return keys, origins
 }
 
-// isRecordedBy reports whether a process of a box has taken the origin, as far as this one knows. A process that
+// isRecordedBy reports whether a process of a box has lately taken the origin, as far as this one knows. A process that
 // has ended may not have written what it took. Both processes are as other boxes report them, which may lag
 // behind: a recorder that has restarted gets the origin once more when its report arrives.
-func (s *ownStream) isRecordedBy(recorder Box) bool {
-	return s.recorder == recorder.Name && (recorder.Process == "" || recorder.Process == s.recorderProcess)
+func (s *ownStream) isRecordedBy(recorder Box, now time.Time) bool {
+	return now.Sub(s.recordedAt) < rerecordInterval && s.recorder == recorder.Name && (recorder.Process == "" || recorder.Process == s.recorderProcess)
 }
 
 // handOver hands origins to the recorder, and reports whether it took them.
--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -428,3 +430,31 @@
 	g.Expect(evidence.Found).To(BeTrue())
 	g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
 }
+
+// The log keeps records for a bounded time, 20 s on some platforms. Streams that last longer must still be found
+// after all boxes crashed.
+func TestLongStreamsAreLostWithTheHistoryOfTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const history = 20 * time.Second
+		log := fakesharedlog.New()
+		writer := originlog.NewWriter(originlog.WriterConfig{Log: log})
+		o := New(Config{
+			Logger: zerolog.Nop(), Self: Box{Name: "self", Process: "first"}, Others: func() []Box { return nil },
+			Versions: func(string) []string { return []string{"v1", "v2"} }, Writer: writer, Reader: newTestReader(log), LogEra: func() int64 { return 0 },
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		var loops sync.WaitGroup
+		loops.Go(func() { writer.Loop(ctx) })
+		loops.Go(func() { o.LoopRecord(ctx) })
+		defer loops.Wait()
+		defer stop()
+		o.Note(keyOfNumber(0), Origin{Service: service, Software: "v1", Expires: time.Now().Add(2 * time.Minute)})
+		for second := range 60 {
+			time.Sleep(time.Second)
+			log.Underlying().ExpireOlder(history)
+			g.Expect(reads(g, log, keyOfNumber(0), "v1")).To(BeTrue(), "after %d s", second+1)
+		}
+		g.Expect(log.Underlying().Appends()).To(BeNumerically("<=", 7), "each call has a price")
+	})
+}
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -141,8 +141,10 @@
 	// holders have got it.
 	copies  map[string]string
 	checked bool
-	// recorder is the box that has taken the origin to record it, with its process; empty if none has.
+	// recorder is the box that has taken the origin to record it at recordedAt, with its process; empty if none
+	// has.
 	recorder, recorderProcess string
+	recordedAt                time.Time
 }
 
 // New returns Origins without any.
