streamorigin: resume streams of the only version while the log is away

Cause: the minute for which boxes remember versions counted as the time for which a box must have been running. A box that was running before the stream began has seen all versions that can have begun it.

Ruled out: the log that answers, where one version known by boxes and log is enough.

Test: TestStreamsOfTheOnlyVersionAreRefusedWhileTheLogIsAway, before: refused by a box that had been running for 20 s, on a route with 10 s.

A stream is at most as old as the route's timeout, or the time that its caller states, and the margin for resumptions for which origins are held; beyond the minute nothing changes. A box that has been running for less still refuses.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -38,10 +38,7 @@
 		return g.reject(x, http.StatusBadRequest, x.info.Malformed)
 	}
 	x.priority, x.rank = x.route.Urgency, x.route.Urgency
-	timeout := x.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
+	timeout := x.routeTimeout()
 	if x.info.MaxWait > 0 {
 		timeout = min(timeout, x.info.MaxWait)
 	}
@@ -49,6 +46,14 @@
 	return true
 }
 
+// routeTimeout returns how long a call of the route may take.
+func (x *exchange) routeTimeout() time.Duration {
+	if x.route.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return x.route.Timeout
+}
+
 // headerBytes returns the size of a call's request line and headers as the caller sent them, within
 // a few bytes.
 func headerBytes(r *http.Request) int {
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -37,6 +37,7 @@
 	} else {
 		evidence = g.cfg.Origins.Find(x.ctx, streamorigin.KeyOf(x.callerName(), x.info.Resumes), x.service.Name)
 	}
+	evidence.MaxAge = max(x.routeTimeout(), x.info.MaxWait) + originMargin
 	listAge := time.Duration(0)
 	if g.cfg.ServerListAge != nil {
 		listAge = g.cfg.ServerListAge()
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -1,15 +1,19 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/originlog"
+	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
@@ -107,6 +111,40 @@
 	}
 }
 
+// unreachableLog is a log that a box does not reach.
+type unreachableLog struct{ sharedlog.Log }
+
+func (unreachableLog) Bounds(context.Context, sharedlog.Stream) (first, end int64, err error) {
+	return 0, 0, sharedlog.ErrRefused
+}
+
+// While the log is away, boxes know all versions that can have begun a stream once they have been running for as
+// long as its caller waits. Streams of the only version must continue then, also in the first minute of a day.
+func TestStreamsOfTheOnlyVersionAreRefusedWhileTheLogIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := fleet.New(fleet.Config{})
+		f.Apply([]fleet.Update{{Key: "a", Offset: 1, Server: &fleet.Server{Incarnation: "a", Service: "r", Software: "v1"}}})
+		c := resumableCatalog(g, 2)
+		protocol := newPlanProtocol()
+		protocol.info.Prompt = largeMemoryPrompt()
+		protocol.info.ResumeAfter, protocol.info.Resumes = "1", "unknown"
+		gateway := promptGateway(protocol, f, emptyIndex(c), c)
+		gateway.cfg.Origins = streamorigin.New(streamorigin.Config{
+			Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions,
+			Reader: originlog.NewReader(originlog.ReaderConfig{Log: unreachableLog{}}),
+		})
+		refusal := func() string {
+			recorder := httptest.NewRecorder()
+			gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+			return recorder.Body.String()
+		}
+		g.Expect(refusal()).To(ContainSubstring(reasonUnknownVersion))
+		time.Sleep(10*time.Second + originMargin)
+		g.Expect(refusal()).NotTo(ContainSubstring(reasonUnknownVersion))
+	})
+}
+
 // startVersion is startRunner for a software version.
 func startVersion(t *testing.T, f *fleet.Fleet, name, version string, handler http.Handler) {
 	t.Helper()
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -32,9 +32,19 @@
 		return "", false
 	case evidence.Asked > 0 && evidence.Responded == 0 && listAge > maxListAge:
 		return "", false
-	case evidence.LogFailed && evidence.LongestUptime < versionMemory:
+	case evidence.LogFailed && !evidence.coversStream():
 		return "", false
 	default:
 		return evidence.Versions[0], true
 	}
 }
+
+// coversStream reports whether this box or one that responded has been running since before the stream began,
+// or for as long as boxes remember versions, so that it knows all versions that can have begun the stream.
+func (e *Evidence) coversStream() bool {
+	needed := versionMemory
+	if e.MaxAge > 0 {
+		needed = min(needed, e.MaxAge)
+	}
+	return e.LongestUptime >= needed
+}
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -27,6 +27,8 @@
 	// LongestUptime is how long this box or one of those that responded has been running at most. Streams that
 	// began earlier are unknown to all of them.
 	LongestUptime time.Duration
+	// MaxAge is how long ago the stream began at most; zero if unknown.
+	MaxAge time.Duration
 	// LogRead reports that the log was read up to now, and LogFailed that it could not be.
 	LogRead, LogFailed bool
 }
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -288,6 +288,8 @@
 		{"one version, boxes that have just started, the log was read", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3, LogRead: true}, 0, v1, true},
 		{"one version, boxes that have just started, the log is away", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3, LogFailed: true}, 0, "", false},
 		{"one version, a box that remembers, the log is away", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3, LogFailed: true, LongestUptime: versionMemory}, 0, v1, true},
+		{"one version, a box that is older than the stream, the log is away", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3, LogFailed: true, LongestUptime: 20 * time.Second, MaxAge: 20 * time.Second}, 0, v1, true},
+		{"one version, boxes that are younger than the stream, the log is away", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3, LogFailed: true, LongestUptime: 19 * time.Second, MaxAge: 20 * time.Second}, 0, "", false},
 		{"a box that has just started and knows of no server", Evidence{}, 0, "", false},
 		{"no box knows of a server, one version in the log", Evidence{Versions: []string{v1}, Unlisted: true, LogRead: true}, 0, "", false},
 		{"no box knows of a server, found in the log", Evidence{Found: true, Software: v1, Versions: []string{v1}, Unlisted: true, LogRead: true}, 0, v1, true},
