--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -70,7 +70,7 @@
 // scope returns what a fault of this kind affects.
 func (k Kind) scope() scopeKind {
 	switch k {
-	case ApplyConfig, LogDown, UpdateWeights, EmptyStore, EvacuateZone, RestoreLog:
+	case ApplyConfig, LogDown, UpdateWeights, EmptyStore, EvacuateZone, RestoreLog, SlowLog:
 		return wholeFleet
 	case ReloadSettings, RestartBox, PauseBox, KillBox, DelayLog, HoldLog, ResetLog, BlackholeLog:
 		return oneBox
@@ -113,7 +113,9 @@
 type PlanConfig struct {
 	Seed           uint64
 	Boxes, Servers int
-	LoadDuration   time.Duration
+	// Zones is the number of zones of the boxes, for PlanCrashes.
+	Zones        int
+	LoadDuration time.Duration
 	// MeanInterval is the mean time between the starts of two faults. Faults that last longer
 	// overlap.
 	MeanInterval time.Duration
