soak: check that resumed streams continue

The history has each try of a caller for a stream. Of 12 or more streams that are resumed at boxes in touch, while two runners of their software version serve, the share that continues must be half of the share of new streams that begin at such boxes, in the whole run and in each window of 5 s from a resumption on. A stream counts with its first try that fulfils the conditions and has continued if any try of the caller brought events. A runner that is cold or slow counts as serving, and a store box that comes back empty leaves boxes in touch.

At most two streams may hold events of two versions; the check that reports each of them stays as it is. A figure that is only printed counts all resumptions anywhere, with the boxes' reasons for the refused ones.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -96,8 +96,11 @@
 	// calls that reached the server that they were sent to, including those that it rejected.
 	Advisories []Advisory
 	Received   []Arrival
-	// Streams are the streams of a soak with several software versions.
-	Streams []ResumableStream
+	// Streams are the streams of a soak with several software versions, and Software is the version of each
+	// runner, by the number of the server. Reasons are the reasons of boxes for refusing calls, by their IDs.
+	Streams  []ResumableStream
+	Software map[int]string
+	Reasons  map[string]string
 	// BadFetches describe stored parts that were fetched although they should not have been.
 	BadFetches []string
 	// PartsStored is the number of parts in the store boxes at the end, and PartsFreed the number that
@@ -187,6 +190,7 @@
 	h.checkCold(report)
 	h.checkAdvisories(report)
 	h.checkVersions(report)
+	h.checkResumed(report)
 	h.checkWeights(report)
 	for _, details := range h.BadFetches {
 		report(InvariantParts, "%s", details)
