originlog: append an origin once though it was handed over several times

Seen: while the log was away, boxes handed over the origins of their streams in flight at each try of a recorder, and the writers queued all of them. After 7 s with 600 streams a writer had its maximum of 32,768 in the queue and appended 524 KB for 9.6 KB of keys when the log was back; each byte has its price, and origins of other streams were dropped for copies of the same ones.

Cause: a writer that cannot append keeps what it gets, and also asks for another recorder; the boxes keep trying.

Ruled out: the pauses of the writer, which hold.

Test: TestOriginsAreAppendedForEachTryDuringAnOutageOfTheLog, before: 524,468 bytes, now below 19,200, and all 600 origins are found.

A writer skips keys that are queued or being appended. After an append they may be added again, as is needed when the log came back from a copy.

--- a/internal/originlog/originlog_test.go
+++ b/internal/originlog/originlog_test.go
@@ -359,3 +359,48 @@
 		})
 	}
 }
+
+// sizedLog counts the bytes that are appended to a log.
+type sizedLog struct {
+	*fakesharedlog.Log
+	bytes atomic.Int64
+}
+
+func (l *sizedLog) Append(ctx context.Context, stream sharedlog.Stream, end int64, record sharedlog.Record) (int64, error) {
+	offset, err := l.Log.Append(ctx, stream, end, record)
+	if err == nil {
+		l.bytes.Add(int64(len(record.Value)))
+	}
+	return offset, err
+}
+
+// While the log is away, boxes hand over the origins of their streams in flight again each time that they try a
+// recorder. They must be appended once.
+func TestOriginsAreAppendedForEachTryDuringAnOutageOfTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := &sizedLog{Log: fakesharedlog.New()}
+		log.Underlying().SetFaults(fakelog.Faults{Down: true})
+		w := startWriter(t, log)
+		const streams = 600
+		origins := make([]Origin, streams)
+		for number := range origins {
+			origins[number] = originOf(number)
+		}
+		for range 100 {
+			w.Add(origins)
+			time.Sleep(70 * time.Millisecond)
+		}
+		log.Underlying().SetFaults(fakelog.Faults{})
+		time.Sleep(2 * maxFailurePause)
+		g.Expect(log.bytes.Load()).To(BeNumerically("<", 2*KeySize*streams))
+		for number := range origins {
+			result, err := newReader(log).Find(t.Context(), keyOf(number), service)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(result.Found).To(BeTrue())
+		}
+		w.Add(origins)
+		time.Sleep(2 * appendInterval)
+		g.Expect(log.bytes.Load()).To(BeNumerically(">", 2*KeySize*streams), "what has been appended may be lost with its era")
+	})
+}
--- a/internal/originlog/writer.go
+++ b/internal/originlog/writer.go
@@ -42,6 +42,9 @@
 
 	mu         sync.Mutex
 	unrecorded []Origin
+	// pending has the keys that are unrecorded or being appended: the boxes of streams hand them over again for
+	// as long as they know of no recorder that works.
+	pending map[Key]struct{}
 	// failingSince is when the first of the appends failed that have failed since the last successful one;
 	// zero if the last one succeeded.
 	failingSince time.Time
@@ -49,21 +52,39 @@
 }
 
 // NewWriter returns a writer without origins.
-func NewWriter(cfg WriterConfig) *Writer { return &Writer{cfg: cfg} }
+func NewWriter(cfg WriterConfig) *Writer { return &Writer{cfg: cfg, pending: map[Key]struct{}{}} }
 
 // Add adds origins to those to append. It returns false if this box has not been able to append for a
 // while, so that another one should do it; the origins are appended later all the same.
 func (w *Writer) Add(origins []Origin) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.unrecorded = append(w.unrecorded, origins...)
-	if excess := len(w.unrecorded) - maxUnrecorded; excess > 0 {
-		w.unrecorded = w.unrecorded[excess:]
+	for _, origin := range origins {
+		if _, pending := w.pending[origin.Key]; !pending {
+			w.pending[origin.Key] = struct{}{}
+			w.unrecorded = append(w.unrecorded, origin)
+		}
 	}
+	w.dropExcess()
 	w.wake.Broadcast()
 	return w.failingSince.IsZero() || boottime.Since(w.failingSince) < failingAfter
 }
 
+// dropExcess drops the oldest origins above the bound. The caller holds mu.
+func (w *Writer) dropExcess() {
+	if excess := len(w.unrecorded) - maxUnrecorded; excess > 0 {
+		w.forget(w.unrecorded[:excess])
+		w.unrecorded = w.unrecorded[excess:]
+	}
+}
+
+// forget allows origins to be added again. The caller holds mu.
+func (w *Writer) forget(origins []Origin) {
+	for _, origin := range origins {
+		delete(w.pending, origin.Key)
+	}
+}
+
 // Loop appends origins until ctx ends.
 func (w *Writer) Loop(ctx context.Context) {
 	pause := minFailurePause
@@ -112,6 +133,7 @@
 	defer w.mu.Unlock()
 	if err == nil {
 		w.failingSince = time.Time{}
+		w.forget(batch)
 		return true
 	}
 	if w.failingSince.IsZero() {
@@ -119,8 +141,6 @@
 		w.cfg.Logger.Warn().Int("origins", len(batch)).Str("error", err.Error()).Msg("stream_origins_not_recorded")
 	}
 	w.unrecorded = append(batch, w.unrecorded...)
-	if excess := len(w.unrecorded) - maxUnrecorded; excess > 0 {
-		w.unrecorded = w.unrecorded[excess:]
-	}
+	w.dropExcess()
 	return false
 }
