quarantine: record in the log what is held

Requests and parts of prompts that crash servers crashed them again after all boxes restarted at the same moment, although they had been held: crash records were exchanged between boxes and kept in their memory only, of which a restart of all boxes leaves nothing.

One box, the first by rendezvous hashing, now records in a keyed stream of the platform's log what is held (package quarantinelog). It writes the difference between what it holds and what the log has, so it does not matter which box detected a hold, and keys are deleted also when the box that wrote them is gone. Of boxes that start, those that read the log themselves read the stream, once; load reports state whether their sender has what it has, so the others get it from them. Calls wait for it, once servers are known, for 0.3 s at most after the first of them, all together. Records are merged like reports of other boxes. Without the log everything goes on as before. After the log came back from a copy the writer reads it and writes the difference again.

A box that has just started and receives no reports ranked itself first for every name. With records that outlive restarts each box would have tried what is held, and written. It is elected only with the reports of half of the listed boxes, or after 10 s.

Ruled out: that records are lost when boxes restart one by one (no crash was added); that each box writes (calls grow with the boxes); that the box which detects a hold writes (it may be none, and nobody deletes for a box that is gone).

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/advisory"
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/coldstart"
@@ -37,6 +38,7 @@
 	"github.com/cometlock/cometlock/internal/peerpath"
 	"github.com/cometlock/cometlock/internal/places"
 	"github.com/cometlock/cometlock/internal/quarantine"
+	"github.com/cometlock/cometlock/internal/quarantinelog"
 	"github.com/cometlock/cometlock/internal/reach"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/retire"
@@ -69,8 +71,9 @@
 	cfg      Config
 	settings Settings
 	logger   zerolog.Logger
-	// incarnation identifies this process of the box.
+	// incarnation identifies this process of the box, which started at startedAt.
 	incarnation string
+	startedAt   time.Time
 
 	metrics      *telemetry.Metrics
 	log          *sharedlog.Measured
@@ -101,6 +104,8 @@
 	quarantine *quarantine.Set
 	// partQuarantine is the same for the parts of prompts.
 	partQuarantine *quarantine.Set
+	// quarantineLog has what is quarantined in the log.
+	quarantineLog *quarantinelog.Keeper
 	// reach detects services that this box does not reach, and peerPaths has the boxes through which
 	// calls for them are forwarded.
 	reach     *reach.Monitor
@@ -126,7 +131,7 @@
 
 // New returns a box with open ports. It does nothing before Run.
 func New(cfg Config) (*Box, error) {
-	b := &Box{cfg: cfg, settings: cfg.Settings.withDefaults(), incarnation: cfg.Settings.Box + "/" + uuid.NewString()}
+	b := &Box{cfg: cfg, settings: cfg.Settings.withDefaults(), incarnation: cfg.Settings.Box + "/" + uuid.NewString(), startedAt: boottime.Now()}
 	b.logger = cfg.Logger.With().Str("box", cfg.Settings.Box).Str("zone", cfg.Settings.Zone).Logger()
 	b.background, b.stop = context.WithCancel(context.Background())
 	if err := b.openPorts(); err != nil {
@@ -208,7 +213,7 @@
 		Cores: b.settings.Cores, Mechanisms: b.settings.Mechanisms, NamedVersions: b.registry.WeightsForPeers, MergeNamedVersions: b.registry.MergeWeights, Snapshot: b.registry.Snapshot,
 		FirstSystemStart: b.settings.FirstSystemStart, AppendTime: b.settings.LogAppendTime,
 		RestoredBoxes: b.registry.RestoredBoxes, ReadsLog: func() bool { return b.readers.Following() == "" },
-		NeedsSnapshot: b.registry.NeedsSnapshot, ApplySnapshot: b.registry.Adopt, Quarantine: b.quarantine, PartQuarantine: b.partQuarantine, MayCallCold: b.mayCallCold, Parts: b.parts,
+		NeedsSnapshot: b.registry.NeedsSnapshot, ApplySnapshot: b.registry.Adopt, Quarantine: b.quarantine, PartQuarantine: b.partQuarantine, QuarantineLoaded: b.quarantineLog.IsLoaded, OnQuarantineLoaded: b.quarantineLog.MarkLoaded, MayCallCold: b.mayCallCold, Parts: b.parts,
 	}
 	if b.shares = newShares(b.settings.Mechanisms, b.fleet); b.shares != nil {
 		reports.Uses, reports.MergeUses = b.usesForPeers, b.shares.merge
@@ -313,7 +318,7 @@
 		Budget: b.budget, BoxCount: b.share.BoxCount, OwnsHeadroom: b.share.OwnsHeadroom, LoadReportAge: b.share.Lag,
 		Places: b.places, BoxName: b.settings.Box, Regions: b.settings.Regions,
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.OutdatedAfter,
-		IsResponsive: b.isResponsive, ServerListAge: b.registry.ServersAge, Quarantine: b.quarantine, PartQuarantine: b.partQuarantine, ConfirmCrash: b.crashes.Check,
+		IsResponsive: b.isResponsive, ServerListAge: b.registry.ServersAge, Quarantine: b.quarantine, PartQuarantine: b.partQuarantine, AwaitQuarantine: b.awaitQuarantine, ConfirmCrash: b.crashes.Check,
 		Memory: b.memory, Origins: b.origins,
 	}
 	b.assembleForwarding(&cfg)
--- a/internal/entrybox/quarantine.go
+++ b/internal/entrybox/quarantine.go
@@ -3,11 +3,16 @@
 package entrybox
 
 import (
+	"context"
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/crash"
 	"github.com/cometlock/cometlock/internal/handover"
 	"github.com/cometlock/cometlock/internal/quarantine"
+	"github.com/cometlock/cometlock/internal/quarantinelog"
 )
 
 // assembleQuarantine creates the detection of requests that crash servers.
@@ -15,19 +20,55 @@
 	scope := b.metrics.Scope()
 	b.pool = handover.NewPool(handover.PoolConfig{Mechanisms: b.settings.Mechanisms, OnDial: func() { scope.Counter("server_connections").Inc(1) }})
 	b.quarantine = quarantine.New(quarantine.Config{
-		MayRetry: func(request quarantine.Request) bool { return b.share.RanksFirst(request.String()) },
+		MayRetry: func(request quarantine.Request) bool { return b.isElected(request.String()) },
 		OnChange: b.onQuarantineChange,
 	})
 	b.partQuarantine = quarantine.New(quarantine.Config{
 		Threshold: quarantine.PartThreshold,
-		MayRetry:  func(part quarantine.Request) bool { return b.share.RanksFirst(part.String()) },
+		MayRetry:  func(part quarantine.Request) bool { return b.isElected(part.String()) },
 		OnChange:  b.onPartChange,
 	})
+	b.quarantineLog = quarantinelog.New(quarantinelog.Config{
+		Log: b.log, Eras: b.log.Eras(), Logger: b.logger, Requests: b.quarantine, Parts: b.partQuarantine,
+		IsWriter: func() bool { return !b.leaving.Load() && b.isElected(quarantineWriter) },
+		ReadsLog: func() bool { return b.readers.ReadsLog() }, OnLoaded: b.onQuarantineLoaded,
+	})
 	b.crashes = crash.New(crash.Config{
 		Logger: b.logger, RegistryStatus: b.fleet.RegistryStatus, Connect: b.pool.Probe, Neighbours: b.fleet.ZonePeers, OnCrash: b.noteCrash,
 	})
 }
 
+// quarantineWriter is the name whose first box by rendezvous hashing records what is held in the log.
+const quarantineWriter = "quarantine"
+
+// electionDelay is how long after its start a box ranks itself first only if it receives the reports of others.
+const electionDelay = 10 * time.Second
+
+// isElected reports whether this box ranks first for a name by rendezvous hashing.
+func (b *Box) isElected(name string) bool {
+	return mayRankFirst(b.share.BoxListLoaded(), b.share.HeardCount(), b.share.BoxCount(), boottime.Since(b.startedAt)) && b.share.RanksFirst(name)
+}
+
+// mayRankFirst reports whether a box may rank itself first: not soon after its start while it does not receive
+// the reports of half of the listed boxes. When all boxes start at once, each of them would.
+func mayRankFirst(listLoaded bool, others, listed int, uptime time.Duration) bool {
+	return uptime >= electionDelay || listLoaded && 2*(others+1) >= listed
+}
+
+// awaitQuarantine waits for what the log has of what is held if a call could be sent to a server.
+func (b *Box) awaitQuarantine(ctx context.Context) {
+	if !b.quarantineLog.IsLoaded() && b.fleet.CountListed() > 0 {
+		b.quarantineLog.Await(ctx)
+	}
+}
+
+// onQuarantineLoaded reports to other boxes that this one has what the log has. Hubs pass that on.
+func (b *Box) onQuarantineLoaded() {
+	if b.readers.ReadsLog() || b.share.Hub() == "" {
+		b.share.SendNow()
+	}
+}
+
 // noteCrash records a call under which a server crashed.
 func (b *Box) noteCrash(broken crash.BrokenCall) {
 	incarnation := xxhash.Sum64String(broken.Server.Incarnation)
@@ -54,6 +95,7 @@
 // onQuarantineChange logs the new state of a request, shares it with other boxes, and cancels the
 // request's calls when it is held.
 func (b *Box) onQuarantineChange(change quarantine.Change) {
+	b.quarantineLog.Notify()
 	if b.sharesImmediately(change) {
 		b.share.SendNow()
 	}
@@ -65,6 +107,7 @@
 
 // onPartChange is onQuarantineChange for a part of prompts.
 func (b *Box) onPartChange(change quarantine.Change) {
+	b.quarantineLog.Notify()
 	if b.sharesImmediately(change) {
 		b.share.SendNow()
 	}
@@ -87,5 +130,5 @@
 	default:
 		return // a server that crashes takes down some ten calls, and all boxes receive each of them
 	}
-	event.Stringer("fingerprint", change.Request).Int("ends", change.Crashes).Bool("heard", change.FromPeer).Msg(message)
+	event.Stringer("fingerprint", change.Request).Int("ends", change.Crashes).Bool("heard", change.FromPeer).Bool("recorded", change.Recorded).Msg(message)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,10 @@
 	Quarantine *quarantine.Set
 	// PartQuarantine is the same for the parts of prompts.
 	PartQuarantine *quarantine.Set
-	ConfirmCrash   func(ctx context.Context, loss crash.BrokenCall) bool
+	// AwaitQuarantine waits until this box has what the log has of both, for a bounded time after its start;
+	// nil where nothing is to be awaited.
+	AwaitQuarantine func(ctx context.Context)
+	ConfirmCrash    func(ctx context.Context, loss crash.BrokenCall) bool
 	// Origins has the software versions that began streams; nil where servers state none.
 	Origins *streamorigin.Origins
 	// Memory bounds the memory that calls hold; nil means that there is no bound.
@@ -144,6 +147,9 @@
 	if cfg.PartQuarantine == nil {
 		cfg.PartQuarantine = quarantine.New(quarantine.Config{Threshold: quarantine.PartThreshold})
 	}
+	if cfg.AwaitQuarantine == nil {
+		cfg.AwaitQuarantine = func(context.Context) {}
+	}
 	return &Gateway{cfg: cfg, tieSeed: xxhash.Sum64String(cfg.BoxName), metrics: newMetrics(cfg.Scope), active: newActiveCalls()}
 }
 
--- a/internal/gateway/quarantineparts_test.go
+++ b/internal/gateway/quarantineparts_test.go
@@ -49,6 +49,15 @@
 	g.Expect(response.Body.String()).To(ContainSubstring(reasonCrashesServers))
 }
 
+// What the log has of what is held may arrive just after the start of a box. A call must not be sent before.
+func TestACallIsSentBeforeWhatIsHeldIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	e := newPartGateway(g)
+	startRunner(t, e.fleet, "r", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the call reached a server") }))
+	e.cfg.AwaitQuarantine = func(context.Context) { e.recordPartCrashes(quarantine.PartThreshold) }
+	g.Expect(e.call().Body.String()).To(ContainSubstring(reasonCrashesServers))
+}
+
 // A call that is under way at a server when its part comes to be held is cancelled, so that the server may
 // be spared.
 func TestACallUnderWayCrashesItsServerAfterItsPartIsHeld(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -58,6 +58,7 @@
 		g.cfg.Budget.Deposit()
 	}
 	defer g.active.add(x)()
+	g.cfg.AwaitQuarantine(x.ctx)
 	for {
 		if !g.admitQuarantine(x) {
 			g.returnRetry(x)
--- a/internal/loadshare/hubs_test.go
+++ b/internal/loadshare/hubs_test.go
@@ -186,7 +186,9 @@
 	}
 	b.suspects = quarantine.New(quarantine.Config{OnChange: shareChange})
 	b.suspectParts = quarantine.New(quarantine.Config{Threshold: quarantine.PartThreshold, OnChange: shareChange})
+	b.quarantineLoaded.Store(false)
 	share = loadshare.New(loadshare.Config{
+		QuarantineLoaded: b.quarantineLoaded.Load, OnQuarantineLoaded: b.noteQuarantineLoaded,
 		Quarantine: b.suspects, PartQuarantine: b.suspectParts, Parts: b.parts,
 		Fleet: boxFleet, Logger: zerolog.Nop(), Box: b.name, Incarnation: fmt.Sprint(b.name, "/", b.incarnation), Zone: b.zone, Cores: b.cores, Address: b.name, ReaderAddress: b.name,
 		NamedVersions: b.namedVersions, MergeNamedVersions: func(versions map[string][]registry.PeerWeights, _ time.Time) { b.mergeVersions(versions) },
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -86,6 +86,10 @@
 	Quarantine *quarantine.Set
 	// PartQuarantine is the same for the parts of prompts.
 	PartQuarantine *quarantine.Set
+	// QuarantineLoaded reports whether this box has what the log has of them, and OnQuarantineLoaded is called
+	// for each report of a box that has, once its records are merged. Both may be nil.
+	QuarantineLoaded   func() bool
+	OnQuarantineLoaded func()
 	// Parts has the samples of fetches from store boxes that boxes exchange; nil stands for none.
 	Parts *partindex.Index
 	// MayCallCold reports whether this box may call cold servers at all; nil means that it may.
@@ -194,6 +198,12 @@
 	if cfg.PartQuarantine == nil {
 		cfg.PartQuarantine = quarantine.New(quarantine.Config{Threshold: quarantine.PartThreshold})
 	}
+	if cfg.QuarantineLoaded == nil {
+		cfg.QuarantineLoaded = func() bool { return false }
+	}
+	if cfg.OnQuarantineLoaded == nil {
+		cfg.OnQuarantineLoaded = func() {}
+	}
 	if cfg.Uses == nil {
 		cfg.Uses = func() []fairshare.ServiceReport { return nil }
 	}
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -86,6 +86,9 @@
 	Parts           []quarantine.RequestRecord `msgpack:"p,omitempty"`
 	PartsGeneration uint64                     `msgpack:"g,omitempty"`
 	PartsAck        uint64                     `msgpack:"a,omitempty"`
+	// QuarantineLoaded means that the receiver has with this message all that the log has of what is
+	// quarantined.
+	QuarantineLoaded bool `msgpack:"q,omitempty"`
 	// Brittle has the reports of brittle servers that belong to the loads, by incarnation.
 	Brittle map[string]*advisory.BrittleReport `msgpack:"b,omitempty"`
 }
--- a/internal/loadshare/peerstate_test.go
+++ b/internal/loadshare/peerstate_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,10 +53,14 @@
 	suspects   *quarantine.Set
 	// suspectParts is the same for parts of prompts.
 	suspectParts *quarantine.Set
-	parts        *partindex.Index
-	stop         context.CancelFunc
-	stopped      sync.WaitGroup
-	incarnation  int
+	// quarantineLoaded means that the box has what the log has, and heldAtLoad is what it held when another box
+	// reported that.
+	quarantineLoaded atomic.Bool
+	heldAtLoad       atomic.Int64
+	parts            *partindex.Index
+	stop             context.CancelFunc
+	stopped          sync.WaitGroup
+	incarnation      int
 
 	mu    sync.Mutex
 	spans []span
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -93,6 +93,9 @@
 	}
 	s.cfg.Quarantine.Merge(m.Suspects) // before the message is acknowledged
 	s.cfg.PartQuarantine.Merge(m.extension.Parts)
+	if m.extension.QuarantineLoaded {
+		s.cfg.OnQuarantineLoaded()
+	}
 	sentAfter := s.recordReport(m)
 	s.cfg.MergeNamedVersions(m.NamedVersions, sentAfter)
 	if boottime.Since(sentAfter) <= maxSampleTransit {
--- a/internal/loadshare/send.go
+++ b/internal/loadshare/send.go
@@ -13,6 +13,7 @@
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/quarantine"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
@@ -139,8 +140,10 @@
 // a snapshot.
 func (s *Share) compose(box string) message {
 	own := s.cfg.Fleet.Loads()
+	quarantineLoaded := s.cfg.QuarantineLoaded() // before the records are taken
 	m := message{Box: s.cfg.Box, Incarnation: s.cfg.Incarnation, NamedVersions: s.cfg.NamedVersions(), NeedsSnapshot: s.cfg.NeedsSnapshot()}
 	full, otherZonesDue := s.addReports(&m, box, own)
+	m.extension.QuarantineLoaded = quarantineLoaded && len(m.Suspects) < quarantine.MaxRecordsPerMessage && len(m.extension.Parts) < quarantine.MaxRecordsPerMessage
 	m.extension.LinkSamples = s.takeLinkSamples(box)
 	if !full {
 		if s.usesDue(box) {
--- a/internal/loadshare/suspects_test.go
+++ b/internal/loadshare/suspects_test.go
@@ -131,6 +131,45 @@
 	})
 }
 
+// noteQuarantineLoaded records that the box has what the log has, and passes that on if it is a hub.
+func (b *simBox) noteQuarantineLoaded() {
+	if b.quarantineLoaded.Load() {
+		return
+	}
+	held, _ := b.suspects.Counts()
+	b.heldAtLoad.Store(int64(held))
+	b.quarantineLoaded.Store(true)
+	if b.share.Hub() == "" {
+		b.share.SendNow()
+	}
+}
+
+// When all boxes start at once one of them reads what was held. The others must get it soon, and must not take
+// themselves to have it while they lack some of it: it takes more than one message.
+func TestBoxesCountAsLoadedBeforeTheyHaveWhatWasHeld(t *testing.T) {
+	const requests = quarantine.MaxRecordsPerMessage + 20
+	for _, reader := range []int{0, 13} {
+		runFleet(t, zonesOf25, func(g *WithT, h *history, _ []*fleet.Fleet) {
+			for _, b := range h.simBoxes {
+				g.Expect(b.quarantineLoaded.Load()).To(BeFalse())
+			}
+			b := h.simBoxes[reader]
+			for number := range requests {
+				for incarnation := range uint64(quarantine.HoldThreshold) {
+					b.noteEnd(fmt.Sprint("r-", number), incarnation)
+				}
+			}
+			b.noteQuarantineLoaded()
+			b.share.SendNow()
+			time.Sleep(time.Second)
+			for _, b := range h.simBoxes {
+				g.Expect(b.quarantineLoaded.Load()).To(BeTrue(), b.name)
+				g.Expect(b.heldAtLoad.Load()).To(BeEquivalentTo(requests), b.name)
+			}
+		})
+	}
+}
+
 // A request that one box served successfully is released by all of them.
 func TestARequestThatIsServedIsReleasedByAllBoxes(t *testing.T) {
 	runFleet(t, zonesOf25, func(g *WithT, h *history, _ []*fleet.Fleet) {
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -12,8 +12,8 @@
 	"github.com/cometlock/cometlock/internal/boottime"
 )
 
-// maxRecordsPerMessage bounds the records in one message, at some 100 bytes each.
-const maxRecordsPerMessage = 64
+// MaxRecordsPerMessage bounds the records in one message, at some 100 bytes each.
+const MaxRecordsPerMessage = 64
 
 // RequestRecord is the wire form of the record of one request.
 type RequestRecord struct {
@@ -34,7 +34,7 @@
 	Excused bool
 }
 
-// ChangesSince returns the records that changed after a generation, at most maxRecordsPerMessage,
+// ChangesSince returns the records that changed after a generation, at most MaxRecordsPerMessage,
 // and the generation up to which they are complete.
 func (s *Set) ChangesSince(since uint64) ([]RequestRecord, uint64) {
 	s.mu.Lock()
@@ -50,9 +50,9 @@
 	}
 	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.changed, b.changed) })
 	next := s.generation
-	if len(changed) > maxRecordsPerMessage {
-		changed = changed[:maxRecordsPerMessage]
-		next = changed[maxRecordsPerMessage-1].changed
+	if len(changed) > MaxRecordsPerMessage {
+		changed = changed[:MaxRecordsPerMessage]
+		next = changed[MaxRecordsPerMessage-1].changed
 	}
 	now := boottime.Now()
 	records := make([]RequestRecord, len(changed))
@@ -62,6 +62,20 @@
 	return records, next
 }
 
+// Held returns the records of all that is held.
+func (s *Set) Held() []RequestRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	var held []RequestRecord
+	for _, entry := range s.records {
+		if s.isHeld(entry) && !s.isExpired(entry, now) {
+			held = append(held, entry.export(now))
+		}
+	}
+	return held
+}
+
 func (r *record) export(now time.Time) RequestRecord {
 	exported := RequestRecord{Request: r.request, Caller: r.caller, Crashes: make([]CrashRecord, len(r.crashes))}
 	for i, e := range r.crashes {
@@ -72,12 +86,20 @@
 
 // Merge merges records from another box.
 func (s *Set) Merge(records []RequestRecord) {
+	s.mergeAll(records, func(change *Change) { change.FromPeer = true })
+}
+
+// MergeRecorded merges records from the log.
+func (s *Set) MergeRecorded(records []RequestRecord) {
+	s.mergeAll(records, func(change *Change) { change.Recorded = true })
+}
+
+func (s *Set) mergeAll(records []RequestRecord, setSource func(*Change)) {
 	now := boottime.Now()
 	var changes []Change
 	for _, received := range records {
-		change, changed := s.mergeRecord(received, now)
-		if changed {
-			change.FromPeer = true
+		if change, changed := s.mergeRecord(received, now); changed {
+			setSource(&change)
 			changes = append(changes, change)
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -12,9 +12,8 @@
 // so a message that arrives twice, late or by two paths changes nothing, and an excused crash
 // stays excused.
 //
-// All state is in memory and bounded. When all boxes restart at once it is lost, and a request
-// that was held crashes three more servers. Preventing that would require the platform's log,
-// which may be unavailable at that moment.
+// All state is in memory and bounded. What is held is also recorded in the platform's log (package
+// quarantinelog), so that boxes which all restart at once still hold it. Nothing waits for the log.
 package quarantine
 
 import (
@@ -71,6 +70,8 @@
 	Released bool
 	// FromPeer reports that the change was received from another box.
 	FromPeer bool
+	// Recorded reports that the change was read from the log.
+	Recorded bool
 }
 
 // Crash is the crash of an incarnation of a server under a request.
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -54,6 +54,8 @@
 	Readers
 	// Origins holds the software versions that began streams; its records have no keys.
 	Origins
+	// Quarantine holds the crash records of what is quarantined, by fingerprint.
+	Quarantine
 )
 
 // String returns the name for logs and metrics.
@@ -71,6 +73,8 @@
 		return "readers"
 	case Origins:
 		return "origins"
+	case Quarantine:
+		return "quarantine"
 	default:
 		return "unknown"
 	}
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -159,6 +159,13 @@
 	return m.current.following
 }
 
+// ReadsLog reports whether this box has begun to read the log itself.
+func (m *Member) ReadsLog() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roleLogged && m.current.following == ""
+}
+
 // IsReader reports whether this box is the reader of its zone.
 func (m *Member) IsReader() bool {
 	m.mu.Lock()
