places: owners place streams at the software version that began them

Callers that resumed a stream while several software versions served were refused as no_server although runners of their version ran, while nearly all new streams began.

Owners did not know the requirement, so each box placed such a stream by its own load reports. Those are 0.1 to 0.7 s old, so the box keeps room free for unreported calls of the others. The owner gave every place that became free to new streams at once. Waiting calls of the owner and of the box were in different queues.

A request for a place now names the software version. The owner chooses among runners of that version, and the demand's class holds the version, so a shortage of one version is not taken for one of all runners. The call waits at the owner of a zone that has runners of its version. An owner of the previous version ignores the field; the box then rejects its choice, as before, and places the stream itself. While a service has one version, no request names one.

TestAResumedStreamIsPlacedByTheOwner failed before (placed_by this_box).

--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -3,7 +3,11 @@
 
 package fleet
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+)
 
 // SoftwareVersions returns the software versions of the servers of a service, including those that were
 // delisted in the last forgetAfter, so that the version of any stream that is still running is among
@@ -23,3 +27,27 @@
 	f.softwareVersions[service] = versions
 	return versions
 }
+
+// ZoneWithServers returns a zone with servers that are open for a call, whether or not they have room: the
+// box's own one if it has any, or that with most of them. It returns the own one if no zone has any.
+func (f *Fleet) ZoneWithServers(query Query) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := boottime.Now()
+	counts := map[string]int{}
+	for state := range f.groups[query.Service].all() {
+		if f.isOpen(state, query, now) {
+			counts[state.Zone]++
+		}
+	}
+	chosen := query.Zone
+	if counts[chosen] > 0 {
+		return chosen
+	}
+	for zone, count := range counts {
+		if count > counts[chosen] || count == counts[chosen] && zone < chosen {
+			chosen = zone
+		}
+	}
+	return chosen
+}
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -1,7 +1,7 @@
 // Placement by owners: one box owns the runners of a zone and places long prompts there, and short
 // ones while runners are busy (package places). This box requests a place from the owner of the
 // zone that it would choose itself. Where there is no capacity, it sends the request to the owner
-// of its own zone, which queues the call.
+// of its own zone, which queues the call, or to that of a zone with runners of the call's software version.
 
 package gateway
 
@@ -35,7 +35,7 @@
 // itself: no owner responded, or the call needs none.
 func (g *Gateway) placeByOwner(x *exchange) (chosen placement, ok, decided bool) {
 	x.placedBy, x.ownerError = placedByThisBox, ""
-	if g.cfg.Places == nil || !g.cfg.Places.Active() || g.isBoundToVersion(x) { // owners choose among all versions
+	if g.cfg.Places == nil || !g.cfg.Places.Active() {
 		return placement{}, false, false
 	}
 	query, plans := g.fleetQuery(x)
@@ -51,6 +51,9 @@
 	}
 	ownerQuery := places.NewRequest(query, g.cfg.BoxName, g.cfg.Fleet.HeldVersions(query.Service, query.Model))
 	ownerQuery.Urgency, ownerQuery.Organisation, ownerQuery.Objective = x.rank, x.callerName(), x.route.Objective
+	if g.isBoundToVersion(x) {
+		ownerQuery.Software = x.software
+	}
 	hold, err := g.askOwners(x, zone, query, ownerQuery)
 	if err != nil {
 		return placement{}, false, false
@@ -63,7 +66,7 @@
 }
 
 // askOwners requests a place from the owners of the zones that this box ranks best, starting with
-// the given one if it is not empty, and then the owner of its own zone, where the call waits. Owners
+// the given one if it is not empty, and then the owner of the zone where the call waits. Owners
 // that recently had no capacity for such calls are skipped. A nil hold means that there was no
 // capacity.
 func (g *Gateway) askOwners(x *exchange, zone string, query fleet.Query, ownerQuery places.Request) (*fleet.Hold, error) {
@@ -88,12 +91,16 @@
 		skipped[zone] = true
 		_, zone, _ = g.cfg.Fleet.Best(otherZones)
 	}
-	if !g.mayRunIn(x, g.cfg.Zone) {
+	waitZone := g.cfg.Zone
+	if ownerQuery.Software != nil {
+		waitZone = g.cfg.Fleet.ZoneWithServers(query)
+	}
+	if !g.mayRunIn(x, waitZone) {
 		return nil, errOtherRegion // the call waits at this box
 	}
 	ownerQuery.MaxWait = max(boottime.Until(x.waitParams().Deadline), 0)
 	ownerQuery.Fingerprint, ownerQuery.MaxReturn = x.returnKey(), x.maxReturn()
-	return g.askOwner(x, g.cfg.Zone, query, ownerQuery)
+	return g.askOwner(x, waitZone, query, ownerQuery)
 }
 
 // isFull reports whether the owner of a zone recently had no capacity for such calls.
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -17,6 +17,7 @@
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/places"
+	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
 // countingRunner is a runner that responds at once and counts its calls.
@@ -92,3 +93,31 @@
 	g.Expect(recorder.Code).To(Equal(http.StatusOK))
 	g.Expect(asked.Load()).To(BeEquivalentTo(1))
 }
+
+// A stream that had to continue at its software version was placed by its own box, whose view of the
+// runners' room is old. Owners gave what became free there to new streams.
+func TestAResumedStreamIsPlacedByTheOwner(t *testing.T) {
+	g := NewWithT(t)
+	f := fleet.New(fleet.Config{})
+	for i, version := range []string{"v2", "v2", "v1", "v2"} {
+		startVersion(t, f, string(rune('a'+i)), version, serveEvents(version, 0))
+	}
+	protocol := newPlanProtocol()
+	protocol.info.Prompt = largeMemoryPrompt()
+	protocol.info.ResumeAfter, protocol.info.Resumes = "1", "first"
+	c := resumableCatalog(g, 2)
+	gateway := promptGateway(protocol, f, emptyIndex(c), c)
+	var logged bytes.Buffer
+	gateway.cfg.Logger = zerolog.New(&logged)
+	gateway.cfg.Origins = streamorigin.New(streamorigin.Config{Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions})
+	gateway.cfg.Origins.Note(streamorigin.KeyOf("", "first"), streamorigin.Origin{Service: "r", Software: "v1", Expires: time.Now().Add(time.Minute)})
+	gateway.cfg.Places = places.New(places.Config{
+		Fleet: f, Logger: zerolog.Nop(), Active: func() bool { return true }, ReportedAt: func(string) time.Time { return time.Time{} },
+		Self:   places.Box{Box: delegate.Box{Name: "self", Cores: 4}},
+		Others: func() []places.Box { return nil },
+	})
+	recorder := httptest.NewRecorder()
+	gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+	g.Expect(recorder.Body.String()).To(ContainSubstring("data: v1"))
+	g.Expect(logged.String()).To(ContainSubstring(`"placed_by":"owner"`))
+}
--- a/internal/places/compatible_test.go
+++ b/internal/places/compatible_test.go
@@ -58,6 +58,8 @@
 	transfer(g, &old, &received)
 	g.Expect(received).To(Equal(request))
 	request.Organisation, request.Fingerprint, request.MaxReturn, request.Objective = "n", 1<<63, 12, 13
+	noVersion := "" // differs from any version
+	request.Software = &noVersion
 	var receivedByOld oldRequest
 	transfer(g, &request, &receivedByOld)
 	g.Expect(receivedByOld).To(Equal(old))
--- a/internal/places/message.go
+++ b/internal/places/message.go
@@ -50,6 +50,9 @@
 	Objective    time.Duration `msgpack:"j,omitempty"`
 	// Brief is that of placing.Query.
 	Brief bool `msgpack:"y,omitempty"`
+	// Software is the software version of the servers that may be chosen; nil allows all. Owners of the
+	// previous version ignore it, so the box checks their choice.
+	Software *string `msgpack:"c,omitempty"`
 }
 
 // Version describes a call for one version of the weights.
@@ -117,7 +120,7 @@
 // zones. The owner's view of these servers has no lag, and it may use all of their headroom.
 func (r Request) query(zoneAllowed func(zone string) bool) fleet.Query {
 	return fleet.Query{
-		Service: r.Service, Zone: r.Zone, Exclude: r.Exclude, Model: r.Model, ZoneAllowed: zoneAllowed,
+		Service: r.Service, Zone: r.Zone, Exclude: r.Exclude, Software: r.Software, Model: r.Model, ZoneAllowed: zoneAllowed,
 		Load:         placing.Query{AffinityKey: r.AffinityKey, TieBreaker: r.TieBreaker, PrefillLimit: r.PrefillLimit, Tokens: r.Tokens, Memory: r.Memory, Brief: r.Brief},
 		OwnsHeadroom: func(string) bool { return true },
 		VersionCost: func(weights int) (float64, bool) {
@@ -164,6 +167,10 @@
 	for _, excluded := range r.Exclude {
 		write(excluded)
 	}
+	if r.Software != nil {
+		write("software")
+		write(*r.Software)
+	}
 	demand.Class = class.Sum64()
 	return demand
 }
--- /dev/null
+++ b/internal/places/software_test.go
@@ -0,0 +1,86 @@
+package places
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/fleet"
+)
+
+// An owner that ignores the software version of a stream grants it a place at any runner, and its box can't
+// use it.
+func TestOwnerGrantsPlacesAtTheRequestedSoftwareVersion(t *testing.T) {
+	tests := []struct {
+		name     string
+		software string
+		granted  int
+	}{
+		{"one of three runners", "v1", 4},
+		{"two of three runners", "v2", 8},
+		{"runners without a version", "", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inZone(t, 2, 3, func(g *WithT, z *zone) {
+				for i, version := range []string{"v1", "v2", "v2"} {
+					z.setSoftware(i, version)
+				}
+				granted := 0
+				for range 20 {
+					request := z.boxes[1].longPrompt(0)
+					request.Software = &test.software
+					server, err := z.boxes[1].RequestPlace(context.Background(), "a", request)
+					g.Expect(err).NotTo(HaveOccurred())
+					if server == "" {
+						continue
+					}
+					granted++
+					if test.software == "v1" {
+						g.Expect(server).To(Equal("runner-0"))
+					} else {
+						g.Expect(server).NotTo(Equal("runner-0"))
+					}
+				}
+				g.Expect(granted).To(Equal(test.granted))
+			})
+		})
+	}
+}
+
+// A stream that finds no room at its software version must not keep others from the rest of the runners.
+func TestShortfallOfASoftwareVersionConcernsNoOtherCalls(t *testing.T) {
+	inZone(t, 2, 3, func(g *WithT, z *zone) {
+		for i, version := range []string{"v1", "v2", "v2"} {
+			z.setSoftware(i, version)
+		}
+		first := "v1"
+		for range 20 {
+			request := z.boxes[1].longPrompt(0)
+			request.Software = &first
+			_, err := z.boxes[1].RequestPlace(context.Background(), "a", request)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		server, err := z.boxes[1].RequestPlace(context.Background(), "a", z.boxes[1].longPrompt(0))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(server).NotTo(BeEmpty())
+		g.Expect(z.boxes[1].IsFull("a", z.boxes[1].longPrompt(0))).To(BeFalse())
+		time.Sleep(time.Second)
+	})
+}
+
+// setSoftware sets the software version of a runner at all boxes.
+func (z *zone) setSoftware(number int, version string) {
+	for _, b := range z.boxes {
+		b.applySoftware(number, version)
+	}
+}
+
+func (b *box) applySoftware(number int, version string) {
+	name := "runner-" + string(rune('0'+number))
+	b.fleet.Apply([]fleet.Update{{Key: name, Offset: 2, Server: &fleet.Server{
+		Incarnation: name, Service: service, Zone: "a", Slots: 12, Software: version, Weights: map[string]int{model: 1},
+	}}})
+}
