waitqueue: streams bound to a software version go before other calls

Streams that callers resumed waited behind new streams for the few runners of their version. New streams, which any of the runners may serve, took the places that became free there.

Calls of equal priority went by their wait deadline. Of what becomes free, a call that any runner may serve can use all, and one bound to a version only its runners' part, so at equal places in the queue it gets less. Bound calls now go first within a priority and a side of the fair share, in the queue of the owner and in that of the box.

TestStreamsBoundToAVersionGoBeforeNewOnes failed before (the new stream got the only runner of v1, the bound one nothing), and so did two rows of TestQueueOrder.

--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -139,7 +139,7 @@
 // placeInQueue places a call through this box's own queue.
 func (g *Gateway) placeInQueue(x *exchange) (placement, bool) {
 	queue, params := g.queue(x.service.Name), x.waitParams()
-	params.Returning = queue.HasReturned(x.returnKey())
+	params.Returning, params.Bound = queue.HasReturned(x.returnKey()), g.isBoundToVersion(x)
 	if x.info.Prompt != nil {
 		params.Brief = g.cfg.Fleet.IsBrief(x.service.Name, x.info.Prompt.AnswerTokens)
 	}
--- a/internal/places/software_test.go
+++ b/internal/places/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -84,3 +85,39 @@
 		Incarnation: name, Service: service, Zone: "a", Slots: 12, Software: version, Weights: map[string]int{model: 1},
 	}}})
 }
+
+// New streams, which any runner may serve, took the place that became free at the only runner of a version,
+// before a stream that had to continue there.
+func TestStreamsBoundToAVersionGoBeforeNewOnes(t *testing.T) {
+	inZone(t, 3, 2, func(g *WithT, z *zone) {
+		z.setSoftware(0, "v1")
+		z.setSoftware(1, "v2")
+		grants := map[string][]*fleet.Grant{}
+		for {
+			granted := z.boxes[0].fleet.Grant(z.boxes[1].longPrompt(0).query(nil))
+			if granted == nil {
+				break
+			}
+			grants[granted.Server()] = append(grants[granted.Server()], granted)
+		}
+		first := "v1"
+		places := make([]string, 2)
+		var waiting sync.WaitGroup
+		for i, software := range []*string{nil, &first} {
+			waiting.Go(func() {
+				request := z.boxes[1+i].longPrompt(500 * time.Millisecond)
+				request.Software = software
+				server, err := z.boxes[1+i].RequestPlace(context.Background(), "a", request)
+				g.Expect(err).NotTo(HaveOccurred())
+				places[i] = server
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(55 * time.Millisecond) // between two checks of the queue
+		grants["runner-0"][0].Release()
+		time.Sleep(100 * time.Millisecond)
+		grants["runner-1"][0].Release()
+		waiting.Wait()
+		g.Expect(places).To(Equal([]string{"runner-1", "runner-0"}))
+	})
+}
--- a/internal/waitqueue/level.go
+++ b/internal/waitqueue/level.go
@@ -53,11 +53,11 @@
 
 // compare orders calls of one priority and one side of the fair share.
 func (e *Entry[T]) compare(other *Entry[T]) int {
-	return cmp.Or(compareReturning(e.Returning, other.Returning), e.Deadline.Compare(other.Deadline), cmp.Compare(e.number, other.number))
+	return cmp.Or(trueFirst(e.Bound, other.Bound), trueFirst(e.Returning, other.Returning), e.Deadline.Compare(other.Deadline), cmp.Compare(e.number, other.number))
 }
 
-// compareReturning puts returning calls first.
-func compareReturning(a, b bool) int {
+// trueFirst orders true before false.
+func trueFirst(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -10,8 +10,9 @@
 // If capacity becomes free too slowly for all waiting calls, the last of them are refused at once: a
 // call waits only if its turn should come in time at the recent rate of admissions of its priority.
 //
-// The order is: priority; organisations within their fair share before those above it; calls that
-// were refused before and have come back; the earliest wait deadline. Each priority level with
+// The order is: priority; organisations within their fair share before those above it; calls that only
+// some of the servers can take; calls that were refused before and have come back; the earliest wait
+// deadline. Each priority level with
 // waiting calls gets its turn after some admissions, so that none starves.
 package waitqueue
 
@@ -29,6 +30,9 @@
 	Deadline time.Time
 	// Organisation sends the call; empty if unknown.
 	Organisation string
+	// Bound means that only some of the servers can take the call, because of their software version. Calls
+	// that any server can take would leave it little of what becomes free there.
+	Bound bool
 	// Returning means that the call was refused before and has come back.
 	Returning bool
 	// Brief means that the call takes hardly any capacity, so that its admission uses up no turn.
--- a/internal/waitqueue/waitqueue_test.go
+++ b/internal/waitqueue/waitqueue_test.go
@@ -21,6 +21,11 @@
 	return params
 }
 
+func bound(params waitqueue.Params) waitqueue.Params {
+	params.Bound = true
+	return params
+}
+
 func of(organisation string, params waitqueue.Params) waitqueue.Params {
 	params.Organisation = organisation
 	return params
@@ -47,6 +52,10 @@
 		{"the higher priority before a returning call", params(0, 240), returning(params(1, 100))},
 		{"an organisation within its share", of("small", params(1, 240)), of("large", params(1, 100))},
 		{"an organisation within its share before a returning call", of("small", params(1, 240)), returning(of("large", params(1, 100)))},
+		{"a call bound to a version at equal priority", bound(params(1, 240)), params(1, 100)},
+		{"a call bound to a version before a returning one", bound(params(1, 240)), returning(params(1, 100))},
+		{"the higher priority before a call bound to a version", params(0, 240), bound(params(1, 100))},
+		{"an organisation within its share before a call bound to a version", of("small", params(1, 240)), bound(of("large", params(1, 100)))},
 		{"the higher priority before an organisation within its share", of("large", params(0, 240)), of("small", params(1, 100))},
 	}
 	for _, test := range tests {
