gateway: resumed streams bound to a version wait as broken streams do

Streams that callers resumed just after boxes crashed were refused within a fifth of the objective, or at once, and callers had used up their tries before there was room.

A call waits for a fifth of its objective, 0.2 s here. The calls of a crashed box count as load for up to 0.7 s after it, until its report expires. In that time the few runners of a version look full, and the queue expects a turn after the deadline of such a call.

A stream that breaks off within its box waits for a second, since its caller has a part of it. One that the caller resumes, and that is bound to its version, now waits as long. It is still refused at once when its turn is expected later, when no runner of its version is listed, or when all have announced a pause that ends later.

TestAResumedStreamWaitsForItsVersion failed before (60 ms instead of 1 s).

--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -98,7 +98,7 @@
 	if !g.mayRunIn(x, waitZone) {
 		return nil, errOtherRegion // the call waits at this box
 	}
-	ownerQuery.MaxWait = max(boottime.Until(x.waitParams().Deadline), 0)
+	ownerQuery.MaxWait = max(boottime.Until(g.waitParams(x).Deadline), 0)
 	ownerQuery.Fingerprint, ownerQuery.MaxReturn = x.returnKey(), x.maxReturn()
 	return g.askOwner(x, waitZone, query, ownerQuery)
 }
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -82,10 +82,11 @@
 
 // waitParams returns the priority of a call and the deadline of its wait for capacity. A stream that
 // the caller has a part of cannot be refused and sent again; it would be cut. So it also waits when
-// the time in which a new call may wait is long over.
-func (x *exchange) waitParams() waitqueue.Params {
-	params := waitqueue.Params{Priority: x.rank, Organisation: x.callerName()}
-	if x.responseStarted {
+// the time in which a new call may wait is long over. A stream that the caller resumes and that must
+// continue at its version waits as long: its caller has a part too, and few servers can take it.
+func (g *Gateway) waitParams(x *exchange) waitqueue.Params {
+	params := waitqueue.Params{Priority: x.rank, Organisation: x.callerName(), Bound: g.isBoundToVersion(x)}
+	if params.Bound || x.responseStarted {
 		params.Deadline = boottime.Now().Add(resumeWait)
 		return params
 	}
@@ -102,7 +103,7 @@
 	if !available.HasServers {
 		return x.responseStarted && available.Listed
 	}
-	return available.ForThisBox && (available.Wait == 0 || !boottime.Now().Add(available.Wait).After(x.waitParams().Deadline))
+	return available.ForThisBox && (available.Wait == 0 || !boottime.Now().Add(available.Wait).After(g.waitParams(x).Deadline))
 }
 
 // availability returns when the servers that may serve a call accept calls.
@@ -138,8 +139,8 @@
 
 // placeInQueue places a call through this box's own queue.
 func (g *Gateway) placeInQueue(x *exchange) (placement, bool) {
-	queue, params := g.queue(x.service.Name), x.waitParams()
-	params.Returning, params.Bound = queue.HasReturned(x.returnKey()), g.isBoundToVersion(x)
+	queue, params := g.queue(x.service.Name), g.waitParams(x)
+	params.Returning = queue.HasReturned(x.returnKey())
 	if x.info.Prompt != nil {
 		params.Brief = g.cfg.Fleet.IsBrief(x.service.Name, x.info.Prompt.AnswerTokens)
 	}
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -10,9 +10,11 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
 // A runner's memory takes two prompts of a burst at a time. The others wait for the responses
@@ -93,3 +95,54 @@
 func largeMemoryPrompt() *call.Prompt {
 	return &call.Prompt{Model: "m", Tokens: 4000, AnswerTokens: 36_000, Parts: []call.Part{{ID: "own", Tokens: 4000}}}
 }
+
+// A stream that its caller resumes was refused after the short wait of a new call, although few servers can
+// take it and its caller has a part of it. Callers used up their tries within a second.
+func TestAResumedStreamWaitsForItsVersion(t *testing.T) {
+	tests := []struct {
+		name string
+		// other is the software version of the other server.
+		other string
+		held  time.Duration
+	}{
+		{"several versions", "v2", resumeWait},
+		{"one version", "v1", 60 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := fleet.New(fleet.Config{})
+				for i, version := range []string{"v1", test.other} {
+					name := string(rune('a' + i))
+					f.Apply([]fleet.Update{{Key: name, Offset: int64(i + 1), Server: &fleet.Server{Incarnation: name, Service: "r", Software: version, Slots: 4, Weights: map[string]int{"m": 1}}}})
+				}
+				protocol := newPlanProtocol()
+				protocol.info.Prompt = largeMemoryPrompt()
+				protocol.info.ResumeAfter, protocol.info.Resumes = "1", "first"
+				c := resumableCatalog(g, 2)
+				gateway := promptGateway(protocol, f, emptyIndex(c), c)
+				gateway.cfg.Origins = streamorigin.New(streamorigin.Config{Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions})
+				gateway.cfg.Origins.Note(streamorigin.KeyOf("", "first"), streamorigin.Origin{Service: "r", Software: "v1", Expires: time.Now().Add(time.Minute)})
+				fillMemoryOf(g, f, "a", "b")
+				began := time.Now()
+				recorder := httptest.NewRecorder()
+				gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+				g.Expect(time.Since(began)).To(BeNumerically("~", test.held, 10*time.Millisecond))
+			})
+		})
+	}
+}
+
+// fillMemoryOf places as many prompts at some runners as fit into their memory.
+func fillMemoryOf(g *WithT, f *fleet.Fleet, names ...string) {
+	query := fleet.Query{
+		Service: "r", Model: "m", PrefillWork: func(int) int { return 0 }, VersionCost: func(int) (float64, bool) { return 0, true },
+		Load: memoryQuery(40_000),
+	}
+	for _, name := range names {
+		for range 2 {
+			g.Expect(f.PlaceAt(query, name)).NotTo(BeNil())
+		}
+	}
+}
