placing: bound streams with large prompts use the memory that others may

A stream with a large prompt that had to continue at its software version was refused memory that a new stream of the same size got.

Such a stream counts as a brief call, which uses the memory and the slots that other calls leave.

A bound call may now use a server by either rule. The rule for brief calls of a service with one version is unchanged.

TestBoundCallsMayUseAllMemoryThatOthersMay failed before: 21,400 tokens next to 62,400 were refused to the bound call only.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -132,6 +132,7 @@
 	// A stream that must continue at its version uses what other calls leave free, since new streams, which
 	// any version may serve, would otherwise fill a version with few servers.
 	bound := g.isBoundToVersion(x)
+	load.Bound = bound
 	load.Brief = bound || g.cfg.Fleet.IsBrief(x.service.Name, query.AnswerTokens)
 	long := load.Tokens >= placing.MinAffinityTokens
 	if long || g.cfg.Mechanisms.Enabled(mechanism.Slots) {
--- a/internal/places/message.go
+++ b/internal/places/message.go
@@ -121,7 +121,7 @@
 func (r Request) query(zoneAllowed func(zone string) bool) fleet.Query {
 	return fleet.Query{
 		Service: r.Service, Zone: r.Zone, Exclude: r.Exclude, Software: r.Software, Model: r.Model, ZoneAllowed: zoneAllowed,
-		Load:         placing.Query{AffinityKey: r.AffinityKey, TieBreaker: r.TieBreaker, PrefillLimit: r.PrefillLimit, Tokens: r.Tokens, Memory: r.Memory, Brief: r.Brief},
+		Load:         placing.Query{AffinityKey: r.AffinityKey, TieBreaker: r.TieBreaker, PrefillLimit: r.PrefillLimit, Tokens: r.Tokens, Memory: r.Memory, Brief: r.Brief, Bound: r.Software != nil},
 		OwnsHeadroom: func(string) bool { return true },
 		VersionCost: func(weights int) (float64, bool) {
 			if version := r.version(weights); version != nil {
--- a/internal/placing/admit.go
+++ b/internal/placing/admit.go
@@ -136,7 +136,10 @@
 		return false
 	}
 	if query.Tokens < MinAffinityTokens || query.Brief {
-		return float64(c.HeldTokens+query.Tokens) <= ShortMemoryFraction*float64(query.Memory)
+		fits := float64(c.HeldTokens+query.Tokens) <= ShortMemoryFraction*float64(query.Memory)
+		if fits || !query.Bound {
+			return fits
+		}
 	}
 	fraction := MemoryFraction
 	if c.Headroom {
--- a/internal/placing/brief_test.go
+++ b/internal/placing/brief_test.go
@@ -44,3 +44,20 @@
 	g.Expect(placing.FitsMemory(placing.Query{Tokens: 2400, Memory: 88_000}, &candidate)).To(BeFalse())
 	g.Expect(placing.FitsMemory(placing.Query{Tokens: 2400, Memory: 88_000, Brief: true}, &candidate)).To(BeTrue())
 }
+
+// The largest prompts of streams bound to a software version were refused memory that new streams of the same
+// size got, since they counted as brief calls.
+func TestBoundCallsMayUseAllMemoryThatOthersMay(t *testing.T) {
+	g := NewWithT(t)
+	const memory = 88_000
+	for tokens := 200; tokens <= memory; tokens += 200 {
+		for held := 0; held <= memory; held += 400 {
+			for _, headroom := range []bool{false, true} {
+				candidate := placing.Candidate{HeldTokens: held, Headroom: headroom}
+				if placing.FitsMemory(placing.Query{Tokens: tokens, Memory: memory}, &candidate) {
+					g.Expect(placing.FitsMemory(placing.Query{Tokens: tokens, Memory: memory, Brief: true, Bound: true}, &candidate)).To(BeTrue(), "%d tokens, %d held", tokens, held)
+				}
+			}
+		}
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -44,6 +44,9 @@
 	// BriefShare is the part of the runners' slot time that such calls use, from 0 to 1.
 	Brief      bool
 	BriefShare float64
+	// Bound means that only servers of one software version may take the call. It may use the memory that
+	// brief calls may, and that other calls of its size may.
+	Bound bool
 	// UnreportedCalls is the number of calls that may have reached a runner without being reported
 	// to this box yet, and UnreportedElsewhere is the same for runners of other zones, whose load
 	// reports are older. Zero means that this box's view is exact. MeanTokens is the memory that a
