gateway: a resumed stream waits for its version once

Some callers that resumed a stream were refused after 1.5 s, although such a call is to wait for a second at most.

The wait was counted from each attempt to place the call. A call whose owner crashed or did not respond began again in the queue of its own box. It is now counted from the arrival of the call, as for new calls. A stream of which the caller gets events at the moment still has a second from when it breaks off.

TestAResumedStreamWaitsOnceForItsVersion failed before (1.5 s instead of 1 s).

--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -86,11 +86,15 @@
 // continue at its version waits as long: its caller has a part too, and few servers can take it.
 func (g *Gateway) waitParams(x *exchange) waitqueue.Params {
 	params := waitqueue.Params{Priority: x.rank, Organisation: x.callerName(), Bound: g.isBoundToVersion(x)}
-	if params.Bound || x.responseStarted {
+	if x.responseStarted {
 		params.Deadline = boottime.Now().Add(resumeWait)
 		return params
 	}
-	params.Deadline = x.arrived.Add(time.Duration(placing.WaitFraction * float64(x.route.Objective)))
+	wait := time.Duration(placing.WaitFraction * float64(x.route.Objective))
+	if params.Bound {
+		wait = max(wait, resumeWait)
+	}
+	params.Deadline = x.arrived.Add(wait)
 	return params
 }
 
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -13,7 +16,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/call"
+	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/places"
 	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
@@ -113,17 +118,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				f := fleet.New(fleet.Config{})
-				for i, version := range []string{"v1", test.other} {
-					name := string(rune('a' + i))
-					f.Apply([]fleet.Update{{Key: name, Offset: int64(i + 1), Server: &fleet.Server{Incarnation: name, Service: "r", Software: version, Slots: 4, Weights: map[string]int{"m": 1}}}})
-				}
-				protocol := newPlanProtocol()
-				protocol.info.Prompt = largeMemoryPrompt()
-				protocol.info.ResumeAfter, protocol.info.Resumes = "1", "first"
-				c := resumableCatalog(g, 2)
-				gateway := promptGateway(protocol, f, emptyIndex(c), c)
-				gateway.cfg.Origins = streamorigin.New(streamorigin.Config{Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions})
-				gateway.cfg.Origins.Note(streamorigin.KeyOf("", "first"), streamorigin.Origin{Service: "r", Software: "v1", Expires: time.Now().Add(time.Minute)})
+				gateway := resumedStreamGateway(g, f, test.other)
 				fillMemoryOf(g, f, "a", "b")
 				began := time.Now()
 				recorder := httptest.NewRecorder()
@@ -146,3 +141,42 @@
 		}
 	}
 }
+
+// A resumed stream whose owner failed while it waited there waited as long again at its own box, and was then
+// refused.
+func TestAResumedStreamWaitsOnceForItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := fleet.New(fleet.Config{})
+		gateway := resumedStreamGateway(g, f, "v2")
+		fillMemoryOf(g, f, "a", "b")
+		gateway.cfg.Places = places.New(places.Config{
+			Fleet: f, Logger: zerolog.Nop(), Active: func() bool { return true }, ReportedAt: func(string) time.Time { return time.Time{} },
+			Others: func() []places.Box { return []places.Box{{Box: delegate.Box{Name: "other", Cores: 1}}} },
+			Dial: func(context.Context, string) (net.Conn, error) {
+				time.Sleep(resumeWait / 2)
+				return nil, errors.New("no route")
+			},
+		})
+		began := time.Now()
+		gateway.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+		g.Expect(time.Since(began)).To(Equal(resumeWait))
+	})
+}
+
+// resumedStreamGateway returns a gateway whose callers resume a stream of v1, with a runner "a" of it and a
+// runner "b" of another version.
+func resumedStreamGateway(g *WithT, f *fleet.Fleet, other string) *Gateway {
+	for i, version := range []string{"v1", other} {
+		name := string(rune('a' + i))
+		f.Apply([]fleet.Update{{Key: name, Offset: int64(i + 1), Server: &fleet.Server{Incarnation: name, Service: "r", Software: version, Slots: 4, Weights: map[string]int{"m": 1}}}})
+	}
+	protocol := newPlanProtocol()
+	protocol.info.Prompt = largeMemoryPrompt()
+	protocol.info.ResumeAfter, protocol.info.Resumes = "1", "first"
+	c := resumableCatalog(g, 2)
+	gateway := promptGateway(protocol, f, emptyIndex(c), c)
+	gateway.cfg.Origins = streamorigin.New(streamorigin.Config{Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions})
+	gateway.cfg.Origins.Note(streamorigin.KeyOf("", "first"), streamorigin.Origin{Service: "r", Software: "v1", Expires: time.Now().Add(time.Minute)})
+	return gateway
+}
