gateway: test that a stream whose version pauses is refused at once

Runners of the stream's version that have announced a pause of 2 s, beside a free one of another version: the call is refused without a wait, and its Retry-After is no shorter than the pause. The test passes without a change of code; the case was ruled out as a cause of refusals that are held.

--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/advisory"
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
@@ -180,3 +181,21 @@
 	gateway.cfg.Origins.Note(streamorigin.KeyOf("", "first"), streamorigin.Origin{Service: "r", Software: "v1", Expires: time.Now().Add(time.Minute)})
 	return gateway
 }
+
+// A stream whose version takes no calls for longer than the stream may wait must not be held, although the
+// runners of another version are free, and its caller must not return before its version takes calls.
+func TestAResumedStreamIsRefusedAtOnceIfItsVersionPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := fleet.New(fleet.Config{})
+		gateway := resumedStreamGateway(g, f, "v2")
+		const pause = 2 * time.Second
+		f.ApplyAdvisory("a", advisory.Answer{Advisory: advisory.Advisory{Pause: pause}, Sent: time.Now(), Received: time.Now(), Genuine: true})
+		began := time.Now()
+		recorder := httptest.NewRecorder()
+		gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+		g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(time.Since(began)).To(BeZero())
+		g.Expect(gateway.cfg.Protocol.(*planProtocol).failure.RetryAfter).To(BeNumerically(">=", pause))
+	})
+}
