retrybudget: a box that starts has one retry instead of its burst

When boxes were killed in series while servers of a service failed, all boxes together sent more retries than the platform allows (a fifth of the calls and 56 within 10 s).

Each process began with a full burst. Before it had read the list of boxes it counted as the only one, so that the burst was 39, the part of all boxes, and not 4.9. Eight boxes that start have 313 retries, again after each crash.

A box now starts with one retry and earns the others by calls, as before. Nothing else limits retries that needs a memory: the gain per call stays, and with 0.1 retries a call the ratio holds without any burst. Giving out the burst over the window instead was ruled out, since a process that lives on would need the same clock to stay within it; so was a record in the log, which may be away and takes a write for each retry.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -305,7 +305,7 @@
 
 // assembleGateway creates the gateway that serves calls, and the HTTP servers of the ports.
 func (b *Box) assembleGateway() {
-	b.budget = retrybudget.New(retrybudget.Config{PerRequest: retryRatioFraction * b.settings.RetryRatio, Burst: b.retryBurst()})
+	b.budget = retrybudget.New(retrybudget.Config{PerRequest: retryRatioFraction * b.settings.RetryRatio, Burst: b.retryBurst(), Initial: initialRetries})
 	b.memory = membudget.New(b.memoryLimits())
 	cfg := gateway.Config{
 		Protocol: b.cfg.Protocol, Pool: b.pool,
--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -87,6 +87,10 @@
 const (
 	retryRatioFraction = 0.5
 	retrySlackFraction = 0.7
+	// initialRetries is the number of retries that a box may make before it has had calls. It is not its part
+	// of the slack: the incarnation before a crash may just have used that up, and a box that has not read
+	// the list of boxes would take the parts of all.
+	initialRetries = 1
 )
 
 // retryBurst returns this box's part of the slack, the retries that need no calls.
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -6,7 +6,10 @@
 // down that failed under load.
 package retrybudget
 
-import "sync"
+import (
+	"cmp"
+	"sync"
+)
 
 // Config configures a Budget.
 type Config struct {
@@ -14,6 +17,8 @@
 	PerRequest float64
 	// Burst is the maximum number of saved retries.
 	Burst float64
+	// Initial is the number of retries saved at first; zero means Burst.
+	Initial float64
 }
 
 // Defaults of Config.
@@ -32,7 +37,7 @@
 	denied  uint64
 }
 
-// New returns a full budget.
+// New returns a budget with its initial retries.
 func New(cfg Config) *Budget {
 	if cfg.PerRequest == 0 {
 		cfg.PerRequest = DefaultPerRequest
@@ -40,7 +45,7 @@
 	if cfg.Burst == 0 {
 		cfg.Burst = DefaultBurst
 	}
-	return &Budget{perRequest: cfg.PerRequest, burst: cfg.Burst, balance: cfg.Burst}
+	return &Budget{perRequest: cfg.PerRequest, burst: cfg.Burst, balance: min(cmp.Or(cfg.Initial, cfg.Burst), cfg.Burst)}
 }
 
 // SetBurst changes the maximum number of saved retries.
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -27,3 +27,27 @@
 	g.Expect(retries).To(BeNumerically(">=", requests/10))
 	g.Expect(budget.State().Denied).To(BeNumerically(">", 0))
 }
+
+// A budget that starts again and again must not grant its burst each time.
+func TestANewBudgetHasItsInitialRetriesOnly(t *testing.T) {
+	tests := []struct {
+		name           string
+		initial, burst float64
+		expected       int
+	}{
+		{"the default is the burst", 0, 4, 4},
+		{"fewer than the burst", 1, 4, 1},
+		{"more than the burst", 6, 4, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			budget := retrybudget.New(retrybudget.Config{Burst: test.burst, Initial: test.initial})
+			retries := 0
+			for budget.TryWithdraw() {
+				retries++
+			}
+			g.Expect(retries).To(Equal(test.expected))
+		})
+	}
+}
