--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -113,14 +113,25 @@
 			}
 			for _, try := range phase {
 				if !try.hasContinued() {
-					reasons[cmp.Or(h.Reasons[try.ID], try.Outcome.String())]++
+					reasons[h.reason(try)]++
 				}
 			}
 		}
 	}
 	counted, begun := h.countedStreams()
-	return fmt.Sprintf("%d of %d resumptions continued, refused as %v; of these %d of %d at boxes in touch with runners, beside %d of %d new streams",
-		continued, resumed, reasons, countOK(counted), len(counted), countOK(begun), len(begun))
+	lost := map[string]int{}
+	for _, stream := range counted {
+		if !stream.ok {
+			lost[h.reason(stream.try)]++
+		}
+	}
+	return fmt.Sprintf("%d of %d resumptions continued, refused as %v; of these %d of %d at boxes in touch with runners, lost as %v, beside %d of %d new streams",
+		continued, resumed, reasons, countOK(counted), len(counted), lost, countOK(begun), len(begun))
+}
+
+// reason returns why a try brought no events: the reason of the box, or what the caller saw.
+func (h *History) reason(try StreamTry) string {
+	return cmp.Or(h.Reasons[try.ID], try.Outcome.String())
 }
 
 func (h *History) checkVersions(report reportFunc) {
@@ -136,10 +147,10 @@
 	}
 }
 
-// countedStream is a stream that was begun or resumed and whether it brought events.
+// countedStream is a stream that was begun or resumed, with the try that counts, and whether it brought events.
 type countedStream struct {
-	at time.Duration
-	ok bool
+	try StreamTry
+	ok  bool
 }
 
 func countOK(streams []countedStream) int {
@@ -164,7 +175,7 @@
 			if first < 0 {
 				continue
 			}
-			counted := countedStream{phase[first].Began, hasContinued(phase)}
+			counted := countedStream{phase[first], hasContinued(phase)}
 			if isResumption(phase) {
 				resumed = append(resumed, counted)
 			} else {
@@ -172,7 +183,7 @@
 			}
 		}
 	}
-	byTime := func(a, b countedStream) int { return cmp.Compare(a.at, b.at) }
+	byTime := func(a, b countedStream) int { return cmp.Compare(a.try.Began, b.try.Began) }
 	slices.SortFunc(resumed, byTime)
 	slices.SortFunc(begun, byTime)
 	return resumed, begun
@@ -226,7 +237,7 @@
 	resumed, begun := h.countedStreams()
 	windows := []period{{0, h.Ended}}
 	for _, stream := range resumed {
-		windows = append(windows, period{stream.at, stream.at + resumeWindow})
+		windows = append(windows, period{stream.try.Began, stream.try.Began + resumeWindow})
 	}
 	for _, window := range windows {
 		again, fresh := window.filter(resumed), window.filter(begun)
@@ -245,7 +256,7 @@
 
 // filter returns the streams of a period; they are ordered by time.
 func (p period) filter(streams []countedStream) []countedStream {
-	compare := func(s countedStream, at time.Duration) int { return cmp.Compare(s.at, at) }
+	compare := func(s countedStream, at time.Duration) int { return cmp.Compare(s.try.Began, at) }
 	first, _ := slices.BinarySearchFunc(streams, p.from, compare)
 	end, _ := slices.BinarySearchFunc(streams, p.to, compare)
 	return streams[first:end]
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -139,5 +139,5 @@
 	history := resumedStreams(12, 4, time.Millisecond)
 	history.Reasons = map[string]string{"s10-again": "refused no_server"}
 	history.Faults = []soak.Fault{{Kind: soak.LogDown, Start: 8 * second, ActiveFor: 5 * second}}
-	g.Expect(history.DescribeResumptions()).To(Equal("4 of 12 resumptions continued, refused as map[not run:7 refused no_server:1]; of these 0 of 0 at boxes in touch with runners, beside 0 of 0 new streams"))
+	g.Expect(history.DescribeResumptions()).To(Equal("4 of 12 resumptions continued, refused as map[not run:7 refused no_server:1]; of these 0 of 0 at boxes in touch with runners, lost as map[], beside 0 of 0 new streams"))
 }
