soak: runners of an evacuated zone do not serve

The check of resumed streams counted runners of an evacuated zone as serving, which boxes must send nothing to (InvariantEvacuated).

--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -211,8 +211,14 @@
 	return serving >= minServing
 }
 
-// isServing reports whether a server ran, could be reached and did not drain in a period.
+// isServing reports whether a server ran, could be reached, did not drain and was not in an evacuated zone in a
+// period.
 func (h *History) isServing(server int, from, to time.Duration) bool {
+	for _, evacuation := range h.Evacuations {
+		if IsInSecondZone(server) && evacuation.At <= to && evacuation.Until >= from {
+			return false
+		}
+	}
 	for _, leaving := range h.LeavingPeriods {
 		if leaving.Server == server && leaving.At <= to && leaving.Until >= from {
 			return false
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -85,6 +85,8 @@
 		{"a runner of their version drained", lost(func(h *soak.History) {
 			h.LeavingPeriods = []soak.Event{{At: 10 * second, Server: 2, Until: 20 * second}}
 		}), false},
+		{"the zone of a runner of their version was evacuated", lost(func(h *soak.History) { h.Evacuations = []soak.Event{{At: 10 * second, Until: 20 * second}} }), false},
+		{"the zone was evacuated before", lost(func(h *soak.History) { h.Evacuations = []soak.Event{{At: 2 * second, Until: 9 * second}} }), true},
 		{"one runner of their version only", lost(func(h *soak.History) { h.Software[2] = "v2" }), false},
 		{"continued by another box after a refusal", lost(func(h *soak.History) {
 			for i := range h.Streams {
