--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -85,6 +85,8 @@
 		{"a runner of their version drained", lost(func(h *soak.History) {
 			h.LeavingPeriods = []soak.Event{{At: 10 * second, Server: 2, Until: 20 * second}}
 		}), false},
+		{"the zone of a runner of their version was evacuated", lost(func(h *soak.History) { h.Evacuations = []soak.Event{{At: 10 * second, Until: 20 * second}} }), false},
+		{"the zone was evacuated before", lost(func(h *soak.History) { h.Evacuations = []soak.Event{{At: 2 * second, Until: 9 * second}} }), true},
 		{"one runner of their version only", lost(func(h *soak.History) { h.Software[2] = "v2" }), false},
 		{"continued by another box after a refusal", lost(func(h *soak.History) {
 			for i := range h.Streams {
@@ -139,5 +141,5 @@
 	history := resumedStreams(12, 4, time.Millisecond)
 	history.Reasons = map[string]string{"s10-again": "refused no_server"}
 	history.Faults = []soak.Fault{{Kind: soak.LogDown, Start: 8 * second, ActiveFor: 5 * second}}
-	g.Expect(history.DescribeResumptions()).To(Equal("4 of 12 resumptions continued, refused as map[not run:7 refused no_server:1]; of these 0 of 0 at boxes in touch with runners, beside 0 of 0 new streams"))
+	g.Expect(history.DescribeResumptions()).To(Equal("4 of 12 resumptions continued, refused as map[not run:7 refused no_server:1]; of these 0 of 0 at boxes in touch with runners, lost as map[], beside 0 of 0 new streams"))
 }
