streamorigin: streams that begin during a send do not wait for the next one

The loops that send and record origins took the channel to wait on after the work, so a stream that began meanwhile was handled by the next signal, or 0.25 s later; a crash in that time lost its origin. The channel is now taken before the work. Found in review; no test shows the difference, which is one interval for a lone stream.

--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -85,9 +85,11 @@
 
 // LoopRecord hands the origins of this box's streams to the recorder until ctx ends.
 func (o *Origins) LoopRecord(ctx context.Context) {
+	wake := o.recordWake.Chan()
 	for ctx.Err() == nil {
-		waiting.ForOrSignal(ctx, recheckInterval, o.recordWake.Chan())
+		waiting.ForOrSignal(ctx, recheckInterval, wake)
 		waiting.For(ctx, recordDelay)
+		wake = o.recordWake.Chan() // before the work, so that it is signalled for streams that begin meanwhile
 		o.record(ctx)
 	}
 }
--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -392,7 +392,7 @@
 func TestABoxThatRecordsNothingIsTheRecorder(t *testing.T) {
 	g := NewWithT(t)
 	log := fakesharedlog.New()
-	boxes := startBoxesWith(t, g, func(box int) sharedlog.Log { return log }, "a", "a", "a", "a")
+	boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "a", "a", "a")
 	recorder := boxes[boxNumber(boxes, recorderOf(boxes[0]))]
 	recorder.stop()
 	listener, err := net.Listen("tcp", recorder.current().Address)
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -195,7 +195,7 @@
 // Loop sends origins to their holders until ctx ends.
 func (o *Origins) Loop(ctx context.Context) {
 	defer o.client.CloseIdle()
-	droppedAt := boottime.Now()
+	droppedAt, wake := boottime.Now(), o.wake.Chan()
 	for ctx.Err() == nil {
 		if now := boottime.Now(); now.Sub(droppedAt) >= dropInterval {
 			droppedAt = now
@@ -203,8 +203,9 @@
 			o.dropExpired(now)
 			o.mu.Unlock()
 		}
-		waiting.ForOrSignal(ctx, recheckInterval, o.wake.Chan())
+		waiting.ForOrSignal(ctx, recheckInterval, wake)
 		waiting.For(ctx, batchDelay)
+		wake = o.wake.Chan() // before the work, so that it is signalled for streams that begin meanwhile
 		o.send(ctx)
 	}
 }
