quarantine: send what is held to boxes that start, with the servers

A box that had just restarted sent a held request or part to servers again, also when the other boxes ran on. It had the list of servers from its reader within 0.1 s, and the first load report with what was held came up to a second later; calls wait for that for 0.3 s only.

A follower that does not have what the log has now asks its reader for it, and the reader sends it with the servers in the same response, up to 256 records; above that load reports alone carry them. The new fields have names, so boxes of the previous version ignore them. A box also checks each 10 ms whether it is to read the log itself, where the pause between two checks grew to a second.

Ruled out: that records were missing in the log (boxes that read it held them at once).

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -222,7 +222,7 @@
 	b.readers = zonereader.New(zonereader.Config{
 		Registry: b.registry, Parts: b.parts, Logger: b.logger, StreamsChanged: &b.streamsChanged, PartsChanged: &b.partsChanged, Others: b.otherBoxes, BoxesKnown: b.share.BoxListLoaded,
 		Mechanisms: b.settings.Mechanisms, Self: zonereader.Box{Box: b.self(), Address: b.ReaderAddress()},
-		Log: b.log, Eras: b.log.Eras(), FirstSystemStart: b.settings.FirstSystemStart,
+		Log: b.log, Eras: b.log.Eras(), FirstSystemStart: b.settings.FirstSystemStart, Quarantine: b.quarantineLog,
 	})
 	owner := places.Config{
 		Fleet: b.fleet, Logger: b.logger, Mechanisms: b.settings.Mechanisms, Others: b.otherOwners, Active: b.hasOtherOwners, ReportedAt: b.share.LoadSentAfter,
--- a/internal/entrybox/quarantine.go
+++ b/internal/entrybox/quarantine.go
@@ -62,8 +62,9 @@
 	}
 }
 
-// onQuarantineLoaded reports to other boxes that this one has what the log has. Hubs pass that on.
+// onQuarantineLoaded reports to followers and other boxes that this one has what the log has. Hubs pass that on.
 func (b *Box) onQuarantineLoaded() {
+	b.streamsChanged.Broadcast() // followers that start wait for it
 	if b.readers.ReadsLog() || b.share.Hub() == "" {
 		b.share.SendNow()
 	}
--- a/internal/quarantinelog/load.go
+++ b/internal/quarantinelog/load.go
@@ -15,10 +15,9 @@
 )
 
 const (
-	// minRolePoll and maxRolePoll bound the time between two checks whether this box reads the log, which
-	// doubles.
-	minRolePoll = 5 * time.Millisecond
-	maxRolePoll = time.Second
+	// rolePoll is the time between two checks whether this box reads the log. Its list of servers is read as
+	// soon as it does, and is of no use before.
+	rolePoll = 10 * time.Millisecond
 	// minLoadPause and maxLoadPause bound the pause after a read that failed, which doubles. If the log is away
 	// at the start of all boxes, all of them may read it themselves.
 	minLoadPause = 250 * time.Millisecond
@@ -47,11 +46,10 @@
 // LoopLoad reads what the log has if this box reads the log itself, unless it gets that from another box
 // first. It returns when this box has it, or when ctx ends.
 func (k *Keeper) LoopLoad(ctx context.Context) {
-	poll, pause := minRolePoll, minLoadPause
+	pause := minLoadPause
 	for ctx.Err() == nil && !k.IsLoaded() {
 		if !k.cfg.ReadsLog() {
-			waiting.ForOrSignal(ctx, poll, k.loaded)
-			poll = min(2*poll, maxRolePoll)
+			waiting.ForOrSignal(ctx, rolePoll, k.loaded)
 			continue
 		}
 		page, err := sharedlog.Newest(ctx, k.cfg.Log, sharedlog.Quarantine)
@@ -69,6 +67,35 @@
 	}
 }
 
+// maxSnapshot bounds the records of a Snapshot, at some 100 bytes each. When there are more, other boxes get
+// them in load reports alone.
+const maxSnapshot = 256
+
+// Snapshot is what is held at a box that has what the log has, for a box that starts.
+type Snapshot struct {
+	Requests []quarantine.RequestRecord `msgpack:"r,omitempty"`
+	Parts    []quarantine.RequestRecord `msgpack:"p,omitempty"`
+}
+
+// Snapshot returns what is held, or nil if this box does not have what the log has, or if there is too much.
+func (k *Keeper) Snapshot() *Snapshot {
+	if !k.IsLoaded() {
+		return nil
+	}
+	snapshot := &Snapshot{Requests: k.cfg.Requests.Held(), Parts: k.cfg.Parts.Held()}
+	if len(snapshot.Requests)+len(snapshot.Parts) > maxSnapshot {
+		return nil
+	}
+	return snapshot
+}
+
+// ApplySnapshot merges the snapshot of another box.
+func (k *Keeper) ApplySnapshot(snapshot Snapshot) {
+	k.cfg.Requests.Merge(snapshot.Requests)
+	k.cfg.Parts.Merge(snapshot.Parts)
+	k.MarkLoaded()
+}
+
 // logged is a record that was read.
 type logged struct {
 	key    string
--- a/internal/quarantinelog/quarantinelog_test.go
+++ b/internal/quarantinelog/quarantinelog_test.go
@@ -188,6 +188,19 @@
 	})
 }
 
+// A box may find that it reads the log a while after its start. It has servers soon after that.
+func TestABoxThatReadsTheLogLateHasServersFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newBox(newLog())
+		b.start(t)
+		time.Sleep(1500 * time.Millisecond)
+		b.reader.Store(true)
+		time.Sleep(20 * time.Millisecond)
+		g.Expect(b.IsLoaded()).To(BeTrue())
+	})
+}
+
 // While the log is away boxes hold what they know, few calls are made, and the record is written afterwards.
 func TestWhatIsHeldWhileTheLogIsAwayIsNotRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -370,3 +383,22 @@
 		g.Expect(log.reads.Load()).To(BeNumerically("<=", 2+6))
 	})
 }
+
+// A reader sends what is held to each box that starts. A flood of it must not fill its responses, and a reader
+// that has not read the log must not make others take it for all there is.
+func TestASnapshotIsIncompleteOrTooLarge(t *testing.T) {
+	g := NewWithT(t)
+	b := newBox(newLog())
+	hold(b.requests, 1, quarantine.HoldThreshold)
+	g.Expect(b.Snapshot()).To(BeNil(), "not loaded")
+	b.MarkLoaded()
+	g.Expect(b.Snapshot().Requests).To(HaveLen(1))
+	for number := range maxSnapshot {
+		hold(b.parts, number+1, quarantine.PartThreshold)
+	}
+	g.Expect(b.Snapshot()).To(BeNil(), "too large")
+	other := newBox(newLog())
+	other.ApplySnapshot(Snapshot{Requests: b.requests.Held()})
+	g.Expect(isHeld(other.requests, 1)).To(BeTrue())
+	g.Expect(other.IsLoaded()).To(BeTrue())
+}
--- a/internal/zonereader/follow.go
+++ b/internal/zonereader/follow.go
@@ -284,6 +284,9 @@
 	if m.shouldLeave(received.LogLost || s.isStale(received.Streams)) {
 		return errReaderLostLog
 	}
+	if received.Quarantine != nil && m.cfg.Quarantine != nil {
+		m.cfg.Quarantine.ApplySnapshot(*received.Quarantine) // before this box knows servers to send calls to
+	}
 	m.cfg.Registry.SetReloadFromReader(received.Relayed)
 	// The reader made its response no earlier than this.
 	asOf := sentAt.Add(received.Held)
@@ -331,7 +334,7 @@
 func (m *Member) newRequest(s *session) *request {
 	next := request{
 		Streams: map[sharedlog.Stream]int64{}, Stores: map[string]partindex.Position{}, Doubted: m.cfg.Parts.OverdueStores(),
-		Paged: true, Eras: true, Loads: s.cursors(),
+		Paged: true, Eras: true, Loads: s.cursors(), Quarantine: m.cfg.Quarantine != nil && !m.cfg.Quarantine.IsLoaded(),
 	}
 	if s.role.reader {
 		next.Hold = rootHold
--- a/internal/zonereader/serve.go
+++ b/internal/zonereader/serve.go
@@ -127,7 +127,10 @@
 	defer func() { <-m.responding }()
 	held := boottime.Since(receivedAt)
 	next, streamsChanged, partsChanged := m.collect(r, limits.fullStates)
-	if !limits.overdue && !streamsChanged && !(limits.push && partsChanged) {
+	if r.Quarantine && m.cfg.Quarantine != nil {
+		next.Quarantine = m.cfg.Quarantine.Snapshot()
+	}
+	if !limits.overdue && !streamsChanged && next.Quarantine == nil && !(limits.push && partsChanged) {
 		return nil, false, nil
 	}
 	next.Held, next.LogLost, next.Relayed = held, m.cfg.Registry.LogLost(), m.Following() != ""
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -36,6 +36,7 @@
 	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/partindex"
+	"github.com/cometlock/cometlock/internal/quarantinelog"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
@@ -69,6 +70,8 @@
 	// when the state of a store box has; nil where it never does.
 	StreamsChanged *waiting.Signal
 	PartsChanged   *waiting.Signal
+	// Quarantine has what the log has of what is quarantined; nil means nothing.
+	Quarantine *quarantinelog.Keeper
 	// Log holds the directory of readers; nil means that there is none. FirstSystemStart is true
 	// when the whole system starts for the first time.
 	Log              sharedlog.Log
@@ -209,6 +212,8 @@
 	// Eras means that the follower knows positions that hold an era. Boxes of an earlier version read a
 	// log with eras themselves: they would take such a position for an offset.
 	Eras bool `msgpack:"e,omitempty"`
+	// Quarantine means that the follower does not have what the log has of what is quarantined.
+	Quarantine bool `msgpack:"q,omitempty"`
 }
 
 // response holds the changes since the positions of a request.
@@ -225,6 +230,8 @@
 	Pages map[sharedlog.Stream]page `msgpack:"g,omitempty"`
 	// Relayed means that the sender follows a root.
 	Relayed bool `msgpack:"r,omitempty"`
+	// Quarantine has what is quarantined, for a follower that asks for it.
+	Quarantine *quarantinelog.Snapshot `msgpack:"q,omitempty"`
 }
 
 const (
