--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -67,6 +67,10 @@
 // Until returns the time left until a time of this clock.
 func Until(t time.Time) time.Duration { return t.Sub(Now()) }
 
+// TimeOfDay returns the time of day, which continues during a suspension and may jump. It is for times that
+// other machines compare, such as those in records of the log.
+func TimeOfDay() time.Time { return time.Now().Round(0) }
+
 // OnResume sets the function that is called with the length of a suspension after the machine has
 // resumed. It runs on the goroutine that detects the suspension, and must not block.
 func OnResume(notify func(length time.Duration)) {
--- a/internal/originlog/reader.go
+++ b/internal/originlog/reader.go
@@ -112,7 +112,7 @@
 	if origin, found := r.known[key]; found && origin.Service == service {
 		result.Found, result.Software = true, origin.Software
 	}
-	since := time.Now().Add(-Horizon)
+	since := boottime.TimeOfDay().Add(-Horizon)
 	for software, last := range r.versions[service] {
 		if last.After(since) {
 			result.Versions = append(result.Versions, software)
@@ -188,7 +188,7 @@
 	for count := int64(firstTail); ; {
 		from = max(first, end-count)
 		reachesBack := from == first || count >= maxTail
-		err := r.readTo(ctx, from, func(oldest time.Time) bool { return reachesBack || time.Since(oldest) >= Horizon })
+		err := r.readTo(ctx, from, func(oldest time.Time) bool { return reachesBack || boottime.TimeOfDay().Sub(oldest) >= Horizon })
 		expired, dropped := errors.AsType[*sharedlog.RecordsExpiredError](err)
 		switch {
 		case errors.Is(err, errTooRecent):
--- a/internal/originlog/writer.go
+++ b/internal/originlog/writer.go
@@ -123,7 +123,7 @@
 // append appends a record, and reports whether that succeeded. Origins that may not have been appended are
 // appended again: a record that occurs twice says the same.
 func (w *Writer) append(ctx context.Context, batch []Origin) bool {
-	value, err := encode(batch, time.Now())
+	value, err := encode(batch, boottime.TimeOfDay())
 	if err == nil {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
--- a/internal/quarantinelog/load.go
+++ b/internal/quarantinelog/load.go
@@ -108,7 +108,7 @@
 func (k *Keeper) decodeAll(records []sharedlog.Record) []logged {
 	decoded := make([]logged, 0, len(records))
 	for _, record := range records {
-		of, crashes, err := decode(record.Key, record.Value, time.Now())
+		of, crashes, err := decode(record.Key, record.Value, boottime.TimeOfDay())
 		if err != nil {
 			k.cfg.Logger.Error().Str("key", record.Key).EmbedObject(logposition.Logged(record.Offset)).Str("error", err.Error()).Msg("quarantine_record_invalid")
 			continue
--- a/internal/quarantinelog/write.go
+++ b/internal/quarantinelog/write.go
@@ -146,7 +146,7 @@
 	var value []byte
 	if record != nil {
 		var err error
-		if value, err = encode(*record, time.Now()); err != nil {
+		if value, err = encode(*record, boottime.TimeOfDay()); err != nil {
 			return err
 		}
 	}
