--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -141,9 +141,9 @@
 	return keys, origins
 }
 
-// isRecordedBy reports whether a process of a box has lately taken the origin, as far as this one knows. A process that
-// has ended may not have written what it took. Both processes are as other boxes report them, which may lag
-// behind: a recorder that has restarted gets the origin once more when its report arrives.
+// isRecordedBy reports whether a process of a box has lately taken the origin, as far as this one knows. A
+// process that has ended may not have written what it took. Both processes are as other boxes report them,
+// which may lag behind: a recorder that has restarted gets the origin once more when its report arrives.
 func (s *ownStream) isRecordedBy(recorder Box, now time.Time) bool {
 	return now.Sub(s.recordedAt) < rerecordInterval && s.recorder == recorder.Name && (recorder.Process == "" || recorder.Process == s.recorderProcess)
 }
