--- a/internal/zonereader/adopt.go
+++ b/internal/zonereader/adopt.go
@@ -12,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -24,6 +25,8 @@
 	// maxWithoutView is the number of boxes that may respond that they have no view. If all boxes have just
 	// started, none has one. If nine in ten have, one of this many others has a view in four of five cases.
 	maxWithoutView = 16
+	// adoptPause separates two rounds of requests while the log cannot be read either.
+	adoptPause = 2 * time.Second
 	// adoptHold is the long poll of a request for a view: a box that has one responds at once.
 	adoptHold = 10 * time.Millisecond
 )
@@ -39,7 +42,7 @@
 
 // adoptView gets the streams from another box, if this one has just started and the log may lack records.
 func (m *Member) adoptView(ctx context.Context) {
-	if !m.mayLackRecords() || m.hasView() {
+	if !m.mayLackRecords() || m.hasView() || boottime.Now().Before(m.adoptAgainAt) {
 		return
 	}
 	others := m.cfg.Others()
@@ -64,6 +67,7 @@
 		failed++
 		m.cfg.Logger.Info().Str("from", other.Name).Str("error", err.Error()).Msg("view_not_adopted")
 	}
+	m.adoptAgainAt = boottime.Now().Add(adoptPause)
 	m.cfg.Logger.Info().Int("failed", failed).Int("without_view", without).Msg("no_view_adopted")
 }
 
--- a/internal/zonereader/restored_test.go
+++ b/internal/zonereader/restored_test.go
@@ -142,6 +142,32 @@
 	}
 }
 
+// Boxes that all restart while the log is away ask each other for views that none has, again and again.
+func TestBoxesWithoutAViewAskEachOtherSeldomWhileTheLogIsAway(t *testing.T) {
+	inZones(t, func(g *WithT, f *startingFleet) {
+		f.log.Restore(f.log.Copy())
+		time.Sleep(3 * time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		restarted := f.all()
+		for _, b := range restarted {
+			f.crash(b)
+		}
+		for _, b := range restarted {
+			f.restart(ctx, b)
+		}
+		time.Sleep(20 * time.Millisecond) // they have seen the era and the list of boxes
+		for _, b := range f.all() {
+			b.log.cut.Store(true)
+		}
+		time.Sleep(2 * time.Second)
+		before := f.dials.Load()
+		const length = 10 // seconds
+		time.Sleep(length * time.Second)
+		g.Expect(f.dials.Load()-before).To(BeNumerically("<=", int64(2*length*len(restarted))), "connections")
+	})
+}
+
 // zoneReader returns the reader of a zone that follows the root.
 func (f *startingFleet) zoneReader() *testBox {
 	for _, b := range f.list {
--- a/internal/zonereader/testfleet_test.go
+++ b/internal/zonereader/testfleet_test.go
@@ -157,6 +157,8 @@
 type testFleet struct {
 	log  *fakesharedlog.Log
 	wait sync.WaitGroup
+	// dials counts the connections between boxes that were begun.
+	dials atomic.Int64
 
 	mu   sync.Mutex
 	list []*testBox
@@ -216,6 +218,7 @@
 }
 
 func (f *testFleet) dial(ctx context.Context, address string) (net.Conn, error) {
+	f.dials.Add(1)
 	for _, b := range f.all() {
 		if b.self.Address != address || b.crashed.Load() {
 			continue
