retrybudget: each service has a budget of its own at each box

While one service failed, its servers got more retries than the platform allows: a box had one retry budget, which the calls of all services filled. Callers of that service waited for a second failure instead of getting the first one.

Budgets are now looked up by service. The rule counts the slack for each service, so each has a box's whole part of it. Earning alone would leave services with few calls without retries: three calls a second over eight boxes earn one in 27 s at each. So half of the part is regained evenly within a window (bounds.budgetWindowS) and half is saved; what the calls of the last window have added is saved on top, up to the whole part, as before. In any window the retries of a box are then at most its part, plus a tenth of the calls of that window and of the one before it. That is within the bound, which counts a fifth of the larger of both.

A budget is created by the first use of its service as if it had existed, unused, since the box started. It is dropped once its service is not configured and it was not used for a window, so that a service that comes back, or a configuration that changes quickly, brings no new retries, and memory is bounded by the services that had calls. A box that starts has one retry for each service, and does not regain more before it knows how many boxes there are. A larger part, when boxes leave, is not granted at once.

Broken by hand, one budget for all services, nothing regained, more than half saved, earnings that never expire, budgets dropped while in use or while configured, budgets that are never dropped, a full budget at the start and a slack that is not divided each fail at least one test.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -93,7 +93,7 @@
 	// partsChanged is signalled when a store box reports a change.
 	partsChanged waiting.Signal
 	retire       *retire.Policy
-	budget       *retrybudget.Budget
+	retries      *retrybudget.Set
 	pool         *handover.Pool
 	gateway      *gateway.Gateway
 	// memory bounds the memory that calls hold.
@@ -313,12 +313,12 @@
 
 // assembleGateway creates the gateway that serves calls, and the HTTP servers of the ports.
 func (b *Box) assembleGateway() {
-	b.budget = retrybudget.New(retrybudget.Config{PerRequest: retryRatioFraction * b.settings.RetryRatio, Burst: b.retryBurst(), Initial: initialRetries})
+	b.retries = newRetryBudgets(b.settings)
 	b.memory = membudget.New(b.memoryLimits())
 	cfg := gateway.Config{
 		Protocol: b.cfg.Protocol, Pool: b.pool,
 		Mechanisms: b.settings.Mechanisms, Fleet: b.fleet, Parts: b.parts, Logger: b.logger, Scope: b.metrics.Scope(), Zone: b.settings.Zone,
-		Budget: b.budget, BoxCount: b.share.BoxCount, OwnsHeadroom: b.share.OwnsHeadroom, LoadReportAge: b.share.Lag,
+		Budget: b.retries.Budget, BoxCount: b.share.BoxCount, OwnsHeadroom: b.share.OwnsHeadroom, LoadReportAge: b.share.Lag,
 		Places: b.places, BoxName: b.settings.Box, Regions: b.settings.Regions,
 		Catalog: b.registry.Catalog, Weights: b.registry, Retire: b.retire, OutdatedAfter: b.settings.OutdatedAfter,
 		IsResponsive: b.isResponsive, ServerListAge: b.registry.ServersAge, Quarantine: b.quarantine, PartQuarantine: b.partQuarantine, AwaitQuarantine: b.awaitQuarantine, ConfirmCrash: b.crashes.Check,
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -42,10 +42,11 @@
 	OutdatedAfter time.Duration
 	// ServerHeartbeat is the interval at which backend servers write their registry entries.
 	ServerHeartbeat time.Duration
-	// RetryRatio and RetrySlack bound the retries of all boxes together: RetryRatio for each call,
-	// plus RetrySlack.
-	RetryRatio float64
-	RetrySlack float64
+	// RetryRatio and RetrySlack bound the retries of all boxes together at each service: RetryRatio for
+	// each call for it, plus RetrySlack, in any time of RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// ColdOverage and ColdSlack bound the calls that all boxes together send to a cold server in
 	// any second: ColdOverage times its capacity, plus ColdSlack.
 	ColdOverage float64
@@ -79,6 +80,7 @@
 	DefaultOutdatedAfter = 12 * time.Second
 	DefaultRetryRatio    = 0.2
 	DefaultRetrySlack    = 56
+	DefaultRetryWindow   = 10 * time.Second
 	DefaultColdOverage   = 1.0
 )
 
@@ -91,6 +93,7 @@
 	s.ServerHeartbeat = cmp.Or(s.ServerHeartbeat, fleet.DefaultHeartbeat)
 	s.RetryRatio = cmp.Or(s.RetryRatio, DefaultRetryRatio)
 	s.RetrySlack = cmp.Or(s.RetrySlack, DefaultRetrySlack)
+	s.RetryWindow = cmp.Or(s.RetryWindow, DefaultRetryWindow)
 	s.ColdOverage = cmp.Or(s.ColdOverage, DefaultColdOverage)
 	return s
 }
--- a/internal/entrybox/upkeep.go
+++ b/internal/entrybox/upkeep.go
@@ -1,4 +1,4 @@
-// Work that a box does once a second: it adapts its part of the retry budget to the number of
+// Work that a box does once a second: it adapts its parts of the retry budgets to the number of
 // boxes, and updates the gauges.
 
 package entrybox
@@ -12,7 +12,7 @@
 )
 
 const (
-	// upkeepInterval is the time between two updates of the retry budget and the gauges.
+	// upkeepInterval is the time between two updates of the retry budgets and the gauges.
 	upkeepInterval = time.Second
 	// serverGaugeInterval is the same for the gauges that take a look at all servers. Metrics are
 	// collected every few seconds.
@@ -55,7 +55,7 @@
 	}
 }
 
-// loopUpkeep updates the gauges and this box's part of the retry budget until ctx ends.
+// loopUpkeep updates the gauges and this box's parts of the retry budgets until ctx ends.
 func (b *Box) loopUpkeep(ctx context.Context) {
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
@@ -66,7 +66,7 @@
 			loggedAt = boottime.Now()
 			b.logCallCounts()
 		}
-		b.budget.SetBurst(b.retryBurst())
+		b.updateRetryBudgets()
 		b.memory.Observe(boottime.Now())
 		b.updateGauges()
 		if boottime.Since(countedAt) >= serverGaugeInterval {
@@ -81,23 +81,6 @@
 	}
 }
 
-// Retry budget. The platform bounds the retries of all boxes together by a ratio of the calls plus
-// a fixed number (the slack). A box uses half of the ratio, because the calls of the last seconds
-// count too, and an equal part of most of the slack.
-const (
-	retryRatioFraction = 0.5
-	retrySlackFraction = 0.7
-	// initialRetries is the number of retries that a box may make before it has had calls. It is not its part
-	// of the slack: the incarnation before a crash may just have used that up, and a box that has not read
-	// the list of boxes would take the parts of all.
-	initialRetries = 1
-)
-
-// retryBurst returns this box's part of the slack, the retries that need no calls.
-func (b *Box) retryBurst() float64 {
-	return max(1, retrySlackFraction*b.settings.RetrySlack/float64(b.share.BoxCount()))
-}
-
 func (b *Box) updateGauges() {
 	scope := b.metrics.Scope()
 	scope.Gauge("calls_in_flight").Update(float64(b.gateway.InFlight()))
@@ -105,9 +88,7 @@
 	scope.Gauge("calls_waiting").Update(float64(b.gateway.Waiting()))
 	scope.Gauge("owner_calls_waiting").Update(float64(b.places.Waiting()))
 	scope.Gauge("owner_attempts").Update(float64(b.places.Attempts()))
-	budget := b.budget.State()
-	scope.Gauge("retries_saved").Update(budget.Balance)
-	scope.Gauge("retries_denied").Update(float64(budget.Denied))
+	b.updateRetryGauges()
 	held, suspected := b.quarantine.Counts()
 	scope.Gauge("requests_held").Update(float64(held))
 	scope.Gauge("requests_suspected").Update(float64(suspected))
--- a/internal/gateway/asyncsend.go
+++ b/internal/gateway/asyncsend.go
@@ -82,7 +82,7 @@
 func (s *asyncSend) cancelSend() {
 	s.mayHaveRun = s.started
 	if !s.started {
-		s.hedge.gateway.cfg.Budget.Refund()
+		s.hedge.retryBudget().Refund()
 	}
 	s.hedge.cancel()
 	s.hedge.release(fleet.OutcomeAbandoned)
@@ -135,7 +135,7 @@
 	result := readForwardResult(s.response.Header)
 	s.refusal, s.servers = &result, s.hedge.statedServers(s.response)
 	if s.servers == 0 {
-		s.hedge.gateway.cfg.Budget.Refund()
+		s.hedge.retryBudget().Refund()
 	}
 }
 
@@ -149,13 +149,13 @@
 	defer s.hedge.cancel()
 	a := s.hedge
 	if errors.Is(s.err, errPlacementExpired) {
-		a.gateway.cfg.Budget.Refund()
+		a.retryBudget().Refund()
 		a.release(fleet.OutcomeAbandoned)
 		a.log("not_handed_over", errPlacementExpired.Error())
 		return
 	}
 	if errors.Is(s.err, handover.ErrNotSent) {
-		a.gateway.cfg.Budget.Refund()
+		a.retryBudget().Refund()
 		a.recordUnreachable(s.err)
 		return
 	}
--- a/internal/gateway/fallback.go
+++ b/internal/gateway/fallback.go
@@ -52,7 +52,7 @@
 	x.returned = true
 	x.placedBy, x.ownerError = placedByThisBox, ""
 	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("server", x.fallback).Str("service", x.service.Name).
-		Dur("left", boottime.Until(x.deadline)).Float64("retries_saved", g.cfg.Budget.State().Balance).Msg("call_returned")
+		Dur("left", boottime.Until(x.deadline)).Float64("retries_saved", g.retryBudget(x).State().Balance).Msg("call_returned")
 	chosen := g.recordPlacement(x, hold, plans)
 	chosen.isReturn = true
 	return chosen, true
--- a/internal/gateway/fallback_test.go
+++ b/internal/gateway/fallback_test.go
@@ -119,7 +119,7 @@
 				protocol := &resumeProtocol{planProtocol: newPlanProtocol()}
 				gateway := promptGateway(protocol.planProtocol, f, emptyIndex(c), c)
 				gateway.cfg.Protocol = protocol
-				gateway.cfg.Budget = retrybudget.New(retrybudget.Config{PerRequest: 1e-9, Burst: test.budget})
+				gateway.cfg.Budget = oneBudget(retrybudget.New(retrybudget.Config{PerRequest: 1e-9, Burst: test.budget}))
 				var logged syncBuffer
 				gateway.cfg.Logger = zerolog.New(&logged)
 				bodies := make(chan string, 1)
@@ -144,7 +144,7 @@
 				g.Expect(firstServer.arrivals.Load()).To(BeEquivalentTo(test.firstArrivals), logged.String)
 				g.Expect(second.arrivals.Load()).To(BeEquivalentTo(1))
 				g.Expect(third.arrivals.Load()).To(BeZero(), "the route allows two servers")
-				g.Expect(gateway.cfg.Budget.State().Balance).To(BeNumerically("~", test.saved, 0.01), logged.String)
+				g.Expect(gateway.cfg.Budget("r").State().Balance).To(BeNumerically("~", test.saved, 0.01), logged.String)
 				if started && test.firstArrivals == 2 {
 					g.Expect(protocol.resumeAfter).To(Equal([]string{"", "1", "1"}))
 				}
--- a/internal/gateway/forwardboxes_test.go
+++ b/internal/gateway/forwardboxes_test.go
@@ -255,7 +255,7 @@
 	known := registry.New(registry.Config{Logger: zerolog.Nop()})
 	gatewayConfig := Config{
 		Protocol: headerProtocol{}, Pool: handover.NewPool(handover.PoolConfig{}), Fleet: f, Parts: partindex.New(partindex.Config{}),
-		Budget: b.budget, BoxCount: func() int { return 1 }, BoxName: cfg.name, Logger: zerolog.New(&b.logged), Scope: tally.NoopScope,
+		Budget: oneBudget(b.budget), BoxCount: func() int { return 1 }, BoxName: cfg.name, Logger: zerolog.New(&b.logged), Scope: tally.NoopScope,
 		Catalog: func() *catalog.Catalog { return cfg.catalog }, Weights: known, Reach: b.reach, Peers: b.paths,
 		Retire: retire.New(retire.Config{Registry: known, Peers: func() []retire.Peer { return nil }, Boxes: func() int { return 1 }}),
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,7 +49,8 @@
 	Pool     *handover.Pool
 	Fleet    *fleet.Fleet
 	Parts    *partindex.Index
-	Budget   *retrybudget.Budget
+	// Budget returns the retry budget of a service.
+	Budget func(service string) *retrybudget.Budget
 	// BoxCount returns the number of entry boxes, this one included.
 	BoxCount func() int
 	// LoadReportAge returns the age of the load reports from other boxes, either those of this
--- a/internal/gateway/prompts_test.go
+++ b/internal/gateway/prompts_test.go
@@ -121,11 +121,16 @@
 	return index
 }
 
+// oneBudget returns the same retry budget for each service.
+func oneBudget(budget *retrybudget.Budget) func(service string) *retrybudget.Budget {
+	return func(string) *retrybudget.Budget { return budget }
+}
+
 func promptGateway(protocol call.Protocol, f *fleet.Fleet, index *partindex.Index, c *catalog.Catalog) *Gateway {
 	known := registry.New(registry.Config{Logger: zerolog.Nop()})
 	return New(Config{
 		Protocol: protocol, Pool: handover.NewPool(handover.PoolConfig{OnDial: func() {}}), Fleet: f, Parts: index,
-		Budget: retrybudget.New(retrybudget.Config{PerRequest: 1, Burst: 5}), BoxCount: func() int { return 1 },
+		Budget: oneBudget(retrybudget.New(retrybudget.Config{PerRequest: 1, Burst: 5})), BoxCount: func() int { return 1 },
 		Logger: zerolog.Nop(), Scope: tally.NoopScope, Catalog: func() *catalog.Catalog { return c }, Weights: known,
 		Retire: retire.New(retire.Config{Registry: known, Peers: func() []retire.Peer { return nil }, Boxes: func() int { return 1 }}),
 	})
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -131,7 +131,7 @@
 		return
 	}
 	event.Str("ended_by", string(x.lossClosedBy)).Dur("left", boottime.Until(x.deadline)).Int("servers_seen", x.serversReached).
-		Float64("retries_saved", g.cfg.Budget.State().Balance)
+		Float64("retries_saved", g.retryBudget(x).State().Balance)
 	if now := g.cfg.Catalog(); now != nil {
 		event.Int64("configuration_at_end", now.Version())
 	}
--- a/internal/gateway/returnretry_test.go
+++ b/internal/gateway/returnretry_test.go
@@ -19,7 +19,7 @@
 	startRunner(t, f, "r", http.HandlerFunc(abortConnection))
 	c := resumableCatalog(g, 2)
 	gateway := promptGateway(newPlanProtocol(), f, emptyIndex(c), c)
-	before := gateway.cfg.Budget.State().Balance
+	before := gateway.cfg.Budget("r").State().Balance
 	serveStream(gateway)
-	g.Expect(gateway.cfg.Budget.State().Balance).To(BeNumerically(">=", before))
+	g.Expect(gateway.cfg.Budget("r").State().Balance).To(BeNumerically(">=", before))
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/mechanism"
+	"github.com/cometlock/cometlock/internal/retrybudget"
 	"github.com/cometlock/cometlock/internal/telemetry"
 )
 
@@ -55,7 +56,7 @@
 // serve tries servers until the call has a final result.
 func (g *Gateway) serve(x *exchange) {
 	if !x.forwarded {
-		g.cfg.Budget.Deposit()
+		g.retryBudget(x).Deposit()
 	}
 	defer g.active.add(x)()
 	g.cfg.AwaitQuarantine(x.ctx)
@@ -164,6 +165,13 @@
 	g.endWithoutResponse(x, reason, retryAfter)
 }
 
+// retryBudget returns the retry budget of the call's service. It is looked up for each use, since a long
+// call may outlast the budget of a service that was removed.
+func (g *Gateway) retryBudget(x *exchange) *retrybudget.Budget { return g.cfg.Budget(x.service.Name) }
+
+// retryBudget returns the retry budget of the attempt's service.
+func (a *attempt) retryBudget() *retrybudget.Budget { return a.gateway.retryBudget(a.x) }
+
 // takeRetry reports whether the route, the time left and the retry budget allow another server, or the
 // return to an earlier one, and takes a retry from the budget. Until a server has received the call, the next one does not count
 // as a retry.
@@ -174,7 +182,7 @@
 	if x.serversReached == 0 {
 		return true
 	}
-	x.tookRetry = (x.serversReached < x.maxServers() || x.mayReturn()) && g.cfg.Budget.TryWithdraw()
+	x.tookRetry = (x.serversReached < x.maxServers() || x.mayReturn()) && g.retryBudget(x).TryWithdraw()
 	return x.tookRetry
 }
 
@@ -184,7 +192,7 @@
 func (g *Gateway) returnRetry(x *exchange) {
 	if x.tookRetry {
 		x.tookRetry = false
-		g.cfg.Budget.Refund()
+		g.retryBudget(x).Refund()
 	}
 }
 
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -82,7 +82,7 @@
 	}
 	w.hedge, w.state = nil, watching
 	w.scheduleCheck(w.observe(boottime.Now()).RecheckInterval())
-	w.current.gateway.cfg.Budget.Refund()
+	w.current.retryBudget().Refund()
 	hedge.cancel()
 	hedge.release(fleet.OutcomeUnreachable)
 	hedge.log("try_kept", string(stayPeerUnresponsive))
@@ -155,12 +155,12 @@
 		return nil, stayRouteLimit
 	case !boottime.Now().Before(x.deadline):
 		return nil, stayNoTimeLeft
-	case !g.cfg.Budget.TryWithdraw():
+	case !g.retryBudget(x).TryWithdraw():
 		return nil, stayNoRetrySaved
 	}
 	chosen, ok := g.placeHedge(x, w.pastHedges)
 	if !ok {
-		g.cfg.Budget.Refund()
+		g.retryBudget(x).Refund()
 		return nil, stayNoServerWithRoom
 	}
 	hedge := g.makeAttempt(x, chosen, w.current.number+len(w.pastHedges)+1, w.current.serversReached+added)
--- a/internal/gateway/unreachable_test.go
+++ b/internal/gateway/unreachable_test.go
@@ -29,7 +29,7 @@
 	startRunner(t, f, "r", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("answer")) }))
 	c := promptCatalog(g)
 	gateway := promptGateway(newPlanProtocol(), f, emptyIndex(c), c)
-	gateway.cfg.Budget = retrybudget.New(retrybudget.Config{PerRequest: 1e-9, Burst: 1e-9})
+	gateway.cfg.Budget = oneBudget(retrybudget.New(retrybudget.Config{PerRequest: 1e-9, Burst: 1e-9}))
 	for range 12 {
 		recorder := httptest.NewRecorder()
 		gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -61,7 +61,7 @@
 				startRunner(t, f, "first", stallingStream(stallDuration, started, firstCancelled))
 				c := resumableCatalog(g, test.maxServers)
 				gateway := promptGateway(newPlanProtocol(), f, emptyIndex(c), c)
-				gateway.cfg.Budget = retrybudget.New(retrybudget.Config{PerRequest: 1e-9, Burst: test.budget})
+				gateway.cfg.Budget = oneBudget(retrybudget.New(retrybudget.Config{PerRequest: 1e-9, Burst: test.budget}))
 				var logged syncBuffer
 				gateway.cfg.Logger = zerolog.New(&logged)
 				bodies := make(chan string, 1)
@@ -71,7 +71,7 @@
 
 				g.Expect(<-bodies).To(Equal(fullStream(test.servedBy, started)), logged.String)
 				g.Expect(logged.String()).To(ContainSubstring(test.logged))
-				g.Expect(gateway.cfg.Budget.State().Balance).To(BeNumerically("~", test.saved, 0.01))
+				g.Expect(gateway.cfg.Budget("r").State().Balance).To(BeNumerically("~", test.saved, 0.01))
 				if test.servedBy == "second" {
 					g.Eventually(firstCancelled).Should(Receive(), "the first attempt is cancelled")
 				} else {
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -80,7 +80,7 @@
 	pool := handover.NewPool(handover.PoolConfig{})
 	gatewayConfig := gateway.Config{
 		Protocol: Headers{}, Pool: pool, Fleet: r.fleet, Parts: partindex.New(partindex.Config{}),
-		Budget: cfg.Budget, BoxCount: cfg.BoxCount, Logger: cfg.Logger, Scope: cfg.Scope.SubScope("routed"), Zone: cfg.Zone,
+		Budget: func(string) *retrybudget.Budget { return cfg.Budget }, BoxCount: cfg.BoxCount, Logger: cfg.Logger, Scope: cfg.Scope.SubScope("routed"), Zone: cfg.Zone,
 		Catalog: r.catalog.Load, Weights: emptyRegistry, IsResponsive: r.isResponsive,
 		Retire: retire.New(retire.Config{Registry: emptyRegistry, Peers: func() []retire.Peer { return nil }, Boxes: cfg.BoxCount}),
 	}
