quarantine: streams in progress excuse crashes under their parts

Callers saw: six of twelve runners crash at once, all streams share a part of their prompts, and none has ended shortly before. Every further call with the part is refused with ends_servers and a Retry-After of up to 4,800 s, and the streams at the other runners are cut off.

Cause: a stream excused its parts at its end only, so streams of several seconds gave no evidence while they were running. Ruled out: crashes counted twice or without proof (each is one incarnation of a runner that refused connections).

A box now notes every 0.5 s for how long a server has been sending events of a stream. That excuses crashes of calls that had been running for a second less. A crash of a call that had been running for 0.5 s is pending for 2 s, until streams of the same age have that lead and boxes have exchanged it. Only the time counts in which the box waited for events, so that a slow caller proves nothing. Requests are excused by complete answers only, as before.

A fixed second instead would excuse each crash of a part that crashes servers later than that, which would never be held.

The time goes beside the records in the extension of load reports. As a further field of the records, neither version could decode the messages and log records of the other (TestBoxesOfThePreviousVersionExchangeCrashes failed).

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -55,6 +55,8 @@
 	Caller  uint64
 	// Parts identify the parts of the call's prompt that other prompts may have too.
 	Parts []fingerprint.Fingerprint
+	// Running is how long the server had been sending events of the call's stream.
+	Running time.Duration
 }
 
 // Config configures a Detector.
--- a/internal/entrybox/quarantine.go
+++ b/internal/entrybox/quarantine.go
@@ -76,7 +76,7 @@
 	b.quarantine.NoteCrash(quarantine.Crash{Request: broken.Request, Caller: broken.Caller, Incarnation: incarnation})
 	parts := make([]quarantine.Crash, len(broken.Parts))
 	for i, part := range broken.Parts {
-		parts[i] = quarantine.Crash{Request: part, Caller: broken.Caller, Incarnation: incarnation}
+		parts[i] = quarantine.Crash{Request: part, Caller: broken.Caller, Incarnation: incarnation, Running: broken.Running}
 	}
 	b.partQuarantine.NoteCrashes(parts)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -44,6 +45,8 @@
 	connErr error
 	// peerSoftware is the software version that serves the call at another box, by its response.
 	peerSoftware *string
+	// runningNoted is the time for which the server had been sending events when that was last recorded.
+	runningNoted time.Duration
 }
 
 // newAttempt creates the attempt of a call that was just assigned to a server.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -105,6 +105,26 @@
 	}
 }
 
+// runningInterval is the time between two records that a server sends events of a stream.
+const runningInterval = 500 * time.Millisecond
+
+// noteRunning records that a server has been sending events of a call's stream, which shows that the parts of its
+// prompt do not crash servers soon after they begin. Its request is excused by its end only: a request may crash
+// servers at some place of its answer, and few other calls have the same request.
+func (a *attempt) noteRunning() {
+	if a.peer() != nil || len(a.x.parts) == 0 {
+		return // the other box records what its servers send
+	}
+	running := a.watch.runningFor()
+	if running < a.runningNoted+runningInterval {
+		return
+	}
+	a.runningNoted = running
+	for _, part := range a.x.parts {
+		a.gateway.cfg.PartQuarantine.NoteRunning(part, running)
+	}
+}
+
 // admitQuarantine reports whether a call may be sent to a server: neither its request nor a part of its
 // prompt is quarantined.
 func (g *Gateway) admitQuarantine(x *exchange) bool {
@@ -158,6 +178,6 @@
 		return false // the other box detects crashes of its servers; its own end shows nothing about the request
 	}
 	x := a.x
-	loss := crash.BrokenCall{Server: a.chosen.hold.Server(), Request: x.fingerprint, Caller: xxhash.Sum64String(x.callerName()), Parts: x.parts}
+	loss := crash.BrokenCall{Server: a.chosen.hold.Server(), Request: x.fingerprint, Caller: xxhash.Sum64String(x.callerName()), Parts: x.parts, Running: a.watch.runningFor()}
 	return a.gateway.cfg.ConfirmCrash(x.ctx, loss) && a.gateway.hasRepeatedCrash(x)
 }
--- a/internal/gateway/quarantineparts_test.go
+++ b/internal/gateway/quarantineparts_test.go
@@ -119,7 +119,7 @@
 func confirmPartCrash(e *crashGateway) func(ctx context.Context, loss crash.BrokenCall) bool {
 	return func(_ context.Context, loss crash.BrokenCall) bool {
 		for _, part := range loss.Parts {
-			e.cfg.PartQuarantine.NoteCrash(quarantine.Crash{Request: part, Incarnation: 100 + uint64(loss.Server.Incarnation[0])})
+			e.cfg.PartQuarantine.NoteCrash(quarantine.Crash{Request: part, Incarnation: 100 + uint64(loss.Server.Incarnation[0]), Running: loss.Running})
 		}
 		return true
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -185,6 +185,7 @@
 			a.relayEvent(response, event)
 		}
 		a.watch.eventRelayed()
+		a.noteRunning()
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -45,6 +45,9 @@
 	// relayingEvent is set while an event is sent to the caller and so nothing is read from the
 	// server.
 	relayingEvent bool
+	// running is how long the server has been sending events. Only the time counts in which the box waited for
+	// an event, up to maxEventGap each: events that the box reads late were sent before.
+	running time.Duration
 	// hedge is the attempt that is being tried, or that the call has switched to; pastHedges are
 	// the failed and cancelled ones.
 	hedge      *attempt
@@ -56,6 +59,9 @@
 	loggedReason stayReason
 }
 
+// maxEventGap is how much of the time between two events counts as time in which a server was sending.
+const maxEventGap = 500 * time.Millisecond
+
 func newWatch(current *attempt) *watch { return &watch{current: current} }
 
 // start starts the watch, if the call may run again.
@@ -151,6 +157,9 @@
 	if w.state == hedging {
 		w.cancelHedge()
 	}
+	if w.started {
+		w.running += min(boottime.Since(w.lastReceivedAt), maxEventGap)
+	}
 	w.started, w.relayingEvent = true, true
 	if w.current.x.software == nil {
 		w.current.x.software = w.current.software()
@@ -174,6 +183,13 @@
 	w.lastReceivedAt, w.relayingEvent = boottime.Now(), false
 }
 
+// runningFor returns how long the server has been sending events of a stream.
+func (w *watch) runningFor() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running
+}
+
 // cancelHedge cancels the call at the hedge's server. The caller holds mu.
 func (w *watch) cancelHedge() {
 	w.hedge.asyncSend.cancelSend()
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -86,6 +86,8 @@
 	Parts           []quarantine.RequestRecord `msgpack:"p,omitempty"`
 	PartsGeneration uint64                     `msgpack:"g,omitempty"`
 	PartsAck        uint64                     `msgpack:"a,omitempty"`
+	// PartsRunning has CrashRecord.Running of the crashes in Parts.
+	PartsRunning [][]time.Duration `msgpack:"r,omitempty"`
 	// QuarantineLoaded means that the receiver has with this message all that the log has of what is
 	// quarantined.
 	QuarantineLoaded bool `msgpack:"q,omitempty"`
@@ -95,6 +97,7 @@
 
 func (s *Share) writeMessage(connection net.Conn, m message) error {
 	m.detachBrittle()
+	m.detachRunning()
 	return frame.WriteExtended(connection, &m, &m.extension, ioTimeout)
 }
 
@@ -103,6 +106,7 @@
 		return m, err
 	}
 	m.attachBrittle()
+	m.attachRunning()
 	return m, nil
 }
 
@@ -130,3 +134,24 @@
 	}
 	m.extension.Brittle = nil
 }
+
+// detachRunning adds how long calls that crashed had been running to the extension.
+func (m *message) detachRunning() {
+	m.extension.PartsRunning = make([][]time.Duration, len(m.extension.Parts))
+	for i, record := range m.extension.Parts {
+		for _, crash := range record.Crashes {
+			m.extension.PartsRunning[i] = append(m.extension.PartsRunning[i], crash.Running)
+		}
+	}
+}
+
+// attachRunning adds how long calls that crashed had been running to their crashes.
+func (m *message) attachRunning() {
+	for i, running := range m.extension.PartsRunning[:min(len(m.extension.PartsRunning), len(m.extension.Parts))] {
+		crashes := m.extension.Parts[i].Crashes
+		for j := range crashes[:min(len(crashes), len(running))] {
+			crashes[j].Running = running[j]
+		}
+	}
+	m.extension.PartsRunning = nil
+}
--- a/internal/loadshare/message_test.go
+++ b/internal/loadshare/message_test.go
@@ -73,6 +73,7 @@
 	sent := testMessage()
 	sent.Loads[0].Brittle = &advisory.BrittleReport{Known: true, MaxRefusals: 4, Age: 5, Room: 6, Raised: true, RoomAge: 7, BlockedFor: 8}
 	sent.extension = extension{LinkSamples: samples, Uses: []fairshare.ServiceReport{{Service: "s", Uses: []fairshare.ReportedUse{{Key: 1 << 63, Use: 2.5}}}}}
+	sent.extension.Parts = []quarantine.RequestRecord{{Crashes: []quarantine.CrashRecord{{Incarnation: 1, Running: 12}, {Incarnation: 2}}}, {Crashes: []quarantine.CrashRecord{{Incarnation: 3, Running: 13}}}}
 	writeNew := func(connection net.Conn) { _ = (*Share)(nil).writeMessage(connection, sent) }
 	var old previousMessage
 	read(writeNew, func(r io.Reader) error { return frame.Read(r, &old, maxMessageBytes) })
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -32,6 +32,10 @@
 	// Age is how long ago the crash was, by the clock of the sender.
 	Age     time.Duration
 	Excused bool
+	// Running is the shortest time that a server had been sending the stream of a call that crashed. It is sent
+	// beside the record, since boxes of the previous version reject an array with further fields; without it,
+	// it is zero.
+	Running time.Duration `msgpack:"-"`
 }
 
 // ChangesSince returns the records that changed after a generation, at most MaxRecordsPerMessage,
@@ -79,7 +83,7 @@
 func (r *record) export(now time.Time) RequestRecord {
 	exported := RequestRecord{Request: r.request, Caller: r.caller, Crashes: make([]CrashRecord, len(r.crashes))}
 	for i, e := range r.crashes {
-		exported.Crashes[i] = CrashRecord{Incarnation: e.incarnation, Age: now.Sub(e.at), Excused: e.excused}
+		exported.Crashes[i] = CrashRecord{Incarnation: e.incarnation, Age: now.Sub(e.at), Excused: e.excused, Running: e.running}
 	}
 	return exported
 }
@@ -89,8 +93,16 @@
 	s.mergeAll(records, func(change *Change) { change.FromPeer = true })
 }
 
+// unknownRunning stands for a time that is not known; no stream runs for longer. The log has no such times.
+const unknownRunning = maxHold
+
 // MergeRecorded merges records from the log.
 func (s *Set) MergeRecorded(records []RequestRecord) {
+	for _, record := range records {
+		for i := range record.Crashes {
+			record.Crashes[i].Running = unknownRunning
+		}
+	}
 	s.mergeAll(records, func(change *Change) { change.Recorded = true })
 }
 
@@ -109,7 +121,7 @@
 func (s *Set) mergeRecord(received RequestRecord, now time.Time) (Change, bool) {
 	crashes := make([]crash, 0, min(len(received.Crashes), maxCrashes))
 	for _, e := range received.Crashes[:min(len(received.Crashes), maxCrashes)] {
-		crashes = append(crashes, crash{incarnation: e.Incarnation, at: now.Add(-max(e.Age, 0)), excused: e.Excused})
+		crashes = append(crashes, crash{incarnation: e.Incarnation, at: now.Add(-max(e.Age, 0)), excused: e.Excused, running: max(e.Running, 0)})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -34,6 +34,15 @@
 	// servedGrace is how long after a request was served further crashes under it are excused. A
 	// page that many callers request is in flight at several servers, which may crash together.
 	servedGrace = 2 * time.Second
+	// runningLead is how much longer than a call that crashed a stream must have been running at its server to
+	// show that what they share did not cause the crash. Requests that crash servers do so some 0.1 s after they
+	// begin.
+	runningLead = time.Second
+	// deferAfter is how long a call must have been running for its crash to be pending for reviewDelay before it
+	// counts. By then streams that had been running as long elsewhere, and go on, have a lead of runningLead and
+	// excuse it, and other boxes have reported that.
+	deferAfter  = 500 * time.Millisecond
+	reviewDelay = 2 * time.Second
 	// firstRetryDelay is how long after its latest crash a held request may be tried once, by one
 	// box. Each further crash multiplies the delay by retryBackoff. Three tries take two hours.
 	firstRetryDelay = 5 * time.Minute
@@ -81,6 +90,8 @@
 	Caller uint64
 	// Incarnation is a number that identifies the incarnation of the server.
 	Incarnation uint64
+	// Running is how long the server had been sending events of the call's stream; zero if it had sent none.
+	Running time.Duration
 }
 
 // Set is the crash records of requests that a box has.
@@ -89,7 +100,8 @@
 
 	mu      sync.Mutex
 	records map[Request]*record
-	served  recentlyServed
+	// served has the requests that were served recently, and running those of streams in progress.
+	served, running recentlyServed
 	// generation counts the changes to send to other boxes.
 	generation uint64
 }
@@ -101,18 +113,7 @@
 }
 
 // NoteCrash records that a server crashed under a request.
-func (s *Set) NoteCrash(crash Crash) {
-	change, changed := s.noteCrash(crash, boottime.Now())
-	if changed {
-		s.notify(change)
-	}
-}
-
-func (s *Set) noteCrash(c Crash, now time.Time) (Change, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.merge(c.Request, c.Caller, []crash{{incarnation: c.Incarnation, at: now}}, now)
-}
+func (s *Set) NoteCrash(crash Crash) { s.NoteCrashes([]Crash{crash}) }
 
 // NoteCrashes records that a server crashed under several requests at once, before any of their changes
 // is reported.
@@ -126,26 +127,65 @@
 	s.notifyAll(changes)
 }
 
-// NoteServed records that a server completed a request.
-func (s *Set) NoteServed(request Request) {
-	change, changed := s.noteServed(request, boottime.Now())
+func (s *Set) noteCrash(c Crash, now time.Time) (Change, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.merge(c.Request, c.Caller, []crash{{incarnation: c.Incarnation, at: now, running: c.Running}}, now)
+}
+
+// review counts a crash that was pending, unless it has been excused, and reports the change.
+func (s *Set) review(request Request, incarnation uint64) {
+	if change, changed := s.endPending(request, incarnation); changed {
+		s.notify(change)
+	}
+}
+
+func (s *Set) endPending(request Request, incarnation uint64) (Change, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry := s.records[request]
+	if entry == nil {
+		return Change{}, false
+	}
+	before := entry.count()
+	entry.endPending(incarnation)
+	after := entry.count()
+	// The other boxes have the crash already and review it themselves.
+	return Change{Request: request, Crashes: after, FromPeer: true, Held: before < s.cfg.Threshold && after >= s.cfg.Threshold}, after != before
+}
+
+// NoteServed records that a server completed a request. All crashes so far are excused.
+func (s *Set) NoteServed(request Request) { s.noteSound(request, &s.served, completed) }
+
+// NoteRunning records that a server has been sending events of a request's stream for some time. Crashes so far
+// of calls that had been running for runningLead less are excused. A request that crashes servers a certain time
+// after it began excuses none of its crashes.
+func (s *Set) NoteRunning(request Request, running time.Duration) {
+	s.noteSound(request, &s.running, running)
+}
+
+// noteSound records that a request has been running for some time, and reports the change.
+func (s *Set) noteSound(request Request, recent *recentlyServed, running time.Duration) {
+	change, changed := s.excuse(request, recent, running, boottime.Now())
 	if changed {
 		s.notify(change)
 	}
 }
 
-func (s *Set) noteServed(request fingerprint.Fingerprint, now time.Time) (Change, bool) {
+func (s *Set) excuse(request Request, recent *recentlyServed, running time.Duration, now time.Time) (Change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.served.note(request, now)
+	recent.note(request, running, now)
 	entry := s.records[request]
-	if entry == nil || entry.count() == 0 {
+	if entry == nil {
 		return Change{}, false
 	}
 	held := s.isHeld(entry)
-	entry.excuseUntil(now)
+	if !entry.excuseUntil(now, running) {
+		return Change{}, false
+	}
 	s.markChanged(entry)
-	return Change{Request: request, Released: held}, true
+	return Change{Request: request, Crashes: entry.count(), Released: held && !s.isHeld(entry)}, true
 }
 
 // merge adds crashes to the record of a request. The caller holds mu.
@@ -157,15 +197,20 @@
 	}
 	before, changed := entry.count(), false
 	for _, c := range crashes {
+		left := reviewDelay - now.Sub(c.at)
+		c.pending = c.running >= deferAfter && c.running < unknownRunning && left > 0
 		if now.Sub(c.at) < maxHold && entry.add(c) {
 			changed = true
+			if c.pending {
+				time.AfterFunc(left, func() { s.review(request, c.incarnation) })
+			}
 		}
 	}
 	if !changed {
 		return Change{}, false
 	}
-	if at := s.served.last(request, now); !at.IsZero() {
-		entry.excuseUntil(at.Add(servedGrace))
+	for _, last := range append(s.served.last(request, now), s.running.last(request, now)...) {
+		entry.excuseUntil(last.at.Add(servedGrace), last.running)
 	}
 	if s.records[request] == nil {
 		s.makeRoom(now)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -23,8 +24,12 @@
 type crash struct {
 	incarnation uint64
 	at          time.Time
-	// excused reports that the request was served at about that time or later.
+	// excused reports that the request was served at about that time or later, or ran longer elsewhere.
 	excused bool
+	// running is the shortest time that a server had been sending the stream of a call that crashed.
+	running time.Duration
+	// pending means that the crash does not count yet.
+	pending bool
 }
 
 // record is the crash record of one request.
@@ -44,13 +49,15 @@
 func (r *record) add(c crash) bool {
 	at := slices.IndexFunc(r.crashes, func(e crash) bool { return e.incarnation == c.incarnation })
 	if at >= 0 {
-		changed := c.excused && !r.crashes[at].excused
-		r.crashes[at].excused = r.crashes[at].excused || c.excused
-		return changed
+		before := r.crashes[at]
+		r.crashes[at].excused = before.excused || c.excused
+		r.crashes[at].running = min(before.running, c.running)
+		r.crashes[at].pending = before.pending && c.pending
+		return r.crashes[at] != before
 	}
 	if len(r.crashes) >= maxCrashes {
-		if c.at.Before(r.crashes[0].at) {
-			return false
+		if c.at.Before(r.crashes[0].at) || c.pending && !r.crashes[0].excused {
+			return false // a pending crash must not displace one that counts, or will before it
 		}
 		r.crashes = slices.Delete(r.crashes, 0, 1)
 	}
@@ -59,20 +66,39 @@
 	return true
 }
 
-// excuseUntil excuses the crashes up to a given time.
-func (r *record) excuseUntil(moment time.Time) {
+// completed stands for the time that a call has been running which was served completely.
+const completed = time.Duration(math.MaxInt64)
+
+// excuseUntil excuses the crashes up to a given time of calls that had been running for runningLead less than
+// another one, and reports whether that changes the record.
+func (r *record) excuseUntil(moment time.Time, running time.Duration) bool {
+	changed := false
+	for i := range r.crashes {
+		c := &r.crashes[i]
+		if !c.excused && !c.at.After(moment) && c.running <= running-runningLead {
+			c.excused, changed = true, true
+		}
+	}
+	return changed
+}
+
+// endPending counts a crash from now on.
+func (r *record) endPending(incarnation uint64) {
 	for i := range r.crashes {
-		if !r.crashes[i].at.After(moment) {
-			r.crashes[i].excused = true
+		if r.crashes[i].incarnation == incarnation {
+			r.crashes[i].pending = false
 		}
 	}
 }
 
-// count returns the number of crashes that are not excused.
+// counts reports whether the crash is neither excused nor pending.
+func (c crash) counts() bool { return !c.excused && !c.pending }
+
+// count returns the number of crashes that count.
 func (r *record) count() int {
 	count := 0
 	for _, e := range r.crashes {
-		if !e.excused {
+		if e.counts() {
 			count++
 		}
 	}
@@ -87,12 +113,12 @@
 	return slices.ContainsFunc(r.crashes, func(c crash) bool { return c.excused })
 }
 
-// isCoveredBy reports whether all but maxUncovered of the crashes that are not excused lie under another
-// request too.
+// isCoveredBy reports whether all but maxUncovered of the crashes that count lie under another request
+// too.
 func (r *record) isCoveredBy(other *record) bool {
 	uncovered := 0
 	for _, c := range r.crashes {
-		if !c.excused && !slices.ContainsFunc(other.crashes, func(o crash) bool { return o.incarnation == c.incarnation }) {
+		if c.counts() && !slices.ContainsFunc(other.crashes, func(o crash) bool { return o.incarnation == c.incarnation }) {
 			uncovered++
 		}
 	}
@@ -156,30 +182,37 @@
 // maxServed bounds the requests in each of the two maps of recentlyServed.
 const maxServed = 4096
 
-// recentlyServed records which requests were served recently.
+// sighting is how long a request has been running, and when that was noted.
+type sighting struct {
+	at      time.Time
+	running time.Duration
+}
+
+// recentlyServed records which requests were served recently, or have been running for how long.
 type recentlyServed struct {
-	current, previous map[Request]time.Time
+	current, previous map[Request]sighting
 	// since is when current was started.
 	since time.Time
 }
 
-func (s *recentlyServed) note(request Request, now time.Time) {
+// note adds a sighting, unless the request has been running for longer elsewhere.
+func (s *recentlyServed) note(request Request, running time.Duration, now time.Time) {
 	if now.Sub(s.since) > servedGrace {
-		s.previous, s.current, s.since = s.current, map[Request]time.Time{}, now
+		s.previous, s.current, s.since = s.current, map[Request]sighting{}, now
 	}
-	if _, there := s.current[request]; there || len(s.current) < maxServed {
-		s.current[request] = now
+	before, there := s.current[request]
+	if there && before.running <= running || !there && len(s.current) < maxServed {
+		s.current[request] = sighting{now, running}
 	}
 }
 
-// last returns when a request was last served, or zero if that was long ago.
-func (s *recentlyServed) last(request Request, now time.Time) time.Time {
-	at, found := s.current[request]
-	if !found {
-		at = s.previous[request]
-	}
-	if now.Sub(at) > 2*servedGrace {
-		return time.Time{}
+// last returns the sightings of a request that are not long ago.
+func (s *recentlyServed) last(request Request, now time.Time) []sighting {
+	var recent []sighting
+	for _, sightings := range []map[Request]sighting{s.current, s.previous} {
+		if last, found := sightings[request]; found && now.Sub(last.at) <= 2*servedGrace {
+			recent = append(recent, last)
+		}
 	}
-	return at
+	return recent
 }
