gateway: streams in progress go on when their part is held

Callers saw: several runners crash before streams with a shared part have the lead that excuses the crashes. The part comes to be held, and streams with it at the other runners, which had been sending for seconds, are cut off. As no stream ends then, nothing releases the part for minutes.

Cause: CancelPart cancels all calls in flight that the part blocks. That spares servers that have not crashed yet, but a part that crashes servers when it is read does so some 0.1 s after the call begins.

Streams that their server has been sending for 0.25 s now go on, and their ends, or the lead that they get, release the part. Others are cancelled as before (TestACallUnderWayCrashesItsServerAfterItsPartIsHeld). A part that crashes servers later takes the streams that are in flight with it then; none is sent to servers after that.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,6 +77,7 @@
 // closed when the caller's connection is aborted, which leaves this function by a panic.
 func (a *attempt) runOne() (step nextStep, successor *attempt) {
 	defer a.cancel()
+	defer a.x.isRunning.Store(false)
 	defer func() { successor = a.watch.close(step == stepSwitched) }()
 	return a.run(), nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,6 +220,8 @@
 	fingerprint fingerprint.Fingerprint
 	// parts identify the parts of the prompt that other prompts may have too.
 	parts []fingerprint.Fingerprint
+	// isRunning is set while a server has been sending events of the call's stream for spareAfter.
+	isRunning atomic.Bool
 
 	// Written while the call is forwarded.
 	attempted []string
--- a/internal/gateway/longstreams_test.go
+++ b/internal/gateway/longstreams_test.go
@@ -17,6 +17,7 @@
 	"github.com/cometlock/cometlock/internal/crash"
 	"github.com/cometlock/cometlock/internal/fingerprint"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/quarantine"
 	"github.com/cometlock/cometlock/internal/retrybudget"
 )
 
@@ -196,3 +197,25 @@
 	g.Expect(time.Since(began)).To(BeNumerically(">", time.Second), "or the box did not wait for its caller")
 	g.Expect(running).To(BeNumerically("<", 500*time.Millisecond))
 }
+
+// Four servers crash before any stream has the lead that excuses it, and the part that all share comes to be held.
+// The streams that go on at other servers must not be cut off, and their ends must release the part.
+func TestStreamsInProgressAreCutWhenTheirPartIsHeld(t *testing.T) {
+	g := NewWithT(t)
+	l := startLongStreams(t, g)
+	for range longStreams {
+		l.callers.Go(l.call)
+	}
+	g.Eventually(l.countBegun, 10*time.Second).Should(Equal(longStreams))
+	time.Sleep(longStreamAge)
+	shared := []fingerprint.Fingerprint{sharedPart()}
+	for incarnation := range uint64(quarantine.PartThreshold) {
+		l.cfg.PartQuarantine.NoteCrash(quarantine.Crash{Request: sharedPart(), Incarnation: incarnation, Running: time.Minute})
+	}
+	g.Eventually(func() []fingerprint.Fingerprint { return l.cfg.PartQuarantine.Blocking(shared) }, 10*time.Second).ShouldNot(BeEmpty())
+	time.Sleep(200 * time.Millisecond) // until cancelled calls have ended
+	l.end()
+	l.callers.Wait()
+	g.Expect(l.failures).To(BeEmpty())
+	g.Expect(l.cfg.PartQuarantine.Blocking(shared)).To(BeEmpty())
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -83,13 +83,19 @@
 	}
 }
 
-// CancelPart cancels the calls in flight that a held part blocks.
+// spareAfter is how long a server must have been sending events of a stream for it to go on when a part of its
+// prompt comes to be held. Parts that crash servers when they are read do so some 0.1 s after the call begins; the
+// end of a sound stream releases the part.
+const spareAfter = 250 * time.Millisecond
+
+// CancelPart cancels the calls in flight that a held part blocks, except for streams that have been running for
+// spareAfter at their server.
 func (g *Gateway) CancelPart(part fingerprint.Fingerprint) {
 	g.active.mu.Lock()
 	defer g.active.mu.Unlock()
 	for _, calls := range g.active.byRequest {
 		for x := range calls {
-			if slices.Contains(x.parts, part) && slices.Contains(g.cfg.PartQuarantine.Blocking(x.parts), part) {
+			if !x.isRunning.Load() && slices.Contains(x.parts, part) && slices.Contains(g.cfg.PartQuarantine.Blocking(x.parts), part) {
 				x.cancel(errCrashesServers)
 			}
 		}
@@ -112,12 +118,15 @@
 // prompt do not crash servers soon after they begin. Its request is excused by its end only: a request may crash
 // servers at some place of its answer, and few other calls have the same request.
 func (a *attempt) noteRunning() {
-	if a.peer() != nil || len(a.x.parts) == 0 {
-		return // the other box records what its servers send
+	if len(a.x.parts) == 0 {
+		return
 	}
 	running := a.watch.runningFor()
-	if running < a.runningNoted+runningInterval {
-		return
+	if running >= spareAfter {
+		a.x.isRunning.Store(true)
+	}
+	if a.peer() != nil || running < a.runningNoted+runningInterval {
+		return // the other box records what its servers send
 	}
 	a.runningNoted = running
 	for _, part := range a.x.parts {
