--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -83,13 +83,19 @@
 	}
 }
 
-// CancelPart cancels the calls in flight that a held part blocks.
+// spareAfter is how long a server must have been sending events of a stream for it to go on when a part of its
+// prompt comes to be held. Parts that crash servers when they are read do so some 0.1 s after the call begins; the
+// end of a sound stream releases the part.
+const spareAfter = 250 * time.Millisecond
+
+// CancelPart cancels the calls in flight that a held part blocks, except for streams that have been running for
+// spareAfter at their server.
 func (g *Gateway) CancelPart(part fingerprint.Fingerprint) {
 	g.active.mu.Lock()
 	defer g.active.mu.Unlock()
 	for _, calls := range g.active.byRequest {
 		for x := range calls {
-			if slices.Contains(x.parts, part) && slices.Contains(g.cfg.PartQuarantine.Blocking(x.parts), part) {
+			if !x.isRunning.Load() && slices.Contains(x.parts, part) && slices.Contains(g.cfg.PartQuarantine.Blocking(x.parts), part) {
 				x.cancel(errCrashesServers)
 			}
 		}
@@ -105,6 +111,29 @@
 	}
 }
 
+// runningInterval is the time between two records that a server sends events of a stream.
+const runningInterval = 500 * time.Millisecond
+
+// noteRunning records that a server has been sending events of a call's stream, which shows that the parts of its
+// prompt do not crash servers soon after they begin. Its request is excused by its end only: a request may crash
+// servers at some place of its answer, and few other calls have the same request.
+func (a *attempt) noteRunning() {
+	if len(a.x.parts) == 0 {
+		return
+	}
+	running := a.watch.runningFor()
+	if running >= spareAfter {
+		a.x.isRunning.Store(true)
+	}
+	if a.peer() != nil || running < a.runningNoted+runningInterval {
+		return // the other box records what its servers send
+	}
+	a.runningNoted = running
+	for _, part := range a.x.parts {
+		a.gateway.cfg.PartQuarantine.NoteRunning(part, running)
+	}
+}
+
 // admitQuarantine reports whether a call may be sent to a server: neither its request nor a part of its
 // prompt is quarantined.
 func (g *Gateway) admitQuarantine(x *exchange) bool {
@@ -158,6 +187,6 @@
 		return false // the other box detects crashes of its servers; its own end shows nothing about the request
 	}
 	x := a.x
-	loss := crash.BrokenCall{Server: a.chosen.hold.Server(), Request: x.fingerprint, Caller: xxhash.Sum64String(x.callerName()), Parts: x.parts}
+	loss := crash.BrokenCall{Server: a.chosen.hold.Server(), Request: x.fingerprint, Caller: xxhash.Sum64String(x.callerName()), Parts: x.parts, Running: a.watch.runningFor()}
 	return a.gateway.cfg.ConfirmCrash(x.ctx, loss) && a.gateway.hasRepeatedCrash(x)
 }
