zonereader: requests for a view take 1.8 s at most before the log is read

After the log came back from a copy and all boxes restarted, no box had read it 2.5 s later where a connection takes 250 ms to open, and calls were refused.

Cause: a box that responds that it has no view is left, but does not count as one of the three attempts of 0.6 s each. Up to 16 of them are asked one after the other, each with a timeout of 0.6 s, so that a round may take 11.4 s with the three that fail, where three attempts took 1.8 s at most. On a busy machine or a long link each such response takes a while.

All requests of a round together now have the 1.8 s. Boxes that respond at once are asked as before.

--- a/internal/zonereader/adopt.go
+++ b/internal/zonereader/adopt.go
@@ -22,6 +22,8 @@
 	// them, so that the first read is not delayed for long when boxes are unreachable.
 	adoptAttempts = 3
 	adoptTimeout  = 600 * time.Millisecond
+	// adoptRound bounds all requests together, since boxes without a view may respond late too.
+	adoptRound = adoptAttempts * adoptTimeout
 	// maxWithoutView is the number of boxes that may respond that they have no view. If all boxes have just
 	// started, none has one. If nine in ten have, one of this many others has a view in four of five cases.
 	maxWithoutView = 16
@@ -47,6 +49,8 @@
 	}
 	others := m.cfg.Others()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	ctx, cancel := context.WithTimeout(ctx, adoptRound)
+	defer cancel()
 	failed, without := 0, 0
 	for _, other := range others {
 		if other.Unavailable {
--- a/internal/zonereader/restored_test.go
+++ b/internal/zonereader/restored_test.go
@@ -168,6 +168,33 @@
 	})
 }
 
+// Boxes that had just restarted and responded late were left one after the other, 16 times, and the log was
+// read seconds later than where none responded.
+func TestBoxesThatRestartAndRespondLateDoNotDelayTheLogForLonger(t *testing.T) {
+	inZones(t, func(g *WithT, f *startingFleet) {
+		f.log.Restore(f.log.Copy())
+		time.Sleep(3 * time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		restarted := f.all()
+		for _, b := range restarted {
+			f.crash(b)
+		}
+		f.dialTime.Store(int64(250 * time.Millisecond))
+		for _, b := range restarted {
+			f.restart(ctx, b)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		known := 0
+		for _, b := range f.all() {
+			if b.registry.Catalog() != nil {
+				known++
+			}
+		}
+		g.Expect(known).To(BeNumerically(">", 0), "boxes that have read the log")
+	})
+}
+
 // zoneReader returns the reader of a zone that follows the root.
 func (f *startingFleet) zoneReader() *testBox {
 	for _, b := range f.list {
--- a/internal/zonereader/testfleet_test.go
+++ b/internal/zonereader/testfleet_test.go
@@ -159,6 +159,8 @@
 	wait sync.WaitGroup
 	// dials counts the connections between boxes that were begun.
 	dials atomic.Int64
+	// dialTime is how long a connection takes to open, in nanoseconds.
+	dialTime atomic.Int64
 
 	mu   sync.Mutex
 	list []*testBox
@@ -219,6 +221,7 @@
 
 func (f *testFleet) dial(ctx context.Context, address string) (net.Conn, error) {
 	f.dials.Add(1)
+	waiting.For(ctx, time.Duration(f.dialTime.Load()))
 	for _, b := range f.all() {
 		if b.self.Address != address || b.crashed.Load() {
 			continue
