retrybudget: services without calls get no larger part at once either

When other boxes left, or became known, a box could make the retries of its larger part at once at each service that had had no calls there: 20 instead of 2 in the test. The boxes that left may just have retried their own parts. The same holds for a box that starts without a list of boxes.

Cause: a budget is created by the first use of its service, and then regained retries for all the time since the box started by the part of that moment. A budget that existed regained them by the parts that it had.

The set now has a budget that is never used and gets each change of the part. Others start as copies of it.

TestALargerBurstIsNotGrantedAtOnceToAServiceWithoutCalls failed before. All tests of retrybudget pass with the race detector, and those of retries in entrybox and gateway without it (one run each, load average 28 on 8 cores).

--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -81,12 +81,17 @@
 }
 
 // New returns a budget with its initial retries.
-func New(cfg Config) *Budget { return newBudget(cfg, boottime.Now()) }
+func New(cfg Config) *Budget {
+	cfg, now := cfg.withDefaults(), boottime.Now()
+	return &Budget{cfg: cfg, balance: min(cfg.Initial, cfg.reserve()), earned: earnings{halfStart: now}, updated: now, lastUsed: now}
+}
 
-// newBudget returns a budget that has been unused since a time.
-func newBudget(cfg Config, since time.Time) *Budget {
-	cfg = cfg.withDefaults()
-	return &Budget{cfg: cfg, balance: min(cfg.Initial, cfg.reserve()), earned: earnings{halfStart: since}, updated: since, lastUsed: boottime.Now()}
+// copyUnused returns a copy of a budget that has not been used.
+func (b *Budget) copyUnused() *Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.update()
+	return &Budget{cfg: b.cfg, balance: b.balance, earned: b.earned, updated: b.updated, lastUsed: b.updated}
 }
 
 // SetBurst changes the maximum number of saved retries. A larger one is not granted at once: the
--- a/internal/retrybudget/set.go
+++ b/internal/retrybudget/set.go
@@ -3,9 +3,6 @@
 import (
 	"maps"
 	"sync"
-	"time"
-
-	"github.com/cometlock/cometlock/internal/boottime"
 )
 
 // Set has a budget for each service, so that calls of one service earn no retries for another.
@@ -14,16 +11,15 @@
 // Budgets of services that are gone can be dropped once they have not been used for a window: no
 // window then has retries of both the old budget and the one of a service that comes back.
 type Set struct {
-	created time.Time
-
-	mu      sync.Mutex
-	cfg     Config
+	mu sync.Mutex
+	// unused is a budget that is never used. Budgets start as copies of it.
+	unused  *Budget
 	budgets map[string]*Budget
 }
 
 // NewSet returns a set of budgets with the same configuration, which needs a window.
 func NewSet(cfg Config) *Set {
-	return &Set{created: boottime.Now(), cfg: cfg, budgets: map[string]*Budget{}}
+	return &Set{unused: New(cfg), budgets: map[string]*Budget{}}
 }
 
 // Budget returns the budget of a service.
@@ -32,7 +28,7 @@
 	defer s.mu.Unlock()
 	budget, ok := s.budgets[service]
 	if !ok {
-		budget = newBudget(s.cfg, s.created)
+		budget = s.unused.copyUnused()
 		s.budgets[service] = budget
 	}
 	return budget
@@ -42,7 +38,7 @@
 func (s *Set) SetBurst(burst float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cfg.Burst = burst
+	s.unused.SetBurst(burst)
 	for _, budget := range s.budgets {
 		budget.SetBurst(burst)
 	}
--- a/internal/retrybudget/window_test.go
+++ b/internal/retrybudget/window_test.go
@@ -176,6 +176,20 @@
 	})
 }
 
+// Guards against services without calls so far that have more than their part at once when other boxes leave
+// or are not known yet.
+func TestALargerBurstIsNotGrantedAtOnceToAServiceWithoutCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		set := retrybudget.NewSet(windowConfig())
+		time.Sleep(window)
+		set.SetBurst(40)
+		g.Expect(withdrawAll(set.Budget("s"))).To(Equal(2))
+		time.Sleep(window)
+		g.Expect(withdrawAll(set.Budget("later"))).To(Equal(20))
+	})
+}
+
 // Guards against a small burst, as in a large fleet, that allows no retry at all.
 func TestASmallBurstAllowsARetry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
