zonereader: ask again at once where no box responded that it has no view

A box that started after the log came back from a copy, and was then cut off from the log and all other boxes, went by the copy (such as a key that was removed) when the others were back half a second before the log.

Cause: since boxes without a view ask each other every 2 s only, a round in which no box could be reached is followed by that pause too. The log is read in it.

The pause now follows rounds in which a box responded that it has no view. Those rounds were the ones that opened thousands of connections; a round of three failures is followed by the next one after 0.2 s, as before the pause came.

--- a/internal/zonereader/adopt.go
+++ b/internal/zonereader/adopt.go
@@ -71,7 +71,9 @@
 		failed++
 		m.cfg.Logger.Info().Str("from", other.Name).Str("error", err.Error()).Msg("view_not_adopted")
 	}
-	m.adoptAgainAt = boottime.Now().Add(adoptPause)
+	if without > 0 { // where no box responded, those that do may have a view
+		m.adoptAgainAt = boottime.Now().Add(adoptPause)
+	}
 	m.cfg.Logger.Info().Int("failed", failed).Int("without_view", without).Msg("no_view_adopted")
 }
 
--- a/internal/zonereader/restored_test.go
+++ b/internal/zonereader/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -195,6 +196,48 @@
 	})
 }
 
+// A box that had reached no other one, nor the log, went by the copy when others were back half a second
+// before the log, since it did not ask them again for 2 s.
+func TestABoxThatWasCutOffStartsWithWhatOthersHold(t *testing.T) {
+	for moment := range 6 {
+		t.Run(fmt.Sprint("moment ", moment), func(t *testing.T) {
+			inZones(t, func(g *WithT, f *startingFleet) {
+				copied := f.log.Copy()
+				f.log.Put(sharedlog.Operator, "config", []byte("vvv"))
+				time.Sleep(2 * time.Second)
+				f.log.Restore(copied)
+				time.Sleep(3 * time.Second)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				started := f.restart(ctx, f.reader())
+				time.Sleep(15 * time.Millisecond) // it has seen the era and the list of boxes
+				started.log.cut.Store(true)
+				f.refuse(started, true)
+				time.Sleep(3*time.Second + time.Duration(moment)*330*time.Millisecond)
+				f.refuse(started, false)
+				time.Sleep(500 * time.Millisecond)
+				started.log.cut.Store(false)
+				for range 400 {
+					time.Sleep(10 * time.Millisecond)
+					if c := started.registry.Catalog(); c != nil {
+						g.Expect(c.Version()).To(BeEquivalentTo(3), "the lost configuration")
+					}
+				}
+				g.Expect(started.registry.Catalog()).NotTo(BeNil())
+			})
+		})
+	}
+}
+
+// refuse makes all boxes but one refuse connections, or accept them again.
+func (f *startingFleet) refuse(except *testBox, refuse bool) {
+	for _, b := range f.all() {
+		if b != except {
+			b.crashed.Store(refuse)
+		}
+	}
+}
+
 // zoneReader returns the reader of a zone that follows the root.
 func (f *startingFleet) zoneReader() *testBox {
 	for _, b := range f.list {
