fleet: placing a call among many servers takes less time

A box chooses a server under its fleet's lock.

Causes, by profiles: the query, some 400 bytes, was copied for each server and for each stage, on the heap since a loop over servers captured it; the work of other boxes was looked up in two maps, twice for each server; times of limits and pauses were subtracted where only a comparison was needed; positions for rate limits were prepared for servers without one.

The query is passed by reference, samples are slices that the stages filter in place, and each server keeps the total of other boxes' work. Which servers are chosen does not change.

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -171,6 +171,9 @@
 // paused. An answer without a pause does not end an earlier one.
 func (r *Record) PausedFor(now time.Time) time.Duration { return max(r.pausedUntil.Sub(now), 0) }
 
+// IsPaused reports whether the server wants no requests from this box now.
+func (r *Record) IsPaused(now time.Time) bool { return now.Before(r.pausedUntil) }
+
 // ApplyReport applies another box's report, which was received at the time now.
 func (r *Record) ApplyReport(report Report, now time.Time) Change {
 	change := Change{}
@@ -232,10 +235,13 @@
 	return changed
 }
 
+// IsLimited reports whether the server states a rate limit.
+func (r *Record) IsLimited() bool { return r.newest.perSecond > 0 }
+
 // Limit returns the rate in requests per second that the server accepts from all boxes together,
 // and the age of its newest statement on it. It returns false if there is no limit.
 func (r *Record) Limit(now time.Time) (perSecond float64, age time.Duration, limited bool) {
-	return r.newest.perSecond, now.Sub(r.newest.at), r.newest.perSecond > 0
+	return r.newest.perSecond, now.Sub(r.newest.at), r.IsLimited()
 }
 
 // Report returns the report for other boxes, or nil if there is nothing to report.
--- a/internal/advisory/brittle.go
+++ b/internal/advisory/brittle.go
@@ -102,6 +102,9 @@
 	return max(b.blockedUntil.Sub(now), 0)
 }
 
+// IsBlocked reports whether the server gets no calls now because it refused some.
+func (b *brittleness) IsBlocked(now time.Time) bool { return now.Before(b.blockedUntil) }
+
 // Room returns the number of calls that the server holds for all boxes; zero if it is unknown.
 func (b *brittleness) Room(slots int) float64 {
 	switch {
@@ -119,10 +122,10 @@
 // boxes that don't know of it yet still place calls without a bound.
 func (b *brittleness) RoomShare(slots int, position Position, now time.Time) int {
 	calls := b.Room(slots)
-	if missing := b.filledAt.Sub(now); missing > 0 {
-		calls *= 1 - float64(missing)/float64(fillTime)
+	if b.IsFilling(now) {
+		calls *= 1 - float64(b.filledAt.Sub(now))/float64(fillTime)
 	}
-	if missing := b.reducedUntil.Add(rampTime).Sub(now); missing > 0 {
+	if missing := rampTime - now.Sub(b.reducedUntil); missing > 0 {
 		calls *= 1 - min(float64(missing)/float64(rampTime), 1)/2
 	}
 	return roomShare(max(calls, 1), position)
--- a/internal/advisory/server.go
+++ b/internal/advisory/server.go
@@ -14,10 +14,10 @@
 // Share returns the rate in requests per second at which this box may send to the server, or false
 // if the server states no limit. The zero position is that of a single box.
 func (s *Server) Share(now time.Time, position Position) (perSecond float64, limited bool) {
-	limit, age, limited := s.Limit(now)
-	if !limited {
+	if !s.IsLimited() {
 		return 0, false
 	}
+	limit, age, _ := s.Limit(now)
 	return Share(limit, age, position), true
 }
 
--- a/internal/fleet/advisory.go
+++ b/internal/fleet/advisory.go
@@ -63,18 +63,22 @@
 
 // limitPosition returns this box's position among the boxes that share a server's rate limit. The
 // caller holds mu.
-func (f *Fleet) limitPosition(state *State, now time.Time) advisory.Position {
-	if _, _, limited := state.stated().Limit(now); !limited || f.cfg.LimitPosition == nil {
+func (f *Fleet) limitPosition(state *State) advisory.Position {
+	if !state.stated().IsLimited() || f.cfg.LimitPosition == nil {
 		return advisory.Position{}
 	}
 	return f.cfg.LimitPosition(state.Zone, state.Incarnation)
 }
 
+// lacksRate reports whether a server's rate limit allows no call of this box now. The caller holds mu.
+func (f *Fleet) lacksRate(state *State, now time.Time) bool {
+	return state.stated().IsLimited() && !state.stated().HasRoom(now, f.limitPosition(state))
+}
+
 // isCapped reports whether this box counts its calls at a server, so that only calls that it places
 // for itself may go there. The caller holds mu.
 func (f *Fleet) isCapped(state *State, now time.Time) bool {
-	_, _, limited := state.stated().Limit(now)
-	return limited || isBrittle(state) || f.isBounded(state, now)
+	return state.stated().IsLimited() || isBrittle(state) || f.isBounded(state, now)
 }
 
 // CountLimited counts the listed servers with a rate limit, and those of them whose limit this box
@@ -84,7 +88,7 @@
 	defer f.mu.Unlock()
 	now := boottime.Now()
 	for _, state := range f.servers {
-		share, named := state.stated().Share(now, f.limitPosition(state, now))
+		share, named := state.stated().Share(now, f.limitPosition(state))
 		if !named || !state.delistedAt.IsZero() {
 			continue
 		}
--- a/internal/fleet/arrivals.go
+++ b/internal/fleet/arrivals.go
@@ -36,7 +36,7 @@
 
 // unreportedWork estimates the work, in milliseconds, that all boxes send to each of the runners
 // within the lag, assuming that they place as much as this box.
-func (a *arrivals) unreportedWork(query Query, runners int, now time.Time) float64 {
+func (a *arrivals) unreportedWork(query *Query, runners int, now time.Time) float64 {
 	a.decay(now)
 	if runners == 0 {
 		return 0
--- a/internal/fleet/availability.go
+++ b/internal/fleet/availability.go
@@ -41,7 +41,7 @@
 		if f.evacuated.IsEvacuated(state.Zone) || query.ZoneAllowed != nil && !query.ZoneAllowed(state.Zone) {
 			continue
 		}
-		wait, here := state.stated().Wait(now, f.limitPosition(state, now))
+		wait, here := state.stated().Wait(now, f.limitPosition(state))
 		if isBrittle(state) {
 			wait = max(wait, state.stated().BlockedFor(now))
 			here = here && f.roomShare(state, now) > 0
--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -96,7 +96,7 @@
 		return
 	}
 	change := state.ownStatements().ApplyBrittleReport(*report, now)
-	state.ownStatements().SetOtherRefusals(f.remoteTotals[state.Incarnation].refusals, now)
+	state.ownStatements().SetOtherRefusals(state.others.refusals, now)
 	f.logAdvisory(state, change, sourceReport, now)
 	f.noteBrittle(state, now)
 }
@@ -119,7 +119,7 @@
 	if !isBrittle(state) {
 		return false
 	}
-	if state.stated().BlockedFor(now) > 0 {
+	if state.stated().IsBlocked(now) {
 		return true
 	}
 	share := f.roomShare(state, now)
@@ -140,7 +140,7 @@
 	if outcome != OutcomeFull && outcome != OutcomeServed {
 		return
 	}
-	inFlight := state.inFlight + f.remoteWork(state.Incarnation).inFlight
+	inFlight := state.inFlight + state.others.inFlight
 	maxRefusals, brittle := state.stated().Brittle()
 	service := f.brittle[state.Service]
 	tried := brittle && f.isTried(state, now)
@@ -173,13 +173,13 @@
 
 // startTry starts to try a server above its known room when this box found none for a call, unless
 // another try is in progress. The caller holds mu.
-func (f *Fleet) startTry(query Query, now time.Time) {
+func (f *Fleet) startTry(query *Query, now time.Time) {
 	service := f.brittle[query.Service]
 	if service == nil || query.UncappedOnly || service.tried != "" && now.Before(service.triedUntil) || !f.mayTry(query.Service) {
 		return
 	}
-	for state := range f.samples(query)[0] {
-		if !isBrittle(state) || now.Before(state.nextTry) || !f.isPresent(state, now) || state.stated().BlockedFor(now) > 0 || state.stated().IsFilling(now) {
+	for _, state := range f.sample(query, 0) {
+		if !isBrittle(state) || now.Before(state.nextTry) || !f.isPresent(state, now) || state.stated().IsBlocked(now) || state.stated().IsFilling(now) {
 			continue
 		}
 		if state.nextTry.IsZero() {
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -5,7 +5,6 @@
 package fleet
 
 import (
-	"iter"
 	"slices"
 	"time"
 
@@ -70,12 +69,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := boottime.Now()
-	state, candidate, query := f.pick(query, now, true)
+	state, candidate := f.pick(&query, now, true)
 	if state == nil {
 		return nil
 	}
 	f.arrivals.add(float64(candidate.PrefillTokens)*query.Load.TokenCost, now)
-	return f.hold(state, candidate, query, now)
+	return f.hold(state, &candidate, &query, now)
 }
 
 // ChooseUnless is like Choose, but doesn't place the call if skip returns true for the best server
@@ -87,16 +86,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := boottime.Now()
-	found, query := f.findServers(query, now, false)
-	state, candidate := found.choose(query)
+	found := f.findServers(&query, now, false)
+	state, candidate := found.choose(&query)
 	if state == nil {
 		return nil, ""
 	}
-	if skip(&candidate, query.Load.UnreportedWork) || !f.leavesRoom(query, state, &candidate, now) {
+	if skip(&candidate, query.Load.UnreportedWork) || !f.leavesRoom(&query, state, &candidate, now) {
 		return nil, found.zone(query)
 	}
 	f.arrivals.add(float64(candidate.PrefillTokens)*query.Load.TokenCost, now)
-	return f.hold(state, candidate, query, now), state.Zone
+	return f.hold(state, &candidate, &query, now), state.Zone
 }
 
 // Best describes the server that Choose would take, and returns its zone; found is false if there
@@ -104,8 +103,8 @@
 func (f *Fleet) Best(query Query) (best placing.Candidate, zone string, found bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	servers, query := f.findServers(query, boottime.Now(), false)
-	state, best := servers.choose(query)
+	servers := f.findServers(&query, boottime.Now(), false)
+	state, best := servers.choose(&query)
 	return best, servers.zone(query), state != nil
 }
 
@@ -116,38 +115,37 @@
 	defer f.mu.Unlock()
 	now := boottime.Now()
 	state := f.servers[incarnation]
-	if state == nil || state.Service != query.Service || !f.isEligible(state, query, now) {
+	if state == nil || state.Service != query.Service || !f.isEligible(state, &query, now) {
 		return nil
 	}
 	if state.isSuspect(now) && incarnation != query.SuspectAllowed {
 		return nil
 	}
 	f.addLearned(&query)
-	candidate := f.describe(state, query, now)
+	candidate := f.describe(state, &query, now)
 	f.arrivals.add(float64(candidate.PrefillTokens)*query.Load.TokenCost, now)
-	return f.hold(state, candidate, query, now)
+	return f.hold(state, &candidate, &query, now)
 }
 
-// pick chooses a server, and returns the query with the values that the fleet adds. If byReports is
-// set, the server must have room for unreported calls of other boxes. The caller holds mu.
-func (f *Fleet) pick(query Query, now time.Time, byReports bool) (*State, placing.Candidate, Query) {
-	found, query := f.findServers(query, now, byReports)
-	state, candidate := found.choose(query)
-	return state, candidate, query
+// pick chooses a server, and adds to the query what findServers adds. If byReports is set, the server
+// must have room for unreported calls of other boxes. The caller holds mu.
+func (f *Fleet) pick(query *Query, now time.Time, byReports bool) (*State, placing.Candidate) {
+	found := f.findServers(query, now, byReports)
+	return found.choose(query)
 }
 
-// findServers finds the servers for a call, and returns the query with the values that the fleet adds. The
-// caller holds mu.
-func (f *Fleet) findServers(query Query, now time.Time, byReports bool) (selection, Query) {
+// findServers finds the servers for a call, and adds to the query what the fleet has learned. The caller
+// holds mu.
+func (f *Fleet) findServers(query *Query, now time.Time, byReports bool) selection {
 	f.decayFailures(now)
-	f.addLearned(&query)
+	f.addLearned(query)
 	var found selection
-	for _, servers := range f.samples(query) {
-		found = f.admit(query, servers, now)
+	for attempt := range f.attempts(query.Service) {
+		found = f.admit(query, f.sample(query, attempt), now)
 		// A sample stands for all servers of the service.
 		runners := len(found.candidates) * f.groups[query.Service].size() / max(found.scanned, 1)
 		query.Load.UnreportedWork = f.arrivals.unreportedWork(query, runners, now)
-		f.addUnreported(&query, runners, now)
+		f.addUnreported(query, runners, now)
 		if byReports {
 			f.keepWithRoom(&found, query, now)
 		}
@@ -159,7 +157,7 @@
 		f.startTry(query, now)
 	}
 	query.Load.OtherZoneLag = float64(query.OtherZoneLag) / float64(time.Millisecond)
-	return found, query
+	return found
 }
 
 // selection is the result of an attempt to place a call among some servers.
@@ -174,7 +172,7 @@
 }
 
 // choose returns the best server; nil if there is none.
-func (s selection) choose(query Query) (*State, placing.Candidate) {
+func (s *selection) choose(query *Query) (*State, placing.Candidate) {
 	at := placing.Choose(query.Load, s.candidates)
 	if at < 0 {
 		return nil, placing.Candidate{}
@@ -186,9 +184,9 @@
 // spreads the calls over its servers itself. If the choice of a zone were spread by the unreported
 // work, which in a burst exceeds the cost of another zone, most calls would leave their own zone,
 // and count twice at its owner for as long as load reports take between zones.
-func (s selection) zone(query Query) string {
+func (s *selection) zone(query Query) string {
 	query.Load.UnreportedWork = 0
-	state, _ := s.choose(query)
+	state, _ := s.choose(&query)
 	if state == nil {
 		return ""
 	}
@@ -197,7 +195,7 @@
 
 // isConclusive reports whether no further servers need to be looked at: there is one for the call,
 // or so many usable ones lack the capacity that others will too.
-func (s selection) isConclusive() bool {
+func (s *selection) isConclusive() bool {
 	return len(s.candidates) > 0 || s.usable >= minConclusive
 }
 
@@ -206,11 +204,11 @@
 // hundred calls.
 const minConclusive = 400
 
-// admit finds out which of some servers have the time and the memory for a call. The caller holds
-// mu.
-func (f *Fleet) admit(query Query, servers iter.Seq[*State], now time.Time) selection {
-	usable, scanned := f.usableServers(query, servers, now)
-	result := selection{scanned: scanned, usable: len(usable), admitted: usable[:0], candidates: make([]placing.Candidate, 0, len(usable))}
+// admit finds out which of some servers have the time and the memory for a call. It reuses the slice
+// of the servers. The caller holds mu.
+func (f *Fleet) admit(query *Query, servers []*State, now time.Time) selection {
+	usable := f.usableServers(query, servers, now)
+	result := selection{scanned: len(servers), usable: len(usable), admitted: usable[:0], candidates: make([]placing.Candidate, 0, len(usable))}
 	for _, state := range usable {
 		candidate := f.describe(state, query, now)
 		if f.admits(query, &candidate) {
@@ -223,7 +221,7 @@
 // admits reports whether a server has a slot, the time and the memory for a call. Its headroom counts
 // if that is assigned to this box. The assignment takes a hash for each box, so it is asked for only
 // where it decides.
-func (f *Fleet) admits(query Query, candidate *placing.Candidate) bool {
+func (f *Fleet) admits(query *Query, candidate *placing.Candidate) bool {
 	if placing.Admits(query.Load, candidate) {
 		return true
 	}
@@ -234,12 +232,11 @@
 	return placing.Admits(query.Load, candidate) && query.OwnsHeadroom(candidate.Name)
 }
 
-// usableServers returns those of some servers that may take a call, regardless of their load, and
-// the number of servers that it looked at. The caller holds mu.
-func (f *Fleet) usableServers(query Query, servers iter.Seq[*State], now time.Time) (usable []*State, scanned int) {
-	var healthy, suspect []*State
-	for state := range servers {
-		scanned++
+// usableServers returns those of some servers that may take a call, regardless of their load. It
+// reuses the slice of the servers. The caller holds mu.
+func (f *Fleet) usableServers(query *Query, servers []*State, now time.Time) []*State {
+	healthy, suspect := servers[:0], []*State(nil)
+	for _, state := range servers {
 		switch {
 		case !f.isEligible(state, query, now):
 		case f.isSuspect(state, now):
@@ -250,9 +247,9 @@
 	}
 	if len(healthy) == 0 && !query.HealthyOnly {
 		// If all are suspect, the cause may be high load or this box's own network link.
-		return suspect, scanned
+		return suspect
 	}
-	return healthy, scanned
+	return healthy
 }
 
 // isSuspect reports whether a server is avoided because it hasn't responded.
@@ -262,14 +259,14 @@
 
 // isEligible reports whether a server may take a call, regardless of whether it is suspect. The
 // caller holds mu.
-func (f *Fleet) isEligible(state *State, query Query, now time.Time) bool {
+func (f *Fleet) isEligible(state *State, query *Query, now time.Time) bool {
 	return f.isOpen(state, query, now) && f.hasShare(state, query, now)
 }
 
 // isOpen reports whether a server takes such calls at all, whichever box they come from. The caller
 // holds mu.
-func (f *Fleet) isOpen(state *State, query Query, now time.Time) bool {
-	if state.isDraining() || state.stated().PausedFor(now) > 0 || !f.isPresent(state, now) || now.Before(state.pausedUntil) || now.Before(state.weightOrderUntil) || now.Before(state.replacedUntil) {
+func (f *Fleet) isOpen(state *State, query *Query, now time.Time) bool {
+	if state.isDraining() || state.stated().IsPaused(now) || !f.isPresent(state, now) || now.Before(state.pausedUntil) || now.Before(state.weightOrderUntil) || now.Before(state.replacedUntil) {
 		return false
 	}
 	if f.evacuated.IsEvacuated(state.Zone) || query.ZoneAllowed != nil && !query.ZoneAllowed(state.Zone) {
@@ -289,9 +286,9 @@
 
 // hasShare reports whether this box may send one more call to a server: it has some left of what boxes
 // divide among each other. The caller holds mu.
-func (f *Fleet) hasShare(state *State, query Query, now time.Time) bool {
+func (f *Fleet) hasShare(state *State, query *Query, now time.Time) bool {
 	switch {
-	case f.lacksRoom(state, now), f.isColdExcluded(state, now), !state.stated().HasRoom(now, f.limitPosition(state, now)):
+	case f.lacksRoom(state, now), f.isColdExcluded(state, now), f.lacksRate(state, now):
 		return false
 	case query.UncappedOnly && f.isCapped(state, now):
 		return false
@@ -302,11 +299,11 @@
 
 // describe returns the input of package placing for a server and a call: the work of all boxes
 // there, and the work of the call itself. The caller holds mu.
-func (f *Fleet) describe(state *State, query Query, now time.Time) placing.Candidate {
-	others := f.remoteWork(state.Incarnation)
+func (f *Fleet) describe(state *State, query *Query, now time.Time) placing.Candidate {
+	others := &state.others
 	candidate := placing.Candidate{
 		Name: state.Incarnation, InFlight: state.inFlight + others.inFlight, Slots: state.Slots,
-		PendingTokens: state.pendingTokens + others.pendingTokens, HeldTokens: f.totalHeldTokens(state),
+		PendingTokens: state.pendingTokens + others.pendingTokens, HeldTokens: state.totalHeldTokens(),
 		OtherZone: state.Zone != query.Zone, FailureRate: state.failureRate, Cold: f.isCold(state, now),
 		Exclusive: f.isCapped(state, now), Lateness: f.relativeLateness(state, now),
 		Suspect: f.isSuspect(state, now),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -191,7 +191,7 @@
 	}
 	f.currentIncarnation[update.Key] = update.Server.Incarnation
 	if state == nil {
-		state = &State{key: update.Key}
+		state = &State{key: update.Key, others: f.remoteWork(update.Server.Incarnation)}
 		f.servers[update.Server.Incarnation] = state
 		f.discovered = append(f.discovered, update)
 	} else if !state.delistedAt.IsZero() {
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -23,12 +23,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	query.UncappedOnly = true // this box counts only its own calls there
-	state, candidate, query := f.pick(query, boottime.Now(), false)
+	state, candidate := f.pick(&query, boottime.Now(), false)
 	if state == nil {
 		return nil
 	}
 	load := Load{Incarnation: state.Incarnation, InFlight: 1, PendingTokens: candidate.PrefillTokens, HeldTokens: query.Load.Tokens}
-	addWork(f.granted, load, 1)
+	f.addWork(f.granted, load, 1)
 	return &Grant{f, load}
 }
 
@@ -37,7 +37,7 @@
 	defer g.fleet.capacityChanged.Broadcast()
 	g.fleet.mu.Lock()
 	defer g.fleet.mu.Unlock()
-	addWork(g.fleet.granted, g.load, -1)
+	g.fleet.addWork(g.fleet.granted, g.load, -1)
 }
 
 // HeldVersions returns the versions of a model's weights that servers of a service hold, so that a
--- a/internal/fleet/groups.go
+++ b/internal/fleet/groups.go
@@ -55,22 +55,16 @@
 	return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
-// window yields count servers, or all if there are fewer, from the position of the seed among the
-// hashes. For one seed it changes only by the servers that come or go there.
-func (p *pool) window(seed uint64, count int) iter.Seq[*State] {
-	return func(yield func(*State) bool) {
-		p.sort()
-		total := len(p.states)
-		if total == 0 {
-			return
-		}
-		first, _ := slices.BinarySearchFunc(p.states, seed, func(s *State, seed uint64) int { return cmp.Compare(s.order, seed) })
-		for i := range min(count, total) {
-			if !yield(p.states[(first+i)%total]) {
-				return
-			}
-		}
+// appendWindow appends count servers, or all if there are fewer, from the position of the seed among
+// the hashes. For one seed they change only by the servers that come or go there.
+func (p *pool) appendWindow(servers []*State, seed uint64, count int) []*State {
+	p.sort()
+	first, _ := slices.BinarySearchFunc(p.states, seed, func(s *State, seed uint64) int { return cmp.Compare(s.order, seed) })
+	servers = append(servers, p.states[first:min(first+count, len(p.states))]...)
+	if rest := first + count - len(p.states); rest > 0 {
+		servers = append(servers, p.states[:min(rest, first)]...)
 	}
+	return servers
 }
 
 // group holds the servers of a service by zone.
@@ -103,22 +97,18 @@
 	return g.count
 }
 
-// sample yields up to inZone servers of a zone and up to elsewhere servers of each other zone. The
+// sample returns up to inZone servers of a zone and up to elsewhere servers of each other zone. The
 // seed selects which.
-func (g *group) sample(zone string, seed uint64, inZone, elsewhere int) iter.Seq[*State] {
-	return func(yield func(*State) bool) {
-		for _, name := range slices.Sorted(maps.Keys(g.pools)) {
-			count := elsewhere
-			if name == zone {
-				count = inZone
-			}
-			for state := range g.pools[name].window(seed, count) {
-				if !yield(state) {
-					return
-				}
-			}
+func (g *group) sample(zone string, seed uint64, inZone, elsewhere int) []*State {
+	servers := make([]*State, 0, min(inZone+elsewhere*(len(g.pools)-1), g.count))
+	for _, name := range slices.Sorted(maps.Keys(g.pools)) {
+		count := elsewhere
+		if name == zone {
+			count = inZone
 		}
+		servers = g.pools[name].appendWindow(servers, seed, count)
 	}
+	return servers
 }
 
 // addToGroup lists a server under its service and zone. The caller holds mu.
@@ -167,23 +157,37 @@
 // isSampled reports whether a call to a service is placed among a sample of its servers.
 func (f *Fleet) isSampled(service string) bool { return f.groups[service].size() > maxScanned }
 
-// samples returns the servers among which a call is placed, in the order of the attempts: all
-// servers of a small service, or a small sample, a larger one, and all of them.
-func (f *Fleet) samples(query Query) []iter.Seq[*State] {
+// sampleCount is the number of samples among which a call to a large service is placed, one after the other.
+const sampleCount = 3
+
+// attempts returns among how many samples a call to a service is placed. The caller holds mu.
+func (f *Fleet) attempts(service string) int {
+	if f.isSampled(service) {
+		return sampleCount
+	}
+	return 1
+}
+
+// sample returns the servers among which a call is placed in an attempt: all servers of a small
+// service, or a small sample, a larger one, and all of them. The caller holds mu, and may modify the
+// slice.
+func (f *Fleet) sample(query *Query, attempt int) []*State {
 	g := f.groups[query.Service]
-	if !f.isSampled(query.Service) {
-		return []iter.Seq[*State]{g.all()}
+	if attempt == f.attempts(query.Service)-1 {
+		return slices.AppendSeq(make([]*State, 0, g.size()), g.all())
 	}
 	zones := len(g.pools)
-	if key := query.Load.AffinityKey; key != 0 {
-		// Boxes of all zones must find the same two servers, so the sample is that of no zone.
-		small, large := max(1, (sampledInZone+sampledElsewhere)/zones), max(1, maxScanned/zones)
-		return []iter.Seq[*State]{g.sample(query.Zone, key, small, small), g.sample(query.Zone, key, large, large), g.all()}
+	seed, inZone, elsewhere := query.Load.TieBreaker, sampledInZone, max(1, sampledElsewhere/zones)
+	if attempt > 0 {
+		inZone, elsewhere = maxScanned, max(1, maxScanned/zones)
 	}
-	seed := query.Load.TieBreaker
-	return []iter.Seq[*State]{
-		g.sample(query.Zone, seed, sampledInZone, max(1, sampledElsewhere/zones)),
-		g.sample(query.Zone, seed, maxScanned, max(1, maxScanned/zones)),
-		g.all(),
+	if query.Load.AffinityKey != 0 {
+		// Boxes of all zones must find the same two servers, so the sample is that of no zone.
+		seed, elsewhere = query.Load.AffinityKey, max(1, (sampledInZone+sampledElsewhere)/zones)
+		if attempt > 0 {
+			elsewhere = max(1, maxScanned/zones)
+		}
+		inZone = elsewhere
 	}
+	return g.sample(query.Zone, seed, inZone, elsewhere)
 }
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -64,7 +64,7 @@
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	now := boottime.Now()
-	if h.state.stated().Draining() || h.state.stated().PausedFor(now) > 0 || isBrittle(h.state) && h.state.stated().BlockedFor(now) > 0 {
+	if h.state.stated().Draining() || h.state.stated().IsPaused(now) || isBrittle(h.state) && h.state.stated().IsBlocked(now) {
 		return false
 	}
 	return h.handOverBy.IsZero() || now.Before(h.handOverBy)
@@ -87,7 +87,7 @@
 func (h *Hold) DelistedFor() time.Duration { return h.delistedFor }
 
 // hold counts a call at its server. The caller holds mu.
-func (f *Fleet) hold(state *State, candidate placing.Candidate, query Query, now time.Time) *Hold {
+func (f *Fleet) hold(state *State, candidate *placing.Candidate, query *Query, now time.Time) *Hold {
 	if state.inFlight == 0 {
 		state.silentSince = now
 	}
@@ -101,7 +101,7 @@
 	if !state.delistedAt.IsZero() {
 		delistedFor = now.Sub(state.delistedAt)
 	}
-	cold, limited := f.countColdCall(state, now), state.stated().NoteSent(now, f.limitPosition(state, now))
+	cold, limited := f.countColdCall(state, now), state.stated().NoteSent(now, f.limitPosition(state))
 	handOverBy, brittle := time.Time{}, isBrittle(state)
 	if cold || limited || brittle {
 		handOverBy = now.Add(coldstart.AdmissionValidity)
--- a/internal/fleet/remote.go
+++ b/internal/fleet/remote.go
@@ -76,11 +76,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, load := range f.remoteLoads[peer] {
-		addWork(f.remoteTotals, load, -1)
+		f.addWork(f.remoteTotals, load, -1)
 	}
 	now := boottime.Now()
 	for _, load := range loads {
-		addWork(f.remoteTotals, load, 1)
+		f.addWork(f.remoteTotals, load, 1)
 		if state := f.servers[load.Incarnation]; state != nil {
 			f.applyRemoteLoad(state, load, now)
 			f.applyReport(state, load.Advisory, now)
@@ -103,27 +103,31 @@
 	refusals int
 }
 
-// addWork adds work to the totals by server, or subtracts it if sign is -1.
-func addWork(totals map[string]workTotal, load Load, sign int) {
-	total := totals[load.Incarnation]
-	total.inFlight += sign * load.InFlight
-	total.pendingTokens += sign * load.PendingTokens
-	total.heldTokens += sign * load.HeldTokens
+// plus returns the sum of two totals.
+func (w workTotal) plus(other workTotal) workTotal {
+	return workTotal{w.inFlight + other.inFlight, w.pendingTokens + other.pendingTokens, w.heldTokens + other.heldTokens, w.refusals + other.refusals}
+}
+
+// addWork adds work to the totals by server, or subtracts it if sign is -1. The caller holds mu.
+func (f *Fleet) addWork(totals map[string]workTotal, load Load, sign int) {
+	added := workTotal{inFlight: sign * load.InFlight, pendingTokens: sign * load.PendingTokens, heldTokens: sign * load.HeldTokens}
 	if load.Brittle != nil {
-		total.refusals += sign * load.Brittle.Refusals
+		added.refusals = sign * load.Brittle.Refusals
 	}
-	if total == (workTotal{}) {
+	if state := f.servers[load.Incarnation]; state != nil {
+		state.others = state.others.plus(added)
+	}
+	if total := totals[load.Incarnation].plus(added); total != (workTotal{}) {
+		totals[load.Incarnation] = total
+	} else {
 		delete(totals, load.Incarnation)
-		return
 	}
-	totals[load.Incarnation] = total
 }
 
 // remoteWork returns the work of all other boxes at a server, as reported by them or granted by
 // this box. The caller holds mu.
 func (f *Fleet) remoteWork(incarnation string) workTotal {
-	reported, granted := f.remoteTotals[incarnation], f.granted[incarnation]
-	return workTotal{reported.inFlight + granted.inFlight, reported.pendingTokens + granted.pendingTokens, reported.heldTokens + granted.heldTokens, reported.refusals}
+	return f.remoteTotals[incarnation].plus(f.granted[incarnation])
 }
 
 // remotePauseLimit bounds the pause caused by one report of another box, which repeats the report
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -87,6 +87,9 @@
 	// usableUntil is the time until which a delisted server may still get calls.
 	usableUntil time.Time
 
+	// others is the work of all other boxes at the server, the same as remoteWork returns.
+	others workTotal
+
 	inFlight int
 	// pendingTokens counts prompt tokens of calls in flight without a first event.
 	pendingTokens int
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -12,11 +12,11 @@
 	defer f.mu.Unlock()
 	now := boottime.Now()
 	lacking := false
-	for state := range f.samples(query)[0] {
-		if !f.isOpen(state, query, now) || f.isSuspect(state, now) {
+	for _, state := range f.sample(&query, 0) {
+		if !f.isOpen(state, &query, now) || f.isSuspect(state, now) {
 			continue
 		}
-		if f.hasShare(state, query, now) {
+		if f.hasShare(state, &query, now) {
 			return false
 		}
 		lacking = true
--- a/internal/fleet/shortage.go
+++ b/internal/fleet/shortage.go
@@ -35,27 +35,26 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := boottime.Now()
-	servers := f.samples(query)[0]
-	usable, _ := f.usableServers(query, servers, now)
+	usable := f.usableServers(&query, f.sample(&query, 0), now)
 	f.addLearned(&query)
 	f.addUnreported(&query, len(usable), now)
 	shortage := Shortage{Listed: f.groups[query.Service].size(), Usable: len(usable)}
-	for state := range servers {
+	for _, state := range f.sample(&query, 0) {
 		switch {
 		case f.evacuated.IsEvacuated(state.Zone):
 			shortage.Evacuated++
 		case f.isColdExcluded(state, now):
 			shortage.ColdExcluded++
-		case !state.stated().HasRoom(now, f.limitPosition(state, now)):
+		case f.lacksRate(state, now):
 			shortage.Limited++
-		case state.stated().PausedFor(now) > 0:
+		case state.stated().IsPaused(now):
 			shortage.Paused++
 		case f.lacksRoom(state, now):
 			shortage.Brittle++
 		}
 	}
 	for _, state := range usable {
-		candidate := f.describe(state, query, now)
+		candidate := f.describe(state, &query, now)
 		shortage.InFlight += candidate.InFlight
 		shortage.HeldTokens += candidate.HeldTokens
 		if !placing.HasSlot(query.Load, &candidate) {
@@ -64,10 +63,10 @@
 		if !placing.HasPrefillTime(query.Load, &candidate) {
 			shortage.WithoutTime++
 		}
-		if !f.fitsMemory(query, &candidate) {
+		if !f.fitsMemory(&query, &candidate) {
 			shortage.WithoutMemory++
 		}
-		if f.admits(query, &candidate) && !f.leavesRoom(query, state, &candidate, now) {
+		if f.admits(&query, &candidate) && !f.leavesRoom(&query, state, &candidate, now) {
 			shortage.WithoutShare++
 		}
 	}
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -48,7 +48,7 @@
 }
 
 // limitsSlots reports whether calls with the query's prompt are limited by slots.
-func (f *Fleet) limitsSlots(query Query) bool {
+func (f *Fleet) limitsSlots(query *Query) bool {
 	return query.Model != "" && f.cfg.Mechanisms.Enabled(mechanism.Slots)
 }
 
@@ -56,7 +56,7 @@
 // caller holds mu.
 func (f *Fleet) addLearned(query *Query) {
 	query.Load.TokenCost = f.tokenCost()
-	if !f.limitsSlots(*query) {
+	if !f.limitsSlots(query) {
 		return
 	}
 	if learned := f.useOf(query.Service); learned.slotTime.samples > 0 {
@@ -90,7 +90,7 @@
 }
 
 // fitsMemory reports whether a server has the memory for a call. The caller holds mu.
-func (f *Fleet) fitsMemory(query Query, candidate *placing.Candidate) bool {
+func (f *Fleet) fitsMemory(query *Query, candidate *placing.Candidate) bool {
 	if placing.FitsMemory(query.Load, candidate) {
 		return true
 	}
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -36,7 +36,7 @@
 	now := boottime.Now()
 	counts := map[string]int{}
 	for state := range f.groups[query.Service].all() {
-		if f.isOpen(state, query, now) {
+		if f.isOpen(state, &query, now) {
 			counts[state.Zone]++
 		}
 	}
--- a/internal/fleet/unreported.go
+++ b/internal/fleet/unreported.go
@@ -17,7 +17,7 @@
 // In a larger one, each call is placed among another sample, which spreads them. The caller holds
 // mu.
 func (f *Fleet) addUnreported(query *Query, runners int, now time.Time) {
-	if !f.limitsSlots(*query) || query.Boxes <= 1 || query.Lag <= 0 {
+	if !f.limitsSlots(query) || query.Boxes <= 1 || query.Lag <= 0 {
 		return
 	}
 	placed := &f.useOf(query.Service).placed
@@ -35,7 +35,7 @@
 }
 
 // keepWithRoom removes the servers without room for unreported calls. The caller holds mu.
-func (f *Fleet) keepWithRoom(found *selection, query Query, now time.Time) {
+func (f *Fleet) keepWithRoom(found *selection, query *Query, now time.Time) {
 	if query.Load.UnreportedCalls == 0 {
 		return
 	}
@@ -50,7 +50,7 @@
 
 // leavesRoom reports whether a server has room for a call and for unreported ones, or the call is in
 // this box's share of the room. The caller holds mu.
-func (f *Fleet) leavesRoom(query Query, state *State, candidate *placing.Candidate, now time.Time) bool {
+func (f *Fleet) leavesRoom(query *Query, state *State, candidate *placing.Candidate, now time.Time) bool {
 	if placing.LeavesRoom(query.Load, candidate) {
 		return true
 	}
@@ -66,7 +66,7 @@
 // rankAt returns the number of boxes that precede this one for a server, and the number of all
 // boxes. Where ranks would take too long, or this box receives the reports of a minority of the
 // boxes and would precede most of them, a hash stands for the rank. The caller holds mu.
-func (f *Fleet) rankAt(state *State, query Query) (rank, boxes int) {
+func (f *Fleet) rankAt(state *State, query *Query) (rank, boxes int) {
 	if f.cfg.LimitPosition != nil && query.Boxes <= maxRankedBoxes && !f.isSampled(query.Service) {
 		if position := f.cfg.LimitPosition(state.Zone, state.Incarnation); 2*position.Present > query.Boxes {
 			return position.Rank, max(position.Present, query.Boxes)
@@ -76,7 +76,7 @@
 }
 
 // notePlaced records the placement of a call. The caller holds mu.
-func (f *Fleet) notePlaced(state *State, query Query, now time.Time) {
+func (f *Fleet) notePlaced(state *State, query *Query, now time.Time) {
 	if !f.limitsSlots(query) {
 		return
 	}
@@ -85,7 +85,7 @@
 }
 
 // reportAge returns the age of the load reports that concern a server.
-func (q Query) reportAge(state *State) time.Duration {
+func (q *Query) reportAge(state *State) time.Duration {
 	if state.Zone == q.Zone {
 		return q.Lag
 	}
--- a/internal/fleet/unreported_test.go
+++ b/internal/fleet/unreported_test.go
@@ -106,7 +106,7 @@
 			f, query := withRunners("r"), reportedQuery()
 			query.Boxes, query.BoxSeed = test.boxes, seed
 			f.cfg.LimitPosition = func(string, string) advisory.Position { return advisory.Position{Rank: -1, Present: test.present} }
-			rank, boxes := f.rankAt(f.servers["r"], query)
+			rank, boxes := f.rankAt(f.servers["r"], &query)
 			g.Expect(rank == -1).To(Equal(test.ranked))
 			g.Expect(boxes).To(Equal(test.wantBoxes))
 		})
--- a/internal/fleet/weights.go
+++ b/internal/fleet/weights.go
@@ -35,7 +35,7 @@
 	var behind []BehindServer
 	for _, state := range f.servers {
 		if held := state.weights(model); held > 0 && held < version && !state.isDraining() && state.delistedAt.IsZero() {
-			behind = append(behind, BehindServer{state.Server, held, now.Before(state.suspectUntil), f.totalHeldTokens(state), state.inFlight})
+			behind = append(behind, BehindServer{state.Server, held, now.Before(state.suspectUntil), state.totalHeldTokens(), state.inFlight})
 		}
 	}
 	slices.SortFunc(behind, func(a, b BehindServer) int {
@@ -50,11 +50,8 @@
 	return behind
 }
 
-// totalHeldTokens returns the memory used by the known calls of all boxes at a server. The caller
-// holds mu.
-func (f *Fleet) totalHeldTokens(state *State) int {
-	return state.heldTokens + f.remoteWork(state.Incarnation).heldTokens
-}
+// totalHeldTokens returns the memory used by the known calls of all boxes at the server.
+func (s *State) totalHeldTokens() int { return s.heldTokens + s.others.heldTokens }
 
 // KnownCalls returns the number of known calls of all boxes at a server.
 func (f *Fleet) KnownCalls(incarnation string) int {
@@ -97,7 +94,7 @@
 
 // addModelWork adds the work at one server. The caller holds mu.
 func (f *Fleet) addModelWork(work *ModelWork, state *State) {
-	others := f.remoteWork(state.Incarnation)
+	others := &state.others
 	work.Service = state.Service
 	work.ByZone[state.Zone]++
 	work.Servers++
--- a/internal/zone/advise.go
+++ b/internal/zone/advise.go
@@ -47,8 +47,8 @@
 
 // limitPositionFor returns the position of this box among the boxes that share a runner's rate limit.
 // The caller holds mu.
-func (v *View) limitPositionFor(srv *server, now time.Time) advisory.Position {
-	if _, _, limited := srv.advisoryState.Limit(now); !limited || v.limitPosition == nil {
+func (v *View) limitPositionFor(srv *server) advisory.Position {
+	if !srv.advisoryState.IsLimited() || v.limitPosition == nil {
 		return advisory.Position{}
 	}
 	return v.limitPosition(srv.config.Name)
@@ -57,12 +57,12 @@
 // acceptsRun reports whether a runner's advisories allow this box to send it a run now. The caller
 // holds mu.
 func (v *View) acceptsRun(srv *server, now time.Time) bool {
-	return srv.advisoryState.PausedFor(now) == 0 && srv.advisoryState.HasRoom(now, v.limitPositionFor(srv, now))
+	return !srv.advisoryState.IsPaused(now) && srv.advisoryState.HasRoom(now, v.limitPositionFor(srv))
 }
 
 // noteRun counts a run of this box towards a runner's rate limit. The caller holds mu.
 func (v *View) noteRun(srv *server, now time.Time) {
-	srv.advisoryState.NoteSent(now, v.limitPositionFor(srv, now))
+	srv.advisoryState.NoteSent(now, v.limitPositionFor(srv))
 }
 
 // UnavailableFor returns how long the advisories of all runners of a model forbid this box to send
@@ -76,7 +76,7 @@
 		if srv == nil || !slices.Contains(srv.config.Models, model) || srv.isLeaving() || srv.evacuated {
 			continue
 		}
-		wait, _ := srv.advisoryState.Wait(now, v.limitPositionFor(srv, now))
+		wait, _ := srv.advisoryState.Wait(now, v.limitPositionFor(srv))
 		if wait == 0 {
 			return 0
 		}
