streamorigin: boxes of a test keep their ports while they restart

Cause: the test's boxes closed their listeners and opened others at the same ports, which the kernel may have given to another socket of the machine meanwhile. They reserve their ports now (package reservedport).

--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -334,9 +334,8 @@
 	boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "a", "a", "a")
 	recorder := boxes[boxNumber(boxes, recorderOf(boxes[0]))]
 	recorder.stop()
-	listener, err := net.Listen("tcp", recorder.current().Address)
-	g.Expect(err).NotTo(HaveOccurred())
-	recorder.listener, recorder.log = listener, nil
+	recorder.listen(g)
+	recorder.log = nil
 	recorder.start()
 	for i, b := range boxes {
 		if b != recorder {
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cometlock/cometlock/internal/originlog"
+	"github.com/cometlock/cometlock/internal/reservedport"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
@@ -24,6 +25,7 @@
 type testBox struct {
 	*Origins
 	others   func() []Box
+	port     *reservedport.Port
 	listener net.Listener
 	// log is nil for a box that records nothing, and era its newest era that the box knows of.
 	log  sharedlog.Log
@@ -53,10 +55,11 @@
 	t.Helper()
 	boxes := make([]*testBox, len(zones))
 	for i, zone := range zones {
-		listener, err := net.Listen("tcp", freePort)
+		port, err := reservedport.New()
 		g.Expect(err).NotTo(HaveOccurred())
-		boxes[i] = &testBox{box: Box{Name: fmt.Sprint("box-", i), Zone: zone, Address: listener.Addr().String(), Process: "first"}, versions: []string{"v1", "v2"}}
-		boxes[i].listener = listener
+		t.Cleanup(port.Close)
+		boxes[i] = &testBox{port: port, box: Box{Name: fmt.Sprint("box-", i), Zone: zone, Address: port.Address(), Process: "first"}, versions: []string{"v1", "v2"}}
+		boxes[i].listen(g)
 		if logOf != nil {
 			boxes[i].log = sharedlog.NewMeasured(logOf(i), tally.NoopScope)
 		}
@@ -106,13 +109,19 @@
 	}
 }
 
+// listen opens a listener at the box's address.
+func (b *testBox) listen(g *WithT) {
+	listener, err := b.port.Listen()
+	g.Expect(err).NotTo(HaveOccurred())
+	b.listener = listener
+}
+
 // restart ends the box's process and starts another one, which the other boxes notice.
 func (b *testBox) restart(g *WithT) {
 	b.stop()
-	listener, err := net.Listen("tcp", b.current().Address)
-	g.Expect(err).NotTo(HaveOccurred())
+	b.listen(g)
 	b.mu.Lock()
-	b.listener, b.box.Process = listener, b.box.Process+" and next"
+	b.box.Process += " and next"
 	b.mu.Unlock()
 	b.start()
 }
