zonereader: one line in 2 s where no box sends its view

A box that reached neither the others nor the log, after that had come back from a copy, logged each box that it asked, five rounds a second: 120 lines in 8 s in TestABoxThatGetsNoViewLogsIt, which failed. Now a round is one line with the last error, at most one in 2 s, so that the other lines of an outage stay readable.

--- a/internal/zonereader/adopt.go
+++ b/internal/zonereader/adopt.go
@@ -52,6 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, adoptRound)
 	defer cancel()
 	failed, without := 0, 0
+	var lastError error
 	for _, other := range others {
 		if other.Unavailable {
 			continue
@@ -68,13 +69,16 @@
 			without++
 			continue
 		}
-		failed++
-		m.cfg.Logger.Info().Str("from", other.Name).Str("error", err.Error()).Msg("view_not_adopted")
+		failed, lastError = failed+1, err
 	}
 	if without > 0 { // where no box responded, those that do may have a view
 		m.adoptAgainAt = boottime.Now().Add(adoptPause)
 	}
-	m.cfg.Logger.Info().Int("failed", failed).Int("without_view", without).Msg("no_view_adopted")
+	// Where connections are refused, a round takes no time, and there are five a second.
+	if now := boottime.Now(); now.Sub(m.notAdoptedLoggedAt) >= adoptPause {
+		m.notAdoptedLoggedAt = now
+		m.cfg.Logger.Info().Int("failed", failed).Int("without_view", without).AnErr("error", lastError).Msg("view_not_adopted")
+	}
 }
 
 // adoptFrom follows a box until it has sent its views of the streams.
--- a/internal/zonereader/notfound_test.go
+++ b/internal/zonereader/notfound_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/cometlock/cometlock/internal/delegate"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/logposition"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/registry"
 	"github.com/cometlock/cometlock/internal/zonereader"
@@ -90,3 +91,32 @@
 		g.Expect(log.count("reader_lost")).To(Equal(1))
 	})
 }
+
+// A box that reached neither others nor the log, which had come back from a copy, logged 15 lines a second.
+func TestABoxThatGetsNoViewLogsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := start(ctx, 0)
+		defer f.wait.Wait()
+		defer cancel()
+		var log logBuffer
+		var others []zonereader.Box
+		for i := range 5 {
+			others = append(others, zonereader.Box{Box: delegate.Box{Name: fmt.Sprint("lost-", i), Zone: "z", Cores: 2}})
+		}
+		isolated := newBox(zonereader.Box{Box: delegate.Box{Name: "isolated", Zone: "z", Cores: 0.2}})
+		isolated.log = &countingLog{Log: f.log}
+		isolated.log.cut.Store(true)
+		isolated.eras.Note(logposition.New(1, 0))
+		isolated.registry = registry.New(registry.Config{Log: isolated.log, Decoder: decoder{}, Fleet: fleet.New(fleet.Config{Logger: zerolog.Nop()}), Logger: zerolog.Nop()})
+		isolated.member = zonereader.New(zonereader.Config{
+			Registry: isolated.registry, Parts: partindex.New(partindex.Config{}), Logger: zerolog.New(&log), Self: isolated.self, Eras: &isolated.eras,
+			Others: func() []zonereader.Box { return others },
+			Dial:   func(context.Context, string) (net.Conn, error) { return nil, errors.New("connection refused") },
+		})
+		f.run(ctx, isolated)
+		time.Sleep(8 * time.Second)
+		g.Expect(log.count("view_not_adopted")).To(And(BeNumerically(">", 0), BeNumerically("<=", 5)))
+	})
+}
--- a/internal/zonereader/zonereader.go
+++ b/internal/zonereader/zonereader.go
@@ -101,8 +101,9 @@
 	// advertisedEra. The log may have lost it in a later one.
 	advertised    bool
 	advertisedEra int64
-	// adoptAgainAt is when other boxes may be asked for their views again. Only LoopFollow uses it.
-	adoptAgainAt time.Time
+	// adoptAgainAt is when other boxes may be asked for their views again, and notAdoptedLoggedAt when it was last
+	// logged that none sent it. Only LoopFollow uses them.
+	adoptAgainAt, notAdoptedLoggedAt time.Time
 	// roleChanged is signalled when this box becomes a reader or a follower.
 	roleChanged waiting.Signal
 	// avoided holds the readers that failed, and until when they are not followed. Those that could not
