streamorigin: a stream without a record is one of its service's base version

Cause: nothing is recorded while a service has one version, and a stream without an origin was taken to be of the one version that is listed now. Boxes that were all down did not see what changed. Class: what is listed now stands for what was in force then.

Ruled out: that origins are lost by holders alone (they are in the log since the last change, and the streams in question never had a record), and that servers which leave are not counted (they are, for a minute, by boxes that live).

Change: the log has one record with the base version of each service. The first event of a stream of any other version waits for the record of its origin, so a stream without one is of the base version. The base version is replaced only after its servers have been gone for a minute, and a service has none for longer than boxes use what they have read. Recording every stream was weighed: calls of the log would grow with streams on all deployments; this takes one call when a service appears.

--- /dev/null
+++ b/internal/baseversion/next.go
@@ -0,0 +1,71 @@
+// The decision which base version follows.
+
+package baseversion
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// absence is how long no server of the base version must have been listed before it is replaced. Boxes
+	// remember versions for as long, and callers resume streams for less.
+	absence = time.Minute
+	// pauseTime is how long a service has no base version between two. It is longer than LeaseTime by what
+	// messages and clocks may differ.
+	pauseTime = LeaseTime + 5*time.Second
+)
+
+// Observation is what a box knows of a service.
+type Observation struct {
+	// Listed counts the listed servers by software version.
+	Listed map[string]int
+	// Remembered are the versions that have been listed within absence, if the box has been running for as long.
+	Remembered []string
+	// ObservedFor is how long the box has been reading the list of servers.
+	ObservedFor time.Duration
+	// KnownFor is how long the box has known the present record of the service.
+	KnownFor time.Duration
+	// Era is the newest era of the log, and EraSeenFor how long the box has known of it.
+	Era        int64
+	EraSeenFor time.Duration
+}
+
+// Next returns the base version of a service that follows the present one; present is nil if there is none in the
+// log. changed is false while the present one stays. Since is left to the caller.
+func Next(present *Base, seen Observation) (next Base, changed bool) {
+	if present == nil {
+		return first(seen)
+	}
+	next = *present
+	switch {
+	case present.Era != seen.Era:
+		next.Era = seen.Era // streams whose records the log may have lost are no longer resumed
+		return next, seen.EraSeenFor >= absence
+	case present.Present:
+		next.Version, next.Present, next.Replaced = "", false, true
+		isGone := len(seen.Remembered) > 0 && !slices.Contains(seen.Remembered, present.Version) && seen.ObservedFor >= absence
+		return next, isGone
+	case len(seen.Listed) > 0 && seen.KnownFor >= pauseTime:
+		next.Version, next.Present = mostCommon(seen.Listed), true
+		return next, true
+	default:
+		return next, false
+	}
+}
+
+// first returns the first base version of a service: the only one, or none while there are several.
+func first(seen Observation) (next Base, changed bool) {
+	next.Era = seen.Era
+	if len(seen.Remembered) == 1 {
+		next.Version, next.Present = seen.Remembered[0], true
+	}
+	return next, len(seen.Remembered) > 0
+}
+
+// mostCommon returns the version with most servers, since the origins of its streams need no record.
+func mostCommon(listed map[string]int) string {
+	return slices.MaxFunc(slices.Sorted(maps.Keys(listed)), func(a, b string) int { return cmp.Compare(listed[a], listed[b]) })
+}
--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/advisory"
+	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/call"
 	"github.com/cometlock/cometlock/internal/catalog"
@@ -113,6 +114,8 @@
 	// origins has the software versions that began streams, and originWriter records them in the log.
 	origins      *streamorigin.Origins
 	originWriter *originlog.Writer
+	// baseVersions has the software versions of streams without an origin.
+	baseVersions *baseversion.Keeper
 	callerServer *http.Server
 	readyServer  *http.Server
 	// forwardServer serves the calls that other boxes forward; nil if this box takes none.
@@ -234,11 +237,16 @@
 		owner.Queued = func(request places.Request) { b.shares.queued(requested(request)) }
 	}
 	b.places = places.New(owner)
+	b.baseVersions = baseversion.New(baseversion.Config{
+		Log: b.log, Eras: b.log.Eras(), Logger: b.logger, Observe: b.observeSoftware,
+		IsWriter: func() bool { return !b.leaving.Load() && b.isElected(baseVersionWriter) },
+	})
 	b.originWriter = originlog.NewWriter(originlog.WriterConfig{Log: b.log, Logger: b.logger})
 	b.origins = streamorigin.New(streamorigin.Config{
 		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress(), Process: shortIncarnation(b.incarnation), Cores: b.settings.Cores},
 		Others: b.originHolders, Versions: b.fleet.SoftwareVersions, Started: b.knowsFleet,
 		Writer: b.originWriter, Reader: originlog.NewReader(originlog.ReaderConfig{Log: b.log, Logger: b.logger}), LogEra: b.logEra,
+		Bases: b.baseVersions, Services: b.fleet.Services,
 	})
 }
 
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cometlock/cometlock/internal/boottime"
@@ -28,6 +29,29 @@
 	return versions
 }
 
+// ListedSoftware counts the servers of each service by software version, without those that are leaving.
+func (f *Fleet) ListedSoftware() map[string]map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := make(map[string]map[string]int, len(f.groups))
+	for service, servers := range f.groups {
+		counts[service] = map[string]int{}
+		for state := range servers.all() {
+			if state.delistedAt.IsZero() && !state.Leaving {
+				counts[service][state.Software]++
+			}
+		}
+	}
+	return counts
+}
+
+// Services returns the services that have servers, including those whose servers were delisted lately.
+func (f *Fleet) Services() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.groups))
+}
+
 // ZoneWithServers returns a zone with servers that are open for a call, whether or not they have room: the
 // box's own one if it has any, or that with most of them. It returns the own one if no zone has any.
 func (f *Fleet) ZoneWithServers(query Query) string {
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -54,10 +54,11 @@
 func (g *Gateway) logOrigin(x *exchange, evidence streamorigin.Evidence, known bool) {
 	g.metrics.scope.Tagged(map[string]string{"found": strconv.FormatBool(evidence.Found), "resumed": strconv.FormatBool(known)}).Counter("streams_resumed").Inc(1)
 	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).Str("software", evidence.Software).
-		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).Bool("resumed", known).Msg("stream_origin")
+		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).Bool("has_base", evidence.Base != nil).Str("base", evidence.BaseVersion()).Bool("resumed", known).Msg("stream_origin")
 }
 
-// noteOrigin records which software version begins the call's stream, before the caller has its first event.
+// noteOrigin records which software version begins the call's stream, before the caller has its first event. It may
+// wait until the record is in the log.
 func (g *Gateway) noteOrigin(x *exchange) {
 	if g.cfg.Origins == nil || x.forwarded || !x.route.Resumable || x.software == nil {
 		return
@@ -70,9 +71,12 @@
 	if waits := x.arrived.Add(x.info.MaxWait); waits.After(expires) {
 		expires = waits
 	}
-	g.cfg.Origins.Note(streamorigin.KeyOf(x.callerName(), id), streamorigin.Origin{
-		Service: x.service.Name, Software: *x.software, Expires: expires.Add(originMargin),
-	})
+	key, origin := streamorigin.KeyOf(x.callerName(), id), streamorigin.Origin{Service: x.service.Name, Software: *x.software, Expires: expires.Add(originMargin)}
+	g.cfg.Origins.Note(key, origin)
+	if x.info.ResumeAfter == "" && !g.cfg.Origins.AwaitRecord(x.ctx, key, origin) && x.ctx.Err() == nil {
+		g.metrics.scope.Counter("streams_not_recorded").Inc(1)
+		g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("software", origin.Software).Msg("stream_not_recorded")
+	}
 }
 
 // streamID returns the request that brought the first event of the call's stream; empty if it is unknown.
--- a/internal/originlog/writer.go
+++ b/internal/originlog/writer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,7 +49,11 @@
 	// failingSince is when the first of the appends failed that have failed since the last successful one;
 	// zero if the last one succeeded.
 	failingSince time.Time
-	wake         waiting.Signal
+	// dropped counts the origins that were dropped without a record.
+	dropped int
+	wake    waiting.Signal
+	// appended is signalled after each append.
+	appended waiting.Signal
 }
 
 // NewWriter returns a writer without origins.
@@ -67,13 +72,42 @@
 	}
 	w.dropExcess()
 	w.wake.Broadcast()
-	return w.failingSince.IsZero() || boottime.Since(w.failingSince) < failingAfter
+	return !w.isFailing()
+}
+
+// Await waits until origins that were added have been appended, and reports whether they have been. It returns
+// at once if this box has not been able to append for a while.
+func (w *Writer) Await(ctx context.Context, keys []Key) bool {
+	w.mu.Lock()
+	dropped := w.dropped
+	w.mu.Unlock()
+	for ctx.Err() == nil {
+		appended := w.appended.Chan()
+		w.mu.Lock()
+		isPending := slices.ContainsFunc(keys, func(key Key) bool { _, pending := w.pending[key]; return pending })
+		isLost := w.dropped != dropped || isPending && w.isFailing()
+		w.mu.Unlock()
+		if isLost || !isPending {
+			return !isLost
+		}
+		select {
+		case <-appended:
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+// isFailing reports whether appends have failed for a while. The caller holds mu.
+func (w *Writer) isFailing() bool {
+	return !w.failingSince.IsZero() && boottime.Since(w.failingSince) >= failingAfter
 }
 
 // dropExcess drops the oldest origins above the bound. The caller holds mu.
 func (w *Writer) dropExcess() {
 	if excess := len(w.unrecorded) - maxUnrecorded; excess > 0 {
 		w.forget(w.unrecorded[:excess])
+		w.dropped += excess
 		w.unrecorded = w.unrecorded[excess:]
 	}
 }
@@ -129,6 +163,7 @@
 		defer cancel()
 		_, err = w.cfg.Log.Append(call, sharedlog.Origins, sharedlog.AnyEnd, sharedlog.Record{Value: value})
 	}
+	defer w.appended.Broadcast()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err == nil {
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -56,6 +56,8 @@
 	Origins
 	// Quarantine holds the crash records of what is quarantined, by fingerprint.
 	Quarantine
+	// BaseVersions holds the software versions of streams whose origin is not recorded, under one key.
+	BaseVersions
 )
 
 // String returns the name for logs and metrics.
@@ -75,6 +77,8 @@
 		return "origins"
 	case Quarantine:
 		return "quarantine"
+	case BaseVersions:
+		return "base_versions"
 	default:
 		return "unknown"
 	}
--- /dev/null
+++ b/internal/streamorigin/await.go
@@ -0,0 +1,129 @@
+// The first event of a stream waits for the record of its origin, unless the stream is of the base version.
+
+package streamorigin
+
+import (
+	"context"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/originlog"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+const (
+	// awaitDelay is how long origins are collected before they are handed over together. It adds to the time to
+	// the first event.
+	awaitDelay = 4 * time.Millisecond
+	// awaitTimeout bounds the wait of a first event. A record takes some 10 ms, and up to 300 ms while the log is
+	// slow or many streams begin.
+	awaitTimeout = 400 * time.Millisecond
+	// awaitTryTimeout bounds the request to one box that records; another one is tried after it.
+	awaitTryTimeout = 300 * time.Millisecond
+)
+
+// awaitedBatch are origins that are handed over together.
+type awaitedBatch struct {
+	keys    []Key
+	origins []wireOrigin
+	// done is closed at the end; recorded is set by then if the origins are in the log.
+	done     chan struct{}
+	recorded bool
+}
+
+// AwaitRecord waits until the origin of a stream is in the log, if it has to be there before the caller has the
+// first event. It returns false if that took too long: the stream begins without a record, and is refused or
+// resumed at another version if all boxes that know its origin crash.
+func (o *Origins) AwaitRecord(ctx context.Context, key Key, origin Origin) bool {
+	if o.cfg.Bases == nil || !o.needsRecord(origin.Service, origin.Software) {
+		return true
+	}
+	batch := o.joinBatch(ctx, key, origin)
+	select {
+	case <-batch.done:
+		return batch.recorded
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// joinBatch adds an origin to those that are handed over next.
+func (o *Origins) joinBatch(ctx context.Context, key Key, origin Origin) *awaitedBatch {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	batch := o.awaited
+	if batch == nil || len(batch.keys) >= maxBatch {
+		batch = &awaitedBatch{done: make(chan struct{})}
+		o.awaited = batch
+		go o.runAwaited(context.WithoutCancel(ctx), batch)
+	}
+	batch.keys = append(batch.keys, key)
+	batch.origins = append(batch.origins, encode(key, origin, boottime.Now()))
+	return batch
+}
+
+// runAwaited hands a batch over to a box that records, and to another one if that fails.
+func (o *Origins) runAwaited(ctx context.Context, batch *awaitedBatch) {
+	defer close(batch.done)
+	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
+	defer cancel()
+	waiting.For(ctx, awaitDelay)
+	o.mu.Lock()
+	if o.awaited == batch {
+		o.awaited = nil
+	}
+	o.mu.Unlock()
+	for range recorderTries {
+		recorder, self := o.recorder()
+		if ctx.Err() != nil {
+			return
+		}
+		if batch.recorded = o.recordAwaited(ctx, recorder, self, batch.origins); batch.recorded {
+			o.noteRecorded(batch.keys, recorder)
+			return
+		}
+	}
+}
+
+// recordAwaited has origins recorded by a box, and reports whether they are in the log.
+func (o *Origins) recordAwaited(ctx context.Context, recorder Box, self bool, origins []wireOrigin) bool {
+	if self {
+		if !o.recordAll(origins) || !o.awaitAppended(ctx, origins) {
+			o.avoidRecorder(recorder)
+			return false
+		}
+		return true
+	}
+	var answer response
+	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true, Await: true}, &answer, awaitTryTimeout)
+	if err != nil || !answer.Appended {
+		o.avoidRecorder(recorder)
+		return false
+	}
+	return true
+}
+
+// noteRecorded records that a box has recorded the origins of streams.
+func (o *Origins) noteRecorded(keys []Key, recorder Box) {
+	now := boottime.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, key := range keys {
+		if stream := o.own[key]; stream != nil {
+			stream.recorder, stream.recorderProcess, stream.recordedAt = recorder.Name, recorder.Process, now
+		}
+	}
+}
+
+// awaitAppended waits until origins that this box records are in the log.
+func (o *Origins) awaitAppended(ctx context.Context, origins []wireOrigin) bool {
+	ctx, cancel := context.WithTimeout(ctx, awaitTryTimeout)
+	defer cancel()
+	keys := make([]originlog.Key, 0, len(origins))
+	for i := range origins {
+		if len(origins[i].Key) == keySize {
+			keys = append(keys, Key(origins[i].Key))
+		}
+	}
+	return o.cfg.Writer.Await(ctx, keys)
+}
--- /dev/null
+++ b/internal/streamorigin/bases.go
@@ -0,0 +1,127 @@
+// The base versions of services (package baseversion) as a box knows them, from the box that records for it.
+
+package streamorigin
+
+import (
+	"context"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/baseversion"
+	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/waiting"
+)
+
+const (
+	// basesMaxAge is how old a table may be that a box passes on.
+	basesMaxAge = 2 * time.Second
+	// basesInterval is the time between two requests for the base versions while a service has another version
+	// than its base version. It leaves time for three tries within the lease.
+	basesInterval = baseversion.LeaseTime / 4
+)
+
+// knownBases are the base versions that a box knows. Their age is counted from the read of the log.
+type knownBases struct {
+	table  baseversion.Table
+	readAt time.Time
+}
+
+// wireBases is the wire form of the base versions, as the record in the log has them.
+type wireBases struct {
+	Table []byte        `msgpack:"t"`
+	Age   time.Duration `msgpack:"a"`
+}
+
+// LoopBases keeps the base versions known until ctx ends. While each service has its base version alone, they are
+// requested once only.
+func (o *Origins) LoopBases(ctx context.Context) {
+	o.awaitStart(ctx)
+	for ctx.Err() == nil {
+		if o.needsBases() {
+			o.refreshBases(ctx)
+		}
+		waiting.For(ctx, recheckInterval)
+	}
+}
+
+// needsBases reports whether the base versions are to be requested again.
+func (o *Origins) needsBases() bool {
+	o.mu.Lock()
+	bases := o.bases
+	o.mu.Unlock()
+	if bases.readAt.IsZero() {
+		return true
+	}
+	if boottime.Since(bases.readAt) < basesInterval {
+		return false
+	}
+	for _, service := range o.cfg.Services() {
+		versions := o.cfg.Versions(service)
+		base, known := bases.table[service]
+		if len(versions) > 1 || len(versions) == 1 && known && (!base.Present || base.Version != versions[0]) {
+			return true
+		}
+	}
+	return false
+}
+
+// refreshBases requests the base versions from the box that records for this one.
+func (o *Origins) refreshBases(ctx context.Context) {
+	recorder, self := o.recorder()
+	answer := response{}
+	if self {
+		answer.Bases = o.readBases(ctx)
+	} else if err := o.client.Exchange(ctx, recorder.Address, &request{Bases: true}, &answer, recorderTimeout); err != nil {
+		o.avoidRecorder(recorder)
+	}
+	if answer.Bases == nil {
+		waiting.For(ctx, recheckInterval)
+		return
+	}
+	o.keepBases(answer.Bases)
+}
+
+// keepBases keeps base versions that another box sent, unless they are older than those that are known.
+func (o *Origins) keepBases(received *wireBases) {
+	table, err := baseversion.Decode(received.Table)
+	if err != nil {
+		o.cfg.Logger.Error().Str("error", err.Error()).Msg("base_versions_invalid")
+		return
+	}
+	readAt := boottime.Now().Add(-received.Age)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if readAt.After(o.bases.readAt) {
+		o.bases = knownBases{table: table, readAt: readAt}
+	}
+}
+
+// readBases returns the base versions as the log has them; nil if it cannot be read.
+func (o *Origins) readBases(ctx context.Context) *wireBases {
+	if o.cfg.Bases == nil {
+		return nil
+	}
+	reading, err := o.cfg.Bases.Read(ctx, basesMaxAge)
+	if err != nil {
+		return nil
+	}
+	value, err := baseversion.Encode(reading.Table)
+	if err != nil {
+		o.cfg.Logger.Error().Str("error", err.Error()).Msg("base_versions_not_sent")
+		return nil
+	}
+	return &wireBases{Table: value, Age: boottime.Since(reading.At)}
+}
+
+// needsRecord reports whether a stream of a version must have a record before its caller has an event. Without a
+// record it would be resumed at the base version.
+func (o *Origins) needsRecord(service, software string) bool {
+	versions := o.cfg.Versions(service)
+	o.mu.Lock()
+	base, known := o.bases.table[service]
+	isRecent := boottime.Since(o.bases.readAt) < baseversion.LeaseTime && base.Era == o.cfg.LogEra()
+	o.mu.Unlock()
+	if !known {
+		return len(versions) > 1
+	}
+	return !base.Present || base.Version != software || !isRecent && len(versions) > 1
+}
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -19,15 +19,19 @@
 // Decide returns the software version that must serve a resumed stream. known is false if the stream may
 // have begun at any of several versions, so that it must not be resumed.
 //
-// Without the origin, the stream began while its box knew of one version, and that box has not learned of
-// a second one since, or has lost the origin. If no box knows of a second version, it is the one that there
-// is. Boxes that have not read of a new version yet ask others for that reason. A box that has just started
-// and knows of no server cannot tell, and boxes that have all started since a second version was withdrawn
+// Without the origin, the stream is of the service's base version, whichever versions are listed now.
+//
+// Where the log has no base version yet, the stream began while its box knew of one version, and that box has
+// not learned of a second one since, or has lost the origin. If no box knows of a second version, it is the one
+// that there is. Boxes that have not read of a new version yet ask others for that reason. A box that has just
+// started and knows of no server cannot tell, and boxes that have all started since a second version was withdrawn
 // know of it only from the log.
 func Decide(evidence Evidence, listAge time.Duration) (software string, known bool) {
 	switch {
 	case evidence.Found:
 		return evidence.Software, true
+	case evidence.Base != nil && !evidence.Unlisted:
+		return evidence.decideByBase()
 	case evidence.Unlisted || len(evidence.Versions) != 1:
 		return "", false
 	case evidence.Asked > 0 && evidence.Responded == 0 && listAge > maxListAge:
@@ -39,6 +43,17 @@
 	}
 }
 
+// decideByBase returns the base version, unless the stream may have begun under an earlier one, or the log may have
+// lost its record. In the latter case a single known version is enough if it is the base version.
+func (e *Evidence) decideByBase() (software string, known bool) {
+	base := e.Base
+	isComplete := base.Era == e.LogEra || len(e.Versions) == 1 && e.Versions[0] == base.Version
+	if !base.Present || !isComplete || base.Replaced && e.MaxAge > versionMemory+e.BaseAge {
+		return "", false
+	}
+	return base.Version, true
+}
+
 // coversStream reports whether this box or one that responded has been running since before the stream began,
 // or for as long as boxes remember versions, so that it knows all versions that can have begun the stream.
 func (e *Evidence) coversStream() bool {
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
@@ -31,6 +32,19 @@
 	MaxAge time.Duration
 	// LogRead reports that the log was read up to now, and LogFailed that it could not be.
 	LogRead, LogFailed bool
+	// Base is the base version of the service in the log, which it has had for BaseAge; nil if it has none there.
+	Base    *baseversion.Base
+	BaseAge time.Duration
+	// LogEra is the newest era of the log.
+	LogEra int64
+}
+
+// BaseVersion returns the base version of the service for logs; empty if it has none.
+func (e *Evidence) BaseVersion() string {
+	if e.Base == nil {
+		return ""
+	}
+	return e.Base.Version
 }
 
 // Find looks for the origin of a stream of a service, at this box, at its holders, and then in the log.
@@ -50,10 +64,32 @@
 		evidence.LogRead = answer.LogRead
 		evidence.LogFailed = !answer.LogRead && answer.Found == nil
 		evidence.add(&answer)
+		if o.cfg.Bases != nil && answer.LogRead && !evidence.Found {
+			o.addBase(ctx, answer.Bases, &evidence, service)
+		}
 	}
 	return evidence
 }
 
+// addBase adds the base version of the service. A recorder of an older version of the program knows none, so this
+// box reads the log itself then.
+func (o *Origins) addBase(ctx context.Context, received *wireBases, evidence *Evidence, service string) {
+	if received == nil {
+		received = o.readBases(ctx)
+	}
+	if received == nil {
+		evidence.LogRead, evidence.LogFailed = false, true
+		return
+	}
+	o.keepBases(received)
+	evidence.LogEra = o.cfg.LogEra()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if base, known := o.bases.table[service]; known {
+		evidence.Base, evidence.BaseAge = &base, boottime.TimeOfDay().Sub(base.Since)
+	}
+}
+
 const (
 	// startTimeout bounds the wait of a lookup at a box that has just started. A caller whose streams broke off
 	// with all boxes has few tries, and most boxes are that far within 50 ms.
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -34,6 +34,10 @@
 	// there.
 	Record   bool `msgpack:"r,omitempty"`
 	Recorded bool `msgpack:"l,omitempty"`
+	// Await means that the box is to respond when the origins are in the log.
+	Await bool `msgpack:"a,omitempty"`
+	// Bases means that the box is to respond with the base versions.
+	Bases bool `msgpack:"b,omitempty"`
 }
 
 // wireOrigin is the wire form of an origin.
@@ -62,6 +66,10 @@
 	Recorded bool `msgpack:"r,omitempty"`
 	// LogRead means that the box has read the log up to now, as the request asked.
 	LogRead bool `msgpack:"l,omitempty"`
+	// Appended means that the origins are in the log, as the request asked.
+	Appended bool `msgpack:"a,omitempty"`
+	// Bases are the base versions; nil if they are not known. An older version of the program knows none.
+	Bases *wireBases `msgpack:"b,omitempty"`
 }
 
 // encode returns the wire form of an origin.
@@ -86,6 +94,12 @@
 	answer.Process = o.cfg.Self.Process
 	if received.Record && o.cfg.Writer != nil {
 		answer.Recorded = o.recordAll(received.Origins)
+		if received.Await && answer.Recorded {
+			answer.Appended = o.awaitAppended(ctx, received.Origins)
+		}
+	}
+	if received.Bases {
+		answer.Bases = o.readBases(ctx)
 	}
 	if received.Recorded && answer.Found == nil && len(received.Key) == keySize && o.cfg.Reader != nil {
 		o.findRecorded(ctx, received, &answer)
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -109,14 +109,7 @@
 		if !o.handOver(ctx, recorder, self, origins) {
 			return
 		}
-		now := boottime.Now()
-		o.mu.Lock()
-		for _, key := range keys {
-			if stream := o.own[key]; stream != nil {
-				stream.recorder, stream.recorderProcess, stream.recordedAt = recorder.Name, recorder.Process, now
-			}
-		}
-		o.mu.Unlock()
+		o.noteRecorded(keys, recorder)
 	}
 }
 
@@ -186,7 +179,7 @@
 // askRecorder looks for an origin in the log, through a recorder or by itself. The log may turn some boxes away
 // and serve others.
 func (o *Origins) askRecorder(ctx context.Context, asked request) response {
-	asked.Recorded = true
+	asked.Recorded, asked.Bases = true, o.cfg.Bases != nil
 	began, selfFailed := boottime.Now(), false
 	for range recorderTries {
 		recorder, self := o.recorder()
@@ -196,7 +189,7 @@
 		}
 		var answer response
 		if self {
-			o.findRecorded(ctx, asked, &answer)
+			o.findInLog(ctx, asked, &answer)
 			selfFailed = !answer.LogRead
 		} else if err := o.client.Exchange(ctx, recorder.Address, &asked, &answer, left); err != nil {
 			answer = response{}
@@ -208,11 +201,19 @@
 	}
 	var answer response
 	if !selfFailed {
-		o.findRecorded(ctx, asked, &answer)
+		o.findInLog(ctx, asked, &answer)
 	}
 	return answer
 }
 
+// findInLog looks for an origin in the log, and reads the base versions, which say what it is without a record.
+func (o *Origins) findInLog(ctx context.Context, asked request, answer *response) {
+	o.findRecorded(ctx, asked, answer)
+	if asked.Bases && answer.LogRead && answer.Found == nil {
+		answer.Bases = o.readBases(ctx)
+	}
+}
+
 // findRecorded looks for an origin in the log.
 func (o *Origins) findRecorded(ctx context.Context, asked request, answer *response) {
 	result, err := o.cfg.Reader.Find(ctx, Key(asked.Key), asked.Service)
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -18,8 +18,9 @@
 // of streams that last are recorded in the platform's log, too, by one box for many (recorder.go), and are
 // read back when no holder has an origin.
 //
-// A stream whose origin cannot be found is resumed only if all boxes that were asked know of one version
-// (decide.go).
+// A stream without a record is one of its service's base version (package baseversion): the first event of a
+// stream of any other version waits until its origin is in the log (await.go). Where no base version is known,
+// such a stream is resumed only if all boxes that were asked know of one version (decide.go).
 package streamorigin
 
 import (
@@ -34,6 +35,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/originlog"
@@ -104,6 +106,10 @@
 	Writer *originlog.Writer
 	Reader *originlog.Reader
 	LogEra func() int64
+	// Bases reads the base versions, and Services returns the services that have servers. Without Bases the first
+	// event of a stream waits for no record.
+	Bases    *baseversion.Keeper
+	Services func() []string
 	// Dial connects to another box; nil selects TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -130,6 +136,10 @@
 	chosenRecorder recorderChoice
 	// recordedEra is the era of the log that the streams were recorded in.
 	recordedEra int64
+	// bases are the base versions as far as this box knows them.
+	bases knownBases
+	// awaited are the origins that are handed over next for streams whose first event waits.
+	awaited *awaitedBatch
 	// wake and recordWake are signalled when there are origins to send and to record.
 	wake, recordWake waiting.Signal
 }
