streamorigin: versions are recorded when a call is sent, not at its first event

Callers saw: since first events wait for a record, streams of other versions than the base version began later.

Change: the box records the version of a call's server when it sends the call, under a key of its own, while the server reads the prompt. If the call was sent to servers of one version only, that record is the origin; otherwise the origin is recorded at the first event as before. A search that finds several versions under that key and no origin says that it does not know.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,6 +130,7 @@
 	}
 	sent := boottime.Now()
 	a.noteSent()
+	a.announceSoftware()
 	response, err := a.gateway.cfg.Pool.Send(a.ctx, request)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -250,6 +250,8 @@
 	// software is the software version that must serve the call, since the caller has events of it; nil
 	// while any may. The lock of the current attempt's watch guards it.
 	software *string
+	// announcement has the software versions of the servers that the call was sent to.
+	announcement streamorigin.Announcement
 	// responseStarted is set once a part of a response has been sent to the caller.
 	responseStarted bool
 	// lossClosedBy is the side that closed the connection of the last lost attempt.
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -57,26 +57,44 @@
 		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).Bool("has_base", evidence.Base != nil).Str("base", evidence.BaseVersion()).Bool("resumed", known).Msg("stream_origin")
 }
 
+// announceSoftware announces the software version of the attempt's server, so that the first event of a stream
+// need not wait for the record of its origin. Which server another box chooses is not known yet.
+func (a *attempt) announceSoftware() {
+	x, g := a.x, a.gateway
+	if a.peer() == nil && g.recordsOrigin(x) && x.info.ResumeAfter == "" {
+		key, origin := g.originOf(x, a.chosen.hold.Server().Software)
+		g.cfg.Origins.Announce(x.ctx, &x.announcement, key, origin)
+	}
+}
+
 // noteOrigin records which software version begins the call's stream, before the caller has its first event. It may
 // wait until the record is in the log.
 func (g *Gateway) noteOrigin(x *exchange) {
-	if g.cfg.Origins == nil || x.forwarded || !x.route.Resumable || x.software == nil {
+	if !g.recordsOrigin(x) || x.software == nil {
 		return
 	}
-	id := x.streamID()
-	if id == "" {
+	key, origin := g.originOf(x, *x.software)
+	g.cfg.Origins.Note(key, origin)
+	if x.info.ResumeAfter != "" || g.cfg.Origins.AwaitAnnounced(x.ctx, &x.announcement, key, origin) || x.ctx.Err() != nil {
 		return
 	}
+	g.metrics.scope.Counter("streams_not_recorded").Inc(1)
+	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("software", origin.Software).Msg("stream_not_recorded")
+}
+
+// recordsOrigin reports whether this box records the origin of the call's stream: its caller may resume it, and
+// has named it.
+func (g *Gateway) recordsOrigin(x *exchange) bool {
+	return g.cfg.Origins != nil && !x.forwarded && x.route.Kind == catalog.Stream && x.route.Resumable && x.streamID() != ""
+}
+
+// originOf returns the key and the origin of the call's stream if a software version begins it.
+func (g *Gateway) originOf(x *exchange, software string) (streamorigin.Key, streamorigin.Origin) {
 	expires := x.deadline
 	if waits := x.arrived.Add(x.info.MaxWait); waits.After(expires) {
 		expires = waits
 	}
-	key, origin := streamorigin.KeyOf(x.callerName(), id), streamorigin.Origin{Service: x.service.Name, Software: *x.software, Expires: expires.Add(originMargin)}
-	g.cfg.Origins.Note(key, origin)
-	if x.info.ResumeAfter == "" && !g.cfg.Origins.AwaitRecord(x.ctx, key, origin) && x.ctx.Err() == nil {
-		g.metrics.scope.Counter("streams_not_recorded").Inc(1)
-		g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("software", origin.Software).Msg("stream_not_recorded")
-	}
+	return streamorigin.KeyOf(x.callerName(), x.streamID()), streamorigin.Origin{Service: x.service.Name, Software: software, Expires: expires.Add(originMargin)}
 }
 
 // streamID returns the request that brought the first event of the call's stream; empty if it is unknown.
--- a/internal/originlog/reader.go
+++ b/internal/originlog/reader.go
@@ -63,6 +63,8 @@
 	triedAt time.Time
 	failure error
 	known   map[Key]Origin
+	// ambiguous has the known keys that have been recorded with several software versions.
+	ambiguous map[Key]struct{}
 	// order has the keys in the order of their records.
 	order []Key
 	// versions has when the last origin of each software version was recorded, by service.
@@ -82,13 +84,15 @@
 // reset drops everything that has been read. The caller holds mu, or nobody else has the reader yet.
 func (r *Reader) reset() {
 	r.next, r.readAt = unread, time.Time{}
-	r.known, r.order, r.versions = map[Key]Origin{}, nil, map[string]map[string]time.Time{}
+	r.known, r.ambiguous, r.order, r.versions = map[Key]Origin{}, map[Key]struct{}{}, nil, map[string]map[string]time.Time{}
 }
 
 // Result is what the log has of a stream.
 type Result struct {
 	Software string
 	Found    bool
+	// Ambiguous means that the key has been recorded with several software versions.
+	Ambiguous bool
 	// Versions are the software versions of the service that began streams within the horizon.
 	Versions []string
 }
@@ -96,21 +100,31 @@
 // Find looks for the origin of a stream of a service, in all records up to now. An error means that the log
 // could not be read.
 func (r *Reader) Find(ctx context.Context, key Key, service string) (Result, error) {
-	if result := r.lookUp(key, service); result.Found {
+	return r.FindFirst(ctx, service, key)
+}
+
+// FindFirst looks for the first of several keys that there is a record of. If only a later one is known, the log
+// is read for the first.
+func (r *Reader) FindFirst(ctx context.Context, service string, keys ...Key) (Result, error) {
+	if result := r.lookUp(service, keys[0]); result.Found {
 		return result, nil
 	}
 	if err := r.readOn(ctx); err != nil {
 		return Result{}, err
 	}
-	return r.lookUp(key, service), nil
+	return r.lookUp(service, keys...), nil
 }
 
-func (r *Reader) lookUp(key Key, service string) Result {
+func (r *Reader) lookUp(service string, keys ...Key) Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var result Result
-	if origin, found := r.known[key]; found && origin.Service == service {
-		result.Found, result.Software = true, origin.Software
+	for _, key := range keys {
+		if origin, found := r.known[key]; found && origin.Service == service {
+			_, result.Ambiguous = r.ambiguous[key]
+			result.Found, result.Software = !result.Ambiguous, origin.Software
+			break
+		}
 	}
 	since := boottime.TimeOfDay().Add(-Horizon)
 	for software, last := range r.versions[service] {
@@ -250,8 +264,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, origin := range origins {
-		if _, known := r.known[origin.Key]; !known {
+		if before, known := r.known[origin.Key]; !known {
 			r.order = append(r.order, origin.Key)
+		} else if before.Software != origin.Software {
+			r.ambiguous[origin.Key] = struct{}{}
 		}
 		r.known[origin.Key] = origin
 		versions := r.versions[origin.Service]
@@ -265,6 +281,7 @@
 	}
 	for len(r.order) > maxKnown {
 		delete(r.known, r.order[0])
+		delete(r.ambiguous, r.order[0])
 		r.order = r.order[1:]
 	}
 }
--- a/internal/originlog/writer.go
+++ b/internal/originlog/writer.go
@@ -43,9 +43,9 @@
 
 	mu         sync.Mutex
 	unrecorded []Origin
-	// pending has the keys that are unrecorded or being appended: the boxes of streams hand them over again for
+	// pending has the origins that are unrecorded or being appended: the boxes of streams hand them over again for
 	// as long as they know of no recorder that works.
-	pending map[Key]struct{}
+	pending map[Origin]struct{}
 	// failingSince is when the first of the appends failed that have failed since the last successful one;
 	// zero if the last one succeeded.
 	failingSince time.Time
@@ -57,7 +57,7 @@
 }
 
 // NewWriter returns a writer without origins.
-func NewWriter(cfg WriterConfig) *Writer { return &Writer{cfg: cfg, pending: map[Key]struct{}{}} }
+func NewWriter(cfg WriterConfig) *Writer { return &Writer{cfg: cfg, pending: map[Origin]struct{}{}} }
 
 // Add adds origins to those to append. It returns false if this box has not been able to append for a
 // while, so that another one should do it; the origins are appended later all the same.
@@ -65,8 +65,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, origin := range origins {
-		if _, pending := w.pending[origin.Key]; !pending {
-			w.pending[origin.Key] = struct{}{}
+		if _, pending := w.pending[origin]; !pending {
+			w.pending[origin] = struct{}{}
 			w.unrecorded = append(w.unrecorded, origin)
 		}
 	}
@@ -77,14 +77,14 @@
 
 // Await waits until origins that were added have been appended, and reports whether they have been. It returns
 // at once if this box has not been able to append for a while.
-func (w *Writer) Await(ctx context.Context, keys []Key) bool {
+func (w *Writer) Await(ctx context.Context, origins []Origin) bool {
 	w.mu.Lock()
 	dropped := w.dropped
 	w.mu.Unlock()
 	for ctx.Err() == nil {
 		appended := w.appended.Chan()
 		w.mu.Lock()
-		isPending := slices.ContainsFunc(keys, func(key Key) bool { _, pending := w.pending[key]; return pending })
+		isPending := slices.ContainsFunc(origins, func(origin Origin) bool { _, pending := w.pending[origin]; return pending })
 		isLost := w.dropped != dropped || isPending && w.isFailing()
 		w.mu.Unlock()
 		if isLost || !isPending {
@@ -115,7 +115,7 @@
 // forget allows origins to be added again. The caller holds mu.
 func (w *Writer) forget(origins []Origin) {
 	for _, origin := range origins {
-		delete(w.pending, origin.Key)
+		delete(w.pending, origin)
 	}
 }
 
--- /dev/null
+++ b/internal/streamorigin/announce_test.go
@@ -0,0 +1,86 @@
+package streamorigin
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cometlock/cometlock/internal/baseversion"
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/originlog"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// Streams that began at one of several announced versions must be found at that one, or not at all.
+func TestAStreamIsFoundAtTheVersionThatBeganItNotAtAnotherOneItWasSentTo(t *testing.T) {
+	tests := []struct {
+		name string
+		// sentTo are the versions of the servers that the call was sent to, and begins that of its first event;
+		// empty if all boxes crash before it.
+		sentTo    []string
+		begins    string
+		wantFound bool
+		want      string
+		wantKnown bool
+	}{
+		{"the only version", []string{"v2"}, "v2", true, "v2", true},
+		{"the later one", []string{"v2", "v3"}, "v3", true, "v3", true},
+		{"the earlier one", []string{"v2", "v3"}, "v2", true, "v2", true},
+		{"the base version after another one", []string{"v2", "v1"}, "v1", true, "v1", true},
+		{"the base version alone", []string{"v1"}, "v1", false, "v1", true},
+		{"none of two yet", []string{"v2", "v3"}, "", false, "", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			log := sharedlog.NewMeasured(fakesharedlog.New(), tally.NoopScope)
+			began := startAlone(t, g, log)
+			key := keyOfNumber(1)
+			var announcement Announcement
+			for _, software := range test.sentTo {
+				began.Announce(t.Context(), &announcement, key, originAt(software))
+			}
+			if test.begins != "" {
+				began.Note(key, originAt(test.begins))
+				g.Expect(began.AwaitAnnounced(t.Context(), &announcement, key, originAt(test.begins))).To(BeTrue())
+			} else {
+				for _, batch := range announcement.batches {
+					g.Expect(batch.wait(t.Context())).To(BeTrue())
+				}
+			}
+			evidence := startAlone(t, g, log).Find(t.Context(), key, service)
+			software, known := Decide(evidence, 0)
+			g.Expect([]any{evidence.Found, software, known}).To(Equal([]any{test.wantFound, test.want, test.wantKnown}))
+		})
+	}
+}
+
+func originAt(software string) Origin {
+	return Origin{Service: service, Software: software, Expires: time.Now().Add(time.Minute)}
+}
+
+// startAlone starts a box without others that lists three versions, the first of which is the base version.
+func startAlone(t *testing.T, g *WithT, log *sharedlog.Measured) *Origins {
+	t.Helper()
+	value, err := baseversion.Encode(baseversion.Table{service: {Version: "v1", Present: true, Since: time.Now()}})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = log.Append(t.Context(), sharedlog.BaseVersions, sharedlog.AnyEnd, sharedlog.Record{Key: "all", Value: value})
+	g.Expect(err).NotTo(HaveOccurred())
+	writer := originlog.NewWriter(originlog.WriterConfig{Log: log})
+	o := New(Config{
+		Logger: zerolog.Nop(), Self: Box{Name: "box"}, Others: func() []Box { return nil },
+		Versions: func(string) []string { return []string{"v1", "v2", "v3"} }, Services: func() []string { return []string{service} },
+		Writer: writer, Reader: originlog.NewReader(originlog.ReaderConfig{Log: log}), LogEra: func() int64 { return 0 },
+		Bases: baseversion.New(baseversion.Config{Log: log, Eras: log.Eras()}),
+	})
+	o.refreshBases(t.Context())
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { writer.Loop(ctx); close(done) }()
+	t.Cleanup(func() { stop(); <-done })
+	return o
+}
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
-	"github.com/cometlock/cometlock/internal/originlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
@@ -26,9 +25,21 @@
 type awaitedBatch struct {
 	keys    []Key
 	origins []wireOrigin
-	// done is closed at the end; recorded is set by then if the origins are in the log.
+	// done is closed at the end; recorded is set by then if the origins are in the log, and recorder is the box
+	// that recorded them.
 	done     chan struct{}
 	recorded bool
+	recorder Box
+}
+
+// wait waits for the end, and reports whether the origins are in the log.
+func (b *awaitedBatch) wait(ctx context.Context) bool {
+	select {
+	case <-b.done:
+		return b.recorded
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // AwaitRecord waits until the origin of a stream is in the log, if it has to be there before the caller has the
@@ -38,13 +49,7 @@
 	if o.cfg.Bases == nil || !o.needsRecord(origin.Service, origin.Software) {
 		return true
 	}
-	batch := o.joinBatch(ctx, key, origin)
-	select {
-	case <-batch.done:
-		return batch.recorded
-	case <-ctx.Done():
-		return false
-	}
+	return o.joinBatch(ctx, key, origin).wait(ctx)
 }
 
 // joinBatch adds an origin to those that are handed over next.
@@ -79,6 +84,7 @@
 			return
 		}
 		if batch.recorded = o.recordAwaited(ctx, recorder, self, batch.origins); batch.recorded {
+			batch.recorder = recorder
 			o.noteRecorded(batch.keys, recorder)
 			return
 		}
@@ -119,11 +125,5 @@
 func (o *Origins) awaitAppended(ctx context.Context, origins []wireOrigin) bool {
 	ctx, cancel := context.WithTimeout(ctx, awaitTryTimeout)
 	defer cancel()
-	keys := make([]originlog.Key, 0, len(origins))
-	for i := range origins {
-		if len(origins[i].Key) == keySize {
-			keys = append(keys, Key(origins[i].Key))
-		}
-	}
-	return o.cfg.Writer.Await(ctx, keys)
+	return o.cfg.Writer.Await(ctx, decodeForLog(origins))
 }
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -30,6 +30,8 @@
 	switch {
 	case evidence.Found:
 		return evidence.Software, true
+	case evidence.Ambiguous:
+		return "", false
 	case evidence.Base != nil && !evidence.Unlisted:
 		return evidence.decideByBase()
 	case evidence.Unlisted || len(evidence.Versions) != 1:
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -37,6 +37,9 @@
 	BaseAge time.Duration
 	// LogEra is the newest era of the log.
 	LogEra int64
+	// Ambiguous reports that the call was sent to servers of several versions, any of which may have begun the
+	// stream.
+	Ambiguous bool
 }
 
 // BaseVersion returns the base version of the service for logs; empty if it has none.
@@ -61,26 +64,18 @@
 	evidence.Unlisted = len(evidence.Versions) == 0
 	if !evidence.Found && o.cfg.Reader != nil {
 		answer := o.askRecorder(ctx, asked)
-		evidence.LogRead = answer.LogRead
+		evidence.LogRead, evidence.Ambiguous = answer.LogRead, answer.Ambiguous
 		evidence.LogFailed = !answer.LogRead && answer.Found == nil
 		evidence.add(&answer)
-		if o.cfg.Bases != nil && answer.LogRead && !evidence.Found {
-			o.addBase(ctx, answer.Bases, &evidence, service)
+		if answer.Bases != nil {
+			o.addBase(answer.Bases, &evidence, service)
 		}
 	}
 	return evidence
 }
 
-// addBase adds the base version of the service. A recorder of an older version of the program knows none, so this
-// box reads the log itself then.
-func (o *Origins) addBase(ctx context.Context, received *wireBases, evidence *Evidence, service string) {
-	if received == nil {
-		received = o.readBases(ctx)
-	}
-	if received == nil {
-		evidence.LogRead, evidence.LogFailed = false, true
-		return
-	}
+// addBase adds the base version of the service.
+func (o *Origins) addBase(received *wireBases, evidence *Evidence, service string) {
 	o.keepBases(received)
 	evidence.LogEra = o.cfg.LogEra()
 	o.mu.Lock()
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -66,6 +66,9 @@
 	Recorded bool `msgpack:"r,omitempty"`
 	// LogRead means that the box has read the log up to now, as the request asked.
 	LogRead bool `msgpack:"l,omitempty"`
+	// Ambiguous means that the call was sent to servers of several versions, and the log does not say which of
+	// them began the stream.
+	Ambiguous bool `msgpack:"m,omitempty"`
 	// Appended means that the origins are in the log, as the request asked.
 	Appended bool `msgpack:"a,omitempty"`
 	// Bases are the base versions; nil if they are not known. An older version of the program knows none.
@@ -98,12 +101,12 @@
 			answer.Appended = o.awaitAppended(ctx, received.Origins)
 		}
 	}
-	if received.Bases {
+	switch {
+	case received.Recorded && answer.Found == nil && len(received.Key) == keySize && o.cfg.Reader != nil:
+		o.findInLog(ctx, received, &answer)
+	case received.Bases:
 		answer.Bases = o.readBases(ctx)
 	}
-	if received.Recorded && answer.Found == nil && len(received.Key) == keySize && o.cfg.Reader != nil {
-		o.findRecorded(ctx, received, &answer)
-	}
 	return answer
 }
 
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -165,15 +165,20 @@
 	return false
 }
 
-// recordAll adds origins to those that this box records. It returns false if another box should do so.
-func (o *Origins) recordAll(origins []wireOrigin) bool {
+// decodeForLog returns the valid ones of some origins, in the form that package originlog takes.
+func decodeForLog(origins []wireOrigin) []originlog.Origin {
 	recorded := make([]originlog.Origin, 0, len(origins))
 	for i := range origins {
 		if len(origins[i].Key) == keySize {
 			recorded = append(recorded, originlog.Origin{Key: Key(origins[i].Key), Service: origins[i].Service, Software: origins[i].Software})
 		}
 	}
-	return o.cfg.Writer.Add(recorded)
+	return recorded
+}
+
+// recordAll adds origins to those that this box records. It returns false if another box should do so.
+func (o *Origins) recordAll(origins []wireOrigin) bool {
+	return o.cfg.Writer.Add(decodeForLog(origins))
 }
 
 // askRecorder looks for an origin in the log, through a recorder or by itself. The log may turn some boxes away
@@ -194,6 +199,9 @@
 		} else if err := o.client.Exchange(ctx, recorder.Address, &asked, &answer, left); err != nil {
 			answer = response{}
 		}
+		if asked.Bases && answer.LogRead && answer.Found == nil && answer.Bases == nil {
+			break // an older version of the program, which knows of no base versions
+		}
 		if answer.LogRead || answer.Found != nil {
 			return answer
 		}
@@ -211,16 +219,18 @@
 	o.findRecorded(ctx, asked, answer)
 	if asked.Bases && answer.LogRead && answer.Found == nil {
 		answer.Bases = o.readBases(ctx)
+		answer.LogRead = answer.Bases != nil
 	}
 }
 
 // findRecorded looks for an origin in the log.
 func (o *Origins) findRecorded(ctx context.Context, asked request, answer *response) {
-	result, err := o.cfg.Reader.Find(ctx, Key(asked.Key), asked.Service)
+	key := Key(asked.Key)
+	result, err := o.cfg.Reader.FindFirst(ctx, asked.Service, key, announcedKey(key))
 	if err != nil {
 		return // the reader has logged it
 	}
-	answer.LogRead = true
+	answer.LogRead, answer.Ambiguous = true, result.Ambiguous
 	answer.Versions = append(answer.Versions, result.Versions...)
 	if result.Found {
 		answer.Found = &wireOrigin{Key: asked.Key, Service: asked.Service, Software: result.Software, Remaining: originlog.Horizon}
