streamorigin: no stream counts as of the base version if the log was away

Callers would see: a stream of another version than the base version, which began while the log was away and so without a record, continues at the base version after all boxes crashed before the log was back.

Cause: a record that could not be written looks like one that was not needed. Boxes that start while the log is away notice that, and the one that reads the log for others says so: until no stream of that time is resumed any more, one without a record is resumed only where its service has the base version alone.

Two rows of TestAStreamWithoutARecordContinuesAtTheBaseVersionOnly fail without it. Boxes that start after the log is back have not seen the outage; that case is left.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -246,7 +246,7 @@
 		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress(), Process: shortIncarnation(b.incarnation), Cores: b.settings.Cores},
 		Others: b.originHolders, Versions: b.fleet.SoftwareVersions, Started: b.knowsFleet,
 		Writer: b.originWriter, Reader: originlog.NewReader(originlog.ReaderConfig{Log: b.log, Logger: b.logger}), LogEra: b.logEra,
-		Bases: b.baseVersions, Services: b.fleet.Services,
+		Bases: b.baseVersions, Services: b.fleet.Services, Outages: b.log.Outages(),
 	})
 }
 
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -20,6 +20,8 @@
 	log   Log
 	scope tally.Scope
 	eras  Eras
+	// outages is told of each call.
+	outages Outages
 
 	mu     sync.Mutex
 	counts map[string]int
@@ -33,6 +35,9 @@
 // Eras returns the eras of the responses.
 func (m *Measured) Eras() *Eras { return &m.eras }
 
+// Outages returns when the log was last away.
+func (m *Measured) Outages() *Outages { return &m.outages }
+
 // TakeCounts returns the calls since its last call by stream, kind and outcome, such as
 // "servers/read/done", and resets the counts.
 func (m *Measured) TakeCounts() map[string]int {
@@ -95,6 +100,7 @@
 
 func (m *Measured) recordCall(kind string, stream Stream, began time.Time, err error) {
 	outcome := outcomeOf(err)
+	m.outages.note(outcome)
 	m.mu.Lock()
 	m.counts[stream.String()+"/"+kind+"/"+outcome]++
 	m.mu.Unlock()
@@ -105,6 +111,12 @@
 	}
 }
 
+// Outcomes of calls that the log did not perform, or may not have performed.
+const (
+	outcomeRefused = "refused"
+	outcomeUnknown = "unknown"
+)
+
 // outcomeOf returns the metrics' name for the outcome of a call.
 func outcomeOf(err error) string {
 	if _, expired := errors.AsType[*RecordsExpiredError](err); expired {
@@ -119,8 +131,8 @@
 	case errors.Is(err, ErrConflict):
 		return "conflict"
 	case errors.Is(err, ErrRefused):
-		return "refused"
+		return outcomeRefused
 	default:
-		return "unknown"
+		return outcomeUnknown
 	}
 }
--- a/internal/streamorigin/announce_test.go
+++ b/internal/streamorigin/announce_test.go
@@ -75,7 +75,7 @@
 		Logger: zerolog.Nop(), Self: Box{Name: "box"}, Others: func() []Box { return nil },
 		Versions: func(string) []string { return []string{"v1", "v2", "v3"} }, Services: func() []string { return []string{service} },
 		Writer: writer, Reader: originlog.NewReader(originlog.ReaderConfig{Log: log}), LogEra: func() int64 { return 0 },
-		Bases: baseversion.New(baseversion.Config{Log: log, Eras: log.Eras()}),
+		Bases: baseversion.New(baseversion.Config{Log: log, Eras: log.Eras()}), Outages: log.Outages(),
 	})
 	o.refreshBases(t.Context())
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -45,17 +45,24 @@
 	}
 }
 
-// decideByBase returns the base version, unless the stream may have begun under an earlier one, or the log may have
-// lost its record. In the latter case a single known version is enough if it is the base version.
+// decideByBase returns the base version, unless the stream may have begun under an earlier one, or its record may be
+// missing in the log. In the latter case a single known version is enough if it is the base version.
 func (e *Evidence) decideByBase() (software string, known bool) {
 	base := e.Base
-	isComplete := base.Era == e.LogEra || len(e.Versions) == 1 && e.Versions[0] == base.Version
-	if !base.Present || !isComplete || base.Replaced && e.MaxAge > versionMemory+e.BaseAge {
+	isAlone := len(e.Versions) == 1 && e.Versions[0] == base.Version
+	if !base.Present || e.lacksRecords() && !isAlone || base.Replaced && e.MaxAge > versionMemory+e.BaseAge {
 		return "", false
 	}
 	return base.Version, true
 }
 
+// lacksRecords reports whether the log may lack the record of the stream: it came back from a copy since the base
+// version was confirmed, or was away when the stream may have begun.
+func (e *Evidence) lacksRecords() bool {
+	wasAway := e.OutageEnded > 0 && (e.MaxAge == 0 || e.OutageEnded < e.MaxAge)
+	return wasAway || e.Base.Era != e.LogEra
+}
+
 // coversStream reports whether this box or one that responded has been running since before the stream began,
 // or for as long as boxes remember versions, so that it knows all versions that can have begun the stream.
 func (e *Evidence) coversStream() bool {
--- /dev/null
+++ b/internal/streamorigin/decide_test.go
@@ -0,0 +1,48 @@
+package streamorigin
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/baseversion"
+)
+
+// A stream without a record must not continue at another version than the base version, nor at that one where the
+// log may lack the record.
+func TestAStreamWithoutARecordContinuesAtTheBaseVersionOnly(t *testing.T) {
+	base := &baseversion.Base{Version: "v1", Present: true, Era: 3}
+	replaced := &baseversion.Base{Version: "v1", Present: true, Replaced: true, Era: 3}
+	two, other := []string{"v1", "v2"}, []string{"v2"}
+	tests := []struct {
+		name     string
+		evidence Evidence
+		known    bool
+	}{
+		{"two versions are listed", Evidence{Base: base, LogEra: 3, Versions: two}, true},
+		{"only another version is listed", Evidence{Base: base, LogEra: 3, Versions: other}, true},
+		{"no version is listed", Evidence{Base: base, LogEra: 3, Unlisted: true}, false},
+		{"the service has none at present", Evidence{Base: &baseversion.Base{Era: 3}, LogEra: 3, Versions: []string{""}}, false},
+		{"the log came back from a copy", Evidence{Base: base, LogEra: 4, Versions: two}, false},
+		{"the log came back from a copy, another version is alone", Evidence{Base: base, LogEra: 4, Versions: other}, false},
+		{"the log came back from a copy, the base version is alone", Evidence{Base: base, LogEra: 4, Versions: []string{"v1"}}, true},
+		{"the log was away while the stream may have begun", Evidence{Base: base, LogEra: 3, Versions: two, OutageEnded: 5 * time.Second, MaxAge: 20 * time.Second}, false},
+		{"the log was away before", Evidence{Base: base, LogEra: 3, Versions: two, OutageEnded: 21 * time.Second, MaxAge: 20 * time.Second}, true},
+		{"the log was away, streams of any age", Evidence{Base: base, LogEra: 3, Versions: two, OutageEnded: time.Hour}, false},
+		{"the log was away, the base version is alone", Evidence{Base: base, LogEra: 3, Versions: []string{"v1"}, OutageEnded: time.Second}, true},
+		{"it replaced another one when such a stream may have begun", Evidence{Base: replaced, LogEra: 3, Versions: two, MaxAge: 2 * versionMemory, BaseAge: time.Second}, false},
+		{"it replaced another one before", Evidence{Base: replaced, LogEra: 3, Versions: two, MaxAge: 2 * versionMemory, BaseAge: versionMemory}, true},
+		{"the call was sent to servers of several versions", Evidence{Base: base, LogEra: 3, Versions: two, Ambiguous: true}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			software, known := Decide(test.evidence, 0)
+			g.Expect(known).To(Equal(test.known))
+			if known {
+				g.Expect(software).To(Equal("v1"))
+			}
+		})
+	}
+}
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -37,6 +37,9 @@
 	BaseAge time.Duration
 	// LogEra is the newest era of the log.
 	LogEra int64
+	// OutageEnded is how long ago the log was last away; zero if it was not, as far as the box that read it knows.
+	// Origins may not have been recorded before that.
+	OutageEnded time.Duration
 	// Ambiguous reports that the call was sent to servers of several versions, any of which may have begun the
 	// stream.
 	Ambiguous bool
@@ -69,6 +72,7 @@
 		evidence.add(&answer)
 		if answer.Bases != nil {
 			o.addBase(answer.Bases, &evidence, service)
+			evidence.OutageEnded = answer.OutageEnded
 		}
 	}
 	return evidence
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -69,6 +69,8 @@
 	// Ambiguous means that the call was sent to servers of several versions, and the log does not say which of
 	// them began the stream.
 	Ambiguous bool `msgpack:"m,omitempty"`
+	// OutageEnded is how long ago the log was last away, as far as the box has noticed; zero if it was not.
+	OutageEnded time.Duration `msgpack:"e,omitempty"`
 	// Appended means that the origins are in the log, as the request asked.
 	Appended bool `msgpack:"a,omitempty"`
 	// Bases are the base versions; nil if they are not known. An older version of the program knows none.
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -220,9 +220,22 @@
 	if asked.Bases && answer.LogRead && answer.Found == nil {
 		answer.Bases = o.readBases(ctx)
 		answer.LogRead = answer.Bases != nil
+		answer.OutageEnded = o.sinceOutage()
 	}
 }
 
+// sinceOutage returns how long ago the log was last away; zero if it was not.
+func (o *Origins) sinceOutage() time.Duration {
+	if o.cfg.Outages == nil {
+		return 0
+	}
+	elapsed, seen := o.cfg.Outages.SinceLast()
+	if !seen {
+		return 0
+	}
+	return max(elapsed, 1)
+}
+
 // findRecorded looks for an origin in the log.
 func (o *Origins) findRecorded(ctx context.Context, asked request, answer *response) {
 	key := Key(asked.Key)
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -39,6 +39,7 @@
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/originlog"
+	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
@@ -110,6 +111,8 @@
 	// event of a stream waits for no record.
 	Bases    *baseversion.Keeper
 	Services func() []string
+	// Outages has when the log was away; nil means never.
+	Outages *sharedlog.Outages
 	// Dial connects to another box; nil selects TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
