streamorigin: the origin of a stream counts on routes to other services, too

Callers saw: a stream that they resumed continued at another service and at another software version, where its route was split between services or had been moved to another one since it began.

Cause: origins were looked for under the service that the route gives the call now. Where a split gave it another one, or the route had been moved, the origin at holders and in the log was ignored, and the stream counted as one without an origin: one of the only version, since the base version, of that service. Class: what is listed now stands for what was in force then.

Change: an origin is found whichever service began the stream, and names it. If the route still sends calls to that service, it continues the stream; otherwise the service that the route names now does, at a version of the same name, or the call is refused at once as not run. The former service must not get it (CONFIG).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -219,13 +219,24 @@
 	return c.keys[sha256.Sum256([]byte(key))]
 }
 
-// PickService selects a service for a call. Consecutive call numbers are distributed over the
-// services in proportion to their weights.
-func (r *Route) PickService(callNumber uint64) string {
+// HasService reports whether calls of the route may go to a service.
+func (r *Route) HasService(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 }) || r.Splits[0].Service == service && r.totalWeight() == 0
+}
+
+// totalWeight returns the sum of the weights of the route's services.
+func (r *Route) totalWeight() int {
 	total := 0
 	for _, split := range r.Splits {
 		total += max(split.Weight, 0)
 	}
+	return total
+}
+
+// PickService selects a service for a call. Consecutive call numbers are distributed over the
+// services in proportion to their weights.
+func (r *Route) PickService(callNumber uint64) string {
+	total := r.totalWeight()
 	if total == 0 {
 		return r.Splits[0].Service
 	}
--- /dev/null
+++ b/internal/gateway/movedroute_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/streamorigin"
+)
+
+// splitCatalog has a route for resumable streams that is split between services of runners.
+func splitCatalog(g *WithT, splits ...catalog.Split) *catalog.Catalog {
+	made, err := catalog.New(catalog.Config{
+		Version: 1, Limits: catalog.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 16},
+		Services: []catalog.Service{
+			{Name: "r", Engine: &catalog.Engine{CapacityTokens: 100_000, BytesPerToken: 1000}},
+			{Name: "s", Engine: &catalog.Engine{CapacityTokens: 100_000, BytesPerToken: 1000}},
+		},
+		Routes: []catalog.Route{{
+			Name: "prompts", Host: "example.com", PathPrefix: "/", Kind: catalog.Stream, Resumable: true, MaxServers: 2,
+			Objective: 300 * time.Millisecond, Timeout: 10 * time.Second, Splits: splits, Public: true,
+		}},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	return made
+}
+
+// startVersionOf is startVersion for a service.
+func startVersionOf(t *testing.T, f *fleet.Fleet, service, version string) {
+	t.Helper()
+	name := service + version
+	server := httptest.NewServer(serveEvents(name, 0))
+	t.Cleanup(server.Close)
+	f.Apply([]fleet.Update{{Key: name, Offset: 1, Server: &fleet.Server{
+		Incarnation: name, Service: service, Software: version, Address: server.Listener.Addr().String(), Slots: 4, Weights: map[string]int{"m": 1},
+	}}})
+}
+
+// A stream that its caller resumed continued at another service, and at another software version, when its route
+// was split between services or had been moved to another one.
+func TestAResumedStreamContinuesAtAnotherServicesVersion(t *testing.T) {
+	r, s := catalog.Split{Service: "r", Weight: 1}, catalog.Split{Service: "s", Weight: 1}
+	tests := []struct {
+		name string
+		// splits are the services of the route when the caller resumes the stream that v1 of service s began.
+		splits []catalog.Split
+		// servers are the software versions of the servers, by service.
+		servers map[string][]string
+		// want is the service and version that continues the stream; empty if it is refused.
+		want string
+	}{
+		{"split, each service has one version", []catalog.Split{r, s}, map[string][]string{"r": {"v2"}, "s": {"v1"}}, "sv1"},
+		{"split, the service has several versions", []catalog.Split{r, s}, map[string][]string{"r": {"v1"}, "s": {"v1", "v2"}}, "sv1"},
+		{"split, the version has gone", []catalog.Split{r, s}, map[string][]string{"r": {"v1"}, "s": {"v2"}}, ""},
+		{"moved to one of another version", []catalog.Split{r}, map[string][]string{"r": {"v2"}, "s": {"v1"}}, ""},
+		{"moved to one of several versions", []catalog.Split{r}, map[string][]string{"r": {"v1", "v2"}, "s": {"v1"}}, "rv1"},
+		{"moved to one of the same version", []catalog.Split{r}, map[string][]string{"r": {"v1"}, "s": {"v2"}}, "rv1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := fleet.New(fleet.Config{})
+			for service, versions := range test.servers {
+				for _, version := range versions {
+					startVersionOf(t, f, service, version)
+				}
+			}
+			protocol := newPlanProtocol()
+			protocol.info.Prompt = largeMemoryPrompt()
+			protocol.info.ResumeAfter = "1"
+			c := splitCatalog(g, test.splits...)
+			gateway := promptGateway(protocol, f, emptyIndex(c), c)
+			gateway.cfg.Origins = streamorigin.New(streamorigin.Config{Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions})
+			for number := range 6 {
+				protocol.info.Resumes = "first-" + strconv.Itoa(number)
+				gateway.cfg.Origins.Note(streamorigin.KeyOf("", protocol.info.Resumes), streamorigin.Origin{Service: "s", Software: "v1", Expires: time.Now().Add(time.Minute)})
+				recorder := httptest.NewRecorder()
+				gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+				if test.want == "" {
+					g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable), recorder.Body.String())
+					g.Expect(recorder.Body.String()).To(ContainSubstring(reasonNoVersion))
+					continue
+				}
+				g.Expect(recorder.Code).To(Equal(http.StatusOK), recorder.Body.String())
+				g.Expect(recorder.Body.String()).To(ContainSubstring("data: " + test.want + "\n"))
+			}
+		})
+	}
+}
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -26,7 +26,8 @@
 }
 
 // findSoftware finds the software version that must serve a stream which its caller resumes, and refuses
-// the call if it cannot be found. For a forwarded call the other box has done so.
+// the call if it cannot be found. For a forwarded call the other box has done so. The service that began the stream
+// continues it if the route still names that service; otherwise another one does, at the same version.
 func (g *Gateway) findSoftware(x *exchange) bool {
 	if g.cfg.Origins == nil || x.forwarded || x.route.Kind != catalog.Stream || x.info.ResumeAfter == "" {
 		return true
@@ -42,6 +43,9 @@
 	if g.cfg.ServerListAge != nil {
 		listAge = g.cfg.ServerListAge()
 	}
+	if evidence.Found && evidence.Service != x.service.Name && x.route.HasService(evidence.Service) {
+		x.service = x.catalog.Service(evidence.Service)
+	}
 	software, known := streamorigin.Decide(evidence, listAge)
 	g.logOrigin(x, evidence, known)
 	if !known {
@@ -53,7 +57,7 @@
 
 func (g *Gateway) logOrigin(x *exchange, evidence streamorigin.Evidence, known bool) {
 	g.metrics.scope.Tagged(map[string]string{"found": strconv.FormatBool(evidence.Found), "resumed": strconv.FormatBool(known)}).Counter("streams_resumed").Inc(1)
-	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).Str("software", evidence.Software).
+	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).Str("service", x.service.Name).Str("origin_service", evidence.Service).Str("software", evidence.Software).
 		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).Bool("has_base", evidence.Base != nil).Str("base", evidence.BaseVersion()).Bool("resumed", known).Msg("stream_origin")
 }
 
--- a/internal/originlog/reader.go
+++ b/internal/originlog/reader.go
@@ -87,14 +87,17 @@
 
 // Result is what the log has of a stream.
 type Result struct {
-	Software string
+	// Found is set if the log has the stream's origin, and Service and Software are the service and the version
+	// that began it then.
 	Found    bool
-	// Versions are the software versions of the service that began streams within the horizon.
+	Service  string
+	Software string
+	// Versions are the software versions of the service asked for that began streams within the horizon.
 	Versions []string
 }
 
-// Find looks for the origin of a stream of a service, in all records up to now. An error means that the log
-// could not be read.
+// Find looks for the origin of a stream, in all records up to now, and for the versions of a service. An error means
+// that the log could not be read.
 func (r *Reader) Find(ctx context.Context, key Key, service string) (Result, error) {
 	if result := r.lookUp(key, service); result.Found {
 		return result, nil
@@ -109,8 +112,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var result Result
-	if origin, found := r.known[key]; found && origin.Service == service {
-		result.Found, result.Software = true, origin.Software
+	if origin, found := r.known[key]; found {
+		result.Found, result.Service, result.Software = true, origin.Service, origin.Software
 	}
 	since := boottime.TimeOfDay().Add(-Horizon)
 	for software, last := range r.versions[service] {
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -14,8 +14,10 @@
 
 // Evidence is what is known of the origin of a stream.
 type Evidence struct {
-	// Found is set if the origin is known; Software is its version then.
+	// Found is set if the origin is known. Service and Software are the service and the version that began the
+	// stream then; the service is not always the one that was asked for.
 	Found    bool
+	Service  string
 	Software string
 	// Versions are the software versions of the service's servers that this box and those that responded
 	// know of, and those in the log.
@@ -47,13 +49,14 @@
 	return e.Base.Version
 }
 
-// Find looks for the origin of a stream of a service, at this box, at its holders, and then in the log.
+// Find looks for the origin of a stream, at this box, at its holders, and then in the log. service is the one that the
+// stream's route names now, which decides where there is no origin.
 func (o *Origins) Find(ctx context.Context, key Key, service string) Evidence {
 	o.awaitStart(ctx)
 	evidence := Evidence{Versions: slices.Clone(o.cfg.Versions(service)), LongestUptime: o.uptime()}
-	targets, origin, found := o.lookUp(key, service)
+	targets, origin, found := o.lookUp(key)
 	if found {
-		evidence.Found, evidence.Software = true, origin.Software
+		evidence.Found, evidence.Service, evidence.Software = true, origin.Service, origin.Software
 		return evidence
 	}
 	asked := request{Key: key[:], Service: service}
@@ -139,17 +142,17 @@
 	}
 	e.LongestUptime = max(e.LongestUptime, answer.Uptime)
 	if answer.Found != nil {
-		e.Found, e.Software = true, answer.Found.Software
+		e.Found, e.Service, e.Software = true, answer.Found.Service, answer.Found.Software
 	}
 }
 
 // lookUp returns the origin if this box has it, and otherwise the boxes to ask: the possible holders among
 // all listed boxes, and those that replace the unavailable ones.
-func (o *Origins) lookUp(key Key, service string) (targets []Box, origin Origin, found bool) {
+func (o *Origins) lookUp(key Key) (targets []Box, origin Origin, found bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := boottime.Now()
-	if origin, found = o.known.find(key, now); found && origin.Service == service {
+	if origin, found = o.known.find(key, now); found {
 		return nil, origin, true
 	}
 	lists := [][]Box{o.others(now, false), o.others(now, true)}
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -27,7 +27,8 @@
 type request struct {
 	// Origins are to be held.
 	Origins []wireOrigin `msgpack:"o,omitempty"`
-	// Key is the key of a stream of Service to find; empty for none.
+	// Key is the key of a stream to find, whichever service began it; empty for none. The response has the versions
+	// of Service.
 	Key     []byte `msgpack:"k,omitempty"`
 	Service string `msgpack:"s,omitempty"`
 	// Record means that the box is to record the origins in the log, and Recorded that it is to look for Key
@@ -118,7 +119,7 @@
 	}
 	var answer response
 	if len(received.Key) == keySize {
-		if origin, found := o.known.find(Key(received.Key), now); found && origin.Service == received.Service {
+		if origin, found := o.known.find(Key(received.Key), now); found {
 			wire := encode(Key(received.Key), origin, now)
 			answer.Found = &wire
 		}
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -223,6 +223,6 @@
 	answer.LogRead = true
 	answer.Versions = append(answer.Versions, result.Versions...)
 	if result.Found {
-		answer.Found = &wireOrigin{Key: asked.Key, Service: asked.Service, Software: result.Software, Remaining: originlog.Horizon}
+		answer.Found = &wireOrigin{Key: asked.Key, Service: result.Service, Software: result.Software, Remaining: originlog.Horizon}
 	}
 }
