gateway: all boxes choose the same service of a split route for a stream

Callers saw: on a route that is split between services, a stream continued at another service, and so at another software version, when its caller resumed it or its box forwarded it.

Cause: each box chose the service by the number of its own call. A stream without a record then counted as one of whatever service that was, and a forwarded call got the choice of the other box, in the middle of a stream too.

Change: for streams that may be resumed, the request that brought the first event chooses the service, by its hash scaled to the sum of the weights: the same at all boxes, without a record. Change of weights moves few streams. A box that forwards a call names the service; the other box follows if its route has it. Other kinds of calls are still chosen in turn.

TestForeignForwardHeadersHaveAnEffect covers the new header as well.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -7,6 +7,7 @@
 
 import (
 	"crypto/sha256"
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -249,6 +250,13 @@
 	return r.Splits[0].Service
 }
 
+// ServiceOf selects a service for a stream, in proportion to the weights: the same one for the same hash, also after
+// weights have changed unless its part has become smaller or has moved.
+func (r *Route) ServiceOf(hash uint64) string {
+	position, _ := bits.Mul64(hash, uint64(r.totalWeight()))
+	return r.PickService(position)
+}
+
 // MeanObjective returns the mean latency target of the routes to a service, or zero if it has none.
 func (c *Catalog) MeanObjective(service string) time.Duration {
 	sum, count := time.Duration(0), 0
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"math"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -63,6 +64,30 @@
 	g.Expect(counts).To(Equal(map[string]int{"one": 900, "two": 100}))
 }
 
+// Boxes must choose the same service for a stream, and few streams may change theirs when weights do.
+func TestServiceOfAStreamFollowsWeights(t *testing.T) {
+	g := NewWithT(t)
+	before, after := route("r", "a", "/"), route("r", "a", "/")
+	before.Splits = []catalog.Split{{Service: "one", Weight: 90}, {Service: "none", Weight: 0}, {Service: "two", Weight: 10}}
+	after.Splits = []catalog.Split{{Service: "one", Weight: 4}, {Service: "two", Weight: 1}}
+	const streams = 1000
+	counts, changed := map[string]int{}, 0
+	for number := range uint64(streams) {
+		hash := number * (math.MaxUint64 / streams)
+		service := before.ServiceOf(hash)
+		counts[service]++
+		if after.ServiceOf(hash) != service {
+			changed++
+		}
+	}
+	g.Expect(counts).To(HaveKeyWithValue("one", BeNumerically("~", 900, 2)))
+	g.Expect(counts).To(HaveKeyWithValue("two", BeNumerically("~", 100, 2)))
+	g.Expect(changed).To(BeNumerically("~", 100, 2))
+	none := route("r", "a", "/")
+	none.Splits = []catalog.Split{{Service: "one", Weight: 0}, {Service: "two", Weight: 0}}
+	g.Expect(none.ServiceOf(math.MaxUint64)).To(Equal("one"))
+}
+
 func TestNewRejectsInvalidRoutes(t *testing.T) {
 	g := NewWithT(t)
 	tests := []struct {
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -10,7 +10,10 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/fingerprint"
 )
 
@@ -30,7 +33,7 @@
 	if x.route == nil {
 		return g.reject(x, http.StatusNotFound, "no_route")
 	}
-	x.service = x.catalog.Service(x.route.PickService(x.number))
+	x.service = x.catalog.Service(x.chooseService())
 	if limit := x.catalog.Limits().HeaderBytes; limit > 0 && headerBytes(x.request) > limit {
 		return g.reject(x, http.StatusRequestHeaderFieldsTooLarge, "header_too_large")
 	}
@@ -46,6 +49,20 @@
 	return true
 }
 
+// chooseService returns the service for the call. All boxes choose the same one for a stream, so that it continues
+// where it began, also without a record of that.
+func (x *exchange) chooseService() string {
+	id := x.streamID()
+	switch {
+	case x.forwarded && x.route.HasService(x.forwardService):
+		return x.forwardService
+	case x.route.Kind == catalog.Stream && x.route.Resumable && id != "":
+		return x.route.ServiceOf(xxhash.Sum64String(id))
+	default:
+		return x.route.PickService(x.number)
+	}
+}
+
 // routeTimeout returns how long a call of the route may take.
 func (x *exchange) routeTimeout() time.Duration {
 	if x.route.Timeout <= 0 {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -158,6 +158,7 @@
 	header.Set(headerForwardRemaining, strconv.FormatInt(max(boottime.Until(x.deadline).Milliseconds(), 1), 10))
 	header.Set(headerForwardServers, strconv.Itoa(a.serversAllowed()))
 	header.Set(headerForwardResume, x.resumeAfter)
+	header.Set(headerForwardService, x.service.Name)
 	if a.gateway.reaches(x) {
 		header.Set(headerForwardShare, "1")
 	}
--- a/internal/gateway/forwardboxes_test.go
+++ b/internal/gateway/forwardboxes_test.go
@@ -278,13 +278,16 @@
 }
 
 // partition makes the box find that it does not reach the service. A response may have arrived just before.
-func (b *forwardBox) partition(g *WithT) {
+func (b *forwardBox) partition(g *WithT) { b.partitionFrom(g, "s") }
+
+// partitionFrom is partition for a service.
+func (b *forwardBox) partitionFrom(g *WithT, service string) {
 	b.partitioned.Store(true)
-	g.EventuallyWithOffset(1, func() bool {
+	g.EventuallyWithOffset(2, func() bool {
 		for range 3 {
-			b.reach.NoteFailure("s")
+			b.reach.NoteFailure(service)
 		}
-		return b.reach.Unreachable("s")
+		return b.reach.Unreachable(service)
 	}).Should(BeTrue())
 }
 
--- a/internal/gateway/forwarded.go
+++ b/internal/gateway/forwarded.go
@@ -42,7 +42,7 @@
 	if resume := header.Get(headerForwardResume); resume != "" {
 		x.info.ResumeAfter = resume
 	}
-	x.software = readForwardSoftware(header)
+	x.software, x.forwardService = readForwardSoftware(header), header.Get(headerForwardService)
 	x.shareOnly = header.Get(headerForwardShare) != ""
 }
 
--- a/internal/gateway/forwardlimits_test.go
+++ b/internal/gateway/forwardlimits_test.go
@@ -19,7 +19,7 @@
 func TestForeignForwardHeadersHaveAnEffect(t *testing.T) {
 	foreign := []string{
 		headerForwardRemaining, "1", headerForwardServers, "9", headerForwardResume, "3", headerForwardOutcome, string(outcomeRefused),
-		headerForwardReason, reasonUnreachable, headerForwardReached, "0", headerForwardRetry, "5", "Connection", headerForwardReached,
+		headerForwardReason, reasonUnreachable, headerForwardReached, "0", headerForwardRetry, "5", headerForwardService, "another", "Connection", headerForwardReached,
 	}
 	server := func(status int) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/forwardresult.go
+++ b/internal/gateway/forwardresult.go
@@ -25,6 +25,8 @@
 	headerForwardRemaining = forwardHeaderPrefix + "Remaining"
 	headerForwardServers   = forwardHeaderPrefix + "Servers"
 	headerForwardResume    = forwardHeaderPrefix + "Resume"
+	// headerForwardService is the service that the first box has chosen, of those that the route names.
+	headerForwardService = forwardHeaderPrefix + "Service"
 	// headerForwardSoftware is the software version that must serve the call, and in the response the one
 	// that does; without it any may.
 	headerForwardSoftware = forwardHeaderPrefix + "Software"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,6 +199,8 @@
 	// Written by accept. serversAllowed is the number of servers that another box allows for a call
 	// that it has forwarded; 0 means that the route decides.
 	serversAllowed int
+	// forwardService is the service that another box has chosen; empty if it names none.
+	forwardService string
 	catalog        *catalog.Catalog
 	info           call.RequestInfo
 	route          *catalog.Route
--- a/internal/gateway/movedroute_test.go
+++ b/internal/gateway/movedroute_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +96,97 @@
 		})
 	}
 }
+
+// A stream without a record continued at the other service of a split route when its caller resumed it at another
+// box.
+func TestAStreamWithoutARecordContinuesAtAnotherServiceOfASplitRoute(t *testing.T) {
+	g := NewWithT(t)
+	f := fleet.New(fleet.Config{})
+	startVersionOf(t, f, "r", "v1")
+	startVersionOf(t, f, "s", "v2")
+	c := splitCatalog(g, catalog.Split{Service: "r", Weight: 3}, catalog.Split{Service: "s", Weight: 1})
+	protocol := newPlanProtocol()
+	protocol.info.Prompt = largeMemoryPrompt()
+	send := func(box *Gateway) string {
+		recorder := httptest.NewRecorder()
+		box.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+		g.Expect(recorder.Code).To(Equal(http.StatusOK), recorder.Body.String())
+		return dataOfLastEvent(recorder.Body.String())
+	}
+	boxes := make([]*Gateway, 2)
+	for i := range boxes {
+		boxes[i] = promptGateway(protocol, f, emptyIndex(c), c)
+		boxes[i].cfg.Origins = streamorigin.New(streamorigin.Config{Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions})
+	}
+	const streams = 40
+	began, byService := map[int]string{}, map[string]int{}
+	for number := range streams {
+		protocol.info.RequestID = "q" + strconv.Itoa(number)
+		began[number] = send(boxes[0])
+		byService[began[number]]++
+	}
+	protocol.info.ResumeAfter = "1"
+	joined := 0
+	for number := range streams {
+		number = streams - 1 - number // in another order
+		protocol.info.RequestID, protocol.info.Resumes = "again"+strconv.Itoa(number), "q"+strconv.Itoa(number)
+		if send(boxes[1]) != began[number] {
+			joined++
+		}
+	}
+	g.Expect(joined).To(BeZero(), "streams with events of two services")
+	g.Expect(byService).To(HaveLen(2), "streams begin at both services")
+}
+
+// dataOfLastEvent returns the data of a stream's last event.
+func dataOfLastEvent(stream string) string {
+	_, last, _ := strings.Cut(strings.TrimSpace(stream[strings.LastIndex(stream, "data: "):]), "data: ")
+	return last
+}
+
+// A stream that broke off within its box continued at the other service of a split route when its box forwarded it.
+func TestAForwardedStreamContinuesAtAnotherServiceOfASplitRoute(t *testing.T) {
+	tests := []struct {
+		name string
+		// second are the weights of the services at the box that gets the call.
+		second [2]int
+	}{
+		{"both boxes have the same configuration", [2]int{1, 1}},
+		{"the other box has newer weights", [2]int{1, 1000}},
+		{"the other box has newer weights for the first service", [2]int{1000, 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			split := func(weights [2]int) *catalog.Catalog {
+				return forwardCatalog(g, func(cfg *catalog.Config) {
+					cfg.Services = append(cfg.Services, catalog.Service{Name: "t", ConnectionLimit: 1000})
+					for i := range cfg.Routes {
+						cfg.Routes[i].Splits = []catalog.Split{{Service: "s", Weight: weights[0]}, {Service: "t", Weight: weights[1]}}
+					}
+				})
+			}
+			for number := range 6 {
+				var near, far forwardServers
+				var first *forwardBox
+				for i, service := range []string{"s", "t"} {
+					near.start(t, "near-"+service, func(w http.ResponseWriter, r *http.Request) {
+						sign(w, r)
+						sendEvent(w, service, 1)
+						first.partitionFrom(g, service)
+						panic(http.ErrAbortHandler)
+					})
+					near.entries[i].Service = service
+					far.start(t, "far-"+service, serveEventsOf(service))
+					far.entries[i].Service = service
+				}
+				first = startForwardBox(t, g, forwardBoxConfig{name: "first", servers: near.entries, catalog: split([2]int{1, 1})})
+				first.forwardTo(startForwardBox(t, g, forwardBoxConfig{name: "second", servers: far.entries, catalog: split(test.second)}))
+				response := first.send(t.Context(), pathStream, "q"+strconv.Itoa(number), "")
+				g.Expect(response.err).NotTo(HaveOccurred())
+				g.Expect(strings.Contains(response.body, "data: s")).NotTo(Equal(strings.Contains(response.body, "data: t")), response.body)
+			}
+		})
+	}
+}
