gateway: a stream that its caller does not name is resumed by all that is known

Callers saw: a stream that they resumed without naming it continued at the version that had replaced the one that began it, where their box had not been running then.

Cause: for a caller that names no stream only the list of its own box was read, which has the versions of the last minute at most, and those of now after a start. Other boxes and the log were not asked. Class: what is listed now stands for what was in force then.

Change: the box asks other boxes and the log for the versions of the service, as it does for a stream that is named. Such a stream is resumed only if they know of one version, and a stream without an origin would be of that version as well: a base version that differs, or has just been replaced, counts. While the log is away the rule for named streams holds. It costs each such resumption what a named one without an origin costs.

gateway: TestAStreamThatIsNotNamedContinuesAtTheVersionThatReplacedItsOwn failed before (continued at v2, v1 recorded), passes now. streamorigin: seven cases for streams that are not named. Not played with processes.

--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -34,7 +34,7 @@
 	}
 	var evidence streamorigin.Evidence
 	if x.info.Resumes == "" {
-		evidence.Versions = g.cfg.Fleet.SoftwareVersions(x.service.Name)
+		evidence = g.cfg.Origins.FindUnnamed(x.ctx, x.service.Name)
 	} else {
 		evidence = g.cfg.Origins.Find(x.ctx, streamorigin.KeyOf(x.callerName(), x.info.Resumes), x.service.Name)
 	}
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/originlog"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -145,6 +146,48 @@
 	})
 }
 
+// A caller that does not name the stream that it resumes got the rest of it from the version that had replaced the
+// one that began it, where the box had not been running at that time. The other version is in the log.
+func TestAStreamThatIsNotNamedContinuesAtTheVersionThatReplacedItsOwn(t *testing.T) {
+	tests := []struct {
+		name string
+		// recorded is the software version of another stream of the service, which began shortly before.
+		recorded string
+		status   int
+	}{
+		{"another version", "v1", http.StatusServiceUnavailable},
+		{"the same version", "v2", http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			log := fakesharedlog.New()
+			writer := originlog.NewWriter(originlog.WriterConfig{Log: log})
+			go writer.Loop(t.Context())
+			g.Expect(writer.Add([]originlog.Origin{{Key: originlog.Key{1}, Service: "r", Software: test.recorded}})).To(BeTrue())
+			g.Eventually(log.Underlying().Appends, time.Second).Should(BeNumerically(">=", 1))
+			f := fleet.New(fleet.Config{})
+			startVersion(t, f, "a", "v2", serveEvents("v2", 0))
+			protocol := newPlanProtocol()
+			protocol.info.Prompt = largeMemoryPrompt()
+			protocol.info.ResumeAfter = "1"
+			c := resumableCatalog(g, 2)
+			gateway := promptGateway(protocol, f, emptyIndex(c), c)
+			gateway.cfg.Origins = streamorigin.New(streamorigin.Config{
+				Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions,
+				Reader: originlog.NewReader(originlog.ReaderConfig{Log: log}),
+			})
+			recorder := httptest.NewRecorder()
+			gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+			g.Expect(recorder.Code).To(Equal(test.status), recorder.Body.String())
+			if test.status != http.StatusOK {
+				g.Expect(recorder.Body.String()).To(ContainSubstring(reasonUnknownVersion))
+			}
+		})
+	}
+}
+
 // startVersion is startRunner for a software version.
 func startVersion(t *testing.T, f *fleet.Fleet, name, version string, handler http.Handler) {
 	t.Helper()
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -19,6 +19,9 @@
 // Decide returns the software version that must serve a resumed stream. known is false if the stream may
 // have begun at any of several versions, so that it must not be resumed.
 //
+// A stream that its caller does not name may be of any version that is known; its own may be recorded. It is resumed
+// if there is one version only, and a stream without an origin would be of that one, too.
+//
 // Without the origin, the stream is of the service's base version, whichever versions are listed now.
 //
 // Where the log has no base version yet, the stream began while its box knew of one version, and that box has
@@ -27,19 +30,28 @@
 // started and knows of no server cannot tell, and boxes that have all started since a second version was withdrawn
 // know of it only from the log.
 func Decide(evidence Evidence, listAge time.Duration) (software string, known bool) {
+	software, known = evidence.decide(listAge)
+	if evidence.Unnamed && (len(evidence.Versions) != 1 || evidence.Versions[0] != software) {
+		return "", false
+	}
+	return software, known
+}
+
+// decide is Decide for a stream that its caller names.
+func (e *Evidence) decide(listAge time.Duration) (software string, known bool) {
 	switch {
-	case evidence.Found:
-		return evidence.Software, true
-	case evidence.Base != nil && !evidence.Unlisted:
-		return evidence.decideByBase()
-	case evidence.Unlisted || len(evidence.Versions) != 1:
+	case e.Found:
+		return e.Software, true
+	case e.Base != nil && !e.Unlisted:
+		return e.decideByBase()
+	case e.Unlisted || len(e.Versions) != 1:
 		return "", false
-	case evidence.Asked > 0 && evidence.Responded == 0 && listAge > maxListAge:
+	case e.Asked > 0 && e.Responded == 0 && listAge > maxListAge:
 		return "", false
-	case evidence.LogFailed && !evidence.coversStream():
+	case e.LogFailed && !e.coversStream():
 		return "", false
 	default:
-		return evidence.Versions[0], true
+		return e.Versions[0], true
 	}
 }
 
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -19,6 +19,8 @@
 	Found    bool
 	Service  string
 	Software string
+	// Unnamed is set if the caller does not name the stream, so that its origin cannot be looked for.
+	Unnamed bool
 	// Versions are the software versions of the service's servers that this box and those that responded
 	// know of, and those in the log.
 	Versions []string
@@ -74,6 +76,13 @@
 	return evidence
 }
 
+// FindUnnamed returns what is known of the versions of a service, for a stream that its caller does not name.
+func (o *Origins) FindUnnamed(ctx context.Context, service string) Evidence {
+	evidence := o.Find(ctx, Key{}, service) // no stream has this key
+	evidence.Unnamed = true
+	return evidence
+}
+
 // addBase adds the base version of the service. A recorder of an older version of the program knows none, so this
 // box reads the log itself then.
 func (o *Origins) addBase(ctx context.Context, received *wireBases, evidence *Evidence, service string) {
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -11,6 +11,8 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/baseversion"
 )
 
 const service = "runners"
@@ -187,6 +189,30 @@
 		{"no box knows of a server, one version in the log", Evidence{Versions: []string{v1}, Unlisted: true, LogRead: true}, 0, "", false},
 		{"no box knows of a server, found in the log", Evidence{Found: true, Software: v1, Versions: []string{v1}, Unlisted: true, LogRead: true}, 0, v1, true},
 	}
+	base := func(version string, replaced bool) *baseversion.Base {
+		return &baseversion.Base{Version: version, Present: true, Replaced: replaced}
+	}
+	for _, unnamed := range []struct {
+		name     string
+		evidence Evidence
+		known    bool
+	}{
+		{"one version", Evidence{Versions: []string{v1}}, true},
+		{"one version, which is the base version", Evidence{Versions: []string{v1}, LogRead: true, Base: base(v1, false)}, true},
+		{"one version, and another one is the base version", Evidence{Versions: []string{v1}, LogRead: true, Base: base("v2", false)}, false},
+		{"one version, which has just become the base version", Evidence{Versions: []string{v1}, LogRead: true, Base: base(v1, true), MaxAge: versionMemory + time.Second}, false},
+		{"one version is the base version, another box or the log has one more", Evidence{Versions: []string{v1, "v2"}, LogRead: true, Base: base(v1, false)}, false},
+		{"no version", Evidence{LogRead: true, Base: base(v1, false)}, false},
+		{"one version, boxes that have just started, the log is away", Evidence{Versions: []string{v1}, LogFailed: true}, false},
+	} {
+		t.Run("not named, "+unnamed.name, func(t *testing.T) {
+			g := NewWithT(t)
+			unnamed.evidence.Unnamed = true
+			software, known := Decide(unnamed.evidence, 0)
+			g.Expect(known).To(Equal(unnamed.known))
+			g.Expect(software == v1).To(Equal(unnamed.known))
+		})
+	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			g := NewWithT(t)
