gateway: the origin of a stream goes by its caller's API key

Callers saw: a stream that they resumed was refused, though its version served, after a configuration had moved their key to another organisation. Since it would continue at the base version, whichever version began it.

Cause: origins are found by the request and the name of its organisation, as the configuration in force at each try has it. Class: what is listed now stands for what was in force then.

Change: origins are found by the request and the API key, which the caller keeps. Two keys of an organisation count as two callers. Finding by either was weighed: it doubles what is sent, held and recorded for each stream.

Not played with processes. Boxes of the previous program version find by organisation; while both run, streams with several versions that change boxes are not found.

--- a/internal/gateway/movedroute_test.go
+++ b/internal/gateway/movedroute_test.go
@@ -190,3 +190,51 @@
 		})
 	}
 }
+
+// A stream whose caller's key had been moved to another organisation, or whose route had become public, was not found.
+func TestAStreamIsNotFoundAfterItsKeyMovedToAnotherOrganisation(t *testing.T) {
+	config := func(organisation string, public bool) *catalog.Catalog {
+		made, err := catalog.New(catalog.Config{
+			Version: 1, Limits: catalog.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 16}, KeysRequired: true,
+			Services:      []catalog.Service{{Name: "r", Engine: &catalog.Engine{CapacityTokens: 100_000, BytesPerToken: 1000}}},
+			Organisations: []catalog.Organisation{{Name: organisation, Keys: []string{"key"}}},
+			Routes: []catalog.Route{{
+				Name: "prompts", Host: "example.com", PathPrefix: "/", Kind: catalog.Stream, Resumable: true, MaxServers: 2,
+				Objective: 300 * time.Millisecond, Timeout: 10 * time.Second, Splits: []catalog.Split{{Service: "r", Weight: 1}}, Public: public,
+			}},
+		})
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		return made
+	}
+	tests := []struct {
+		name          string
+		before, after *catalog.Catalog
+	}{
+		{"nothing changes", config("north", false), config("north", false)},
+		{"the key moves", config("north", false), config("south", false)},
+		{"the route becomes public", config("north", false), config("north", true)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := fleet.New(fleet.Config{})
+			startVersionOf(t, f, "r", "v1")
+			startVersionOf(t, f, "r", "v2")
+			protocol := newPlanProtocol()
+			protocol.info.Prompt, protocol.info.Key = largeMemoryPrompt(), "key"
+			box := promptGateway(protocol, f, emptyIndex(test.before), test.before)
+			box.cfg.Origins = streamorigin.New(streamorigin.Config{Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions})
+			send := func() string {
+				recorder := httptest.NewRecorder()
+				box.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+				g.Expect(recorder.Code).To(Equal(http.StatusOK), recorder.Body.String())
+				return dataOfLastEvent(recorder.Body.String())
+			}
+			began := send()
+			box.cfg.Catalog = func() *catalog.Catalog { return test.after }
+			protocol.info.RequestID, protocol.info.ResumeAfter, protocol.info.Resumes = "again", "1", protocol.info.RequestID
+			g.Expect(send()).To(Equal(began))
+		})
+	}
+}
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -36,7 +36,7 @@
 	if x.info.Resumes == "" {
 		evidence = g.cfg.Origins.FindUnnamed(x.ctx, x.service.Name)
 	} else {
-		evidence = g.cfg.Origins.Find(x.ctx, streamorigin.KeyOf(x.callerName(), x.info.Resumes), x.service.Name)
+		evidence = g.cfg.Origins.Find(x.ctx, x.originKey(x.info.Resumes), x.service.Name)
 	}
 	evidence.MaxAge = max(x.routeTimeout(), x.info.MaxWait) + originMargin
 	listAge := time.Duration(0)
@@ -75,7 +75,7 @@
 	if waits := x.arrived.Add(x.info.MaxWait); waits.After(expires) {
 		expires = waits
 	}
-	key, origin := streamorigin.KeyOf(x.callerName(), id), streamorigin.Origin{Service: x.service.Name, Software: *x.software, Expires: expires.Add(originMargin)}
+	key, origin := x.originKey(id), streamorigin.Origin{Service: x.service.Name, Software: *x.software, Expires: expires.Add(originMargin)}
 	g.cfg.Origins.Note(key, origin)
 	if x.info.ResumeAfter == "" && !g.cfg.Origins.AwaitRecord(x.ctx, key, origin) && x.ctx.Err() == nil {
 		g.metrics.scope.Counter("streams_not_recorded").Inc(1)
@@ -91,10 +91,16 @@
 	return x.info.RequestID
 }
 
+// originKey returns the key of a stream of this caller. The caller is its API key, since a configuration may move that
+// to another organisation while the stream is in flight.
+func (x *exchange) originKey(requestID string) streamorigin.Key {
+	return streamorigin.KeyOf(x.info.Key, requestID)
+}
+
 // completeOrigin records that the caller has the whole stream.
 func (g *Gateway) completeOrigin(x *exchange) {
 	if g.cfg.Origins != nil && !x.forwarded && x.outcome == outcomeServed && x.eventsSent > 0 {
-		g.cfg.Origins.Complete(streamorigin.KeyOf(x.callerName(), x.streamID()))
+		g.cfg.Origins.Complete(x.originKey(x.streamID()))
 	}
 }
 
