gateway: parts of a prompt count for the service that continues the stream

Found by reading; no caller saw it.

Change: the parts are computed again when the origin changes the service.

gateway: TestPartsOfAResumedStreamCountForAnotherService fails without the line, passes with it.

--- a/internal/gateway/movedroute_test.go
+++ b/internal/gateway/movedroute_test.go
@@ -97,6 +97,25 @@
 	}
 }
 
+// The parts of a resumed stream's prompt counted for the service that the route had given the call first.
+func TestPartsOfAResumedStreamCountForAnotherService(t *testing.T) {
+	g := NewWithT(t)
+	f := fleet.New(fleet.Config{})
+	c := splitCatalog(g, catalog.Split{Service: "r", Weight: 1}, catalog.Split{Service: "s", Weight: 1})
+	protocol := newPlanProtocol()
+	protocol.info.ResumeAfter, protocol.info.Resumes = "1", "first"
+	gateway := promptGateway(protocol, f, emptyIndex(c), c)
+	gateway.cfg.Origins = streamorigin.New(streamorigin.Config{Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions})
+	for _, service := range []string{"r", "s"} {
+		gateway.cfg.Origins.Note(streamorigin.KeyOf("", "first"), streamorigin.Origin{Service: service, Software: "v1", Expires: time.Now().Add(time.Minute)})
+		x := gateway.newExchange(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://example.com/", nil))
+		g.Expect(gateway.accept(x) && gateway.readBody(x) && gateway.findSoftware(x)).To(BeTrue())
+		g.Expect(x.service.Name).To(Equal(service))
+		g.Expect(x.parts).NotTo(BeEmpty())
+		g.Expect(x.parts).To(Equal(x.partFingerprints()))
+	}
+}
+
 // A stream without a record continued at the other service of a split route when its caller resumed it at another
 // box.
 func TestAStreamWithoutARecordContinuesAtAnotherServiceOfASplitRoute(t *testing.T) {
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -45,6 +45,7 @@
 	}
 	if evidence.Found && evidence.Service != x.service.Name && x.route.HasService(evidence.Service) {
 		x.service = x.catalog.Service(evidence.Service)
+		x.parts = x.partFingerprints() // they are those of the service
 	}
 	software, known := streamorigin.Decide(evidence, listAge)
 	g.logOrigin(x, evidence, known)
