--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -246,6 +246,6 @@
 	answer.LogRead, answer.Ambiguous = true, result.Ambiguous
 	answer.Versions = append(answer.Versions, result.Versions...)
 	if result.Found {
-		answer.Found = &wireOrigin{Key: asked.Key, Service: asked.Service, Software: result.Software, Remaining: originlog.Horizon}
+		answer.Found = &wireOrigin{Key: asked.Key, Service: result.Service, Software: result.Software, Remaining: originlog.Horizon}
 	}
 }
