originlog: an origin that was dropped before it was awaited is not taken for recorded

Callers saw: nothing yet. A first event could be sent as if its origin were in the log although the writer had dropped it, when more than 32,768 origins waited.

Cause: Await read the count of dropped origins after Add had returned. What was dropped by that Add, or by another one in between, was no longer pending, and so was taken for appended.

Change: Await adds the origins itself, and reads the count under the same lock. With the calls as they were, an origin followed by 32,768 others was reported as appended by a writer that appends nothing.

--- a/internal/originlog/originlog_test.go
+++ b/internal/originlog/originlog_test.go
@@ -287,3 +287,95 @@
 		}
 	})
 }
+
+// The first event of a stream waits for its record, and must neither wait for a log that is away nor be sent as if
+// there were a record.
+func TestAnAwaitedOriginIsNotInTheLog(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults fakelog.Faults
+		// failedBefore is how long appends have failed before, and timeout how long the origin is awaited.
+		failedBefore, timeout time.Duration
+		appended              bool
+		within                time.Duration
+	}{
+		{"at once", fakelog.Faults{}, 0, time.Second, true, 0},
+		{"a slow log", fakelog.Faults{Delay: 200 * time.Millisecond}, 0, time.Second, true, 200 * time.Millisecond},
+		{"a lost response", fakelog.Faults{LoseResponses: 1}, 0, time.Second, true, minFailurePause},
+		{"a log that has just gone", fakelog.Faults{Down: true}, 0, 300 * time.Millisecond, false, 300 * time.Millisecond},
+		{"a log that is away", fakelog.Faults{Down: true}, 5 * time.Second, 300 * time.Millisecond, false, 0},
+		{"a log that goes while it is awaited", fakelog.Faults{Down: true}, 0, time.Minute, false, failingAfter + maxFailurePause},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				log := fakesharedlog.New()
+				log.Underlying().SetFaults(test.faults)
+				w := startWriter(t, log)
+				if test.failedBefore > 0 {
+					w.Add([]Origin{originOf(7)})
+					time.Sleep(test.failedBefore)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
+				defer cancel()
+				began := time.Now()
+				g.Expect(w.Await(ctx, []Origin{originOf(0), originOf(1)})).To(Equal(test.appended))
+				g.Expect(time.Since(began)).To(BeNumerically("<=", test.within))
+				if test.appended {
+					result, err := newReader(log).Find(t.Context(), keyOf(1), service)
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(result.Found).To(BeTrue())
+				}
+			})
+		})
+	}
+}
+
+// Origins that are awaited while others are being appended are in the next record.
+func TestAnOriginIsTakenForAppendedWithAnEarlierRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := fakesharedlog.New()
+		log.Underlying().SetFaults(fakelog.Faults{Delay: 50 * time.Millisecond})
+		w := startWriter(t, log)
+		w.Add([]Origin{originOf(0)})
+		time.Sleep(10 * time.Millisecond)
+		began := time.Now()
+		g.Expect(w.Await(t.Context(), []Origin{originOf(1)})).To(BeTrue())
+		g.Expect(time.Since(began)).To(Equal(40*time.Millisecond + appendInterval + 50*time.Millisecond))
+		log.Underlying().SetFaults(fakelog.Faults{})
+		result, err := newReader(log).Find(t.Context(), keyOf(1), service)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Found).To(BeTrue())
+	})
+}
+
+// An origin that is dropped, since too many wait for the log, has no record.
+func TestADroppedOriginIsTakenForAppended(t *testing.T) {
+	origins := make([]Origin, maxUnrecorded+1)
+	for number := range origins {
+		origins[number] = originOf(number)
+	}
+	tests := []struct {
+		name  string
+		await func(g *WithT, w *Writer, ctx context.Context) bool
+	}{
+		{"with those that are awaited", func(_ *WithT, w *Writer, ctx context.Context) bool { return w.Await(ctx, origins) }},
+		{"by others meanwhile", func(_ *WithT, w *Writer, ctx context.Context) bool {
+			time.AfterFunc(time.Millisecond, func() { w.Add(origins[1:]) })
+			return w.Await(ctx, origins[:1])
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				w := NewWriter(WriterConfig{Log: fakesharedlog.New(), Logger: zerolog.Nop()}) // it appends nothing
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				g.Expect(test.await(g, w, ctx)).To(BeFalse())
+			})
+		})
+	}
+}
--- a/internal/originlog/writer.go
+++ b/internal/originlog/writer.go
@@ -64,6 +64,11 @@
 func (w *Writer) Add(origins []Origin) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.add(origins)
+}
+
+// add is Add for callers that hold mu.
+func (w *Writer) add(origins []Origin) bool {
 	for _, origin := range origins {
 		if _, pending := w.pending[origin.Key]; !pending {
 			w.pending[origin.Key] = struct{}{}
@@ -75,16 +80,20 @@
 	return !w.isFailing()
 }
 
-// Await waits until origins that were added have been appended, and reports whether they have been. It returns
-// at once if this box has not been able to append for a while.
-func (w *Writer) Await(ctx context.Context, keys []Key) bool {
+// Await adds origins, waits until they have been appended, and reports whether they have been. It returns at once if
+// this box has not been able to append for a while; they are appended later all the same.
+func (w *Writer) Await(ctx context.Context, origins []Origin) bool {
 	w.mu.Lock()
 	dropped := w.dropped
+	isWriting := w.add(origins)
 	w.mu.Unlock()
+	if !isWriting {
+		return false
+	}
 	for ctx.Err() == nil {
 		appended := w.appended.Chan()
 		w.mu.Lock()
-		isPending := slices.ContainsFunc(keys, func(key Key) bool { _, pending := w.pending[key]; return pending })
+		isPending := slices.ContainsFunc(origins, func(origin Origin) bool { _, pending := w.pending[origin.Key]; return pending })
 		isLost := w.dropped != dropped || isPending && w.isFailing()
 		w.mu.Unlock()
 		if isLost || !isPending {
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
-	"github.com/cometlock/cometlock/internal/originlog"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
@@ -88,7 +87,7 @@
 // recordAwaited has origins recorded by a box, and reports whether they are in the log.
 func (o *Origins) recordAwaited(ctx context.Context, recorder Box, self bool, origins []wireOrigin) bool {
 	if self {
-		if !o.recordAll(origins) || !o.awaitAppended(ctx, origins) {
+		if !o.recordNow(ctx, origins) {
 			o.avoidRecorder(recorder)
 			return false
 		}
@@ -115,15 +114,9 @@
 	}
 }
 
-// awaitAppended waits until origins that this box records are in the log.
-func (o *Origins) awaitAppended(ctx context.Context, origins []wireOrigin) bool {
+// recordNow has this box record origins, and reports whether they are in the log.
+func (o *Origins) recordNow(ctx context.Context, origins []wireOrigin) bool {
 	ctx, cancel := context.WithTimeout(ctx, awaitTryTimeout)
 	defer cancel()
-	keys := make([]originlog.Key, 0, len(origins))
-	for i := range origins {
-		if len(origins[i].Key) == keySize {
-			keys = append(keys, Key(origins[i].Key))
-		}
-	}
-	return o.cfg.Writer.Await(ctx, keys)
+	return o.cfg.Writer.Await(ctx, loggedOrigins(origins))
 }
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -92,11 +92,13 @@
 func (o *Origins) handle(ctx context.Context, received request) response {
 	answer := o.apply(received)
 	answer.Process = o.cfg.Self.Process
-	if received.Record && o.cfg.Writer != nil {
+	switch {
+	case !received.Record || o.cfg.Writer == nil:
+	case received.Await:
+		answer.Appended = o.recordNow(ctx, received.Origins)
+		answer.Recorded = answer.Appended
+	default:
 		answer.Recorded = o.recordAll(received.Origins)
-		if received.Await && answer.Recorded {
-			answer.Appended = o.awaitAppended(ctx, received.Origins)
-		}
 	}
 	if received.Bases {
 		answer.Bases = o.readBases(ctx)
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -167,13 +167,18 @@
 
 // recordAll adds origins to those that this box records. It returns false if another box should do so.
 func (o *Origins) recordAll(origins []wireOrigin) bool {
+	return o.cfg.Writer.Add(loggedOrigins(origins))
+}
+
+// loggedOrigins returns origins in the form of the log, without invalid ones.
+func loggedOrigins(origins []wireOrigin) []originlog.Origin {
 	recorded := make([]originlog.Origin, 0, len(origins))
 	for i := range origins {
 		if len(origins[i].Key) == keySize {
 			recorded = append(recorded, originlog.Origin{Key: Key(origins[i].Key), Service: origins[i].Service, Software: origins[i].Software})
 		}
 	}
-	return o.cfg.Writer.Add(recorded)
+	return recorded
 }
 
 // askRecorder looks for an origin in the log, through a recorder or by itself. The log may turn some boxes away
