streamorigin: a box that has not read of a service's base version records its streams

Callers saw (model; no run with processes): a stream without a record was of another version than the base version in the log.

Cause: a service that is not in the box's table was taken to have none in the log. A box that has just started, or read the table before the service appeared, does not know. It asked for the table again only once it saw two versions. Trace: v3 is listed, then v1, v3 leaves, box-1 starts and sees v1 alone, box-0 writes v3 as the base version, box-1 begins streams of v1 without a record.

Change: such streams need a record, unless the table has been read within the lease and the box has been running for as long as boxes remember versions; and the table is requested again while a service is missing. A service in steady state is in the table, so nothing changes for it.

--- a/internal/streamorigin/bases.go
+++ b/internal/streamorigin/bases.go
@@ -57,7 +57,7 @@
 	for _, service := range o.cfg.Services() {
 		versions := o.cfg.Versions(service)
 		base, known := bases.table[service]
-		if len(versions) > 1 || len(versions) == 1 && known && (!base.Present || base.Version != versions[0]) {
+		if len(versions) > 1 || len(versions) == 1 && (!known || !base.Present || base.Version != versions[0]) {
 			return true
 		}
 	}
@@ -118,10 +118,11 @@
 	versions := o.cfg.Versions(service)
 	o.mu.Lock()
 	base, known := o.bases.table[service]
-	isRecent := boottime.Since(o.bases.readAt) < baseversion.LeaseTime && base.Era == o.cfg.LogEra()
+	isRecent := boottime.Since(o.bases.readAt) < baseversion.LeaseTime
 	o.mu.Unlock()
 	if !known {
-		return len(versions) > 1
+		// Others may have written a base version since that was listed before this box started.
+		return len(versions) > 1 || !isRecent || o.uptime() < versionMemory
 	}
-	return !base.Present || base.Version != software || !isRecent && len(versions) > 1
+	return !base.Present || base.Version != software || len(versions) > 1 && !(isRecent && base.Era == o.cfg.LogEra())
 }
