streamorigin: the base versions are read again when the log came back from a copy

Callers saw: nothing yet. A copy may have an earlier base version. A box whose service has one version, the later base version, never asked for the table again, and began its streams without records; once the earlier one was confirmed for the new era they were resumed at it.

Change: a table of another era than the newest is requested again.

Test: TestABoxDoesNotAskForTheTableThatChanged (the log came back from a copy), which failed before.

--- a/internal/streamorigin/bases.go
+++ b/internal/streamorigin/bases.go
@@ -57,7 +57,7 @@
 	for _, service := range o.cfg.Services() {
 		versions := o.cfg.Versions(service)
 		base, known := bases.table[service]
-		if len(versions) > 1 || len(versions) == 1 && (!known || !base.Present || base.Version != versions[0]) {
+		if len(versions) > 1 || len(versions) == 1 && (!known || !base.Present || base.Version != versions[0] || base.Era != o.cfg.LogEra()) {
 			return true
 		}
 	}
