streamorigin: a recorder names the era of the log that it has read

Callers saw (model): after the log had come back from a copy, a stream whose record was lost was resumed at the base version by a box that did not know of the new era, although its recorder did.

Trace: v1 is the base version, v2 serves too, its streams are recorded; the log comes back without their records; a box whose list of servers is 2 s old asks another one, which reads the log, and compares the era of the base version with the one it knows itself.

Change: the response has the newest era that the recorder knows of.

Test: TestAStreamIsResumedAsIfItsRecordWereNotLost, which failed before.

--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -35,7 +35,7 @@
 	// Base is the base version of the service in the log, which it has had for BaseAge; nil if it has none there.
 	Base    *baseversion.Base
 	BaseAge time.Duration
-	// LogEra is the newest era of the log.
+	// LogEra is the newest era of the log that this box and the one that read it know of.
 	LogEra int64
 }
 
@@ -65,6 +65,7 @@
 		evidence.LogFailed = !answer.LogRead && answer.Found == nil
 		evidence.add(&answer)
 		if o.cfg.Bases != nil && answer.LogRead && !evidence.Found {
+			evidence.LogEra = answer.LogEra
 			o.addBase(ctx, answer.Bases, &evidence, service)
 		}
 	}
@@ -82,7 +83,7 @@
 		return
 	}
 	o.keepBases(received)
-	evidence.LogEra = o.cfg.LogEra()
+	evidence.LogEra = max(evidence.LogEra, o.cfg.LogEra())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if base, known := o.bases.table[service]; known {
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -70,6 +70,8 @@
 	Appended bool `msgpack:"a,omitempty"`
 	// Bases are the base versions; nil if they are not known. An older version of the program knows none.
 	Bases *wireBases `msgpack:"b,omitempty"`
+	// LogEra is the newest era of the log that the box knew of after it had read it.
+	LogEra int64 `msgpack:"e,omitempty"`
 }
 
 // encode returns the wire form of an origin.
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -226,6 +226,9 @@
 		return // the reader has logged it
 	}
 	answer.LogRead = true
+	if o.cfg.LogEra != nil {
+		answer.LogEra = o.cfg.LogEra()
+	}
 	answer.Versions = append(answer.Versions, result.Versions...)
 	if result.Found {
 		answer.Found = &wireOrigin{Key: asked.Key, Service: asked.Service, Software: result.Software, Remaining: originlog.Horizon}
