streamorigin: streams of an only version that is not the base version are recorded again

Callers saw: nothing yet. The log keeps records for 20 s on some platforms. The origin of a stream in flight is recorded again each 10 s only while its service has several versions. A stream of a version that replaced the base version while all boxes were down waits for its record at first, and had none after 20 s; the base version stays for a minute after such a start.

Change: the origins of services are recorded for as long as their streams need records.

Test: TestALongStreamOfTheOnlyVersionIsLostWithTheHistoryOfTheLog, which failed before.

--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -96,13 +96,13 @@
 
 // record hands over the origins that the recorder does not have yet.
 func (o *Origins) record(ctx context.Context) {
-	several := o.servicesWithSeveralVersions()
-	if len(several) == 0 {
+	services := o.servicesToRecord()
+	if len(services) == 0 {
 		return
 	}
 	recorder, self := o.recorder()
 	for ctx.Err() == nil {
-		keys, origins := o.takeUnrecorded(recorder, several)
+		keys, origins := o.takeUnrecorded(recorder, services)
 		if len(keys) == 0 {
 			return
 		}
@@ -113,9 +113,26 @@
 	}
 }
 
-// takeUnrecorded returns some of the streams in flight that the recorder does not have, of services with
-// several software versions. After the log came back from a copy it has to get all of them again.
-func (o *Origins) takeUnrecorded(recorder Box, several map[string]bool) (keys []Key, origins []wireOrigin) {
+// servicesToRecord returns the services of this box's streams that have several software versions, or one that is not
+// the base version.
+func (o *Origins) servicesToRecord() map[string]bool {
+	o.mu.Lock()
+	began := map[Origin]struct{}{}
+	for _, stream := range o.own {
+		began[Origin{Service: stream.origin.Service, Software: stream.origin.Software}] = struct{}{}
+	}
+	o.mu.Unlock()
+	services := map[string]bool{}
+	for origin := range began {
+		if o.hasSeveralVersions(origin.Service) || o.cfg.Bases != nil && o.needsRecord(origin.Service, origin.Software) {
+			services[origin.Service] = true
+		}
+	}
+	return services
+}
+
+// takeUnrecorded returns some of the streams in flight that the recorder does not have, of certain services. After the log came back from a copy it has to get all of them again.
+func (o *Origins) takeUnrecorded(recorder Box, services map[string]bool) (keys []Key, origins []wireOrigin) {
 	era := o.cfg.LogEra()
 	now := boottime.Now()
 	o.mu.Lock()
@@ -127,7 +144,7 @@
 		}
 	}
 	for key, stream := range o.own {
-		if now.Before(stream.origin.Expires) && !stream.isRecordedBy(recorder, now) && several[stream.origin.Service] && len(keys) < maxBatch {
+		if now.Before(stream.origin.Expires) && !stream.isRecordedBy(recorder, now) && services[stream.origin.Service] && len(keys) < maxBatch {
 			keys, origins = append(keys, key), append(origins, encode(key, stream.origin, now))
 		}
 	}
