streamorigin: an invalid table of base versions is not replaced by an earlier one

Callers saw: nothing; found by reading. If the table that a recorder sent could not be decoded, a resumed stream was decided by the table that the box had read before, however old.

Change: it counts as a log that cannot be read.

--- a/internal/streamorigin/bases.go
+++ b/internal/streamorigin/bases.go
@@ -80,12 +80,13 @@
 	o.keepBases(answer.Bases)
 }
 
-// keepBases keeps base versions that another box sent, unless they are older than those that are known.
-func (o *Origins) keepBases(received *wireBases) {
+// keepBases keeps base versions that another box sent, unless they are older than those that are known. It returns
+// false if they are invalid.
+func (o *Origins) keepBases(received *wireBases) bool {
 	table, err := baseversion.Decode(received.Table)
 	if err != nil {
 		o.cfg.Logger.Error().Str("error", err.Error()).Msg("base_versions_invalid")
-		return
+		return false
 	}
 	readAt := boottime.Now().Add(-received.Age)
 	o.mu.Lock()
@@ -93,6 +94,7 @@
 	if readAt.After(o.bases.readAt) {
 		o.bases = knownBases{table: table, readAt: readAt}
 	}
+	return true
 }
 
 // readBases returns the base versions as the log has them; nil if it cannot be read.
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -78,11 +78,10 @@
 	if received == nil {
 		received = o.readBases(ctx)
 	}
-	if received == nil {
+	if received == nil || !o.keepBases(received) {
 		evidence.LogRead, evidence.LogFailed = false, true
 		return
 	}
-	o.keepBases(received)
 	evidence.LogEra = max(evidence.LogEra, o.cfg.LogEra())
 	o.mu.Lock()
 	defer o.mu.Unlock()
