--- a/internal/streamorigin/recorder_test.go
+++ b/internal/streamorigin/recorder_test.go
@@ -93,6 +93,13 @@
 	return l.Log.Read(ctx, stream, from, wait)
 }
 
+func (l *failingLog) NewestPage(ctx context.Context, stream sharedlog.Stream, after string) (sharedlog.Page, error) {
+	if l.failing.Load() {
+		return sharedlog.Page{}, sharedlog.ErrRefused
+	}
+	return l.Log.NewestPage(ctx, stream, after)
+}
+
 func (l *failingLog) Bounds(ctx context.Context, stream sharedlog.Stream) (first, end int64, err error) {
 	if l.failing.Load() {
 		return 0, 0, sharedlog.ErrRefused
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -11,6 +11,8 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/baseversion"
 )
 
 const service = "runners"
@@ -161,7 +163,9 @@
 }
 
 func TestWhichVersionServesAResumedStream(t *testing.T) {
-	const v1 = "v1"
+	const v1, v2 = "v1", "v2"
+	base := baseversion.Base{Version: v1, Present: true}
+	replaced := baseversion.Base{Version: v1, Present: true, Replaced: true}
 	tests := []struct {
 		name     string
 		evidence Evidence
@@ -185,6 +189,18 @@
 		{"one version, boxes that are younger than the stream, the log is away", Evidence{Versions: []string{v1}, Asked: 3, Responded: 3, LogFailed: true, LongestUptime: 19 * time.Second, MaxAge: 20 * time.Second}, 0, "", false},
 		{"a box that has just started and knows of no server", Evidence{}, 0, "", false},
 		{"no box knows of a server, one version in the log", Evidence{Versions: []string{v1}, Unlisted: true, LogRead: true}, 0, "", false},
+		{"the base version", Evidence{Versions: []string{v1}, LogRead: true, Base: &base}, 0, v1, true},
+		{"the base version among others", Evidence{Versions: []string{v1, v2}, LogRead: true, Base: &base}, 0, v1, true},
+		{"the base version, which has left", Evidence{Versions: []string{v2}, LogRead: true, Base: &base}, 0, v1, true},
+		{"another version than the base version, found", Evidence{Found: true, Software: v2, Versions: []string{v1, v2}, LogRead: true, Base: &base}, 0, v2, true},
+		{"a service without a base version", Evidence{Versions: []string{v1}, LogRead: true, Base: &baseversion.Base{Replaced: true}}, 0, "", false},
+		{"no box knows of a server, a base version", Evidence{Versions: []string{v1}, Unlisted: true, LogRead: true, Base: &base}, 0, "", false},
+		{"a base version of an earlier era, one version", Evidence{Versions: []string{v1}, LogRead: true, Base: &base, LogEra: 1}, 0, v1, true},
+		{"a base version of an earlier era, another version", Evidence{Versions: []string{v2}, LogRead: true, Base: &base, LogEra: 1}, 0, "", false},
+		{"a base version of an earlier era, two versions", Evidence{Versions: []string{v1, v2}, LogRead: true, Base: &base, LogEra: 1}, 0, "", false},
+		{"a base version that replaced another one", Evidence{Versions: []string{v1}, LogRead: true, Base: &replaced, MaxAge: 50 * time.Second}, 0, v1, true},
+		{"a base version that replaced another one while a long stream ran", Evidence{Versions: []string{v1}, LogRead: true, Base: &replaced, BaseAge: 9 * time.Second, MaxAge: 70 * time.Second}, 0, "", false},
+		{"a base version that replaced another one long ago", Evidence{Versions: []string{v1}, LogRead: true, Base: &replaced, BaseAge: 10 * time.Second, MaxAge: 70 * time.Second}, 0, v1, true},
 		{"no box knows of a server, found in the log", Evidence{Found: true, Software: v1, Versions: []string{v1}, Unlisted: true, LogRead: true}, 0, v1, true},
 	}
 	for _, test := range tests {
--- a/internal/streamorigin/testbox_test.go
+++ b/internal/streamorigin/testbox_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/originlog"
 	"github.com/cometlock/cometlock/internal/reservedport"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -26,9 +27,11 @@
 	port     *reservedport.Port
 	listener net.Listener
 	// log is nil for a box that records nothing, and era its newest era that the box knows of.
-	log  sharedlog.Log
-	era  atomic.Int64
-	stop context.CancelFunc
+	log sharedlog.Log
+	era atomic.Int64
+	// readsBases is set for a box that reads base versions.
+	readsBases bool
+	stop       context.CancelFunc
 
 	mu       sync.Mutex
 	box      Box
@@ -89,6 +92,10 @@
 	if b.log != nil {
 		cfg.Writer, cfg.Reader = originlog.NewWriter(originlog.WriterConfig{Log: b.log}), originlog.NewReader(originlog.ReaderConfig{Log: b.log})
 		cfg.LogEra = b.era.Load
+		if b.readsBases {
+			cfg.Bases = baseversion.New(baseversion.Config{Log: b.log, Eras: &sharedlog.Eras{}})
+			cfg.Services = func() []string { return []string{service} }
+		}
 		loops.Go(func() { cfg.Writer.Loop(ctx) })
 	}
 	started, listener := New(cfg), b.listener
