baseversion: a service has no base version for longer than callers resume streams

Callers saw (model; no run with processes): streams that began without a record were resumed at another version (ORDER), in a log with one record of the service.

Cause: a service had no base version for 15 s. That is longer than boxes use what they have read, but callers resume what began until then for up to a minute. The absence of a minute does not cover it where the version came back as it was replaced, where the box that writes did not see it for a while, and before the first base version, when the service had one version and then two.

Change: the pause is 75 s: a minute, the lease, and 5 s. Streams of such a service wait for their records for a minute longer after a replacement; nothing changes for services with one version.

--- a/internal/baseversion/baseversion.go
+++ b/internal/baseversion/baseversion.go
@@ -9,8 +9,8 @@
 // then one of the base version.
 //
 // The base version changes only when none of its servers has been listed for so long that no caller resumes a
-// stream of it (next.go). Between two of them a service has none, for longer than boxes use what they have read,
-// so that no box takes the earlier one for the present one.
+// stream of it (next.go). Between two of them a service has none, for longer than boxes use what they have read and
+// callers resume what began then, so that no stream of the earlier one is resumed at the next.
 //
 //	next.go    which base version follows, a decision over plain data
 //	record.go  the table of base versions ◀▶ the value of its record
--- a/internal/baseversion/next.go
+++ b/internal/baseversion/next.go
@@ -13,9 +13,10 @@
 	// absence is how long no server of the base version must have been listed before it is replaced. Boxes
 	// remember versions for as long, and callers resume streams for less.
 	absence = time.Minute
-	// pauseTime is how long a service has no base version between two. It is longer than LeaseTime by what
-	// messages and clocks may differ.
-	pauseTime = LeaseTime + 5*time.Second
+	// pauseTime is how long a service has no base version between two, or before the first one if it has several
+	// versions. A box may begin streams without a record for LeaseTime from when the pause begins, and they are resumed
+	// for less than absence. The rest is what messages and clocks may differ.
+	pauseTime = absence + LeaseTime + 5*time.Second
 )
 
 // Observation is what a box knows of a service.
