baseversion: a base version is confirmed for another era after the lease, too

Boxes that do not know of the new era use the table that they read before for up to the lease, and begin streams without a record, which are resumed for a minute after that. A base version was confirmed for the new era a minute after the writer saw it.

Evidence: the model found it for the first record after a log came back without one: the log comes back at 16 s, a box with an old list begins a stream of v1 at 18.75 s, v2 is the base version at 77.25 s, the stream is resumed at it at 78 s (40,000-history trial, list of servers out of date for up to 20 s).

Change: it takes the pause, 75 s.

--- a/internal/baseversion/next.go
+++ b/internal/baseversion/next.go
@@ -44,7 +44,7 @@
 	switch {
 	case present.Era != seen.Era:
 		next.Era = seen.Era // streams whose records the log may have lost are no longer resumed
-		return next, seen.EraSeenFor >= absence
+		return next, seen.EraSeenFor >= pauseTime
 	case present.Present:
 		next.Version, next.Present, next.Replaced = "", false, true
 		isGone := len(seen.Remembered) > 0 && !slices.Contains(seen.Remembered, present.Version) && seen.ObservedFor >= absence
