baseversion: the first base version of a log that came back from a copy is none

Callers saw (model; it takes two failures at once): a log that came back without its record got the version that was listed then as the first base version, and streams of another one, begun just before, were resumed at it.

Trace: v1 and v2 are listed, v1 leaves, a box starts and sees v2 alone, the log comes back from a copy without the record, v2 is the base version 1 s later; a stream of v1 whose record was lost is resumed at it at 2 s.

Change: there is none at first, so that the pause passes. In a log that never came back a single version is the first base version as before. And a first record with none counts as replaced, since streams may have begun without a record before it.

--- a/internal/baseversion/baseversion.go
+++ b/internal/baseversion/baseversion.go
@@ -27,7 +27,7 @@
 	Present bool
 	// Since is when this took effect, by the clock of the box that wrote it.
 	Since time.Time
-	// Replaced is set if the service had another base version before.
+	// Replaced is set if streams without a record may have been of another version before.
 	Replaced bool
 	// Era is the era of the log in which this was last confirmed. A log that came back from a copy since then
 	// may have lost the origins of streams.
--- a/internal/baseversion/next.go
+++ b/internal/baseversion/next.go
@@ -57,12 +57,15 @@
 	}
 }
 
-// first returns the first base version of a service: the only one, or none while there are several.
+// first returns the first base version of a service: the only one, or none while there are several. A log that came
+// back from a copy may have lost the record of another one. Where there is none, streams may have begun without a
+// record while their boxes knew of one version.
 func first(seen Observation) (next Base, changed bool) {
 	next.Era = seen.Era
-	if len(seen.Remembered) == 1 {
+	if seen.Era == 0 && len(seen.Remembered) == 1 {
 		next.Version, next.Present = seen.Remembered[0], true
 	}
+	next.Replaced = !next.Present
 	return next, len(seen.Remembered) > 0
 }
 
