--- /dev/null
+++ b/internal/baseversion/model_test.go
@@ -0,0 +1,440 @@
+// A model of boxes that read and write the base version of one service, with delayed views and faults. What a box does
+// with the table is as in package streamorigin: needsRecord, needsBases and keepBases. A record that a stream needs is
+// in the log until the log comes back from a copy.
+
+package baseversion
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// modelStep is the time between two steps of all boxes.
+	modelStep = 250 * time.Millisecond
+	// modelLife is how long a caller may resume a stream.
+	modelLife = time.Minute
+	// modelMaxAge is how old a table may be that a box passes on, and modelInterval the time between two requests
+	// for it, as in package streamorigin.
+	modelMaxAge   = 2 * time.Second
+	modelInterval = LeaseTime / 4
+	// modelListAge is the age of its list of servers up to which a box writes.
+	modelListAge = 3 * time.Second
+)
+
+// modelReading is a table of one service as of a read of the log.
+type modelReading struct {
+	base *Base
+	at   time.Duration
+	end  int
+	done bool
+}
+
+// modelAppend is an append with its expected end that takes effect at a time.
+type modelAppend struct {
+	base Base
+	end  int
+	at   time.Duration
+}
+
+// modelHistory are the versions that are listed from a time on, and the era of the log then.
+type modelHistory struct {
+	at     time.Duration
+	listed map[string]int
+	era    int64
+}
+
+// modelLog is the log and the list of servers in it.
+type modelLog struct {
+	base *Base
+	end  int
+	era  int64
+	// copied is what the log comes back with.
+	copied modelReading
+	late   []modelAppend
+	lists  []modelHistory
+}
+
+// modelBox is a box.
+type modelBox struct {
+	name      string
+	running   bool
+	startedAt time.Duration
+	// lag is how long the list of servers takes to arrive, and frozenAt when it last did while the box is cut off
+	// from it.
+	lag      time.Duration
+	frozenAt time.Duration
+	frozen   bool
+	// isolated boxes reach no other box, and those without log not the log.
+	isolated, withoutLog bool
+	// writes is set for the elected box, and for others that take themselves for it.
+	writes bool
+	// nextAppend is the outcome of the next append.
+	nextAppend string
+
+	listed     map[string]int
+	remembered map[string]time.Duration
+	era        int64
+	eraSeenAt  time.Duration
+	keeper     modelReading
+	knownSince time.Duration
+	isKnown    bool
+	planned    *modelAppend
+	// known is the table that the box uses, as package streamorigin has it.
+	known modelReading
+	// arriving is a response that has been sent at arriving.at, with the age of its table in age.
+	arriving *modelReading
+	age      time.Duration
+	transit  time.Duration
+}
+
+// model is all of it.
+type model struct {
+	now   time.Duration
+	log   modelLog
+	boxes []*modelBox
+	// unrecorded has when the last stream of each version began that has no record.
+	unrecorded map[string]time.Duration
+	// begun has when the last stream of each version began.
+	begun map[string]time.Duration
+	trace []string
+}
+
+func newModel(boxes int) *model {
+	m := &model{unrecorded: map[string]time.Duration{}, begun: map[string]time.Duration{}}
+	m.log.lists = []modelHistory{{listed: map[string]int{}}}
+	for i := range boxes {
+		m.boxes = append(m.boxes, &modelBox{name: fmt.Sprint("box-", i), writes: i == 0, transit: modelStep})
+		m.start(m.boxes[i])
+	}
+	return m
+}
+
+func (m *model) notef(format string, args ...any) {
+	m.trace = append(m.trace, fmt.Sprintf("%8v  ", m.now)+fmt.Sprintf(format, args...))
+}
+
+func (m *model) history() string { return strings.Join(m.trace, "\n") }
+
+// start starts a process of a box with empty memory, which has read the list of servers.
+func (m *model) start(b *modelBox) {
+	b.running, b.startedAt, b.frozen = true, m.now, false
+	b.listed, b.remembered, b.era, b.eraSeenAt = nil, map[string]time.Duration{}, 0, m.now
+	b.keeper, b.known, b.arriving, b.planned, b.isKnown = modelReading{}, modelReading{}, nil, nil, false
+	b.see(m.log.lists[len(m.log.lists)-1], m.now)
+}
+
+// list changes the listed servers of a version.
+func (m *model) list(version string, servers int) {
+	listed := maps.Clone(m.log.lists[len(m.log.lists)-1].listed)
+	listed[version] = servers
+	if servers == 0 {
+		delete(listed, version)
+	}
+	m.log.lists = append(m.log.lists, modelHistory{at: m.now, listed: listed, era: m.log.era})
+}
+
+// restore brings the log back from the last copy. Records of streams since then are lost.
+func (m *model) restore() {
+	m.log.base, m.log.end, m.log.era = m.log.copied.base, m.log.copied.end, m.log.era+1
+	m.list("", 0)
+	maps.Copy(m.unrecorded, m.begun)
+}
+
+// see takes over the list of servers.
+func (b *modelBox) see(history modelHistory, now time.Duration) {
+	for version := range b.listed {
+		b.remembered[version] = now // it is remembered from the time when the box reads that it left
+	}
+	b.listed = history.listed
+	for version := range b.listed {
+		b.remembered[version] = now
+	}
+	b.noteEra(history.era, now)
+}
+
+// versions returns what the box remembers.
+func (b *modelBox) versions(now time.Duration) (versions []string) {
+	for version, at := range b.remembered {
+		if _, listed := b.listed[version]; listed || now-at <= absence {
+			versions = append(versions, version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// step lets time pass for all boxes. It returns a description of the first stream that is resumed at another
+// version than its own.
+func (m *model) step() string {
+	m.now += modelStep
+	m.applyLate()
+	m.elect()
+	for _, b := range m.boxes {
+		if !b.running {
+			continue
+		}
+		m.updateView(b)
+		m.begin(b)
+		m.receive(b)
+		m.refresh(b)
+		m.write(b)
+	}
+	for _, b := range m.boxes {
+		if b.running && m.now%time.Second == 0 {
+			if wrong := m.resume(b); wrong != "" {
+				return wrong
+			}
+		}
+	}
+	return ""
+}
+
+// elect makes a box the writer if none that runs is. Without one for a minute, and one that starts as the version
+// changes, the first base version may be wrong.
+func (m *model) elect() {
+	isElected := func(b *modelBox) bool { return b.running && b.writes }
+	isRunning := func(b *modelBox) bool { return b.running }
+	if i := slices.IndexFunc(m.boxes, isRunning); i >= 0 && !slices.ContainsFunc(m.boxes, isElected) {
+		m.boxes[i].writes = true
+	}
+}
+
+func (m *model) updateView(b *modelBox) {
+	if b.frozen {
+		return
+	}
+	for _, history := range slices.Backward(m.log.lists) {
+		if history.at <= m.now-b.lag || history.at <= b.startedAt {
+			b.see(history, m.now)
+			return
+		}
+	}
+}
+
+// begin begins a stream of each listed version. Those that need a record have one.
+func (m *model) begin(b *modelBox) {
+	for version := range b.listed {
+		m.begun[version] = m.now
+		if !m.needsRecord(b, version) {
+			m.unrecorded[version] = m.now
+		}
+	}
+}
+
+// needsRecord is that of package streamorigin.
+func (m *model) needsRecord(b *modelBox, version string) bool {
+	versions, base := b.versions(m.now), b.known.base
+	isRecent := b.known.done && m.now-b.known.at < LeaseTime
+	if base == nil {
+		return len(versions) > 1 || !isRecent || m.now-b.startedAt < absence
+	}
+	return !base.Present || base.Version != version || len(versions) > 1 && !(isRecent && base.Era == b.era)
+}
+
+// needsBases is that of package streamorigin.
+func (m *model) needsBases(b *modelBox) bool {
+	if !b.known.done {
+		return true
+	}
+	if m.now-b.known.at < modelInterval {
+		return false
+	}
+	versions, base := b.versions(m.now), b.known.base
+	return len(versions) > 1 || len(versions) == 1 && (base == nil || !base.Present || base.Version != versions[0] || base.Era != b.era)
+}
+
+// refresh requests the table if the box needs it.
+func (m *model) refresh(b *modelBox) {
+	if b.arriving != nil || !m.needsBases(b) {
+		return
+	}
+	if reading, read := m.read(b); read {
+		b.arriving, b.age = &reading, m.now-reading.at
+	}
+}
+
+// receive keeps the table that was requested when it arrives.
+func (m *model) receive(b *modelBox) {
+	if b.arriving == nil {
+		return
+	}
+	if sentAt := b.arriving.at + b.age; m.now-sentAt >= b.transit {
+		arrived := *b.arriving
+		arrived.at = m.now - b.age
+		b.arriving = nil
+		b.keepBases(arrived)
+	}
+}
+
+func (b *modelBox) keepBases(reading modelReading) {
+	if !b.known.done || reading.at > b.known.at {
+		b.known = reading
+	}
+}
+
+// read returns the table from the box itself or another one that reaches the log or has read it lately.
+func (m *model) read(b *modelBox) (reading modelReading, read bool) {
+	for _, other := range m.boxes {
+		if other != b && (!other.running || other.isolated || b.isolated) {
+			continue
+		}
+		if other.keeper.done && m.now-other.keeper.at <= modelMaxAge {
+			return other.keeper, true
+		}
+		if !other.withoutLog {
+			m.readLog(other)
+			return other.keeper, true
+		}
+	}
+	return modelReading{}, false
+}
+
+// readLog is a read of the log by a keeper.
+func (m *model) readLog(b *modelBox) {
+	b.keep(modelReading{base: m.log.base, at: m.now, end: m.log.end, done: true})
+	b.noteEra(m.log.era, m.now)
+}
+
+// recorderWithLog returns the box that reads the origins for another one; nil if none can.
+func (m *model) recorderWithLog(b *modelBox) *modelBox {
+	for _, other := range m.boxes {
+		if other == b && !b.withoutLog || other != b && other.running && !other.isolated && !b.isolated && !other.withoutLog {
+			return other
+		}
+	}
+	return nil
+}
+
+func (b *modelBox) noteEra(era int64, now time.Duration) {
+	if era > b.era {
+		b.era, b.eraSeenAt = era, now
+	}
+}
+
+func (b *modelBox) keep(reading modelReading) {
+	if reading.base != nil && (b.keeper.base == nil || *b.keeper.base != *reading.base) {
+		b.knownSince, b.isKnown = reading.at, true
+	}
+	b.keeper = reading
+}
+
+// observe returns what a box that writes observes; false while its list of servers is out of date.
+func (m *model) observe(b *modelBox) (Observation, bool) {
+	if b.frozen && m.now-b.frozenAt > modelListAge || len(b.versions(m.now)) == 0 {
+		return Observation{}, false
+	}
+	seen := Observation{Listed: b.listed, Remembered: b.versions(m.now), ObservedFor: m.now - b.startedAt, Era: b.era}
+	seen.EraSeenFor = seen.ObservedFor
+	if b.era > 0 {
+		seen.EraSeenFor = m.now - b.eraSeenAt
+	}
+	if b.isKnown {
+		seen.KnownFor = m.now - b.knownSince
+	}
+	return seen, true
+}
+
+// write is a step of the keeper. The append arrives one step after the read.
+func (m *model) write(b *modelBox) {
+	if b.planned != nil {
+		m.append(b)
+		return
+	}
+	seen, sees := m.observe(b)
+	if !b.writes || !sees || m.now%checkInterval != 0 {
+		return
+	}
+	if b.keeper.done {
+		if _, changed := Next(b.keeper.base, seen); !changed {
+			return
+		}
+	}
+	if b.withoutLog {
+		return
+	}
+	m.readLog(b)
+	if seen, sees = m.observe(b); !sees {
+		return
+	}
+	if next, changed := Next(b.keeper.base, seen); changed {
+		next.Since = time.UnixMilli(m.now.Milliseconds())
+		b.planned = &modelAppend{base: next, end: b.keeper.end}
+	}
+}
+
+// append is the arrival of an append, with the outcome that was set for it.
+func (m *model) append(b *modelBox) {
+	planned, outcome := *b.planned, b.nextAppend
+	b.planned, b.nextAppend = nil, ""
+	switch {
+	case b.withoutLog || outcome == "refused":
+		b.keeper.done = false
+	case outcome == "late":
+		planned.at = m.now + 12*time.Second
+		m.log.late = append(m.log.late, planned)
+		b.keeper.done = false
+		m.notef("%s: append of %v has no response", b.name, describe(&planned.base))
+	case !m.apply(planned, b.name) || outcome == "unknown":
+		b.keeper.done = false
+	default:
+		b.keep(modelReading{base: m.log.base, at: m.now, end: m.log.end, done: true})
+	}
+}
+
+// apply appends if the log ends as expected.
+func (m *model) apply(planned modelAppend, by string) bool {
+	if m.log.end != planned.end {
+		return false
+	}
+	m.log.base, m.log.end = &planned.base, m.log.end+1
+	m.notef("%s: the log has %s", by, describe(m.log.base))
+	return true
+}
+
+func (m *model) applyLate() {
+	m.log.late = slices.DeleteFunc(m.log.late, func(late modelAppend) bool {
+		if m.now >= late.at {
+			m.apply(late, "late")
+		}
+		return m.now >= late.at
+	})
+}
+
+// resume resumes the latest stream without a record of each version at a box.
+func (m *model) resume(b *modelBox) string {
+	recorder := m.recorderWithLog(b)
+	if recorder == nil {
+		return ""
+	}
+	if !recorder.keeper.done || m.now-recorder.keeper.at > modelMaxAge {
+		m.readLog(recorder)
+	}
+	recorder.noteEra(m.log.era, m.now) // it has read the origins
+	b.keepBases(recorder.keeper)
+	base := b.known.base
+	// In another era a box resumes a stream only at the one version that it and others know of, for which the record
+	// does not vouch.
+	if base == nil || !base.Present || base.Era != max(b.era, recorder.era) {
+		return ""
+	}
+	for version, began := range m.unrecorded {
+		if version != base.Version && m.now-began <= modelLife {
+			return fmt.Sprintf("%s resumes a stream of %s that began without a record at %v at %s", b.name, version, began, describe(base))
+		}
+	}
+	return ""
+}
+
+func describe(base *Base) string {
+	if base == nil {
+		return "no record"
+	}
+	if !base.Present {
+		return fmt.Sprintf("none (era %d)", base.Era)
+	}
+	return fmt.Sprintf("%s (era %d)", base.Version, base.Era)
+}
