--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -39,7 +39,7 @@
 	// Base is the base version of the service in the log, which it has had for BaseAge; nil if it has none there.
 	Base    *baseversion.Base
 	BaseAge time.Duration
-	// LogEra is the newest era of the log.
+	// LogEra is the newest era of the log that this box and the one that read it know of.
 	LogEra int64
 	// OutageEnded is how long ago the log was last away; zero if it was not, as far as the box that read it knows.
 	// Origins may not have been recorded before that.
@@ -76,8 +76,8 @@
 		evidence.LogFailed = !answer.LogRead && answer.Found == nil
 		evidence.add(&answer)
 		if answer.Bases != nil {
+			evidence.LogEra, evidence.OutageEnded = answer.LogEra, answer.OutageEnded
 			o.addBase(answer.Bases, &evidence, service)
-			evidence.OutageEnded = answer.OutageEnded
 		}
 	}
 	return evidence
@@ -92,8 +92,11 @@
 
 // addBase adds the base version of the service.
 func (o *Origins) addBase(received *wireBases, evidence *Evidence, service string) {
-	o.keepBases(received)
-	evidence.LogEra = o.cfg.LogEra()
+	if !o.keepBases(received) {
+		evidence.LogRead, evidence.LogFailed = false, true
+		return
+	}
+	evidence.LogEra = max(evidence.LogEra, o.cfg.LogEra())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if base, known := o.bases.table[service]; known {
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -76,6 +76,8 @@
 	Appended bool `msgpack:"a,omitempty"`
 	// Bases are the base versions; nil if they are not known. An older version of the program knows none.
 	Bases *wireBases `msgpack:"b,omitempty"`
+	// LogEra is the newest era of the log that the box knew of after it had read it.
+	LogEra int64 `msgpack:"e,omitempty"`
 }
 
 // encode returns the wire form of an origin.
@@ -98,11 +100,13 @@
 func (o *Origins) handle(ctx context.Context, received request) response {
 	answer := o.apply(received)
 	answer.Process = o.cfg.Self.Process
-	if received.Record && o.cfg.Writer != nil {
+	switch {
+	case !received.Record || o.cfg.Writer == nil:
+	case received.Await:
+		answer.Appended = o.recordNow(ctx, received.Origins)
+		answer.Recorded = answer.Appended
+	default:
 		answer.Recorded = o.recordAll(received.Origins)
-		if received.Await && answer.Recorded {
-			answer.Appended = o.awaitAppended(ctx, received.Origins)
-		}
 	}
 	switch {
 	case received.Recorded && answer.Found == nil && len(received.Key) == keySize && o.cfg.Reader != nil:
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -96,13 +96,13 @@
 
 // record hands over the origins that the recorder does not have yet.
 func (o *Origins) record(ctx context.Context) {
-	several := o.servicesWithSeveralVersions()
-	if len(several) == 0 {
+	services := o.servicesToRecord()
+	if len(services) == 0 {
 		return
 	}
 	recorder, self := o.recorder()
 	for ctx.Err() == nil {
-		keys, origins := o.takeUnrecorded(recorder, several)
+		keys, origins := o.takeUnrecorded(recorder, services)
 		if len(keys) == 0 {
 			return
 		}
@@ -113,9 +113,26 @@
 	}
 }
 
-// takeUnrecorded returns some of the streams in flight that the recorder does not have, of services with
-// several software versions. After the log came back from a copy it has to get all of them again.
-func (o *Origins) takeUnrecorded(recorder Box, several map[string]bool) (keys []Key, origins []wireOrigin) {
+// servicesToRecord returns the services of this box's streams that have several software versions, or one that is not
+// the base version.
+func (o *Origins) servicesToRecord() map[string]bool {
+	o.mu.Lock()
+	began := map[Origin]struct{}{}
+	for _, stream := range o.own {
+		began[Origin{Service: stream.origin.Service, Software: stream.origin.Software}] = struct{}{}
+	}
+	o.mu.Unlock()
+	services := map[string]bool{}
+	for origin := range began {
+		if o.hasSeveralVersions(origin.Service) || o.cfg.Bases != nil && o.needsRecord(origin.Service, origin.Software) {
+			services[origin.Service] = true
+		}
+	}
+	return services
+}
+
+// takeUnrecorded returns some of the streams in flight that the recorder does not have, of certain services. After the log came back from a copy it has to get all of them again.
+func (o *Origins) takeUnrecorded(recorder Box, services map[string]bool) (keys []Key, origins []wireOrigin) {
 	era := o.cfg.LogEra()
 	now := boottime.Now()
 	o.mu.Lock()
@@ -127,7 +144,7 @@
 		}
 	}
 	for key, stream := range o.own {
-		if now.Before(stream.origin.Expires) && !stream.isRecordedBy(recorder, now) && several[stream.origin.Service] && len(keys) < maxBatch {
+		if now.Before(stream.origin.Expires) && !stream.isRecordedBy(recorder, now) && services[stream.origin.Service] && len(keys) < maxBatch {
 			keys, origins = append(keys, key), append(origins, encode(key, stream.origin, now))
 		}
 	}
@@ -165,8 +182,13 @@
 	return false
 }
 
-// decodeForLog returns the valid ones of some origins, in the form that package originlog takes.
-func decodeForLog(origins []wireOrigin) []originlog.Origin {
+// recordAll adds origins to those that this box records. It returns false if another box should do so.
+func (o *Origins) recordAll(origins []wireOrigin) bool {
+	return o.cfg.Writer.Add(loggedOrigins(origins))
+}
+
+// loggedOrigins returns origins in the form of the log, without invalid ones.
+func loggedOrigins(origins []wireOrigin) []originlog.Origin {
 	recorded := make([]originlog.Origin, 0, len(origins))
 	for i := range origins {
 		if len(origins[i].Key) == keySize {
@@ -176,11 +198,6 @@
 	return recorded
 }
 
-// recordAll adds origins to those that this box records. It returns false if another box should do so.
-func (o *Origins) recordAll(origins []wireOrigin) bool {
-	return o.cfg.Writer.Add(decodeForLog(origins))
-}
-
 // askRecorder looks for an origin in the log, through a recorder or by itself. The log may turn some boxes away
 // and serve others.
 func (o *Origins) askRecorder(ctx context.Context, asked request) response {
@@ -244,6 +261,9 @@
 		return // the reader has logged it
 	}
 	answer.LogRead, answer.Ambiguous = true, result.Ambiguous
+	if o.cfg.LogEra != nil {
+		answer.LogEra = o.cfg.LogEra()
+	}
 	answer.Versions = append(answer.Versions, result.Versions...)
 	if result.Found {
 		answer.Found = &wireOrigin{Key: asked.Key, Service: result.Service, Software: result.Software, Remaining: originlog.Horizon}
