--- a/internal/baseversion/baseversion.go
+++ b/internal/baseversion/baseversion.go
@@ -9,8 +9,8 @@
 // then one of the base version.
 //
 // The base version changes only when none of its servers has been listed for so long that no caller resumes a
-// stream of it (next.go). Between two of them a service has none, for longer than boxes use what they have read,
-// so that no box takes the earlier one for the present one.
+// stream of it (next.go). Between two of them a service has none, for longer than boxes use what they have read and
+// callers resume what began then, so that no stream of the earlier one is resumed at the next.
 //
 //	next.go    which base version follows, a decision over plain data
 //	record.go  the table of base versions ◀▶ the value of its record
@@ -27,7 +27,7 @@
 	Present bool
 	// Since is when this took effect, by the clock of the box that wrote it.
 	Since time.Time
-	// Replaced is set if the service had another base version before.
+	// Replaced is set if streams without a record may have been of another version before.
 	Replaced bool
 	// Era is the era of the log in which this was last confirmed. A log that came back from a copy since then
 	// may have lost the origins of streams.
--- a/internal/baseversion/next.go
+++ b/internal/baseversion/next.go
@@ -13,9 +13,10 @@
 	// absence is how long no server of the base version must have been listed before it is replaced. Boxes
 	// remember versions for as long, and callers resume streams for less.
 	absence = time.Minute
-	// pauseTime is how long a service has no base version between two. It is longer than LeaseTime by what
-	// messages and clocks may differ.
-	pauseTime = LeaseTime + 5*time.Second
+	// pauseTime is how long a service has no base version between two, or before the first one if it has several
+	// versions. A box may begin streams without a record for LeaseTime from when the pause begins, and they are resumed
+	// for less than absence. The rest is what messages and clocks may differ.
+	pauseTime = absence + LeaseTime + 5*time.Second
 )
 
 // Observation is what a box knows of a service.
@@ -43,7 +44,7 @@
 	switch {
 	case present.Era != seen.Era:
 		next.Era = seen.Era // streams whose records the log may have lost are no longer resumed
-		return next, seen.EraSeenFor >= absence
+		return next, seen.EraSeenFor >= pauseTime
 	case present.Present:
 		next.Version, next.Present, next.Replaced = "", false, true
 		isGone := len(seen.Remembered) > 0 && !slices.Contains(seen.Remembered, present.Version) && seen.ObservedFor >= absence
@@ -56,12 +57,15 @@
 	}
 }
 
-// first returns the first base version of a service: the only one, or none while there are several.
+// first returns the first base version of a service: the only one, or none while there are several. A log that came
+// back from a copy may have lost the record of another one. Where there is none, streams may have begun without a
+// record while their boxes knew of one version.
 func first(seen Observation) (next Base, changed bool) {
 	next.Era = seen.Era
-	if len(seen.Remembered) == 1 {
+	if seen.Era == 0 && len(seen.Remembered) == 1 {
 		next.Version, next.Present = seen.Remembered[0], true
 	}
+	next.Replaced = !next.Present
 	return next, len(seen.Remembered) > 0
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -7,6 +7,7 @@
 
 import (
 	"crypto/sha256"
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -219,13 +220,24 @@
 	return c.keys[sha256.Sum256([]byte(key))]
 }
 
-// PickService selects a service for a call. Consecutive call numbers are distributed over the
-// services in proportion to their weights.
-func (r *Route) PickService(callNumber uint64) string {
+// HasService reports whether calls of the route may go to a service.
+func (r *Route) HasService(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 }) || r.Splits[0].Service == service && r.totalWeight() == 0
+}
+
+// totalWeight returns the sum of the weights of the route's services.
+func (r *Route) totalWeight() int {
 	total := 0
 	for _, split := range r.Splits {
 		total += max(split.Weight, 0)
 	}
+	return total
+}
+
+// PickService selects a service for a call. Consecutive call numbers are distributed over the
+// services in proportion to their weights.
+func (r *Route) PickService(callNumber uint64) string {
+	total := r.totalWeight()
 	if total == 0 {
 		return r.Splits[0].Service
 	}
@@ -238,6 +250,13 @@
 	return r.Splits[0].Service
 }
 
+// ServiceOf selects a service for a stream, in proportion to the weights: the same one for the same hash, also after
+// weights have changed unless its part has become smaller or has moved.
+func (r *Route) ServiceOf(hash uint64) string {
+	position, _ := bits.Mul64(hash, uint64(r.totalWeight()))
+	return r.PickService(position)
+}
+
 // MeanObjective returns the mean latency target of the routes to a service, or zero if it has none.
 func (c *Catalog) MeanObjective(service string) time.Duration {
 	sum, count := time.Duration(0), 0
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -26,22 +26,27 @@
 }
 
 // findSoftware finds the software version that must serve a stream which its caller resumes, and refuses
-// the call if it cannot be found. For a forwarded call the other box has done so.
+// the call if it cannot be found. For a forwarded call the other box has done so. The service that began the stream
+// continues it if the route still names that service; otherwise another one does, at the same version.
 func (g *Gateway) findSoftware(x *exchange) bool {
 	if g.cfg.Origins == nil || x.forwarded || x.route.Kind != catalog.Stream || x.info.ResumeAfter == "" {
 		return true
 	}
 	var evidence streamorigin.Evidence
 	if x.info.Resumes == "" {
-		evidence.Versions = g.cfg.Fleet.SoftwareVersions(x.service.Name)
+		evidence = g.cfg.Origins.FindUnnamed(x.ctx, x.service.Name)
 	} else {
-		evidence = g.cfg.Origins.Find(x.ctx, streamorigin.KeyOf(x.callerName(), x.info.Resumes), x.service.Name)
+		evidence = g.cfg.Origins.Find(x.ctx, x.originKey(x.info.Resumes), x.service.Name)
 	}
 	evidence.MaxAge = max(x.routeTimeout(), x.info.MaxWait) + originMargin
 	listAge := time.Duration(0)
 	if g.cfg.ServerListAge != nil {
 		listAge = g.cfg.ServerListAge()
 	}
+	if evidence.Found && evidence.Service != x.service.Name && x.route.HasService(evidence.Service) {
+		x.service = x.catalog.Service(evidence.Service)
+		x.parts = x.partFingerprints() // they are those of the service
+	}
 	software, known := streamorigin.Decide(evidence, listAge)
 	g.logOrigin(x, evidence, known)
 	if !known {
@@ -53,7 +58,7 @@
 
 func (g *Gateway) logOrigin(x *exchange, evidence streamorigin.Evidence, known bool) {
 	g.metrics.scope.Tagged(map[string]string{"found": strconv.FormatBool(evidence.Found), "resumed": strconv.FormatBool(known)}).Counter("streams_resumed").Inc(1)
-	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).Str("software", evidence.Software).
+	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).Str("service", x.service.Name).Str("origin_service", evidence.Service).Str("software", evidence.Software).
 		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).Bool("has_base", evidence.Base != nil).Str("base", evidence.BaseVersion()).Bool("resumed", known).Msg("stream_origin")
 }
 
@@ -94,7 +99,7 @@
 	if waits := x.arrived.Add(x.info.MaxWait); waits.After(expires) {
 		expires = waits
 	}
-	return streamorigin.KeyOf(x.callerName(), x.streamID()), streamorigin.Origin{Service: x.service.Name, Software: software, Expires: expires.Add(originMargin)}
+	return x.originKey(x.streamID()), streamorigin.Origin{Service: x.service.Name, Software: software, Expires: expires.Add(originMargin)}
 }
 
 // streamID returns the request that brought the first event of the call's stream; empty if it is unknown.
@@ -105,10 +110,16 @@
 	return x.info.RequestID
 }
 
+// originKey returns the key of a stream of this caller. The caller is its API key, since a configuration may move that
+// to another organisation while the stream is in flight.
+func (x *exchange) originKey(requestID string) streamorigin.Key {
+	return streamorigin.KeyOf(x.info.Key, requestID)
+}
+
 // completeOrigin records that the caller has the whole stream.
 func (g *Gateway) completeOrigin(x *exchange) {
 	if g.cfg.Origins != nil && !x.forwarded && x.outcome == outcomeServed && x.eventsSent > 0 {
-		g.cfg.Origins.Complete(streamorigin.KeyOf(x.callerName(), x.streamID()))
+		g.cfg.Origins.Complete(x.originKey(x.streamID()))
 	}
 }
 
--- a/internal/originlog/reader.go
+++ b/internal/originlog/reader.go
@@ -63,7 +63,7 @@
 	triedAt time.Time
 	failure error
 	known   map[Key]Origin
-	// ambiguous has the known keys that have been recorded with several software versions.
+	// ambiguous has the known keys that have been recorded with several services or software versions.
 	ambiguous map[Key]struct{}
 	// order has the keys in the order of their records.
 	order []Key
@@ -89,16 +89,19 @@
 
 // Result is what the log has of a stream.
 type Result struct {
-	Software string
+	// Found is set if the log has the stream's origin, and Service and Software are the service and the version
+	// that began it then.
 	Found    bool
-	// Ambiguous means that the key has been recorded with several software versions.
+	Service  string
+	Software string
+	// Ambiguous means that the key has been recorded with several services or software versions.
 	Ambiguous bool
-	// Versions are the software versions of the service that began streams within the horizon.
+	// Versions are the software versions of the service asked for that began streams within the horizon.
 	Versions []string
 }
 
-// Find looks for the origin of a stream of a service, in all records up to now. An error means that the log
-// could not be read.
+// Find looks for the origin of a stream, in all records up to now, and for the versions of a service. An error means
+// that the log could not be read.
 func (r *Reader) Find(ctx context.Context, key Key, service string) (Result, error) {
 	return r.FindFirst(ctx, service, key)
 }
@@ -120,9 +123,9 @@
 	defer r.mu.Unlock()
 	var result Result
 	for _, key := range keys {
-		if origin, found := r.known[key]; found && origin.Service == service {
+		if origin, found := r.known[key]; found {
 			_, result.Ambiguous = r.ambiguous[key]
-			result.Found, result.Software = !result.Ambiguous, origin.Software
+			result.Found, result.Service, result.Software = !result.Ambiguous, origin.Service, origin.Software
 			break
 		}
 	}
@@ -266,7 +269,7 @@
 	for _, origin := range origins {
 		if before, known := r.known[origin.Key]; !known {
 			r.order = append(r.order, origin.Key)
-		} else if before.Software != origin.Software {
+		} else if before != origin {
 			r.ambiguous[origin.Key] = struct{}{}
 		}
 		r.known[origin.Key] = origin
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -94,7 +94,7 @@
 // recordAwaited has origins recorded by a box, and reports whether they are in the log.
 func (o *Origins) recordAwaited(ctx context.Context, recorder Box, self bool, origins []wireOrigin) bool {
 	if self {
-		if !o.recordAll(origins) || !o.awaitAppended(ctx, origins) {
+		if !o.recordNow(ctx, origins) {
 			o.avoidRecorder(recorder)
 			return false
 		}
@@ -121,9 +121,9 @@
 	}
 }
 
-// awaitAppended waits until origins that this box records are in the log.
-func (o *Origins) awaitAppended(ctx context.Context, origins []wireOrigin) bool {
+// recordNow has this box record origins, and reports whether they are in the log.
+func (o *Origins) recordNow(ctx context.Context, origins []wireOrigin) bool {
 	ctx, cancel := context.WithTimeout(ctx, awaitTryTimeout)
 	defer cancel()
-	return o.cfg.Writer.Await(ctx, decodeForLog(origins))
+	return o.cfg.Writer.Await(ctx, loggedOrigins(origins))
 }
--- a/internal/streamorigin/bases.go
+++ b/internal/streamorigin/bases.go
@@ -57,7 +57,7 @@
 	for _, service := range o.cfg.Services() {
 		versions := o.cfg.Versions(service)
 		base, known := bases.table[service]
-		if len(versions) > 1 || len(versions) == 1 && known && (!base.Present || base.Version != versions[0]) {
+		if len(versions) > 1 || len(versions) == 1 && (!known || !base.Present || base.Version != versions[0] || base.Era != o.cfg.LogEra()) {
 			return true
 		}
 	}
@@ -80,12 +80,13 @@
 	o.keepBases(answer.Bases)
 }
 
-// keepBases keeps base versions that another box sent, unless they are older than those that are known.
-func (o *Origins) keepBases(received *wireBases) {
+// keepBases keeps base versions that another box sent, unless they are older than those that are known. It returns
+// false if they are invalid.
+func (o *Origins) keepBases(received *wireBases) bool {
 	table, err := baseversion.Decode(received.Table)
 	if err != nil {
 		o.cfg.Logger.Error().Str("error", err.Error()).Msg("base_versions_invalid")
-		return
+		return false
 	}
 	readAt := boottime.Now().Add(-received.Age)
 	o.mu.Lock()
@@ -93,6 +94,7 @@
 	if readAt.After(o.bases.readAt) {
 		o.bases = knownBases{table: table, readAt: readAt}
 	}
+	return true
 }
 
 // readBases returns the base versions as the log has them; nil if it cannot be read.
@@ -118,10 +120,11 @@
 	versions := o.cfg.Versions(service)
 	o.mu.Lock()
 	base, known := o.bases.table[service]
-	isRecent := boottime.Since(o.bases.readAt) < baseversion.LeaseTime && base.Era == o.cfg.LogEra()
+	isRecent := boottime.Since(o.bases.readAt) < baseversion.LeaseTime
 	o.mu.Unlock()
 	if !known {
-		return len(versions) > 1
+		// Others may have written a base version since that was listed before this box started.
+		return len(versions) > 1 || !isRecent || o.uptime() < versionMemory
 	}
-	return !base.Present || base.Version != software || !isRecent && len(versions) > 1
+	return !base.Present || base.Version != software || len(versions) > 1 && !(isRecent && base.Era == o.cfg.LogEra())
 }
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -14,9 +14,13 @@
 
 // Evidence is what is known of the origin of a stream.
 type Evidence struct {
-	// Found is set if the origin is known; Software is its version then.
+	// Found is set if the origin is known. Service and Software are the service and the version that began the
+	// stream then; the service is not always the one that was asked for.
 	Found    bool
+	Service  string
 	Software string
+	// Unnamed is set if the caller does not name the stream, so that its origin cannot be looked for.
+	Unnamed bool
 	// Versions are the software versions of the service's servers that this box and those that responded
 	// know of, and those in the log.
 	Versions []string
@@ -35,7 +39,7 @@
 	// Base is the base version of the service in the log, which it has had for BaseAge; nil if it has none there.
 	Base    *baseversion.Base
 	BaseAge time.Duration
-	// LogEra is the newest era of the log.
+	// LogEra is the newest era of the log that this box and the one that read it know of.
 	LogEra int64
 	// OutageEnded is how long ago the log was last away; zero if it was not, as far as the box that read it knows.
 	// Origins may not have been recorded before that.
@@ -53,13 +57,14 @@
 	return e.Base.Version
 }
 
-// Find looks for the origin of a stream of a service, at this box, at its holders, and then in the log.
+// Find looks for the origin of a stream, at this box, at its holders, and then in the log. service is the one that the
+// stream's route names now, which decides where there is no origin.
 func (o *Origins) Find(ctx context.Context, key Key, service string) Evidence {
 	o.awaitStart(ctx)
 	evidence := Evidence{Versions: slices.Clone(o.cfg.Versions(service)), LongestUptime: o.uptime()}
-	targets, origin, found := o.lookUp(key, service)
+	targets, origin, found := o.lookUp(key)
 	if found {
-		evidence.Found, evidence.Software = true, origin.Software
+		evidence.Found, evidence.Service, evidence.Software = true, origin.Service, origin.Software
 		return evidence
 	}
 	asked := request{Key: key[:], Service: service}
@@ -71,17 +76,27 @@
 		evidence.LogFailed = !answer.LogRead && answer.Found == nil
 		evidence.add(&answer)
 		if answer.Bases != nil {
+			evidence.LogEra, evidence.OutageEnded = answer.LogEra, answer.OutageEnded
 			o.addBase(answer.Bases, &evidence, service)
-			evidence.OutageEnded = answer.OutageEnded
 		}
 	}
 	return evidence
 }
 
+// FindUnnamed returns what is known of the versions of a service, for a stream that its caller does not name.
+func (o *Origins) FindUnnamed(ctx context.Context, service string) Evidence {
+	evidence := o.Find(ctx, Key{}, service) // no stream has this key
+	evidence.Unnamed = true
+	return evidence
+}
+
 // addBase adds the base version of the service.
 func (o *Origins) addBase(received *wireBases, evidence *Evidence, service string) {
-	o.keepBases(received)
-	evidence.LogEra = o.cfg.LogEra()
+	if !o.keepBases(received) {
+		evidence.LogRead, evidence.LogFailed = false, true
+		return
+	}
+	evidence.LogEra = max(evidence.LogEra, o.cfg.LogEra())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if base, known := o.bases.table[service]; known {
@@ -138,17 +153,17 @@
 	}
 	e.LongestUptime = max(e.LongestUptime, answer.Uptime)
 	if answer.Found != nil {
-		e.Found, e.Software = true, answer.Found.Software
+		e.Found, e.Service, e.Software = true, answer.Found.Service, answer.Found.Software
 	}
 }
 
 // lookUp returns the origin if this box has it, and otherwise the boxes to ask: the possible holders among
 // all listed boxes, and those that replace the unavailable ones.
-func (o *Origins) lookUp(key Key, service string) (targets []Box, origin Origin, found bool) {
+func (o *Origins) lookUp(key Key) (targets []Box, origin Origin, found bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := boottime.Now()
-	if origin, found = o.known.find(key, now); found && origin.Service == service {
+	if origin, found = o.known.find(key, now); found {
 		return nil, origin, true
 	}
 	lists := [][]Box{o.others(now, false), o.others(now, true)}
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -27,7 +27,8 @@
 type request struct {
 	// Origins are to be held.
 	Origins []wireOrigin `msgpack:"o,omitempty"`
-	// Key is the key of a stream of Service to find; empty for none.
+	// Key is the key of a stream to find, whichever service began it; empty for none. The response has the versions
+	// of Service.
 	Key     []byte `msgpack:"k,omitempty"`
 	Service string `msgpack:"s,omitempty"`
 	// Record means that the box is to record the origins in the log, and Recorded that it is to look for Key
@@ -75,6 +76,8 @@
 	Appended bool `msgpack:"a,omitempty"`
 	// Bases are the base versions; nil if they are not known. An older version of the program knows none.
 	Bases *wireBases `msgpack:"b,omitempty"`
+	// LogEra is the newest era of the log that the box knew of after it had read it.
+	LogEra int64 `msgpack:"e,omitempty"`
 }
 
 // encode returns the wire form of an origin.
@@ -97,11 +100,13 @@
 func (o *Origins) handle(ctx context.Context, received request) response {
 	answer := o.apply(received)
 	answer.Process = o.cfg.Self.Process
-	if received.Record && o.cfg.Writer != nil {
+	switch {
+	case !received.Record || o.cfg.Writer == nil:
+	case received.Await:
+		answer.Appended = o.recordNow(ctx, received.Origins)
+		answer.Recorded = answer.Appended
+	default:
 		answer.Recorded = o.recordAll(received.Origins)
-		if received.Await && answer.Recorded {
-			answer.Appended = o.awaitAppended(ctx, received.Origins)
-		}
 	}
 	switch {
 	case received.Recorded && answer.Found == nil && len(received.Key) == keySize && o.cfg.Reader != nil:
@@ -123,7 +128,7 @@
 	}
 	var answer response
 	if len(received.Key) == keySize {
-		if origin, found := o.known.find(Key(received.Key), now); found && origin.Service == received.Service {
+		if origin, found := o.known.find(Key(received.Key), now); found {
 			wire := encode(Key(received.Key), origin, now)
 			answer.Found = &wire
 		}
