streamorigin: the streams of a service without a base version in the log are recorded

Callers saw (model; it takes two failures): a box that had been running for a minute began a stream of a new service without a record, and the first base version became another one.

Change: a stream of a service that is not in the table needs a record, always. A service is missing for some seconds after it appears.

The row of TestWhichStreamsNeedARecord for such a service said that it needs none; it now says that it does, which is stricter.

--- a/internal/baseversion/model_test.go
+++ b/internal/baseversion/model_test.go
@@ -229,10 +229,7 @@
 func (m *model) needsRecord(b *modelBox, version string) bool {
 	versions, base := b.versions(m.now), b.known.base
 	isRecent := b.known.done && m.now-b.known.at < LeaseTime
-	if base == nil {
-		return len(versions) > 1 || !isRecent || m.now-b.startedAt < absence
-	}
-	return !base.Present || base.Version != version || len(versions) > 1 && !(isRecent && base.Era == b.era)
+	return base == nil || !base.Present || base.Version != version || len(versions) > 1 && !(isRecent && base.Era == b.era)
 }
 
 // needsBases is that of package streamorigin.
--- a/internal/streamorigin/await_test.go
+++ b/internal/streamorigin/await_test.go
@@ -90,7 +90,7 @@
 		{"another one of two", &v2, false, 0, time.Hour, []string{"v1", "v2"}, 0, true},
 		{"another one alone", &v2, false, time.Hour, 2 * time.Hour, []string{"v1"}, 0, true},
 		{"no base version", &baseversion.Base{}, false, 0, time.Hour, []string{"v1"}, 0, true},
-		{"no record of the service", nil, false, 0, time.Hour, []string{"v1"}, 0, false},
+		{"no record of the service", nil, false, 0, time.Hour, []string{"v1"}, 0, true},
 		{"no record of the service, two versions", nil, false, 0, time.Hour, []string{"v1", "v2"}, 0, true},
 		{"no record of the service, read before the lease", nil, false, lease, time.Hour, []string{"v1"}, 0, true},
 		{"no record of the service, the box has just started", nil, false, 0, versionMemory - 1, []string{"v1"}, 0, true},
--- a/internal/streamorigin/bases.go
+++ b/internal/streamorigin/bases.go
@@ -122,9 +122,6 @@
 	base, known := o.bases.table[service]
 	isRecent := boottime.Since(o.bases.readAt) < baseversion.LeaseTime
 	o.mu.Unlock()
-	if !known {
-		// Others may have written a base version since that was listed before this box started.
-		return len(versions) > 1 || !isRecent || o.uptime() < versionMemory
-	}
-	return !base.Present || base.Version != software || len(versions) > 1 && !(isRecent && base.Era == o.cfg.LogEra())
+	// Without a record of the service, its first base version may be one that this box has not seen.
+	return !known || !base.Present || base.Version != software || len(versions) > 1 && !(isRecent && base.Era == o.cfg.LogEra())
 }
