streamorigin: no stream counts as of the base version if the log has dropped its record

Callers would see: after the log had dropped its history and all boxes had crashed, streams of another version than the base version continued at the base version.

Cause: a record that was dropped looks like one that was not needed.

Change: a reader says from which position and for how long its records are complete. A stream without a record is resumed at the base version if they reach back as far as callers resume streams, or to where the stream of origins ended when the service had its base version alone, which the table of base versions now has; otherwise only where that version is alone. An origin that is recorded again is no longer dropped first by a reader that has too many.

--- a/internal/baseversion/baseversion.go
+++ b/internal/baseversion/baseversion.go
@@ -32,6 +32,9 @@
 	// Era is the era of the log in which this was last confirmed. A log that came back from a copy since then
 	// may have lost the origins of streams.
 	Era int64
+	// RecordsFrom is the position in the stream of origins from which on the records of all streams lie that are of
+	// another version and may be resumed. A log that has dropped later ones may lack records.
+	RecordsFrom int64
 }
 
 // Table has the base versions by service.
--- a/internal/baseversion/keeper.go
+++ b/internal/baseversion/keeper.go
@@ -21,6 +21,8 @@
 	// checkInterval is the time between two checks whether a base version changes. Each write takes at least as
 	// long, so services that appear together share one.
 	checkInterval = time.Second
+	// readTimeout bounds a read, for a caller whose first try may end after a second.
+	readTimeout = 500 * time.Millisecond
 	// appendTimeout bounds an append; the log takes 4 ms, and 200 ms when it is slow.
 	appendTimeout = 700 * time.Millisecond
 	// maxPause bounds the pause after a call that failed, which doubles: a refused call has its price too.
@@ -47,10 +49,17 @@
 	reading chan struct{}
 
 	mu sync.Mutex
-	// read is what was read last.
-	read Reading
+	// read is what was read last. failedAt is when the last read failed, if it did, and failure why.
+	read     Reading
+	failedAt time.Time
+	failure  error
 	// knownSince has when this box first read the present record of each service.
 	knownSince map[string]time.Time
+
+	// The rest belongs to Loop.
+
+	// originsEnd has where the stream of origins ended while each service had its base version alone.
+	originsEnd map[string]int64
 }
 
 // Reading is the table as of a read of the log. The zero value has not been read.
@@ -64,7 +73,7 @@
 
 // New returns a keeper that has read nothing.
 func New(cfg Config) *Keeper {
-	return &Keeper{cfg: cfg, reading: make(chan struct{}, 1), knownSince: map[string]time.Time{}}
+	return &Keeper{cfg: cfg, reading: make(chan struct{}, 1), knownSince: map[string]time.Time{}, originsEnd: map[string]int64{}}
 }
 
 // Read returns the base versions as the log has them, or as it had them maxAge ago at most.
@@ -81,7 +90,38 @@
 	if reading, recent := k.recent(maxAge); recent {
 		return reading, nil
 	}
+	if err := k.recentFailure(); err != nil {
+		return Reading{}, err
+	}
 	at := boottime.Now()
+	reading, err := k.readLog(ctx, at)
+	k.mu.Lock()
+	k.failedAt, k.failure = boottime.Now(), err
+	k.mu.Unlock()
+	if err == nil {
+		k.keep(reading)
+	}
+	return reading, err
+}
+
+// failureTime is how long the failure of a read is shared, so that those who ask while the log is away do not each
+// wait for it.
+const failureTime = 250 * time.Millisecond
+
+// recentFailure returns why the last read failed, if that was a moment ago.
+func (k *Keeper) recentFailure() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if boottime.Since(k.failedAt) < failureTime {
+		return k.failure
+	}
+	return nil
+}
+
+// readLog reads the record.
+func (k *Keeper) readLog(ctx context.Context, at time.Time) (Reading, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	page, err := sharedlog.Newest(ctx, k.cfg.Log, sharedlog.BaseVersions)
 	if err != nil {
 		return Reading{}, err
@@ -96,7 +136,6 @@
 			return Reading{}, err
 		}
 	}
-	k.keep(reading)
 	return reading, nil
 }
 
@@ -139,6 +178,9 @@
 // step writes the base versions if any of them changes. Nothing is read while they stay.
 func (k *Keeper) step(ctx context.Context) error {
 	seen := k.observe()
+	if err := k.readOriginsEnd(ctx, seen); err != nil {
+		return err
+	}
 	last, known := k.recent(unlimited)
 	if known {
 		if _, changed := nextTable(last.Table, seen); len(changed) == 0 {
@@ -149,7 +191,11 @@
 	if err != nil {
 		return err
 	}
-	table, changed := nextTable(reading.Table, k.observe())
+	seen = k.observe()
+	if err := k.readOriginsEnd(ctx, seen); err != nil {
+		return err
+	}
+	table, changed := nextTable(reading.Table, seen)
 	if len(changed) == 0 {
 		return nil
 	}
@@ -175,6 +221,37 @@
 	return nil
 }
 
+// readOriginsEnd reads where the stream of origins ends, once for each time in which a service has its base version
+// alone.
+func (k *Keeper) readOriginsEnd(ctx context.Context, seen map[string]Observation) error {
+	last, _ := k.recent(unlimited)
+	var alone []string
+	for service, observation := range seen {
+		switch _, isRead := k.originsEnd[service]; {
+		case !observation.isAlone(last.Table[service]):
+			delete(k.originsEnd, service)
+		case !isRead:
+			alone = append(alone, service)
+		}
+	}
+	if len(alone) > 0 {
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		_, end, err := k.cfg.Log.Bounds(call, sharedlog.Origins)
+		if err != nil {
+			return err
+		}
+		for _, service := range alone {
+			k.originsEnd[service] = end
+		}
+	}
+	for service, observation := range seen {
+		observation.OriginsEnd = k.originsEnd[service]
+		seen[service] = observation
+	}
+	return nil
+}
+
 // unlimited is the age of a reading that is never too old.
 const unlimited = 1 << 62
 
@@ -213,7 +290,7 @@
 			current = &base
 		}
 		if base, changes := Next(current, observation); changes {
-			base.Since = boottime.TimeOfDay()
+			base.Since = boottime.TimeOfDay().Truncate(time.Millisecond) // as it will be read
 			next[service], changed[service] = base, base
 		}
 	}
--- a/internal/baseversion/next.go
+++ b/internal/baseversion/next.go
@@ -32,6 +32,14 @@
 	// Era is the newest era of the log, and EraSeenFor how long the box has known of it.
 	Era        int64
 	EraSeenFor time.Duration
+	// OriginsEnd is where the stream of origins ended when the service had its base version alone; zero if unknown.
+	OriginsEnd int64
+}
+
+// isAlone reports whether a service has had its base version alone for so long that no stream of another one is
+// resumed.
+func (o *Observation) isAlone(base Base) bool {
+	return base.Present && len(o.Remembered) == 1 && o.Remembered[0] == base.Version && o.ObservedFor >= absence && o.KnownFor >= pauseTime
 }
 
 // Next returns the base version of a service that follows the present one; present is nil if there is none in the
@@ -45,6 +53,9 @@
 	case present.Era != seen.Era:
 		next.Era = seen.Era // streams whose records the log may have lost are no longer resumed
 		return next, seen.EraSeenFor >= pauseTime
+	case seen.isAlone(*present) && seen.OriginsEnd > present.RecordsFrom:
+		next.RecordsFrom = seen.OriginsEnd
+		return next, true
 	case present.Present:
 		next.Version, next.Present, next.Replaced = "", false, true
 		isGone := len(seen.Remembered) > 0 && !slices.Contains(seen.Remembered, present.Version) && seen.ObservedFor >= absence
--- a/internal/baseversion/record.go
+++ b/internal/baseversion/record.go
@@ -25,13 +25,15 @@
 	Millis   int64
 	Replaced bool
 	Era      int64
+	// RecordsFrom is a position.
+	RecordsFrom int64
 }
 
 // Encode returns the value of a record.
 func Encode(table Table) ([]byte, error) {
 	wire := make([]wireBase, 0, len(table))
 	for service, base := range table {
-		wire = append(wire, wireBase{Service: service, Version: base.Version, Present: base.Present, Millis: base.Since.UnixMilli(), Replaced: base.Replaced, Era: base.Era})
+		wire = append(wire, wireBase{Service: service, Version: base.Version, Present: base.Present, Millis: base.Since.UnixMilli(), Replaced: base.Replaced, Era: base.Era, RecordsFrom: base.RecordsFrom})
 	}
 	return msgpack.Marshal(wire)
 }
@@ -44,7 +46,7 @@
 	}
 	table := make(Table, len(wire))
 	for _, base := range wire {
-		table[base.Service] = Base{Version: base.Version, Present: base.Present, Since: time.UnixMilli(base.Millis), Replaced: base.Replaced, Era: base.Era}
+		table[base.Service] = Base{Version: base.Version, Present: base.Present, Since: time.UnixMilli(base.Millis), Replaced: base.Replaced, Era: base.Era, RecordsFrom: base.RecordsFrom}
 	}
 	return table, nil
 }
--- /dev/null
+++ b/internal/baseversion/records_test.go
@@ -0,0 +1,57 @@
+package baseversion
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// After a release the log drops the records of its streams. A service that has had its base version alone since must
+// not count as one whose records are missing.
+func TestRecordsOfAnEarlierReleaseAreMissedForever(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fake := fakesharedlog.New()
+		log := sharedlog.NewMeasured(fake, tally.NoopScope)
+		var released atomic.Bool
+		keeper := New(Config{Log: log, Eras: log.Eras(), Logger: zerolog.Nop(), IsWriter: func() bool { return true }, Observe: func() map[string]Observation {
+			remembered := []string{"v1"}
+			if released.Load() {
+				remembered = append(remembered, "v2")
+			}
+			return map[string]Observation{"runners": {Remembered: remembered, Listed: map[string]int{"v1": 1}, ObservedFor: time.Hour}}
+		}})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { keeper.Loop(ctx); close(done) }()
+		defer func() { stop(); <-done }()
+		recordsFrom := func() int64 {
+			reading, err := keeper.Read(ctx, 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			return reading.Table["runners"].RecordsFrom
+		}
+		time.Sleep(2 * pauseTime)
+		g.Expect(recordsFrom()).To(BeZero())
+		released.Store(true)
+		for range 5 {
+			fake.Put(sharedlog.Origins, "", []byte("origins"))
+			time.Sleep(time.Second)
+		}
+		g.Expect(recordsFrom()).To(BeZero(), "streams of v2 may be resumed")
+		released.Store(false)
+		time.Sleep(5 * time.Second)
+		g.Expect(recordsFrom()).To(BeEquivalentTo(5))
+		reads := fake.Underlying().Appends()
+		time.Sleep(time.Hour)
+		g.Expect(fake.Underlying().Appends()).To(Equal(reads), "nothing is written while versions stay")
+	})
+}
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -38,7 +38,8 @@
 	} else {
 		evidence = g.cfg.Origins.Find(x.ctx, x.originKey(x.info.Resumes), x.service.Name)
 	}
-	evidence.MaxAge = max(x.routeTimeout(), x.info.MaxWait) + originMargin
+	evidence.Patience = max(x.routeTimeout(), x.info.MaxWait)
+	evidence.MaxAge = evidence.Patience + originMargin
 	listAge := time.Duration(0)
 	if g.cfg.ServerListAge != nil {
 		listAge = g.cfg.ServerListAge()
--- a/internal/originlog/outage_test.go
+++ b/internal/originlog/outage_test.go
@@ -132,3 +132,42 @@
 		g.Expect(log.bytes.Load()).To(BeNumerically(">", 2*KeySize*streams), "what has been appended may be lost with its era")
 	})
 }
+
+// A reader must say from when on it has all records, so that a stream whose record the log has dropped does not count
+// as one that needed none.
+func TestDroppedRecordsAreTakenForRecordsThatWereNotNeeded(t *testing.T) {
+	tests := []struct {
+		name string
+		// written are seconds at which one origin each is recorded, and dropped is how many of them the log drops.
+		written []int
+		dropped int64
+		from    int64
+		want    time.Duration
+	}{
+		{"nothing was ever written", nil, 0, 0, 0},
+		{"all is there", []int{0, 10, 20}, 0, 0, 30 * time.Second},
+		{"the first was dropped", []int{0, 10, 20}, 1, 1, 20 * time.Second},
+		{"all were dropped", []int{0, 10, 20}, 3, 3, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				log := fakesharedlog.New()
+				began := time.Now()
+				for number, at := range test.written {
+					time.Sleep(time.Until(began.Add(time.Duration(at) * time.Second)))
+					value, err := encode([]Origin{originOf(number)}, time.Now())
+					g.Expect(err).NotTo(HaveOccurred())
+					log.Put(sharedlog.Origins, "", value)
+				}
+				time.Sleep(time.Until(began.Add(30 * time.Second)))
+				log.Underlying().Expire(sharedlog.Origins.String(), test.dropped)
+				result, err := newReader(log).Find(t.Context(), keyOf(99), service)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(result.From).To(Equal(test.from))
+				g.Expect(result.CompleteFor).To(BeNumerically("~", test.want, 100*time.Millisecond))
+			})
+		})
+	}
+}
--- a/internal/originlog/reader.go
+++ b/internal/originlog/reader.go
@@ -62,15 +62,31 @@
 	// triedAt is when the last read began, and failure why it failed.
 	triedAt time.Time
 	failure error
-	known   map[Key]Origin
+	known   map[Key]recordedOrigin
 	// ambiguous has the known keys that have been recorded with several services or software versions.
 	ambiguous map[Key]struct{}
-	// order has the keys in the order of their records.
-	order []Key
+	// order has the keys in the order of their records, once for each record.
+	order []recordedKey
+	// from is the position from which on all records have been read, and completeSince when the first of them was
+	// appended, or when the read began if there was none.
+	from          int64
+	completeSince time.Time
 	// versions has when the last origin of each software version was recorded, by service.
 	versions map[string]map[string]time.Time
 }
 
+// recordedOrigin is an origin with when it was recorded last.
+type recordedOrigin struct {
+	Origin
+	at time.Time
+}
+
+// recordedKey is a key with when it was recorded.
+type recordedKey struct {
+	Key
+	at time.Time
+}
+
 // unread is the position of a reader that has read nothing yet.
 const unread = -1
 
@@ -84,7 +100,7 @@
 // reset drops everything that has been read. The caller holds mu, or nobody else has the reader yet.
 func (r *Reader) reset() {
 	r.next, r.readAt = unread, time.Time{}
-	r.known, r.ambiguous, r.order, r.versions = map[Key]Origin{}, map[Key]struct{}{}, nil, map[string]map[string]time.Time{}
+	r.known, r.ambiguous, r.order, r.versions = map[Key]recordedOrigin{}, map[Key]struct{}{}, nil, map[string]map[string]time.Time{}
 }
 
 // Result is what the log has of a stream.
@@ -96,6 +112,10 @@
 	Software string
 	// Ambiguous means that the key has been recorded with several services or software versions.
 	Ambiguous bool
+	// From is the position from which on all records are known, and CompleteFor how long ago the first of them was
+	// appended. Earlier ones may have been dropped by the log.
+	From        int64
+	CompleteFor time.Duration
 	// Versions are the software versions of the service asked for that began streams within the horizon.
 	Versions []string
 }
@@ -121,7 +141,7 @@
 func (r *Reader) lookUp(service string, keys ...Key) Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var result Result
+	result := Result{From: r.from, CompleteFor: boottime.TimeOfDay().Sub(r.completeSince)}
 	for _, key := range keys {
 		if origin, found := r.known[key]; found {
 			_, result.Ambiguous = r.ambiguous[key]
@@ -204,6 +224,7 @@
 	margin := int64(minMargin)
 	for count := int64(firstTail); ; {
 		from = max(first, end-count)
+		r.beginAt(from)
 		reachesBack := from == first || count >= maxTail
 		err := r.readTo(ctx, from, func(oldest time.Time) bool { return reachesBack || boottime.TimeOfDay().Sub(oldest) >= Horizon })
 		expired, dropped := errors.AsType[*sharedlog.RecordsExpiredError](err)
@@ -219,6 +240,13 @@
 	}
 }
 
+// beginAt records the position that a read of what there is begins at.
+func (r *Reader) beginAt(from int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.from, r.completeSince = from, boottime.TimeOfDay()
+}
+
 // errTooRecent means that the first record read is not old enough.
 var errTooRecent = merry.Sentinel("the first record is too recent")
 
@@ -266,13 +294,15 @@
 func (r *Reader) add(origins []Origin, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if at.Before(r.completeSince) {
+		r.completeSince = at
+	}
 	for _, origin := range origins {
-		if before, known := r.known[origin.Key]; !known {
-			r.order = append(r.order, origin.Key)
-		} else if before != origin {
+		if before, known := r.known[origin.Key]; known && before.Origin != origin {
 			r.ambiguous[origin.Key] = struct{}{}
 		}
-		r.known[origin.Key] = origin
+		r.known[origin.Key] = recordedOrigin{origin, at}
+		r.order = append(r.order, recordedKey{origin.Key, at})
 		versions := r.versions[origin.Service]
 		if versions == nil {
 			versions = map[string]time.Time{}
@@ -282,9 +312,19 @@
 			versions[origin.Software] = at
 		}
 	}
+	r.dropExcess()
+}
+
+// dropExcess drops the keys that were recorded last the longest time ago. The caller holds mu.
+func (r *Reader) dropExcess() {
 	for len(r.order) > maxKnown {
-		delete(r.known, r.order[0])
-		delete(r.ambiguous, r.order[0])
+		oldest := r.order[0]
 		r.order = r.order[1:]
+		if r.known[oldest.Key].at.After(oldest.at) {
+			continue // it has been recorded again since
+		}
+		delete(r.known, oldest.Key)
+		delete(r.ambiguous, oldest.Key)
+		r.from, r.completeSince = r.next, oldest.at
 	}
 }
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -69,10 +69,15 @@
 }
 
 // lacksRecords reports whether the log may lack the record of the stream: it came back from a copy since the base
-// version was confirmed, or was away when the stream may have begun.
+// version was confirmed, was away when the stream may have begun, or has dropped records since.
 func (e *Evidence) lacksRecords() bool {
 	wasAway := e.OutageEnded > 0 && (e.MaxAge == 0 || e.OutageEnded < e.MaxAge)
-	return wasAway || e.Base.Era != e.LogEra
+	patience := versionMemory
+	if e.Patience > 0 {
+		patience = min(patience, e.Patience)
+	}
+	hasDropped := e.RecordsFrom > e.Base.RecordsFrom && e.RecordsFor < patience
+	return wasAway || hasDropped || e.Base.Era != e.LogEra
 }
 
 // coversStream reports whether this box or one that responded has been running since before the stream began,
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -32,8 +32,10 @@
 	// LongestUptime is how long this box or one of those that responded has been running at most. Streams that
 	// began earlier are unknown to all of them.
 	LongestUptime time.Duration
-	// MaxAge is how long ago the stream began at most; zero if unknown.
-	MaxAge time.Duration
+	// MaxAge is how long ago the stream began at most, and Patience how long callers resume it, which MaxAge exceeds by
+	// what clocks and messages may differ; zero if unknown.
+	MaxAge   time.Duration
+	Patience time.Duration
 	// LogRead reports that the log was read up to now, and LogFailed that it could not be.
 	LogRead, LogFailed bool
 	// Base is the base version of the service in the log, which it has had for BaseAge; nil if it has none there.
@@ -41,6 +43,10 @@
 	BaseAge time.Duration
 	// LogEra is the newest era of the log that this box and the one that read it know of.
 	LogEra int64
+	// RecordsFrom is the position from which on all records were read, and RecordsFor how long ago the first of them
+	// was appended.
+	RecordsFrom int64
+	RecordsFor  time.Duration
 	// OutageEnded is how long ago the log was last away; zero if it was not, as far as the box that read it knows.
 	// Origins may not have been recorded before that.
 	OutageEnded time.Duration
@@ -77,6 +83,7 @@
 		evidence.add(&answer)
 		if answer.Bases != nil {
 			evidence.LogEra, evidence.OutageEnded = answer.LogEra, answer.OutageEnded
+			evidence.RecordsFrom, evidence.RecordsFor = answer.RecordsFrom, answer.RecordsFor
 			o.addBase(answer.Bases, &evidence, service)
 		}
 	}
@@ -100,7 +107,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if base, known := o.bases.table[service]; known {
-		evidence.Base, evidence.BaseAge = &base, boottime.TimeOfDay().Sub(base.Since)
+		evidence.Base, evidence.BaseAge = &base, max(boottime.TimeOfDay().Sub(base.Since), 0)
 	}
 }
 
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -70,6 +70,10 @@
 	// Ambiguous means that the call was sent to servers of several versions, and the log does not say which of
 	// them began the stream.
 	Ambiguous bool `msgpack:"m,omitempty"`
+	// RecordsFrom is the position from which on the box has read all records, and RecordsFor how long ago the first of
+	// them was appended.
+	RecordsFrom int64         `msgpack:"g,omitempty"`
+	RecordsFor  time.Duration `msgpack:"h,omitempty"`
 	// OutageEnded is how long ago the log was last away, as far as the box has noticed; zero if it was not.
 	OutageEnded time.Duration `msgpack:"e,omitempty"`
 	// Appended means that the origins are in the log, as the request asked.
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -261,6 +261,7 @@
 		return // the reader has logged it
 	}
 	answer.LogRead, answer.Ambiguous = true, result.Ambiguous
+	answer.RecordsFrom, answer.RecordsFor = result.From, result.CompleteFor
 	if o.cfg.LogEra != nil {
 		answer.LogEra = o.cfg.LogEra()
 	}
