gateway: a call connects again to its only server that was slow to accept

Callers got 503 no_server, as not run, while their call had most of its time left: the connection to the only server that may take it was not made within 150 ms (0.28 s where the box lacked CPU), the server was excluded for this call like one that has received it, and no other was left.

Now a call whose connection timed out is placed at that server again, up to three times, if no other server is usable for it. The place is taken without looking at the load, since the call was admitted there before; shares, rooms, pauses and drains still count. The server has not received the call, so neither the route's servers nor the retry budget are used up. Connections are not made longer: a SYN that a full accept queue drops is sent again only after a second, so one connection of 500 ms in place of three was tried and failed where the queue was emptied just after it began. Refused at once as before: servers that refuse connections, and services that the box does not reach.

Ruled out: placing the call by the usual admission again.

--- a/internal/gateway/fallback.go
+++ b/internal/gateway/fallback.go
@@ -43,21 +43,30 @@
 	if !x.mayReturn() || !g.reaches(x) || x.ctx.Err() != nil || !boottime.Now().Before(x.deadline) {
 		return placement{}, false
 	}
-	query, plans := g.fleetQuery(x)
-	query.Exclude, query.SuspectAllowed = nil, x.fallback
-	hold := g.cfg.Fleet.PlaceAt(query, x.fallback)
-	if hold == nil {
+	chosen, ok := g.placeAgain(x, x.fallback)
+	if !ok {
 		return placement{}, false
 	}
 	x.returned = true
-	x.placedBy, x.ownerError = placedByThisBox, ""
 	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("server", x.fallback).Str("service", x.service.Name).
 		Dur("left", boottime.Until(x.deadline)).Float64("retries_saved", g.retryBudget(x).State().Balance).Msg("call_returned")
-	chosen := g.recordPlacement(x, hold, plans)
 	chosen.isReturn = true
 	return chosen, true
 }
 
+// placeAgain reserves a place at a server where the call was placed before, even if that is suspect. The
+// server has admitted the call before, so its load is not considered.
+func (g *Gateway) placeAgain(x *exchange, server string) (placement, bool) {
+	query, plans := g.fleetQuery(x)
+	query.Exclude, query.SuspectAllowed = nil, server
+	hold := g.cfg.Fleet.PlaceAt(query, server)
+	if hold == nil {
+		return placement{}, false
+	}
+	x.placedBy, x.ownerError = placedByThisBox, ""
+	return g.recordPlacement(x, hold, plans), true
+}
+
 // endUnplaced ends a call that no server can take. If its route allows no further server, a shortage of
 // servers is not the cause.
 func (g *Gateway) endUnplaced(x *exchange) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -73,6 +73,9 @@
 		x.refuseUnreachable()
 		return placement{}, false
 	}
+	if chosen, ok := g.placeReconnect(x); ok {
+		return chosen, true
+	}
 	if chosen, ok, decided := g.placeElsewhere(x); decided {
 		return chosen, ok
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,7 +229,11 @@
 	// serversReached counts the servers that the call was sent to: those attempted, except those
 	// that no connection was made to.
 	serversReached int
-	// unreached counts the servers that no connection could be made to, and pathsTried the boxes that
+	// slowServer is the last server that accepted no connection in time, until the call is sent there again;
+	// reconnects counts these cases.
+	slowServer string
+	reconnects int
+	// unreached counts the connections to servers that could not be made, and pathsTried the boxes that
 	// the call was forwarded to. pathRefusal is why the last of them refused it.
 	unreached   int
 	pathsTried  int
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -35,6 +35,7 @@
 		}
 		a.uncountServer()
 		a.noteUnreached()
+		a.noteSlowServer(err)
 		a.gateway.returnRetry(x)
 		a.recordUnreachable(err)
 		return a.nextServer()
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -12,6 +12,7 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -32,6 +33,13 @@
 // the kernel has closed, because nothing from the server's machine arrived for too long.
 func TimedOut(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
 
+// ConnectTimedOut reports whether an error of Send means that the server did not accept a connection in
+// time. A server that refuses connections, or whose address has no route, is not meant.
+func ConnectTimedOut(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, ErrNotSent) && errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // Request is one call as it is sent to a backend server.
 type Request struct {
 	Address string
@@ -88,7 +96,7 @@
 func (p *Pool) Send(ctx context.Context, request Request) (*Response, error) {
 	c, err := p.connect(ctx, request)
 	if err != nil {
-		return nil, merry.Wrap(ErrNotSent, merry.AppendMessage(err.Error()))
+		return nil, merry.Wrap(ErrNotSent, merry.AppendMessage(err.Error()), merry.WithCause(err))
 	}
 	if len(request.Body) > longBodyBytes {
 		if err := c.turnUserTimeoutOff(); err != nil {
