soak: releases of software versions around crashes of all boxes

The check knows which version a runner has when. A runner that a release started counts as serving a second after that, when boxes have read its entry. After the last fault it accepts refusals of resumed streams whose version has left, and of prompts with a part that is held: runners whose leaving boxes had not read count as crashed.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -97,9 +97,11 @@
 	Advisories []Advisory
 	Received   []Arrival
 	// Streams are the streams of a soak with several software versions, and Software is the version of each
-	// runner, by the number of the server. Reasons are the reasons of boxes for refusing calls, by their IDs.
+	// runner at first, by the number of the server, which Releases change. Reasons are the reasons of boxes for
+	// refusing calls, by their IDs.
 	Streams  []ResumableStream
 	Software map[int]string
+	Releases []Release
 	Reasons  map[string]string
 	// BadFetches describe stored parts that were fetched although they should not have been.
 	BadFetches []string
@@ -179,7 +181,7 @@
 		if h.isLost(a, runs[a.ID]) {
 			report(InvariantNoLoss, "%s", a.describe())
 		}
-		if a.Began > h.FaultsEnd+recoveryTime && a.Outcome != CompleteResponse && a.CallKind != Probe && a.Version == 0 {
+		if a.Began > h.FaultsEnd+recoveryTime && a.Outcome != CompleteResponse && a.CallKind != Probe && a.Version == 0 && !h.isRefusedByRelease(a) {
 			report(InvariantRecovery, "%s", a.describe())
 		}
 	}
@@ -329,5 +331,7 @@
 // wasKilledSince reports whether a server that had announced its leaving was killed before a moment.
 // Its next incarnation is not leaving.
 func (h *History) wasKilledSince(leaving Event, at time.Duration) bool {
-	return h.isDisturbed(leaving.At, at, func(f Fault) bool { return f.Kind == KillServer && f.Target == leaving.Server })
+	return h.isDisturbed(leaving.At, at, func(f Fault) bool {
+		return (f.Kind == KillServer || f.Kind == ReleaseRunner) && f.Target == leaving.Server
+	})
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -99,11 +99,17 @@
 	ServerCount int
 	// CopyAge is the age of the copy that RestoreLog brings back.
 	CopyAge time.Duration
+	// Version is the software version that ReleaseRunner starts.
+	Version string
 }
 
 // String formats the fault as one line of a report.
 func (f Fault) String() string {
-	return fmt.Sprintf("%v %s %d (%d) for %v", f.Start.Round(time.Millisecond), f.Kind, f.Target, f.ServerCount, f.ActiveFor.Round(time.Millisecond))
+	text := fmt.Sprintf("%v %s %d (%d) for %v", f.Start.Round(time.Millisecond), f.Kind, f.Target, f.ServerCount, f.ActiveFor.Round(time.Millisecond))
+	if f.Version != "" {
+		text += " " + f.Version
+	}
+	return text
 }
 
 // End returns the time at which the fault ends.
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -203,8 +203,8 @@
 // isServed reports whether enough runners of the stream's version serve and do not drain during a try.
 func (h *History) isServed(stream *ResumableStream, try StreamTry) bool {
 	serving := 0
-	for server, software := range h.Software {
-		if slices.Contains(stream.Versions, software) && h.isServing(server, try.Began, try.Answered) {
+	for server := range h.Software {
+		if slices.Contains(stream.Versions, h.softwareAt(server, try.Began)) && h.isServing(server, try.Began, try.Answered) {
 			serving++
 		}
 	}
@@ -229,6 +229,9 @@
 			return false
 		}
 	}
+	if h.isDisturbed(from-listTime, to, func(f Fault) bool { return f.Kind == ReleaseRunner && f.Target == server }) {
+		return false
+	}
 	return !h.isDisturbed(from, to, func(f Fault) bool {
 		if f.Kind == StallServers {
 			return true
