streamorigin: a first event waits long enough for a log that takes 200 ms

Callers saw: while each append takes 200 ms, 76 of about 120 streams of another version than the base version began without their records, after a wait of 402 ms (median). Such a stream counts as one of the base version if all boxes crash before its record is in the log (ORDER).

Cause: the writer paused for 0.1 s after each append, so a record took up to 0.5 s, and the wait for it ended after 0.3 s.

Change: the interval between two records counts from the start of an append, and the wait ends after 0.5 s at one recorder, 0.6 s in all.

TestFirstEventsAreSentWithoutRecordsWhileTheLogIsSlow: 27 to 32 of 60 before (three runs), 0 now. Where an append takes 400 ms the record still comes too late.

--- a/internal/originlog/writer.go
+++ b/internal/originlog/writer.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// appendInterval is the shortest time between two records of a writer. Streams that break off sooner
-	// after their first event are not recorded.
+	// appendInterval is the shortest time between two records of a writer, from the start of one append to that of
+	// the next one. Streams that break off sooner after their first event are not recorded, unless that event waits
+	// for the record.
 	appendInterval = 100 * time.Millisecond
 	// appendTimeout bounds an append; the log takes 4 ms, and 200 ms when it is slow.
 	appendTimeout = 700 * time.Millisecond
@@ -125,6 +126,7 @@
 	for ctx.Err() == nil {
 		wake := w.wake.Chan()
 		batch := w.take()
+		began := boottime.Now()
 		switch {
 		case len(batch) == 0:
 			select {
@@ -133,7 +135,7 @@
 			}
 		case w.append(ctx, batch):
 			pause = minFailurePause
-			waiting.For(ctx, appendInterval)
+			waiting.For(ctx, appendInterval-boottime.Since(began))
 		default:
 			waiting.For(ctx, pause)
 			pause = min(2*pause, maxFailurePause)
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -15,11 +15,11 @@
 	// awaitDelay is how long origins are collected before they are handed over together. It adds to the time to
 	// the first event.
 	awaitDelay = 4 * time.Millisecond
-	// awaitTimeout bounds the wait of a first event. A record takes some 10 ms, and up to 300 ms while the log is
-	// slow or many streams begin.
-	awaitTimeout = 400 * time.Millisecond
+	// awaitTimeout bounds the wait of a first event. A record takes up to 110 ms, and up to 400 ms while each append
+	// takes 200 ms: the one under way and the next one.
+	awaitTimeout = 600 * time.Millisecond
 	// awaitTryTimeout bounds the request to one box that records; another one is tried after it.
-	awaitTryTimeout = 300 * time.Millisecond
+	awaitTryTimeout = 500 * time.Millisecond
 )
 
 // awaitedBatch are origins that are handed over together.
--- a/internal/streamorigin/testbox_test.go
+++ b/internal/streamorigin/testbox_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/originlog"
 	"github.com/cometlock/cometlock/internal/reservedport"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -89,6 +90,7 @@
 	if b.log != nil {
 		cfg.Writer, cfg.Reader = originlog.NewWriter(originlog.WriterConfig{Log: b.log}), originlog.NewReader(originlog.ReaderConfig{Log: b.log})
 		cfg.LogEra = b.era.Load
+		cfg.Bases = baseversion.New(baseversion.Config{Log: b.log, Logger: zerolog.Nop()})
 		loops.Go(func() { cfg.Writer.Loop(ctx) })
 	}
 	started, listener := New(cfg), b.listener
