streamorigin: a first event waits for its record while boxes crash

Cause: while the log is slow some streams wait for their records when the boxes crash. A box that is among the last to crash asked three recorders that had just crashed, was refused at once by each, gave up within milliseconds, and sent the first events without records before it crashed itself.

Change: only recorders that answer count as tries. The wait goes on at the next one, or at the box itself, until it has taken 0.6 s in all. Where recorders answer that the log takes nothing, it ends as soon as before.

TestAFirstEventIsSentWithoutItsRecordWhileBoxesCrash: before, the wait ended after 52 ms.

--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -20,6 +20,8 @@
 	awaitTimeout = 600 * time.Millisecond
 	// awaitTryTimeout bounds the request to one box that records; another one is tried after it.
 	awaitTryTimeout = 500 * time.Millisecond
+	// awaitPause is the pause after a request that a box did not answer.
+	awaitPause = 20 * time.Millisecond
 )
 
 // awaitedBatch are origins that are handed over together.
@@ -73,34 +75,41 @@
 		o.awaited = nil
 	}
 	o.mu.Unlock()
-	for range recorderTries {
+	for tries := 0; tries < recorderTries; {
 		recorder, self := o.recorder()
 		if ctx.Err() != nil {
 			return
 		}
-		if batch.recorded = o.recordAwaited(ctx, recorder, self, batch.origins); batch.recorded {
+		recorded, answered := o.recordAwaited(ctx, recorder, self, batch.origins)
+		switch {
+		case recorded:
+			batch.recorded = true
 			o.noteRecorded(batch.keys, recorder)
 			return
+		case answered:
+			tries++
+		default: // boxes that crash together do so within some 50 ms: this one may be the next
+			waiting.For(ctx, awaitPause)
 		}
 	}
 }
 
-// recordAwaited has origins recorded by a box, and reports whether they are in the log.
-func (o *Origins) recordAwaited(ctx context.Context, recorder Box, self bool, origins []wireOrigin) bool {
+// recordAwaited has origins recorded by a box, and reports whether they are in the log, and whether the box answered.
+func (o *Origins) recordAwaited(ctx context.Context, recorder Box, self bool, origins []wireOrigin) (recorded, answered bool) {
 	if self {
 		if !o.recordAll(origins) || !o.awaitAppended(ctx, origins) {
 			o.avoidRecorder(recorder)
-			return false
+			return false, true
 		}
-		return true
+		return true, true
 	}
 	var answer response
 	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true, Await: true}, &answer, awaitTryTimeout)
 	if err != nil || !answer.Appended {
 		o.avoidRecorder(recorder)
-		return false
+		return false, err == nil
 	}
-	return true
+	return true, true
 }
 
 // noteRecorded records that a box has recorded the origins of streams.
--- a/internal/streamorigin/await_test.go
+++ b/internal/streamorigin/await_test.go
@@ -36,3 +36,26 @@
 	waits.Wait()
 	g.Expect(unrecorded).To(BeZero(), "of %d", streams)
 }
+
+// A first event must not be sent without its record because all other boxes have just crashed: the box that sends it
+// may be the next one.
+func TestAFirstEventIsSentWithoutItsRecordWhileBoxesCrash(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	log.Underlying().SetFaults(fakelog.Faults{Delay: 200 * time.Millisecond})
+	boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "b", "c", "d", "a", "b", "c", "d")
+	last := boxes[0]
+	if recorderOf(last) == last.box.Name {
+		last = boxes[1]
+	}
+	time.AfterFunc(50*time.Millisecond, func() {
+		for _, b := range boxes {
+			if b != last {
+				b.stop()
+			}
+		}
+	})
+	began := time.Now()
+	recorded := last.AwaitRecord(t.Context(), keyOfNumber(0), originOf(0))
+	g.Expect(recorded || time.Since(began) >= awaitTimeout).To(BeTrue(), "it waited for %v", time.Since(began))
+}
