--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -14,11 +14,13 @@
 	// awaitDelay is how long origins are collected before they are handed over together. It adds to the time to
 	// the first event.
 	awaitDelay = 4 * time.Millisecond
-	// awaitTimeout bounds the wait of a first event. A record takes some 10 ms, and up to 300 ms while the log is
-	// slow or many streams begin.
-	awaitTimeout = 400 * time.Millisecond
+	// awaitTimeout bounds the wait of a first event. A record takes up to 110 ms, and up to 400 ms while each append
+	// takes 200 ms: the one under way and the next one.
+	awaitTimeout = 600 * time.Millisecond
 	// awaitTryTimeout bounds the request to one box that records; another one is tried after it.
-	awaitTryTimeout = 300 * time.Millisecond
+	awaitTryTimeout = 500 * time.Millisecond
+	// awaitPause is the pause after a request that a box did not answer.
+	awaitPause = 20 * time.Millisecond
 )
 
 // awaitedBatch are origins that are handed over together.
@@ -78,35 +80,41 @@
 		o.awaited = nil
 	}
 	o.mu.Unlock()
-	for range recorderTries {
+	for tries := 0; tries < recorderTries; {
 		recorder, self := o.recorder()
 		if ctx.Err() != nil {
 			return
 		}
-		if batch.recorded = o.recordAwaited(ctx, recorder, self, batch.origins); batch.recorded {
-			batch.recorder = recorder
+		recorded, answered := o.recordAwaited(ctx, recorder, self, batch.origins)
+		switch {
+		case recorded:
+			batch.recorded, batch.recorder = true, recorder
 			o.noteRecorded(batch.keys, recorder)
 			return
+		case answered:
+			tries++
+		default: // boxes that crash together do so within some 50 ms: this one may be the next
+			waiting.For(ctx, awaitPause)
 		}
 	}
 }
 
-// recordAwaited has origins recorded by a box, and reports whether they are in the log.
-func (o *Origins) recordAwaited(ctx context.Context, recorder Box, self bool, origins []wireOrigin) bool {
+// recordAwaited has origins recorded by a box, and reports whether they are in the log, and whether the box answered.
+func (o *Origins) recordAwaited(ctx context.Context, recorder Box, self bool, origins []wireOrigin) (recorded, answered bool) {
 	if self {
 		if !o.recordNow(ctx, origins) {
 			o.avoidRecorder(recorder)
-			return false
+			return false, true
 		}
-		return true
+		return true, true
 	}
 	var answer response
 	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true, Await: true}, &answer, awaitTryTimeout)
 	if err != nil || !answer.Appended {
 		o.avoidRecorder(recorder)
-		return false
+		return false, err == nil
 	}
-	return true
+	return true, true
 }
 
 // noteRecorded records that a box has recorded the origins of streams.
