streamorigin: a log that came back without base versions tells of no single version

Cause: without a base version the one version that is listed was believed, also where the log may have lost the base version. The price is that streams of a version that was not replaced are refused as well after such a return.

--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -46,6 +46,8 @@
 		return "", false
 	case e.Base != nil && !e.Unlisted:
 		return e.decideByBase()
+	case e.Base == nil && e.LogEra > 0:
+		return "", false // a log that came back from a copy may have lost it
 	case e.Unlisted || len(e.Versions) != 1:
 		return "", false
 	case e.Asked > 0 && e.Responded == 0 && listAge > maxListAge:
