gateway: new streams go to the base version while origins cannot be recorded

Cause: a stream whose record could not be written began after 0.6 s all the same, and was resumed at the base version.

Change: a box that could not record an origin places new streams at servers of the base version until a record succeeds, which it tries every 0.5 s. A stream that another server has begun without a record by then begins anew at the base version if its route allows a further server. Both only while the base version has at least half of the servers; otherwise streams begin without a record as before.

--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -45,6 +45,24 @@
 	return counts
 }
 
+// HasMostServers reports whether a software version has at least half of the listed servers of a service that are not
+// leaving.
+func (f *Fleet) HasMostServers(service, software string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	same, others := 0, 0
+	for state := range f.groups[service].all() {
+		switch {
+		case !state.delistedAt.IsZero() || state.Leaving:
+		case state.Software == software:
+			same++
+		default:
+			others++
+		}
+	}
+	return same > 0 && same >= others
+}
+
 // Services returns the services that have servers, including those whose servers were delisted lately.
 func (f *Fleet) Services() []string {
 	f.mu.Lock()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -181,27 +181,32 @@
 		if !accepted {
 			return a.handleLost("stream_too_late", fleet.OutcomeUnreachable)
 		}
-		if fresh {
-			a.relayEvent(response, event)
+		if fresh && !a.relayEvent(response, event) {
+			a.watch.withdrawEvent()
+			return a.handleLost("stream_not_recorded", fleet.OutcomeAbandoned)
 		}
 		a.watch.eventRelayed()
 		a.noteRunning()
 	}
 }
 
-// relayEvent sends an event to the caller that it does not have yet.
-func (a *attempt) relayEvent(response *handover.Response, event eventstream.Event) {
+// relayEvent sends an event to the caller that it does not have yet. It returns false if the stream must not begin at
+// this server.
+func (a *attempt) relayEvent(response *handover.Response, event eventstream.Event) bool {
 	x := a.x
 	if x.eventsSent == 0 {
 		x.firstEventAt = boottime.Now()
 		a.recordFetchDelay()
-		a.gateway.noteOrigin(x)
+		if !a.gateway.noteOrigin(x) {
+			return false
+		}
 	}
 	a.chosen.hold.NoteEvent()
 	a.writeStreamHeader(response)
 	x.eventsSent++
 	x.bytesSent += int64(len(event.Raw))
 	_ = x.streamBuffer(a.gateway).write(event.Raw) // a caller that disconnected cancels the attempt's context
+	return true
 }
 
 // streamBuffer returns the buffer of the call's stream, which all attempts share.
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -25,6 +25,25 @@
 	return x.software != nil && len(g.cfg.Fleet.SoftwareVersions(x.service.Name)) > 1
 }
 
+// requiredSoftware returns the software version that must serve the call; nil if any may. A new stream goes to the
+// version that is preferred while that one has most of the servers.
+func (g *Gateway) requiredSoftware(x *exchange) *string {
+	if x.software != nil || !g.recordsOrigin(x) {
+		return x.software
+	}
+	return g.preferredSoftware(x)
+}
+
+// preferredSoftware returns the software version that should serve new streams of the call's service, if that version
+// has most of its servers; nil if any may.
+func (g *Gateway) preferredSoftware(x *exchange) *string {
+	preferred, found := g.cfg.Origins.PreferredVersion(x.service.Name)
+	if !found || !g.cfg.Fleet.HasMostServers(x.service.Name, preferred) {
+		return nil
+	}
+	return &preferred
+}
+
 // findSoftware finds the software version that must serve a stream which its caller resumes, and refuses
 // the call if it cannot be found. For a forwarded call the other box has done so. The service that began the stream
 // continues it if the route still names that service; otherwise another one does, at the same version.
@@ -74,18 +93,25 @@
 }
 
 // noteOrigin records which software version begins the call's stream, before the caller has its first event. It may
-// wait until the record is in the log.
-func (g *Gateway) noteOrigin(x *exchange) {
+// wait until the record is in the log. It returns false if there is none, and the stream should begin at a server of
+// another version, which needs none.
+func (g *Gateway) noteOrigin(x *exchange) (mayBegin bool) {
 	if !g.recordsOrigin(x) || x.software == nil {
-		return
+		return true
 	}
 	key, origin := g.originOf(x, *x.software)
 	g.cfg.Origins.Note(key, origin)
 	if x.info.ResumeAfter != "" || g.cfg.Origins.AwaitAnnounced(x.ctx, &x.announcement, key, origin) || x.ctx.Err() != nil {
-		return
+		return true
+	}
+	preferred := g.preferredSoftware(x)
+	mayBegin = preferred == nil || *preferred == origin.Software || x.serversReached >= x.maxServers()
+	if !mayBegin {
+		g.cfg.Origins.Complete(key)
 	}
 	g.metrics.scope.Counter("streams_not_recorded").Inc(1)
-	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("software", origin.Software).Msg("stream_not_recorded")
+	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("software", origin.Software).Bool("begins", mayBegin).Msg("stream_not_recorded")
+	return mayBegin
 }
 
 // recordsOrigin reports whether this box records the origin of the call's stream: its caller may resume it, and
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -174,6 +174,14 @@
 	return true, true
 }
 
+// withdrawEvent records that the caller does not get the first event of a stream.
+func (w *watch) withdrawEvent() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.relayingEvent = false
+	w.current.x.software, w.current.x.resumeAfter = nil, w.current.x.info.ResumeAfter
+}
+
 // eventRelayed records that the caller has the event and the server is read again. Data from the
 // server stays unread while the box waits for a slow caller, which must not count as idle time of
 // the server.
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -72,6 +72,7 @@
 // runAwaited hands a batch over to a box that records, and to another one if that fails.
 func (o *Origins) runAwaited(ctx context.Context, batch *awaitedBatch) {
 	defer close(batch.done)
+	defer o.noteRecordResult(batch)
 	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
 	defer cancel()
 	waiting.For(ctx, awaitDelay)
--- a/internal/streamorigin/bases.go
+++ b/internal/streamorigin/bases.go
@@ -39,6 +39,7 @@
 		if o.needsBases() {
 			o.refreshBases(ctx)
 		}
+		o.retryRecord(ctx)
 		waiting.For(ctx, recheckInterval)
 	}
 }
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -143,6 +143,8 @@
 	bases knownBases
 	// awaited are the origins that are handed over next for streams whose first event waits.
 	awaited *awaitedBatch
+	// unrecordable has the origins whose record failed last.
+	unrecordable unrecordable
 	// wake and recordWake are signalled when there are origins to send and to record.
 	wake, recordWake waiting.Signal
 }
--- /dev/null
+++ b/internal/streamorigin/unrecordable.go
@@ -0,0 +1,61 @@
+// While origins cannot be recorded, new streams go to servers of the base version, which need no record.
+
+package streamorigin
+
+import (
+	"context"
+	"time"
+
+	"github.com/cometlock/cometlock/internal/baseversion"
+	"github.com/cometlock/cometlock/internal/boottime"
+)
+
+// retryRecordInterval is the time between two tries to record the origins whose record failed.
+const retryRecordInterval = 500 * time.Millisecond
+
+// unrecordable has the origins whose record failed last; it is empty while records succeed.
+type unrecordable struct {
+	origins []wireOrigin
+	triedAt time.Time
+}
+
+// noteRecordResult records whether a batch of origins is in the log.
+func (o *Origins) noteRecordResult(batch *awaitedBatch) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if batch.recorded {
+		o.unrecordable = unrecordable{}
+		return
+	}
+	o.unrecordable = unrecordable{origins: batch.origins, triedAt: boottime.Now()}
+}
+
+// retryRecord tries again to record the origins whose record failed, so that the box notices when records succeed.
+func (o *Origins) retryRecord(ctx context.Context) {
+	o.mu.Lock()
+	failed := o.unrecordable
+	o.mu.Unlock()
+	if len(failed.origins) == 0 || boottime.Since(failed.triedAt) < retryRecordInterval {
+		return
+	}
+	recorder, self := o.recorder()
+	recorded, _ := o.recordAwaited(ctx, recorder, self, failed.origins)
+	o.noteRecordResult(&awaitedBatch{origins: failed.origins, recorded: recorded})
+}
+
+// PreferredVersion returns the software version that should serve the new streams of a service: the base version
+// while origins cannot be recorded. found is false while any version may.
+func (o *Origins) PreferredVersion(service string) (software string, found bool) {
+	if o.cfg.Bases == nil {
+		return "", false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	base, known := o.bases.table[service]
+	isUsable := known && base.Present && boottime.Since(o.bases.readAt) < preferenceTime
+	return base.Version, isUsable && len(o.unrecordable.origins) > 0
+}
+
+// preferenceTime is how long ago the base version must have been read at most to be preferred. It need not be a lease,
+// since the base version changes later than callers resume streams of it, and cannot be read while the log is away.
+const preferenceTime = baseversion.LeaseTime + time.Minute
--- /dev/null
+++ b/internal/streamorigin/unrecordable_test.go
@@ -0,0 +1,43 @@
+package streamorigin
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/baseversion"
+	"github.com/cometlock/cometlock/internal/fakelog"
+)
+
+// New streams must not begin without a record at another version while the base version could serve them, nor keep to
+// the base version once records succeed.
+func TestNewStreamsGoToAnyVersionWhileNoneCanBeRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := startLoneBox(t, "v1", "v2")
+		putBase(g, b.log, baseversion.Base{Version: "v1", Present: true})
+		ctx, stop := context.WithCancel(t.Context())
+		b.loops.Go(func() { b.LoopBases(ctx) })
+		defer stop()
+		time.Sleep(time.Second)
+		isPreferred := func() bool {
+			software, found := b.PreferredVersion(service)
+			return found && software == "v1"
+		}
+		g.Expect(b.AwaitRecord(t.Context(), keyOfNumber(1), originOf(1))).To(BeTrue())
+		g.Expect(isPreferred()).To(BeFalse())
+		b.log.Underlying().SetFaults(fakelog.Faults{Down: true})
+		g.Expect(b.AwaitRecord(t.Context(), keyOfNumber(3), originOf(3))).To(BeFalse())
+		for range 20 {
+			g.Expect(isPreferred()).To(BeTrue())
+			time.Sleep(time.Second)
+		}
+		b.log.Underlying().SetFaults(fakelog.Faults{})
+		time.Sleep(5 * time.Second)
+		g.Expect(isPreferred()).To(BeFalse())
+		g.Expect(reads(g, b.log, keyOfNumber(3), "v2")).To(BeTrue())
+	})
+}
