streamorigin: records must reach back as far as streams in flight are recorded again

The log keeps 20 s on some platforms, and callers may resume for longer than that. Streams of a base version would have been refused there beside another version, since older records are never complete. Streams in flight are recorded every 10 s, so 15 s are enough unless boxes are down for over 5 s. Found by reading; two rows of TestAStreamWithoutARecordContinuesAtTheBaseVersionOnly are new.

--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -14,6 +14,9 @@
 	maxListAge = 3 * time.Second
 	// versionMemory is how long boxes and the log remember the software versions of a service.
 	versionMemory = originlog.Horizon
+	// recordCoverage is how far back records must be complete. A stream in flight is recorded again each
+	// rerecordInterval; the rest is how long its boxes may be down until it is resumed.
+	recordCoverage = rerecordInterval + 5*time.Second
 )
 
 // Decide returns the software version that must serve a resumed stream. known is false if the stream may
@@ -74,11 +77,11 @@
 // version was confirmed, was away when the stream may have begun, or has dropped records since.
 func (e *Evidence) lacksRecords() bool {
 	wasAway := e.OutageEnded > 0 && (e.MaxAge == 0 || e.OutageEnded < e.MaxAge)
-	patience := versionMemory
+	needed := recordCoverage
 	if e.Patience > 0 {
-		patience = min(patience, e.Patience)
+		needed = min(needed, e.Patience)
 	}
-	hasDropped := e.RecordsFrom > e.Base.RecordsFrom && e.RecordsFor < patience
+	hasDropped := e.RecordsFrom > e.Base.RecordsFrom && e.RecordsFor < needed
 	return wasAway || hasDropped || e.Base.Era != e.LogEra
 }
 
--- a/internal/streamorigin/decide_test.go
+++ b/internal/streamorigin/decide_test.go
@@ -33,6 +33,8 @@
 		{"the log was away, the base version is alone", Evidence{Base: base, LogEra: 3, Versions: []string{"v1"}, OutageEnded: time.Second}, true},
 		{"the log has dropped records of the last seconds", Evidence{Base: base, LogEra: 3, Versions: two, RecordsFrom: 7, RecordsFor: 5 * time.Second, Patience: 10 * time.Second}, false},
 		{"the log has dropped older records", Evidence{Base: base, LogEra: 3, Versions: two, RecordsFrom: 7, RecordsFor: 10 * time.Second, Patience: 10 * time.Second}, true},
+		{"the log has dropped records that have been written again since", Evidence{Base: base, LogEra: 3, Versions: two, RecordsFrom: 7, RecordsFor: 15 * time.Second, Patience: 30 * time.Second}, true},
+		{"the log may have dropped records that have not been written again", Evidence{Base: base, LogEra: 3, Versions: two, RecordsFrom: 7, RecordsFor: 14 * time.Second, Patience: 30 * time.Second}, false},
 		{"the log has dropped records of the last seconds, the base version is alone", Evidence{Base: base, LogEra: 3, Versions: []string{"v1"}, RecordsFrom: 7}, true},
 		{"the log has dropped records from before the base version was alone", Evidence{Base: &baseversion.Base{Version: "v1", Present: true, Era: 3, RecordsFrom: 7}, LogEra: 3, Versions: two, RecordsFrom: 7}, true},
 		{"it replaced another one when such a stream may have begun", Evidence{Base: replaced, LogEra: 3, Versions: two, MaxAge: 2 * versionMemory, BaseAge: time.Second}, false},
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -131,7 +131,8 @@
 	return services
 }
 
-// takeUnrecorded returns some of the streams in flight that the recorder does not have, of certain services. After the log came back from a copy it has to get all of them again.
+// takeUnrecorded returns some of the streams in flight of certain services that the recorder does not have. After
+// the log came back from a copy it has to get all of them again.
 func (o *Origins) takeUnrecorded(recorder Box, services map[string]bool) (keys []Key, origins []wireOrigin) {
 	era := o.cfg.LogEra()
 	now := boottime.Now()
