streamorigin: the age of the last outage has a field of its own in responses

Two fields of a response had the same short name, so a recorder's era of the log was taken for the age of the last outage, or lost. TestFieldsOfAResponseReplaceEachOther failed before.

--- a/internal/streamorigin/decide_test.go
+++ b/internal/streamorigin/decide_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cometlock/cometlock/internal/baseversion"
 )
@@ -52,3 +53,19 @@
 		})
 	}
 }
+
+// Two fields of a message with the same short name lose the value of one of them.
+func TestFieldsOfAResponseReplaceEachOther(t *testing.T) {
+	g := NewWithT(t)
+	sent := response{Found: &wireOrigin{Key: []byte{1}, Service: "s", Software: "v1", Remaining: 1}, Versions: []string{"v1"}, Uptime: 2, Process: "p", Recorded: true, LogRead: true, Ambiguous: true, LogEra: 3, RecordsFrom: 4, RecordsFor: 5, OutageEnded: 6, Appended: true, Bases: &wireBases{Table: []byte{7}, Age: 8}}
+	value, err := msgpack.Marshal(&sent)
+	g.Expect(err).NotTo(HaveOccurred())
+	var received response
+	g.Expect(msgpack.Unmarshal(value, &received)).To(Succeed())
+	g.Expect(received).To(Equal(sent))
+	value, err = msgpack.Marshal(&request{Origins: []wireOrigin{*sent.Found}, Key: []byte{1}, Service: "s", Record: true, Recorded: true, Await: true, Bases: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	var asked request
+	g.Expect(msgpack.Unmarshal(value, &asked)).To(Succeed())
+	g.Expect(asked).To(Equal(request{Origins: []wireOrigin{*sent.Found}, Key: []byte{1}, Service: "s", Record: true, Recorded: true, Await: true, Bases: true}))
+}
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -75,7 +75,7 @@
 	RecordsFrom int64         `msgpack:"g,omitempty"`
 	RecordsFor  time.Duration `msgpack:"h,omitempty"`
 	// OutageEnded is how long ago the log was last away, as far as the box has noticed; zero if it was not.
-	OutageEnded time.Duration `msgpack:"e,omitempty"`
+	OutageEnded time.Duration `msgpack:"j,omitempty"`
 	// Appended means that the origins are in the log, as the request asked.
 	Appended bool `msgpack:"a,omitempty"`
 	// Bases are the base versions; nil if they are not known. An older version of the program knows none.
