gateway: a server is not late if its first event waits for a record

Cause: the time of a first event, from which boxes learn how fast servers read prompts and how late they are, was taken after the wait for the record. In the first seconds of a service its base version is not known, so all its streams are recorded.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -194,6 +194,7 @@
 // this server.
 func (a *attempt) relayEvent(response *handover.Response, event eventstream.Event) bool {
 	x := a.x
+	a.chosen.hold.NoteEvent() // the server is not late if the event waits for a record
 	if x.eventsSent == 0 {
 		x.firstEventAt = boottime.Now()
 		a.recordFetchDelay()
@@ -201,7 +202,6 @@
 			return false
 		}
 	}
-	a.chosen.hold.NoteEvent()
 	a.writeStreamHeader(response)
 	x.eventsSent++
 	x.bytesSent += int64(len(event.Raw))
