streamorigin: recorders that are older or slow are not replaced

At 986 boxes an upgrade of the program would have made boxes write origins by themselves: a recorder of an older version takes origins without saying that they are in the log, and was avoided for that, so that the next box was asked, and every one of these wrote up to ten records a second. A recorder that was only slow was replaced as well, and each batch written up to three times. Found by reading.

Now a box responds after 0.45 s that it has taken origins, and no other one is asked then. An older one, which does not wait, counts as having written them 150 ms later: its appends are 100 ms apart.

--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -19,6 +19,11 @@
 	awaitTimeout = 600 * time.Millisecond
 	// awaitTryTimeout bounds the request to one box that records; another one is tried after it.
 	awaitTryTimeout = 500 * time.Millisecond
+	// awaitRecordTimeout bounds the wait of the box that records, so that it responds before awaitTryTimeout.
+	awaitRecordTimeout = 450 * time.Millisecond
+	// olderRecordTime is how long a box of an older version of the program may take to write what it took. If it were
+	// replaced, all boxes would record by themselves while the program is replaced.
+	olderRecordTime = 150 * time.Millisecond
 	// awaitPause is the pause after a request that a box did not answer.
 	awaitPause = 20 * time.Millisecond
 )
@@ -81,41 +86,56 @@
 		o.awaited = nil
 	}
 	o.mu.Unlock()
-	for tries := 0; tries < recorderTries; {
+	for tries := 0; tries < recorderTries && ctx.Err() == nil; {
 		recorder, self := o.recorder()
-		if ctx.Err() != nil {
-			return
-		}
-		recorded, answered := o.recordAwaited(ctx, recorder, self, batch.origins)
-		switch {
-		case recorded:
+		switch o.recordAwaited(ctx, recorder, self, batch.origins) {
+		case originsAppended:
 			batch.recorded, batch.recorder = true, recorder
 			o.noteRecorded(batch.keys, recorder)
 			return
-		case answered:
+		case originsTaken:
+			return
+		case originsRefused:
+			o.avoidRecorder(recorder)
 			tries++
-		default: // boxes that crash together do so within some 50 ms: this one may be the next
-			waiting.For(ctx, awaitPause)
+		case noResponse:
+			o.avoidRecorder(recorder)
+			waiting.For(ctx, awaitPause) // boxes that crash together do so within some 50 ms: this one may be the next
 		}
 	}
 }
 
-// recordAwaited has origins recorded by a box, and reports whether they are in the log, and whether the box answered.
-func (o *Origins) recordAwaited(ctx context.Context, recorder Box, self bool, origins []wireOrigin) (recorded, answered bool) {
+// recordOutcome is what became of origins that were handed over.
+type recordOutcome int
+
+const (
+	noResponse recordOutcome = iota
+	// originsRefused means that the box cannot write to the log at present.
+	originsRefused
+	// originsTaken means that the box writes them later. Another one would only write them as well.
+	originsTaken
+	originsAppended
+)
+
+// recordAwaited has origins recorded by a box.
+func (o *Origins) recordAwaited(ctx context.Context, recorder Box, self bool, origins []wireOrigin) recordOutcome {
+	var answer response
 	if self {
-		if !o.recordNow(ctx, origins) {
-			o.avoidRecorder(recorder)
-			return false, true
-		}
-		return true, true
+		answer = o.handle(ctx, request{Origins: origins, Record: true, Await: true})
+	} else if err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true, Await: true}, &answer, awaitTryTimeout); err != nil {
+		return noResponse
 	}
-	var answer response
-	err := o.client.Exchange(ctx, recorder.Address, &request{Origins: origins, Record: true, Await: true}, &answer, awaitTryTimeout)
-	if err != nil || !answer.Appended {
-		o.avoidRecorder(recorder)
-		return false, err == nil
+	switch {
+	case answer.Appended:
+		return originsAppended
+	case !answer.Recorded:
+		return originsRefused
+	case answer.Awaited:
+		return originsTaken
+	default:
+		waiting.For(ctx, olderRecordTime)
+		return originsAppended
 	}
-	return true, true
 }
 
 // noteRecorded records that a box has recorded the origins of streams.
@@ -132,7 +152,7 @@
 
 // recordNow has this box record origins, and reports whether they are in the log.
 func (o *Origins) recordNow(ctx context.Context, origins []wireOrigin) bool {
-	ctx, cancel := context.WithTimeout(ctx, awaitTryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, awaitRecordTimeout)
 	defer cancel()
 	return o.cfg.Writer.Await(ctx, loggedOrigins(origins))
 }
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -76,7 +76,9 @@
 	RecordsFor  time.Duration `msgpack:"h,omitempty"`
 	// OutageEnded is how long ago the log was last away, as far as the box has noticed; zero if it was not.
 	OutageEnded time.Duration `msgpack:"j,omitempty"`
-	// Appended means that the origins are in the log, as the request asked.
+	// Appended means that the origins are in the log, and Awaited that the box waited for that, as the request asked.
+	// A box of an older version of the program does not wait.
+	Awaited  bool `msgpack:"w,omitempty"`
 	Appended bool `msgpack:"a,omitempty"`
 	// Bases are the base versions; nil if they are not known. An older version of the program knows none.
 	Bases *wireBases `msgpack:"b,omitempty"`
@@ -107,8 +109,8 @@
 	switch {
 	case !received.Record || o.cfg.Writer == nil:
 	case received.Await:
-		answer.Appended = o.recordNow(ctx, received.Origins)
-		answer.Recorded = answer.Appended
+		answer.Awaited, answer.Appended = true, o.recordNow(ctx, received.Origins)
+		answer.Recorded = answer.Appended || ctx.Err() == nil && o.recordAll(nil)
 	default:
 		answer.Recorded = o.recordAll(received.Origins)
 	}
--- a/internal/streamorigin/unrecordable.go
+++ b/internal/streamorigin/unrecordable.go
@@ -39,8 +39,11 @@
 		return
 	}
 	recorder, self := o.recorder()
-	recorded, _ := o.recordAwaited(ctx, recorder, self, failed.origins)
-	o.noteRecordResult(&awaitedBatch{origins: failed.origins, recorded: recorded})
+	outcome := o.recordAwaited(ctx, recorder, self, failed.origins)
+	if outcome == originsRefused || outcome == noResponse {
+		o.avoidRecorder(recorder)
+	}
+	o.noteRecordResult(&awaitedBatch{origins: failed.origins, recorded: outcome == originsAppended})
 }
 
 // PreferredVersion returns the software version that should serve the new streams of a service: the base version
