frame: a server's port is free when it has stopped accepting

A test failed once (streamorigin: TestABoxWithoutServersResumesAtTheOneVersionInTheLog, second of two runs): a box that was started again found its own port in use.

Cause: when the context ends, Accept returns before Close has released the port, and LoopAccept returned then. Ruled out: another socket at the port, since it is reserved. Now LoopAccept waits for Close.

--- a/internal/frame/server.go
+++ b/internal/frame/server.go
@@ -28,7 +28,16 @@
 
 // LoopAccept accepts connections until ctx ends, and then closes the listener.
 func (s *Server) LoopAccept(ctx context.Context, listener net.Listener) {
-	defer context.AfterFunc(ctx, func() { _ = listener.Close() })() // an error loses no data
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = listener.Close() // an error loses no data
+	})
+	defer func() {
+		if !stop() {
+			<-closed // Accept returns before the port is free
+		}
+	}()
 	for {
 		connection, err := listener.Accept()
 		if err != nil {
