entrybox: time without a list of servers does not count as observed

A box that started while the log was away for a minute took the base version of a service for gone at its first look, since it counted the minute from its own start. The service then had none for 75 s, and streams of the base version without a record were refused when they were resumed. Found by reading.

Now the time counts from when the list is up to date, and anew after it was not.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -116,6 +116,8 @@
 	originWriter *originlog.Writer
 	// baseVersions has the software versions of streams without an origin.
 	baseVersions *baseversion.Keeper
+	// observation belongs to the loop of baseVersions.
+	observation  observation
 	callerServer *http.Server
 	readyServer  *http.Server
 	// forwardServer serves the calls that other boxes forward; nil if this box takes none.
