baseversion: services without servers leave the table after an hour

The base versions of all services are one record of the log, from which nothing was ever dropped: names that change would have made it grow up to the log's limit of 256 KB, after which no base version could have been written. Found by reading.

A service that has had no servers for an hour, at a writer whose list is up to date all the while, is dropped. Nobody resumes streams of it by then; if it comes back it counts as new. TestTheTableKeepsServicesThatAreGone fails without the change.

--- a/internal/baseversion/keeper.go
+++ b/internal/baseversion/keeper.go
@@ -27,6 +27,9 @@
 	appendTimeout = 700 * time.Millisecond
 	// maxPause bounds the pause after a call that failed, which doubles: a refused call has its price too.
 	maxPause = 8 * time.Second
+	// forgetAfter is how long a service must have had no servers until its base version is dropped. The table is one
+	// record, which must not grow with every service that there ever was.
+	forgetAfter = time.Hour
 )
 
 // Config configures a Keeper.
@@ -60,6 +63,8 @@
 
 	// originsEnd has where the stream of origins ended while each service had its base version alone.
 	originsEnd map[string]int64
+	// absentSince has since when this box has seen no servers of services in the table.
+	absentSince map[string]time.Time
 }
 
 // Reading is the table as of a read of the log. The zero value has not been read.
@@ -73,7 +78,7 @@
 
 // New returns a keeper that has read nothing.
 func New(cfg Config) *Keeper {
-	return &Keeper{cfg: cfg, reading: make(chan struct{}, 1), knownSince: map[string]time.Time{}, originsEnd: map[string]int64{}}
+	return &Keeper{cfg: cfg, reading: make(chan struct{}, 1), knownSince: map[string]time.Time{}, originsEnd: map[string]int64{}, absentSince: map[string]time.Time{}}
 }
 
 // Read returns the base versions as the log has them, or as it had them maxAge ago at most.
@@ -183,7 +188,7 @@
 	}
 	last, known := k.recent(unlimited)
 	if known {
-		if _, changed := nextTable(last.Table, seen); len(changed) == 0 {
+		if _, changed := nextTable(last.Table, seen); len(changed) == 0 && len(k.obsolete(last.Table, seen)) == 0 {
 			return nil
 		}
 	}
@@ -196,9 +201,13 @@
 		return err
 	}
 	table, changed := nextTable(reading.Table, seen)
-	if len(changed) == 0 {
+	obsolete := k.obsolete(reading.Table, seen)
+	if len(changed) == 0 && len(obsolete) == 0 {
 		return nil
 	}
+	for _, service := range obsolete {
+		delete(table, service)
+	}
 	value, err := Encode(table)
 	if err != nil {
 		return err
@@ -218,9 +227,31 @@
 	for service, base := range changed {
 		k.cfg.Logger.Info().Str("service", service).Str("software", base.Version).Bool("present", base.Present).EmbedObject(logposition.Logged(position)).Msg("base_version_changed")
 	}
+	if len(obsolete) > 0 {
+		k.cfg.Logger.Info().Strs("services", obsolete).EmbedObject(logposition.Logged(position)).Msg("base_versions_dropped")
+	}
 	return nil
 }
 
+// obsolete returns the services in the table that have had no servers for forgetAfter. None has while the list of
+// servers is out of date.
+func (k *Keeper) obsolete(table Table, seen map[string]Observation) (services []string) {
+	for service := range table {
+		if len(seen) == 0 || len(seen[service].Remembered) > 0 {
+			delete(k.absentSince, service)
+			continue
+		}
+		since, isAbsent := k.absentSince[service]
+		if !isAbsent {
+			k.absentSince[service] = boottime.Now()
+		}
+		if isAbsent && boottime.Since(since) >= forgetAfter {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
 // readOriginsEnd reads where the stream of origins ends, once for each time in which a service has its base version
 // alone.
 func (k *Keeper) readOriginsEnd(ctx context.Context, seen map[string]Observation) error {
--- a/internal/baseversion/records_test.go
+++ b/internal/baseversion/records_test.go
@@ -55,3 +55,50 @@
 		g.Expect(fake.Underlying().Appends()).To(Equal(reads), "nothing is written while versions stay")
 	})
 }
+
+// The record must not grow with every service that there ever was, nor lose one whose servers are away for a while.
+func TestTheTableKeepsServicesThatAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fake := fakesharedlog.New()
+		log := sharedlog.NewMeasured(fake, tally.NoopScope)
+		var gone, unread atomic.Bool
+		keeper := New(Config{Log: log, Eras: log.Eras(), Logger: zerolog.Nop(), IsWriter: func() bool { return true }, Observe: func() map[string]Observation {
+			there := Observation{Remembered: []string{"v1"}, Listed: map[string]int{"v1": 1}, ObservedFor: time.Hour}
+			seen := map[string]Observation{"runners": there, "others": there}
+			if gone.Load() {
+				seen["others"] = Observation{ObservedFor: time.Hour}
+			}
+			if unread.Load() {
+				clear(seen)
+			}
+			return seen
+		}})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { keeper.Loop(ctx); close(done) }()
+		defer func() { stop(); <-done }()
+		services := func() int {
+			reading, err := keeper.Read(ctx, 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			return len(reading.Table)
+		}
+		time.Sleep(time.Minute)
+		unread.Store(true)
+		time.Sleep(2 * forgetAfter)
+		g.Expect(services()).To(Equal(2), "the list of servers is out of date")
+		unread.Store(false)
+		gone.Store(true)
+		time.Sleep(forgetAfter - time.Minute)
+		gone.Store(false)
+		time.Sleep(time.Minute)
+		gone.Store(true)
+		time.Sleep(forgetAfter - time.Minute)
+		g.Expect(services()).To(Equal(2), "it was there a while ago")
+		time.Sleep(2 * time.Minute)
+		g.Expect(services()).To(Equal(1))
+		gone.Store(false)
+		time.Sleep(time.Minute)
+		g.Expect(services()).To(Equal(2))
+	})
+}
