streamorigin: a box logs when origins cannot be recorded, and when they can again

Whoever is on call could not see why new streams went to one software version: the box places them at the base version while records fail, and only the first stream of each was logged. TestNewStreamsGoToAnyVersionWhileNoneCanBeRecorded asks for one line at each change.

--- a/internal/streamorigin/unrecordable.go
+++ b/internal/streamorigin/unrecordable.go
@@ -23,11 +23,14 @@
 func (o *Origins) noteRecordResult(batch *awaitedBatch) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if batch.recorded {
-		o.unrecordable = unrecordable{}
-		return
+	before := len(o.unrecordable.origins) > 0
+	o.unrecordable = unrecordable{}
+	if !batch.recorded {
+		o.unrecordable = unrecordable{origins: batch.origins, triedAt: boottime.Now()}
+	}
+	if before == batch.recorded {
+		o.cfg.Logger.Info().Bool("recorded", batch.recorded).Int("origins", len(batch.origins)).Msg("stream_records_changed")
 	}
-	o.unrecordable = unrecordable{origins: batch.origins, triedAt: boottime.Now()}
 }
 
 // retryRecord tries again to record the origins whose record failed, so that the box notices when records succeed.
--- a/internal/streamorigin/unrecordable_test.go
+++ b/internal/streamorigin/unrecordable_test.go
@@ -1,12 +1,15 @@
 package streamorigin
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/fakelog"
@@ -18,6 +21,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		b := startLoneBox(t, "v1", "v2")
+		var logged bytes.Buffer
+		b.cfg.Logger = zerolog.New(&logged)
 		putBase(g, b.log, baseversion.Base{Version: "v1", Present: true})
 		ctx, stop := context.WithCancel(t.Context())
 		b.loops.Go(func() { b.LoopBases(ctx) })
@@ -39,5 +44,8 @@
 		time.Sleep(5 * time.Second)
 		g.Expect(isPreferred()).To(BeFalse())
 		g.Expect(reads(g, b.log, keyOfNumber(3), "v2")).To(BeTrue())
+		stop()
+		b.stop()
+		g.Expect(strings.Count(logged.String(), "stream_records_changed")).To(Equal(2), logged.String())
 	})
 }
