--- a/internal/baseversion/baseversion.go
+++ b/internal/baseversion/baseversion.go
@@ -14,7 +14,8 @@
 //
 //	next.go    which base version follows, a decision over plain data
 //	record.go  the table of base versions ◀▶ the value of its record
-//	keeper.go  reads the record on demand, writes it at one box
+//	keeper.go  reads the record on demand
+//	write.go   writes it at one box
 package baseversion
 
 import "time"
--- /dev/null
+++ b/internal/streamorigin/bases_test.go
@@ -0,0 +1,230 @@
+package streamorigin
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cometlock/cometlock/internal/baseversion"
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+)
+
+// putBase puts a base version in the log.
+func putBase(g *WithT, log *fakesharedlog.Log, base baseversion.Base) {
+	value, err := baseversion.Encode(baseversion.Table{service: base})
+	g.Expect(err).NotTo(HaveOccurred())
+	log.Put(sharedlog.BaseVersions, "all", value)
+}
+
+// tableOf returns the wire form of a table with one base version that was read some time ago.
+func tableOf(g *WithT, base baseversion.Base, age time.Duration) *wireBases {
+	value, err := baseversion.Encode(baseversion.Table{service: base})
+	g.Expect(err).NotTo(HaveOccurred())
+	return &wireBases{Table: value, Age: age}
+}
+
+// A stream of the base version needs no record, and every other one does.
+func TestWhichStreamsNeedARecord(t *testing.T) {
+	const lease = baseversion.LeaseTime
+	v1, v2 := baseversion.Base{Version: "v1", Present: true}, baseversion.Base{Version: "v2", Present: true}
+	tests := []struct {
+		name string
+		// base is in the table that was read before; nil means that the table is without the service, and unread that
+		// there is none.
+		base        *baseversion.Base
+		unread      bool
+		age, uptime time.Duration
+		versions    []string
+		era         int64
+		needs       bool
+	}{
+		{"the base version alone", &v1, false, 0, time.Hour, []string{"v1"}, 0, false},
+		{"the base version alone, read long ago", &v1, false, time.Hour, 2 * time.Hour, []string{"v1"}, 0, false},
+		{"the base version alone in another era", &v1, false, 0, time.Hour, []string{"v1"}, 1, false},
+		{"the base version of two", &v1, false, lease - 1, time.Hour, []string{"v1", "v2"}, 0, false},
+		{"the base version of two, read before the lease", &v1, false, lease, time.Hour, []string{"v1", "v2"}, 0, true},
+		{"the base version of two in another era", &v1, false, 0, time.Hour, []string{"v1", "v2"}, 1, true},
+		{"another one of two", &v2, false, 0, time.Hour, []string{"v1", "v2"}, 0, true},
+		{"another one alone", &v2, false, time.Hour, 2 * time.Hour, []string{"v1"}, 0, true},
+		{"no base version", &baseversion.Base{}, false, 0, time.Hour, []string{"v1"}, 0, true},
+		{"no record of the service", nil, false, 0, time.Hour, []string{"v1"}, 0, true},
+		{"no record of the service, two versions", nil, false, 0, time.Hour, []string{"v1", "v2"}, 0, true},
+		{"no record of the service, read before the lease", nil, false, lease, time.Hour, []string{"v1"}, 0, true},
+		{"no record of the service, the box has just started", nil, false, 0, versionMemory - 1, []string{"v1"}, 0, true},
+		{"nothing read", nil, true, 0, time.Hour, []string{"v1"}, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				b := startLoneBox(t, test.versions...)
+				b.era = test.era
+				time.Sleep(test.uptime)
+				table := tableOf(g, baseversion.Base{}, test.age)
+				switch {
+				case test.base != nil:
+					table = tableOf(g, *test.base, test.age)
+				default:
+					value, err := baseversion.Encode(baseversion.Table{})
+					g.Expect(err).NotTo(HaveOccurred())
+					table.Table = value
+				}
+				if !test.unread {
+					b.keepBases(table)
+				}
+				g.Expect(b.needsRecord(service, "v1")).To(Equal(test.needs))
+			})
+		})
+	}
+}
+
+// A table that arrives late must not replace a newer one, nor an invalid one any.
+func TestAnEarlierTableReplacesALaterOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := startLoneBox(t, "v1")
+		time.Sleep(time.Minute)
+		g.Expect(b.keepBases(tableOf(g, baseversion.Base{Version: "v2", Present: true}, time.Second))).To(BeTrue())
+		g.Expect(b.keepBases(tableOf(g, baseversion.Base{Version: "v1", Present: true}, 2*time.Second))).To(BeTrue())
+		g.Expect(b.keepBases(&wireBases{Table: []byte("?")})).To(BeFalse())
+		g.Expect(b.bases.table[service].Version).To(Equal("v2"))
+		g.Expect(b.keepBases(tableOf(g, baseversion.Base{Version: "v3", Present: true}, 0))).To(BeTrue())
+		g.Expect(b.bases.table[service].Version).To(Equal("v3"))
+	})
+}
+
+// A box whose table is out of date took another version than that of the log for the base version.
+func TestABoxDoesNotAskForTheTableThatChanged(t *testing.T) {
+	v1 := baseversion.Base{Version: "v1", Present: true}
+	tests := []struct {
+		name     string
+		base     *baseversion.Base
+		versions []string
+		era      int64
+		needs    bool
+	}{
+		{"the base version alone", &v1, []string{"v1"}, 0, false},
+		{"no servers", &v1, nil, 0, false},
+		{"two versions", &v1, []string{"v1", "v2"}, 0, true},
+		{"another version", &v1, []string{"v2"}, 0, true},
+		{"no base version", &baseversion.Base{}, []string{"v1"}, 0, true},
+		{"the log came back from a copy", &v1, []string{"v1"}, 1, true},
+		{"a service that has appeared since", nil, []string{"v1"}, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				b := startLoneBox(t, test.versions...)
+				b.era = test.era
+				g.Expect(b.needsBases()).To(BeTrue(), "nothing read")
+				table := baseversion.Table{}
+				if test.base != nil {
+					table[service] = *test.base
+				}
+				value, err := baseversion.Encode(table)
+				g.Expect(err).NotTo(HaveOccurred())
+				b.keepBases(&wireBases{Table: value})
+				g.Expect(b.needsBases()).To(BeFalse(), "just read")
+				time.Sleep(basesInterval)
+				g.Expect(b.needsBases()).To(Equal(test.needs))
+			})
+		})
+	}
+}
+
+// Without the table of base versions nothing is known of a stream that is not in the log.
+func TestAStreamIsResumedByAnEarlierTable(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(b *loneBox)
+	}{
+		{"the table is invalid", func(b *loneBox) { b.log.Put(sharedlog.BaseVersions, "all", []byte("?")) }},
+		{"the log is away", func(b *loneBox) {
+			failing := &failingLog{Log: b.log}
+			failing.failing.Store(true)
+			b.cfg.Bases = baseversion.New(baseversion.Config{Log: failing, Eras: &sharedlog.Eras{}})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				b := startLoneBox(t, "v2")
+				b.keepBases(tableOf(g, baseversion.Base{Version: "v1", Present: true}, 0))
+				test.change(b)
+				evidence := b.Find(t.Context(), keyOfNumber(7), service)
+				g.Expect(evidence.Base).To(BeNil())
+				g.Expect(evidence.LogFailed).To(BeTrue())
+				evidence.MaxAge = time.Minute
+				_, known := Decide(evidence, 0)
+				g.Expect(known).To(BeFalse())
+			})
+		})
+	}
+}
+
+// The box that resumes a stream may not know that the log came back from a copy, which its recorder has read.
+func TestAStreamIsResumedAsIfItsRecordWereNotLost(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	putBase(g, log, baseversion.Base{Version: "v1", Present: true})
+	boxes := startBoxesWith(t, g, func(int) sharedlog.Log { return log }, "a", "a")
+	for _, b := range boxes {
+		b.readsBases = true
+		b.restart(g)
+	}
+	recorder := boxNumber(boxes, recorderOf(boxes[0]))
+	log.Restore(log.Copy())
+	boxes[recorder].era.Store(1)
+	evidence := boxes[1-recorder].Find(t.Context(), keyOfNumber(7), service)
+	g.Expect(evidence.LogEra).To(BeEquivalentTo(1))
+	_, known := Decide(evidence, 0)
+	g.Expect(known).To(BeFalse())
+}
+
+// While each service has its base version alone the table is read once.
+func TestTheTableIsReadWhileNothingChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := startLoneBox(t, "v1")
+		counted := &newestCounter{Log: b.log}
+		b.cfg.Bases = baseversion.New(baseversion.Config{Log: counted, Eras: &sharedlog.Eras{}})
+		putBase(g, b.log, baseversion.Base{Version: "v1", Present: true})
+		ctx, stop := context.WithCancel(t.Context())
+		var loops sync.WaitGroup
+		loops.Go(func() { b.LoopBases(ctx) })
+		time.Sleep(time.Hour)
+		stop()
+		loops.Wait()
+		g.Expect(counted.reads).To(Equal(1))
+	})
+}
+
+// newestCounter counts the full reads of a log.
+type newestCounter struct {
+	sharedlog.Log
+	reads int
+}
+
+func (l *newestCounter) NewestPage(ctx context.Context, stream sharedlog.Stream, after string) (sharedlog.Page, error) {
+	l.reads++
+	return l.Log.NewestPage(ctx, stream, after)
+}
+
+// A recorder may send a table that this version of the program cannot decode.
+func TestAnInvalidTableIsReplacedByAnEarlierOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := startLoneBox(t, "v1")
+		b.keepBases(tableOf(g, baseversion.Base{Version: "v1", Present: true}, 0))
+		evidence := Evidence{LogRead: true}
+		b.addBase(&wireBases{Table: []byte("?")}, &evidence, service)
+		g.Expect(evidence).To(Equal(Evidence{LogFailed: true}))
+	})
+}
