baseversion: a caller that gives up does not fail the reads of others

Cause: the failure of a read is shared for 250 ms, and the caller that gives up after 50 ms was the one whose read all others waited for. Its own context had ended the read, so the log was blamed for a caller that left. A resumed stream would have been refused for that.

Now a read that ends with its caller's context is not recorded as a failure, as in originlog, and the next caller reads. TestACallerThatGivesUpFailsTheOthers has the caller read first, and fails each time without the change.

--- a/internal/baseversion/keeper.go
+++ b/internal/baseversion/keeper.go
@@ -97,6 +97,9 @@
 	}
 	at := boottime.Now()
 	reading, err := k.readLog(ctx, at)
+	if err != nil && ctx.Err() != nil {
+		return Reading{}, err // the caller gave up, which says nothing about the log
+	}
 	k.mu.Lock()
 	k.failedAt, k.failure = boottime.Now(), err
 	k.mu.Unlock()
--- a/internal/baseversion/keeper_test.go
+++ b/internal/baseversion/keeper_test.go
@@ -241,6 +241,32 @@
 	})
 }
 
+// The failure of a read is shared, but not if the log would have responded in time for the others.
+func TestACallerThatGivesUpFailsTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := newLog()
+		log.readDelay.Store(int64(200 * time.Millisecond))
+		reader := New(Config{Log: log, Eras: &sharedlog.Eras{}, Logger: zerolog.Nop()})
+		var callers sync.WaitGroup
+		callers.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			_, err := reader.Read(ctx, 0)
+			g.Expect(err).To(HaveOccurred())
+		})
+		synctest.Wait()
+		for range 10 {
+			callers.Go(func() {
+				_, err := reader.Read(t.Context(), 2*time.Second)
+				g.Expect(err).NotTo(HaveOccurred())
+			})
+		}
+		callers.Wait()
+		g.Expect(log.reads.Load()).To(BeNumerically("<=", 2))
+	})
+}
+
 // Calls that the log refuses have a price, too.
 func TestALogThatIsAwayIsCalledAllTheTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
