streamorigin: an announcement counts as recorded when it was made, not when its stream began

A stream of another version than the base version could continue at the base version (ORDER): its server took longer than some 10 s to its first event, the log keeps 20 s, and all boxes crashed.

Cause: the origin of a stream in flight is recorded again 10 s after its last record. For a stream whose version had been announced that time counted from its first event, not from the record, which is as old as the announcement. So between 20 s after the announcement and 10 s after the first event the log had nothing of the stream. Its records of the last 15 s were complete, so the stream was not refused either.

Now a batch keeps when it was handed over, and the time counts from then. If an announcement is older than 10 s at the first event, the origin is recorded before that event, as if none had been made.

TestTheAnnouncementOfASlowServerIsLostWithTheHistoryOfTheLog fails before for first events after 12 s (no record 9 s after it) and 30 s (none from the start), passes now.

--- a/internal/streamorigin/announce.go
+++ b/internal/streamorigin/announce.go
@@ -9,6 +9,8 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/cometlock/cometlock/internal/boottime"
 )
 
 // Announcement has the software versions that one call was sent to. The zero value has none.
@@ -62,8 +64,8 @@
 	switch {
 	case batch == nil && isSole:
 		return o.AwaitRecord(ctx, key, origin)
-	case isSole && batch.wait(ctx):
-		o.noteRecorded([]Key{key}, batch.recorder)
+	case isSole && batch.wait(ctx) && boottime.Since(batch.recordedAt) < rerecordInterval:
+		o.noteRecorded([]Key{key}, batch.recorder, batch.recordedAt)
 		return true
 	default:
 		return o.joinBatch(ctx, key, origin).wait(ctx)
--- a/internal/streamorigin/announce_test.go
+++ b/internal/streamorigin/announce_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -84,3 +85,34 @@
 	t.Cleanup(func() { stop(); <-done })
 	return o
 }
+
+// The log keeps records for a bounded time. A stream whose server took long to its first event lost the record of its
+// announcement before its origin was recorded, and counted as one of the base version after all boxes crashed.
+func TestTheAnnouncementOfASlowServerIsLostWithTheHistoryOfTheLog(t *testing.T) {
+	for _, firstEvent := range []time.Duration{8 * time.Second, 12 * time.Second, 30 * time.Second} {
+		t.Run(firstEvent.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				b := startLoneBox(t, "v1", "v2")
+				b.keepBases(tableOf(g, baseversion.Base{Version: "v1", Present: true}, 0))
+				ctx, stop := context.WithCancel(t.Context())
+				b.loops.Go(func() { b.LoopRecord(ctx) })
+				defer stop()
+				key, origin := keyOfNumber(1), Origin{Service: service, Software: "v2", Expires: time.Now().Add(2 * time.Minute)}
+				var announcement Announcement
+				b.Announce(t.Context(), &announcement, key, origin)
+				time.Sleep(firstEvent)
+				b.log.Underlying().ExpireOlder(20 * time.Second)
+				b.Note(key, origin)
+				g.Expect(b.AwaitAnnounced(t.Context(), &announcement, key, origin)).To(BeTrue())
+				for second := range 30 {
+					b.log.Underlying().ExpireOlder(20 * time.Second)
+					result, err := newTestReader(b.log).FindFirst(t.Context(), service, key, announcedKey(key))
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(result.Software).To(Equal("v2"), "%d s after the first event", second)
+					time.Sleep(time.Second)
+				}
+			})
+		})
+	}
+}
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -33,10 +33,11 @@
 	keys    []Key
 	origins []wireOrigin
 	// done is closed at the end; recorded is set by then if the origins are in the log, and recorder is the box
-	// that recorded them.
-	done     chan struct{}
-	recorded bool
-	recorder Box
+	// that recorded them, which was asked to at recordedAt.
+	done       chan struct{}
+	recorded   bool
+	recorder   Box
+	recordedAt time.Time
 }
 
 // wait waits for the end, and reports whether the origins are in the log.
@@ -88,10 +89,11 @@
 	o.mu.Unlock()
 	for tries := 0; tries < recorderTries && ctx.Err() == nil; {
 		recorder, self := o.recorder()
+		at := boottime.Now()
 		switch o.recordAwaited(ctx, recorder, self, batch.origins) {
 		case originsAppended:
-			batch.recorded, batch.recorder = true, recorder
-			o.noteRecorded(batch.keys, recorder)
+			batch.recorded, batch.recorder, batch.recordedAt = true, recorder, at
+			o.noteRecorded(batch.keys, recorder, at)
 			return
 		case originsTaken:
 			return
@@ -139,13 +141,12 @@
 }
 
 // noteRecorded records that a box has recorded the origins of streams.
-func (o *Origins) noteRecorded(keys []Key, recorder Box) {
-	now := boottime.Now()
+func (o *Origins) noteRecorded(keys []Key, recorder Box, at time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, key := range keys {
 		if stream := o.own[key]; stream != nil {
-			stream.recorder, stream.recorderProcess, stream.recordedAt = recorder.Name, recorder.Process, now
+			stream.recorder, stream.recorderProcess, stream.recordedAt = recorder.Name, recorder.Process, at
 		}
 	}
 }
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -106,10 +106,11 @@
 		if len(keys) == 0 {
 			return
 		}
+		at := boottime.Now()
 		if !o.handOver(ctx, recorder, self, origins) {
 			return
 		}
-		o.noteRecorded(keys, recorder)
+		o.noteRecorded(keys, recorder, at)
 	}
 }
 
