baseversion: records of others do not count as missing ones of a service that has been alone

Cause: the base version states from which position on the records of a service matter (RecordsFrom), and the writer read that once, when the service began to be alone. Later records that were dropped counted as records of the service. It was read again only 75 s after a write, since a write also restarted the time for which the base version was known.

Now the end is read every 10 s while any service is alone, which is before a log drops what was written, and the record is written if it has moved. Such a write changes neither since when the base version is in force nor for how long it has been known. The cost is one call in 10 s for all boxes together.

TestRecordsOfOthersCountAsMissingForAServiceThatHasBeenAlone fails before (RecordsFrom stays 0), passes now. That a stream is refused then: the row "the log has dropped records of the last seconds" of TestAStreamWithoutARecordContinuesAtTheBaseVersionOnly. Found by reading.

--- a/internal/baseversion/baseversion.go
+++ b/internal/baseversion/baseversion.go
@@ -38,6 +38,13 @@
 	RecordsFrom int64
 }
 
+// isSameBase reports whether a base version differs at most in RecordsFrom, which does not change which streams have no
+// record.
+func (b Base) isSameBase(other Base) bool {
+	b.RecordsFrom = other.RecordsFrom
+	return b == other
+}
+
 // Table has the base versions by service.
 type Table map[string]Base
 
--- a/internal/baseversion/keeper.go
+++ b/internal/baseversion/keeper.go
@@ -22,6 +22,9 @@
 	readTimeout = 500 * time.Millisecond
 	// appendTimeout bounds an append; the log takes 4 ms, and 200 ms when it is slow.
 	appendTimeout = 700 * time.Millisecond
+	// originsInterval is how old the end of the stream of origins may be. The shortest history of a log is 20 s, so
+	// records are noted before it drops them.
+	originsInterval = 10 * time.Second
 	// maxPause bounds the pause after a call that failed, which doubles: a refused call has its price too.
 	maxPause = 8 * time.Second
 	// forgetAfter is how long a service must have had no servers until its base version is dropped. The table is one
@@ -58,8 +61,10 @@
 
 	// The rest belongs to Loop.
 
-	// originsEnd has where the stream of origins ended while each service had its base version alone.
-	originsEnd map[string]int64
+	// originsEnd has where the stream of origins ended while each service had its base version alone, as of
+	// originsReadAt.
+	originsEnd    map[string]int64
+	originsReadAt time.Time
 	// absentSince has since when this box has seen no servers of services in the table.
 	absentSince map[string]time.Time
 }
@@ -156,7 +161,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for service, base := range reading.Table {
-		if known, there := k.read.Table[service]; !there || known != base {
+		if known, there := k.read.Table[service]; !there || !known.isSameBase(base) {
 			k.knownSince[service] = reading.At
 		}
 	}
--- a/internal/baseversion/records_test.go
+++ b/internal/baseversion/records_test.go
@@ -102,3 +102,24 @@
 		g.Expect(services()).To(Equal(2))
 	})
 }
+
+// While a service has its base version alone, others are released, and boxes that start record its streams until they
+// know its base version. When the log has dropped these records, the service must not count as one whose records are
+// missing: all its resumed streams were refused in the first seconds of its next release.
+func TestRecordsOfOthersCountAsMissingForAServiceThatHasBeenAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := newLog()
+		startBox(t, log, "v1")
+		time.Sleep(2 * pauseTime)
+		for range 3 {
+			for range 5 {
+				log.Put(sharedlog.Origins, "", []byte("origins"))
+			}
+			_, end, err := log.Bounds(t.Context(), sharedlog.Origins)
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(20 * time.Second)
+			g.Expect(log.table(g)[service].RecordsFrom).To(Equal(end))
+		}
+	})
+}
--- a/internal/baseversion/write.go
+++ b/internal/baseversion/write.go
@@ -103,26 +103,29 @@
 	return services
 }
 
-// readOriginsEnd reads where the stream of origins ends, once for each time in which a service has its base version
-// alone.
+// readOriginsEnd reads where the stream of origins ends while services have their base versions alone. Other services,
+// and boxes that start, go on writing to it.
 func (k *Keeper) readOriginsEnd(ctx context.Context, seen map[string]Observation) error {
 	last, _ := k.recent(unlimited)
+	isDue := boottime.Since(k.originsReadAt) >= originsInterval
 	var alone []string
 	for service, observation := range seen {
-		switch _, isRead := k.originsEnd[service]; {
-		case !observation.isAlone(last.Table[service]):
+		if !observation.isAlone(last.Table[service]) {
 			delete(k.originsEnd, service)
-		case !isRead:
-			alone = append(alone, service)
+			continue
 		}
+		_, isRead := k.originsEnd[service]
+		isDue = isDue || !isRead
+		alone = append(alone, service)
 	}
-	if len(alone) > 0 {
+	if len(alone) > 0 && isDue {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
 		_, end, err := k.cfg.Log.Bounds(call, sharedlog.Origins)
 		if err != nil {
 			return err
 		}
+		k.originsReadAt = boottime.Now()
 		for _, service := range alone {
 			k.originsEnd[service] = end
 		}
@@ -172,7 +175,9 @@
 			current = &base
 		}
 		if base, changes := Next(current, observation); changes {
-			base.Since = boottime.TimeOfDay().Truncate(time.Millisecond) // as it will be read
+			if current == nil || !current.isSameBase(base) {
+				base.Since = boottime.TimeOfDay().Truncate(time.Millisecond) // as it will be read
+			}
 			next[service], changed[service] = base, base
 		}
 	}
