baseversion: time in which another box writes does not count as observed

The base version of a service could be dropped a minute after its last server, not an hour, and then whichever version came next was the base version at once, without the 75 s in which streams of the one before may be resumed (ORDER for callers that resume after a minute).

Cause: a box keeps since when a service has been without servers, and looked only while it was the one that writes. If it was elected again later, the time of another box in between counted, whatever had been listed then. Where the stream of origins ended was kept in the same way. So was since when the list of servers has been up to date: a list that was out of date while another box wrote was not noticed.

Now a box that does not write forgets the first two, and goes on looking at the age of its list. A new writer waits the hour from its election.

Found by reading.

--- a/internal/baseversion/records_test.go
+++ b/internal/baseversion/records_test.go
@@ -123,3 +123,44 @@
 		}
 	})
 }
+
+// What a box has observed while it wrote must not count for the time in which another one did: a service that had had
+// servers meanwhile was dropped a minute after its last server, and its next version became the base version at once.
+func TestAServiceIsDroppedByABoxThatDidNotWriteForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := newLog()
+		b := startBox(t, log, "v1")
+		b.list("others", "v1")
+		time.Sleep(time.Minute + checkInterval/2)
+		b.list("others")
+		time.Sleep(time.Minute)
+		b.writer.Store(false)
+		b.list("others", "v1") // it is back
+		time.Sleep(2 * forgetAfter)
+		b.list("others")
+		b.writer.Store(true)
+		time.Sleep(time.Minute)
+		g.Expect(log.table(g)).To(HaveKey("others"))
+		time.Sleep(forgetAfter)
+		g.Expect(log.table(g)).NotTo(HaveKey("others"))
+	})
+}
+
+// A list of servers that is out of date while another box writes must be noticed: that time counted as observed.
+func TestABoxDoesNotObserveWhileAnotherOneWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var observed atomic.Int64
+		keeper := New(Config{Log: newLog(), Eras: &sharedlog.Eras{}, Logger: zerolog.Nop(), IsWriter: func() bool { return false }, Observe: func() map[string]Observation {
+			observed.Add(1)
+			return nil
+		}})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { keeper.Loop(ctx); close(done) }()
+		defer func() { stop(); <-done }()
+		time.Sleep(time.Minute)
+		g.Expect(observed.Load()).To(BeNumerically(">=", 30))
+	})
+}
--- a/internal/baseversion/write.go
+++ b/internal/baseversion/write.go
@@ -20,6 +20,9 @@
 	for ctx.Err() == nil {
 		waiting.For(ctx, pause)
 		if !k.cfg.IsWriter() {
+			_ = k.cfg.Observe() // it has to notice when the list of servers is out of date
+			clear(k.originsEnd)
+			clear(k.absentSince)
 			continue
 		}
 		if err := k.step(ctx); err != nil && ctx.Err() == nil {
