streamorigin: a base version from before its service was gone is read again

Streams of a service that came back after an hour could be resumed at another version than the one that began them (ORDER), if all boxes crashed within the first second or so and another version had replaced theirs.

Cause: a box reads the base versions once and goes by them for as long as a service has its base version alone, however long ago that was. Since services that have had no servers for an hour are dropped from the record, that may be one that the log no longer has: the box began streams without a record, and the next box to write took whichever version was listed then for the first one.

Now a base version that was read before its service last had no servers counts as unknown: its streams are recorded until the table has been read again, which is done at once.

TestABoxGoesByTheTableFromBeforeItsServiceWasGone fails before (the stream needs no record), passes now. Found by reading.

--- a/internal/streamorigin/bases.go
+++ b/internal/streamorigin/bases.go
@@ -23,6 +23,15 @@
 type knownBases struct {
 	table  baseversion.Table
 	readAt time.Time
+	// absentAt has when services of the table last had no servers. Their base versions may have been dropped since.
+	absentAt map[string]time.Time
+}
+
+// of returns the base version of a service; known is false if it was read before the service last had no servers.
+func (k *knownBases) of(service string) (base baseversion.Base, known bool) {
+	base, known = k.table[service]
+	absentAt, wasAbsent := k.absentAt[service]
+	return base, known && (!wasAbsent || k.readAt.After(absentAt))
 }
 
 // wireBases is the wire form of the base versions, as the record in the log has them.
@@ -36,6 +45,7 @@
 func (o *Origins) LoopBases(ctx context.Context) {
 	o.awaitStart(ctx)
 	for ctx.Err() == nil {
+		o.noteAbsent()
 		if o.needsBases() {
 			o.refreshBases(ctx)
 		}
@@ -44,6 +54,25 @@
 	}
 }
 
+// noteAbsent records which services of the table have no servers.
+func (o *Origins) noteAbsent() {
+	o.mu.Lock()
+	bases := o.bases
+	o.mu.Unlock()
+	absent := map[string]time.Time{}
+	for service := range bases.table {
+		if at, wasAbsent := bases.absentAt[service]; wasAbsent {
+			absent[service] = at
+		}
+		if len(o.cfg.Versions(service)) == 0 {
+			absent[service] = boottime.Now()
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.bases.absentAt = absent
+}
+
 // needsBases reports whether the base versions are to be requested again.
 func (o *Origins) needsBases() bool {
 	o.mu.Lock()
@@ -52,13 +81,15 @@
 	if bases.readAt.IsZero() {
 		return true
 	}
-	if boottime.Since(bases.readAt) < basesInterval {
-		return false
-	}
+	isDue := boottime.Since(bases.readAt) >= basesInterval
 	for _, service := range o.cfg.Services() {
 		versions := o.cfg.Versions(service)
-		base, known := bases.table[service]
-		if len(versions) > 1 || len(versions) == 1 && (!known || !base.Present || base.Version != versions[0] || base.Era != o.cfg.LogEra()) {
+		base, known := bases.of(service)
+		_, isInTable := bases.table[service]
+		if len(versions) > 0 && isInTable && !known {
+			return true // its servers are back, and all its streams are recorded until then
+		}
+		if isDue && (len(versions) > 1 || len(versions) == 1 && (!known || !base.Present || base.Version != versions[0] || base.Era != o.cfg.LogEra())) {
 			return true
 		}
 	}
@@ -93,7 +124,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if readAt.After(o.bases.readAt) {
-		o.bases = knownBases{table: table, readAt: readAt}
+		o.bases.table, o.bases.readAt = table, readAt
 	}
 	return true
 }
@@ -120,7 +151,7 @@
 func (o *Origins) needsRecord(service, software string) bool {
 	versions := o.cfg.Versions(service)
 	o.mu.Lock()
-	base, known := o.bases.table[service]
+	base, known := o.bases.of(service)
 	isRecent := boottime.Since(o.bases.readAt) < baseversion.LeaseTime
 	o.mu.Unlock()
 	// Without a record of the service, its first base version may be one that this box has not seen.
--- a/internal/streamorigin/bases_test.go
+++ b/internal/streamorigin/bases_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -228,3 +229,32 @@
 		g.Expect(evidence).To(Equal(Evidence{LogFailed: true}))
 	})
 }
+
+// A base version that was read before its service had no servers may have been dropped from the log since. Streams that
+// began without a record as the service came back counted as of the next base version after all boxes crashed.
+func TestABoxGoesByTheTableFromBeforeItsServiceWasGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var versions atomic.Value
+		versions.Store([]string{"v1"})
+		b := startLoneBox(t)
+		b.cfg.Versions = func(string) []string { return versions.Load().([]string) }
+		putBase(g, b.log, baseversion.Base{Version: "v1", Present: true})
+		ctx, stop := context.WithCancel(t.Context())
+		b.loops.Go(func() { b.LoopBases(ctx) })
+		defer stop()
+		time.Sleep(time.Minute)
+		g.Expect(b.needsRecord(service, "v1")).To(BeFalse())
+		versions.Store([]string{})
+		time.Sleep(time.Minute)
+		value, err := baseversion.Encode(baseversion.Table{})
+		g.Expect(err).NotTo(HaveOccurred())
+		b.log.Put(sharedlog.BaseVersions, "all", value)
+		time.Sleep(time.Minute)
+		versions.Store([]string{"v1"})
+		g.Expect(b.needsRecord(service, "v1")).To(BeTrue())
+		putBase(g, b.log, baseversion.Base{Version: "v1", Present: true})
+		time.Sleep(basesInterval + 2*recheckInterval)
+		g.Expect(b.needsRecord(service, "v1")).To(BeFalse())
+	})
+}
