streamorigin: a call's announcement at another version does not stand for the base version's stream

Cause: which version a call is sent to is recorded under a key of its own, and counts as the origin if only one version is recorded there. The base version is not, since its streams need no record. If the record of the origin itself then fails, the stream begins nevertheless, and the log names the other version alone.

Now the base version is announced too as soon as the call is sent to servers of another one, in either order. The log then has two versions for such a call, and without a record of the origin itself the stream is refused. A stream that the other version begins need not wait for its own record, as before; it is recorded within 0.2 s.

TestAStreamContinuesAtAnAnnouncedVersionThatDidNotBeginIt fails before in both orders, passes now. TestAStreamThatWasSentToTheBaseVersionTooIsNotRecorded guards the wait and the record. Found by reading; the log has to fail in the time between the second send and the first event.

--- a/internal/streamorigin/announce.go
+++ b/internal/streamorigin/announce.go
@@ -9,8 +9,6 @@
 import (
 	"context"
 	"sync"
-
-	"github.com/cometlock/cometlock/internal/boottime"
 )
 
 // Announcement has the software versions that one call was sent to. The zero value has none.
@@ -18,18 +16,25 @@
 	mu sync.Mutex
 	// batches has the record of each version.
 	batches map[string]*awaitedBatch
+	// base is a version that the call was sent to and that needs no record; nil if there is none.
+	base *Origin
 	// isClosed is set when the stream begins.
 	isClosed bool
 }
 
-// close ends the announcement of versions. It returns the batch of a version if no other one was announced;
-// isSole is false if another one was.
-func (a *Announcement) close(software string) (batch *awaitedBatch, isSole bool) {
+// close ends the announcement of versions. It returns the batch of a version; isOnly is true if no other one was
+// announced, and isOnlyBesideBase if none was that needs a record.
+func (a *Announcement) close(software string) (batch *awaitedBatch, isOnly, isOnlyBesideBase bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.isClosed = true
 	batch = a.batches[software]
-	return batch, len(a.batches) == 0 || len(a.batches) == 1 && batch != nil
+	others := len(a.batches)
+	if batch != nil {
+		others--
+	}
+	hasBase := a.base != nil && a.base.Software != software && a.batches[a.base.Software] != nil
+	return batch, others == 0, others == 1 && hasBase && batch != nil
 }
 
 // announcedKey returns the key for the versions that a call is sent to.
@@ -40,33 +45,51 @@
 	return key
 }
 
-// Announce records that a call is being sent to a server, whose first event would have to wait for a record.
+// Announce records that a call is being sent to a server, whose first event would have to wait for a record. If a call
+// is sent to a server of another version as well, that of the base version is announced, too: without a record of the
+// origin itself, the stream may then be of either.
 func (o *Origins) Announce(ctx context.Context, announcement *Announcement, key Key, origin Origin) {
-	if o.cfg.Bases == nil || !o.needsRecord(origin.Service, origin.Software) {
+	if o.cfg.Bases == nil {
 		return
 	}
+	needsRecord := o.needsRecord(origin.Service, origin.Software)
 	announcement.mu.Lock()
 	defer announcement.mu.Unlock()
-	if announcement.isClosed || announcement.batches[origin.Software] != nil {
+	if announcement.isClosed {
 		return
 	}
+	var announced []Origin
+	if needsRecord {
+		announced = append(announced, origin)
+	} else {
+		announcement.base = &origin
+	}
+	if announcement.base != nil && (needsRecord || len(announcement.batches) > 0) {
+		announced = append(announced, *announcement.base)
+	}
 	if announcement.batches == nil {
 		announcement.batches = map[string]*awaitedBatch{}
 	}
-	announcement.batches[origin.Software] = o.joinBatch(ctx, announcedKey(key), origin)
+	for _, each := range announced {
+		if announcement.batches[each.Software] == nil {
+			announcement.batches[each.Software] = o.joinBatch(ctx, announcedKey(key), each)
+		}
+	}
 }
 
 // AwaitAnnounced is AwaitRecord for a call whose servers' versions have been announced.
 func (o *Origins) AwaitAnnounced(ctx context.Context, announcement *Announcement, key Key, origin Origin) bool {
 	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
 	defer cancel()
-	batch, isSole := announcement.close(origin.Software)
+	batch, isOnly, isOnlyBesideBase := announcement.close(origin.Software)
 	switch {
-	case batch == nil && isSole:
+	case batch == nil && isOnly:
 		return o.AwaitRecord(ctx, key, origin)
-	case isSole && batch.wait(ctx) && boottime.Since(batch.recordedAt) < rerecordInterval:
+	case isOnly && batch.isRecent(ctx):
 		o.noteRecorded([]Key{key}, batch.recorder, batch.recordedAt)
 		return true
+	case isOnlyBesideBase && batch.isRecent(ctx):
+		return true // it is not taken for the base version's, and its origin is recorded as it goes on
 	default:
 		return o.joinBatch(ctx, key, origin).wait(ctx)
 	}
--- a/internal/streamorigin/announce_test.go
+++ b/internal/streamorigin/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cometlock/cometlock/internal/baseversion"
+	"github.com/cometlock/cometlock/internal/fakelog"
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/originlog"
 	"github.com/cometlock/cometlock/internal/sharedlog"
@@ -32,6 +34,7 @@
 		{"the later one", []string{"v2", "v3"}, "v3", true, "v3", true},
 		{"the earlier one", []string{"v2", "v3"}, "v2", true, "v2", true},
 		{"the base version after another one", []string{"v2", "v1"}, "v1", true, "v1", true},
+		{"another one after the base version, not recorded yet", []string{"v1", "v2"}, "v2", false, "", false},
 		{"the base version alone", []string{"v1"}, "v1", false, "v1", true},
 		{"none of two yet", []string{"v2", "v3"}, "", false, "", false},
 	}
@@ -116,3 +119,58 @@
 		})
 	}
 }
+
+// The origin of a stream of the base version must be recorded if its call was sent to a server of another version, too.
+// A log that fails meanwhile has that one's announcement only, at which the stream continued.
+func TestAStreamContinuesAtAnAnnouncedVersionThatDidNotBeginIt(t *testing.T) {
+	for _, sentTo := range [][]string{{"v2", "v1"}, {"v1", "v2"}} {
+		t.Run(strings.Join(sentTo, " "), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				b := startLoneBox(t, "v1", "v2")
+				putBase(g, b.log, baseversion.Base{Version: "v1", Present: true})
+				b.refreshBases(t.Context())
+				var announcement Announcement
+				key := keyOfNumber(1)
+				for _, software := range sentTo {
+					b.Announce(t.Context(), &announcement, key, originAt(software))
+				}
+				time.Sleep(500 * time.Millisecond)
+				b.log.Underlying().SetFaults(fakelog.Faults{Down: true})
+				b.Note(key, originAt("v1"))
+				g.Expect(b.AwaitAnnounced(t.Context(), &announcement, key, originAt("v1"))).To(BeFalse())
+				b.stop() // it crashes
+				b.log.Underlying().SetFaults(fakelog.Faults{})
+				started := startLoneBox(t, "v1", "v2")
+				started.cfg.Reader, started.cfg.Bases = newTestReader(b.log), baseversion.New(baseversion.Config{Log: b.log, Eras: &sharedlog.Eras{}})
+				software, known := Decide(started.Find(t.Context(), key, service), 0)
+				g.Expect(known && software != "v1").To(BeFalse(), "it continues at %s", software)
+			})
+		})
+	}
+}
+
+// A first event need not wait because the call was sent to a server of the base version as well, and its origin must be
+// in the log soon.
+func TestAStreamThatWasSentToTheBaseVersionTooIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := startLoneBox(t, "v1", "v2")
+		putBase(g, b.log, baseversion.Base{Version: "v1", Present: true})
+		b.refreshBases(t.Context())
+		ctx, stop := context.WithCancel(t.Context())
+		b.loops.Go(func() { b.LoopRecord(ctx) })
+		defer stop()
+		var announcement Announcement
+		for _, software := range []string{"v1", "v2"} {
+			b.Announce(t.Context(), &announcement, keyOfNumber(1), originAt(software))
+		}
+		time.Sleep(500 * time.Millisecond)
+		began := time.Now()
+		b.Note(keyOfNumber(1), originAt("v2"))
+		g.Expect(b.AwaitAnnounced(t.Context(), &announcement, keyOfNumber(1), originAt("v2"))).To(BeTrue())
+		g.Expect(time.Since(began)).To(BeZero())
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(reads(g, b.log, keyOfNumber(1), "v2")).To(BeTrue())
+	})
+}
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -50,6 +50,11 @@
 	}
 }
 
+// isRecent waits for the end, and reports whether the origins are in the log and need not be recorded again yet.
+func (b *awaitedBatch) isRecent(ctx context.Context) bool {
+	return b.wait(ctx) && boottime.Since(b.recordedAt) < rerecordInterval
+}
+
 // AwaitRecord waits until the origin of a stream is in the log, if it has to be there before the caller has the
 // first event. It returns false if that took too long: the stream begins without a record, and is refused or
 // resumed at another version if all boxes that know its origin crash.
