gateway: a stream without a record is given up only if another server takes it

While the log was away and a service had two versions, callers got an error (LOST) in place of a stream that a server had already begun: its record had failed, the box gave it up in order to begin it anew at the base version, and then sent it nowhere, since the retry budget was used up or the servers of the base version had refused the call or had no room.

Cause: the box looked only at the number of servers that the route allows.

Now a stream is given up only if the budget has a retry and a server of the base version has room that the call has not been sent to. Otherwise it begins without a record, as it does where the base version has fewer than half of the servers. A server that refuses the call after that still ends it.

The giving up had no test in this package.

--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -105,7 +105,7 @@
 		return true
 	}
 	preferred := g.preferredSoftware(x)
-	mayBegin = preferred == nil || *preferred == origin.Software || x.serversReached >= x.maxServers()
+	mayBegin = preferred == nil || *preferred == origin.Software || !g.mayBeginElsewhere(x, *preferred)
 	if !mayBegin {
 		g.cfg.Origins.Complete(key)
 	}
@@ -114,6 +114,18 @@
 	return mayBegin
 }
 
+// mayBeginElsewhere reports whether a stream may begin anew at a software version: a further server is allowed, and one
+// of that version has room.
+func (g *Gateway) mayBeginElsewhere(x *exchange, software string) bool {
+	if x.serversReached >= x.maxServers() || g.retryBudget(x).State().Balance < 1 {
+		return false
+	}
+	query, _ := g.fleetQuery(x)
+	query.Software = &software
+	shortage := g.cfg.Fleet.Shortage(query)
+	return shortage.Usable > max(shortage.WithoutSlot, shortage.WithoutTime, shortage.WithoutMemory)
+}
+
 // recordsOrigin reports whether this box records the origin of the call's stream: its caller may resume it, and
 // has named it.
 func (g *Gateway) recordsOrigin(x *exchange) bool {
--- /dev/null
+++ b/internal/gateway/unrecorded_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/cometlock/cometlock/internal/baseversion"
+	"github.com/cometlock/cometlock/internal/fakelog"
+	"github.com/cometlock/cometlock/internal/fakesharedlog"
+	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/originlog"
+	"github.com/cometlock/cometlock/internal/retrybudget"
+	"github.com/cometlock/cometlock/internal/sharedlog"
+	"github.com/cometlock/cometlock/internal/streamorigin"
+)
+
+// A stream that has no record was given up at the server that had begun it, also if no other one could take the call:
+// while the log was away its caller got no stream at all.
+func TestAStreamWithoutARecordIsGivenUpThoughNoOtherServerTakesIt(t *testing.T) {
+	tests := []struct {
+		name  string
+		burst float64
+		// first is what the server of the base version does, if the call is sent there first.
+		first http.HandlerFunc
+		want  string
+	}{
+		{"another server takes it", 5, nil, fullStream("v1", false)},
+		{"the retry budget is used up", 0.5, nil, fullStream("v2", false)},
+		{"the only server of the base version has refused it", 5, refuse, fullStream("v2", false)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := fleet.New(fleet.Config{})
+			log := fakesharedlog.New()
+			value, err := baseversion.Encode(baseversion.Table{"r": {Version: "v1", Present: true}})
+			g.Expect(err).NotTo(HaveOccurred())
+			log.Put(sharedlog.BaseVersions, "all", value)
+			protocol := newPlanProtocol()
+			c := resumableCatalog(g, 3)
+			gateway := promptGateway(protocol, f, emptyIndex(c), c)
+			gateway.cfg.Budget = oneBudget(retrybudget.New(retrybudget.Config{Burst: test.burst}))
+			writer := originlog.NewWriter(originlog.WriterConfig{Log: log, Logger: zerolog.Nop()})
+			gateway.cfg.Origins = streamorigin.New(streamorigin.Config{
+				Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions, Services: f.Services,
+				Reader: originlog.NewReader(originlog.ReaderConfig{Log: log}), Writer: writer, LogEra: func() int64 { return 0 },
+				Bases: baseversion.New(baseversion.Config{Log: log, Eras: &sharedlog.Eras{}}),
+			})
+			ctx, stop := context.WithCancel(t.Context())
+			var loops sync.WaitGroup
+			loops.Go(func() { gateway.cfg.Origins.LoopBases(ctx) })
+			loops.Go(func() { writer.Loop(ctx) })
+			defer func() { stop(); loops.Wait() }()
+			time.Sleep(100 * time.Millisecond) // until the base versions have been read
+			log.Underlying().SetFaults(fakelog.Faults{Down: true})
+			startSecondVersion := func() { startVersion(t, f, "other", "v2", serveEvents("v2", 0)) }
+			if test.first == nil {
+				startSecondVersion()
+				time.AfterFunc(200*time.Millisecond, func() { startVersion(t, f, "base", "v1", serveEvents("v1", 0)) })
+			} else {
+				time.AfterFunc(200*time.Millisecond, startSecondVersion)
+				startVersion(t, f, "base", "v1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					time.Sleep(400 * time.Millisecond)
+					test.first(w, r)
+				}))
+			}
+			g.Expect(serveStream(gateway)).To(Equal(test.want))
+		})
+	}
+}
