originlog: one box marks the time, so that readers know how far back records are complete

All streams of the base version were refused (LOST) if all boxes crashed in the first 10 to 15 s of a release and anything had been recorded more than 20 s before it. One origin is enough: a box that starts records its streams until it knows the base version.

Cause: a reader takes the oldest record in the log as the time from which on records are complete. If nothing had been recorded for a while that is the begin of the release, and since the log had dropped an earlier record (it may keep 20 s), records of streams that are resumed seemed to be missing. RecordsFrom does not help: it is only moved once a writer has seen the base version alone for 75 s, and begins anew with each writer.

Now the box that writes the base versions appends a record without origins if it has appended none for 4 s. Then the oldest record of a log that keeps 20 s is at least 16 s old, and 15 s are asked for. The cost is one call in 4 s for all boxes together, also while nothing changes.

TestARecordOfABoxThatStartedCountsAsOneThatIsMissing fails without the marks (refused, records for 8.03 s) and passes with them; without an earlier record it passed before. Tests of the two packages and of entrybox pass; no run with processes was made.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -243,7 +243,9 @@
 		Log: b.log, Eras: b.log.Eras(), Logger: b.logger, Observe: b.observeSoftware,
 		IsWriter: func() bool { return !b.leaving.Load() && b.isElected(baseVersionWriter) },
 	})
-	b.originWriter = originlog.NewWriter(originlog.WriterConfig{Log: b.log, Logger: b.logger})
+	b.originWriter = originlog.NewWriter(originlog.WriterConfig{
+		Log: b.log, Logger: b.logger, IsMarker: func() bool { return !b.leaving.Load() && b.isElected(baseVersionWriter) },
+	})
 	b.origins = streamorigin.New(streamorigin.Config{
 		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress(), Process: shortIncarnation(b.incarnation), Cores: b.settings.Cores},
 		Others: b.originHolders, Versions: b.fleet.SoftwareVersions, Started: b.knowsFleet,
--- a/internal/originlog/writer.go
+++ b/internal/originlog/writer.go
@@ -26,6 +26,8 @@
 	// refused call has its price too.
 	minFailurePause = 250 * time.Millisecond
 	maxFailurePause = 2 * time.Second
+	// markInterval is less than what the log keeps beyond the age of the records that a reader needs.
+	markInterval = 4 * time.Second
 	// maxUnrecorded bounds the origins that wait, at some 100 bytes each; the oldest ones are dropped.
 	maxUnrecorded = 32768
 	// failingAfter is how long appends fail before other boxes should use another writer.
@@ -36,6 +38,10 @@
 type WriterConfig struct {
 	Log    sharedlog.Log
 	Logger zerolog.Logger
+	// IsMarker reports whether this box appends a record if it has appended none for markInterval; nil means that it
+	// does not. The log keeps records for a bounded time, and readers know by the oldest one how far back they are
+	// complete.
+	IsMarker func() bool
 }
 
 // Writer appends origins to the log.
@@ -50,6 +56,8 @@
 	// failingSince is when the first of the appends failed that have failed since the last successful one;
 	// zero if the last one succeeded.
 	failingSince time.Time
+	// appendedAt is when the last record was appended.
+	appendedAt time.Time
 	// dropped counts the origins that were dropped without a record.
 	dropped int
 	wake    waiting.Signal
@@ -138,10 +146,8 @@
 		began := boottime.Now()
 		switch {
 		case len(batch) == 0:
-			select {
-			case <-wake:
-			case <-ctx.Done():
-			}
+			waiting.ForOrSignal(ctx, markInterval, wake)
+			w.mark(ctx)
 		case w.append(ctx, batch):
 			pause = minFailurePause
 			waiting.For(ctx, appendInterval-boottime.Since(began))
@@ -152,6 +158,16 @@
 	}
 }
 
+// mark appends a record without origins if none has been appended for markInterval.
+func (w *Writer) mark(ctx context.Context) {
+	w.mu.Lock()
+	isDue := len(w.unrecorded) == 0 && boottime.Since(w.appendedAt) >= markInterval
+	w.mu.Unlock()
+	if isDue && w.cfg.IsMarker != nil && w.cfg.IsMarker() {
+		w.append(ctx, nil)
+	}
+}
+
 // take removes and returns the origins of the next record.
 func (w *Writer) take() []Origin {
 	w.mu.Lock()
@@ -178,7 +194,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err == nil {
-		w.failingSince = time.Time{}
+		w.failingSince, w.appendedAt = time.Time{}, boottime.Now()
 		w.forget(batch)
 		return true
 	}
