--- a/internal/baseversion/records_test.go
+++ b/internal/baseversion/records_test.go
@@ -102,3 +102,65 @@
 		g.Expect(services()).To(Equal(2))
 	})
 }
+
+// While a service has its base version alone, others are released, and boxes that start record its streams until they
+// know its base version. When the log has dropped these records, the service must not count as one whose records are
+// missing: all its resumed streams were refused in the first seconds of its next release.
+func TestRecordsOfOthersCountAsMissingForAServiceThatHasBeenAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := newLog()
+		startBox(t, log, "v1")
+		time.Sleep(2 * pauseTime)
+		for range 3 {
+			for range 5 {
+				log.Put(sharedlog.Origins, "", []byte("origins"))
+			}
+			_, end, err := log.Bounds(t.Context(), sharedlog.Origins)
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(20 * time.Second)
+			g.Expect(log.table(g)[service].RecordsFrom).To(Equal(end))
+		}
+	})
+}
+
+// What a box has observed while it wrote must not count for the time in which another one did: a service that had had
+// servers meanwhile was dropped a minute after its last server, and its next version became the base version at once.
+func TestAServiceIsDroppedByABoxThatDidNotWriteForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := newLog()
+		b := startBox(t, log, "v1")
+		b.list("others", "v1")
+		time.Sleep(time.Minute + checkInterval/2)
+		b.list("others")
+		time.Sleep(time.Minute)
+		b.writer.Store(false)
+		b.list("others", "v1") // it is back
+		time.Sleep(2 * forgetAfter)
+		b.list("others")
+		b.writer.Store(true)
+		time.Sleep(time.Minute)
+		g.Expect(log.table(g)).To(HaveKey("others"))
+		time.Sleep(forgetAfter)
+		g.Expect(log.table(g)).NotTo(HaveKey("others"))
+	})
+}
+
+// A list of servers that is out of date while another box writes must be noticed: that time counted as observed.
+func TestABoxDoesNotObserveWhileAnotherOneWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var observed atomic.Int64
+		keeper := New(Config{Log: newLog(), Eras: &sharedlog.Eras{}, Logger: zerolog.Nop(), IsWriter: func() bool { return false }, Observe: func() map[string]Observation {
+			observed.Add(1)
+			return nil
+		}})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { keeper.Loop(ctx); close(done) }()
+		defer func() { stop(); <-done }()
+		time.Sleep(time.Minute)
+		g.Expect(observed.Load()).To(BeNumerically(">=", 30))
+	})
+}
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -33,10 +33,11 @@
 	keys    []Key
 	origins []wireOrigin
 	// done is closed at the end; recorded is set by then if the origins are in the log, and recorder is the box
-	// that recorded them.
-	done     chan struct{}
-	recorded bool
-	recorder Box
+	// that recorded them, which was asked to at recordedAt.
+	done       chan struct{}
+	recorded   bool
+	recorder   Box
+	recordedAt time.Time
 }
 
 // wait waits for the end, and reports whether the origins are in the log.
@@ -49,6 +50,11 @@
 	}
 }
 
+// isRecent waits for the end, and reports whether the origins are in the log and need not be recorded again yet.
+func (b *awaitedBatch) isRecent(ctx context.Context) bool {
+	return b.wait(ctx) && boottime.Since(b.recordedAt) < rerecordInterval
+}
+
 // AwaitRecord waits until the origin of a stream is in the log, if it has to be there before the caller has the
 // first event. It returns false if that took too long: the stream begins without a record, and is refused or
 // resumed at another version if all boxes that know its origin crash.
@@ -88,10 +94,11 @@
 	o.mu.Unlock()
 	for tries := 0; tries < recorderTries && ctx.Err() == nil; {
 		recorder, self := o.recorder()
+		at := boottime.Now()
 		switch o.recordAwaited(ctx, recorder, self, batch.origins) {
 		case originsAppended:
-			batch.recorded, batch.recorder = true, recorder
-			o.noteRecorded(batch.keys, recorder)
+			batch.recorded, batch.recorder, batch.recordedAt = true, recorder, at
+			o.noteRecorded(batch.keys, recorder, at)
 			return
 		case originsTaken:
 			return
@@ -139,13 +146,12 @@
 }
 
 // noteRecorded records that a box has recorded the origins of streams.
-func (o *Origins) noteRecorded(keys []Key, recorder Box) {
-	now := boottime.Now()
+func (o *Origins) noteRecorded(keys []Key, recorder Box, at time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, key := range keys {
 		if stream := o.own[key]; stream != nil {
-			stream.recorder, stream.recorderProcess, stream.recordedAt = recorder.Name, recorder.Process, now
+			stream.recorder, stream.recorderProcess, stream.recordedAt = recorder.Name, recorder.Process, at
 		}
 	}
 }
