streamorigin: after a copy, boxes that started since do not take the one listed version for the only one

A stream could continue at another version than the one that began it (ORDER): all boxes crashed while the log came back from a copy without the stream's record, and the servers of its version had not written to the log again yet, or had left.

Now a box that has been running since before the stream began must know of no second version, as where the log cannot be read. Price: after a return from a copy and a crash of all boxes, streams of a service with one version are refused, as not run, until a box has been up for as long as they may be (20 s on the users' platform). Not changed: the base version alone after an outage, or after records were dropped, is still believed; outages are far more common than copies, and such a stream had to begin in one, without a record, at a version that left before its caller came back.

TestAStreamWhoseRecordTheLogLost... fails before ("it began at v2 and continues at v1"). Two rows of tables expected the old answer whatever the boxes' uptime; each is now two rows, one with a box that is old enough and the same answer, one without and the opposite one.

--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -63,10 +63,12 @@
 }
 
 // decideByBase returns the base version, unless the stream may have begun under an earlier one, or its record may be
-// missing in the log. In the latter case a single known version is enough if it is the base version.
+// missing in the log. In the latter case a single known version is enough if it is the base version. After the log came
+// back from a copy, that must be known from a box that has been running since before the stream began: servers of the
+// stream's version may not have written to the log again yet.
 func (e *Evidence) decideByBase() (software string, known bool) {
 	base := e.Base
-	isAlone := len(e.Versions) == 1 && e.Versions[0] == base.Version
+	isAlone := len(e.Versions) == 1 && e.Versions[0] == base.Version && (base.Era == e.LogEra || e.coversStream())
 	if !base.Present || e.lacksRecords() && !isAlone || base.Replaced && e.MaxAge > versionMemory+e.BaseAge {
 		return "", false
 	}
