gateway, loadshare: a box that knows no limits yet takes no calls of boxes without a share

What servers saw: with eight boxes restarted one after the other, a server that states 2 requests a second got up to 19 requests in 4 s, and 17 are allowed.

Cause: a box that has used up its part of the limits of all servers forwards the call to another box. A box that has just started has had no answer and no report, so it has no limit in its record and accepts all of these calls, from all other boxes, for the 50 to 100 ms until reports arrive.

Ruled out: buckets that begin full.

Now a box is informed once all listed boxes have reported to it, or 2 s after its start, as some of them may have stopped. Until then it refuses calls that come because another box has no share, with the reason that boxes already use for that, so the other box tries the next one. It serves its own callers, and calls of boxes that do not reach a service, as before. Forwarded hedges and calls that missed two servers carry the same header as calls without a share if their box reaches the service, so an uninformed box refuses these too.

The gateway test fails without the change (200 instead of 503). So does the one in simulated time, where the model of forwarding asks IsInformed as the gateway does: 7 of its 10 plays are above what is allowed without that question. The history's call now reports whether it was placed, and answers and reports may take longer; the histories that existed are unchanged.

Tried and reverted: calls that wait at most 250 ms after the start of the box for the reports of all listed boxes.

Open: boxes that all restart at once know no limit, and each sends calls of its own callers.

--- a/internal/entrybox/forwarding.go
+++ b/internal/entrybox/forwarding.go
@@ -19,7 +19,7 @@
 	})
 	b.peerPaths = peerpath.New(peerpath.Config{Self: b.settings.Box, Others: b.forwardingBoxes})
 	if b.settings.Mechanisms.Enabled(mechanism.PeerForwarding) {
-		cfg.Reach, cfg.Peers = b.reach, b.peerPaths
+		cfg.Reach, cfg.Peers, cfg.IsInformed = b.reach, b.peerPaths, b.share.IsInformed
 	}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -95,7 +95,10 @@
 	if g.cfg.Peers == nil || x.forwarded && !x.shareOnly || !x.forwarded && !g.mayForward(x) {
 		return placement{}, false, false
 	}
-	if !g.cfg.Fleet.LacksShare(g.serversQuery(x)) {
+	// A box that has just started does not know the limits for which others have no share left, so it
+	// would send all their calls to the limited servers.
+	uninformed := x.forwarded && g.cfg.IsInformed != nil && !g.cfg.IsInformed()
+	if !uninformed && !g.cfg.Fleet.LacksShare(g.serversQuery(x)) {
 		return placement{}, false, false
 	}
 	if x.forwarded {
--- a/internal/gateway/forwardshare_test.go
+++ b/internal/gateway/forwardshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,6 +59,33 @@
 	}
 }
 
+// A box that had just started, and knew no limits yet, took the calls of all boxes that had used up their
+// parts of a rate limit, so that the limited servers got more than they state.
+func TestABoxThatKnowsNoLimitsYetTakesTheCallsOfThoseThatHaveNoneLeft(t *testing.T) {
+	g := NewWithT(t)
+	var servers forwardServers
+	servers.start(t, "a", nil)
+	var informed atomic.Bool
+	full := startForwardBox(t, g, forwardBoxConfig{name: "box-0", servers: servers.entries})
+	full.useUpLimit("a")
+	started := startForwardBox(t, g, forwardBoxConfig{
+		name: "box-1", servers: servers.entries, change: func(cfg *Config) { cfg.IsInformed = informed.Load },
+	})
+	full.forwardTo(started)
+
+	response := full.send(t.Context(), pathOnce, "early", "body", testRemaining, "2000")
+	g.Expect(response.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(servers.arrived("early")).To(BeZero())
+	g.Expect(started.forwarded.Load()).To(BeEquivalentTo(1))
+	response = started.send(t.Context(), pathOnce, "own", "body", testRemaining, "2000")
+	g.Expect(response.status).To(Equal(http.StatusOK), "it serves its own callers")
+
+	informed.Store(true)
+	g.Eventually(func() int { return full.send(t.Context(), pathOnce, "late", "body", testRemaining, "2000").status }).Should(Equal(http.StatusOK))
+	full.expectIdle(g)
+	started.expectIdle(g)
+}
+
 // useUpLimit makes a server state a low rate limit to the box, which then uses up its part of it.
 func (b *forwardBox) useUpLimit(server string) {
 	servers := b.gateway.cfg.Fleet
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,9 @@
 	// calls for them are forwarded. Both are nil where calls are not forwarded.
 	Reach *reach.Monitor
 	Peers *peerpath.Paths
+	// IsInformed reports whether this box has received what other boxes know of the servers' limits
+	// since it started; nil means that it has.
+	IsInformed func() bool
 	// PeerTLS returns the TLS configuration for connections to other boxes; nil without TLS.
 	PeerTLS func() *tls.Config
 }
--- /dev/null
+++ b/internal/loadshare/limitrestarts_test.go
@@ -0,0 +1,109 @@
+// Boxes keep nothing when they restart, so each incarnation learns of a rate limit anew.
+
+package loadshare_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	// restartsBegin is when the first box restarts, restartGap the time to the next one, and
+	// restartDownTime how long each is away.
+	restartsBegin   = 4 * time.Second
+	restartGap      = 500 * time.Millisecond
+	restartDownTime = 200 * time.Millisecond
+	// restartAnswerTime is the time that the server takes to answer, and restartLatency the extra
+	// transit time of reports between boxes that are busy.
+	restartAnswerTime = 60 * time.Millisecond
+	restartLatency    = 20 * time.Millisecond
+	// maxBoxesTried is the number of other boxes that a call is sent to.
+	maxBoxesTried = 3
+)
+
+// playRestarts restarts boxes one after the other beside calls, and returns the most requests that
+// the server received in any window after all boxes knew the limit.
+func playRestarts(t *testing.T, seed uint64, perSecond float64) (most int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		h := &limitHistory{history: &history{t: t, random: rand.New(rand.NewPCG(seed, 5)), network: newNetwork(), newestVersion: 1}, answerTime: restartAnswerTime}
+		defer h.stop(cancel)
+		h.network.extraLatency = restartLatency
+		h.addBoxes([]int{2, 2, 2, 2})
+		h.server.perSecond, h.server.namedSince = perSecond, time.Now()
+		for _, b := range h.simBoxes {
+			h.boxes = append(h.boxes, &limitedBox{simBox: b})
+		}
+		for _, b := range h.boxes {
+			h.startBox(ctx, b)
+		}
+		began, stopped, down := time.Now(), 0, map[*limitedBox]time.Time{}
+		end := began.Add(restartsBegin + time.Duration(len(h.boxes))*restartGap + limitWindow)
+		for ; time.Now().Before(end); time.Sleep(limitStep) {
+			if stopped < len(h.boxes) && time.Since(began) >= restartsBegin+time.Duration(stopped)*restartGap {
+				h.boxes[stopped].stop()
+				down[h.boxes[stopped]] = time.Now()
+				stopped++
+			}
+			for _, b := range h.boxes {
+				if since, found := down[b]; found && time.Since(since) >= restartDownTime {
+					b.stopped.Wait()
+					h.startBox(ctx, b)
+					delete(down, b)
+				}
+				if down[b].IsZero() && h.random.IntN(8) == 0 && !h.call(b) {
+					h.forward(b, down)
+				}
+			}
+			h.deliverDue()
+		}
+		most = h.server.mostWithin(limitWindow, began.Add(countedAfterNamed))
+	})
+	return most
+}
+
+// forward sends a call on through other boxes if its box lacks a share, as package gateway does.
+func (h *limitHistory) forward(from *limitedBox, down map[*limitedBox]time.Time) {
+	if !from.fleet.LacksShare(limitQuery(from)) {
+		return
+	}
+	for _, i := range h.random.Perm(len(h.boxes))[:maxBoxesTried] {
+		if to := h.boxes[i]; to != from && down[to].IsZero() && to.share.IsInformed() && h.call(to) {
+			return
+		}
+	}
+}
+
+// mostWithin returns the most requests that the server received in any window of a length after a time.
+func (s *limitedServer) mostWithin(length time.Duration, after time.Time) (most int) {
+	var times []time.Time
+	for _, arrival := range s.arrivals {
+		if !arrival.at.After(after) {
+			continue
+		}
+		times = append(times, arrival.at)
+		for arrival.at.Sub(times[0]) >= length {
+			times = times[1:]
+		}
+		most = max(most, len(times))
+	}
+	return most
+}
+
+// Boxes that had just started took the calls of all others without a share of the limit, which they
+// did not know yet, so that servers got more than their limit.
+func TestARateLimitHoldsWhileBoxesRestartOneAfterTheOther(t *testing.T) {
+	t.Parallel()
+	for _, perSecond := range []float64{1, 2} {
+		allowed := 1.5*perSecond*limitWindow.Seconds() + 5
+		for _, seed := range seedsOf(t, 5) {
+			if most := playRestarts(t, seed, perSecond); float64(most) > allowed {
+				t.Errorf("limit %v, seed %d: %d requests in %v, %.1f allowed", perSecond, seed, most, limitWindow, allowed)
+			}
+		}
+	}
+}
--- a/internal/loadshare/limits.go
+++ b/internal/loadshare/limits.go
@@ -4,7 +4,16 @@
 
 package loadshare
 
-import "github.com/cometlock/cometlock/internal/advisory"
+import (
+	"time"
+
+	"github.com/cometlock/cometlock/internal/advisory"
+	"github.com/cometlock/cometlock/internal/boottime"
+)
+
+// informedAfter bounds how long a box that starts waits for the reports of all listed boxes, some of
+// which may have stopped.
+const informedAfter = 2 * time.Second
 
 // maxLimitRanks bounds the cached ranks, one for each incarnation of a limited server.
 const maxLimitRanks = 4096
@@ -69,3 +78,22 @@
 	}
 	return len(sameZone) + advisory.Rank(s.cfg.Box, otherZones, server)
 }
+
+// IsInformed reports whether this box has received the reports of all listed boxes since it started,
+// or has had time to. Before that it does not know what servers stated to others, such as rate limits.
+func (s *Share) IsInformed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.informed = s.informed || boottime.Since(s.started) >= informedAfter || s.listLoaded && s.allReport()
+	return s.informed
+}
+
+// allReport reports whether there is a state of each listed box. The caller holds mu.
+func (s *Share) allReport() bool {
+	for box := range s.peers {
+		if s.states[box] == nil {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/loadshare/limits_test.go
+++ b/internal/loadshare/limits_test.go
@@ -78,6 +78,8 @@
 	callers  int
 	// noSharing injects a fault: each box uses the whole limit itself.
 	noSharing bool
+	// answerTime is how long the server takes to answer.
+	answerTime time.Duration
 }
 
 func (h *limitHistory) startBox(ctx context.Context, b *limitedBox) {
@@ -91,11 +93,14 @@
 	h.startWithFleet(ctx, b.simBox, b.fleet)
 }
 
-// call makes a box call the server, if it may.
-func (h *limitHistory) call(b *limitedBox) {
-	hold := b.fleet.Choose(fleet.Query{Service: "s", Zone: b.zone})
+// limitQuery is the query for a call of a box.
+func limitQuery(b *limitedBox) fleet.Query { return fleet.Query{Service: "s", Zone: b.zone} }
+
+// call makes a box call the server, and reports whether it may.
+func (h *limitHistory) call(b *limitedBox) bool {
+	hold := b.fleet.Choose(limitQuery(b))
 	if hold == nil {
-		return
+		return false
 	}
 	sent, sender := time.Now(), b.fleet
 	requestTime, answerTime := time.Duration(h.random.Int64N(int64(maxTransit))), time.Duration(h.random.Int64N(int64(maxTransit)))
@@ -108,7 +113,7 @@
 		if h.server.perSecond > 0 {
 			answer.Limit, answer.PerSecond = advisory.LimitNamed, h.server.perSecond
 		}
-		h.deliverAfter(answerTime, func() {
+		h.deliverAfter(h.answerTime+answerTime, func() {
 			hold.Done(fleet.OutcomeServed)
 			if lost {
 				return
@@ -120,6 +125,7 @@
 			}
 		})
 	})
+	return true
 }
 
 // setLimit makes the server name another limit; zero for none.
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -152,6 +152,8 @@
 	coldOwners map[string]string
 	// limits caches this box's ranks among the boxes that share a server's rate limit.
 	limits limitRanks
+	// informed means that IsInformed was true once.
+	informed bool
 	// unlisted is signalled when this box was removed from the list.
 	unlisted waiting.Signal
 	// restored is signalled when the log came back from a copy.
--- a/internal/loadshare/network_test.go
+++ b/internal/loadshare/network_test.go
@@ -20,6 +20,8 @@
 	listeners map[string]*memoryListener
 	// cut holds the directed pairs of boxes whose link is cut.
 	cut map[[2]string]bool
+	// extraLatency adds to the transit time of each message.
+	extraLatency time.Duration
 	// sent counts the messages that were written.
 	sent int
 }
@@ -138,7 +140,7 @@
 			return
 		}
 		n.countMessage()
-		time.Sleep(latency)
+		time.Sleep(latency + n.extraLatency)
 		for n.isCut(from, to) {
 			time.Sleep(10 * latency)
 		}
