fleet, placing, gateway: a call that its box has delayed gets a late answer

Callers got 503 no_server, as not run, 0.2 to 0.4 s after they had sent a call with a prompt, while slots at its servers were free and its deadline was more than a second away.

Cause, in two parts. The box lacked CPU time: the 180 to 370 ms pass before and between the lock of the fleet and that of the queue, which a call takes several times before it is placed. Each time it has to be scheduled again. Then the pending prefill at a server is bounded by what is left of the objective, so that 30 ms of prefill refused a call with 20 ms left, although a new call accepts 180 ms, and so did the same call once its objective had passed. What callers send again is later still.

Now a call goes to a server that is in time if there is one, as before. Otherwise it goes to one with a free slot whose pending prefill a new call would accept. It does not queue at a server, and does not go before waiting calls. A call that waits in the usual order is not affected: it has at least 0.8 of its objective left. Owners get the limit in the request; those of the previous version ignore it. Under overload, without a free slot, with more pending prefill than new calls accept or with calls waiting for the same servers, a delayed call is refused at once as before.

Evidence (trials on a copy with time stamps, load averages 12 to 22, 8 cores). Refused calls had read their body and passed the quarantine after 0.1 to 0.3 ms, a few after 5 to 29 ms; 180 to 340 ms passed until the two locks were taken. 15 dumps of all goroutines 130 ms after a call arrived: up to 32 calls wait for the lock of the fleet and 11 for the queue's, and up to 152 goroutines are runnable. The holder of a lock, where one is seen, is in a short section and does not run: it waits for a processor, or in an allocation for the garbage collector (which the dump itself may cause).

Ruled out: a wait for the quarantine (over after 29 ms at most), a request to an owner (none is active with one box), the wait in the queue (it had not begun), a hedge or a failed connection (no tries).

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -139,7 +139,28 @@
 func (f *Fleet) findServers(query *Query, now time.Time, byReports bool) selection {
 	f.decayFailures(now)
 	f.addLearned(query)
-	var found selection
+	found := f.findAdmitting(query, now, byReports)
+	if len(found.candidates) == 0 && query.allowLate() {
+		found = f.findAdmitting(query, now, byReports)
+	}
+	if len(found.candidates) == 0 {
+		f.startTry(query, now)
+	}
+	query.Load.OtherZoneLag = float64(query.OtherZoneLag) / float64(time.Millisecond)
+	return found
+}
+
+// allowLate makes the query one for a late answer. It reports whether the call may get one.
+func (q *Query) allowLate() bool {
+	if q.Load.LateLimit == 0 {
+		return false
+	}
+	q.Load.PrefillLimit, q.Load.Late = q.Load.LateLimit, true
+	return true
+}
+
+// findAdmitting finds the servers that admit a call. The caller holds mu.
+func (f *Fleet) findAdmitting(query *Query, now time.Time, byReports bool) (found selection) {
 	for attempt := range f.attempts(query.Service) {
 		found = f.admit(query, f.sample(query, attempt), now)
 		// A sample stands for all servers of the service.
@@ -153,10 +174,6 @@
 			break
 		}
 	}
-	if len(found.candidates) == 0 {
-		f.startTry(query, now)
-	}
-	query.Load.OtherZoneLag = float64(query.OtherZoneLag) / float64(time.Millisecond)
 	return found
 }
 
--- a/internal/fleet/shortage.go
+++ b/internal/fleet/shortage.go
@@ -35,6 +35,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := boottime.Now()
+	_ = query.allowLate() // a call that may is refused only if no server has the capacity for a late answer
 	usable := f.usableServers(&query, f.sample(&query, 0), now)
 	f.addLearned(&query)
 	f.addUnreported(&query, len(usable), now)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -126,7 +126,7 @@
 		query.BoxSeed = g.tieSeed
 	}
 	load := &query.Load
-	load.PrefillLimit = maxReadDelay(x)
+	load.PrefillLimit, load.LateLimit = prefillLimits(x)
 	load.Tokens = x.info.Prompt.Tokens + x.info.Prompt.AnswerTokens
 	query.AnswerTokens = x.info.Prompt.AnswerTokens
 	// A stream that must continue at its version uses what other calls leave free, since new streams, which
@@ -150,14 +150,17 @@
 	return plans
 }
 
-// maxReadDelay bounds the queueing delay for prefill, in milliseconds, at a server where the call
-// is placed: a call that can still meet its objective must not go where it would miss it.
-func maxReadDelay(x *exchange) float64 {
-	limit := time.Duration(placing.PrefillFraction * float64(x.route.Objective))
-	if left := boottime.Until(x.arrived.Add(x.route.Objective)); left > 0 {
-		limit = min(limit, left)
-	}
-	return float64(limit) / float64(time.Millisecond)
+// prefillLimits bounds the queueing delay for prefill, in milliseconds, at a server where the call is placed. A
+// call that can still meet its objective goes to a server where it does. If no server has the time for it after a
+// delay at this box or a failed attempt, it goes to one with a free slot: the caller gets a late answer, while a
+// refused call would be later still. late is zero if that does not apply.
+func prefillLimits(x *exchange) (limit, late float64) {
+	limit = placing.PrefillFraction * float64(x.route.Objective) / float64(time.Millisecond)
+	left := float64(boottime.Until(x.arrived.Add(x.route.Objective))) / float64(time.Millisecond)
+	if left > 0 && left < limit {
+		return left, limit
+	}
+	return limit, 0
 }
 
 // promptPlans holds the plans of one prompt, by version of weights.
--- a/internal/places/message.go
+++ b/internal/places/message.go
@@ -26,10 +26,11 @@
 	Model      string `msgpack:"m"`
 	// Exclude lists servers that were tried already.
 	Exclude []string `msgpack:"x,omitempty"`
-	// AffinityKey, TieBreaker, PrefillLimit, Tokens and Memory are those of placing.Query.
+	// AffinityKey, TieBreaker, PrefillLimit, LateLimit, Tokens and Memory are those of placing.Query.
 	AffinityKey  uint64  `msgpack:"h,omitempty"`
 	TieBreaker   uint64  `msgpack:"p"`
 	PrefillLimit float64 `msgpack:"r"`
+	LateLimit    float64 `msgpack:"k,omitempty"`
 	Tokens       int     `msgpack:"t"`
 	Memory       int     `msgpack:"e"`
 	// Versions describes the call for each version of the weights that may answer it.
@@ -92,7 +93,7 @@
 func NewRequest(query fleet.Query, box string, versions []int) Request {
 	request := Request{
 		Box: box, Zone: query.Zone, Service: query.Service, Model: query.Model, Exclude: query.Exclude,
-		AffinityKey: query.Load.AffinityKey, TieBreaker: query.Load.TieBreaker, PrefillLimit: query.Load.PrefillLimit, Tokens: query.Load.Tokens, Memory: query.Load.Memory, Brief: query.Load.Brief,
+		AffinityKey: query.Load.AffinityKey, TieBreaker: query.Load.TieBreaker, PrefillLimit: query.Load.PrefillLimit, LateLimit: query.Load.LateLimit, Tokens: query.Load.Tokens, Memory: query.Load.Memory, Brief: query.Load.Brief,
 	}
 	for _, weights := range versions {
 		cost, may := query.VersionCost(weights)
@@ -121,7 +122,7 @@
 func (r Request) query(zoneAllowed func(zone string) bool) fleet.Query {
 	return fleet.Query{
 		Service: r.Service, Zone: r.Zone, Exclude: r.Exclude, Software: r.Software, Model: r.Model, ZoneAllowed: zoneAllowed,
-		Load:         placing.Query{AffinityKey: r.AffinityKey, TieBreaker: r.TieBreaker, PrefillLimit: r.PrefillLimit, Tokens: r.Tokens, Memory: r.Memory, Brief: r.Brief, Bound: r.Software != nil},
+		Load:         placing.Query{AffinityKey: r.AffinityKey, TieBreaker: r.TieBreaker, PrefillLimit: r.PrefillLimit, LateLimit: r.LateLimit, Tokens: r.Tokens, Memory: r.Memory, Brief: r.Brief, Bound: r.Software != nil},
 		OwnsHeadroom: func(string) bool { return true },
 		VersionCost: func(weights int) (float64, bool) {
 			if version := r.version(weights); version != nil {
@@ -147,7 +148,7 @@
 // Demand returns what the call requires of a server. Calls that may run in different zones have
 // different values of zones.
 func (r Request) Demand(zones string) waitqueue.Demand {
-	demand := waitqueue.Demand{Tokens: r.Tokens, Memory: r.Memory, PrefillLimit: r.PrefillLimit, Brief: r.Brief}
+	demand := waitqueue.Demand{Tokens: r.Tokens, Memory: r.Memory, PrefillLimit: r.PrefillLimit, LateLimit: r.LateLimit, Brief: r.Brief}
 	class := xxhash.New()
 	write := func(text string) {
 		_, _ = class.WriteString(text) // never returns an error
@@ -177,7 +178,7 @@
 
 // withDemand returns a request with another demand, for the same servers.
 func (r Request) withDemand(demand waitqueue.Demand) Request {
-	r.Tokens, r.Memory, r.PrefillLimit, r.Brief = demand.Tokens, demand.Memory, demand.PrefillLimit, demand.Brief
+	r.Tokens, r.Memory, r.PrefillLimit, r.LateLimit, r.Brief = demand.Tokens, demand.Memory, demand.PrefillLimit, demand.LateLimit, demand.Brief
 	r.Versions = slices.Clone(r.Versions)
 	for i := range r.Versions {
 		r.Versions[i].PrefillTokens = demand.MaxPrefill
--- a/internal/placing/admit.go
+++ b/internal/placing/admit.go
@@ -78,7 +78,7 @@
 // freeSlots returns how many more calls a server may get: its free slots and the room in its queue.
 // It is negative if the server has too many calls, and infinite if they are not limited.
 func freeSlots(query Query, c *Candidate) float64 {
-	if query.SlotTime == 0 || c.Slots == 0 || c.Suspect {
+	if query.SlotTime == 0 && !query.Late || c.Slots == 0 || c.Suspect {
 		return math.Inf(1)
 	}
 	return float64(c.Slots-c.InFlight) + queueLimit(query, c.Slots) - reservedSlots(query, c.Slots)
@@ -104,8 +104,11 @@
 
 // queueLimit returns how many calls may queue at a server with this many slots: as many as get a
 // slot within SlotReportAge, rounded to the nearest number. The last of them must not wait for
-// longer than the limit for its prefill.
+// longer than the limit for its prefill. A late call doesn't queue.
 func queueLimit(query Query, slots int) float64 {
+	if query.Late {
+		return 0
+	}
 	freedPerMilli := float64(slots) / query.SlotTime
 	limit := math.Round(SlotReportAge * freedPerMilli)
 	if query.PrefillLimit > 0 {
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -32,6 +32,11 @@
 	// including that of this prompt. It doesn't apply to a runner without other pending prefill.
 	// Zero means no limit.
 	PrefillLimit float64
+	// LateLimit replaces PrefillLimit for a call that was delayed before it was placed, if no runner would
+	// finish its prefill in time. The call then takes a free slot, and doesn't queue at a runner. Zero means
+	// that such a call isn't placed. Late is set while LateLimit applies.
+	LateLimit float64
+	Late      bool
 	// Tokens is the memory that the call uses at a runner until it ends, and Memory is the memory
 	// of a runner. A call isn't placed where it doesn't fit next to the others: it would evict one
 	// of them, whose prefill would then run again. A Memory of zero means no limit.
--- a/internal/waitqueue/demand.go
+++ b/internal/waitqueue/demand.go
@@ -21,6 +21,8 @@
 	Brief bool
 	// PrefillLimit bounds the time until the prefill is done, in milliseconds; zero means no limit.
 	PrefillLimit float64
+	// LateLimit replaces PrefillLimit at servers with a free slot; zero if it doesn't.
+	LateLimit float64
 }
 
 // AtLeast reports whether every server without capacity for a call with the other demand has none for
@@ -30,7 +32,12 @@
 		return true
 	}
 	return d.Class == other.Class && (other.Brief || !d.Brief) && d.Tokens >= other.Tokens && (other.Memory == 0 || d.Memory == other.Memory) &&
-		d.MinPrefill >= other.MaxPrefill && (other.PrefillLimit == 0 || d.PrefillLimit > 0 && d.PrefillLimit <= other.PrefillLimit)
+		d.MinPrefill >= other.MaxPrefill && d.isLimitedBy(other)
+}
+
+// isLimitedBy reports whether the call may wait for its prefill only where one with the other demand may.
+func (d Demand) isLimitedBy(other Demand) bool {
+	return other.PrefillLimit == 0 || d.PrefillLimit > 0 && d.PrefillLimit <= other.PrefillLimit && d.LateLimit <= max(other.PrefillLimit, other.LateLimit)
 }
 
 // Least returns a demand such that this one and another one are AtLeast it. It returns the demand itself
@@ -46,6 +53,7 @@
 	}
 	if d.PrefillLimit > 0 && other.PrefillLimit > 0 {
 		least.PrefillLimit = max(d.PrefillLimit, other.PrefillLimit)
+		least.LateLimit = max(d.LateLimit, other.LateLimit)
 	}
 	return least
 }
--- a/internal/waitqueue/demand_test.go
+++ b/internal/waitqueue/demand_test.go
@@ -24,6 +24,8 @@
 		{"less time", func(d *waitqueue.Demand) { d.MinPrefill, d.PrefillLimit = 30, 400 }, true},
 		{"more time", func(d *waitqueue.Demand) { d.MinPrefill, d.PrefillLimit = 30, 600 }, false},
 		{"any time", func(d *waitqueue.Demand) { d.MinPrefill, d.PrefillLimit = 30, 0 }, false},
+		{"late in the same time", func(d *waitqueue.Demand) { d.MinPrefill, d.PrefillLimit, d.LateLimit = 30, 100, 500 }, true},
+		{"late in more time", func(d *waitqueue.Demand) { d.MinPrefill, d.PrefillLimit, d.LateLimit = 30, 100, 600 }, false},
 		{"memory not checked", func(d *waitqueue.Demand) { d.MinPrefill, d.Memory = 30, 0 }, false},
 	}
 	for _, test := range tests {
