gateway: tests partition a box from a service after it has noted its server's response

TestAForwardedStreamContinuesAtAnotherServiceOfASplitRoute failed once in a whole run of the package and once in 120 runs of its own, with "unexpected EOF".

Cause, in the test: a server sends an event and then makes the box find that it does not reach the service. Where the box reads the response only after that, it notes the contact, reaches the service again, has no other server there and cuts the stream, which is right.

Now the partition waits until the caller has a part of the response, which the box sends after it has noted the contact.

--- a/internal/gateway/forwardboxes_test.go
+++ b/internal/gateway/forwardboxes_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -205,6 +206,8 @@
 	peers   *httptest.Server
 	// forwarded counts the calls from other boxes, and pathsAsked how often this box looked for others.
 	forwarded, pathsAsked atomic.Int64
+	// responses counts the responses that its callers have begun to receive.
+	responses atomic.Int64
 	// partitioned makes probes of this box fail.
 	partitioned atomic.Bool
 	others      []peerpath.Box
@@ -291,6 +294,13 @@
 	}).Should(BeTrue())
 }
 
+// partitionAmidStream is partitionFrom for a server that is responding. Its caller has a part of the response by then,
+// so the box has noted the contact, which would otherwise end the partition.
+func (b *forwardBox) partitionAmidStream(g *WithT, service string) {
+	g.EventuallyWithOffset(1, b.responses.Load).Should(BeNumerically(">", 0))
+	b.partitionFrom(g, service)
+}
+
 // heal ends the partition.
 func (b *forwardBox) heal() {
 	b.partitioned.Store(false)
@@ -336,6 +346,7 @@
 
 // send makes a call with a key.
 func (b *forwardBox) send(ctx context.Context, path, id, body string, header ...string) callerResponse {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { b.responses.Add(1) }})
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, b.callers.URL+path, strings.NewReader(body))
 	if err != nil {
 		return callerResponse{err: err}
--- a/internal/gateway/forwardstream_test.go
+++ b/internal/gateway/forwardstream_test.go
@@ -39,7 +39,7 @@
 				for number := 1; number <= test.sent; number++ {
 					sendEvent(w, "event", number)
 				}
-				first.partition(g)
+				first.partitionAmidStream(g, "s")
 				panic(http.ErrAbortHandler)
 			})
 			servers.start(t, "b", test.second)
--- a/internal/gateway/movedroute_test.go
+++ b/internal/gateway/movedroute_test.go
@@ -193,7 +193,7 @@
 					near.start(t, "near-"+service, func(w http.ResponseWriter, r *http.Request) {
 						sign(w, r)
 						sendEvent(w, service, 1)
-						first.partitionFrom(g, service)
+						first.partitionAmidStream(g, service)
 						panic(http.ErrAbortHandler)
 					})
 					near.entries[i].Service = service
