gateway, streamorigin: a stream is found by its organisation or its API key

Callers saw: a stream that they resumed with another API key of their organisation was joined from two software versions, or refused where no base version was known. Keys are added and taken away while streams are in flight.

With another key there is no origin, and since base versions a stream without one counts as of the base version. Class: what identifies the caller now stands for what identified it then.

Ruled out: finding by the organisation alone (a key that moved does not find it), by all keys that the organisation has now (a key that was taken away is not among them), by the request ID alone (callers choose theirs, and two may choose the same).

Now a stream is found by its organisation, which chooses the holders as in released versions, and by an alias, the API key, in the log and at the box that began it. So boxes of the released version and new ones find each other's streams, which they did not. An origin takes 32 bytes of a record in place of 16; holders get one key as before.

gateway: TestAStreamIsNotFoundWithAnotherKeyOfItsOrganisation fails before in both cases (503 stream_version_unknown).

--- a/internal/gateway/movedroute_test.go
+++ b/internal/gateway/movedroute_test.go
@@ -212,27 +212,65 @@
 
 // A stream whose caller's key had been moved to another organisation, or whose route had become public, was not found.
 func TestAStreamIsNotFoundAfterItsKeyMovedToAnotherOrganisation(t *testing.T) {
-	config := func(organisation string, public bool) *catalog.Catalog {
-		made, err := catalog.New(catalog.Config{
-			Version: 1, Limits: catalog.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 16}, KeysRequired: true,
-			Services:      []catalog.Service{{Name: "r", Engine: &catalog.Engine{CapacityTokens: 100_000, BytesPerToken: 1000}}},
-			Organisations: []catalog.Organisation{{Name: organisation, Keys: []string{"key"}}},
-			Routes: []catalog.Route{{
-				Name: "prompts", Host: "example.com", PathPrefix: "/", Kind: catalog.Stream, Resumable: true, MaxServers: 2,
-				Objective: 300 * time.Millisecond, Timeout: 10 * time.Second, Splits: []catalog.Split{{Service: "r", Weight: 1}}, Public: public,
-			}},
-		})
-		NewWithT(t).Expect(err).NotTo(HaveOccurred())
-		return made
+	testResumedByKey(t, []resumedByKey{
+		{"nothing changes", keyConfig{organisation: "north"}, keyConfig{organisation: "north"}, firstKey},
+		{"the key moves", keyConfig{organisation: "north"}, keyConfig{organisation: "south"}, firstKey},
+		{"the route becomes public", keyConfig{organisation: "north"}, keyConfig{organisation: "north", public: true}, firstKey},
+	})
+}
+
+// A stream was not found, and counted as one of the base version, when its caller resumed it with another key of its
+// organisation.
+func TestAStreamIsNotFoundWithAnotherKeyOfItsOrganisation(t *testing.T) {
+	both := keyConfig{organisation: "north", second: true}
+	testResumedByKey(t, []resumedByKey{
+		{"both keys are valid", both, both, secondKey},
+		{"the first key is replaced", keyConfig{organisation: "north"}, keyConfig{organisation: "north", second: true, onlySecond: true}, secondKey},
+	})
+}
+
+const firstKey, secondKey = "key", "second key"
+
+// keyConfig is a configuration with one organisation.
+type keyConfig struct {
+	organisation string
+	// public is set if the route needs no key.
+	public bool
+	// second is set if the organisation has secondKey, and onlySecond if it does not have firstKey.
+	second, onlySecond bool
+}
+
+func (c keyConfig) catalog(g *WithT) *catalog.Catalog {
+	var keys []string
+	if !c.onlySecond {
+		keys = append(keys, firstKey)
 	}
-	tests := []struct {
-		name          string
-		before, after *catalog.Catalog
-	}{
-		{"nothing changes", config("north", false), config("north", false)},
-		{"the key moves", config("north", false), config("south", false)},
-		{"the route becomes public", config("north", false), config("north", true)},
+	if c.second {
+		keys = append(keys, secondKey)
 	}
+	made, err := catalog.New(catalog.Config{
+		Version: 1, Limits: catalog.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 16}, KeysRequired: true,
+		Services:      []catalog.Service{{Name: "r", Engine: &catalog.Engine{CapacityTokens: 100_000, BytesPerToken: 1000}}},
+		Organisations: []catalog.Organisation{{Name: c.organisation, Keys: keys}},
+		Routes: []catalog.Route{{
+			Name: "prompts", Host: "example.com", PathPrefix: "/", Kind: catalog.Stream, Resumable: true, MaxServers: 2,
+			Objective: 300 * time.Millisecond, Timeout: 10 * time.Second, Splits: []catalog.Split{{Service: "r", Weight: 1}}, Public: c.public,
+		}},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	return made
+}
+
+// resumedByKey is a stream that begins with firstKey before a change of the configuration, and is resumed with a key
+// after it.
+type resumedByKey struct {
+	name          string
+	before, after keyConfig
+	key           string
+}
+
+// testResumedByKey checks that streams continue at the software version that began them.
+func testResumedByKey(t *testing.T, tests []resumedByKey) {
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -240,9 +278,10 @@
 			f := fleet.New(fleet.Config{})
 			startVersionOf(t, f, "r", "v1")
 			startVersionOf(t, f, "r", "v2")
+			before, after := test.before.catalog(g), test.after.catalog(g)
 			protocol := newPlanProtocol()
-			protocol.info.Prompt, protocol.info.Key = largeMemoryPrompt(), "key"
-			box := promptGateway(protocol, f, emptyIndex(test.before), test.before)
+			protocol.info.Prompt, protocol.info.Key = largeMemoryPrompt(), firstKey
+			box := promptGateway(protocol, f, emptyIndex(before), before)
 			box.cfg.Origins = streamorigin.New(streamorigin.Config{Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions})
 			send := func() string {
 				recorder := httptest.NewRecorder()
@@ -251,8 +290,9 @@
 				return dataOfLastEvent(recorder.Body.String())
 			}
 			began := send()
-			box.cfg.Catalog = func() *catalog.Catalog { return test.after }
+			box.cfg.Catalog = func() *catalog.Catalog { return after }
 			protocol.info.RequestID, protocol.info.ResumeAfter, protocol.info.Resumes = "again", "1", protocol.info.RequestID
+			protocol.info.Key = test.key
 			g.Expect(send()).To(Equal(began))
 		})
 	}
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -55,7 +55,8 @@
 	if x.info.Resumes == "" {
 		evidence = g.cfg.Origins.FindUnnamed(x.ctx, x.service.Name)
 	} else {
-		evidence = g.cfg.Origins.Find(x.ctx, x.originKey(x.info.Resumes), x.service.Name)
+		key, alias := x.originKeys(x.info.Resumes)
+		evidence = g.cfg.Origins.FindByAlias(x.ctx, key, alias, x.service.Name)
 	}
 	evidence.Patience = max(x.routeTimeout(), x.info.MaxWait)
 	evidence.MaxAge = evidence.Patience + originMargin
@@ -138,7 +139,8 @@
 	if waits := x.arrived.Add(x.info.MaxWait); waits.After(expires) {
 		expires = waits
 	}
-	return x.originKey(x.streamID()), streamorigin.Origin{Service: x.service.Name, Software: software, Expires: expires.Add(originMargin)}
+	key, alias := x.originKeys(x.streamID())
+	return key, streamorigin.Origin{Service: x.service.Name, Software: software, Expires: expires.Add(originMargin), Alias: alias}
 }
 
 // streamID returns the request that brought the first event of the call's stream; empty if it is unknown.
@@ -149,16 +151,24 @@
 	return x.info.RequestID
 }
 
-// originKey returns the key of a stream of this caller. The caller is its API key, since a configuration may move that
-// to another organisation while the stream is in flight.
-func (x *exchange) originKey(requestID string) streamorigin.Key {
-	return streamorigin.KeyOf(x.info.Key, requestID)
+// originKeys returns the key of a stream by its organisation, and its alias by the caller's API key. While the stream is
+// in flight the caller may be given another API key of its organisation, and a configuration may move the API key to
+// another organisation.
+func (x *exchange) originKeys(requestID string) (key, alias streamorigin.Key) {
+	if x.info.Key != "" {
+		alias = streamorigin.KeyOf(apiKeyPrefix+x.info.Key, requestID)
+	}
+	return streamorigin.KeyOf(x.callerName(), requestID), alias
 }
 
+// apiKeyPrefix distinguishes an API key from the name of an organisation.
+const apiKeyPrefix = "API key "
+
 // completeOrigin records that the caller has the whole stream.
 func (g *Gateway) completeOrigin(x *exchange) {
 	if g.cfg.Origins != nil && !x.forwarded && x.outcome == outcomeServed && x.eventsSent > 0 {
-		g.cfg.Origins.Complete(x.originKey(x.streamID()))
+		key, _ := x.originKeys(x.streamID())
+		g.cfg.Origins.Complete(key)
 	}
 }
 
--- a/internal/streamorigin/announce.go
+++ b/internal/streamorigin/announce.go
@@ -45,6 +45,14 @@
 	return key
 }
 
+// announced returns the origin as it is announced.
+func (o Origin) announced() Origin {
+	if o.Alias != (Key{}) {
+		o.Alias = announcedKey(o.Alias)
+	}
+	return o
+}
+
 // Announce records that a call is being sent to a server, whose first event would have to wait for a record. If a call
 // is sent to a server of another version as well, that of the base version is announced, too: without a record of the
 // origin itself, the stream may then be of either.
@@ -72,7 +80,7 @@
 	}
 	for _, each := range announced {
 		if announcement.batches[each.Software] == nil {
-			announcement.batches[each.Software] = o.joinBatch(ctx, announcedKey(key), each)
+			announcement.batches[each.Software] = o.joinBatch(ctx, announcedKey(key), each.announced())
 		}
 	}
 }
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -76,7 +76,7 @@
 		go o.runAwaited(context.WithoutCancel(ctx), batch)
 	}
 	batch.keys = append(batch.keys, key)
-	batch.origins = append(batch.origins, encode(key, origin, boottime.Now()))
+	batch.origins = append(batch.origins, encodeToRecord(key, origin, boottime.Now())...)
 	return batch
 }
 
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -63,17 +63,26 @@
 	return e.Base.Version
 }
 
-// Find looks for the origin of a stream, at this box, at its holders, and then in the log. service is the one that the
-// stream's route names now, which decides where there is no origin.
+// Find is FindByAlias for a stream that has one key.
 func (o *Origins) Find(ctx context.Context, key Key, service string) Evidence {
+	return o.FindByAlias(ctx, key, Key{}, service)
+}
+
+// FindByAlias looks for the origin of a stream, at this box, at its holders, and then in the log, by its key and, if it
+// is not known by that, by its alias. service is the one that the stream's route names now, which decides where there is
+// no origin.
+func (o *Origins) FindByAlias(ctx context.Context, key, alias Key, service string) Evidence {
 	o.awaitStart(ctx)
 	evidence := Evidence{Versions: slices.Clone(o.cfg.Versions(service)), LongestUptime: o.uptime()}
-	targets, origin, found := o.lookUp(key)
+	targets, origin, found := o.lookUp(key, alias)
 	if found {
 		evidence.Found, evidence.Service, evidence.Software = true, origin.Service, origin.Software
 		return evidence
 	}
 	asked := request{Key: key[:], Service: service}
+	if alias != (Key{}) {
+		asked.Alias = alias[:]
+	}
 	o.askHolders(ctx, targets, asked, &evidence)
 	evidence.Unlisted = len(evidence.Versions) == 0
 	if !evidence.Found && o.cfg.Reader != nil {
@@ -166,12 +175,14 @@
 
 // lookUp returns the origin if this box has it, and otherwise the boxes to ask: the possible holders among
 // all listed boxes, and those that replace the unavailable ones.
-func (o *Origins) lookUp(key Key) (targets []Box, origin Origin, found bool) {
+func (o *Origins) lookUp(key Key, aliases ...Key) (targets []Box, origin Origin, found bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := boottime.Now()
-	if origin, found = o.known.find(key, now); found {
-		return nil, origin, true
+	for _, each := range append([]Key{key}, aliases...) {
+		if origin, found = o.known.find(each, now); found {
+			return nil, origin, true
+		}
 	}
 	lists := [][]Box{o.others(now, false), o.others(now, true)}
 	if len(lists[0]) == len(lists[1]) {
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -31,6 +31,9 @@
 	// of Service.
 	Key     []byte `msgpack:"k,omitempty"`
 	Service string `msgpack:"s,omitempty"`
+	// Alias is another key of the stream, by which it is found if it is not by Key; empty for none. An older version of
+	// the program knows of none.
+	Alias []byte `msgpack:"y,omitempty"`
 	// Record means that the box is to record the origins in the log, and Recorded that it is to look for Key
 	// there.
 	Record   bool `msgpack:"r,omitempty"`
@@ -41,6 +44,16 @@
 	Bases bool `msgpack:"b,omitempty"`
 }
 
+// keys returns the keys of the stream to find.
+func (r *request) keys() (keys []Key) {
+	for _, key := range [][]byte{r.Key, r.Alias} {
+		if len(key) == keySize {
+			keys = append(keys, Key(key))
+		}
+	}
+	return keys
+}
+
 // wireOrigin is the wire form of an origin.
 type wireOrigin struct {
 	_msgpack struct{} `msgpack:",as_array"` // field names would be a third of the message
@@ -91,6 +104,15 @@
 	return wireOrigin{Key: key[:], Service: origin.Service, Software: origin.Software, Remaining: origin.Expires.Sub(now)}
 }
 
+// encodeToRecord returns the wire form of an origin under each of its keys.
+func encodeToRecord(key Key, origin Origin, now time.Time) []wireOrigin {
+	encoded := []wireOrigin{encode(key, origin, now)}
+	if origin.Alias != (Key{}) {
+		encoded = append(encoded, encode(origin.Alias, origin, now))
+	}
+	return encoded
+}
+
 // maxRemaining bounds how long a box holds an origin for another one.
 const maxRemaining = 10 * time.Minute
 
@@ -133,9 +155,9 @@
 		}
 	}
 	var answer response
-	if len(received.Key) == keySize {
-		if origin, found := o.known.find(Key(received.Key), now); found {
-			wire := encode(Key(received.Key), origin, now)
+	for _, key := range received.keys() {
+		if origin, found := o.known.find(key, now); found && answer.Found == nil {
+			wire := encode(key, origin, now)
 			answer.Found = &wire
 		}
 	}
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -147,7 +147,7 @@
 	}
 	for key, stream := range o.own {
 		if now.Before(stream.origin.Expires) && !stream.isRecordedBy(recorder, now) && services[stream.origin.Service] && len(keys) < maxBatch {
-			keys, origins = append(keys, key), append(origins, encode(key, stream.origin, now))
+			keys, origins = append(keys, key), append(origins, encodeToRecord(key, stream.origin, now)...)
 		}
 	}
 	return keys, origins
@@ -257,8 +257,12 @@
 
 // findRecorded looks for an origin in the log.
 func (o *Origins) findRecorded(ctx context.Context, asked request, answer *response) {
-	key := Key(asked.Key)
-	result, err := o.cfg.Reader.FindFirst(ctx, asked.Service, key, announcedKey(key))
+	var keys, announced []originlog.Key
+	for _, key := range asked.keys() {
+		keys, announced = append(keys, key), append(announced, announcedKey(key))
+	}
+	keys = append(keys, announced...)
+	result, err := o.cfg.Reader.FindFirst(ctx, asked.Service, keys...)
 	if err != nil {
 		return // the reader has logged it
 	}
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -77,6 +77,8 @@
 	Software string
 	// Expires is when the caller no longer resumes the stream.
 	Expires time.Time
+	// Alias is a second key under which the stream is found, by its box and in the log; zero if it has none.
+	Alias Key
 }
 
 // Box is another box with the address at which it holds origins; an empty one means that it holds none.
@@ -178,6 +180,9 @@
 	defer o.mu.Unlock()
 	now := boottime.Now()
 	o.known.add(key, origin, now)
+	if origin.Alias != (Key{}) {
+		o.known.add(origin.Alias, origin, now)
+	}
 	if len(o.own) >= maxOrigins {
 		o.dropExpired(now)
 	}
