streamorigin: a version that was given up for want of a record does not stand for the stream

What callers see: while the log is away, a stream that had been given up at another version and begun anew at the base version was resumed at the version that was given up, also without a crash of all boxes: one caller that reconnects is enough.

Cause: a box that records takes the origins that it is handed for origins of streams. Those whose first event waits are handed over again every 0.5 s while records fail, also by the box to itself, and each time they replaced the origin of the stream that had begun meanwhile. In the log the earlier record contradicted the later one.

Now origins that wait are not held, and what is recorded of a stream before its first event stands under its announced key, which its own origin overrules.

Evidence: the new test, in simulated time. Before: with the log away for 2 s and 10 s Find returned v2 for a stream of v1 at its own box (0.3 s: v1). Now v1 in all three, and v1 from the log alone once it is back, where the stream was refused before.

--- a/internal/streamorigin/announce.go
+++ b/internal/streamorigin/announce.go
@@ -90,6 +90,16 @@
 		return true
 	case isOnlyBesideBase && batch.isRecent(ctx):
 		return true // it is not taken for the base version's, and its origin is recorded as it goes on
+	case ctx.Err() != nil:
+		return false // the announcement will still be recorded
+	case isOnly:
+		// If the stream begins anew at another version, this record does not contradict that one's origin.
+		batch = o.joinBatch(ctx, announcedKey(key), origin)
+		if !batch.wait(ctx) {
+			return false
+		}
+		o.noteRecorded([]Key{key}, batch.recorder, batch.recordedAt)
+		return true
 	default:
 		return o.joinBatch(ctx, key, origin).wait(ctx)
 	}
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -25,7 +25,7 @@
 
 // request is a message to a holder.
 type request struct {
-	// Origins are to be held.
+	// Origins are to be held, without Await.
 	Origins []wireOrigin `msgpack:"o,omitempty"`
 	// Key is the key of a stream to find, whichever service began it; empty for none. The response has the versions
 	// of Service.
@@ -128,7 +128,8 @@
 	o.mu.Lock()
 	now := boottime.Now()
 	for i := range received.Origins {
-		if key, origin, ok := received.Origins[i].decode(now); ok {
+		// A stream whose first event waits may yet begin at another version.
+		if key, origin, ok := received.Origins[i].decode(now); ok && !received.Await {
 			o.known.add(key, origin, now)
 		}
 	}
