streamorigin: boxes get the base versions of more than 300 services

What callers see: in a system of more than some 300 services first events of all streams wait for a record in the log, and lookups of resumed streams take longer, as each box reads the log by itself after its recorders have failed.

Cause: the response with the base versions was bounded by 16 KB, the bound of lookups. A larger one failed as if the box were away, so that every other box than the one that reads the log took its recorders for unavailable and knew no base version. Each lookup carried the whole table as well.

Now a response may have 1 MB, and a lookup brings the base version of its own service.

Evidence: the new test, four boxes. Now it passes with 2,000 (106,003 bytes).

Left: the table is one record of the log, which holds some 5,000 services at 256 KB; beyond that it is not written any more.

--- a/internal/streamorigin/bases.go
+++ b/internal/streamorigin/bases.go
@@ -34,12 +34,15 @@
 	return base, known && (!wasAbsent || k.readAt.After(absentAt))
 }
 
-// wireBases is the wire form of the base versions, as the record in the log has them.
+// wireBases is the wire form of the base versions of all services or of one, as the record in the log has them.
 type wireBases struct {
 	Table []byte        `msgpack:"t"`
 	Age   time.Duration `msgpack:"a"`
 }
 
+// readAt returns when the log was read.
+func (w *wireBases) readAt() time.Time { return boottime.Now().Add(-w.Age) }
+
 // LoopBases keeps the base versions known until ctx ends. While each service has its base version alone, they are
 // requested once only.
 func (o *Origins) LoopBases(ctx context.Context) {
@@ -101,7 +104,7 @@
 	recorder, self := o.recorder()
 	answer := response{}
 	if self {
-		answer.Bases = o.readBases(ctx)
+		answer.Bases = o.readBases(ctx, "")
 	} else if err := o.client.Exchange(ctx, recorder.Address, &request{Bases: true}, &answer, recorderTimeout); err != nil {
 		o.avoidRecorder(recorder)
 	}
@@ -115,12 +118,11 @@
 // keepBases keeps base versions that another box sent, unless they are older than those that are known. It returns
 // false if they are invalid.
 func (o *Origins) keepBases(received *wireBases) bool {
-	table, err := baseversion.Decode(received.Table)
+	table, err := o.decodeBases(received)
 	if err != nil {
-		o.cfg.Logger.Error().Str("error", err.Error()).Msg("base_versions_invalid")
 		return false
 	}
-	readAt := boottime.Now().Add(-received.Age)
+	readAt := received.readAt()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if readAt.After(o.bases.readAt) {
@@ -129,8 +131,18 @@
 	return true
 }
 
-// readBases returns the base versions as the log has them; nil if it cannot be read.
-func (o *Origins) readBases(ctx context.Context) *wireBases {
+// decodeBases returns base versions that another box sent.
+func (o *Origins) decodeBases(received *wireBases) (baseversion.Table, error) {
+	table, err := baseversion.Decode(received.Table)
+	if err != nil {
+		o.cfg.Logger.Error().Str("error", err.Error()).Msg("base_versions_invalid")
+	}
+	return table, err
+}
+
+// readBases returns the base versions as the log has them, of all services or of one unless that is empty; nil if the
+// log cannot be read.
+func (o *Origins) readBases(ctx context.Context, service string) *wireBases {
 	if o.cfg.Bases == nil {
 		return nil
 	}
@@ -138,7 +150,14 @@
 	if err != nil {
 		return nil
 	}
-	value, err := baseversion.Encode(reading.Table)
+	table := reading.Table
+	if service != "" {
+		table = baseversion.Table{}
+		if base, known := reading.Table[service]; known {
+			table[service] = base
+		}
+	}
+	value, err := baseversion.Encode(table)
 	if err != nil {
 		o.cfg.Logger.Error().Str("error", err.Error()).Msg("base_versions_not_sent")
 		return nil
--- a/internal/streamorigin/bases_test.go
+++ b/internal/streamorigin/bases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -258,3 +259,29 @@
 		g.Expect(b.needsRecord(service, "v1")).To(BeFalse())
 	})
 }
+
+// With some hundred services the response with the base versions was larger than boxes accept, so that no other box
+// than the one that reads the log knew them: all streams waited for records, and each lookup read the log.
+func TestBoxesDoNotGetTheBaseVersionsOfManyServices(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	table := baseversion.Table{}
+	for number := range 2000 {
+		table[fmt.Sprintf("service-%04d", number)] = baseversion.Base{Version: "2026.12.4", Present: true, Since: time.Now()}
+	}
+	table[service] = baseversion.Base{Version: "v1", Present: true, Since: time.Now()}
+	value, err := baseversion.Encode(table)
+	g.Expect(err).NotTo(HaveOccurred())
+	log.Put(sharedlog.BaseVersions, "all", value)
+	boxes := startReadingBoxes(t, g, func(int) sharedlog.Log { return log }, "a", "b", "c", "d")
+	for _, b := range boxes {
+		b.refreshBases(t.Context())
+		g.Expect(b.needsRecord(service, "v1")).To(BeFalse(), b.box.Name)
+		g.Expect(b.needsRecord(service, "v2")).To(BeTrue(), b.box.Name)
+	}
+	for _, b := range boxes {
+		evidence := b.Find(t.Context(), keyOfNumber(1), service)
+		g.Expect(evidence.BaseVersion()).To(Equal("v1"), b.box.Name)
+		g.Expect(b.failedRecorders).To(BeEmpty(), b.box.Name)
+	}
+}
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -97,16 +97,20 @@
 	return evidence
 }
 
-// addBase adds the base version of the service.
+// addBase adds the base version of the service, as it was received or as this box knows it if it has read it since.
 func (o *Origins) addBase(received *wireBases, evidence *Evidence, service string) {
-	if !o.keepBases(received) {
+	table, err := o.decodeBases(received)
+	if err != nil {
 		evidence.LogRead, evidence.LogFailed = false, true
 		return
 	}
 	evidence.LogEra = max(evidence.LogEra, o.cfg.LogEra())
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if base, known := o.bases.table[service]; known {
+	if !received.readAt().After(o.bases.readAt) {
+		table = o.bases.table
+	}
+	if base, known := table[service]; known {
 		evidence.Base, evidence.BaseAge = &base, max(boottime.TimeOfDay().Sub(base.Since), 0)
 	}
 }
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -11,9 +11,10 @@
 
 const (
 	// maxBatch bounds the origins in a request, at some 60 bytes each, and maxRequestBytes a request.
-	maxBatch         = 1000
-	maxRequestBytes  = 256 << 10
-	maxResponseBytes = 16 << 10
+	maxBatch        = 1000
+	maxRequestBytes = 256 << 10
+	// maxResponseBytes bounds a response, which may have the base versions of all services, at some 60 bytes each.
+	maxResponseBytes = 1 << 20
 	// exchangeTimeout bounds a request and its response. It is several times the round trip between
 	// regions, and short for a caller, whose first try may end after a second.
 	exchangeTimeout = 200 * time.Millisecond
@@ -37,7 +38,7 @@
 	Recorded bool `msgpack:"l,omitempty"`
 	// Await means that the box is to respond when the origins are in the log.
 	Await bool `msgpack:"a,omitempty"`
-	// Bases means that the box is to respond with the base versions.
+	// Bases means that the box is to respond with the base versions, or with that of Service if Key is to be found.
 	Bases bool `msgpack:"b,omitempty"`
 }
 
@@ -80,7 +81,7 @@
 	// A box of an older version of the program does not wait.
 	Awaited  bool `msgpack:"w,omitempty"`
 	Appended bool `msgpack:"a,omitempty"`
-	// Bases are the base versions; nil if they are not known. An older version of the program knows none.
+	// Bases are the base versions that were asked for; nil if they are not known. An older version of the program knows none.
 	Bases *wireBases `msgpack:"b,omitempty"`
 	// LogEra is the newest era of the log that the box knew of after it had read it.
 	LogEra int64 `msgpack:"e,omitempty"`
@@ -118,7 +119,7 @@
 	case received.Recorded && answer.Found == nil && len(received.Key) == keySize && o.cfg.Reader != nil:
 		o.findInLog(ctx, received, &answer)
 	case received.Bases:
-		answer.Bases = o.readBases(ctx)
+		answer.Bases = o.readBases(ctx, "")
 	}
 	return answer
 }
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -237,7 +237,7 @@
 func (o *Origins) findInLog(ctx context.Context, asked request, answer *response) {
 	o.findRecorded(ctx, asked, answer)
 	if asked.Bases && answer.LogRead && answer.Found == nil {
-		answer.Bases = o.readBases(ctx)
+		answer.Bases = o.readBases(ctx, asked.Service)
 		answer.LogRead = answer.Bases != nil
 		answer.OutageEnded = o.sinceOutage()
 	}
