sharedlog: a long poll that this box ends is no outage of the log

What callers see: resumed streams without a record were refused for as long as streams may be resumed, while their service had two versions, although the log had not been away.

Cause: boxes end their long polls when the number of boxes changes, when they begin to follow another box, and when the log's era changes, which is just when boxes have crashed and started. An ended poll counted as a call that failed, and as an outage if the next call of the box to succeed came a second later or more, as a held one does. The same goes for a read of origins whose caller leaves.

Now a call whose context was cancelled says nothing about the log. One that timed out still counts.

--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -53,7 +53,7 @@
 	began := boottime.Now()
 	page, err := m.log.NewestPage(ctx, stream, after)
 	m.noteEra(page.End, err)
-	m.recordCall("newest", stream, began, err)
+	m.recordCall(ctx, "newest", stream, began, err)
 	return page, err
 }
 
@@ -66,7 +66,7 @@
 	if wait > 0 {
 		kind = "held_read"
 	}
-	m.recordCall(kind, stream, began, err)
+	m.recordCall(ctx, kind, stream, began, err)
 	return page, err
 }
 
@@ -75,7 +75,7 @@
 	began := boottime.Now()
 	first, end, err = m.log.Bounds(ctx, stream)
 	m.noteEra(end, err)
-	m.recordCall("bounds", stream, began, err)
+	m.recordCall(ctx, "bounds", stream, began, err)
 	return first, end, err
 }
 
@@ -84,7 +84,7 @@
 	began := boottime.Now()
 	offset, err := m.log.Append(ctx, stream, end, record)
 	m.noteEra(offset, err)
-	m.recordCall("append", stream, began, err)
+	m.recordCall(ctx, "append", stream, began, err)
 	return offset, err
 }
 
@@ -98,9 +98,11 @@
 	m.eras.Note(position)
 }
 
-func (m *Measured) recordCall(kind string, stream Stream, began time.Time, err error) {
+func (m *Measured) recordCall(ctx context.Context, kind string, stream Stream, began time.Time, err error) {
 	outcome := outcomeOf(err)
-	m.outages.note(outcome)
+	if err == nil || !errors.Is(ctx.Err(), context.Canceled) { // a call that this box ends says nothing about the log
+		m.outages.note(outcome)
+	}
 	m.mu.Lock()
 	m.counts[stream.String()+"/"+kind+"/"+outcome]++
 	m.mu.Unlock()
