originlog: a box that starts marks the time within a second

What callers see: some 20 s after all boxes crashed, where the log keeps 20 s and a service has two versions, all streams without a record are refused if boxes crash again within the next 5 s or so.

Cause: readers take records for complete as far back as the oldest one, and need 15 s. Boxes looked only every 4 s whether they are to mark, counted from their start. With the time since the last mark before the crash and the time the boxes were down that leaves a gap of up to 10 s, and when the log drops the record before it the next one is 10 s old.

Now a box looks each second, which causes no calls; a mark that fails is tried again after 4 s, as before. The time since the last mark and the time that boxes are down remain.

--- a/internal/originlog/mark_test.go
+++ b/internal/originlog/mark_test.go
@@ -46,3 +46,39 @@
 		})
 	}
 }
+
+// After all boxes had crashed, the box that marks the time did so only 4 s after its start. Where the log keeps 20 s,
+// records did not reach back far enough some 20 s later, and streams without one were refused if boxes crashed then.
+func TestABoxThatStartsMarksLate(t *testing.T) {
+	const kept, down = 20 * time.Second, 2 * time.Second
+	for ran := 30 * time.Second; ran < 34*time.Second; ran += time.Second {
+		t.Run(ran.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				log := fakesharedlog.New()
+				run := func(duration time.Duration, inTurn func()) {
+					elected := time.Now().Add(300 * time.Millisecond)
+					writer := NewWriter(WriterConfig{Log: log, Logger: zerolog.Nop(), IsMarker: func() bool { return time.Now().After(elected) }})
+					ctx, stop := context.WithCancel(t.Context())
+					done := make(chan struct{})
+					go func() { writer.Loop(ctx); close(done) }()
+					for began := time.Now(); time.Since(began) < duration; time.Sleep(100 * time.Millisecond) {
+						log.Underlying().ExpireOlder(kept)
+						inTurn()
+					}
+					stop()
+					<-done
+				}
+				run(ran-time.Millisecond, func() {})
+				time.Sleep(down)
+				least := kept
+				run(30*time.Second, func() {
+					result, err := newReader(log).Find(t.Context(), keyOf(99), service)
+					g.Expect(err).NotTo(HaveOccurred())
+					least = min(least, result.CompleteFor)
+				})
+				g.Expect(least).To(BeNumerically(">=", kept-markInterval-down-2*time.Second))
+			})
+		})
+	}
+}
--- a/internal/originlog/writer.go
+++ b/internal/originlog/writer.go
@@ -28,6 +28,8 @@
 	maxFailurePause = 2 * time.Second
 	// markInterval is less than what the log keeps beyond the age of the records that a reader needs.
 	markInterval = 4 * time.Second
+	// markCheckInterval is the time between two checks whether it is this box that marks.
+	markCheckInterval = time.Second
 	// maxUnrecorded bounds the origins that wait, at some 100 bytes each; the oldest ones are dropped.
 	maxUnrecorded = 32768
 	// failingAfter is how long appends fail before other boxes should use another writer.
@@ -56,8 +58,8 @@
 	// failingSince is when the first of the appends failed that have failed since the last successful one;
 	// zero if the last one succeeded.
 	failingSince time.Time
-	// appendedAt is when the last record was appended.
-	appendedAt time.Time
+	// triedAt is when the last append ended.
+	triedAt time.Time
 	// dropped counts the origins that were dropped without a record.
 	dropped int
 	wake    waiting.Signal
@@ -146,7 +148,7 @@
 		began := boottime.Now()
 		switch {
 		case len(batch) == 0:
-			waiting.ForOrSignal(ctx, markInterval, wake)
+			waiting.ForOrSignal(ctx, markCheckInterval, wake)
 			w.mark(ctx)
 		case w.append(ctx, batch):
 			pause = minFailurePause
@@ -161,7 +163,7 @@
 // mark appends a record without origins if none has been appended for markInterval.
 func (w *Writer) mark(ctx context.Context) {
 	w.mu.Lock()
-	isDue := len(w.unrecorded) == 0 && boottime.Since(w.appendedAt) >= markInterval
+	isDue := len(w.unrecorded) == 0 && boottime.Since(w.triedAt) >= markInterval
 	w.mu.Unlock()
 	if isDue && w.cfg.IsMarker != nil && w.cfg.IsMarker() {
 		w.append(ctx, nil)
@@ -193,8 +195,9 @@
 	defer w.appended.Broadcast()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.triedAt = boottime.Now()
 	if err == nil {
-		w.failingSince, w.appendedAt = time.Time{}, boottime.Now()
+		w.failingSince = time.Time{}
 		w.forget(batch)
 		return true
 	}
