originlog: a mark that failed does not make the next origins fail

What callers see: in the 4 s after the log was back, the first events of the first streams of other versions were sent without a record, or those streams were given up, where the box that marks the time records for them and no other box can.

Cause: the box tries a mark every 4 s while the log is away. One that failed counted like origins that fail to be appended, which are tried again within 2 s, so the box refused all origins until the next append succeeded.

Evidence: the new test, in simulated time: a log that has been back for 0.2 s. Before the first origins were refused, now they are recorded.

--- a/internal/originlog/mark_test.go
+++ b/internal/originlog/mark_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/cometlock/cometlock/internal/fakelog"
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 )
 
@@ -82,3 +83,24 @@
 		})
 	}
 }
+
+// The box that marks the time refused the first origins after the log had been away, since its last mark had failed, so
+// that the first event of a stream was sent without its record.
+func TestAMarkThatFailedMakesTheNextOriginsFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := fakesharedlog.New()
+		writer := NewWriter(WriterConfig{Log: log, Logger: zerolog.Nop(), IsMarker: func() bool { return true }})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { writer.Loop(ctx); close(done) }()
+		defer func() { stop(); <-done }()
+		log.Underlying().SetFaults(fakelog.Faults{Down: true})
+		time.Sleep(10*time.Second - time.Millisecond)
+		log.Underlying().SetFaults(fakelog.Faults{})
+		for number := range 3 {
+			time.Sleep(200 * time.Millisecond)
+			g.Expect(writer.Await(t.Context(), []Origin{originOf(number)})).To(BeTrue())
+		}
+	})
+}
--- a/internal/originlog/writer.go
+++ b/internal/originlog/writer.go
@@ -202,7 +202,9 @@
 		return true
 	}
 	if w.failingSince.IsZero() {
-		w.failingSince = boottime.Now()
+		if len(batch) > 0 { // a mark is not tried again for a while, in which the log may be back
+			w.failingSince = boottime.Now()
+		}
 		w.cfg.Logger.Warn().Int("origins", len(batch)).Str("error", err.Error()).Msg("stream_origins_not_recorded")
 	}
 	w.unrecorded = append(batch, w.unrecorded...)
