entrybox, fleet: only the box that writes base versions counts the servers

The result is used by one box.

Now the others only note how old their list is, and the one that counts does so service by service, so that calls are placed between two of them.

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -241,10 +241,10 @@
 	b.places = places.New(owner)
 	b.baseVersions = baseversion.New(baseversion.Config{
 		Log: b.log, Eras: b.log.Eras(), Logger: b.logger, Observe: b.observeSoftware,
-		IsWriter: func() bool { return !b.leaving.Load() && b.isElected(baseVersionWriter) },
+		IsWriter: b.writesBaseVersions,
 	})
 	b.originWriter = originlog.NewWriter(originlog.WriterConfig{
-		Log: b.log, Logger: b.logger, IsMarker: func() bool { return !b.leaving.Load() && b.isElected(baseVersionWriter) },
+		Log: b.log, Logger: b.logger, IsMarker: b.writesBaseVersions,
 	})
 	b.origins = streamorigin.New(streamorigin.Config{
 		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress(), Process: shortIncarnation(b.incarnation), Cores: b.settings.Cores},
--- a/internal/entrybox/software.go
+++ b/internal/entrybox/software.go
@@ -7,6 +7,7 @@
 
 	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/boottime"
+	"github.com/cometlock/cometlock/internal/fleet"
 )
 
 // baseVersionWriter is the name whose first box by rendezvous hashing writes the base versions.
@@ -30,15 +31,24 @@
 	return boottime.Since(o.since), true
 }
 
-// observeSoftware returns the software versions of each service; none while the list of servers is out of date.
+// writesBaseVersions reports whether this box is the one that writes the base versions.
+func (b *Box) writesBaseVersions() bool { return !b.leaving.Load() && b.isElected(baseVersionWriter) }
+
+// observeSoftware returns the software versions of each service, for the box that writes the base versions; none while
+// the list of servers is out of date. The other boxes notice only how long it has been up to date.
 func (b *Box) observeSoftware() map[string]baseversion.Observation {
+	return b.observation.software(b.registry.ServersAge(), b.writesBaseVersions(), b.fleet)
+}
+
+// software returns the software versions of each service if the list of servers is of an age now.
+func (o *observation) software(age time.Duration, isWriter bool, servers *fleet.Fleet) map[string]baseversion.Observation {
 	seen := map[string]baseversion.Observation{}
-	observedFor, isCurrent := b.observation.lasted(b.registry.ServersAge())
-	if !isCurrent {
+	observedFor, isCurrent := o.lasted(age)
+	if !isCurrent || !isWriter {
 		return seen
 	}
-	for service, listed := range b.fleet.ListedSoftware() {
-		seen[service] = baseversion.Observation{Listed: listed, Remembered: b.fleet.SoftwareVersions(service), ObservedFor: observedFor}
+	for service, listed := range servers.ListedSoftware() {
+		seen[service] = baseversion.Observation{Listed: listed, Remembered: servers.SoftwareVersions(service), ObservedFor: observedFor}
 	}
 	return seen
 }
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -31,15 +31,22 @@
 
 // ListedSoftware counts the servers of each service by software version, without those that are leaving.
 func (f *Fleet) ListedSoftware() map[string]map[string]int {
+	counts := map[string]map[string]int{}
+	for _, service := range f.Services() {
+		counts[service] = f.listedSoftware(service)
+	}
+	return counts
+}
+
+// listedSoftware is ListedSoftware for one service. Calls are placed between two of them, since counting 20,000 servers
+// takes milliseconds.
+func (f *Fleet) listedSoftware(service string) map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	counts := make(map[string]map[string]int, len(f.groups))
-	for service, servers := range f.groups {
-		counts[service] = map[string]int{}
-		for state := range servers.all() {
-			if state.delistedAt.IsZero() && !state.Leaving {
-				counts[service][state.Software]++
-			}
+	counts := map[string]int{}
+	for state := range f.groups[service].all() {
+		if state.delistedAt.IsZero() && !state.Leaving {
+			counts[state.Software]++
 		}
 	}
 	return counts
