gateway: a stream does not begin at a version that the log contradicts

What callers see: where the log goes away, a stream that had been sent to a server of another version first and began at the base version is resumed at the other version after all boxes crashed.

Cause: the first version was announced in the log, the second one cannot be any more, and a call that was announced at one version only counts as begun there. That the second one is the base version, which needs no record, does not help: what is found goes before it.

Now such a stream begins anew at a server of the announced version, if one has room and the call may be sent to a further server. Otherwise it begins without a record, as before.

Evidence: the new test, a call that is refused by a server of v2 after 0.3 s, as the log goes away, and taken by one of v1. Before it began at v1 though a second server of v2 was free; now it begins at v2. Without the second server it begins at v1 both times.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -256,9 +256,11 @@
 	// resumeAfter is the id of the last event that the caller has; the lock of the current
 	// attempt's watch guards it.
 	resumeAfter string
-	// software is the software version that must serve the call, since the caller has events of it; nil
+	// software is the software version that must serve the call, since the caller has events of it or beginAt is set; nil
 	// while any may. The lock of the current attempt's watch guards it.
 	software *string
+	// beginAt is the version at which a stream begins anew that was given up for want of a record; nil if any may.
+	beginAt *string
 	// announcement has the software versions of the servers that the call was sent to.
 	announcement streamorigin.Announcement
 	// responseStarted is set once a part of a response has been sent to the caller.
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -94,7 +94,7 @@
 
 // noteOrigin records which software version begins the call's stream, before the caller has its first event. It may
 // wait until the record is in the log. It returns false if there is none, and the stream should begin at a server of
-// another version, which needs none.
+// another version, which needs none or has one.
 func (g *Gateway) noteOrigin(x *exchange) (mayBegin bool) {
 	if !g.recordsOrigin(x) || x.software == nil {
 		return true
@@ -104,8 +104,13 @@
 	if x.info.ResumeAfter != "" || g.cfg.Origins.AwaitAnnounced(x.ctx, &x.announcement, key, origin) || x.ctx.Err() != nil {
 		return true
 	}
-	preferred := g.preferredSoftware(x)
-	mayBegin = preferred == nil || *preferred == origin.Software || !g.mayBeginElsewhere(x, *preferred)
+	if announced, found := x.announcement.Contradicting(origin.Software); found && g.mayBeginElsewhere(x, announced) {
+		x.beginAt = &announced
+	} else {
+		x.beginAt = nil
+		preferred := g.preferredSoftware(x)
+		mayBegin = preferred == nil || *preferred == origin.Software || !g.mayBeginElsewhere(x, *preferred)
+	}
 	if !mayBegin {
 		g.cfg.Origins.Complete(key)
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -179,7 +179,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.relayingEvent = false
-	w.current.x.software, w.current.x.resumeAfter = nil, w.current.x.info.ResumeAfter
+	w.current.x.software, w.current.x.resumeAfter = w.current.x.beginAt, w.current.x.info.ResumeAfter
 }
 
 // eventRelayed records that the caller has the event and the server is read again. Data from the
--- a/internal/streamorigin/announce.go
+++ b/internal/streamorigin/announce.go
@@ -37,6 +37,22 @@
 	return batch, others == 0, others == 1 && hasBase && batch != nil
 }
 
+// Contradicting returns a version whose announcement is in the log while that of another one is not: without a record of
+// its origin, a stream of the other one would count as one of the returned version.
+func (a *Announcement) Contradicting(software string) (other string, found bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if batch := a.batches[software]; batch != nil && batch.isRecorded() {
+		return "", false
+	}
+	for version, batch := range a.batches {
+		if version != software && batch.isRecorded() {
+			return version, true
+		}
+	}
+	return "", false
+}
+
 // announcedKey returns the key for the versions that a call is sent to.
 func announcedKey(key Key) Key {
 	for i := range key {
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// isRecorded reports whether the origins are in the log, as far as is known now.
+func (b *awaitedBatch) isRecorded() bool {
+	select {
+	case <-b.done:
+		return b.recorded
+	default:
+		return false
+	}
+}
+
 // isRecent waits for the end, and reports whether the origins are in the log and need not be recorded again yet.
 func (b *awaitedBatch) isRecent(ctx context.Context) bool {
 	return b.wait(ctx) && boottime.Since(b.recordedAt) < rerecordInterval
