--- a/internal/streamorigin/alias_test.go
+++ b/internal/streamorigin/alias_test.go
@@ -33,6 +33,12 @@
 			o.Announce(t.Context(), &announcement, key, origin)
 			g.Expect(o.AwaitAnnounced(t.Context(), &announcement, key, origin)).To(BeTrue())
 		}},
+		{"the announcement failed", func(t *testing.T, g *WithT, o *Origins, origin Origin) {
+			failed := &awaitedBatch{done: make(chan struct{})}
+			close(failed.done)
+			announcement := Announcement{batches: map[string]*awaitedBatch{"v2": failed}}
+			g.Expect(o.AwaitAnnounced(t.Context(), &announcement, key, origin)).To(BeTrue())
+		}},
 		{"not announced", func(t *testing.T, g *WithT, o *Origins, origin Origin) {
 			g.Expect(o.AwaitRecord(t.Context(), key, origin)).To(BeTrue())
 		}},
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -11,9 +11,10 @@
 
 const (
 	// maxBatch bounds the origins in a request, at some 60 bytes each, and maxRequestBytes a request.
-	maxBatch         = 1000
-	maxRequestBytes  = 256 << 10
-	maxResponseBytes = 16 << 10
+	maxBatch        = 1000
+	maxRequestBytes = 256 << 10
+	// maxResponseBytes bounds a response, which may have the base versions of all services, at some 60 bytes each.
+	maxResponseBytes = 1 << 20
 	// exchangeTimeout bounds a request and its response. It is several times the round trip between
 	// regions, and short for a caller, whose first try may end after a second.
 	exchangeTimeout = 200 * time.Millisecond
@@ -25,7 +26,7 @@
 
 // request is a message to a holder.
 type request struct {
-	// Origins are to be held.
+	// Origins are to be held, without Await.
 	Origins []wireOrigin `msgpack:"o,omitempty"`
 	// Key is the key of a stream to find, whichever service began it; empty for none. The response has the versions
 	// of Service.
@@ -40,7 +41,7 @@
 	Recorded bool `msgpack:"l,omitempty"`
 	// Await means that the box is to respond when the origins are in the log.
 	Await bool `msgpack:"a,omitempty"`
-	// Bases means that the box is to respond with the base versions.
+	// Bases means that the box is to respond with the base versions, or with that of Service if Key is to be found.
 	Bases bool `msgpack:"b,omitempty"`
 }
 
@@ -93,7 +94,7 @@
 	// A box of an older version of the program does not wait.
 	Awaited  bool `msgpack:"w,omitempty"`
 	Appended bool `msgpack:"a,omitempty"`
-	// Bases are the base versions; nil if they are not known. An older version of the program knows none.
+	// Bases are the base versions that were asked for; nil if they are not known. An older version of the program knows none.
 	Bases *wireBases `msgpack:"b,omitempty"`
 	// LogEra is the newest era of the log that the box knew of after it had read it.
 	LogEra int64 `msgpack:"e,omitempty"`
@@ -140,7 +141,7 @@
 	case received.Recorded && answer.Found == nil && len(received.Key) == keySize && o.cfg.Reader != nil:
 		o.findInLog(ctx, received, &answer)
 	case received.Bases:
-		answer.Bases = o.readBases(ctx)
+		answer.Bases = o.readBases(ctx, "")
 	}
 	return answer
 }
@@ -150,7 +151,8 @@
 	o.mu.Lock()
 	now := boottime.Now()
 	for i := range received.Origins {
-		if key, origin, ok := received.Origins[i].decode(now); ok {
+		// A stream whose first event waits may yet begin at another version.
+		if key, origin, ok := received.Origins[i].decode(now); ok && !received.Await {
 			o.known.add(key, origin, now)
 		}
 	}
