--- a/internal/loadshare/limitrestarts_test.go
+++ b/internal/loadshare/limitrestarts_test.go
@@ -1,4 +1,4 @@
-// Boxes keep nothing when they restart, so each incarnation learns of a rate limit anew.
+// Boxes store no state across restarts, so each incarnation has to receive the rate limits again.
 
 package loadshare_test
 
@@ -24,8 +24,8 @@
 	maxBoxesTried = 3
 )
 
-// playRestarts restarts boxes one after the other beside calls, and returns the most requests that
-// the server received in any window after all boxes knew the limit.
+// playRestarts restarts boxes one after the other during calls, and returns the most requests that
+// the server received in any window after all boxes had received the limit.
 func playRestarts(t *testing.T, seed uint64, perSecond float64) (most int) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -66,7 +66,7 @@
 	return most
 }
 
-// forward sends a call on through other boxes if its box lacks a share, as package gateway does.
+// forward sends a call to other boxes if its box has no share of the limit left, as package gateway does.
 func (h *limitHistory) forward(from *limitedBox, down map[*limitedBox]time.Time) {
 	if !from.fleet.LacksShare(limitQuery(from)) {
 		return
@@ -94,8 +94,8 @@
 	return most
 }
 
-// Boxes that had just started took the calls of all others without a share of the limit, which they
-// did not know yet, so that servers got more than their limit.
+// A box that had just started had not received the rate limits yet, so it accepted the calls of all
+// boxes whose shares were used up, and servers received more than their limits.
 func TestARateLimitHoldsWhileBoxesRestartOneAfterTheOther(t *testing.T) {
 	t.Parallel()
 	for _, perSecond := range []float64{1, 2} {
--- a/internal/loadshare/limits.go
+++ b/internal/loadshare/limits.go
@@ -11,8 +11,8 @@
 	"github.com/cometlock/cometlock/internal/boottime"
 )
 
-// informedAfter bounds how long a box that starts waits for the reports of all listed boxes, some of
-// which may have stopped.
+// informedAfter bounds how long a box waits after its start for the reports of all listed boxes: a
+// stopped box sends none and may still be listed.
 const informedAfter = 2 * time.Second
 
 // maxLimitRanks bounds the cached ranks, one for each incarnation of a limited server.
@@ -79,8 +79,9 @@
 	return len(sameZone) + advisory.Rank(s.cfg.Box, otherZones, server)
 }
 
-// IsInformed reports whether this box has received the reports of all listed boxes since it started,
-// or has had time to. Before that it does not know what servers stated to others, such as rate limits.
+// IsInformed reports whether this box has received a report of each listed box since its start, or
+// started at least informedAfter ago. Before that it may lack rate limits that servers stated to other
+// boxes.
 func (s *Share) IsInformed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,7 +89,7 @@
 	return s.informed
 }
 
-// allReport reports whether there is a state of each listed box. The caller holds mu.
+// allReport reports whether there is a load report of each listed box. The caller holds mu.
 func (s *Share) allReport() bool {
 	for box := range s.peers {
 		if s.states[box] == nil {
