soak: plain names and comments for releases

releaseSize is a releaseScope, listTime a maxListingDelay; the rule of which calls must recover is a function of its own (mustRecover). The order of the checks does not matter, since none has an effect.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -96,9 +96,9 @@
 	// calls that reached the server that they were sent to, including those that it rejected.
 	Advisories []Advisory
 	Received   []Arrival
-	// Streams are the streams of a soak with several software versions, and Software is the version of each
-	// runner at first, by the number of the server, which Releases change. Reasons are the reasons of boxes for
-	// refusing calls, by their IDs.
+	// Streams are the streams of a soak with several software versions. Software is the first version of each
+	// runner, by the number of the server; Releases change it. Reasons are the reasons for which boxes refused
+	// calls, by their IDs.
 	Streams  []ResumableStream
 	Software map[int]string
 	Releases []Release
@@ -181,7 +181,7 @@
 		if h.isLost(a, runs[a.ID]) {
 			report(InvariantNoLoss, "%s", a.describe())
 		}
-		if a.Began > h.FaultsEnd+recoveryTime && a.Outcome != CompleteResponse && a.CallKind != Probe && a.Version == 0 && !h.isRefusedByRelease(a) {
+		if h.mustRecover(a) && a.Outcome != CompleteResponse {
 			report(InvariantRecovery, "%s", a.describe())
 		}
 	}
@@ -245,6 +245,13 @@
 	return !h.isDisturbed(a.Began-syncTime, a.Ended, func(f Fault) bool { return !f.Kind.IsRoutine() })
 }
 
+// mustRecover reports whether a call began so long after the last fault that it must be served. Probes and calls with
+// the key of a single configuration version may be denied at any time.
+func (h *History) mustRecover(a *Attempt) bool {
+	isOrdinary := a.CallKind != Probe && a.Version == 0
+	return isOrdinary && a.Began > h.FaultsEnd+recoveryTime && !h.isRefusedByRelease(a)
+}
+
 // wasCutByStop reports whether a box accepted the call soon after its stop began, and the call was still
 // running when nearly all of StopTimeout had passed.
 func (h *History) wasCutByStop(a *Attempt) bool {
@@ -329,7 +336,7 @@
 }
 
 // wasKilledSince reports whether a server that had announced its leaving was killed before a moment.
-// Its next incarnation is not leaving.
+// Neither its next incarnation nor a runner that a release starts in its place is leaving.
 func (h *History) wasKilledSince(leaving Event, at time.Duration) bool {
 	return h.isDisturbed(leaving.At, at, func(f Fault) bool {
 		return (f.Kind == KillServer || f.Kind == ReleaseRunner) && f.Target == leaving.Server
--- a/internal/soak/releases.go
+++ b/internal/soak/releases.go
@@ -1,5 +1,5 @@
-// Releases of software versions around crashes of boxes. They are drawn from their own random sequence, so that
-// the other faults of a seed stay the same.
+// Crashes of all boxes with releases of software versions before, during and after them. They are drawn from their own
+// random sequence, so that the other faults of a seed stay the same.
 
 package soak
 
@@ -10,10 +10,10 @@
 	"time"
 )
 
-// ReleaseRunner replaces a runner by one of another software version, which starts ActiveFor later.
+// ReleaseRunner drains and stops a runner, and starts one of another software version ActiveFor later.
 const ReleaseRunner Kind = "release"
 
-// Release is the replacement of a runner.
+// Release is the replacement of a runner by one of another software version.
 type Release struct {
 	Server  int
 	At      time.Duration
@@ -21,39 +21,41 @@
 }
 
 const (
-	// listTime is how long after its start boxes have read the entry of a runner that a release started.
-	listTime = time.Second
-	// firstRelease is when the first release comes at the earliest: streams have begun by then.
-	firstRelease = 3 * time.Second
+	// maxListingDelay bounds the time from the end of a ReleaseRunner fault until boxes have read the entry of the
+	// runner that it starts.
+	maxListingDelay = time.Second
+	// firstReleaseCrash is the time of the first crash, at which streams are in flight.
+	firstReleaseCrash = 3 * time.Second
 	// meanReleaseInterval is the mean time between two crashes with releases.
 	meanReleaseInterval = 7 * time.Second
-	// The first release begins at most replaceLead before the crash to replaceLag after it, and ends before all boxes
-	// are back as a rule; with wholeProbability it is of all runners. With secondProbability another one begins
-	// minReleaseMargin to maxReleaseMargin before or after the crash: in between, streams are resumed.
-	replaceLead, replaceLag            = 400 * time.Millisecond, 300 * time.Millisecond
-	wholeProbability                   = 0.6
-	secondProbability                  = 0.4
+	// The first release begins at most maxReleaseLead before a crash or maxReleaseLag after it, so that it mostly ends
+	// before all boxes have restarted. With allRunnersProbability it is of all runners. With secondReleaseProbability
+	// another one begins minReleaseMargin to maxReleaseMargin before or after the crash, so that streams are resumed
+	// between the two.
+	maxReleaseLead, maxReleaseLag      = 400 * time.Millisecond, 300 * time.Millisecond
+	allRunnersProbability              = 0.6
+	secondReleaseProbability           = 0.4
 	minReleaseMargin, maxReleaseMargin = 1200 * time.Millisecond, 3 * time.Second
-	// minFleetDowntime is the shortest time until boxes start again.
+	// minFleetDowntime is the shortest time until crashed boxes start again.
 	minFleetDowntime = 600 * time.Millisecond
-	// minSecondCrash and maxSecondCrash bound the time to a second crash, which comes with repeatProbability.
-	minSecondCrash, maxSecondCrash = 400 * time.Millisecond, 2500 * time.Millisecond
-	// minReplaceTime and maxReplaceTime bound the time until the other runner starts, and maxReleaseGap is the
-	// longest time between the replacements of two runners.
+	// minSecondCrashDelay and maxSecondCrashDelay bound the time to a second crash, drawn with repeatProbability.
+	minSecondCrashDelay, maxSecondCrashDelay = 400 * time.Millisecond, 2500 * time.Millisecond
+	// minReplaceTime and maxReplaceTime bound the time from the stop of a runner to the start of the other one, and
+	// maxReleaseGap the time between the replacements of two runners.
 	minReplaceTime, maxReplaceTime = 20 * time.Millisecond, 300 * time.Millisecond
 	maxReleaseGap                  = 20 * time.Millisecond
 )
 
-// releaseSize is which runners a release replaces.
-type releaseSize uint8
+// releaseScope is which runners a release replaces.
+type releaseScope uint8
 
 const (
-	// allRunners are also all of the only version.
-	allRunners releaseSize = iota
+	// allRunners includes the replacement of a service's only version.
+	allRunners releaseScope = iota
 	halfOfRunners
-	// allRunnersBack brings back the version that was there first.
-	allRunnersBack
-	releaseSizeCount
+	// rollbackOfAll returns all runners to the first version, v1.
+	rollbackOfAll
+	releaseScopeCount
 )
 
 // PlanReleases draws crashes of all boxes with releases around them. Servers with an even number are runners.
@@ -61,24 +63,24 @@
 	rng := rand.New(rand.NewPCG(cfg.Seed, 5))
 	var faults []Fault
 	released := 0
-	for at := firstRelease; at < cfg.LoadDuration; at += time.Duration(rng.ExpFloat64() * float64(meanReleaseInterval)) {
+	for at := firstReleaseCrash; at < cfg.LoadDuration; at += time.Duration(rng.ExpFloat64() * float64(meanReleaseInterval)) {
 		faults = append(faults, drawFleetCrash(rng, cfg, at)...)
-		size := releaseSize(rng.IntN(int(releaseSizeCount)))
-		if rng.Float64() < wholeProbability {
-			size = allRunners
+		scope := releaseScope(rng.IntN(int(releaseScopeCount)))
+		if rng.Float64() < allRunnersProbability {
+			scope = allRunners
 		}
 		released++
-		faults = append(faults, drawRelease(rng, cfg, size, at+between(rng, -replaceLead, replaceLag), fmt.Sprint("r", released))...)
-		if rng.Float64() < secondProbability {
+		faults = append(faults, drawRelease(rng, cfg, scope, at+between(rng, -maxReleaseLead, maxReleaseLag), fmt.Sprint("r", released))...)
+		if rng.Float64() < secondReleaseProbability {
 			released++
 			margin := between(rng, minReleaseMargin, maxReleaseMargin)
 			if rng.IntN(2) == 0 {
 				margin = -margin
 			}
-			faults = append(faults, drawRelease(rng, cfg, releaseSize(rng.IntN(int(releaseSizeCount))), at+margin, fmt.Sprint("r", released))...)
+			faults = append(faults, drawRelease(rng, cfg, releaseScope(rng.IntN(int(releaseScopeCount))), at+margin, fmt.Sprint("r", released))...)
 		}
 		if rng.Float64() < repeatProbability {
-			faults = append(faults, drawFleetCrash(rng, cfg, at+between(rng, minSecondCrash, maxSecondCrash))...)
+			faults = append(faults, drawFleetCrash(rng, cfg, at+between(rng, minSecondCrashDelay, maxSecondCrashDelay))...)
 		}
 	}
 	return faults
@@ -94,14 +96,14 @@
 	return faults
 }
 
-// drawRelease draws one release.
-func drawRelease(rng *rand.Rand, cfg PlanConfig, size releaseSize, at time.Duration, version string) []Fault {
+// drawRelease draws one release, which replaces runners one after the other.
+func drawRelease(rng *rand.Rand, cfg PlanConfig, scope releaseScope, at time.Duration, version string) []Fault {
 	runners := rng.Perm(cfg.Servers / 2)
-	switch size {
+	switch scope {
 	case allRunners:
 	case halfOfRunners:
 		runners = runners[:max(len(runners)/2, 1)]
-	case allRunnersBack:
+	case rollbackOfAll:
 		version = "v1"
 	}
 	var faults []Fault
@@ -112,9 +114,9 @@
 	return faults
 }
 
-// isRefusedByRelease reports whether a call was refused because of a release for as long as that lasts: no two runners
-// have the version of the stream that it resumes, or runners that ended before boxes read that they leave count as
-// crashed, and parts of prompts that they had are held.
+// isRefusedByRelease reports whether a release may have caused the refusal of a call, also long after the last fault:
+// fewer than minServing runners have the version of the stream that it resumes, or a part of its prompt is quarantined
+// (reason ends_servers), since a runner that stops before boxes have read that it drains counts as crashed.
 func (h *History) isRefusedByRelease(a *Attempt) bool {
 	if len(h.Releases) == 0 || a.Outcome != NotRun {
 		return false
--- a/internal/soak/releases_test.go
+++ b/internal/soak/releases_test.go
@@ -9,8 +9,8 @@
 	"github.com/cometlock/cometlock/internal/soak"
 )
 
-// Releases of all runners and of some, and returns of the first version, must be drawn before, during and after
-// crashes of all boxes, of which some come twice.
+// Releases of all and of half of the runners, and rollbacks to the first version, must be drawn before, during and
+// after crashes of all boxes, some of which are repeated.
 func TestPlannedReleasesLeaveOutKinds(t *testing.T) {
 	g := NewWithT(t)
 	sizes, places, crashCounts := map[int]bool{}, map[string]bool{}, map[int]bool{}
@@ -55,8 +55,8 @@
 	g.Expect(crashCounts).To(And(HaveKey(1), HaveKey(2)))
 }
 
-// Streams whose runners were replaced by ones of another version must not count as lost, and those whose version
-// came back must.
+// A stream that is not resumed must not count as lost if a release has replaced its version, and must count if a
+// rollback has brought that version back.
 func TestReleasesChangeWhichStreamsCount(t *testing.T) {
 	release := func(at time.Duration, version string) []soak.Release {
 		return []soak.Release{{Server: 0, At: at, Version: version}, {Server: 2, At: at, Version: version}}
@@ -81,7 +81,7 @@
 	}
 }
 
-// Runners that a release has just started must not count, since boxes have not read their entries.
+// A runner that a release has just started must not count as serving, since boxes may not have read its entry.
 func TestRunnersCountBeforeTheyAreListed(t *testing.T) {
 	tests := []struct {
 		end      time.Duration
@@ -99,7 +99,7 @@
 	}
 }
 
-// Calls that are refused after the last fault must be reported, but for those that a release explains.
+// Calls that are refused long after the last fault must be reported unless a release explains the refusal.
 func TestCallsThatReleasesRefuseAreExpectedToRecover(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -229,7 +229,7 @@
 			return false
 		}
 	}
-	if h.isDisturbed(from-listTime, to, func(f Fault) bool { return f.Kind == ReleaseRunner && f.Target == server }) {
+	if h.isDisturbed(from-maxListingDelay, to, func(f Fault) bool { return f.Kind == ReleaseRunner && f.Target == server }) {
 		return false
 	}
 	return !h.isDisturbed(from, to, func(f Fault) bool {
