baseversion: the field's terms for observations, readings and writes

seen is observed or observations, keep and forget are store and invalidate, absence minAbsence, isAlone hasOnlyBase.

--- a/internal/baseversion/baseversion.go
+++ b/internal/baseversion/baseversion.go
@@ -1,45 +1,46 @@
-// Package baseversion keeps the base version of each service: the software version that began the streams whose
-// origin is not recorded.
+// Package baseversion maintains the base version of each service: the software version of all its streams that have no
+// recorded origin.
 //
-// A caller may resume a stream at any box, also after all boxes crashed, and only the version that began it may
-// continue it (package streamorigin). Which versions are listed at that time does not tell: one may have replaced
-// another while no box was running. A record of each stream would tell, but nearly all services have one version
-// nearly always. So one record in the platform's log has the base version of each service, and a box sends the
-// first event of a stream of any other version only when its origin is in the log. A stream without a record is
-// then one of the base version.
+// A caller may resume a stream at any box, also after all boxes crashed, and only the version that began the stream
+// may continue it (package streamorigin). The list of servers at that time does not say which version that was: one
+// may have replaced another while no box was running. Recording every stream would, but nearly all services have a
+// single version nearly always. So one record in the platform's log has the base version of each service, and a box
+// sends the first event of a stream of any other version only once the stream's origin is in the log. A stream
+// without a record is then of the base version.
 //
-// The base version changes only when none of its servers has been listed for so long that no caller resumes a
-// stream of it (next.go). Between two of them a service has none, for longer than boxes use what they have read and
-// callers resume what began then, so that no stream of the earlier one is resumed at the next.
+// The base version is replaced only after none of its servers has been listed for as long as callers resume its
+// streams (next.go). The service then has no base version for a while: for as long as boxes use a table that they read
+// before, and callers resume the streams that began under it. So no stream of one base version is resumed at the
+// next.
 //
-//	next.go    which base version follows, a decision over plain data
-//	record.go  the table of base versions ◀▶ the value of its record
+//	next.go    whether the base version of a service changes: a decision over plain data
+//	record.go  encodes and decodes the table of base versions, the value of the record
 //	keeper.go  reads the record on demand
-//	write.go   writes it at one box
+//	write.go   writes the record at one elected box
 package baseversion
 
 import "time"
 
 // Base is the base version of a service.
 type Base struct {
-	// Version is the base version. Without Present the service has none: the origins of all its streams are
-	// recorded.
+	// Version is the base version. If Present is false the service has none, and the origins of all its streams
+	// are recorded.
 	Version string
 	Present bool
 	// Since is when this took effect, by the clock of the box that wrote it.
 	Since time.Time
 	// Replaced is set if streams without a record may have been of another version before.
 	Replaced bool
-	// Era is the era of the log in which this was last confirmed. A log that came back from a copy since then
-	// may have lost the origins of streams.
+	// Era is the era of the log in which this was last confirmed. A log with a later era was restored from a copy
+	// since, and may lack origins of streams.
 	Era int64
-	// RecordsFrom is the position in the stream of origins from which on the records of all streams lie that are of
-	// another version and may be resumed. A log that has dropped later ones may lack records.
+	// RecordsFrom is a position in the stream of origins: all records of streams of other versions that may still be
+	// resumed are at this position or after it. If the log has dropped some of these, origins may be missing.
 	RecordsFrom int64
 }
 
-// isSameBase reports whether a base version differs at most in RecordsFrom, which does not change which streams have no
-// record.
+// isSameBase reports whether b and other differ at most in RecordsFrom, which has no effect on which streams are
+// recorded.
 func (b Base) isSameBase(other Base) bool {
 	b.RecordsFrom = other.RecordsFrom
 	return b == other
@@ -48,5 +49,5 @@
 // Table has the base versions by service.
 type Table map[string]Base
 
-// LeaseTime is how long a box may use what was read from the log.
+// LeaseTime is how long a box may use a table, counted from the start of the read.
 const LeaseTime = 10 * time.Second
--- a/internal/baseversion/history_test.go
+++ b/internal/baseversion/history_test.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// apply applies an event. It returns false if it changes nothing.
+// apply applies an event.
 func (e historyEvent) apply(m *model) {
 	b := m.boxes[e.box]
 	m.notef("%s %s %s", e.kind, e.version, b.name)
@@ -79,12 +79,11 @@
 	}
 }
 
-// maxFrozen is how long the list of servers of a box is out of date at most in the histories: servers that are
-// delisted serve no longer than that.
+// maxFrozen bounds the time for which a box's list of servers is out of date. Delisted servers serve no longer than that.
 const maxFrozen = LeaseTime
 
-// Streams that began without a record must be of the base version that the log has for as long as callers resume
-// them, whatever happens to boxes and the log.
+// For as long as callers resume a stream that began without a record, the log must have that stream's version as the
+// base version, or none, whatever happens to boxes and the log.
 func TestAStreamWithoutARecordIsOfAnotherVersionThanTheBaseVersion(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newModel(3)
--- a/internal/baseversion/keeper.go
+++ b/internal/baseversion/keeper.go
@@ -15,21 +15,21 @@
 )
 
 const (
-	// checkInterval is the time between two checks whether a base version changes. Each write takes at least as
-	// long, so services that appear together share one.
+	// checkInterval is the time between two checks whether a base version changes. Services that appear within it
+	// share one write.
 	checkInterval = time.Second
-	// readTimeout bounds a read, for a caller whose first try may end after a second.
+	// readTimeout bounds a read. A caller may give up its first try after a second.
 	readTimeout = 500 * time.Millisecond
 	// appendTimeout bounds an append; the log takes 4 ms, and 200 ms when it is slow.
 	appendTimeout = 700 * time.Millisecond
-	// originsInterval is how old the end of the stream of origins may be. The shortest history of a log is 20 s, so
-	// records are noted before it drops them.
+	// originsInterval is the time between two reads of the end of the stream of origins. Logs keep records for 20 s
+	// or longer, so RecordsFrom moves past a record before the log drops it.
 	originsInterval = 10 * time.Second
-	// maxPause bounds the pause after a call that failed, which doubles: a refused call has its price too.
+	// maxPause bounds the exponential backoff after failed calls: the log charges for those that it refuses, too.
 	maxPause = 8 * time.Second
-	// forgetAfter is how long a service must have had no servers until its base version is dropped. The table is one
-	// record, which must not grow with every service that there ever was.
-	forgetAfter = time.Hour
+	// dropAfter is how long a service must have had no servers until its base version is dropped: the table is a
+	// single record, and would otherwise grow with every service that ever existed.
+	dropAfter = time.Hour
 )
 
 // Config configures a Keeper.
@@ -37,39 +37,41 @@
 	Log    sharedlog.Log
 	Eras   *sharedlog.Eras
 	Logger zerolog.Logger
-	// Observe returns what this box knows of each service, without KnownFor, Era and EraSeenFor.
+	// Observe returns this box's observation of each service, without KnownFor, Era, EraSeenFor and OriginsEnd. It
+	// returns none while the list of servers is out of date.
 	Observe func() map[string]Observation
-	// IsWriter reports whether this box is the one that writes. Boxes that disagree on it for a while do no harm,
-	// since a write takes effect only if nobody else has written since the read.
+	// IsWriter reports whether this box is elected to write. Two writers at a time do no harm: an append takes
+	// effect only if the log has no record that its writer has not read (optimistic concurrency).
 	IsWriter func() bool
 }
 
 // Keeper reads and writes the base versions.
 type Keeper struct {
 	cfg Config
-	// reading holds one element while a goroutine reads. It is no mutex, so that those who wait for it heed
-	// their contexts.
+	// reading holds one element while a goroutine reads. It is a channel rather than a mutex, so that a context ends
+	// the wait for it.
 	reading chan struct{}
 
 	mu sync.Mutex
-	// read is what was read last. failedAt is when the last read failed, if it did, and failure why.
+	// read is the result of the last successful read. failure is the error of the last read, which ended at
+	// failedAt; nil if it succeeded.
 	read     Reading
 	failedAt time.Time
 	failure  error
-	// knownSince has when this box first read the present record of each service.
+	// knownSince is when this box first read the current base version of each service.
 	knownSince map[string]time.Time
 
-	// The rest belongs to Loop.
+	// The remaining fields are used by Loop alone.
 
-	// originsEnd has where the stream of origins ended while each service had its base version alone, as of
-	// originsReadAt.
+	// originsEnd is the end of the stream of origins, as of originsReadAt, for services that had only their base
+	// versions then.
 	originsEnd    map[string]int64
 	originsReadAt time.Time
-	// absentSince has since when this box has seen no servers of services in the table.
+	// absentSince is the time since which services in the table have had no servers.
 	absentSince map[string]time.Time
 }
 
-// Reading is the table as of a read of the log. The zero value has not been read.
+// Reading is the result of a read of the log. Its zero value stands for none.
 type Reading struct {
 	Table Table
 	// At is when the read began.
@@ -83,7 +85,8 @@
 	return &Keeper{cfg: cfg, reading: make(chan struct{}, 1), knownSince: map[string]time.Time{}, originsEnd: map[string]int64{}, absentSince: map[string]time.Time{}}
 }
 
-// Read returns the base versions as the log has them, or as it had them maxAge ago at most.
+// Read returns the base versions as the log had them at most maxAge ago. Concurrent callers share a read, and its
+// failure for failureCacheTime.
 func (k *Keeper) Read(ctx context.Context, maxAge time.Duration) (Reading, error) {
 	if reading, recent := k.recent(maxAge); recent {
 		return reading, nil
@@ -109,26 +112,26 @@
 	k.failedAt, k.failure = boottime.Now(), err
 	k.mu.Unlock()
 	if err == nil {
-		k.keep(reading)
+		k.store(reading)
 	}
 	return reading, err
 }
 
-// failureTime is how long the failure of a read is shared, so that those who ask while the log is away do not each
-// wait for it.
-const failureTime = 250 * time.Millisecond
+// failureCacheTime is how long the failure of a read is returned to further callers, so that they do not each wait for
+// an unavailable log.
+const failureCacheTime = 250 * time.Millisecond
 
-// recentFailure returns why the last read failed, if that was a moment ago.
+// recentFailure returns the error of the last read if that failed less than failureCacheTime ago.
 func (k *Keeper) recentFailure() error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if boottime.Since(k.failedAt) < failureTime {
+	if boottime.Since(k.failedAt) < failureCacheTime {
 		return k.failure
 	}
 	return nil
 }
 
-// readLog reads the record.
+// readLog reads the record, for a read that began at a time. Without a record the table is empty.
 func (k *Keeper) readLog(ctx context.Context, at time.Time) (Reading, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -149,15 +152,15 @@
 	return reading, nil
 }
 
-// recent returns what was read last, unless it is older than maxAge.
-func (k *Keeper) recent(maxAge time.Duration) (Reading, bool) {
+// recent returns the last reading; found is false if there is none or it is older than maxAge.
+func (k *Keeper) recent(maxAge time.Duration) (last Reading, found bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.read, !k.read.At.IsZero() && boottime.Since(k.read.At) <= maxAge
 }
 
-// keep keeps what was read.
-func (k *Keeper) keep(reading Reading) {
+// store replaces the last reading.
+func (k *Keeper) store(reading Reading) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for service, base := range reading.Table {
--- a/internal/baseversion/keeper_test.go
+++ b/internal/baseversion/keeper_test.go
@@ -66,7 +66,7 @@
 	seen map[string]Observation
 }
 
-// startBox starts a box that writes and knows of a version of the service. It stops before the test ends.
+// startBox starts a box that writes and observes versions of the service. It stops before the test ends.
 func startBox(t *testing.T, log sharedlog.Log, versions ...string) *box {
 	t.Helper()
 	b := &box{startedAt: time.Now(), seen: map[string]Observation{}}
@@ -83,7 +83,7 @@
 	return b
 }
 
-// list sets the versions of a service that the box has known of for long; the first one is the most common.
+// list sets the versions of a service that the box observes; the first one has the most servers.
 func (b *box) list(service string, versions ...string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -108,7 +108,7 @@
 // settleTime is longer than a change takes to be written.
 const settleTime = 2*checkInterval + time.Millisecond
 
-// Each call of the log has a price.
+// Each call of the log has a price, so none is made while no version changes.
 func TestTheLogIsCalledWhileNothingChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -149,7 +149,7 @@
 		g := NewWithT(t)
 		log := newLog()
 		b := startBox(t, log, "v1")
-		time.Sleep(absence)
+		time.Sleep(minAbsence)
 		b.list(service, "v2")
 		time.Sleep(settleTime)
 		g.Expect(log.table(g)[service].Present).To(BeFalse())
@@ -161,7 +161,7 @@
 	})
 }
 
-// Boxes may disagree on which of them writes, and on what they see.
+// Boxes may disagree on which of them is elected, and have different lists of servers.
 func TestTwoWritersReplaceEachOthersRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -206,7 +206,7 @@
 	}
 }
 
-// Many streams are resumed at once, and those that are given up must not wait for the log.
+// Many streams are resumed at once, so callers must share a read, and a caller that gives up must not wait for the log.
 func TestEachCallerReadsTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -241,7 +241,7 @@
 	})
 }
 
-// The failure of a read is shared, but not if the log would have responded in time for the others.
+// The failure of a read is shared, but not if it failed only because the caller that read had given up.
 func TestACallerThatGivesUpFailsTheOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -267,7 +267,7 @@
 	})
 }
 
-// Calls that the log refuses have a price, too.
+// The log charges for calls that it refuses, too, so calls to an unavailable log must back off.
 func TestALogThatIsAwayIsCalledAllTheTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -299,7 +299,7 @@
 	return l.countedLog.NewestPage(ctx, stream, after)
 }
 
-// A box that begins to write must not take what it read long ago for the present record.
+// A box that is elected must not write on the basis of a record that it read long ago.
 func TestANewWriterGoesByWhatItReadLongAgo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -309,7 +309,7 @@
 		time.Sleep(settleTime)
 		_, err := second.Read(t.Context(), 0)
 		g.Expect(err).NotTo(HaveOccurred())
-		time.Sleep(absence)
+		time.Sleep(minAbsence)
 		for _, b := range []*box{first, second} {
 			b.list(service, "v2")
 		}
@@ -324,7 +324,7 @@
 	})
 }
 
-// The log may come back from a copy without the record, or with an earlier one.
+// The log may be restored from a copy without the record, or with an earlier one.
 func TestTheLogCameBackFromACopy(t *testing.T) {
 	for _, test := range []struct {
 		name     string
@@ -341,7 +341,7 @@
 				}
 				copied := log.Copy()
 				b := startBox(t, log, "v2")
-				time.Sleep(absence + pauseTime + 2*settleTime)
+				time.Sleep(minAbsence + pauseTime + 2*settleTime)
 				g.Expect(log.table(g)[service]).To(And(HaveField("Version", "v2"), HaveField("Present", true)))
 				log.Restore(copied)
 				page, err := log.Log.NewestPage(t.Context(), sharedlog.BaseVersions, "")
--- a/internal/baseversion/model_test.go
+++ b/internal/baseversion/model_test.go
@@ -1,6 +1,6 @@
-// A model of boxes that read and write the base version of one service, with delayed views and faults. What a box does
-// with the table is as in package streamorigin: needsRecord, needsBases and keepBases. A record that a stream needs is
-// in the log until the log comes back from a copy.
+// A model of boxes that read and write the base version of one service, with delayed lists of servers and faults.
+// needsRecord, needsBases and keepBases repeat the rules of package streamorigin. A record that a stream needs is in the
+// log until the log is restored from a copy.
 
 package baseversion
 
@@ -16,12 +16,12 @@
 	// modelStep is the time between two steps of all boxes.
 	modelStep = 250 * time.Millisecond
 	// modelLife is how long a caller may resume a stream.
-	modelLife = time.Minute
-	// modelMaxAge is how old a table may be that a box passes on, and modelInterval the time between two requests
-	// for it, as in package streamorigin.
+	modelResumeTime = time.Minute
+	// modelMaxAge is the maximum age of a table that a box sends to others, and modelInterval the time between two
+	// requests for it, as in package streamorigin.
 	modelMaxAge   = 2 * time.Second
 	modelInterval = LeaseTime / 4
-	// modelListAge is the age of its list of servers up to which a box writes.
+	// modelListAge is the maximum age of a box's list of servers at which it writes.
 	modelListAge = 3 * time.Second
 )
 
@@ -40,26 +40,24 @@
 	at   time.Duration
 }
 
-// modelHistory are the versions that are listed from a time on, and the era of the log then.
-type modelHistory struct {
+// modelList is the list of servers from a time on, and the era of the log then.
+type modelList struct {
 	at     time.Duration
 	listed map[string]int
 	era    int64
 }
 
-// modelBox is a box.
 type modelBox struct {
 	name      string
 	running   bool
 	startedAt time.Duration
-	// lag is how long the list of servers takes to arrive, and frozenAt when it last did while the box is cut off
-	// from it.
+	// lag is how long the list of servers takes to arrive. A frozen box has received none since frozenAt.
 	lag      time.Duration
 	frozenAt time.Duration
 	frozen   bool
-	// isolated boxes reach no other box, and those without log not the log.
+	// isolated boxes reach no other box, and withoutLog ones cannot reach the log.
 	isolated, withoutLog bool
-	// writes is set for the elected box, and for others that take themselves for it.
+	// writes is set for the elected box, and for others that consider themselves elected.
 	writes bool
 	// nextAppend is the outcome of the next append.
 	nextAppend string
@@ -72,29 +70,28 @@
 	knownSince time.Duration
 	isKnown    bool
 	planned    *modelAppend
-	// known is the table that the box uses, as package streamorigin has it.
+	// known is the table that package streamorigin uses at the box.
 	known modelReading
-	// arriving is a response that has been sent at arriving.at, with the age of its table in age.
+	// arriving is a table on its way to the box, which was age old when it was sent.
 	arriving *modelReading
 	age      time.Duration
 	transit  time.Duration
 }
 
-// model is all of it.
+// model is the simulated system.
 type model struct {
 	now   time.Duration
 	log   modelLog
 	boxes []*modelBox
-	// unrecorded has when the last stream of each version began that has no record.
+	// unrecorded is the start of the last stream of each version without a record, and begun that of the last stream.
 	unrecorded map[string]time.Duration
-	// begun has when the last stream of each version began.
-	begun map[string]time.Duration
-	trace []string
+	begun      map[string]time.Duration
+	trace      []string
 }
 
 func newModel(boxes int) *model {
 	m := &model{unrecorded: map[string]time.Duration{}, begun: map[string]time.Duration{}}
-	m.log.lists = []modelHistory{{listed: map[string]int{}}}
+	m.log.lists = []modelList{{listed: map[string]int{}}}
 	for i := range boxes {
 		m.boxes = append(m.boxes, &modelBox{name: fmt.Sprint("box-", i), writes: i == 0, transit: modelStep})
 		m.start(m.boxes[i])
@@ -108,12 +105,12 @@
 
 func (m *model) history() string { return strings.Join(m.trace, "\n") }
 
-// start starts a process of a box with empty memory, which has read the list of servers.
+// start starts an incarnation of a box, which has read the list of servers and nothing else.
 func (m *model) start(b *modelBox) {
 	b.running, b.startedAt, b.frozen = true, m.now, false
 	b.listed, b.remembered, b.era, b.eraSeenAt = nil, map[string]time.Duration{}, 0, m.now
 	b.keeper, b.known, b.arriving, b.planned, b.isKnown = modelReading{}, modelReading{}, nil, nil, false
-	b.see(m.log.lists[len(m.log.lists)-1], m.now)
+	b.applyList(m.log.lists[len(m.log.lists)-1], m.now)
 }
 
 // list changes the listed servers of a version.
@@ -123,25 +120,25 @@
 	if servers == 0 {
 		delete(listed, version)
 	}
-	m.log.lists = append(m.log.lists, modelHistory{at: m.now, listed: listed, era: m.log.era})
+	m.log.lists = append(m.log.lists, modelList{at: m.now, listed: listed, era: m.log.era})
 }
 
-// see takes over the list of servers.
-func (b *modelBox) see(history modelHistory, now time.Duration) {
+// applyList replaces the box's list of servers.
+func (b *modelBox) applyList(list modelList, now time.Duration) {
 	for version := range b.listed {
 		b.remembered[version] = now // it is remembered from the time when the box reads that it left
 	}
-	b.listed = history.listed
+	b.listed = list.listed
 	for version := range b.listed {
 		b.remembered[version] = now
 	}
-	b.noteEra(history.era, now)
+	b.noteEra(list.era, now)
 }
 
-// versions returns what the box remembers.
+// versions returns the versions that the box remembers.
 func (b *modelBox) versions(now time.Duration) (versions []string) {
 	for version, at := range b.remembered {
-		if _, listed := b.listed[version]; listed || now-at <= absence {
+		if _, listed := b.listed[version]; listed || now-at <= minAbsence {
 			versions = append(versions, version)
 		}
 	}
@@ -149,8 +146,8 @@
 	return versions
 }
 
-// step lets time pass for all boxes. It returns a description of the first stream that is resumed at another
-// version than its own.
+// step advances all boxes by modelStep. It returns a description of the first stream that is resumed at another version
+// than its own; empty if there is none.
 func (m *model) step() string {
 	m.now += modelStep
 	m.applyLate()
@@ -175,8 +172,8 @@
 	return ""
 }
 
-// elect makes a box the writer if none that runs is. Without one for a minute, and one that starts as the version
-// changes, the first base version may be wrong.
+// elect makes a running box the writer if none is. Without this the model would find a known limit: if there is no
+// writer for a minute and one starts as the version changes, the first base version may be wrong.
 func (m *model) elect() {
 	isElected := func(b *modelBox) bool { return b.running && b.writes }
 	isRunning := func(b *modelBox) bool { return b.running }
@@ -189,9 +186,9 @@
 	if b.frozen {
 		return
 	}
-	for _, history := range slices.Backward(m.log.lists) {
-		if history.at <= m.now-b.lag || history.at <= b.startedAt {
-			b.see(history, m.now)
+	for _, list := range slices.Backward(m.log.lists) {
+		if list.at <= m.now-b.lag || list.at <= b.startedAt {
+			b.applyList(list, m.now)
 			return
 		}
 	}
@@ -207,14 +204,14 @@
 	}
 }
 
-// needsRecord is that of package streamorigin.
+// needsRecord repeats the rule of package streamorigin.
 func (m *model) needsRecord(b *modelBox, version string) bool {
 	versions, base := b.versions(m.now), b.known.base
 	isRecent := b.known.done && m.now-b.known.at < LeaseTime
 	return base == nil || !base.Present || base.Version != version || len(versions) > 1 && !(isRecent && base.Era == b.era)
 }
 
-// needsBases is that of package streamorigin.
+// needsBases repeats the rule of package streamorigin.
 func (m *model) needsBases(b *modelBox) bool {
 	if !b.known.done {
 		return true
@@ -236,7 +233,7 @@
 	}
 }
 
-// receive keeps the table that was requested when it arrives.
+// receive stores the requested table when it arrives.
 func (m *model) receive(b *modelBox) {
 	if b.arriving == nil {
 		return
@@ -261,14 +258,15 @@
 	}
 }
 
-func (b *modelBox) keep(reading modelReading) {
+func (b *modelBox) store(reading modelReading) {
 	if reading.base != nil && (b.keeper.base == nil || *b.keeper.base != *reading.base) {
 		b.knownSince, b.isKnown = reading.at, true
 	}
 	b.keeper = reading
 }
 
-// resume resumes the latest stream without a record of each version at a box.
+// resume resumes the last stream without a record of each version at a box, and describes the first one that would
+// continue at another version.
 func (m *model) resume(b *modelBox) string {
 	recorder := m.recorderWithLog(b)
 	if recorder == nil {
@@ -277,16 +275,16 @@
 	if !recorder.keeper.done || m.now-recorder.keeper.at > modelMaxAge {
 		m.readLog(recorder)
 	}
-	recorder.noteEra(m.log.era, m.now) // it has read the origins
+	recorder.noteEra(m.log.era, m.now) // from its read of the origins
 	b.keepBases(recorder.keeper)
 	base := b.known.base
-	// In another era a box resumes a stream only at the one version that it and others know of, for which the record
-	// does not vouch.
+	// Without a base version of the current era a box does not use the record: it resumes a stream only if the boxes
+	// know of a single version.
 	if base == nil || !base.Present || base.Era != max(b.era, recorder.era) {
 		return ""
 	}
 	for version, began := range m.unrecorded {
-		if version != base.Version && m.now-began <= modelLife {
+		if version != base.Version && m.now-began <= modelResumeTime {
 			return fmt.Sprintf("%s resumes a stream of %s that began without a record at %v at %s", b.name, version, began, describe(base))
 		}
 	}
--- a/internal/baseversion/modellog_test.go
+++ b/internal/baseversion/modellog_test.go
@@ -1,4 +1,4 @@
-// The log of the model, and the writer of base versions.
+// The model's log and its writers of base versions.
 
 package baseversion
 
@@ -13,20 +13,20 @@
 	base *Base
 	end  int
 	era  int64
-	// copied is what the log comes back with.
+	// copied is the copy from which the log is restored.
 	copied modelReading
 	late   []modelAppend
-	lists  []modelHistory
+	lists  []modelList
 }
 
-// restore brings the log back from the last copy. Records of streams since then are lost.
+// restore restores the log from the last copy. All streams that may be resumed count as unrecorded then.
 func (m *model) restore() {
 	m.log.base, m.log.end, m.log.era = m.log.copied.base, m.log.copied.end, m.log.era+1
 	m.list("", 0)
 	maps.Copy(m.unrecorded, m.begun)
 }
 
-// read returns the table from the box itself or another one that reaches the log or has read it lately.
+// read returns the table from the box itself or another one that reaches the log or has read it recently.
 func (m *model) read(b *modelBox) (reading modelReading, read bool) {
 	for _, other := range m.boxes {
 		if other != b && (!other.running || other.isolated || b.isolated) {
@@ -45,11 +45,11 @@
 
 // readLog is a read of the log by a keeper.
 func (m *model) readLog(b *modelBox) {
-	b.keep(modelReading{base: m.log.base, at: m.now, end: m.log.end, done: true})
+	b.store(modelReading{base: m.log.base, at: m.now, end: m.log.end, done: true})
 	b.noteEra(m.log.era, m.now)
 }
 
-// recorderWithLog returns the box that reads the origins for another one; nil if none can.
+// recorderWithLog returns a box that can read the origins for b; nil if none can.
 func (m *model) recorderWithLog(b *modelBox) *modelBox {
 	for _, other := range m.boxes {
 		if other == b && !b.withoutLog || other != b && other.running && !other.isolated && !b.isolated && !other.withoutLog {
@@ -59,7 +59,7 @@
 	return nil
 }
 
-// observe returns what a box that writes observes; false while its list of servers is out of date.
+// observe returns the observation of a box; false while its list of servers is out of date.
 func (m *model) observe(b *modelBox) (Observation, bool) {
 	if b.frozen && m.now-b.frozenAt > modelListAge || len(b.versions(m.now)) == 0 {
 		return Observation{}, false
@@ -75,7 +75,7 @@
 	return seen, true
 }
 
-// write is a step of the keeper. The append arrives one step after the read.
+// write is a step of the keeper's loop. An append arrives one step after the read.
 func (m *model) write(b *modelBox) {
 	if b.planned != nil {
 		m.append(b)
@@ -103,7 +103,7 @@
 	}
 }
 
-// append is the arrival of an append, with the outcome that was set for it.
+// append handles the arrival of a box's append, with the outcome that was set for it.
 func (m *model) append(b *modelBox) {
 	planned, outcome := *b.planned, b.nextAppend
 	b.planned, b.nextAppend = nil, ""
@@ -118,11 +118,11 @@
 	case !m.apply(planned, b.name) || outcome == "unknown":
 		b.keeper.done = false
 	default:
-		b.keep(modelReading{base: m.log.base, at: m.now, end: m.log.end, done: true})
+		b.store(modelReading{base: m.log.base, at: m.now, end: m.log.end, done: true})
 	}
 }
 
-// apply appends if the log ends as expected.
+// apply appends if the log ends at the expected position.
 func (m *model) apply(planned modelAppend, by string) bool {
 	if m.log.end != planned.end {
 		return false
--- a/internal/baseversion/next_test.go
+++ b/internal/baseversion/next_test.go
@@ -27,8 +27,8 @@
 		{"it serves alone", &v1, Observation{Listed: map[string]int{"v1": 1}, Remembered: []string{"v1"}, ObservedFor: time.Hour}, none, false},
 		{"others are more common", &v1, Observation{Listed: map[string]int{"v1": 1, "v2": 9}, Remembered: []string{"v1", "v2"}, ObservedFor: time.Hour}, none, false},
 		{"it left within a minute", &v1, Observation{Listed: map[string]int{"v2": 1}, Remembered: []string{"v1", "v2"}, ObservedFor: time.Hour}, none, false},
-		{"it left a minute ago", &v1, Observation{Listed: map[string]int{"v2": 1}, Remembered: []string{"v2"}, ObservedFor: absence}, none, true},
-		{"the box has not observed for a minute", &v1, Observation{Listed: map[string]int{"v2": 1}, Remembered: []string{"v2"}, ObservedFor: absence - 1}, none, false},
+		{"it left a minute ago", &v1, Observation{Listed: map[string]int{"v2": 1}, Remembered: []string{"v2"}, ObservedFor: minAbsence}, none, true},
+		{"the box has not observed for a minute", &v1, Observation{Listed: map[string]int{"v2": 1}, Remembered: []string{"v2"}, ObservedFor: minAbsence - 1}, none, false},
 		{"no server is left", &v1, Observation{ObservedFor: time.Hour}, none, false},
 
 		{"none for less than the pause", &none, Observation{Listed: map[string]int{"v2": 1}, Remembered: []string{"v2"}, KnownFor: pauseTime - 1}, Base{}, false},
@@ -55,7 +55,7 @@
 	}
 }
 
-// A box may use what it read for the whole of the lease, and callers resume streams that it began for a minute then.
+// A box may use a table until the end of the lease, and callers resume the streams that it began by then for a minute.
 func TestTheNextBaseVersionFollowsWhileStreamsOfTheEarlierOneAreResumed(t *testing.T) {
-	NewWithT(t).Expect(pauseTime).To(BeNumerically(">", LeaseTime+modelLife))
+	NewWithT(t).Expect(pauseTime).To(BeNumerically(">", LeaseTime+modelResumeTime))
 }
--- a/internal/baseversion/record.go
+++ b/internal/baseversion/record.go
@@ -1,4 +1,4 @@
-// The value of the record, which has the base versions of all services.
+// Encoding of the record's value: the base versions of all services.
 
 package baseversion
 
--- a/internal/baseversion/record_test.go
+++ b/internal/baseversion/record_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// Whatever the log or another box sends must not end the process.
+// No bytes from the log or another box may crash the process.
 func FuzzDecode(f *testing.F) {
 	value, err := Encode(Table{"runners": {Version: "v1", Present: true, Since: time.UnixMilli(1_000_000), Era: 3}, "": {Replaced: true}})
 	if err != nil {
--- a/internal/baseversion/records_test.go
+++ b/internal/baseversion/records_test.go
@@ -15,8 +15,8 @@
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
-// After a release the log drops the records of its streams. A service that has had its base version alone since must
-// not count as one whose records are missing.
+// Some time after a release the log drops the records of that release's streams. A service that has had only its base
+// version since must not count as one whose records are missing.
 func TestRecordsOfAnEarlierReleaseAreMissedForever(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -56,7 +56,7 @@
 	})
 }
 
-// The record must not grow with every service that there ever was, nor lose one whose servers are away for a while.
+// The record must not grow with every service that ever existed, nor lose one that has no servers for a while.
 func TestTheTableKeepsServicesThatAreGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -85,15 +85,15 @@
 		}
 		time.Sleep(time.Minute)
 		unread.Store(true)
-		time.Sleep(2 * forgetAfter)
+		time.Sleep(2 * dropAfter)
 		g.Expect(services()).To(Equal(2), "the list of servers is out of date")
 		unread.Store(false)
 		gone.Store(true)
-		time.Sleep(forgetAfter - time.Minute)
+		time.Sleep(dropAfter - time.Minute)
 		gone.Store(false)
 		time.Sleep(time.Minute)
 		gone.Store(true)
-		time.Sleep(forgetAfter - time.Minute)
+		time.Sleep(dropAfter - time.Minute)
 		g.Expect(services()).To(Equal(2), "it was there a while ago")
 		time.Sleep(2 * time.Minute)
 		g.Expect(services()).To(Equal(1))
@@ -103,9 +103,9 @@
 	})
 }
 
-// While a service has its base version alone, others are released, and boxes that start record its streams until they
-// know its base version. When the log has dropped these records, the service must not count as one whose records are
-// missing: all its resumed streams were refused in the first seconds of its next release.
+// While a service has only its base version, releases of other services write records, and so do starting boxes, which
+// record all streams until they have read the base version. When the log dropped these records, the service counted
+// as one whose records are missing, and all its resumed streams were refused in the first seconds of its next release.
 func TestRecordsOfOthersCountAsMissingForAServiceThatHasBeenAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -124,8 +124,9 @@
 	})
 }
 
-// What a box has observed while it wrote must not count for the time in which another one did: a service that had had
-// servers meanwhile was dropped a minute after its last server, and its next version became the base version at once.
+// Absences that a box observed as the writer must not count after a time in which another box wrote: a service that
+// had servers in that time was dropped a minute after its last server, and its next version became the base version at
+// once.
 func TestAServiceIsDroppedByABoxThatDidNotWriteForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -137,17 +138,18 @@
 		time.Sleep(time.Minute)
 		b.writer.Store(false)
 		b.list("others", "v1") // it is back
-		time.Sleep(2 * forgetAfter)
+		time.Sleep(2 * dropAfter)
 		b.list("others")
 		b.writer.Store(true)
 		time.Sleep(time.Minute)
 		g.Expect(log.table(g)).To(HaveKey("others"))
-		time.Sleep(forgetAfter)
+		time.Sleep(dropAfter)
 		g.Expect(log.table(g)).NotTo(HaveKey("others"))
 	})
 }
 
-// A list of servers that is out of date while another box writes must be noticed: that time counted as observed.
+// A box must check its list of servers also while another box writes: time in which the list was out of date counted as
+// observed.
 func TestABoxDoesNotObserveWhileAnotherOneWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/baseversion/write.go
+++ b/internal/baseversion/write.go
@@ -1,4 +1,4 @@
-// Writing the record at the box that is elected for it.
+// Writing the record at the elected box.
 
 package baseversion
 
@@ -20,7 +20,7 @@
 	for ctx.Err() == nil {
 		waiting.For(ctx, pause)
 		if !k.cfg.IsWriter() {
-			_ = k.cfg.Observe() // it has to notice when the list of servers is out of date
+			_ = k.cfg.Observe() // so that times in which the list of servers was out of date do not count as observed
 			clear(k.originsEnd)
 			clear(k.absentSince)
 			continue
@@ -34,15 +34,15 @@
 	}
 }
 
-// step writes the base versions if any of them changes. Nothing is read while they stay.
+// step writes the table if any base version changes. It does not read the record while none does.
 func (k *Keeper) step(ctx context.Context) error {
-	seen := k.observe()
-	if err := k.readOriginsEnd(ctx, seen); err != nil {
+	observations := k.observe()
+	if err := k.readOriginsEnd(ctx, observations); err != nil {
 		return err
 	}
-	last, known := k.recent(unlimited)
+	last, known := k.recent(anyAge)
 	if known {
-		if _, changed := nextTable(last.Table, seen); len(changed) == 0 && len(k.obsolete(last.Table, seen)) == 0 {
+		if _, changed := nextTable(last.Table, observations); len(changed) == 0 && len(k.obsolete(last.Table, observations)) == 0 {
 			return nil
 		}
 	}
@@ -50,34 +50,40 @@
 	if err != nil {
 		return err
 	}
-	seen = k.observe()
-	if err := k.readOriginsEnd(ctx, seen); err != nil {
+	observations = k.observe()
+	if err := k.readOriginsEnd(ctx, observations); err != nil {
 		return err
 	}
-	table, changed := nextTable(reading.Table, seen)
-	obsolete := k.obsolete(reading.Table, seen)
+	table, changed := nextTable(reading.Table, observations)
+	obsolete := k.obsolete(reading.Table, observations)
 	if len(changed) == 0 && len(obsolete) == 0 {
 		return nil
 	}
 	for _, service := range obsolete {
 		delete(table, service)
 	}
+	return k.write(ctx, reading.end, table, changed, obsolete)
+}
+
+// write appends a table, if the stream still ends at the given position, and logs what has changed. A conflict with the
+// write of another box is no error: the next step reads the log.
+func (k *Keeper) write(ctx context.Context, end int64, table, changed Table, obsolete []string) error {
 	value, err := Encode(table)
 	if err != nil {
 		return err
 	}
 	call, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	position, err := k.cfg.Log.Append(call, sharedlog.BaseVersions, reading.end, sharedlog.Record{Key: recordKey, Value: value})
+	position, err := k.cfg.Log.Append(call, sharedlog.BaseVersions, end, sharedlog.Record{Key: recordKey, Value: value})
 	if errors.Is(err, sharedlog.ErrConflict) {
-		k.forget() // another box has written
+		k.invalidate() // another box has written
 		return nil
 	}
 	if err != nil {
-		k.forget()
+		k.invalidate()
 		return err
 	}
-	k.keep(Reading{Table: table, At: boottime.Now(), end: position + 1})
+	k.store(Reading{Table: table, At: boottime.Now(), end: position + 1})
 	for service, base := range changed {
 		k.cfg.Logger.Info().Str("service", service).Str("software", base.Version).Bool("present", base.Present).EmbedObject(logposition.Logged(position)).Msg("base_version_changed")
 	}
@@ -87,11 +93,11 @@
 	return nil
 }
 
-// obsolete returns the services in the table that have had no servers for forgetAfter. None has while the list of
-// servers is out of date.
-func (k *Keeper) obsolete(table Table, seen map[string]Observation) (services []string) {
+// obsolete returns the services in the table that have had no servers for dropAfter. The time starts again when there
+// are no observations, since the list of servers is out of date then.
+func (k *Keeper) obsolete(table Table, observations map[string]Observation) (services []string) {
 	for service := range table {
-		if len(seen) == 0 || len(seen[service].Remembered) > 0 {
+		if len(observations) == 0 || len(observations[service].Remembered) > 0 {
 			delete(k.absentSince, service)
 			continue
 		}
@@ -99,29 +105,29 @@
 		if !isAbsent {
 			k.absentSince[service] = boottime.Now()
 		}
-		if isAbsent && boottime.Since(since) >= forgetAfter {
+		if isAbsent && boottime.Since(since) >= dropAfter {
 			services = append(services, service)
 		}
 	}
 	return services
 }
 
-// readOriginsEnd reads where the stream of origins ends while services have their base versions alone. Other services,
-// and boxes that start, go on writing to it.
-func (k *Keeper) readOriginsEnd(ctx context.Context, seen map[string]Observation) error {
-	last, _ := k.recent(unlimited)
+// readOriginsEnd sets OriginsEnd of the services that have only their base versions. It reads the end every
+// originsInterval, since the origins of other services, and those of streams that starting boxes record, move it.
+func (k *Keeper) readOriginsEnd(ctx context.Context, observations map[string]Observation) error {
+	last, _ := k.recent(anyAge)
 	isDue := boottime.Since(k.originsReadAt) >= originsInterval
-	var alone []string
-	for service, observation := range seen {
-		if !observation.isAlone(last.Table[service]) {
+	var services []string
+	for service, observation := range observations {
+		if !observation.hasOnlyBase(last.Table[service]) {
 			delete(k.originsEnd, service)
 			continue
 		}
 		_, isRead := k.originsEnd[service]
 		isDue = isDue || !isRead
-		alone = append(alone, service)
+		services = append(services, service)
 	}
-	if len(alone) > 0 && isDue {
+	if len(services) > 0 && isDue {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
 		_, end, err := k.cfg.Log.Bounds(call, sharedlog.Origins)
@@ -129,34 +135,34 @@
 			return err
 		}
 		k.originsReadAt = boottime.Now()
-		for _, service := range alone {
+		for _, service := range services {
 			k.originsEnd[service] = end
 		}
 	}
-	for service, observation := range seen {
+	for service, observation := range observations {
 		observation.OriginsEnd = k.originsEnd[service]
-		seen[service] = observation
+		observations[service] = observation
 	}
 	return nil
 }
 
-// unlimited is the age of a reading that is never too old.
-const unlimited = 1 << 62
+// anyAge is a maximum age that no reading exceeds.
+const anyAge = 1 << 62
 
-// forget makes the next step read the log.
-func (k *Keeper) forget() {
+// invalidate makes the next step read the log.
+func (k *Keeper) invalidate() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.read.At = time.Time{}
 }
 
-// observe returns what this box knows of each service.
+// observe returns the observations of this box by service, without OriginsEnd.
 func (k *Keeper) observe() map[string]Observation {
 	era, eraSeenAt := k.cfg.Eras.Newest()
-	seen := k.cfg.Observe()
+	observations := k.cfg.Observe()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for service, observation := range seen {
+	for service, observation := range observations {
 		observation.Era, observation.EraSeenFor = era, observation.ObservedFor
 		if era > 0 {
 			observation.EraSeenFor = boottime.Since(eraSeenAt)
@@ -164,22 +170,22 @@
 		if since, known := k.knownSince[service]; known {
 			observation.KnownFor = boottime.Since(since)
 		}
-		seen[service] = observation
+		observations[service] = observation
 	}
-	return seen
+	return observations
 }
 
-// nextTable returns the table that follows, and the base versions that change.
-func nextTable(present Table, seen map[string]Observation) (next, changed Table) {
+// nextTable returns the next table, and the base versions in it that have changed.
+func nextTable(present Table, observations map[string]Observation) (next, changed Table) {
 	next, changed = maps.Clone(present), Table{}
-	for service, observation := range seen {
+	for service, observation := range observations {
 		var current *Base
 		if base, there := present[service]; there {
 			current = &base
 		}
 		if base, changes := Next(current, observation); changes {
 			if current == nil || !current.isSameBase(base) {
-				base.Since = boottime.TimeOfDay().Truncate(time.Millisecond) // as it will be read
+				base.Since = boottime.TimeOfDay().Truncate(time.Millisecond) // the precision of the record
 			}
 			next[service], changed[service] = base, base
 		}
