originlog: the field's terms for batches, backoff and completeness

from is completeFrom, readOn readToEnd, forget removePending, take takeBatch; isPending replaces a closure in one line. No change of behaviour.

--- a/internal/originlog/mark_test.go
+++ b/internal/originlog/mark_test.go
@@ -12,7 +12,8 @@
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 )
 
-// Each call of the log has a price: one box marks, and only while it records nothing else.
+// Each call of the log has a price, so only one box appends records without origins, and only while it has no origins
+// to append.
 func TestEachWriterMarksTheTime(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/internal/originlog/originlog.go
+++ b/internal/originlog/originlog.go
@@ -1,15 +1,16 @@
 // Package originlog records in the platform's log which software version began each stream.
 //
-// Boxes keep that in memory (package streamorigin), of which nothing is left when all of them crash at
-// once. The log outlives them. A box that may write collects the origins of many boxes and appends them
-// together as one record, so the calls of the log do not grow with the streams:
+// Boxes hold the origins of streams in memory (package streamorigin), which is lost if all of them crash at
+// once. A few boxes, chosen by rendezvous hashing, collect the origins of many and append them in batches, so that
+// the number of log calls does not grow with the number of streams:
 //
-//	record.go  origins ◀▶ the value of a record
-//	writer.go  appends what boxes hand over
-//	reader.go  reads back, on demand
+//	record.go  encodes and decodes a batch, the value of a record
+//	writer.go  appends the origins that boxes send
+//	reader.go  reads them on demand
 //
-// A stream without keys is used, since nothing in it has to be found by key or deleted: the log drops old
-// records by itself, and a reader needs those of the last minute only, which bounds the life of a stream.
+// The log's stream of origins has no keys, since no record has to be found by key or deleted: the log drops
+// old records by itself, and a reader needs those of the last minute only, after which no caller resumes a
+// stream.
 package originlog
 
 import "time"
--- a/internal/originlog/originlog_test.go
+++ b/internal/originlog/originlog_test.go
@@ -272,8 +272,8 @@
 		w.Add([]Origin{originOf(number)})
 	}
 	g.Expect(w.unrecorded).To(HaveLen(maxUnrecorded))
-	g.Expect(w.take()).To(HaveLen(maxPerRecord))
-	value, err := encode(w.take(), time.Now())
+	g.Expect(w.takeBatch()).To(HaveLen(maxPerRecord))
+	value, err := encode(w.takeBatch(), time.Now())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(len(value)).To(BeNumerically("<", 256<<10), "the log takes no larger record")
 }
@@ -292,8 +292,8 @@
 	})
 }
 
-// The first event of a stream waits for its record, and must neither wait for a log that is away nor be sent as if
-// there were a record.
+// The first event of a stream may wait for the stream's record. It must not wait for an unavailable log, and Await must
+// not report a record that is not in the log.
 func TestAnAwaitedOriginIsNotInTheLog(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -336,7 +336,7 @@
 	}
 }
 
-// Origins that are awaited while others are being appended are in the next record.
+// An origin that is added while others are being appended is in the next record, and Await must wait for that one.
 func TestAnOriginIsTakenForAppendedWithAnEarlierRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -355,7 +355,7 @@
 	})
 }
 
-// An origin that is dropped, since too many wait for the log, has no record.
+// Await must not report an origin as recorded that was dropped because too many were waiting for the log.
 func TestADroppedOriginIsTakenForAppended(t *testing.T) {
 	origins := make([]Origin, maxUnrecorded+1)
 	for number := range origins {
--- a/internal/originlog/outage_test.go
+++ b/internal/originlog/outage_test.go
@@ -133,8 +133,8 @@
 	})
 }
 
-// A reader must say from when on it has all records, so that a stream whose record the log has dropped does not count
-// as one that needed none.
+// A reader must report since when it has all records: otherwise a stream whose record the log has dropped counts as one
+// that needed none, and is resumed at the base version.
 func TestDroppedRecordsAreTakenForRecordsThatWereNotNeeded(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/originlog/reader.go
+++ b/internal/originlog/reader.go
@@ -1,4 +1,4 @@
-// Reading origins from the log, when a stream is resumed that no box knows.
+// Reading origins from the log, when a stream is resumed whose origin no box has in memory.
 
 package originlog
 
@@ -51,8 +51,8 @@
 type Reader struct {
 	cfg ReaderConfig
 
-	// reading holds one element while a goroutine reads. It is no mutex, so that those who wait for it heed
-	// their contexts.
+	// reading holds one element while a goroutine reads. It is a channel rather than a mutex, so that a context
+	// ends the wait for it.
 	reading chan struct{}
 
 	mu sync.Mutex
@@ -67,21 +67,21 @@
 	ambiguous map[Key]struct{}
 	// order has the keys in the order of their records, once for each record.
 	order []recordedKey
-	// from is the position from which on all records have been read, and completeSince when the first of them was
-	// appended, or when the read began if there was none.
-	from          int64
+	// completeFrom is the position from which on all records have been read and are still held, and completeSince
+	// when the first of them was appended, or when the read began if there was none.
+	completeFrom  int64
 	completeSince time.Time
-	// versions has when the last origin of each software version was recorded, by service.
+	// versions is when the last origin of each software version was recorded, by service.
 	versions map[string]map[string]time.Time
 }
 
-// recordedOrigin is an origin with when it was recorded last.
+// recordedOrigin is an origin with the time of its last record.
 type recordedOrigin struct {
 	Origin
 	at time.Time
 }
 
-// recordedKey is a key with when it was recorded.
+// recordedKey is a key with the time of a record of it.
 type recordedKey struct {
 	Key
 	at time.Time
@@ -103,20 +103,20 @@
 	r.known, r.ambiguous, r.order, r.versions = map[Key]recordedOrigin{}, map[Key]struct{}{}, nil, map[string]map[string]time.Time{}
 }
 
-// Result is what the log has of a stream.
+// Result is the outcome of a search for the origin of a stream.
 type Result struct {
-	// Found is set if the log has the stream's origin, and Service and Software are the service and the version
-	// that began it then.
+	// Found is set if the log has an unambiguous origin of the stream. Service and Software are the service and the
+	// version that began the stream then.
 	Found    bool
 	Service  string
 	Software string
 	// Ambiguous means that the key has been recorded with several services or software versions.
 	Ambiguous bool
-	// From is the position from which on all records are known, and CompleteFor how long ago the first of them was
-	// appended. Earlier ones may have been dropped by the log.
+	// From is the position from which on the reader has all records, and CompleteFor how long ago the first of them
+	// was appended. The log may have dropped earlier ones.
 	From        int64
 	CompleteFor time.Duration
-	// Versions are the software versions of the service asked for that began streams within the horizon.
+	// Versions are the software versions of the requested service that began streams within the horizon.
 	Versions []string
 }
 
@@ -126,13 +126,13 @@
 	return r.FindFirst(ctx, service, key)
 }
 
-// FindFirst looks for the first of several keys that there is a record of. If only a later one is known, the log
-// is read for the first.
+// FindFirst is like Find for several keys: it returns the origin of the first one that has a record. The log is not
+// read if that of the very first key is known.
 func (r *Reader) FindFirst(ctx context.Context, service string, keys ...Key) (Result, error) {
 	if result := r.lookUp(service, keys[0]); result.Found {
 		return result, nil
 	}
-	if err := r.readOn(ctx); err != nil {
+	if err := r.readToEnd(ctx); err != nil {
 		return Result{}, err
 	}
 	return r.lookUp(service, keys...), nil
@@ -141,7 +141,7 @@
 func (r *Reader) lookUp(service string, keys ...Key) Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	result := Result{From: r.from, CompleteFor: boottime.TimeOfDay().Sub(r.completeSince)}
+	result := Result{From: r.completeFrom, CompleteFor: boottime.TimeOfDay().Sub(r.completeSince)}
 	for _, key := range keys {
 		if origin, found := r.known[key]; found {
 			_, result.Ambiguous = r.ambiguous[key]
@@ -159,8 +159,9 @@
 	return result
 }
 
-// readOn reads all records up to the present end, unless that has just been done or tried.
-func (r *Reader) readOn(ctx context.Context) error {
+// readToEnd reads all records up to the current end. If another goroutine has tried that since the call, it returns the
+// error of that read.
+func (r *Reader) readToEnd(ctx context.Context) error {
 	began := boottime.Now()
 	select {
 	case r.reading <- struct{}{}:
@@ -224,7 +225,7 @@
 	margin := int64(minMargin)
 	for count := int64(firstTail); ; {
 		from = max(first, end-count)
-		r.beginAt(from)
+		r.startAt(from)
 		reachesBack := from == first || count >= maxTail
 		err := r.readTo(ctx, from, func(oldest time.Time) bool { return reachesBack || boottime.TimeOfDay().Sub(oldest) >= Horizon })
 		expired, dropped := errors.AsType[*sharedlog.RecordsExpiredError](err)
@@ -240,11 +241,11 @@
 	}
 }
 
-// beginAt records the position that a read of what there is begins at.
-func (r *Reader) beginAt(from int64) {
+// startAt records the position at which the first read begins.
+func (r *Reader) startAt(from int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.from, r.completeSince = from, boottime.TimeOfDay()
+	r.completeFrom, r.completeSince = from, boottime.TimeOfDay()
 }
 
 // errTooRecent means that the first record read is not old enough.
@@ -315,7 +316,7 @@
 	r.dropExcess()
 }
 
-// dropExcess drops the keys that were recorded last the longest time ago. The caller holds mu.
+// dropExcess drops the least recently recorded keys above the bound. The caller holds mu.
 func (r *Reader) dropExcess() {
 	for len(r.order) > maxKnown {
 		oldest := r.order[0]
@@ -325,6 +326,6 @@
 		}
 		delete(r.known, oldest.Key)
 		delete(r.ambiguous, oldest.Key)
-		r.from, r.completeSince = r.next, oldest.at
+		r.completeFrom, r.completeSince = r.next, oldest.at
 	}
 }
--- a/internal/originlog/record.go
+++ b/internal/originlog/record.go
@@ -1,4 +1,4 @@
-// The value of a record: origins by service and software version, so that an origin is its key alone.
+// Encoding of a record's value: the keys of streams, grouped by service and software version.
 
 package originlog
 
--- a/internal/originlog/writer.go
+++ b/internal/originlog/writer.go
@@ -16,17 +16,17 @@
 )
 
 const (
-	// appendInterval is the shortest time between two records of a writer, from the start of one append to that of
-	// the next one. Streams that break off sooner after their first event are not recorded, unless that event waits
-	// for the record.
+	// appendInterval is the shortest time between the starts of two appends of a writer. The origin of a stream that
+	// breaks off sooner after its first event may be lost, unless that event waits for the record.
 	appendInterval = 100 * time.Millisecond
 	// appendTimeout bounds an append; the log takes 4 ms, and 200 ms when it is slow.
 	appendTimeout = 700 * time.Millisecond
-	// minFailurePause and maxFailurePause bound the pause after an append that failed, which doubles: a
-	// refused call has its price too.
+	// minFailurePause and maxFailurePause bound the exponential backoff after failed appends: the log charges
+	// for calls that it refuses, too.
 	minFailurePause = 250 * time.Millisecond
 	maxFailurePause = 2 * time.Second
-	// markInterval is less than what the log keeps beyond the age of the records that a reader needs.
+	// markInterval bounds the time between two records, and so how much younger the oldest record in the log may be
+	// than the log's retention. It is less than that retention exceeds the age of the records that readers need.
 	markInterval = 4 * time.Second
 	// maxUnrecorded bounds the origins that wait, at some 100 bytes each; the oldest ones are dropped.
 	maxUnrecorded = 32768
@@ -38,8 +38,8 @@
 type WriterConfig struct {
 	Log    sharedlog.Log
 	Logger zerolog.Logger
-	// IsMarker reports whether this box appends a record if it has appended none for markInterval; nil means that it
-	// does not. The log keeps records for a bounded time, and readers know by the oldest one how far back they are
+	// IsMarker reports whether this box appends a record without origins if it has appended none for markInterval; nil
+	// means that it does not. Readers derive from the oldest record that the log has kept how far back they are
 	// complete.
 	IsMarker func() bool
 }
@@ -50,8 +50,8 @@
 
 	mu         sync.Mutex
 	unrecorded []Origin
-	// pending has the origins that are unrecorded or being appended: the boxes of streams hand them over again for
-	// as long as they know of no recorder that works.
+	// pending are the origins that are unrecorded or being appended. While no recorder works, boxes send the same
+	// origins again.
 	pending map[Origin]struct{}
 	// failingSince is when the first of the appends failed that have failed since the last successful one;
 	// zero if the last one succeeded.
@@ -68,8 +68,8 @@
 // NewWriter returns a writer without origins.
 func NewWriter(cfg WriterConfig) *Writer { return &Writer{cfg: cfg, pending: map[Origin]struct{}{}} }
 
-// Add adds origins to those to append. It returns false if this box has not been able to append for a
-// while, so that another one should do it; the origins are appended later all the same.
+// Add adds origins to those to append. It returns false if appends have failed for failingAfter, so that
+// another box should append them; this box still appends them later.
 func (w *Writer) Add(origins []Origin) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -89,8 +89,8 @@
 	return !w.isFailing()
 }
 
-// Await adds origins, waits until they have been appended, and reports whether they have been. It returns at once if
-// this box has not been able to append for a while; they are appended later all the same.
+// Await adds origins, waits until they have been appended, and reports whether they have been. It returns false at once
+// if appends have failed for failingAfter; the origins are still appended later.
 func (w *Writer) Await(ctx context.Context, origins []Origin) bool {
 	w.mu.Lock()
 	dropped := w.dropped
@@ -102,7 +102,7 @@
 	for ctx.Err() == nil {
 		appended := w.appended.Chan()
 		w.mu.Lock()
-		isPending := slices.ContainsFunc(origins, func(origin Origin) bool { _, pending := w.pending[origin]; return pending })
+		isPending := slices.ContainsFunc(origins, w.isPending)
 		isLost := w.dropped != dropped || isPending && w.isFailing()
 		w.mu.Unlock()
 		if isLost || !isPending {
@@ -116,7 +116,13 @@
 	return false
 }
 
-// isFailing reports whether appends have failed for a while. The caller holds mu.
+// isPending reports whether an origin is yet to be appended. The caller holds mu.
+func (w *Writer) isPending(origin Origin) bool {
+	_, pending := w.pending[origin]
+	return pending
+}
+
+// isFailing reports whether appends have failed for failingAfter. The caller holds mu.
 func (w *Writer) isFailing() bool {
 	return !w.failingSince.IsZero() && boottime.Since(w.failingSince) >= failingAfter
 }
@@ -124,14 +130,14 @@
 // dropExcess drops the oldest origins above the bound. The caller holds mu.
 func (w *Writer) dropExcess() {
 	if excess := len(w.unrecorded) - maxUnrecorded; excess > 0 {
-		w.forget(w.unrecorded[:excess])
+		w.removePending(w.unrecorded[:excess])
 		w.dropped += excess
 		w.unrecorded = w.unrecorded[excess:]
 	}
 }
 
-// forget allows origins to be added again. The caller holds mu.
-func (w *Writer) forget(origins []Origin) {
+// removePending removes origins from the pending ones, so that they may be added again. The caller holds mu.
+func (w *Writer) removePending(origins []Origin) {
 	for _, origin := range origins {
 		delete(w.pending, origin)
 	}
@@ -142,7 +148,7 @@
 	pause := minFailurePause
 	for ctx.Err() == nil {
 		wake := w.wake.Chan()
-		batch := w.take()
+		batch := w.takeBatch()
 		began := boottime.Now()
 		switch {
 		case len(batch) == 0:
@@ -168,21 +174,21 @@
 	}
 }
 
-// take removes and returns the origins of the next record.
-func (w *Writer) take() []Origin {
+// takeBatch removes and returns the origins of the next record.
+func (w *Writer) takeBatch() []Origin {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	count := min(len(w.unrecorded), maxPerRecord)
 	batch := w.unrecorded[:count:count]
 	w.unrecorded = w.unrecorded[count:]
 	if len(w.unrecorded) == 0 {
-		w.unrecorded = nil // its memory has been used up from the front
+		w.unrecorded = nil // frees the array, whose used part only moves forward
 	}
 	return batch
 }
 
-// append appends a record, and reports whether that succeeded. Origins that may not have been appended are
-// appended again: a record that occurs twice says the same.
+// append appends a record, and reports whether that succeeded. Origins whose append failed are appended again, which
+// is idempotent.
 func (w *Writer) append(ctx context.Context, batch []Origin) bool {
 	value, err := encode(batch, boottime.TimeOfDay())
 	if err == nil {
@@ -195,7 +201,7 @@
 	defer w.mu.Unlock()
 	if err == nil {
 		w.failingSince, w.appendedAt = time.Time{}, boottime.Now()
-		w.forget(batch)
+		w.removePending(batch)
 		return true
 	}
 	if w.failingSince.IsZero() {
