--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -20,7 +20,7 @@
 	log   Log
 	scope tally.Scope
 	eras  Eras
-	// outages is told of each call.
+	// outages records the outcome of each call.
 	outages Outages
 
 	mu     sync.Mutex
@@ -35,7 +35,7 @@
 // Eras returns the eras of the responses.
 func (m *Measured) Eras() *Eras { return &m.eras }
 
-// Outages returns when the log was last away.
+// Outages returns the outages that the calls have shown.
 func (m *Measured) Outages() *Outages { return &m.outages }
 
 // TakeCounts returns the calls since its last call by stream, kind and outcome, such as
@@ -100,7 +100,7 @@
 
 func (m *Measured) recordCall(kind string, stream Stream, began time.Time, err error) {
 	outcome := outcomeOf(err)
-	m.outages.note(outcome)
+	m.outages.record(outcome)
 	m.mu.Lock()
 	m.counts[stream.String()+"/"+kind+"/"+outcome]++
 	m.mu.Unlock()
@@ -111,7 +111,7 @@
 	}
 }
 
-// Outcomes of calls that the log did not perform, or may not have performed.
+// Outcomes of failed calls: the log refused the call, or may or may not have performed it.
 const (
 	outcomeRefused = "refused"
 	outcomeUnknown = "unknown"
--- a/internal/sharedlog/outages.go
+++ b/internal/sharedlog/outages.go
@@ -1,4 +1,5 @@
-// When the log was last away, as far as this box has noticed. What boxes write while it is away may be lost with them.
+// The last outage of the log that this box has noticed. Origins of streams that began during an outage may be lost if
+// boxes crash.
 
 package sharedlog
 
@@ -9,19 +10,19 @@
 	"github.com/cometlock/cometlock/internal/boottime"
 )
 
-// minOutage is how long calls must have failed, none of them having succeeded, for the log to have been away. Single
-// calls fail when the log is busy.
+// minOutage is how long all calls must have failed for an outage. Single calls fail when the log is busy.
 const minOutage = time.Second
 
-// Outages holds the last outage. The zero value has seen none.
+// Outages holds the end of the last outage. The zero value has seen none.
 type Outages struct {
-	mu           sync.Mutex
+	mu sync.Mutex
+	// failingSince is when the first call failed since the last successful one; zero if the last one succeeded.
 	failingSince time.Time
-	ended        time.Time
+	endedAt      time.Time
 }
 
-// note records the outcome of a call.
-func (o *Outages) note(outcome string) {
+// record records the outcome of a call, as outcomeOf returns it.
+func (o *Outages) record(outcome string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := boottime.Now()
@@ -31,7 +32,7 @@
 		o.failingSince = now
 	case !hasFailed && !o.failingSince.IsZero():
 		if now.Sub(o.failingSince) >= minOutage {
-			o.ended = now
+			o.endedAt = now
 		}
 		o.failingSince = time.Time{}
 	}
@@ -41,8 +42,8 @@
 func (o *Outages) SinceLast() (elapsed time.Duration, seen bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.ended.IsZero() {
+	if o.endedAt.IsZero() {
 		return 0, false
 	}
-	return boottime.Since(o.ended), true
+	return boottime.Since(o.endedAt), true
 }
--- a/internal/sharedlog/outages_test.go
+++ b/internal/sharedlog/outages_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Calls that fail while the log is busy must not count as an outage, and one that has ended must not be missed.
+// Single calls that fail while the log is busy must not count as an outage, and calls that all fail for a second must.
 func TestABusyLogCountsAsAway(t *testing.T) {
 	tests := []struct {
 		name string
@@ -30,7 +30,7 @@
 				var outages Outages
 				for _, outcome := range test.outcomes {
 					time.Sleep(400 * time.Millisecond)
-					outages.note(outcome)
+					outages.record(outcome)
 				}
 				time.Sleep(time.Second)
 				elapsed, seen := outages.SinceLast()
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -56,7 +56,7 @@
 	Origins
 	// Quarantine holds the crash records of what is quarantined, by fingerprint.
 	Quarantine
-	// BaseVersions holds the software versions of streams whose origin is not recorded, under one key.
+	// BaseVersions holds the base version of each service (package baseversion), all under one key.
 	BaseVersions
 )
 
