--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -114,12 +114,12 @@
 	// origins has the software versions that began streams, and originWriter records them in the log.
 	origins      *streamorigin.Origins
 	originWriter *originlog.Writer
-	// baseVersions has the software versions of streams without an origin.
+	// baseVersions reads and writes the base version of each service, that of streams without a recorded origin.
 	baseVersions *baseversion.Keeper
-	// observation belongs to the loop of baseVersions.
-	observation  observation
-	callerServer *http.Server
-	readyServer  *http.Server
+	// listFreshness is used by the loop of baseVersions alone.
+	listFreshness listFreshness
+	callerServer  *http.Server
+	readyServer   *http.Server
 	// forwardServer serves the calls that other boxes forward; nil if this box takes none.
 	forwardServer *http.Server
 	// metricsServer serves metrics at a separate address; nil if there is none.
--- a/internal/entrybox/software.go
+++ b/internal/entrybox/software.go
@@ -1,4 +1,4 @@
-// What this box observes of the software versions of servers, for package baseversion.
+// The software versions of servers that this box observes, for package baseversion.
 
 package entrybox
 
@@ -9,17 +9,18 @@
 	"github.com/cometlock/cometlock/internal/boottime"
 )
 
-// baseVersionWriter is the name whose first box by rendezvous hashing writes the base versions.
+// baseVersionWriter is the rendezvous hashing key that elects the box which writes the base versions.
 const baseVersionWriter = "base versions"
 
-// maxObservedAge is the age of the list of servers up to which the box observes what there is.
+// maxObservedAge is the maximum age of the list of servers at which it counts as up to date.
 const maxObservedAge = 3 * time.Second
 
-// observation is the time for which the list of servers has been up to date. The zero value has begun at no time.
-type observation struct{ since time.Time }
+// listFreshness is the time since which the list of servers has been up to date; zero if it is not.
+type listFreshness struct{ since time.Time }
 
-// lasted returns how long the list has been up to date if it is of an age now; isCurrent is false if it is not.
-func (o *observation) lasted(age time.Duration) (length time.Duration, isCurrent bool) {
+// update records the present age of the list and returns how long it has been up to date; isCurrent is false if it is
+// not.
+func (o *listFreshness) update(age time.Duration) (length time.Duration, isCurrent bool) {
 	if age > maxObservedAge {
 		o.since = time.Time{}
 		return 0, false
@@ -30,10 +31,10 @@
 	return boottime.Since(o.since), true
 }
 
-// observeSoftware returns the software versions of each service; none while the list of servers is out of date.
+// observeSoftware returns the observed software versions by service; none while the list of servers is out of date.
 func (b *Box) observeSoftware() map[string]baseversion.Observation {
 	seen := map[string]baseversion.Observation{}
-	observedFor, isCurrent := b.observation.lasted(b.registry.ServersAge())
+	observedFor, isCurrent := b.listFreshness.update(b.registry.ServersAge())
 	if !isCurrent {
 		return seen
 	}
--- a/internal/entrybox/software_test.go
+++ b/internal/entrybox/software_test.go
@@ -8,12 +8,11 @@
 	. "github.com/onsi/gomega"
 )
 
-// A box that could not read the list of servers must not count that time as one in which it has seen no server of a
-// version.
+// Time in which a box could not read the list of servers must not count as time without servers of a version.
 func TestTimeWithoutAListCountsAsObserved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		var o observation
+		var o listFreshness
 		time.Sleep(time.Minute) // since the start of the box
 		steps := []struct {
 			age       time.Duration
@@ -28,7 +27,7 @@
 			{0, 10 * time.Second, true},
 		}
 		for _, step := range steps {
-			length, isCurrent := o.lasted(step.age)
+			length, isCurrent := o.update(step.age)
 			g.Expect(isCurrent).To(Equal(step.isCurrent))
 			g.Expect(length).To(Equal(step.length))
 			time.Sleep(10 * time.Second)
