--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -29,7 +29,7 @@
 	return versions
 }
 
-// ListedSoftware counts the servers of each service by software version, without those that are leaving.
+// ListedSoftware counts the listed servers of each service by software version, without draining ones.
 func (f *Fleet) ListedSoftware() map[string]map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -45,9 +45,9 @@
 	return counts
 }
 
-// HasMostServers reports whether a software version has at least half of the listed servers of a service that are not
-// leaving.
-func (f *Fleet) HasMostServers(service, software string) bool {
+// HasHalfOfServers reports whether a software version has at least half of the servers of a service that are listed and
+// do not drain.
+func (f *Fleet) HasHalfOfServers(service, software string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	same, others := 0, 0
@@ -63,7 +63,7 @@
 	return same > 0 && same >= others
 }
 
-// Services returns the services that have servers, including those whose servers were delisted lately.
+// Services returns the services that have servers, including those whose servers were delisted recently.
 func (f *Fleet) Services() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -38,7 +38,7 @@
 // has most of its servers; nil if any may.
 func (g *Gateway) preferredSoftware(x *exchange) *string {
 	preferred, found := g.cfg.Origins.PreferredVersion(x.service.Name)
-	if !found || !g.cfg.Fleet.HasMostServers(x.service.Name, preferred) {
+	if !found || !g.cfg.Fleet.HasHalfOfServers(x.service.Name, preferred) {
 		return nil
 	}
 	return &preferred
