gateway: plain comments on software versions, late answers and reconnections

findEvidence is a function of its own, the entry stream_origin is spread over several lines, and relayEvent names its result. No change of behaviour.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -49,8 +49,8 @@
 	return true
 }
 
-// chooseService returns the service for the call. All boxes choose the same one for a stream, so that it continues
-// where it began, also without a record of that.
+// chooseService returns the service for the call. For a resumable stream it is chosen by a hash of the stream's ID, so
+// that all boxes choose the same one and the stream continues where it began, also if that is not recorded.
 func (x *exchange) chooseService() string {
 	id := x.streamID()
 	switch {
--- a/internal/gateway/delayedcall_test.go
+++ b/internal/gateway/delayedcall_test.go
@@ -12,8 +12,8 @@
 	"github.com/cometlock/cometlock/internal/fleet"
 )
 
-// A call that a box without CPU time had held for most of its objective was refused, since no server had the time
-// for it then, although slots were free and the deadline was far away.
+// A call that a box short of CPU time had delayed for most of its objective was refused, since no server could meet the
+// objective any more, although slots were free and the deadline was far away.
 func TestADelayedCallGetsALateAnswer(t *testing.T) {
 	const tokensPerMilli = 60 // the initial prefill rate
 	load := func(millis, inFlight int) fleet.Load {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,8 +109,8 @@
 	// calls for them are forwarded. Both are nil where calls are not forwarded.
 	Reach *reach.Monitor
 	Peers *peerpath.Paths
-	// IsInformed reports whether this box has received what other boxes know of the servers' limits
-	// since it started; nil means that it has.
+	// IsInformed reports whether this box has received the other boxes' reports of rate limits since it
+	// started; nil means that it has.
 	IsInformed func() bool
 	// PeerTLS returns the TLS configuration for connections to other boxes; nil without TLS.
 	PeerTLS func() *tls.Config
@@ -234,11 +234,11 @@
 	// serversReached counts the servers that the call was sent to: those attempted, except those
 	// that no connection was made to.
 	serversReached int
-	// slowServer is the last server that accepted no connection in time, until the call is sent there again;
-	// reconnects counts these cases.
+	// slowServer is the last server that accepted no connection in time, until the call is sent there again.
+	// reconnects counts how often that was.
 	slowServer string
 	reconnects int
-	// unreached counts the connections to servers that could not be made, and pathsTried the boxes that
+	// unreached counts the failed connections to servers, and pathsTried the boxes that
 	// the call was forwarded to. pathRefusal is why the last of them refused it.
 	unreached   int
 	pathsTried  int
--- a/internal/gateway/movedroute_test.go
+++ b/internal/gateway/movedroute_test.go
@@ -97,7 +97,8 @@
 	}
 }
 
-// The parts of a resumed stream's prompt counted for the service that the route had given the call first.
+// The parts of a resumed stream's prompt counted for the service that the route chose, rather than for the one that
+// continues the stream.
 func TestPartsOfAResumedStreamCountForAnotherService(t *testing.T) {
 	g := NewWithT(t)
 	f := fleet.New(fleet.Config{})
--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -51,7 +51,7 @@
 	}
 	ownerQuery := places.NewRequest(query, g.cfg.BoxName, g.cfg.Fleet.HeldVersions(query.Service, query.Model))
 	ownerQuery.Urgency, ownerQuery.Organisation, ownerQuery.Objective = x.rank, x.callerName(), x.route.Objective
-	if g.isBoundToVersion(x) || x.software == nil {
+	if g.isBoundToVersion(x) || x.software == nil { // a stream's version is no requirement if its service has no other
 		ownerQuery.Software = query.Software
 	}
 	hold, err := g.askOwners(x, zone, query, ownerQuery)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -150,10 +150,10 @@
 	return plans
 }
 
-// prefillLimits bounds the queueing delay for prefill, in milliseconds, at a server where the call is placed. A
-// call that can still meet its objective goes to a server where it does. If no server has the time for it after a
-// delay at this box or a failed attempt, it goes to one with a free slot: the caller gets a late answer, while a
-// refused call would be later still. late is zero if that does not apply.
+// prefillLimits returns the maximum queueing delay for prefill, in milliseconds, at a server where the call is placed.
+// A call that can still meet its objective is placed at a server where it does. If a delay at this box or a failed
+// attempt has left too little time for any server, late is the limit for a server with a free slot: a late answer is
+// better than a refusal, after which the caller would be served later still. late is zero if it does not apply.
 func prefillLimits(x *exchange) (limit, late float64) {
 	limit = placing.PrefillFraction * float64(x.route.Objective) / float64(time.Millisecond)
 	left := float64(boottime.Until(x.arrived.Add(x.route.Objective))) / float64(time.Millisecond)
--- a/internal/gateway/reconnect.go
+++ b/internal/gateway/reconnect.go
@@ -1,16 +1,16 @@
-// Connecting again to a server that accepted no connection in time. A full accept queue, or a lack of CPU at
-// either side, lasts a moment only. If no other server may take the call, it is sent there again before it is
-// refused. The server has not received the call, so this is neither a further server nor a retry. A server that
-// refuses connections is not tried again, nor is one of a service that this box does not reach.
+// Reconnecting to a server that accepted no connection in time. Its accept queue may be full, or either side may lack
+// CPU time, both usually for less than a second. If no other server may take the call, the box connects to the same one
+// again before it refuses the call. The server has not received the call, so this counts neither as a further server nor
+// as a retry. A server that refuses connections is not tried again, nor is one of a service that this box does not
+// reach.
 
 package gateway
 
 import "github.com/cometlock/cometlock/internal/handover"
 
-// maxReconnects is how often a call is sent again to servers that accepted no connection in time. Together the
-// connections take well below a second, so that a call is refused soon if the server's machine is lost. Each
-// is as short as the first one: a new connection is noticed at once by a server that has room for it again,
-// one that waits only when the kernel retransmits.
+// maxReconnects bounds the reconnections of a call. Together they take well below a second, so that a call is refused
+// soon if the server's machine is lost. Several short attempts find a server that has room again sooner than a long
+// one: it accepts a new connection at once, but a pending one only when the kernel retransmits its SYN.
 const maxReconnects = 3
 
 // noteSlowServer records whether the attempt's server accepted no connection in time.
--- a/internal/gateway/reconnect_test.go
+++ b/internal/gateway/reconnect_test.go
@@ -65,7 +65,7 @@
 // emptyBudget is the balance of a retry budget that allows no retry.
 const emptyBudget = 1e-9
 
-// eventLog is a log that counts an event, and calls a function with each number. Entries are written
+// eventLog counts the log entries of an event, and calls a function with each count. Entries are written
 // synchronously.
 type eventLog struct {
 	event string
@@ -80,8 +80,8 @@
 	return len(line), nil
 }
 
-// Guards against refusing a call because its only server was slow to accept a connection: calls were refused
-// with no_server at loads at which others were served.
+// A call was refused with no_server if its only server did not accept a connection in time, at loads at which other
+// calls were served.
 func TestACallIsSentToItsOnlyServerAgainIfThatAcceptedNoConnectionInTime(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -190,11 +190,11 @@
 	}
 }
 
-// relayEvent sends an event to the caller that it does not have yet. It returns false if the stream must not begin at
-// this server.
-func (a *attempt) relayEvent(response *handover.Response, event eventstream.Event) bool {
+// relayEvent sends an event to the caller that it does not have yet. It returns false if it is the first one and the
+// stream must not begin at this server.
+func (a *attempt) relayEvent(response *handover.Response, event eventstream.Event) (sent bool) {
 	x := a.x
-	a.chosen.hold.NoteEvent() // the server is not late if the event waits for a record
+	a.chosen.hold.NoteEvent() // before the wait for a record, which must not count as the server's delay
 	if x.eventsSent == 0 {
 		x.firstEventAt = boottime.Now()
 		a.recordFetchDelay()
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -26,7 +26,7 @@
 }
 
 // requiredSoftware returns the software version that must serve the call; nil if any may. A new stream goes to the
-// version that is preferred while that one has most of the servers.
+// preferred version, if there is one.
 func (g *Gateway) requiredSoftware(x *exchange) *string {
 	if x.software != nil || !g.recordsOrigin(x) {
 		return x.software
@@ -34,8 +34,8 @@
 	return g.preferredSoftware(x)
 }
 
-// preferredSoftware returns the software version that should serve new streams of the call's service, if that version
-// has most of its servers; nil if any may.
+// preferredSoftware returns the software version that should serve new streams of the call's service while origins
+// cannot be recorded. It returns nil if any version may, or if this one has less than half of the servers.
 func (g *Gateway) preferredSoftware(x *exchange) *string {
 	preferred, found := g.cfg.Origins.PreferredVersion(x.service.Name)
 	if !found || !g.cfg.Fleet.HasHalfOfServers(x.service.Name, preferred) {
@@ -51,21 +51,14 @@
 	if g.cfg.Origins == nil || x.forwarded || x.route.Kind != catalog.Stream || x.info.ResumeAfter == "" {
 		return true
 	}
-	var evidence streamorigin.Evidence
-	if x.info.Resumes == "" {
-		evidence = g.cfg.Origins.FindUnnamed(x.ctx, x.service.Name)
-	} else {
-		evidence = g.cfg.Origins.Find(x.ctx, x.originKey(x.info.Resumes), x.service.Name)
-	}
-	evidence.Patience = max(x.routeTimeout(), x.info.MaxWait)
-	evidence.MaxAge = evidence.Patience + originMargin
+	evidence := g.findEvidence(x)
 	listAge := time.Duration(0)
 	if g.cfg.ServerListAge != nil {
 		listAge = g.cfg.ServerListAge()
 	}
 	if evidence.Found && evidence.Service != x.service.Name && x.route.HasService(evidence.Service) {
 		x.service = x.catalog.Service(evidence.Service)
-		x.parts = x.partFingerprints() // they are those of the service
+		x.parts = x.partFingerprints() // fingerprints differ between services
 	}
 	software, known := streamorigin.Decide(evidence, listAge)
 	g.logOrigin(x, evidence, known)
@@ -76,14 +69,29 @@
 	return true
 }
 
+// findEvidence returns what is known of the origin of the stream that the caller resumes.
+func (g *Gateway) findEvidence(x *exchange) (evidence streamorigin.Evidence) {
+	if x.info.Resumes == "" {
+		evidence = g.cfg.Origins.FindUnnamed(x.ctx, x.service.Name)
+	} else {
+		evidence = g.cfg.Origins.Find(x.ctx, x.originKey(x.info.Resumes), x.service.Name)
+	}
+	evidence.Patience = max(x.routeTimeout(), x.info.MaxWait)
+	evidence.MaxAge = evidence.Patience + originMargin
+	return evidence
+}
+
 func (g *Gateway) logOrigin(x *exchange, evidence streamorigin.Evidence, known bool) {
 	g.metrics.scope.Tagged(map[string]string{"found": strconv.FormatBool(evidence.Found), "resumed": strconv.FormatBool(known)}).Counter("streams_resumed").Inc(1)
-	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).Str("service", x.service.Name).Str("origin_service", evidence.Service).Str("software", evidence.Software).
-		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).Bool("has_base", evidence.Base != nil).Str("base", evidence.BaseVersion()).Bool("resumed", known).Msg("stream_origin")
+	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).
+		Str("service", x.service.Name).Str("origin_service", evidence.Service).Str("software", evidence.Software).
+		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).
+		Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).
+		Bool("has_base", evidence.Base != nil).Str("base", evidence.BaseVersion()).Bool("resumed", known).Msg("stream_origin")
 }
 
-// announceSoftware announces the software version of the attempt's server, so that the first event of a stream
-// need not wait for the record of its origin. Which server another box chooses is not known yet.
+// announceSoftware announces the software version of the attempt's server, so that it is recorded while the server reads
+// the prompt, and the first event need not wait for that. For a forwarded call the other box chooses the server later.
 func (a *attempt) announceSoftware() {
 	x, g := a.x, a.gateway
 	if a.peer() == nil && g.recordsOrigin(x) && x.info.ResumeAfter == "" {
@@ -93,8 +101,8 @@
 }
 
 // noteOrigin records which software version begins the call's stream, before the caller has its first event. It may
-// wait until the record is in the log. It returns false if there is none, and the stream should begin at a server of
-// another version, which needs none.
+// wait until the record is in the log. It returns false if the record failed and the stream should start over at a
+// server of the preferred version, whose streams need no record.
 func (g *Gateway) noteOrigin(x *exchange) (mayBegin bool) {
 	if !g.recordsOrigin(x) || x.software == nil {
 		return true
@@ -114,8 +122,8 @@
 	return mayBegin
 }
 
-// mayBeginElsewhere reports whether a stream may begin anew at a software version: a further server is allowed, and one
-// of that version has room.
+// mayBeginElsewhere reports whether a stream may start over at a software version: the route and the retry budget allow
+// a further server, and one of that version has capacity.
 func (g *Gateway) mayBeginElsewhere(x *exchange, software string) bool {
 	if x.serversReached >= x.maxServers() || g.retryBudget(x).State().Balance < 1 {
 		return false
@@ -126,8 +134,8 @@
 	return shortage.Usable > max(shortage.WithoutSlot, shortage.WithoutTime, shortage.WithoutMemory)
 }
 
-// recordsOrigin reports whether this box records the origin of the call's stream: its caller may resume it, and
-// has named it.
+// recordsOrigin reports whether this box records the origin of the call's stream: the stream can be resumed, and it has
+// an ID by which it is found again.
 func (g *Gateway) recordsOrigin(x *exchange) bool {
 	return g.cfg.Origins != nil && !x.forwarded && x.route.Kind == catalog.Stream && x.route.Resumable && x.streamID() != ""
 }
@@ -149,8 +157,8 @@
 	return x.info.RequestID
 }
 
-// originKey returns the key of a stream of this caller. The caller is its API key, since a configuration may move that
-// to another organisation while the stream is in flight.
+// originKey returns the key of a stream of this caller. It depends on the API key rather than on the organisation, since
+// a configuration change may move the API key to another organisation while the stream is in flight.
 func (x *exchange) originKey(requestID string) streamorigin.Key {
 	return streamorigin.KeyOf(x.info.Key, requestID)
 }
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -146,8 +146,8 @@
 	})
 }
 
-// A caller that does not name the stream that it resumes got the rest of it from the version that had replaced the
-// one that began it, where the box had not been running at that time. The other version is in the log.
+// A caller that resumed a stream without naming it got the rest from the version that had replaced the one that began
+// it, if the box had started after that. Records of other streams in the log show the earlier version.
 func TestAStreamThatIsNotNamedContinuesAtTheVersionThatReplacedItsOwn(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/gateway/unrecorded_test.go
+++ b/internal/gateway/unrecorded_test.go
@@ -20,8 +20,8 @@
 	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
-// A stream that has no record was given up at the server that had begun it, also if no other one could take the call:
-// while the log was away its caller got no stream at all.
+// While the log was unavailable, a stream without a record was given up at the server that had begun it even if no
+// server of the base version could take the call, so that its caller got no stream at all.
 func TestAStreamWithoutARecordIsGivenUpThoughNoOtherServerTakesIt(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -174,7 +174,7 @@
 	return true, true
 }
 
-// withdrawEvent records that the caller does not get the first event of a stream.
+// withdrawEvent records that the first event of a stream is not sent to the caller, so that any server may begin it.
 func (w *watch) withdrawEvent() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
