--- a/internal/entrybox/software_test.go
+++ b/internal/entrybox/software_test.go
@@ -11,12 +11,11 @@
 	"github.com/cometlock/cometlock/internal/fleet"
 )
 
-// A box that could not read the list of servers must not count that time as one in which it has seen no server of a
-// version.
+// Time in which a box could not read the list of servers must not count as time without servers of a version.
 func TestTimeWithoutAListCountsAsObserved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		var o observation
+		var o listFreshness
 		time.Sleep(time.Minute) // since the start of the box
 		steps := []struct {
 			age       time.Duration
@@ -31,7 +30,7 @@
 			{0, 10 * time.Second, true},
 		}
 		for _, step := range steps {
-			length, isCurrent := o.lasted(step.age)
+			length, isCurrent := o.update(step.age)
 			g.Expect(isCurrent).To(Equal(step.isCurrent))
 			g.Expect(length).To(Equal(step.length))
 			time.Sleep(10 * time.Second)
@@ -46,11 +45,11 @@
 		g := NewWithT(t)
 		servers := fleet.New(fleet.Config{})
 		servers.Apply([]fleet.Update{{Key: "a", Offset: 1, Server: &fleet.Server{Incarnation: "a", Service: "r", Software: "v1"}}})
-		var o observation
-		g.Expect(o.software(0, false, servers)).To(BeEmpty())
+		var l listFreshness
+		g.Expect(l.software(0, false, servers)).To(BeEmpty())
 		time.Sleep(time.Minute)
-		g.Expect(o.software(0, true, servers)).To(HaveKeyWithValue("r", baseversion.Observation{Listed: map[string]int{"v1": 1}, Remembered: []string{"v1"}, ObservedFor: time.Minute}))
-		g.Expect(o.software(maxObservedAge+1, false, servers)).To(BeEmpty())
-		g.Expect(o.software(0, true, servers)).To(HaveKeyWithValue("r", HaveField("ObservedFor", time.Duration(0))))
+		g.Expect(l.software(0, true, servers)).To(HaveKeyWithValue("r", baseversion.Observation{Listed: map[string]int{"v1": 1}, Remembered: []string{"v1"}, ObservedFor: time.Minute}))
+		g.Expect(l.software(maxObservedAge+1, false, servers)).To(BeEmpty())
+		g.Expect(l.software(0, true, servers)).To(HaveKeyWithValue("r", HaveField("ObservedFor", time.Duration(0))))
 	})
 }
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -20,7 +20,7 @@
 	log   Log
 	scope tally.Scope
 	eras  Eras
-	// outages is told of each call.
+	// outages records the outcome of each call.
 	outages Outages
 
 	mu     sync.Mutex
@@ -35,7 +35,7 @@
 // Eras returns the eras of the responses.
 func (m *Measured) Eras() *Eras { return &m.eras }
 
-// Outages returns when the log was last away.
+// Outages returns the outages that the calls have shown.
 func (m *Measured) Outages() *Outages { return &m.outages }
 
 // TakeCounts returns the calls since its last call by stream, kind and outcome, such as
@@ -101,7 +101,7 @@
 func (m *Measured) recordCall(ctx context.Context, kind string, stream Stream, began time.Time, err error) {
 	outcome := outcomeOf(err)
 	if err == nil || !errors.Is(ctx.Err(), context.Canceled) { // a call that this box ends says nothing about the log
-		m.outages.note(outcome)
+		m.outages.record(outcome)
 	}
 	m.mu.Lock()
 	m.counts[stream.String()+"/"+kind+"/"+outcome]++
@@ -113,7 +113,7 @@
 	}
 }
 
-// Outcomes of calls that the log did not perform, or may not have performed.
+// Outcomes of failed calls: the log refused the call, or may or may not have performed it.
 const (
 	outcomeRefused = "refused"
 	outcomeUnknown = "unknown"
