gateway, fleet: new streams keep to the base version only if it may serve them

What callers see: while the log is away and a service has two versions, new streams are refused that may not run where the servers of the base version are, by their region, an evacuation or their model, although servers of another version are free.

Cause: new streams keep to the base version while it has half of the servers of the service, whether or not the call may be sent there.

Now only the servers that are open for the call count.

--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -52,15 +52,16 @@
 	return counts
 }
 
-// HasMostServers reports whether a software version has at least half of the listed servers of a service that are not
-// leaving.
-func (f *Fleet) HasMostServers(service, software string) bool {
+// HasMostServers reports whether a software version has at least half of the servers that are open for a call. A sample
+// stands for the servers of a large service.
+func (f *Fleet) HasMostServers(query Query, software string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := boottime.Now()
 	same, others := 0, 0
-	for state := range f.groups[service].all() {
+	for _, state := range f.sample(&query, min(f.attempts(query.Service)-1, 1)) {
 		switch {
-		case !state.delistedAt.IsZero() || state.Leaving:
+		case !f.isOpen(state, &query, now):
 		case state.Software == software:
 			same++
 		default:
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -98,8 +98,15 @@
 
 // serversQuery describes which servers may take a call, regardless of its prompt's work.
 func (g *Gateway) serversQuery(x *exchange) fleet.Query {
+	query := g.anyVersionQuery(x)
+	query.Software = g.requiredSoftware(x, query)
+	return query
+}
+
+// anyVersionQuery is serversQuery regardless of the software version.
+func (g *Gateway) anyVersionQuery(x *exchange) fleet.Query {
 	query := fleet.Query{
-		Service: x.service.Name, Zone: g.cfg.Zone, Exclude: x.attempted, ZoneAllowed: g.allowedZones(x), Software: g.requiredSoftware(x),
+		Service: x.service.Name, Zone: g.cfg.Zone, Exclude: x.attempted, ZoneAllowed: g.allowedZones(x),
 		Load: placing.Query{TieBreaker: g.tieBreaker(x.number)},
 		// Divided by one more than the number of known boxes, since a box may have just started.
 		ConnectionLimit: max(x.service.ConnectionLimit/(g.cfg.BoxCount()+1), minConnections),
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
@@ -26,19 +27,19 @@
 }
 
 // requiredSoftware returns the software version that must serve the call; nil if any may. A new stream goes to the
-// version that is preferred while that one has most of the servers.
-func (g *Gateway) requiredSoftware(x *exchange) *string {
+// version that is preferred. The query is that for any version.
+func (g *Gateway) requiredSoftware(x *exchange, query fleet.Query) *string {
 	if x.software != nil || !g.recordsOrigin(x) {
 		return x.software
 	}
-	return g.preferredSoftware(x)
+	return g.preferredSoftware(query)
 }
 
-// preferredSoftware returns the software version that should serve new streams of the call's service, if that version
-// has most of its servers; nil if any may.
-func (g *Gateway) preferredSoftware(x *exchange) *string {
-	preferred, found := g.cfg.Origins.PreferredVersion(x.service.Name)
-	if !found || !g.cfg.Fleet.HasMostServers(x.service.Name, preferred) {
+// preferredSoftware returns the software version that should serve a new stream, if that version has most of the servers
+// that may; nil if any may. The query is that for any version.
+func (g *Gateway) preferredSoftware(query fleet.Query) *string {
+	preferred, found := g.cfg.Origins.PreferredVersion(query.Service)
+	if !found || !g.cfg.Fleet.HasMostServers(query, preferred) {
 		return nil
 	}
 	return &preferred
@@ -108,7 +109,7 @@
 		x.beginAt = &announced
 	} else {
 		x.beginAt = nil
-		preferred := g.preferredSoftware(x)
+		preferred := g.preferredSoftware(g.anyVersionQuery(x))
 		mayBegin = preferred == nil || *preferred == origin.Software || !g.mayBeginElsewhere(x, *preferred)
 	}
 	if !mayBegin {
