--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
@@ -26,19 +27,20 @@
 }
 
 // requiredSoftware returns the software version that must serve the call; nil if any may. A new stream goes to the
-// preferred version, if there is one.
-func (g *Gateway) requiredSoftware(x *exchange) *string {
+// preferred version, if there is one. The query is that for any version.
+func (g *Gateway) requiredSoftware(x *exchange, query fleet.Query) *string {
 	if x.software != nil || !g.recordsOrigin(x) {
 		return x.software
 	}
-	return g.preferredSoftware(x)
+	return g.preferredSoftware(query)
 }
 
-// preferredSoftware returns the software version that should serve new streams of the call's service while origins
-// cannot be recorded. It returns nil if any version may, or if this one has less than half of the servers.
-func (g *Gateway) preferredSoftware(x *exchange) *string {
-	preferred, found := g.cfg.Origins.PreferredVersion(x.service.Name)
-	if !found || !g.cfg.Fleet.HasHalfOfServers(x.service.Name, preferred) {
+// preferredSoftware returns the software version that should serve a new stream while origins cannot be recorded. It
+// returns nil if any version may, or if this one has less than half of the servers that may take the call. The query is
+// that for any version.
+func (g *Gateway) preferredSoftware(query fleet.Query) *string {
+	preferred, found := g.cfg.Origins.PreferredVersion(query.Service)
+	if !found || !g.cfg.Fleet.HasHalfOfServers(query, preferred) {
 		return nil
 	}
 	return &preferred
@@ -117,7 +119,7 @@
 		x.beginAt = &announced
 	} else {
 		x.beginAt = nil
-		preferred := g.preferredSoftware(x)
+		preferred := g.preferredSoftware(g.anyVersionQuery(x))
 		mayBegin = preferred == nil || *preferred == origin.Software || !g.mayBeginElsewhere(x, *preferred)
 	}
 	if !mayBegin {
