--- a/internal/entrybox/run.go
+++ b/internal/entrybox/run.go
@@ -14,7 +14,11 @@
 func (b *Box) Run(ctx context.Context) error {
 	for _, loop := range []func(context.Context){
 		b.registry.LoopOperator, b.registry.LoopServers, b.lease.Loop, b.weightOrders.Loop, b.watcher.LoopFree,
-		b.registry.LoopBoxes, b.share.LoopAnnounce, b.share.LoopRemoveRestored, b.share.LoopMaintainLinks, b.share.LoopExpireReports, b.readers.LoopFollow, b.readers.LoopAdvertise, b.readers.LoopForgetOutages, b.crashes.Loop, b.quarantineLog.LoopLoad, b.quarantineLog.LoopWrite, b.origins.Loop, b.origins.LoopRecord, b.origins.LoopBases, b.originWriter.Loop, b.baseVersions.Loop, b.loopCancelExpired, b.loopUpkeep,
+		b.registry.LoopBoxes, b.share.LoopAnnounce, b.share.LoopRemoveRestored, b.share.LoopMaintainLinks, b.share.LoopExpireReports,
+		b.readers.LoopFollow, b.readers.LoopAdvertise, b.readers.LoopForgetOutages,
+		b.crashes.Loop, b.quarantineLog.LoopLoad, b.quarantineLog.LoopWrite,
+		b.origins.Loop, b.origins.LoopRecord, b.origins.LoopBases, b.originWriter.Loop, b.baseVersions.Loop,
+		b.loopCancelExpired, b.loopUpkeep,
 	} {
 		b.loops.Go(func() { loop(b.background) })
 	}
