places, gateway: new streams that prefer a version have no precedence at owners

What callers see: while the log is away and a service has two versions, other calls of the service wait behind all new streams, and resumed streams find the room used up that is left to them.

Cause: new streams are kept to the base version then, and owners of servers take every request that names a version for a stream that must continue there.

Now a request says if its version is preferred only. Owners of the previous version ignore that.

Evidence: the new test, one server that is full, a call that waits and then a new stream that prefers the server's version. With owners that ignore the new field, as before, the stream is served first; now the call is.

--- a/internal/gateway/owner.go
+++ b/internal/gateway/owner.go
@@ -52,7 +52,7 @@
 	ownerQuery := places.NewRequest(query, g.cfg.BoxName, g.cfg.Fleet.HeldVersions(query.Service, query.Model))
 	ownerQuery.Urgency, ownerQuery.Organisation, ownerQuery.Objective = x.rank, x.callerName(), x.route.Objective
 	if g.isBoundToVersion(x) || x.software == nil {
-		ownerQuery.Software = query.Software
+		ownerQuery.Software, ownerQuery.Preferred = query.Software, query.Software != nil && x.software == nil
 	}
 	hold, err := g.askOwners(x, zone, query, ownerQuery)
 	if err != nil {
--- a/internal/places/message.go
+++ b/internal/places/message.go
@@ -54,8 +54,14 @@
 	// Software is the software version of the servers that may be chosen; nil allows all. Owners of the
 	// previous version ignore it, so the box checks their choice.
 	Software *string `msgpack:"c,omitempty"`
+	// Preferred is set if the call need not be served by that version, so that it has no precedence. Owners of the
+	// previous version ignore it.
+	Preferred bool `msgpack:"d,omitempty"`
 }
 
+// isBound reports whether the call must be served by one software version.
+func (r Request) isBound() bool { return r.Software != nil && !r.Preferred }
+
 // Version describes a call for one version of the weights.
 type Version struct {
 	_msgpack struct{} `msgpack:",as_array"` // field names would double the size
@@ -122,7 +128,7 @@
 func (r Request) query(zoneAllowed func(zone string) bool) fleet.Query {
 	return fleet.Query{
 		Service: r.Service, Zone: r.Zone, Exclude: r.Exclude, Software: r.Software, Model: r.Model, ZoneAllowed: zoneAllowed,
-		Load:         placing.Query{AffinityKey: r.AffinityKey, TieBreaker: r.TieBreaker, PrefillLimit: r.PrefillLimit, LateLimit: r.LateLimit, Tokens: r.Tokens, Memory: r.Memory, Brief: r.Brief, Bound: r.Software != nil},
+		Load:         placing.Query{AffinityKey: r.AffinityKey, TieBreaker: r.TieBreaker, PrefillLimit: r.PrefillLimit, LateLimit: r.LateLimit, Tokens: r.Tokens, Memory: r.Memory, Brief: r.Brief, Bound: r.isBound()},
 		OwnsHeadroom: func(string) bool { return true },
 		VersionCost: func(weights int) (float64, bool) {
 			if version := r.version(weights); version != nil {
--- a/internal/places/owner.go
+++ b/internal/places/owner.go
@@ -43,7 +43,7 @@
 	queue := p.queue(request.Service)
 	params := waitqueue.Params{
 		Priority: request.Urgency, Deadline: boottime.Now().Add(min(request.MaxWait, maxWait)),
-		Organisation: request.Organisation, Returning: queue.HasReturned(request.Fingerprint), Bound: request.Software != nil, Brief: request.Brief,
+		Organisation: request.Organisation, Returning: queue.HasReturned(request.Fingerprint), Bound: request.isBound(), Brief: request.Brief,
 	}
 	if granted, ok := queue.Acquire(ctx, params, request); ok {
 		return Response{Server: granted.Server()}, granted
--- a/internal/places/software_test.go
+++ b/internal/places/software_test.go
@@ -121,3 +121,41 @@
 		g.Expect(places).To(Equal([]string{"runner-1", "runner-0"}))
 	})
 }
+
+// New streams that are kept to the base version while records fail went before other calls, and used the room for
+// streams that must continue, as if they could run nowhere else.
+func TestNewStreamsThatPreferAVersionGoBeforeOtherCalls(t *testing.T) {
+	inZone(t, 3, 1, func(g *WithT, z *zone) {
+		z.setSoftware(0, "v1")
+		var grants []*fleet.Grant
+		for granted := z.boxes[0].fleet.Grant(z.boxes[1].longPrompt(0).query(nil)); granted != nil; granted = z.boxes[0].fleet.Grant(z.boxes[1].longPrompt(0).query(nil)) {
+			grants = append(grants, granted)
+		}
+		first := "v1"
+		var mu sync.Mutex
+		var served []string
+		var waiting sync.WaitGroup
+		for i, name := range []string{"other", "preferring"} {
+			waiting.Go(func() {
+				request := z.boxes[1+i].longPrompt(500 * time.Millisecond)
+				if name == "preferring" {
+					request.Software, request.Preferred = &first, true
+				}
+				server, err := z.boxes[1+i].RequestPlace(context.Background(), "a", request)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(server).To(Equal("runner-0"))
+				mu.Lock()
+				defer mu.Unlock()
+				served = append(served, name)
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(55 * time.Millisecond) // between two checks of the queue
+		for _, granted := range grants[:2] {
+			granted.Release()
+			time.Sleep(100 * time.Millisecond)
+		}
+		waiting.Wait()
+		g.Expect(served).To(Equal([]string{"other", "preferring"}))
+	})
+}
