gateway: a stream that prefers a version does not stand for other calls that wait

What callers see: while the log is away and a service has two versions, calls that any server may take wait, or are refused, though servers of another version have room.

Cause: the queue tries no call that requires at least as much as one that has just found no room, of the same class. New streams that are kept to the base version were in the class of calls for any version: only the version that a call must have was in it.

Now the class has the version that the call is placed by.

--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -56,24 +56,22 @@
 // demand returns what a call requires of a server.
 func (g *Gateway) demand(x *exchange) waitqueue.Demand {
 	query, plans := g.fleetQuery(x)
-	if plans == nil {
-		return places.NewRequest(query, g.cfg.BoxName, nil).Demand(x.serversKey())
+	var versions []int
+	if plans != nil {
+		versions = g.cfg.Fleet.HeldVersions(query.Service, query.Model)
 	}
-	return places.NewRequest(query, g.cfg.BoxName, g.cfg.Fleet.HeldVersions(query.Service, query.Model)).Demand(x.serversKey())
+	request := places.NewRequest(query, g.cfg.BoxName, versions)
+	request.Software = query.Software
+	return request.Demand(x.serversKey())
 }
 
-// serversKey returns a text that is the same for calls that may run in the same regions and at the same
-// software version.
+// serversKey returns a text that is the same for calls that may run in the same regions.
 func (x *exchange) serversKey() string {
 	regions := slices.Concat(x.route.Regions, []string{""})
 	if x.organisation != nil {
 		regions = append(regions, x.organisation.Regions...)
 	}
-	key := strings.Join(regions, ",")
-	if x.software != nil {
-		key += "/" + *x.software
-	}
-	return key
+	return strings.Join(regions, ",")
 }
 
 // resumeWait is how long a broken stream waits for capacity at another server. Callers cancel a stream
