loadshare: the replays of brittle servers have a package of their own

The replays move to internal/loadshare/replay, with the same names, seeds, bounds and checks.

Both packages need the boxes and the in-memory network in simulated time, which were in test files. They move to internal/simulated; the two copies of the list of deliveries in transit become simulated.Transit. Tests, checks and random sources are the same.

Ruled out: a package for each load. The time of the replays is that of one goroutine that plays the calls of one replay, which the number of packages does not change.

--- a/internal/loadshare/delayed_limit_test.go
+++ b/internal/loadshare/delayed_limit_test.go
@@ -20,11 +20,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		ctx, cancel := context.WithCancel(context.Background())
-		h := &limitHistory{history: &history{t: t, random: rand.New(rand.NewPCG(1, 1)), network: newNetwork(), newestVersion: 1}}
-		defer h.stop(cancel)
-		h.addBoxes([]int{2})
-		for _, b := range h.simBoxes {
-			h.boxes = append(h.boxes, &limitedBox{simBox: b})
+		h := &limitHistory{history: newHistory(t, rand.NewPCG(1, 1), []int{2})}
+		defer h.Stop(cancel)
+		for _, b := range h.Boxes {
+			h.boxes = append(h.boxes, &limitedBox{Box: b})
 			h.startBox(ctx, h.boxes[len(h.boxes)-1])
 		}
 		time.Sleep(2 * time.Second)
@@ -37,12 +36,12 @@
 		time.Sleep(time.Second)
 		g.Expect(isLimited(receiver.fleet)).To(BeTrue(), "reported while the link works")
 
-		h.network.setCut(sender.name, receiver.name, true)
+		h.Network.SetCut(sender.Name, receiver.Name, true)
 		answer(sender, advisory.LimitAbsent)
 		time.Sleep(500 * time.Millisecond)
 		answer(receiver, advisory.LimitNamed)
 		time.Sleep(500 * time.Millisecond)
-		h.network.heal()
+		h.Network.Heal()
 		time.Sleep(100 * time.Millisecond)
 		g.Expect(isLimited(receiver.fleet)).To(BeTrue(), "the end of the limit is older than the limit")
 	})
--- a/internal/loadshare/hubpartition_test.go
+++ b/internal/loadshare/hubpartition_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/simulated"
 )
 
 // During a load peak all boxes but one of each zone placed their calls by a fifth of the total
@@ -34,7 +35,7 @@
 		}
 		time.Sleep(time.Second)
 		for i, f := range fleets {
-			g.Expect(len(h.simBoxes[i].share.Peers())).To(Equal(47), "peers of box %d", i)
+			g.Expect(len(h.Boxes[i].Share.Peers())).To(Equal(47), "peers of box %d", i)
 			for zone := range zonesOf48 {
 				g.Expect(f.Shortage(queryFor(zone)).InFlight).To(Equal(each*len(fleets)), "box %d, load of zone %d", i, zone)
 			}
@@ -46,7 +47,7 @@
 func addServer(f *fleet.Fleet, zone int) {
 	name := fmt.Sprint("s-", zone)
 	f.Apply([]fleet.Update{{Key: name, Offset: 2, Server: &fleet.Server{
-		Incarnation: name, Service: name, Zone: fmt.Sprint("zone-", zone), Slots: 1000, Weights: map[string]int{model: 1},
+		Incarnation: name, Service: name, Zone: fmt.Sprint("zone-", zone), Slots: 1000, Weights: map[string]int{simulated.Model: 1},
 	}}})
 }
 
@@ -60,10 +61,10 @@
 // cutLargeBoxes cuts or restores the links between the large boxes of different zones, from which
 // the hubs are chosen.
 func (h *history) cutLargeBoxes(cut bool) {
-	for _, one := range h.simBoxes {
-		for _, other := range h.simBoxes {
-			if one.zone != other.zone && one.cores == other.cores && one.cores > 0.5 {
-				h.network.setCut(one.name, other.name, cut)
+	for _, one := range h.Boxes {
+		for _, other := range h.Boxes {
+			if one.Zone != other.Zone && one.Cores == other.Cores && one.Cores > 0.5 {
+				h.Network.SetCut(one.Name, other.Name, cut)
 			}
 		}
 	}
--- a/internal/loadshare/limitrestarts_test.go
+++ b/internal/loadshare/limitrestarts_test.go
@@ -30,13 +30,12 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		h := &limitHistory{history: &history{t: t, random: rand.New(rand.NewPCG(seed, 5)), network: newNetwork(), newestVersion: 1}, answerTime: restartAnswerTime}
-		defer h.stop(cancel)
-		h.network.extraLatency = restartLatency
-		h.addBoxes([]int{2, 2, 2, 2})
+		h := &limitHistory{history: newHistory(t, rand.NewPCG(seed, 5), []int{2, 2, 2, 2}), answerTime: restartAnswerTime}
+		defer h.Stop(cancel)
+		h.Network.ExtraLatency = restartLatency
 		h.server.perSecond, h.server.namedSince = perSecond, time.Now()
-		for _, b := range h.simBoxes {
-			h.boxes = append(h.boxes, &limitedBox{simBox: b})
+		for _, b := range h.Boxes {
+			h.boxes = append(h.boxes, &limitedBox{Box: b})
 		}
 		for _, b := range h.boxes {
 			h.startBox(ctx, b)
@@ -45,13 +44,13 @@
 		end := began.Add(restartsBegin + time.Duration(len(h.boxes))*restartGap + limitWindow)
 		for ; time.Now().Before(end); time.Sleep(limitStep) {
 			if stopped < len(h.boxes) && time.Since(began) >= restartsBegin+time.Duration(stopped)*restartGap {
-				h.boxes[stopped].stop()
+				h.boxes[stopped].Stop()
 				down[h.boxes[stopped]] = time.Now()
 				stopped++
 			}
 			for _, b := range h.boxes {
 				if since, found := down[b]; found && time.Since(since) >= restartDownTime {
-					b.stopped.Wait()
+					b.Stopped.Wait()
 					h.startBox(ctx, b)
 					delete(down, b)
 				}
@@ -59,7 +58,7 @@
 					h.forward(b, down)
 				}
 			}
-			h.deliverDue()
+			h.DeliverDue()
 		}
 		most = h.server.mostWithin(limitWindow, began.Add(countedAfterNamed))
 	})
@@ -72,7 +71,7 @@
 		return
 	}
 	for _, i := range h.random.Perm(len(h.boxes))[:maxBoxesTried] {
-		if to := h.boxes[i]; to != from && down[to].IsZero() && to.share.IsInformed() && h.call(to) {
+		if to := h.boxes[i]; to != from && down[to].IsZero() && to.Share.IsInformed() && h.call(to) {
 			return
 		}
 	}
--- a/internal/loadshare/limits_test.go
+++ b/internal/loadshare/limits_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cometlock/cometlock/internal/advisory"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/simulated"
 )
 
 const (
@@ -54,25 +55,18 @@
 
 // limitedBox is a box that calls the server.
 type limitedBox struct {
-	*simBox
+	*simulated.Box
 	fleet *fleet.Fleet
 	// answeredAt is when the box received its first answer with the current limit.
 	answeredAt, startedAt time.Time
 }
 
-// delivery is a request or an answer in transit.
-type delivery struct {
-	at      time.Time
-	deliver func()
-}
-
 // limitHistory is one random history.
 type limitHistory struct {
 	*history
 	server limitedServer
 	boxes  []*limitedBox
-	// inTransit holds the requests and answers in transit.
-	inTransit []delivery
+	simulated.Transit
 	// noEvents disables the random events. callers is the number of boxes that have calls.
 	noEvents bool
 	callers  int
@@ -83,18 +77,18 @@
 }
 
 func (h *limitHistory) startBox(ctx context.Context, b *limitedBox) {
-	position := func(zone, server string) advisory.Position { return b.share.LimitPosition(zone, server) }
+	position := func(zone, server string) advisory.Position { return b.Share.LimitPosition(zone, server) }
 	if h.noSharing {
 		position = nil
 	}
 	b.fleet = fleet.New(fleet.Config{Logger: zerolog.Nop(), LimitPosition: position})
 	b.fleet.Apply([]fleet.Update{{Key: "s", Offset: 1, Server: &fleet.Server{Incarnation: "s", Service: "s", Zone: "zone-0", Slots: 4}}})
 	b.answeredAt, b.startedAt = time.Time{}, time.Now()
-	h.startWithFleet(ctx, b.simBox, b.fleet)
+	h.Start(ctx, b.Box, b.fleet, 1)
 }
 
 // limitQuery is the query for a call of a box.
-func limitQuery(b *limitedBox) fleet.Query { return fleet.Query{Service: "s", Zone: b.zone} }
+func limitQuery(b *limitedBox) fleet.Query { return fleet.Query{Service: "s", Zone: b.Zone} }
 
 // call makes a box call the server, and reports whether it may.
 func (h *limitHistory) call(b *limitedBox) bool {
@@ -105,15 +99,15 @@
 	sent, sender := time.Now(), b.fleet
 	requestTime, answerTime := time.Duration(h.random.Int64N(int64(maxTransit))), time.Duration(h.random.Int64N(int64(maxTransit)))
 	lost := h.random.IntN(20) == 0
-	h.deliverAfter(requestTime, func() {
+	h.DeliverAfter(requestTime, func() {
 		now := time.Now()
 		counts := !b.answeredAt.IsZero() && now.Sub(b.answeredAt) > countedAfterAnswer && now.Sub(b.startedAt) > countedAfterStart && h.server.perSecond > 0 && now.Sub(h.server.namedSince) > countedAfterNamed
-		h.server.arrivals = append(h.server.arrivals, limitedArrival{at: now, box: b.name, counts: counts, limit: h.server.perSecond})
+		h.server.arrivals = append(h.server.arrivals, limitedArrival{at: now, box: b.Name, counts: counts, limit: h.server.perSecond})
 		answer := advisory.Answer{Sent: sent, Genuine: true}
 		if h.server.perSecond > 0 {
 			answer.Limit, answer.PerSecond = advisory.LimitNamed, h.server.perSecond
 		}
-		h.deliverAfter(h.answerTime+answerTime, func() {
+		h.DeliverAfter(h.answerTime+answerTime, func() {
 			hold.Done(fleet.OutcomeServed)
 			if lost {
 				return
@@ -144,14 +138,14 @@
 	b := h.boxes[h.random.IntN(len(h.boxes))]
 	switch h.random.IntN(8) {
 	case 0:
-		b.stop()
-		b.stopped.Wait()
+		b.Stop()
+		b.Stopped.Wait()
 		h.startBox(ctx, b)
 	case 1:
 		for _, other := range h.boxes {
-			if (other.zone == b.zone) != (h.random.IntN(2) == 0) {
-				h.network.setCut(b.name, other.name, true)
-				h.network.setCut(other.name, b.name, true)
+			if (other.Zone == b.Zone) != (h.random.IntN(2) == 0) {
+				h.Network.SetCut(b.Name, other.Name, true)
+				h.Network.SetCut(other.Name, b.Name, true)
 			}
 		}
 	case 2:
@@ -159,7 +153,7 @@
 	case 3, 4:
 		h.setLimit([]float64{0.3, 2, 2.1, 10}[h.random.IntN(4)])
 	default:
-		h.network.heal()
+		h.Network.Heal()
 	}
 }
 
@@ -175,26 +169,7 @@
 				h.call(b)
 			}
 		}
-		h.deliverDue()
-	}
-}
-
-// deliverAfter schedules a delivery.
-func (h *limitHistory) deliverAfter(delay time.Duration, deliver func()) {
-	h.inTransit = append(h.inTransit, delivery{time.Now().Add(delay), deliver})
-}
-
-// deliverDue carries out the deliveries that are due.
-func (h *limitHistory) deliverDue() {
-	now := time.Now()
-	inTransit := h.inTransit
-	h.inTransit = nil
-	for _, d := range inTransit {
-		if now.Before(d.at) {
-			h.inTransit = append(h.inTransit, d)
-		} else {
-			d.deliver()
-		}
+		h.DeliverDue()
 	}
 }
 
@@ -233,11 +208,10 @@
 	h := &limitHistory{}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		h.history = &history{t: t, random: rand.New(rand.NewPCG(seed, 3)), network: newNetwork(), newestVersion: 1}
-		defer h.stop(cancel)
-		h.addBoxes(zones)
-		for _, a := range h.simBoxes {
-			h.boxes = append(h.boxes, &limitedBox{simBox: a})
+		h.history = newHistory(t, rand.NewPCG(seed, 3), zones)
+		defer h.Stop(cancel)
+		for _, a := range h.Boxes {
+			h.boxes = append(h.boxes, &limitedBox{Box: a})
 		}
 		h.callers = len(h.boxes)
 		h.server.perSecond, h.server.namedSince = 2, time.Now()
--- a/internal/loadshare/manyhubs_test.go
+++ b/internal/loadshare/manyhubs_test.go
@@ -19,8 +19,8 @@
 	t.Parallel()
 	runFleet(t, zonesWithSeveralHubs, func(g *WithT, h *history, fleets []*fleet.Fleet) {
 		hubs := map[string]bool{}
-		for _, b := range h.simBoxes[:140] {
-			hubs[b.share.Hub()] = true
+		for _, b := range h.Boxes[:140] {
+			hubs[b.Share.Hub()] = true
 		}
 		delete(hubs, "")
 		g.Expect(len(hubs)).To(BeNumerically(">=", 3))
@@ -31,15 +31,15 @@
 			time.Sleep(time.Second)
 			for i, f := range fleets {
 				best, _, _ := f.Best(query)
-				g.Expect(best.InFlight).To(Equal(1), "as %s knows it from %s", h.simBoxes[i].name, h.simBoxes[at].name)
+				g.Expect(best.InFlight).To(Equal(1), "as %s knows it from %s", h.Boxes[i].Name, h.Boxes[at].Name)
 			}
 			hold.Done(fleet.OutcomeServed)
 			time.Sleep(time.Second)
 		}
-		before := h.network.messages()
+		before := h.Network.Messages()
 		const watched = 2 * time.Second
 		time.Sleep(watched)
-		perBox := float64(h.network.messages()-before) / watched.Seconds() / float64(len(fleets))
+		perBox := float64(h.Network.Messages()-before) / watched.Seconds() / float64(len(fleets))
 		g.Expect(perBox).To(BeNumerically("<", 14))
 	})
 }
--- a/internal/loadshare/brittle_test.go
+++ b/internal/loadshare/replay/brittle_test.go
@@ -1,10 +1,11 @@
 // Brittle servers fall over when they refuse too many calls within a second. These tests replay calls
 // of many boxes to such servers, whose room shrinks, in virtual time.
 
-package loadshare_test
+package replay_test
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/mechanism"
 	"github.com/cometlock/cometlock/internal/placing"
+	"github.com/cometlock/cometlock/internal/simulated"
 )
 
 const (
@@ -67,14 +69,15 @@
 
 // brittleHistory is one replay.
 type brittleHistory struct {
-	*history
+	*simulated.Fleet
+	simulated.Transit
+	random *rand.Rand
 	fleets []*fleet.Fleet
 	// waiting has the calls that wait in each box.
 	waiting map[*fleet.Fleet][]brittleCall
 	servers []*brittleServer
 	// listening has the servers by the names of their present incarnations.
 	listening map[string]*brittleServer
-	inTransit []delivery
 	begin     time.Time
 	// brittle is whether the servers ever are. perSecond is the rate of calls.
 	brittle      bool
@@ -89,9 +92,9 @@
 	stopped int
 }
 
-func (h *brittleHistory) startBox(ctx context.Context, b *simBox) {
-	cfg := fleet.Config{Logger: zerolog.Nop(), LimitPosition: func(zone, server string) advisory.Position { return b.share.LimitPosition(zone, server) }}
-	cfg.OnRoomChange = func() { b.share.SendNow() }
+func (h *brittleHistory) startBox(ctx context.Context, b *simulated.Box) {
+	cfg := fleet.Config{Logger: zerolog.Nop(), LimitPosition: func(zone, server string) advisory.Position { return b.Share.LimitPosition(zone, server) }}
+	cfg.OnRoomChange = func() { b.Share.SendNow() }
 	if h.ownBound {
 		cfg.LimitPosition = nil
 	}
@@ -103,7 +106,7 @@
 	for _, server := range h.servers {
 		server.list(boxFleet, 1)
 	}
-	h.startWithFleet(ctx, b, boxFleet)
+	h.Start(ctx, b, boxFleet, 1)
 }
 
 // list writes the server's entry into a box's view of the registry.
@@ -150,7 +153,7 @@
 	}
 	sent, target := time.Now(), hold.Server().Incarnation
 	answer := func(outcome fleet.Outcome) {
-		h.deliverAfter(h.transit(), func() {
+		h.DeliverAfter(h.transit(), func() {
 			answered := advisory.Answer{Sent: sent, Received: time.Now(), Genuine: true}
 			if h.brittle && time.Since(h.begin) >= brittleBegin {
 				answered.Brittle, answered.MaxRefusals = advisory.LimitNamed, brittleMaxRefusals
@@ -168,7 +171,7 @@
 			h.recheck(box)
 		})
 	}
-	h.deliverAfter(h.transit(), func() {
+	h.DeliverAfter(h.transit(), func() {
 		if server := h.listening[target]; server != nil {
 			h.arrive(server, answer)
 			return
@@ -213,7 +216,7 @@
 
 func (h *brittleHistory) work(s *brittleServer, answer func(fleet.Outcome)) {
 	incarnation := s.incarnation
-	h.deliverAfter(brittleWorkTime, func() {
+	h.DeliverAfter(brittleWorkTime, func() {
 		if s.incarnation != incarnation || time.Now().Before(s.upAt) {
 			answer(fleet.OutcomeUnreachable)
 			return
@@ -232,7 +235,7 @@
 	delete(h.listening, s.name())
 	s.incarnation++ // the calls of the stopped one end without an answer
 	h.listening[s.name()] = s
-	h.deliverAfter(brittleDown, func() {
+	h.DeliverAfter(brittleDown, func() {
 		s.startedAt = time.Now()
 		for _, boxFleet := range h.fleets {
 			s.list(boxFleet, int64(s.incarnation)+1)
@@ -244,22 +247,6 @@
 	return time.Duration(h.random.Int64N(int64(brittleTransit)))
 }
 
-func (h *brittleHistory) deliverAfter(delay time.Duration, deliver func()) {
-	h.inTransit = append(h.inTransit, delivery{time.Now().Add(delay), deliver})
-}
-
-func (h *brittleHistory) deliverDue() {
-	now, inTransit := time.Now(), h.inTransit
-	h.inTransit = nil
-	for _, d := range inTransit {
-		if now.Before(d.at) {
-			h.inTransit = append(h.inTransit, d)
-		} else {
-			d.deliver()
-		}
-	}
-}
-
 // play runs the replay.
 func (h *brittleHistory) play() {
 	due, stopped := 0.0, false
@@ -277,7 +264,7 @@
 			wait := time.Duration(placing.WaitFraction * float64(brittleObjective))
 			h.call(h.fleets[h.random.IntN(len(h.fleets))], brittleCall{waitUntil: time.Now().Add(wait)})
 		}
-		h.deliverDue()
+		h.DeliverDue()
 		if time.Since(rechecked) >= brittleRecheck {
 			rechecked = time.Now()
 			for _, box := range h.fleets {
--- a/internal/loadshare/brittlereplay_test.go
+++ b/internal/loadshare/replay/brittlereplay_test.go
@@ -1,4 +1,4 @@
-package loadshare_test
+package replay_test
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/simulated"
 )
 
 // playBrittle replays calls of some boxes to as many servers in proportion as in a fleet of 8 boxes and
@@ -22,16 +23,15 @@
 	h := &brittleHistory{brittle: true, stopped: 1, waiting: map[*fleet.Fleet][]brittleCall{}, listening: map[string]*brittleServer{}}
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		h.history = &history{t: t, random: rand.New(rand.NewPCG(uint64(boxes), 3)), network: newNetwork(), newestVersion: 1}
-		defer h.stop(cancel)
-		h.addBoxes([]int{boxes / 2, boxes - boxes/2})
+		h.Fleet, h.random = simulated.NewFleet(t, []int{boxes / 2, boxes - boxes/2}), rand.New(rand.NewPCG(uint64(boxes), 3))
+		defer h.Stop(cancel)
 		for i := range boxes * 6 / 8 {
 			server := &brittleServer{key: fmt.Sprint("server-", i)}
 			h.servers, h.listening[server.name()] = append(h.servers, server), server
 		}
 		h.perSecond = load * float64(len(h.servers)*brittleAtWork) / brittleWorkTime.Seconds()
 		prepare(h)
-		for _, b := range h.simBoxes {
+		for _, b := range h.Boxes {
 			h.startBox(ctx, b)
 		}
 		time.Sleep(2 * time.Second) // until the boxes get reports of each other
--- a/internal/loadshare/suspects_test.go
+++ b/internal/loadshare/suspects_test.go
@@ -18,6 +18,7 @@
 	"github.com/cometlock/cometlock/internal/fingerprint"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/quarantine"
+	"github.com/cometlock/cometlock/internal/simulated"
 )
 
 // zonesOf25 are three zones with hubs.
@@ -31,15 +32,15 @@
 }
 
 // noteEnd makes a box record the crash of a server's incarnation under a request.
-func (b *simBox) noteEnd(name string, incarnation uint64) {
-	b.suspects.NoteCrash(quarantine.Crash{Request: request(name), Caller: 1, Incarnation: incarnation})
+func noteEnd(b *simulated.Box, name string, incarnation uint64) {
+	b.Suspects.NoteCrash(quarantine.Crash{Request: request(name), Caller: 1, Incarnation: incarnation})
 }
 
 // countHolding returns the number of boxes that hold a request.
 func (h *history) countHolding(name string) int {
 	count := 0
-	for _, b := range h.simBoxes {
-		if _, held := b.suspects.HeldFor(request(name)); held {
+	for _, b := range h.Boxes {
+		if _, held := b.Suspects.HeldFor(request(name)); held {
 			count++
 		}
 	}
@@ -53,25 +54,25 @@
 		injectFault func(h *history)
 	}{
 		{"nothing else happens", 500 * time.Millisecond, func(*history) {}},
-		{"a hub crashes at the same time", maxPropagation, func(h *history) { h.boxNamed(h.simBoxes[5].share.Hub()).stop() }},
+		{"a hub crashes at the same time", maxPropagation, func(h *history) { h.BoxNamed(h.Boxes[5].Share.Hub()).Stop() }},
 		{"links of many boxes are cut for two seconds", maxPropagation, func(h *history) {
-			for _, b := range h.simBoxes[:12] {
-				h.network.setCut(b.name, h.simBoxes[24].name, true)
-				h.network.setCut(h.simBoxes[24].name, b.name, true)
+			for _, b := range h.Boxes[:12] {
+				h.Network.SetCut(b.Name, h.Boxes[24].Name, true)
+				h.Network.SetCut(h.Boxes[24].Name, b.Name, true)
 			}
-			time.AfterFunc(2*time.Second, h.network.heal)
+			time.AfterFunc(2*time.Second, h.Network.Heal)
 		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			runFleet(t, zonesOf25, func(g *WithT, h *history, _ []*fleet.Fleet) {
-				h.simBoxes[7].noteEnd("r", 1)
-				h.simBoxes[14].noteEnd("r", 2)
+				noteEnd(h.Boxes[7], "r", 1)
+				noteEnd(h.Boxes[14], "r", 2)
 				time.Sleep(400 * time.Millisecond)
 				test.injectFault(h)
-				h.simBoxes[22].noteEnd("r", 3)
+				noteEnd(h.Boxes[22], "r", 3)
 				time.Sleep(test.within)
-				g.Expect(h.countHolding("r")).To(BeNumerically(">=", len(h.simBoxes)-1), "all running boxes")
+				g.Expect(h.countHolding("r")).To(BeNumerically(">=", len(h.Boxes)-1), "all running boxes")
 			})
 		})
 	}
@@ -83,28 +84,28 @@
 	runFleet(t, zonesOf25, func(g *WithT, h *history, _ []*fleet.Fleet) {
 		countHolding := func() int {
 			count := 0
-			for _, b := range h.simBoxes {
-				if _, admitted := b.suspectParts.AdmitAll([]quarantine.Request{request("part")}); !admitted {
+			for _, b := range h.Boxes {
+				if _, admitted := b.SuspectParts.AdmitAll([]quarantine.Request{request("part")}); !admitted {
 					count++
 				}
 			}
 			return count
 		}
 		for incarnation := range uint64(quarantine.PartThreshold) {
-			h.simBoxes[7*(incarnation%3)].suspectParts.NoteCrashes([]quarantine.Crash{{Request: request("part"), Caller: 1, Incarnation: incarnation}})
+			h.Boxes[7*(incarnation%3)].SuspectParts.NoteCrashes([]quarantine.Crash{{Request: request("part"), Caller: 1, Incarnation: incarnation}})
 			time.Sleep(50 * time.Millisecond)
 		}
 		time.Sleep(500 * time.Millisecond)
-		g.Expect(countHolding()).To(Equal(len(h.simBoxes)))
-		restarted := h.simBoxes[20]
-		restarted.stop()
-		restarted.stopped.Wait()
+		g.Expect(countHolding()).To(Equal(len(h.Boxes)))
+		restarted := h.Boxes[20]
+		restarted.Stop()
+		restarted.Stopped.Wait()
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		h.start(ctx, restarted, 1)
 		time.Sleep(time.Second)
-		g.Expect(countHolding()).To(Equal(len(h.simBoxes)))
-		h.simBoxes[18].suspectParts.NoteServed(request("part"))
+		g.Expect(countHolding()).To(Equal(len(h.Boxes)))
+		h.Boxes[18].SuspectParts.NoteServed(request("part"))
 		time.Sleep(500 * time.Millisecond)
 		g.Expect(countHolding()).To(BeZero())
 	})
@@ -114,57 +115,44 @@
 func TestARestartedBoxReceivesTheRequestsThatCrashServers(t *testing.T) {
 	runFleet(t, zonesOf25, func(g *WithT, h *history, _ []*fleet.Fleet) {
 		for incarnation := range uint64(quarantine.HoldThreshold) {
-			h.simBoxes[3].noteEnd("r", incarnation)
+			noteEnd(h.Boxes[3], "r", incarnation)
 		}
 		time.Sleep(time.Second)
-		restarted := h.simBoxes[20]
-		restarted.stop()
-		restarted.stopped.Wait()
+		restarted := h.Boxes[20]
+		restarted.Stop()
+		restarted.Stopped.Wait()
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		h.start(ctx, restarted, 1)
-		_, held := restarted.suspects.HeldFor(request("r"))
+		_, held := restarted.Suspects.HeldFor(request("r"))
 		g.Expect(held).To(BeFalse())
 		time.Sleep(time.Second)
-		_, held = restarted.suspects.HeldFor(request("r"))
+		_, held = restarted.Suspects.HeldFor(request("r"))
 		g.Expect(held).To(BeTrue())
 	})
 }
 
-// noteQuarantineLoaded records that the box has what the log has, and passes that on if it is a hub.
-func (b *simBox) noteQuarantineLoaded() {
-	if b.quarantineLoaded.Load() {
-		return
-	}
-	held, _ := b.suspects.Counts()
-	b.heldAtLoad.Store(int64(held))
-	b.quarantineLoaded.Store(true)
-	if b.share.Hub() == "" {
-		b.share.SendNow()
-	}
-}
-
 // When all boxes start at once one of them reads what was held. The others must get it soon, and must not take
 // themselves to have it while they lack some of it: it takes more than one message.
 func TestBoxesCountAsLoadedBeforeTheyHaveWhatWasHeld(t *testing.T) {
 	const requests = quarantine.MaxRecordsPerMessage + 20
 	for _, reader := range []int{0, 13} {
 		runFleet(t, zonesOf25, func(g *WithT, h *history, _ []*fleet.Fleet) {
-			for _, b := range h.simBoxes {
-				g.Expect(b.quarantineLoaded.Load()).To(BeFalse())
+			for _, b := range h.Boxes {
+				g.Expect(b.QuarantineLoaded.Load()).To(BeFalse())
 			}
-			b := h.simBoxes[reader]
+			b := h.Boxes[reader]
 			for number := range requests {
 				for incarnation := range uint64(quarantine.HoldThreshold) {
-					b.noteEnd(fmt.Sprint("r-", number), incarnation)
+					noteEnd(b, fmt.Sprint("r-", number), incarnation)
 				}
 			}
-			b.noteQuarantineLoaded()
-			b.share.SendNow()
+			b.NoteQuarantineLoaded()
+			b.Share.SendNow()
 			time.Sleep(time.Second)
-			for _, b := range h.simBoxes {
-				g.Expect(b.quarantineLoaded.Load()).To(BeTrue(), b.name)
-				g.Expect(b.heldAtLoad.Load()).To(BeEquivalentTo(requests), b.name)
+			for _, b := range h.Boxes {
+				g.Expect(b.QuarantineLoaded.Load()).To(BeTrue(), b.Name)
+				g.Expect(b.HeldAtLoad.Load()).To(BeEquivalentTo(requests), b.Name)
 			}
 		})
 	}
@@ -174,11 +162,11 @@
 func TestARequestThatIsServedIsReleasedByAllBoxes(t *testing.T) {
 	runFleet(t, zonesOf25, func(g *WithT, h *history, _ []*fleet.Fleet) {
 		for incarnation := range uint64(quarantine.HoldThreshold) {
-			h.simBoxes[3].noteEnd("r", incarnation)
+			noteEnd(h.Boxes[3], "r", incarnation)
 		}
 		time.Sleep(time.Second)
-		g.Expect(h.countHolding("r")).To(Equal(len(h.simBoxes)))
-		h.simBoxes[18].suspects.NoteServed(request("r"))
+		g.Expect(h.countHolding("r")).To(Equal(len(h.Boxes)))
+		h.Boxes[18].Suspects.NoteServed(request("r"))
 		time.Sleep(time.Second)
 		g.Expect(h.countHolding("r")).To(BeZero())
 	})
@@ -199,10 +187,9 @@
 func playEnds(t *testing.T, seed uint64, zones []int) (fault string) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		h := &history{t: t, random: rand.New(rand.NewPCG(seed, 2)), network: newNetwork(), newestVersion: 1}
-		defer h.stop(cancel)
-		h.addBoxes(zones)
-		for _, b := range h.simBoxes {
+		h := newHistory(t, rand.NewPCG(seed, 2), zones)
+		defer h.Stop(cancel)
+		for _, b := range h.Boxes {
 			h.start(ctx, b, h.newestVersion)
 		}
 		const requests, incarnations = 4, 6
@@ -213,14 +200,14 @@
 			}
 			if h.random.IntN(4) == 0 {
 				name, incarnation := fmt.Sprint("r-", h.random.IntN(requests)), h.random.Uint64N(incarnations)
-				h.simBoxes[h.random.IntN(len(h.simBoxes))].noteEnd(name, incarnation)
+				noteEnd(h.Boxes[h.random.IntN(len(h.Boxes))], name, incarnation)
 				if noted[name] == nil {
 					noted[name] = map[uint64]bool{}
 				}
 				noted[name][incarnation] = true
 			}
 		}
-		h.network.heal()
+		h.Network.Heal()
 		time.Sleep(2 * maxPropagation)
 		fault = h.compareEnds(noted)
 	})
@@ -231,11 +218,11 @@
 // crashes; empty if there is none.
 func (h *history) compareEnds(noted map[string]map[uint64]bool) string {
 	for name, incarnations := range noted {
-		first := h.simBoxes[0].suspects.Crashes(request(name))
-		for _, b := range h.simBoxes {
-			ends := b.suspects.Crashes(request(name))
+		first := h.Boxes[0].Suspects.Crashes(request(name))
+		for _, b := range h.Boxes {
+			ends := b.Suspects.Crashes(request(name))
 			if ends != first || ends > len(incarnations) {
-				return fmt.Sprintf("%s counts %d crashes under %s, %s counts %d, and there were %d", b.name, ends, name, h.simBoxes[0].name, first, len(incarnations))
+				return fmt.Sprintf("%s counts %d crashes under %s, %s counts %d, and there were %d", b.Name, ends, name, h.Boxes[0].Name, first, len(incarnations))
 			}
 		}
 	}
@@ -249,22 +236,22 @@
 	const step = 60 * time.Millisecond
 	for wait := time.Duration(0); wait < 300*time.Millisecond; wait += step {
 		runFleet(t, []int{3, 2}, func(g *WithT, h *history, _ []*fleet.Fleet) {
-			restarted := h.simBoxes[1]
+			restarted := h.Boxes[1]
 			for incarnation := range uint64(8) {
-				restarted.noteEnd("before", incarnation) // eight changes, which the next incarnation receives as one
+				noteEnd(restarted, "before", incarnation) // eight changes, which the next incarnation receives as one
 			}
 			time.Sleep(time.Second)
-			restarted.stop()
-			restarted.stopped.Wait()
+			restarted.Stop()
+			restarted.Stopped.Wait()
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			h.start(ctx, restarted, 1)
 			time.Sleep(wait)
 			for incarnation := range uint64(quarantine.HoldThreshold) {
-				restarted.noteEnd("r", incarnation)
+				noteEnd(restarted, "r", incarnation)
 			}
 			time.Sleep(maxPropagation)
-			g.Expect(h.countHolding("r")).To(Equal(len(h.simBoxes)), "%v after its start", wait)
+			g.Expect(h.countHolding("r")).To(Equal(len(h.Boxes)), "%v after its start", wait)
 		})
 	}
 }
--- a/internal/loadshare/suspended_test.go
+++ b/internal/loadshare/suspended_test.go
@@ -18,7 +18,7 @@
 		machine := suspendtest.New(t)
 		fresh := func() int {
 			count := 0
-			for _, peer := range h.simBoxes[0].share.Peers() {
+			for _, peer := range h.Boxes[0].Share.Peers() {
 				if boottime.Since(peer.SentAfter) <= maxReportAge {
 					count++
 				}
--- a/internal/loadshare/network_test.go
+++ b/internal/simulated/network.go
@@ -1,7 +1,4 @@
-// An in-memory network for tests in simulated time, between boxes that a test can cut from each
-// other. Data that is written to a cut link is delayed until the cut ends, as with TCP.
-
-package loadshare_test
+package simulated
 
 import (
 	"context"
@@ -14,20 +11,21 @@
 // latency is the transit time of a message.
 const latency = 2 * time.Millisecond
 
-// network connects boxes by their addresses.
-type network struct {
+// Network is an in-memory network between boxes, which a test can cut from each other. It connects them
+// by their addresses. Data that is written to a cut link is delayed until the cut ends, as with TCP.
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
 	// cut holds the directed pairs of boxes whose link is cut.
 	cut map[[2]string]bool
-	// extraLatency adds to the transit time of each message.
-	extraLatency time.Duration
+	// ExtraLatency adds to the transit time of each message.
+	ExtraLatency time.Duration
 	// sent counts the messages that were written.
 	sent int
 }
 
-func newNetwork() *network {
-	return &network{listeners: map[string]*memoryListener{}, cut: map[[2]string]bool{}}
+func newNetwork() *Network {
+	return &Network{listeners: map[string]*memoryListener{}, cut: map[[2]string]bool{}}
 }
 
 // memoryListener is the listener of a box; it implements net.Listener.
@@ -58,8 +56,8 @@
 // Addr implements net.Listener.
 func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-// listen opens a box's listener and replaces that of an earlier incarnation.
-func (n *network) listen(address string) net.Listener {
+// Listen opens a box's listener and replaces that of an earlier incarnation.
+func (n *Network) Listen(address string) net.Listener {
 	opened := &memoryListener{accepts: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -67,42 +65,42 @@
 	return opened
 }
 
-// setCut cuts or restores the link from one box to another.
-func (n *network) setCut(from, to string, cut bool) {
+// SetCut cuts or restores the link from one box to another.
+func (n *Network) SetCut(from, to string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut[[2]string{from, to}] = cut
 }
 
 // countMessage counts a message. Boxes write each message in one call.
-func (n *network) countMessage() {
+func (n *Network) countMessage() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.sent++
 }
 
-// messages returns the number of messages so far.
-func (n *network) messages() int {
+// Messages returns the number of messages so far.
+func (n *Network) Messages() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.sent
 }
 
-// heal restores all links.
-func (n *network) heal() {
+// Heal restores all links.
+func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cut)
 }
 
-func (n *network) isCut(from, to string) bool {
+func (n *Network) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.cut[[2]string{from, to}]
 }
 
-// dialFrom returns the dial function of a box.
-func (n *network) dialFrom(from string) func(context.Context, string) (net.Conn, error) {
+// DialFrom returns the dial function of a box.
+func (n *Network) DialFrom(from string) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, to string) (net.Conn, error) {
 		if n.isCut(from, to) || n.isCut(to, from) {
 			<-ctx.Done()
@@ -130,7 +128,7 @@
 
 // forward copies bytes from one box's end of a connection to the other's until either end fails.
 // Boxes write only on connections that they opened.
-func (n *network) forward(from, to string, source, target net.Conn) {
+func (n *Network) forward(from, to string, source, target net.Conn) {
 	defer source.Close()
 	defer target.Close()
 	buffer := make([]byte, 64<<10)
@@ -140,7 +138,7 @@
 			return
 		}
 		n.countMessage()
-		time.Sleep(latency + n.extraLatency)
+		time.Sleep(latency + n.ExtraLatency)
 		for n.isCut(from, to) {
 			time.Sleep(10 * latency)
 		}
