streamorigin: no box holds the origin of a stream that has not begun

What callers see: while the log is away, a stream that was given up at another version and begun anew at the base version could be resumed at the version that was given up, at another box, after its own box had crashed: the first box that answers decides.

Cause: the origin was noted before its first event waited for the record, up to 0.6 s. Meanwhile it was sent to holders and handed to a box that records, which holds what it gets. The later origin goes to the holders and the recorder of that time, which are others if a recorder has been found to fail in between.

Now the origin is noted when the stream begins. Its record, if it has one, is known then, so that no further one is made.

--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -101,22 +101,25 @@
 		return true
 	}
 	key, origin := g.originOf(x, *x.software)
-	g.cfg.Origins.Note(key, origin)
-	if x.info.ResumeAfter != "" || g.cfg.Origins.AwaitAnnounced(x.ctx, &x.announcement, key, origin) || x.ctx.Err() != nil {
+	if x.info.ResumeAfter != "" || g.cfg.Origins.AwaitAnnounced(x.ctx, &x.announcement, key, origin) || x.ctx.Err() != nil || g.mayBeginUnrecorded(x, origin.Software) {
+		g.cfg.Origins.Begin(&x.announcement, key, origin)
 		return true
 	}
-	if announced, found := x.announcement.Contradicting(origin.Software); found && g.mayBeginElsewhere(x, announced) {
+	return false
+}
+
+// mayBeginUnrecorded reports whether a stream may begin at a software version without a record: no server of another
+// version, which needs none or has one, takes it. Otherwise it sets where the stream begins.
+func (g *Gateway) mayBeginUnrecorded(x *exchange, software string) (mayBegin bool) {
+	if announced, found := x.announcement.Contradicting(software); found && g.mayBeginElsewhere(x, announced) {
 		x.beginAt = &announced
 	} else {
 		x.beginAt = nil
 		preferred := g.preferredSoftware(g.anyVersionQuery(x))
-		mayBegin = preferred == nil || *preferred == origin.Software || !g.mayBeginElsewhere(x, *preferred)
-	}
-	if !mayBegin {
-		g.cfg.Origins.Complete(key)
+		mayBegin = preferred == nil || *preferred == software || !g.mayBeginElsewhere(x, *preferred)
 	}
 	g.metrics.scope.Counter("streams_not_recorded").Inc(1)
-	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("software", origin.Software).Bool("begins", mayBegin).Msg("stream_not_recorded")
+	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("software", software).Bool("begins", mayBegin).Msg("stream_not_recorded")
 	return mayBegin
 }
 
--- a/internal/streamorigin/announce.go
+++ b/internal/streamorigin/announce.go
@@ -20,6 +20,8 @@
 	base *Origin
 	// isClosed is set when the stream begins.
 	isClosed bool
+	// recorded is the batch that has recorded the origin; nil if none has.
+	recorded *awaitedBatch
 }
 
 // close ends the announcement of versions. It returns the batch of a version; isOnly is true if no other one was
@@ -99,24 +101,44 @@
 	defer cancel()
 	batch, isOnly, isOnlyBesideBase := announcement.close(origin.Software)
 	switch {
-	case batch == nil && isOnly:
-		return o.AwaitRecord(ctx, key, origin)
-	case isOnly && batch.isRecent(ctx):
-		o.noteRecorded([]Key{key}, batch.recorder, batch.recordedAt)
+	case batch == nil && isOnly && (o.cfg.Bases == nil || !o.needsRecord(origin.Service, origin.Software)):
+		return true
+	case isOnly && batch != nil && batch.isRecent(ctx):
+		o.noteAwaited(announcement, key, batch)
 		return true
 	case isOnlyBesideBase && batch.isRecent(ctx):
 		return true // it is not taken for the base version's, and its origin is recorded as it goes on
 	case ctx.Err() != nil:
 		return false // the announcement will still be recorded
-	case isOnly:
+	case isOnly && batch != nil:
 		// If the stream begins anew at another version, this record does not contradict that one's origin.
 		batch = o.joinBatch(ctx, announcedKey(key), origin)
-		if !batch.wait(ctx) {
-			return false
-		}
-		o.noteRecorded([]Key{key}, batch.recorder, batch.recordedAt)
-		return true
 	default:
-		return o.joinBatch(ctx, key, origin).wait(ctx)
+		batch = o.joinBatch(ctx, key, origin)
+	}
+	if !batch.wait(ctx) {
+		return false
+	}
+	o.noteAwaited(announcement, key, batch)
+	return true
+}
+
+// noteAwaited records that a batch has recorded the origin of a stream that is about to begin.
+func (o *Origins) noteAwaited(announcement *Announcement, key Key, batch *awaitedBatch) {
+	announcement.mu.Lock()
+	announcement.recorded = batch
+	announcement.mu.Unlock()
+	o.noteRecorded([]Key{key}, batch.recorder, batch.recordedAt)
+}
+
+// Begin is Note for a stream whose first event has waited (AwaitAnnounced). Until then the stream may begin at another
+// version, so that no box may hold its origin.
+func (o *Origins) Begin(announcement *Announcement, key Key, origin Origin) {
+	o.Note(key, origin)
+	announcement.mu.Lock()
+	recorded := announcement.recorded
+	announcement.mu.Unlock()
+	if recorded != nil {
+		o.noteRecorded([]Key{key}, recorded.recorder, recorded.recordedAt)
 	}
 }
