originlog: a reader of a large fleet holds the records that are needed

Callers would see: in a fleet of 1,900 streams a second with several versions, after all boxes crashed, all streams without a record are refused.

Cause, found by the review: a reader holds the last 65,536 records of origins. Streams are recorded again every 10 s, and under two keys since they are found by organisation or API key, so at that rate the records held reach back 5.8 s, and 15 s are needed for a stream without a record to count as one of the base version.

Now a reader holds 262,144 records, and of each the index of its service and version in place of two strings. One box in 192 reads for the others, and drops all two minutes after the last search.

Ruled out: to record API keys at the first event only (a stream that lasts for longer than the log keeps records would be lost by that key).

--- a/internal/originlog/reader.go
+++ b/internal/originlog/reader.go
@@ -29,9 +29,9 @@
 	// arrives: 10 a second for each writer.
 	minMargin = 4
 	maxMargin = firstTail
-	// maxKnown bounds the origins that a reader holds, at some 100 bytes each; the oldest ones are dropped. At
-	// 1,900 streams a second it is what began within half a minute.
-	maxKnown = 65536
+	// maxKnown bounds the records of origins that a reader holds, at some 110 bytes each; the oldest ones are dropped.
+	// At 1,900 streams a second that take 30 s, with six records each, they reach 23 s back.
+	maxKnown = 262144
 	// readTimeout bounds a call of the log.
 	readTimeout = 700 * time.Millisecond
 	// minReadInterval is the shortest time between two reads, so that the callers of many streams that broke
@@ -63,6 +63,9 @@
 	triedAt time.Time
 	failure error
 	known   map[Key]recordedOrigin
+	// begunBy has the services and software versions of origins, and indexes their positions there.
+	begunBy []serviceVersion
+	indexes map[serviceVersion]int32
 	// ambiguous has the known keys that have been recorded with several services or software versions.
 	ambiguous map[Key]struct{}
 	// order has the keys in the order of their records, once for each record.
@@ -75,16 +78,20 @@
 	versions map[string]map[string]time.Time
 }
 
-// recordedOrigin is an origin with the time of its last record.
+// serviceVersion is a software version of a service.
+type serviceVersion struct{ service, software string }
+
+// recordedOrigin is the index of what began a stream, with the time of its last record in Unix milliseconds. The
+// types are small since there are many of them.
 type recordedOrigin struct {
-	Origin
-	at time.Time
+	millis int64
+	begun  int32
 }
 
-// recordedKey is a key with the time of a record of it.
+// recordedKey is a key with the time of a record of it in Unix milliseconds.
 type recordedKey struct {
 	Key
-	at time.Time
+	millis int64
 }
 
 // unread is the position of a reader that has read nothing yet.
@@ -101,6 +108,7 @@
 func (r *Reader) reset() {
 	r.next, r.readAt = unread, time.Time{}
 	r.known, r.ambiguous, r.order, r.versions = map[Key]recordedOrigin{}, map[Key]struct{}{}, nil, map[string]map[string]time.Time{}
+	r.begunBy, r.indexes = nil, map[serviceVersion]int32{}
 }
 
 // Result is the outcome of a search for the origin of a stream.
@@ -145,7 +153,8 @@
 	for _, key := range keys {
 		if origin, found := r.known[key]; found {
 			_, result.Ambiguous = r.ambiguous[key]
-			result.Found, result.Service, result.Software = !result.Ambiguous, origin.Service, origin.Software
+			begunBy := r.begunBy[origin.begun]
+			result.Found, result.Service, result.Software = !result.Ambiguous, begunBy.service, begunBy.software
 			break
 		}
 	}
@@ -299,11 +308,12 @@
 		r.completeSince = at
 	}
 	for _, origin := range origins {
-		if before, known := r.known[origin.Key]; known && before.Origin != origin {
+		begun := r.indexOf(serviceVersion{origin.Service, origin.Software})
+		if before, known := r.known[origin.Key]; known && before.begun != begun {
 			r.ambiguous[origin.Key] = struct{}{}
 		}
-		r.known[origin.Key] = recordedOrigin{origin, at}
-		r.order = append(r.order, recordedKey{origin.Key, at})
+		r.known[origin.Key] = recordedOrigin{at.UnixMilli(), begun}
+		r.order = append(r.order, recordedKey{origin.Key, at.UnixMilli()})
 		versions := r.versions[origin.Service]
 		if versions == nil {
 			versions = map[string]time.Time{}
@@ -316,16 +326,27 @@
 	r.dropExcess()
 }
 
+// indexOf returns the index of a software version of a service. The caller holds mu.
+func (r *Reader) indexOf(version serviceVersion) int32 {
+	index, known := r.indexes[version]
+	if !known {
+		index = int32(len(r.begunBy))
+		r.indexes[version] = index
+		r.begunBy = append(r.begunBy, version)
+	}
+	return index
+}
+
 // dropExcess drops the least recently recorded keys above the bound. The caller holds mu.
 func (r *Reader) dropExcess() {
 	for len(r.order) > maxKnown {
 		oldest := r.order[0]
 		r.order = r.order[1:]
-		if r.known[oldest.Key].at.After(oldest.at) {
+		if r.known[oldest.Key].millis > oldest.millis {
 			continue // it has been recorded again since
 		}
 		delete(r.known, oldest.Key)
 		delete(r.ambiguous, oldest.Key)
-		r.completeFrom, r.completeSince = r.next, oldest.at
+		r.completeFrom, r.completeSince = r.next, time.UnixMilli(oldest.millis)
 	}
 }
