scripts/unit.sh: the replays of brittle servers run by themselves

TestBrittleServersKeepServingInAReplay was listed in KNOWN-RED.txt, since its package went over its 5 min beside the other packages of its stage. Each replay is played by one goroutine, so it takes as long as its share of a core requires: 285 s beside internal/loadshare at load averages of 17 to 27, over 300 s twice at 19 to 40, and 175 s by itself at 17 to 26.

Now its package, which has been split from internal/loadshare, is tested after the others in simulated time, by itself, with the same limit of 5 min.

--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -16,11 +16,15 @@
 # same reason.
 realtime='/(platform|internal/e2e)(/|$)'
 last='BoxesRestart|BoxesThatRestart|ByTheCallsOfTheirService|ABoxWithoutLinksToServers'
+# Each of the replays of brittle servers needs a core for minutes, so they run by themselves.
+replay='/loadshare/replay$'
 packages=$(go list "$@")
-mapfile -t simulated < <(grep -vE "$realtime" <<<"$packages")
+mapfile -t simulated < <(grep -vE "$realtime|$replay" <<<"$packages")
+mapfile -t replays < <(grep -E "$replay" <<<"$packages")
 mapfile -t real < <(grep -E "$realtime" <<<"$packages")
 failed=0
 [ ${#simulated[@]} -eq 0 ] || go test -race -timeout 5m -skip "$known" "${simulated[@]}" || failed=1
+[ ${#replays[@]} -eq 0 ] || go test -race -timeout 5m -skip "$known" "${replays[@]}" || failed=1
 if [ ${#real[@]} -ne 0 ]; then
   go test -race -timeout 5m -p 2 -skip "$known|$last" "${real[@]}" || failed=1
   go test -race -timeout 5m -p 1 -parallel 3 -run "$last" -skip "$known" "${real[@]}" || failed=1
