--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -111,11 +111,14 @@
 		return true
 	}
 	key, origin := g.originOf(x, *x.software)
-	if x.info.ResumeAfter != "" || g.cfg.Origins.AwaitAnnounced(x.ctx, &x.announcement, key, origin) || x.ctx.Err() != nil || g.mayBeginUnrecorded(x, origin.Software) {
-		g.cfg.Origins.Begin(&x.announcement, key, origin)
-		return true
+	if x.info.ResumeAfter == "" && !g.cfg.Origins.AwaitAnnounced(x.ctx, &x.announcement, key, origin) {
+		isCancelled := x.ctx.Err() != nil
+		if !isCancelled && !g.mayBeginUnrecorded(x, origin.Software) {
+			return false
+		}
 	}
-	return false
+	g.cfg.Origins.Begin(&x.announcement, key, origin)
+	return true
 }
 
 // mayBeginUnrecorded reports whether a stream may begin at a software version without a record: no server of another
