scripts/unit.sh: internal/loadshare runs by itself, as its replays do

Cause: want of processor time.

Now both packages of large simulations run after the others, one after the other, with the same tests and the same limit of 5 min each.

--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -16,15 +16,16 @@
 # same reason.
 realtime='/(platform|internal/e2e)(/|$)'
 last='BoxesRestart|BoxesThatRestart|ByTheCallsOfTheirService|ABoxWithoutLinksToServers'
-# Each of the replays of brittle servers needs a core for minutes, so they run by themselves.
-replay='/loadshare/replay$'
+# The simulations of 80 to 160 boxes are played by a goroutine each, which needs a core for minutes. Their packages
+# run one after the other, without others beside them.
+large='/loadshare(/replay)?$'
 packages=$(go list "$@")
-mapfile -t simulated < <(grep -vE "$realtime|$replay" <<<"$packages")
-mapfile -t replays < <(grep -E "$replay" <<<"$packages")
+mapfile -t simulated < <(grep -vE "$realtime|$large" <<<"$packages")
+mapfile -t largest < <(grep -E "$large" <<<"$packages")
 mapfile -t real < <(grep -E "$realtime" <<<"$packages")
 failed=0
 [ ${#simulated[@]} -eq 0 ] || go test -race -timeout 5m -skip "$known" "${simulated[@]}" || failed=1
-[ ${#replays[@]} -eq 0 ] || go test -race -timeout 5m -skip "$known" "${replays[@]}" || failed=1
+[ ${#largest[@]} -eq 0 ] || go test -race -timeout 5m -p 1 -skip "$known" "${largest[@]}" || failed=1
 if [ ${#real[@]} -ne 0 ]; then
   go test -race -timeout 5m -p 2 -skip "$known|$last" "${real[@]}" || failed=1
   go test -race -timeout 5m -p 1 -parallel 3 -run "$last" -skip "$known" "${real[@]}" || failed=1
