--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -114,12 +114,12 @@
 	// origins has the software versions that began streams, and originWriter records them in the log.
 	origins      *streamorigin.Origins
 	originWriter *originlog.Writer
-	// baseVersions has the software versions of streams without an origin.
+	// baseVersions reads and writes the base version of each service, that of streams without a recorded origin.
 	baseVersions *baseversion.Keeper
-	// observation belongs to the loop of baseVersions.
-	observation  observation
-	callerServer *http.Server
-	readyServer  *http.Server
+	// listFreshness is used by the loop of baseVersions alone.
+	listFreshness listFreshness
+	callerServer  *http.Server
+	readyServer   *http.Server
 	// forwardServer serves the calls that other boxes forward; nil if this box takes none.
 	forwardServer *http.Server
 	// metricsServer serves metrics at a separate address; nil if there is none.
@@ -241,10 +241,10 @@
 	b.places = places.New(owner)
 	b.baseVersions = baseversion.New(baseversion.Config{
 		Log: b.log, Eras: b.log.Eras(), Logger: b.logger, Observe: b.observeSoftware,
-		IsWriter: func() bool { return !b.leaving.Load() && b.isElected(baseVersionWriter) },
+		IsWriter: b.writesBaseVersions,
 	})
 	b.originWriter = originlog.NewWriter(originlog.WriterConfig{
-		Log: b.log, Logger: b.logger, IsMarker: func() bool { return !b.leaving.Load() && b.isElected(baseVersionWriter) },
+		Log: b.log, Logger: b.logger, IsMarker: b.writesBaseVersions,
 	})
 	b.origins = streamorigin.New(streamorigin.Config{
 		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress(), Process: shortIncarnation(b.incarnation), Cores: b.settings.Cores},
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -29,31 +29,39 @@
 	return versions
 }
 
-// ListedSoftware counts the servers of each service by software version, without those that are leaving.
+// ListedSoftware counts the listed servers of each service by software version, without draining ones.
 func (f *Fleet) ListedSoftware() map[string]map[string]int {
+	counts := map[string]map[string]int{}
+	for _, service := range f.Services() {
+		counts[service] = f.listedSoftware(service)
+	}
+	return counts
+}
+
+// listedSoftware is ListedSoftware for one service. Calls are placed between two of them, since counting 20,000 servers
+// takes milliseconds.
+func (f *Fleet) listedSoftware(service string) map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	counts := make(map[string]map[string]int, len(f.groups))
-	for service, servers := range f.groups {
-		counts[service] = map[string]int{}
-		for state := range servers.all() {
-			if state.delistedAt.IsZero() && !state.Leaving {
-				counts[service][state.Software]++
-			}
+	counts := map[string]int{}
+	for state := range f.groups[service].all() {
+		if state.delistedAt.IsZero() && !state.Leaving {
+			counts[state.Software]++
 		}
 	}
 	return counts
 }
 
-// HasMostServers reports whether a software version has at least half of the listed servers of a service that are not
-// leaving.
-func (f *Fleet) HasMostServers(service, software string) bool {
+// HasHalfOfServers reports whether a software version has at least half of the servers that are open for a call. A sample
+// stands for the servers of a large service.
+func (f *Fleet) HasHalfOfServers(query Query, software string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := boottime.Now()
 	same, others := 0, 0
-	for state := range f.groups[service].all() {
+	for _, state := range f.sample(&query, min(f.attempts(query.Service)-1, 1)) {
 		switch {
-		case !state.delistedAt.IsZero() || state.Leaving:
+		case !f.isOpen(state, &query, now):
 		case state.Software == software:
 			same++
 		default:
@@ -63,7 +71,7 @@
 	return same > 0 && same >= others
 }
 
-// Services returns the services that have servers, including those whose servers were delisted lately.
+// Services returns the services that have servers, including those whose servers were delisted recently.
 func (f *Fleet) Services() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
@@ -26,19 +27,20 @@
 }
 
 // requiredSoftware returns the software version that must serve the call; nil if any may. A new stream goes to the
-// version that is preferred while that one has most of the servers.
-func (g *Gateway) requiredSoftware(x *exchange) *string {
+// preferred version, if there is one. The query is that for any version.
+func (g *Gateway) requiredSoftware(x *exchange, query fleet.Query) *string {
 	if x.software != nil || !g.recordsOrigin(x) {
 		return x.software
 	}
-	return g.preferredSoftware(x)
+	return g.preferredSoftware(query)
 }
 
-// preferredSoftware returns the software version that should serve new streams of the call's service, if that version
-// has most of its servers; nil if any may.
-func (g *Gateway) preferredSoftware(x *exchange) *string {
-	preferred, found := g.cfg.Origins.PreferredVersion(x.service.Name)
-	if !found || !g.cfg.Fleet.HasMostServers(x.service.Name, preferred) {
+// preferredSoftware returns the software version that should serve a new stream while origins cannot be recorded. It
+// returns nil if any version may, or if this one has less than half of the servers that may take the call. The query is
+// that for any version.
+func (g *Gateway) preferredSoftware(query fleet.Query) *string {
+	preferred, found := g.cfg.Origins.PreferredVersion(query.Service)
+	if !found || !g.cfg.Fleet.HasHalfOfServers(query, preferred) {
 		return nil
 	}
 	return &preferred
@@ -51,21 +53,14 @@
 	if g.cfg.Origins == nil || x.forwarded || x.route.Kind != catalog.Stream || x.info.ResumeAfter == "" {
 		return true
 	}
-	var evidence streamorigin.Evidence
-	if x.info.Resumes == "" {
-		evidence = g.cfg.Origins.FindUnnamed(x.ctx, x.service.Name)
-	} else {
-		evidence = g.cfg.Origins.Find(x.ctx, x.originKey(x.info.Resumes), x.service.Name)
-	}
-	evidence.Patience = max(x.routeTimeout(), x.info.MaxWait)
-	evidence.MaxAge = evidence.Patience + originMargin
+	evidence := g.findEvidence(x)
 	listAge := time.Duration(0)
 	if g.cfg.ServerListAge != nil {
 		listAge = g.cfg.ServerListAge()
 	}
 	if evidence.Found && evidence.Service != x.service.Name && x.route.HasService(evidence.Service) {
 		x.service = x.catalog.Service(evidence.Service)
-		x.parts = x.partFingerprints() // they are those of the service
+		x.parts = x.partFingerprints() // fingerprints differ between services
 	}
 	software, known := streamorigin.Decide(evidence, listAge)
 	g.logOrigin(x, evidence, known)
@@ -76,14 +71,30 @@
 	return true
 }
 
+// findEvidence returns what is known of the origin of the stream that the caller resumes.
+func (g *Gateway) findEvidence(x *exchange) (evidence streamorigin.Evidence) {
+	if x.info.Resumes == "" {
+		evidence = g.cfg.Origins.FindUnnamed(x.ctx, x.service.Name)
+	} else {
+		key, alias := x.originKeys(x.info.Resumes)
+		evidence = g.cfg.Origins.FindByAlias(x.ctx, key, alias, x.service.Name)
+	}
+	evidence.Patience = max(x.routeTimeout(), x.info.MaxWait)
+	evidence.MaxAge = evidence.Patience + originMargin
+	return evidence
+}
+
 func (g *Gateway) logOrigin(x *exchange, evidence streamorigin.Evidence, known bool) {
 	g.metrics.scope.Tagged(map[string]string{"found": strconv.FormatBool(evidence.Found), "resumed": strconv.FormatBool(known)}).Counter("streams_resumed").Inc(1)
-	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).Str("service", x.service.Name).Str("origin_service", evidence.Service).Str("software", evidence.Software).
-		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).Bool("has_base", evidence.Base != nil).Str("base", evidence.BaseVersion()).Bool("resumed", known).Msg("stream_origin")
+	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).
+		Str("service", x.service.Name).Str("origin_service", evidence.Service).Str("software", evidence.Software).
+		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).
+		Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).
+		Bool("has_base", evidence.Base != nil).Str("base", evidence.BaseVersion()).Bool("resumed", known).Msg("stream_origin")
 }
 
-// announceSoftware announces the software version of the attempt's server, so that the first event of a stream
-// need not wait for the record of its origin. Which server another box chooses is not known yet.
+// announceSoftware announces the software version of the attempt's server, so that it is recorded while the server reads
+// the prompt, and the first event need not wait for that. For a forwarded call the other box chooses the server later.
 func (a *attempt) announceSoftware() {
 	x, g := a.x, a.gateway
 	if a.peer() == nil && g.recordsOrigin(x) && x.info.ResumeAfter == "" {
@@ -93,8 +104,8 @@
 }
 
 // noteOrigin records which software version begins the call's stream, before the caller has its first event. It may
-// wait until the record is in the log. It returns false if there is none, and the stream should begin at a server of
-// another version, which needs none.
+// wait until the record is in the log. It returns false if the record failed and the stream should start over at a
+// server of the preferred version, whose streams need no record, or of one that has a record.
 func (g *Gateway) noteOrigin(x *exchange) (mayBegin bool) {
 	if !g.recordsOrigin(x) || x.software == nil {
 		return true
@@ -104,8 +115,13 @@
 	if x.info.ResumeAfter != "" || g.cfg.Origins.AwaitAnnounced(x.ctx, &x.announcement, key, origin) || x.ctx.Err() != nil {
 		return true
 	}
-	preferred := g.preferredSoftware(x)
-	mayBegin = preferred == nil || *preferred == origin.Software || !g.mayBeginElsewhere(x, *preferred)
+	if announced, found := x.announcement.Contradicting(origin.Software); found && g.mayBeginElsewhere(x, announced) {
+		x.beginAt = &announced
+	} else {
+		x.beginAt = nil
+		preferred := g.preferredSoftware(g.anyVersionQuery(x))
+		mayBegin = preferred == nil || *preferred == origin.Software || !g.mayBeginElsewhere(x, *preferred)
+	}
 	if !mayBegin {
 		g.cfg.Origins.Complete(key)
 	}
@@ -114,8 +130,8 @@
 	return mayBegin
 }
 
-// mayBeginElsewhere reports whether a stream may begin anew at a software version: a further server is allowed, and one
-// of that version has room.
+// mayBeginElsewhere reports whether a stream may start over at a software version: the route and the retry budget allow
+// a further server, and one of that version has capacity.
 func (g *Gateway) mayBeginElsewhere(x *exchange, software string) bool {
 	if x.serversReached >= x.maxServers() || g.retryBudget(x).State().Balance < 1 {
 		return false
@@ -126,8 +142,8 @@
 	return shortage.Usable > max(shortage.WithoutSlot, shortage.WithoutTime, shortage.WithoutMemory)
 }
 
-// recordsOrigin reports whether this box records the origin of the call's stream: its caller may resume it, and
-// has named it.
+// recordsOrigin reports whether this box records the origin of the call's stream: the stream can be resumed, and it has
+// an ID by which it is found again.
 func (g *Gateway) recordsOrigin(x *exchange) bool {
 	return g.cfg.Origins != nil && !x.forwarded && x.route.Kind == catalog.Stream && x.route.Resumable && x.streamID() != ""
 }
@@ -138,7 +154,8 @@
 	if waits := x.arrived.Add(x.info.MaxWait); waits.After(expires) {
 		expires = waits
 	}
-	return x.originKey(x.streamID()), streamorigin.Origin{Service: x.service.Name, Software: software, Expires: expires.Add(originMargin)}
+	key, alias := x.originKeys(x.streamID())
+	return key, streamorigin.Origin{Service: x.service.Name, Software: software, Expires: expires.Add(originMargin), Alias: alias}
 }
 
 // streamID returns the request that brought the first event of the call's stream; empty if it is unknown.
@@ -149,16 +166,24 @@
 	return x.info.RequestID
 }
 
-// originKey returns the key of a stream of this caller. The caller is its API key, since a configuration may move that
-// to another organisation while the stream is in flight.
-func (x *exchange) originKey(requestID string) streamorigin.Key {
-	return streamorigin.KeyOf(x.info.Key, requestID)
+// originKeys returns the key of a stream by its organisation, and its alias by the caller's API key. While the stream is
+// in flight the caller may be given another API key of its organisation, and a configuration may move the API key to
+// another organisation.
+func (x *exchange) originKeys(requestID string) (key, alias streamorigin.Key) {
+	if x.info.Key != "" {
+		alias = streamorigin.KeyOf(apiKeyPrefix+x.info.Key, requestID)
+	}
+	return streamorigin.KeyOf(x.callerName(), requestID), alias
 }
 
+// apiKeyPrefix distinguishes an API key from the name of an organisation.
+const apiKeyPrefix = "API key "
+
 // completeOrigin records that the caller has the whole stream.
 func (g *Gateway) completeOrigin(x *exchange) {
 	if g.cfg.Origins != nil && !x.forwarded && x.outcome == outcomeServed && x.eventsSent > 0 {
-		g.cfg.Origins.Complete(x.originKey(x.streamID()))
+		key, _ := x.originKeys(x.streamID())
+		g.cfg.Origins.Complete(key)
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -174,12 +174,12 @@
 	return true, true
 }
 
-// withdrawEvent records that the caller does not get the first event of a stream.
+// withdrawEvent records that the first event of a stream is not sent to the caller, so that any server may begin it.
 func (w *watch) withdrawEvent() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.relayingEvent = false
-	w.current.x.software, w.current.x.resumeAfter = nil, w.current.x.info.ResumeAfter
+	w.current.x.software, w.current.x.resumeAfter = w.current.x.beginAt, w.current.x.info.ResumeAfter
 }
 
 // eventRelayed records that the caller has the event and the server is read again. Data from the
--- a/internal/loadshare/limitrestarts_test.go
+++ b/internal/loadshare/limitrestarts_test.go
@@ -1,4 +1,4 @@
-// Boxes keep nothing when they restart, so each incarnation learns of a rate limit anew.
+// Boxes store no state across restarts, so each incarnation has to receive the rate limits again.
 
 package loadshare_test
 
@@ -24,19 +24,18 @@
 	maxBoxesTried = 3
 )
 
-// playRestarts restarts boxes one after the other beside calls, and returns the most requests that
-// the server received in any window after all boxes knew the limit.
+// playRestarts restarts boxes one after the other during calls, and returns the most requests that
+// the server received in any window after all boxes had received the limit.
 func playRestarts(t *testing.T, seed uint64, perSecond float64) (most int) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		h := &limitHistory{history: &history{t: t, random: rand.New(rand.NewPCG(seed, 5)), network: newNetwork(), newestVersion: 1}, answerTime: restartAnswerTime}
-		defer h.stop(cancel)
-		h.network.extraLatency = restartLatency
-		h.addBoxes([]int{2, 2, 2, 2})
+		h := &limitHistory{history: newHistory(t, rand.NewPCG(seed, 5), []int{2, 2, 2, 2}), answerTime: restartAnswerTime}
+		defer h.Stop(cancel)
+		h.Network.ExtraLatency = restartLatency
 		h.server.perSecond, h.server.namedSince = perSecond, time.Now()
-		for _, b := range h.simBoxes {
-			h.boxes = append(h.boxes, &limitedBox{simBox: b})
+		for _, b := range h.Boxes {
+			h.boxes = append(h.boxes, &limitedBox{Box: b})
 		}
 		for _, b := range h.boxes {
 			h.startBox(ctx, b)
@@ -45,13 +44,13 @@
 		end := began.Add(restartsBegin + time.Duration(len(h.boxes))*restartGap + limitWindow)
 		for ; time.Now().Before(end); time.Sleep(limitStep) {
 			if stopped < len(h.boxes) && time.Since(began) >= restartsBegin+time.Duration(stopped)*restartGap {
-				h.boxes[stopped].stop()
+				h.boxes[stopped].Stop()
 				down[h.boxes[stopped]] = time.Now()
 				stopped++
 			}
 			for _, b := range h.boxes {
 				if since, found := down[b]; found && time.Since(since) >= restartDownTime {
-					b.stopped.Wait()
+					b.Stopped.Wait()
 					h.startBox(ctx, b)
 					delete(down, b)
 				}
@@ -59,20 +58,20 @@
 					h.forward(b, down)
 				}
 			}
-			h.deliverDue()
+			h.DeliverDue()
 		}
 		most = h.server.mostWithin(limitWindow, began.Add(countedAfterNamed))
 	})
 	return most
 }
 
-// forward sends a call on through other boxes if its box lacks a share, as package gateway does.
+// forward sends a call to other boxes if its box has no share of the limit left, as package gateway does.
 func (h *limitHistory) forward(from *limitedBox, down map[*limitedBox]time.Time) {
 	if !from.fleet.LacksShare(limitQuery(from)) {
 		return
 	}
 	for _, i := range h.random.Perm(len(h.boxes))[:maxBoxesTried] {
-		if to := h.boxes[i]; to != from && down[to].IsZero() && to.share.IsInformed() && h.call(to) {
+		if to := h.boxes[i]; to != from && down[to].IsZero() && to.Share.IsInformed() && h.call(to) {
 			return
 		}
 	}
@@ -94,8 +93,8 @@
 	return most
 }
 
-// Boxes that had just started took the calls of all others without a share of the limit, which they
-// did not know yet, so that servers got more than their limit.
+// A box that had just started had not received the rate limits yet, so it accepted the calls of all
+// boxes whose shares were used up, and servers received more than their limits.
 func TestARateLimitHoldsWhileBoxesRestartOneAfterTheOther(t *testing.T) {
 	t.Parallel()
 	for _, perSecond := range []float64{1, 2} {
--- a/internal/sharedlog/measured.go
+++ b/internal/sharedlog/measured.go
@@ -20,7 +20,7 @@
 	log   Log
 	scope tally.Scope
 	eras  Eras
-	// outages is told of each call.
+	// outages records the outcome of each call.
 	outages Outages
 
 	mu     sync.Mutex
@@ -35,7 +35,7 @@
 // Eras returns the eras of the responses.
 func (m *Measured) Eras() *Eras { return &m.eras }
 
-// Outages returns when the log was last away.
+// Outages returns the outages that the calls have shown.
 func (m *Measured) Outages() *Outages { return &m.outages }
 
 // TakeCounts returns the calls since its last call by stream, kind and outcome, such as
@@ -53,7 +53,7 @@
 	began := boottime.Now()
 	page, err := m.log.NewestPage(ctx, stream, after)
 	m.noteEra(page.End, err)
-	m.recordCall("newest", stream, began, err)
+	m.recordCall(ctx, "newest", stream, began, err)
 	return page, err
 }
 
@@ -66,7 +66,7 @@
 	if wait > 0 {
 		kind = "held_read"
 	}
-	m.recordCall(kind, stream, began, err)
+	m.recordCall(ctx, kind, stream, began, err)
 	return page, err
 }
 
@@ -75,7 +75,7 @@
 	began := boottime.Now()
 	first, end, err = m.log.Bounds(ctx, stream)
 	m.noteEra(end, err)
-	m.recordCall("bounds", stream, began, err)
+	m.recordCall(ctx, "bounds", stream, began, err)
 	return first, end, err
 }
 
@@ -84,7 +84,7 @@
 	began := boottime.Now()
 	offset, err := m.log.Append(ctx, stream, end, record)
 	m.noteEra(offset, err)
-	m.recordCall("append", stream, began, err)
+	m.recordCall(ctx, "append", stream, began, err)
 	return offset, err
 }
 
@@ -98,9 +98,11 @@
 	m.eras.Note(position)
 }
 
-func (m *Measured) recordCall(kind string, stream Stream, began time.Time, err error) {
+func (m *Measured) recordCall(ctx context.Context, kind string, stream Stream, began time.Time, err error) {
 	outcome := outcomeOf(err)
-	m.outages.note(outcome)
+	if err == nil || !errors.Is(ctx.Err(), context.Canceled) { // a call that this box ends says nothing about the log
+		m.outages.record(outcome)
+	}
 	m.mu.Lock()
 	m.counts[stream.String()+"/"+kind+"/"+outcome]++
 	m.mu.Unlock()
@@ -111,7 +113,7 @@
 	}
 }
 
-// Outcomes of calls that the log did not perform, or may not have performed.
+// Outcomes of failed calls: the log refused the call, or may or may not have performed it.
 const (
 	outcomeRefused = "refused"
 	outcomeUnknown = "unknown"
--- a/internal/streamorigin/announce.go
+++ b/internal/streamorigin/announce.go
@@ -37,6 +37,22 @@
 	return batch, others == 0, others == 1 && hasBase && batch != nil
 }
 
+// Contradicting returns a version whose announcement is in the log while that of another one is not: without a record of
+// its origin, a stream of the other one would count as one of the returned version.
+func (a *Announcement) Contradicting(software string) (other string, found bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if batch := a.batches[software]; batch != nil && batch.isRecorded() {
+		return "", false
+	}
+	for version, batch := range a.batches {
+		if version != software && batch.isRecorded() {
+			return version, true
+		}
+	}
+	return "", false
+}
+
 // announcedKey returns the key for the versions that a call is sent to.
 func announcedKey(key Key) Key {
 	for i := range key {
@@ -45,6 +61,14 @@
 	return key
 }
 
+// announced returns the origin as it is announced.
+func (o Origin) announced() Origin {
+	if o.Alias != (Key{}) {
+		o.Alias = announcedKey(o.Alias)
+	}
+	return o
+}
+
 // Announce records that a call is being sent to a server, whose first event would have to wait for a record. If a call
 // is sent to a server of another version as well, that of the base version is announced, too: without a record of the
 // origin itself, the stream may then be of either.
@@ -72,7 +96,7 @@
 	}
 	for _, each := range announced {
 		if announcement.batches[each.Software] == nil {
-			announcement.batches[each.Software] = o.joinBatch(ctx, announcedKey(key), each)
+			announcement.batches[each.Software] = o.joinBatch(ctx, announcedKey(key), each.announced())
 		}
 	}
 }
@@ -90,6 +114,16 @@
 		return true
 	case isOnlyBesideBase && batch.isRecent(ctx):
 		return true // it is not taken for the base version's, and its origin is recorded as it goes on
+	case ctx.Err() != nil:
+		return false // the announcement will still be recorded
+	case isOnly:
+		// If the stream begins anew at another version, this record does not contradict that one's origin.
+		batch = o.joinBatch(ctx, announcedKey(key), origin.announced())
+		if !batch.wait(ctx) {
+			return false
+		}
+		o.noteRecorded([]Key{key}, batch.recorder, batch.recordedAt)
+		return true
 	default:
 		return o.joinBatch(ctx, key, origin).wait(ctx)
 	}
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// isRecorded reports whether the origins are in the log, as far as is known now.
+func (b *awaitedBatch) isRecorded() bool {
+	select {
+	case <-b.done:
+		return b.recorded
+	default:
+		return false
+	}
+}
+
 // isRecent waits for the end, and reports whether the origins are in the log and need not be recorded again yet.
 func (b *awaitedBatch) isRecent(ctx context.Context) bool {
 	return b.wait(ctx) && boottime.Since(b.recordedAt) < rerecordInterval
@@ -76,7 +86,7 @@
 		go o.runAwaited(context.WithoutCancel(ctx), batch)
 	}
 	batch.keys = append(batch.keys, key)
-	batch.origins = append(batch.origins, encode(key, origin, boottime.Now()))
+	batch.origins = append(batch.origins, encodeToRecord(key, origin, boottime.Now())...)
 	return batch
 }
 
