Review case 1: an order of a lost lease holder arrives after its successor's

Cause: the client that sends orders to runners closes a connection on which an order has timed out without a reset, and sets no TCP user timeout. An order that was on its way when its zone was cut off stays with the kernel and is sent again after the cut, when another box holds the lease.

No code of the product changes.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases' scripts into target/, beside the platform's build.
+set -eu
+cd "$(dirname "$0")/.."
+go build -o target/review-heldorder ./review/1/heldorder
