Review case 2: no stream goes on after the store's return and a restart

Cause: after the store came back from a copy and all boxes were killed, no box knows whether a stream without a record began at the base version, although the service has a single version. Every stream that is taken up again is refused.

Change: a script with its own stand-ins and a claim; the case with the held order becomes number 3. No code of the product changes.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,5 +2,6 @@
 # Builds the stand-ins of the cases' scripts into target/, beside the platform's build.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review-heldorder ./review/2/heldorder
 go build -o target/review-unrecorded ./review/1/unrecorded
+go build -o target/review-restored ./review/2/restored
+go build -o target/review-heldorder ./review/3/heldorder
