Streams that begin while the log is away are resumed at their version

Two runners of v1 and six of v2 serve one service, 48 streams begin while the store is down, and all boxes are killed before it is back. All 48 begin at v2 and go on at v1 when callers resume them.

Cause: a stream without a record counts as one of the base version, v1. While the store is down no other origin can be recorded, so new streams should begin at v1; they did so only while v1 had half of the servers. Otherwise they began at v2 without a record. Only the boxes knew of that and of the outage, and all of them were killed. The boxes' logs show it: stream_not_recorded with begins for all 48, then stream_origin with the log read, no origin, base v1, and a longest uptime of 0.9 s.

Ruled out: records that are written late (no record succeeded before the kill); refusing all streams without a record after a crash of all boxes (loses those of the base version in each such crash); finding the outage by a gap in the log (looks the same while all boxes are down); beginning at the base version only (two servers of many cannot serve all streams).

Change: where the base version has under half of the servers, the versions share the streams by their numbers of servers. The shares are in the record of base versions before any outage, and the base version of a stream is chosen by a hash of its request ID, so that boxes which have just started find it too. For 145 s after a change of the shares, streams without a record whose version differs between them are refused. Until the shares are known a new stream begins at its base version if a server of that has capacity now. The shares follow the table as a second value, since boxes of the previous version refuse a table with more fields.

--- a/internal/baseversion/baseversion.go
+++ b/internal/baseversion/baseversion.go
@@ -1,5 +1,5 @@
-// Package baseversion maintains the base version of each service: the software version of all its streams that have no
-// recorded origin.
+// Package baseversion maintains the base versions of each service: the software versions of its streams that have no
+// recorded origin. In most cases that is one version for all streams of a service.
 //
 // A caller may resume a stream at any box, also after all boxes crashed, and only the version that began the stream
 // may continue it (package streamorigin). The list of servers at that time does not say which version that was: one
@@ -14,12 +14,16 @@
 // next.
 //
 //	next.go    whether the base version of a service changes: a decision over plain data
+//	shares.go  the base version of a single stream, where a service has several
 //	record.go  encodes and decodes the table of base versions, the value of the record
 //	keeper.go  reads the record on demand
 //	write.go   writes the record at one elected box
 package baseversion
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Base is the base version of a service.
 type Base struct {
@@ -27,6 +31,11 @@
 	// are recorded.
 	Version string
 	Present bool
+	// Shares has the versions among which the base version of each stream is chosen; empty if it is Version for all. An
+	// older version of the program knows Version only.
+	Shares []Share
+	// Earlier has the shares under which streams may have begun that are still resumed.
+	Earlier []EarlierShares
 	// Since is when this took effect, by the clock of the box that wrote it.
 	Since time.Time
 	// Replaced is set if streams without a record may have been of another version before.
@@ -42,8 +51,8 @@
 // isSameBase reports whether b and other differ at most in RecordsFrom, which has no effect on which streams are
 // recorded.
 func (b Base) isSameBase(other Base) bool {
-	b.RecordsFrom = other.RecordsFrom
-	return b == other
+	isSame := b.Version == other.Version && b.Present == other.Present && b.Since.Equal(other.Since) && b.Replaced == other.Replaced && b.Era == other.Era
+	return isSame && slices.Equal(b.Shares, other.Shares) && equalEarlier(b.Earlier, other.Earlier)
 }
 
 // Table has the base versions by service.
--- a/internal/baseversion/model_test.go
+++ b/internal/baseversion/model_test.go
@@ -25,6 +25,15 @@
 	modelListAge = 3 * time.Second
 )
 
+// modelHashes is the number of hashes that streams have.
+const modelHashes = 6
+
+// modelStream is a stream by its hash and the version that began it.
+type modelStream struct {
+	hash    uint64
+	version string
+}
+
 // modelReading is a table of one service as of a read of the log.
 type modelReading struct {
 	base *Base
@@ -84,13 +93,13 @@
 	log   modelLog
 	boxes []*modelBox
 	// unrecorded is the start of the last stream of each version without a record, and begun that of the last stream.
-	unrecorded map[string]time.Duration
-	begun      map[string]time.Duration
+	unrecorded map[modelStream]time.Duration
+	begun      map[modelStream]time.Duration
 	trace      []string
 }
 
 func newModel(boxes int) *model {
-	m := &model{unrecorded: map[string]time.Duration{}, begun: map[string]time.Duration{}}
+	m := &model{unrecorded: map[modelStream]time.Duration{}, begun: map[modelStream]time.Duration{}}
 	m.log.lists = []modelList{{listed: map[string]int{}}}
 	for i := range boxes {
 		m.boxes = append(m.boxes, &modelBox{name: fmt.Sprint("box-", i), writes: i == 0, transit: modelStep})
@@ -194,21 +203,35 @@
 	}
 }
 
-// begin begins a stream of each listed version. Those that need a record have one.
+// begin begins a stream of each listed version and hash. Those that need a record have one; a box that cannot write one
+// begins streams at their base versions alone.
 func (m *model) begin(b *modelBox) {
+	canRecord := m.recorderWithLog(b) != nil
 	for version := range b.listed {
-		m.begun[version] = m.now
-		if !m.needsRecord(b, version) {
-			m.unrecorded[version] = m.now
+		for hash := range uint64(modelHashes) {
+			needsRecord := m.needsRecord(b, version, hash)
+			if needsRecord && !canRecord && !m.prefers(b, version, hash) {
+				continue
+			}
+			m.begun[modelStream{hash, version}] = m.now
+			if !needsRecord || !canRecord {
+				m.unrecorded[modelStream{hash, version}] = m.now
+			}
 		}
 	}
 }
 
 // needsRecord repeats the rule of package streamorigin.
-func (m *model) needsRecord(b *modelBox, version string) bool {
+func (m *model) needsRecord(b *modelBox, version string, hash uint64) bool {
 	versions, base := b.versions(m.now), b.known.base
 	isRecent := b.known.done && m.now-b.known.at < LeaseTime
-	return base == nil || !base.Present || base.Version != version || len(versions) > 1 && !(isRecent && base.Era == b.era)
+	return base == nil || !base.Present || base.For(hash) != version || len(versions) > 1 && !(isRecent && base.Era == b.era)
+}
+
+// prefers repeats the rule of package streamorigin for streams that begin while origins cannot be recorded.
+func (m *model) prefers(b *modelBox, version string, hash uint64) bool {
+	base := b.known.base
+	return base != nil && base.Present && base.Era == b.era && m.now-b.known.at < UseTime && base.For(hash) == version
 }
 
 // needsBases repeats the rule of package streamorigin.
@@ -220,7 +243,7 @@
 		return false
 	}
 	versions, base := b.versions(m.now), b.known.base
-	return len(versions) > 1 || len(versions) == 1 && (base == nil || !base.Present || base.Version != versions[0] || base.Era != b.era)
+	return len(versions) > 1 || len(versions) == 1 && (base == nil || !base.IsOnly(versions[0]) || base.Era != b.era)
 }
 
 // refresh requests the table if the box needs it.
@@ -259,7 +282,7 @@
 }
 
 func (b *modelBox) store(reading modelReading) {
-	if reading.base != nil && (b.keeper.base == nil || *b.keeper.base != *reading.base) {
+	if reading.base != nil && (b.keeper.base == nil || !b.keeper.base.isSameBase(*reading.base)) {
 		b.knownSince, b.isKnown = reading.at, true
 	}
 	b.keeper = reading
@@ -272,7 +295,9 @@
 	if recorder == nil {
 		return ""
 	}
-	if !recorder.keeper.done || m.now-recorder.keeper.at > modelMaxAge {
+	versions, last := recorder.versions(m.now), recorder.keeper
+	isSingle := len(versions) == 1 && last.base != nil && last.base.IsOnly(versions[0])
+	if !last.done || !isSingle || m.now-last.at > modelMaxAge {
 		m.readLog(recorder)
 	}
 	recorder.noteEra(m.log.era, m.now) // from its read of the origins
@@ -283,9 +308,10 @@
 	if base == nil || !base.Present || base.Era != max(b.era, recorder.era) {
 		return ""
 	}
-	for version, began := range m.unrecorded {
-		if version != base.Version && m.now-began <= modelResumeTime {
-			return fmt.Sprintf("%s resumes a stream of %s that began without a record at %v at %s", b.name, version, began, describe(base))
+	for stream, began := range m.unrecorded {
+		version, certain := base.ForBegun(stream.hash, time.UnixMilli(m.now.Milliseconds()), modelResumeTime)
+		if certain && stream.version != version && m.now-began <= modelResumeTime {
+			return fmt.Sprintf("%s resumes a stream of %s (hash %d) that began without a record at %v at %s: %s", b.name, stream.version, stream.hash, began, version, describe(base))
 		}
 	}
 	return ""
@@ -298,5 +324,5 @@
 	if !base.Present {
 		return fmt.Sprintf("none (era %d)", base.Era)
 	}
-	return fmt.Sprintf("%s (era %d)", base.Version, base.Era)
+	return fmt.Sprintf("%v after %v (era %d)", base.shares(), base.Earlier, base.Era)
 }
--- a/internal/baseversion/modellog_test.go
+++ b/internal/baseversion/modellog_test.go
@@ -97,8 +97,7 @@
 	if seen, sees = m.observe(b); !sees {
 		return
 	}
-	if next, changed := Next(b.keeper.base, seen); changed {
-		next.Since = time.UnixMilli(m.now.Milliseconds())
+	if next, changed := NextAt(b.keeper.base, seen, time.UnixMilli(m.now.Milliseconds())); changed {
 		b.planned = &modelAppend{base: next, end: b.keeper.end}
 	}
 }
--- a/internal/baseversion/next.go
+++ b/internal/baseversion/next.go
@@ -39,12 +39,24 @@
 // hasOnlyBase reports whether the base version has been the only version for so long that no stream of another one is
 // resumed.
 func (o *Observation) hasOnlyBase(base Base) bool {
-	isOnly := base.Present && len(o.Remembered) == 1 && o.Remembered[0] == base.Version
+	isOnly := base.Present && len(base.Shares) == 0 && len(o.Remembered) == 1 && o.Remembered[0] == base.Version
 	return isOnly && o.ObservedFor >= minAbsence && o.KnownFor >= pauseTime
 }
 
+// lacks reports whether no server of one of some versions has been listed for minAbsence.
+func (o *Observation) lacks(versions []string) bool {
+	isGone := func(version string) bool { return !slices.Contains(o.Remembered, version) }
+	return len(o.Remembered) > 0 && o.ObservedFor >= minAbsence && slices.ContainsFunc(versions, isGone)
+}
+
+// needsShares reports whether one of the versions could not serve its share of the streams.
+func (o *Observation) needsShares(base *Base) bool {
+	isDue := len(base.Earlier) == 0 || o.KnownFor >= minShareTime
+	return isDue && isSkewed(base.shares(), o.Listed)
+}
+
 // Next returns the base version of a service that follows the present one, which is nil if the log has none. changed
-// is false if the present one stays. The caller sets Since.
+// is false if the present one stays. NextAt sets Since and Earlier.
 func Next(present *Base, observed Observation) (next Base, changed bool) {
 	if present == nil {
 		return firstBase(observed)
@@ -57,18 +69,36 @@
 	case observed.hasOnlyBase(*present) && observed.OriginsEnd > present.RecordsFrom:
 		next.RecordsFrom = observed.OriginsEnd
 		return next, true
+	case present.Present && observed.lacks(present.versions()):
+		next.Version, next.Present, next.Replaced, next.Shares, next.Earlier = "", false, true, nil, nil
+		return next, true
 	case present.Present:
-		next.Version, next.Present, next.Replaced = "", false, true
-		isGone := len(observed.Remembered) > 0 && !slices.Contains(observed.Remembered, present.Version) && observed.ObservedFor >= minAbsence
-		return next, isGone
+		next.Shares = sharesOf(observed.Listed)
+		return next, observed.needsShares(present)
 	case len(observed.Listed) > 0 && observed.KnownFor >= pauseTime:
 		next.Version, next.Present = mostCommon(observed.Listed), true
+		if isSkewed(next.shares(), observed.Listed) {
+			next.Shares = sharesOf(observed.Listed)
+		}
 		return next, true
 	default:
 		return next, false
 	}
 }
 
+// NextAt is Next for a change at a time.
+func NextAt(present *Base, observed Observation, now time.Time) (next Base, changed bool) {
+	next, changed = Next(present, observed)
+	if !changed || present != nil && present.isSameBase(next) {
+		return next, changed
+	}
+	next.Since = now.Truncate(time.Millisecond) // the precision of the record
+	if present != nil && present.Present && next.Present && !slices.Equal(present.Shares, next.Shares) {
+		next.addEarlier(present, next.Since)
+	}
+	return next, true
+}
+
 // firstBase returns the first base version of a service: the only version, or none while there are several. There is
 // none either in a log that was restored from a copy, which may have lost the record of another one. Replaced is set
 // then, since boxes that knew of one version only may have begun streams without a record.
--- a/internal/baseversion/record_test.go
+++ b/internal/baseversion/record_test.go
@@ -14,10 +14,25 @@
 		return Base{
 			Version: rapid.String().Draw(rt, "version"), Present: rapid.Bool().Draw(rt, "present"), Replaced: rapid.Bool().Draw(rt, "replaced"),
 			Since: time.UnixMilli(rapid.Int64Range(0, 1<<45).Draw(rt, "since")), Era: rapid.Int64().Draw(rt, "era"),
+			Shares: drawShares(rt), Earlier: drawEarlier(rt),
 		}
 	})).Draw(rt, "table")
 }
 
+func drawShares(rt *rapid.T) (shares []Share) {
+	for range rapid.IntRange(0, 3).Draw(rt, "shares") {
+		shares = append(shares, Share{Version: rapid.String().Draw(rt, "share"), Weight: rapid.IntRange(1, totalWeight).Draw(rt, "weight")})
+	}
+	return shares
+}
+
+func drawEarlier(rt *rapid.T) (earlier []EarlierShares) {
+	for range rapid.IntRange(0, 3).Draw(rt, "earlier") {
+		earlier = append(earlier, EarlierShares{Shares: drawShares(rt), Until: time.UnixMilli(rapid.Int64Range(0, 1<<45).Draw(rt, "until"))})
+	}
+	return earlier
+}
+
 func TestATableChangesInTheLog(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		g := NewWithT(rt)
--- a/internal/baseversion/write.go
+++ b/internal/baseversion/write.go
@@ -85,7 +85,7 @@
 	}
 	k.store(Reading{Table: table, At: boottime.Now(), end: position + 1})
 	for service, base := range changed {
-		k.cfg.Logger.Info().Str("service", service).Str("software", base.Version).Bool("present", base.Present).EmbedObject(logposition.Logged(position)).Msg("base_version_changed")
+		k.cfg.Logger.Info().Str("service", service).Str("software", base.Version).Bool("present", base.Present).Interface("shares", base.Shares).EmbedObject(logposition.Logged(position)).Msg("base_version_changed")
 	}
 	if len(obsolete) > 0 {
 		k.cfg.Logger.Info().Strs("services", obsolete).EmbedObject(logposition.Logged(position)).Msg("base_versions_dropped")
@@ -183,10 +183,7 @@
 		if base, there := present[service]; there {
 			current = &base
 		}
-		if base, changes := Next(current, observation); changes {
-			if current == nil || !current.isSameBase(base) {
-				base.Since = boottime.TimeOfDay().Truncate(time.Millisecond) // the precision of the record
-			}
+		if base, changes := NextAt(current, observation, boottime.TimeOfDay()); changes {
 			next[service], changed[service] = base, base
 		}
 	}
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -52,9 +52,9 @@
 	return counts
 }
 
-// HasHalfOfServers reports whether a software version has at least half of the servers that are open for a call. A sample
-// stands for the servers of a large service.
-func (f *Fleet) HasHalfOfServers(query Query, software string) bool {
+// ShareOfServers returns the part of the servers that are open for a call which have a software version; zero if none
+// are. A sample stands for the servers of a large service.
+func (f *Fleet) ShareOfServers(query Query, software string) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := boottime.Now()
@@ -68,7 +68,7 @@
 			others++
 		}
 	}
-	return same > 0 && same >= others
+	return float64(same) / float64(max(same+others, 1))
 }
 
 // Services returns the services that have servers, including those whose servers were delisted recently.
--- a/internal/gateway/contradicted_test.go
+++ b/internal/gateway/contradicted_test.go
@@ -1,22 +1,15 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/fakelog"
-	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
-	"github.com/cometlock/cometlock/internal/originlog"
-	"github.com/cometlock/cometlock/internal/sharedlog"
-	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
 // A stream began without a record at the base version although its call had been announced at another one before the
@@ -35,24 +28,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			g := NewWithT(t)
 			f := fleet.New(fleet.Config{})
-			log := fakesharedlog.New()
-			value, err := baseversion.Encode(baseversion.Table{"r": {Version: "v1", Present: true}})
-			g.Expect(err).NotTo(HaveOccurred())
-			log.Put(sharedlog.BaseVersions, "all", value)
 			c := resumableCatalogWith(g, 4, 5*time.Second)
 			gateway := promptGateway(newPlanProtocol(), f, emptyIndex(c), c)
-			writer := originlog.NewWriter(originlog.WriterConfig{Log: log, Logger: zerolog.Nop()})
-			gateway.cfg.Origins = streamorigin.New(streamorigin.Config{
-				Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions, Services: f.Services,
-				Reader: originlog.NewReader(originlog.ReaderConfig{Log: log}), Writer: writer, LogEra: func() int64 { return 0 },
-				Bases: baseversion.New(baseversion.Config{Log: log, Eras: &sharedlog.Eras{}}),
-			})
-			ctx, stop := context.WithCancel(t.Context())
-			var loops sync.WaitGroup
-			loops.Go(func() { gateway.cfg.Origins.LoopBases(ctx) })
-			loops.Go(func() { writer.Loop(ctx) })
-			defer func() { stop(); loops.Wait() }()
-			time.Sleep(100 * time.Millisecond) // until the base versions have been read
+			log := useOrigins(t, g, gateway, f, baseversion.Base{Version: "v1", Present: true})
 			startVersion(t, f, "first", "v2", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				time.Sleep(300 * time.Millisecond) // the announcement is in the log
 				log.Underlying().SetFaults(fakelog.Faults{Down: true})
--- a/internal/gateway/preferreddemand_test.go
+++ b/internal/gateway/preferreddemand_test.go
@@ -1,23 +1,17 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/fakelog"
-	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
-	"github.com/cometlock/cometlock/internal/originlog"
-	"github.com/cometlock/cometlock/internal/sharedlog"
 	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
@@ -26,10 +20,6 @@
 func TestAStreamThatPrefersAVersionStandsForOtherCalls(t *testing.T) {
 	g := NewWithT(t)
 	f := fleet.New(fleet.Config{})
-	log := fakesharedlog.New()
-	value, err := baseversion.Encode(baseversion.Table{"r": {Version: "v1", Present: true}})
-	g.Expect(err).NotTo(HaveOccurred())
-	log.Put(sharedlog.BaseVersions, "all", value)
 	route := catalog.Route{
 		Name: "streams", Host: "example.com", PathPrefix: "/", Kind: catalog.Stream, Resumable: true, MaxServers: 3,
 		Objective: time.Second, Timeout: 10 * time.Second, Splits: []catalog.Split{{Service: "r", Weight: 1}}, Public: true,
@@ -43,18 +33,7 @@
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	gateway := promptGateway(newPlanProtocol(), f, emptyIndex(c), c)
-	writer := originlog.NewWriter(originlog.WriterConfig{Log: log, Logger: zerolog.Nop()})
-	gateway.cfg.Origins = streamorigin.New(streamorigin.Config{
-		Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions, Services: f.Services,
-		Reader: originlog.NewReader(originlog.ReaderConfig{Log: log}), Writer: writer, LogEra: func() int64 { return 0 },
-		Bases: baseversion.New(baseversion.Config{Log: log, Eras: &sharedlog.Eras{}}),
-	})
-	ctx, stop := context.WithCancel(t.Context())
-	var loops sync.WaitGroup
-	loops.Go(func() { gateway.cfg.Origins.LoopBases(ctx) })
-	loops.Go(func() { writer.Loop(ctx) })
-	defer func() { stop(); loops.Wait() }()
-	time.Sleep(100 * time.Millisecond) // until the base versions have been read
+	log := useOrigins(t, g, gateway, f, baseversion.Base{Version: "v1", Present: true})
 	startVersion(t, f, "base", "v1", serveEvents("v1", 0))
 	startVersion(t, f, "other", "v2", serveEvents("v2", 0))
 	classOf := func(path string) uint64 {
@@ -65,7 +44,7 @@
 	g.Expect(classOf("/")).To(Equal(classOf("/others/")))
 	log.Underlying().SetFaults(fakelog.Faults{Down: true})
 	g.Expect(gateway.cfg.Origins.AwaitRecord(t.Context(), streamorigin.KeyOf("", "a"), streamorigin.Origin{Service: "r", Software: "v2", Expires: time.Now().Add(time.Minute)})).To(BeFalse())
-	_, isPreferred := gateway.cfg.Origins.PreferredVersion("r")
+	_, _, isPreferred := gateway.cfg.Origins.PreferredVersion("r", 0)
 	g.Expect(isPreferred).To(BeTrue())
 	g.Expect(classOf("/")).NotTo(Equal(classOf("/others/")))
 }
--- a/internal/gateway/preferredregion_test.go
+++ b/internal/gateway/preferredregion_test.go
@@ -1,22 +1,15 @@
 package gateway
 
 import (
-	"context"
-	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/fakelog"
-	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
-	"github.com/cometlock/cometlock/internal/originlog"
-	"github.com/cometlock/cometlock/internal/sharedlog"
-	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
 // While records failed, new streams were refused that may not run where the servers of the base version are, although
@@ -24,10 +17,6 @@
 func TestNewStreamsAreKeptToAVersionThatMayNotServeThem(t *testing.T) {
 	g := NewWithT(t)
 	f := fleet.New(fleet.Config{})
-	log := fakesharedlog.New()
-	value, err := baseversion.Encode(baseversion.Table{"r": {Version: "v1", Present: true}})
-	g.Expect(err).NotTo(HaveOccurred())
-	log.Put(sharedlog.BaseVersions, "all", value)
 	c, err := catalog.New(catalog.Config{
 		Version: 1, Limits: catalog.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 16},
 		Services: []catalog.Service{{Name: "r", Engine: &catalog.Engine{CapacityTokens: 100_000, BytesPerToken: 1000}}},
@@ -39,18 +28,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	gateway := promptGateway(newPlanProtocol(), f, emptyIndex(c), c)
 	gateway.cfg.Regions = map[string]string{"a": "here", "b": "there"}
-	writer := originlog.NewWriter(originlog.WriterConfig{Log: log, Logger: zerolog.Nop()})
-	gateway.cfg.Origins = streamorigin.New(streamorigin.Config{
-		Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions, Services: f.Services,
-		Reader: originlog.NewReader(originlog.ReaderConfig{Log: log}), Writer: writer, LogEra: func() int64 { return 0 },
-		Bases: baseversion.New(baseversion.Config{Log: log, Eras: &sharedlog.Eras{}}),
-	})
-	ctx, stop := context.WithCancel(t.Context())
-	var loops sync.WaitGroup
-	loops.Go(func() { gateway.cfg.Origins.LoopBases(ctx) })
-	loops.Go(func() { writer.Loop(ctx) })
-	defer func() { stop(); loops.Wait() }()
-	time.Sleep(100 * time.Millisecond) // until the base versions have been read
+	log := useOrigins(t, g, gateway, f, baseversion.Base{Version: "v1", Present: true})
 	for _, server := range []struct{ name, version, zone string }{{"first", "v1", "b"}, {"second", "v1", "b"}, {"other", "v2", "a"}} {
 		startVersion(t, f, server.name, server.version, serveEvents(server.version, 0))
 		entry := hostedServer(f, server.name)
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/catalog"
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/streamorigin"
@@ -32,15 +33,19 @@
 	if x.software != nil || !g.recordsOrigin(x) {
 		return x.software
 	}
-	return g.preferredSoftware(query)
+	return g.preferredSoftware(x, query)
 }
 
+// minShareOfServers is the part of its share of the new streams that a version must have of the servers. Where it has
+// less, its servers may be too few to serve all these streams.
+const minShareOfServers = 0.5
+
 // preferredSoftware returns the software version that should serve a new stream while origins cannot be recorded. It
-// returns nil if any version may, or if this one has less than half of the servers that may take the call. The query is
-// that for any version.
-func (g *Gateway) preferredSoftware(query fleet.Query) *string {
-	preferred, found := g.cfg.Origins.PreferredVersion(query.Service)
-	if !found || !g.cfg.Fleet.HasHalfOfServers(query, preferred) {
+// returns nil if any version may, or if this one has few of the servers that may take the call, and none with capacity.
+// The query is that for any version.
+func (g *Gateway) preferredSoftware(x *exchange, query fleet.Query) *string {
+	preferred, share, found := g.cfg.Origins.PreferredVersion(query.Service, x.streamHash())
+	if !found || g.cfg.Fleet.ShareOfServers(query, preferred) < minShareOfServers*share && !g.hasCapacityAt(x, preferred) {
 		return nil
 	}
 	return &preferred
@@ -79,6 +84,7 @@
 		key, alias := x.originKeys(x.info.Resumes)
 		evidence = g.cfg.Origins.FindByAlias(x.ctx, key, alias, x.service.Name)
 	}
+	evidence.Stream = x.streamHash()
 	evidence.Patience = max(x.routeTimeout(), x.info.MaxWait)
 	evidence.MaxAge = evidence.Patience + originMargin
 	return evidence
@@ -128,7 +134,7 @@
 		x.beginAt = &announced
 	} else {
 		x.beginAt = nil
-		preferred := g.preferredSoftware(g.anyVersionQuery(x))
+		preferred := g.preferredSoftware(x, g.anyVersionQuery(x))
 		mayBegin = preferred == nil || *preferred == software || !g.mayBeginElsewhere(x, *preferred)
 	}
 	g.metrics.scope.Counter("streams_not_recorded").Inc(1)
@@ -142,8 +148,16 @@
 	if x.serversReached >= x.maxServers() || g.retryBudget(x).State().Balance < 1 {
 		return false
 	}
-	query, _ := g.fleetQuery(x)
+	return g.hasCapacityAt(x, software)
+}
+
+// hasCapacityAt reports whether a server of a software version may take the call now.
+func (g *Gateway) hasCapacityAt(x *exchange, software string) bool {
+	query := g.anyVersionQuery(x)
 	query.Software = &software
+	if query.Model != "" {
+		g.addPromptQuery(x, &query)
+	}
 	shortage := g.cfg.Fleet.Shortage(query)
 	return shortage.Usable > max(shortage.WithoutSlot, shortage.WithoutTime, shortage.WithoutMemory)
 }
@@ -161,7 +175,7 @@
 		expires = waits
 	}
 	key, alias := x.originKeys(x.streamID())
-	return key, streamorigin.Origin{Service: x.service.Name, Software: software, Expires: expires.Add(originMargin), Alias: alias}
+	return key, streamorigin.Origin{Service: x.service.Name, Software: software, Stream: x.streamHash(), Expires: expires.Add(originMargin), Alias: alias}
 }
 
 // streamID returns the request that brought the first event of the call's stream; empty if it is unknown.
@@ -172,6 +186,9 @@
 	return x.info.RequestID
 }
 
+// streamHash returns the hash by which the base version of the call's stream is chosen.
+func (x *exchange) streamHash() uint64 { return baseversion.HashOf(x.streamID()) }
+
 // originKeys returns the key of a stream by its organisation, and its alias by the caller's API key. While the stream is
 // in flight the caller may be given another API key of its organisation, and a configuration may move the API key to
 // another organisation.
--- a/internal/gateway/unrecorded_test.go
+++ b/internal/gateway/unrecorded_test.go
@@ -1,23 +1,16 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/baseversion"
 	"github.com/cometlock/cometlock/internal/fakelog"
-	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/fleet"
-	"github.com/cometlock/cometlock/internal/originlog"
 	"github.com/cometlock/cometlock/internal/retrybudget"
-	"github.com/cometlock/cometlock/internal/sharedlog"
-	"github.com/cometlock/cometlock/internal/streamorigin"
 )
 
 // While the log was unavailable, a stream without a record was given up at the server that had begun it even if no
@@ -38,26 +31,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			g := NewWithT(t)
 			f := fleet.New(fleet.Config{})
-			log := fakesharedlog.New()
-			value, err := baseversion.Encode(baseversion.Table{"r": {Version: "v1", Present: true}})
-			g.Expect(err).NotTo(HaveOccurred())
-			log.Put(sharedlog.BaseVersions, "all", value)
 			protocol := newPlanProtocol()
 			c := resumableCatalog(g, 3)
 			gateway := promptGateway(protocol, f, emptyIndex(c), c)
 			gateway.cfg.Budget = oneBudget(retrybudget.New(retrybudget.Config{Burst: test.burst}))
-			writer := originlog.NewWriter(originlog.WriterConfig{Log: log, Logger: zerolog.Nop()})
-			gateway.cfg.Origins = streamorigin.New(streamorigin.Config{
-				Logger: zerolog.Nop(), Others: func() []streamorigin.Box { return nil }, Versions: f.SoftwareVersions, Services: f.Services,
-				Reader: originlog.NewReader(originlog.ReaderConfig{Log: log}), Writer: writer, LogEra: func() int64 { return 0 },
-				Bases: baseversion.New(baseversion.Config{Log: log, Eras: &sharedlog.Eras{}}),
-			})
-			ctx, stop := context.WithCancel(t.Context())
-			var loops sync.WaitGroup
-			loops.Go(func() { gateway.cfg.Origins.LoopBases(ctx) })
-			loops.Go(func() { writer.Loop(ctx) })
-			defer func() { stop(); loops.Wait() }()
-			time.Sleep(100 * time.Millisecond) // until the base versions have been read
+			log := useOrigins(t, g, gateway, f, baseversion.Base{Version: "v1", Present: true})
 			log.Underlying().SetFaults(fakelog.Faults{Down: true})
 			startSecondVersion := func() { startVersion(t, f, "other", "v2", serveEvents("v2", 0)) }
 			if test.first == nil {
--- a/internal/streamorigin/announce.go
+++ b/internal/streamorigin/announce.go
@@ -78,7 +78,7 @@
 	if o.cfg.Bases == nil {
 		return
 	}
-	needsRecord := o.needsRecord(origin.Service, origin.Software)
+	needsRecord := o.needsRecord(origin)
 	announcement.mu.Lock()
 	defer announcement.mu.Unlock()
 	if announcement.isClosed {
@@ -109,7 +109,7 @@
 	defer cancel()
 	batch, isOnly, isOnlyBesideBase := announcement.close(origin.Software)
 	switch {
-	case batch == nil && isOnly && (o.cfg.Bases == nil || !o.needsRecord(origin.Service, origin.Software)):
+	case batch == nil && isOnly && (o.cfg.Bases == nil || !o.needsRecord(origin)):
 		return true
 	case isOnly && batch != nil && batch.isRecent(ctx):
 		o.noteAwaited(announcement, key, batch)
--- a/internal/streamorigin/await.go
+++ b/internal/streamorigin/await.go
@@ -69,7 +69,7 @@
 // first event. It returns false if that took too long: the stream begins without a record, and is refused or
 // resumed at another version if all boxes that know its origin crash.
 func (o *Origins) AwaitRecord(ctx context.Context, key Key, origin Origin) bool {
-	if o.cfg.Bases == nil || !o.needsRecord(origin.Service, origin.Software) {
+	if o.cfg.Bases == nil || !o.needsRecord(origin) {
 		return true
 	}
 	return o.joinBatch(ctx, key, origin).wait(ctx)
--- a/internal/streamorigin/bases.go
+++ b/internal/streamorigin/bases.go
@@ -14,6 +14,9 @@
 const (
 	// basesMaxAge is how old a table may be that a box passes on.
 	basesMaxAge = 2 * time.Second
+	// baseMaxAge is that of one service with several versions, in an answer on a stream without a record. The streams
+	// that callers resume together share a read.
+	baseMaxAge = 50 * time.Millisecond
 	// basesInterval is the time between two requests for the base versions while a service has another version
 	// than its base version. It leaves time for three tries within the lease.
 	basesInterval = baseversion.LeaseTime / 4
@@ -92,7 +95,7 @@
 		if len(versions) > 0 && isInTable && !known {
 			return true // its servers are back, and all its streams are recorded until then
 		}
-		if isDue && (len(versions) > 1 || len(versions) == 1 && (!known || !base.Present || base.Version != versions[0] || base.Era != o.cfg.LogEra())) {
+		if isDue && (len(versions) > 1 || len(versions) == 1 && (!known || !base.IsOnly(versions[0]) || base.Era != o.cfg.LogEra())) {
 			return true
 		}
 	}
@@ -104,7 +107,7 @@
 	recorder, self := o.recorder()
 	answer := response{}
 	if self {
-		answer.Bases = o.readBases(ctx, "")
+		answer.Bases = o.readBases(ctx)
 	} else if err := o.client.Exchange(ctx, recorder.Address, &request{Bases: true}, &answer, recorderTimeout); err != nil {
 		o.avoidRecorder(recorder)
 	}
@@ -140,9 +143,8 @@
 	return table, err
 }
 
-// readBases returns the base versions as the log has them, of all services or of one unless that is empty; nil if the
-// log cannot be read.
-func (o *Origins) readBases(ctx context.Context, service string) *wireBases {
+// readBases returns the base versions of all services as the log has them; nil if it cannot be read.
+func (o *Origins) readBases(ctx context.Context) *wireBases {
 	if o.cfg.Bases == nil {
 		return nil
 	}
@@ -150,29 +152,54 @@
 	if err != nil {
 		return nil
 	}
-	table := reading.Table
-	if service != "" {
-		table = baseversion.Table{}
-		if base, known := reading.Table[service]; known {
-			table[service] = base
-		}
+	return o.encodeBases(reading.Table, reading.At)
+}
+
+// readBase returns the base version of one service, for a stream without a record. While there are several versions a
+// box may have begun the stream under shares that are newer than the last reading.
+func (o *Origins) readBase(ctx context.Context, service string) *wireBases {
+	reading, err := o.cfg.Bases.Read(ctx, basesMaxAge)
+	base, known := reading.Table[service]
+	versions := o.cfg.Versions(service)
+	if err == nil && !(known && len(versions) == 1 && base.IsOnly(versions[0])) {
+		reading, err = o.cfg.Bases.Read(ctx, baseMaxAge)
+		base, known = reading.Table[service]
 	}
+	switch {
+	case err != nil:
+		return nil
+	case !known:
+		return o.encodeBases(baseversion.Table{}, reading.At)
+	default:
+		return o.encodeBases(baseversion.Table{service: base}, reading.At)
+	}
+}
+
+// encodeBases returns the wire form of a table that was read at a time; nil if it cannot be encoded.
+func (o *Origins) encodeBases(table baseversion.Table, readAt time.Time) *wireBases {
 	value, err := baseversion.Encode(table)
 	if err != nil {
 		o.cfg.Logger.Error().Str("error", err.Error()).Msg("base_versions_not_sent")
 		return nil
 	}
-	return &wireBases{Table: value, Age: boottime.Since(reading.At)}
+	return &wireBases{Table: value, Age: boottime.Since(readAt)}
+}
+
+// needsRecord reports whether a stream must have a record before its caller has an event. Without a record it would be
+// resumed at its base version.
+func (o *Origins) needsRecord(origin Origin) bool {
+	base, isUsable := o.usableBase(origin.Service)
+	return !isUsable || base.For(origin.Stream) != origin.Software
 }
 
-// needsRecord reports whether a stream of a version must have a record before its caller has an event. Without a
-// record it would be resumed at the base version.
-func (o *Origins) needsRecord(service, software string) bool {
+// usableBase returns the base version of a service. isUsable is false if all streams of the service need a record: there
+// is no base version, or another one may have replaced it.
+func (o *Origins) usableBase(service string) (base baseversion.Base, isUsable bool) {
 	versions := o.cfg.Versions(service)
 	o.mu.Lock()
 	base, known := o.bases.of(service)
 	isRecent := boottime.Since(o.bases.readAt) < baseversion.LeaseTime
 	o.mu.Unlock()
 	// Without a record of the service, its first base version may be one that this box has not seen.
-	return !known || !base.Present || base.Version != software || len(versions) > 1 && !(isRecent && base.Era == o.cfg.LogEra())
+	return base, known && base.Present && (len(versions) <= 1 || isRecent && base.Era == o.cfg.LogEra())
 }
--- a/internal/streamorigin/bases_test.go
+++ b/internal/streamorigin/bases_test.go
@@ -79,7 +79,7 @@
 				if !test.unread {
 					b.keepBases(table)
 				}
-				g.Expect(b.needsRecord(service, "v1")).To(Equal(test.needs))
+				g.Expect(b.needsRecord(Origin{Service: service, Software: "v1"})).To(Equal(test.needs))
 			})
 		})
 	}
@@ -245,7 +245,7 @@
 		b.loops.Go(func() { b.LoopBases(ctx) })
 		defer stop()
 		time.Sleep(time.Minute)
-		g.Expect(b.needsRecord(service, "v1")).To(BeFalse())
+		g.Expect(b.needsRecord(Origin{Service: service, Software: "v1"})).To(BeFalse())
 		versions.Store([]string{})
 		time.Sleep(time.Minute)
 		value, err := baseversion.Encode(baseversion.Table{})
@@ -253,10 +253,10 @@
 		b.log.Put(sharedlog.BaseVersions, "all", value)
 		time.Sleep(time.Minute)
 		versions.Store([]string{"v1"})
-		g.Expect(b.needsRecord(service, "v1")).To(BeTrue())
+		g.Expect(b.needsRecord(Origin{Service: service, Software: "v1"})).To(BeTrue())
 		putBase(g, b.log, baseversion.Base{Version: "v1", Present: true})
 		time.Sleep(basesInterval + 2*recheckInterval)
-		g.Expect(b.needsRecord(service, "v1")).To(BeFalse())
+		g.Expect(b.needsRecord(Origin{Service: service, Software: "v1"})).To(BeFalse())
 	})
 }
 
@@ -276,8 +276,8 @@
 	boxes := startReadingBoxes(t, g, func(int) sharedlog.Log { return log }, "a", "b", "c", "d")
 	for _, b := range boxes {
 		b.refreshBases(t.Context())
-		g.Expect(b.needsRecord(service, "v1")).To(BeFalse(), b.box.Name)
-		g.Expect(b.needsRecord(service, "v2")).To(BeTrue(), b.box.Name)
+		g.Expect(b.needsRecord(Origin{Service: service, Software: "v1"})).To(BeFalse(), b.box.Name)
+		g.Expect(b.needsRecord(Origin{Service: service, Software: "v2"})).To(BeTrue(), b.box.Name)
 	}
 	for _, b := range boxes {
 		evidence := b.Find(t.Context(), keyOfNumber(1), service)
@@ -285,3 +285,19 @@
 		g.Expect(b.failedRecorders).To(BeEmpty(), b.box.Name)
 	}
 }
+
+// While a service has several versions, a stream may have begun under shares that are newer than a table which was read
+// a second ago.
+func TestAStreamIsResumedByATableFromBeforeItsShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := startLoneBox(t, "v1", "v2")
+		defer b.stop()
+		putBase(g, b.log, baseversion.Base{Version: "v1", Present: true})
+		g.Expect(b.Find(t.Context(), keyOfNumber(1), service).Base.Shares).To(BeEmpty())
+		time.Sleep(time.Second)
+		shares := []baseversion.Share{{Version: "v1", Weight: 4}, {Version: "v2", Weight: 12}}
+		putBase(g, b.log, baseversion.Base{Version: "v1", Present: true, Shares: shares})
+		g.Expect(b.Find(t.Context(), keyOfNumber(1), service).Base.Shares).To(Equal(shares))
+	})
+}
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -25,7 +25,7 @@
 // A stream that its caller does not name may be of any version that is known; its own may be recorded. It is resumed
 // if there is one version only, and a stream without an origin would be of that one, too.
 //
-// Without the origin, the stream is of the service's base version, whichever versions are listed now.
+// Without the origin, the stream is of its base version, whichever versions are listed now.
 //
 // Where the log has no base version yet, the stream began while its box knew of one version, and that box has
 // not learned of a second one since, or has lost the origin. If no box knows of a second version, it is the one
@@ -62,17 +62,18 @@
 	}
 }
 
-// decideByBase returns the base version, unless the stream may have begun under an earlier one, or its record may be
+// decideByBase returns the base version of the stream, unless it may have begun under another one, or its record may be
 // missing in the log. In the latter case a single known version is enough if it is the base version. After the log came
 // back from a copy, that must be known from a box that has been running since before the stream began: servers of the
 // stream's version may not have written to the log again yet.
 func (e *Evidence) decideByBase() (software string, known bool) {
 	base := e.Base
-	isAlone := len(e.Versions) == 1 && e.Versions[0] == base.Version && (base.Era == e.LogEra || e.coversStream())
-	if !base.Present || e.lacksRecords() && !isAlone || base.Replaced && e.MaxAge > versionMemory+e.BaseAge {
+	software, certain := base.ForBegun(e.Stream, base.Since.Add(e.BaseAge), e.maxAge())
+	isAlone := len(e.Versions) == 1 && e.Versions[0] == software && (base.Era == e.LogEra || e.coversStream())
+	if !base.Present || !certain || e.lacksRecords() && !isAlone || base.Replaced && e.MaxAge > versionMemory+e.BaseAge {
 		return "", false
 	}
-	return base.Version, true
+	return software, true
 }
 
 // lacksRecords reports whether the log may lack the record of the stream: it came back from a copy since the base
@@ -90,9 +91,13 @@
 // coversStream reports whether this box or one that responded has been running since before the stream began,
 // or for as long as boxes remember versions, so that it knows all versions that can have begun the stream.
 func (e *Evidence) coversStream() bool {
-	needed := versionMemory
+	return e.LongestUptime >= min(versionMemory, e.maxAge())
+}
+
+// maxAge returns how long ago the stream began at most.
+func (e *Evidence) maxAge() time.Duration {
 	if e.MaxAge > 0 {
-		needed = min(needed, e.MaxAge)
+		return e.MaxAge
 	}
-	return e.LongestUptime >= needed
+	return versionMemory
 }
--- a/internal/streamorigin/decide_test.go
+++ b/internal/streamorigin/decide_test.go
@@ -16,6 +16,7 @@
 	base := &baseversion.Base{Version: "v1", Present: true, Era: 3}
 	replaced := &baseversion.Base{Version: "v1", Present: true, Replaced: true, Era: 3}
 	two, other := []string{"v1", "v2"}, []string{"v2"}
+	shared := &baseversion.Base{Version: "v2", Present: true, Era: 3, Shares: []baseversion.Share{{Version: "v1", Weight: 1}}, Earlier: []baseversion.EarlierShares{{Shares: []baseversion.Share{{Version: "v2", Weight: 1}}, Until: time.Unix(0, 0)}}, Since: time.Unix(0, 0)}
 	tests := []struct {
 		name     string
 		evidence Evidence
@@ -41,6 +42,8 @@
 		{"the log has dropped records from before the base version was alone", Evidence{Base: &baseversion.Base{Version: "v1", Present: true, Era: 3, RecordsFrom: 7}, LogEra: 3, Versions: two, RecordsFrom: 7}, true},
 		{"it replaced another one when such a stream may have begun", Evidence{Base: replaced, LogEra: 3, Versions: two, MaxAge: 2 * versionMemory, BaseAge: time.Second}, false},
 		{"it replaced another one before", Evidence{Base: replaced, LogEra: 3, Versions: two, MaxAge: 2 * versionMemory, BaseAge: versionMemory}, true},
+		{"it got its share when such a stream may have begun", Evidence{Base: shared, LogEra: 3, Versions: two, MaxAge: 20 * time.Second, BaseAge: 20*time.Second + baseversion.UseTime}, false},
+		{"it got its share before", Evidence{Base: shared, LogEra: 3, Versions: two, MaxAge: 20 * time.Second, BaseAge: 20*time.Second + 2*baseversion.UseTime}, true},
 		{"the call was sent to servers of several versions", Evidence{Base: base, LogEra: 3, Versions: two, Ambiguous: true}, false},
 	}
 	for _, test := range tests {
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -50,17 +50,19 @@
 	// OutageEnded is how long ago the log was last away; zero if it was not, as far as the box that read it knows.
 	// Origins may not have been recorded before that.
 	OutageEnded time.Duration
+	// Stream is the hash by which the base version of the stream is chosen.
+	Stream uint64
 	// Ambiguous reports that the call was sent to servers of several versions, any of which may have begun the
 	// stream.
 	Ambiguous bool
 }
 
-// BaseVersion returns the base version of the service for logs; empty if it has none.
+// BaseVersion returns the base version of the stream for logs; empty if it has none.
 func (e *Evidence) BaseVersion() string {
 	if e.Base == nil {
 		return ""
 	}
-	return e.Base.Version
+	return e.Base.For(e.Stream)
 }
 
 // Find is FindByAlias for a stream that has one key.
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -141,7 +141,7 @@
 	case received.Recorded && answer.Found == nil && len(received.Key) == keySize && o.cfg.Reader != nil:
 		o.findInLog(ctx, received, &answer)
 	case received.Bases:
-		answer.Bases = o.readBases(ctx, "")
+		answer.Bases = o.readBases(ctx)
 	}
 	return answer
 }
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -125,13 +125,19 @@
 	o.mu.Unlock()
 	services := map[string]bool{}
 	for origin := range began {
-		if o.hasSeveralVersions(origin.Service) || o.cfg.Bases != nil && o.needsRecord(origin.Service, origin.Software) {
+		if o.hasSeveralVersions(origin.Service) || o.cfg.Bases != nil && o.mayNeedRecord(origin.Service, origin.Software) {
 			services[origin.Service] = true
 		}
 	}
 	return services
 }
 
+// mayNeedRecord reports whether any stream of a version of a service needs a record.
+func (o *Origins) mayNeedRecord(service, software string) bool {
+	base, isUsable := o.usableBase(service)
+	return !isUsable || !base.IsOnly(software)
+}
+
 // takeUnrecorded returns some of the streams in flight of certain services that the recorder does not have. After
 // the log came back from a copy it has to get all of them again.
 func (o *Origins) takeUnrecorded(recorder Box, services map[string]bool) (keys []Key, origins []wireOrigin) {
@@ -237,7 +243,7 @@
 func (o *Origins) findInLog(ctx context.Context, asked request, answer *response) {
 	o.findRecorded(ctx, asked, answer)
 	if asked.Bases && answer.LogRead && answer.Found == nil {
-		answer.Bases = o.readBases(ctx, asked.Service)
+		answer.Bases = o.readBase(ctx, asked.Service)
 		answer.LogRead = answer.Bases != nil
 		answer.OutageEnded = o.sinceOutage()
 	}
--- a/internal/streamorigin/startrecords_test.go
+++ b/internal/streamorigin/startrecords_test.go
@@ -41,7 +41,7 @@
 				for number := range 8 {
 					g.Expect(b.AwaitRecord(t.Context(), keyOfNumber(101+2*number), originAt("v2"))).To(BeTrue())
 					b.refreshBases(t.Context())
-					g.Expect(b.needsRecord(service, "v1")).To(BeFalse(), "stream %d", number)
+					g.Expect(b.needsRecord(Origin{Service: service, Software: "v1"})).To(BeFalse(), "stream %d", number)
 					time.Sleep(time.Second)
 				}
 				stop()
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -18,8 +18,8 @@
 // of streams that last are recorded in the platform's log, too, by one box for many (recorder.go), and are
 // read back when no holder has an origin.
 //
-// A stream without a record is one of its service's base version (package baseversion): the first event of a
-// stream of any other version waits until its origin is in the log (await.go). Where no base version is known,
+// A stream without a record is one of its base version (package baseversion): the first event of a stream of any
+// other version waits until its origin is in the log (await.go). Where no base version is known,
 // such a stream is resumed only if all boxes that were asked know of one version (decide.go).
 package streamorigin
 
@@ -75,6 +75,8 @@
 type Origin struct {
 	Service  string
 	Software string
+	// Stream is the hash by which the base version of the stream is chosen (baseversion.HashOf).
+	Stream uint64
 	// Expires is when the caller no longer resumes the stream.
 	Expires time.Time
 	// Alias is a second key under which the stream is found, by its box and in the log; zero if it has none.
--- a/internal/streamorigin/unrecordable.go
+++ b/internal/streamorigin/unrecordable.go
@@ -49,19 +49,19 @@
 	o.noteRecordResult(&awaitedBatch{origins: failed.origins, recorded: outcome == originsAppended})
 }
 
-// PreferredVersion returns the software version that should serve the new streams of a service: the base version
-// while origins cannot be recorded. found is false while any version may.
-func (o *Origins) PreferredVersion(service string) (software string, found bool) {
+// PreferredVersion returns the software version that should serve a new stream of a service: its base version while
+// origins cannot be recorded, which share of the new streams have. found is false while any version may.
+func (o *Origins) PreferredVersion(service string, stream uint64) (software string, share float64, found bool) {
 	if o.cfg.Bases == nil {
-		return "", false
+		return "", 0, false
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	base, known := o.bases.table[service]
-	isUsable := known && base.Present && boottime.Since(o.bases.readAt) < preferenceTime
-	return base.Version, isUsable && len(o.unrecordable.origins) > 0
+	isUsable := known && base.Present && base.Era == o.cfg.LogEra() && boottime.Since(o.bases.readAt) < baseversion.UseTime
+	if !isUsable || len(o.unrecordable.origins) == 0 {
+		return "", 0, false
+	}
+	software = base.For(stream)
+	return software, base.ShareOf(software), true
 }
-
-// preferenceTime is how long ago the base version must have been read at most to be preferred. It need not be a lease,
-// since the base version changes later than callers resume streams of it, and cannot be read while the log is away.
-const preferenceTime = baseversion.LeaseTime + time.Minute
--- a/internal/streamorigin/unrecordable_test.go
+++ b/internal/streamorigin/unrecordable_test.go
@@ -29,7 +29,7 @@
 		defer stop()
 		time.Sleep(time.Second)
 		isPreferred := func() bool {
-			software, found := b.PreferredVersion(service)
+			software, _, found := b.PreferredVersion(service, 0)
 			return found && software == "v1"
 		}
 		g.Expect(b.AwaitRecord(t.Context(), keyOfNumber(1), originOf(1))).To(BeTrue())
