Boxes that start while the log is away get the base versions of others

Cause: the box that records for others answered a request for the base versions only if it could read the log. A box that started during an outage had none, so its new streams began at any version without a record, and would have been resumed at their base version after a crash of all boxes.

Change: the box answers with the table that it knows, with its age.

Measured: the new test failed before (the started box prefers no version) and passes now. Not shown with processes.

--- a/internal/streamorigin/bases.go
+++ b/internal/streamorigin/bases.go
@@ -143,16 +143,22 @@
 	return table, err
 }
 
-// readBases returns the base versions of all services as the log has them; nil if it cannot be read.
+// readBases returns the base versions of all services as the log has them, or as this box knows them if the log cannot be
+// read; nil if it knows none. A box that starts while the log is away needs them to place new streams.
 func (o *Origins) readBases(ctx context.Context) *wireBases {
 	if o.cfg.Bases == nil {
 		return nil
 	}
-	reading, err := o.cfg.Bases.Read(ctx, basesMaxAge)
-	if err != nil {
+	if reading, err := o.cfg.Bases.Read(ctx, basesMaxAge); err == nil {
+		return o.encodeBases(reading.Table, reading.At)
+	}
+	o.mu.Lock()
+	known := o.bases
+	o.mu.Unlock()
+	if known.readAt.IsZero() {
 		return nil
 	}
-	return o.encodeBases(reading.Table, reading.At)
+	return o.encodeBases(known.table, known.readAt)
 }
 
 // readBase returns the base version of one service, for a stream without a record. While there are several versions a
--- a/internal/streamorigin/bases_test.go
+++ b/internal/streamorigin/bases_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cometlock/cometlock/internal/baseversion"
+	"github.com/cometlock/cometlock/internal/fakelog"
 	"github.com/cometlock/cometlock/internal/fakesharedlog"
 	"github.com/cometlock/cometlock/internal/sharedlog"
 )
@@ -301,3 +302,27 @@
 		g.Expect(b.Find(t.Context(), keyOfNumber(1), service).Base.Shares).To(Equal(shares))
 	})
 }
+
+// A box that started while the log was away knew no base version, and let streams begin at any version without a record.
+func TestABoxThatStartsWhileTheLogIsAwayKnowsNoBaseVersion(t *testing.T) {
+	g := NewWithT(t)
+	log := fakesharedlog.New()
+	putBase(g, log, baseversion.Base{Version: "v1", Present: true})
+	boxes := startReadingBoxes(t, g, func(int) sharedlog.Log { return log }, "a", "b", "c", "d")
+	for _, b := range boxes[1:] {
+		b.refreshBases(t.Context())
+	}
+	log.Underlying().SetFaults(fakelog.Faults{Down: true})
+	time.Sleep(basesMaxAge) // until no reading counts as recent
+	started := boxes[0]
+	for range 10 { // it may ask itself first
+		started.refreshBases(t.Context())
+	}
+	g.Expect(started.needsRecord(Origin{Service: service, Software: "v2"})).To(BeTrue())
+	started.mu.Lock()
+	started.unrecordable.origins = []wireOrigin{{}}
+	started.mu.Unlock()
+	software, _, found := started.PreferredVersion(service, 0)
+	g.Expect(found).To(BeTrue())
+	g.Expect(software).To(Equal("v1"))
+}
