A box that is cut off refuses streams whose version it cannot know

A box was out of step for some seconds while servers of a new version joined; streams that had begun there through other boxes were resumed at that box, and continued at another version.

Cause: without an origin and without the log, a stream was resumed if this box and all that answered know of one version. No answer at all counted only once the list of servers was 3 s old, and a single box that is cut off as well was enough.

Change: if the log cannot be read and more than half of the boxes that were asked are silent, the stream is refused. Boxes that refuse the connection have ended and count as answers. stream_origin has their number.

Ruled out: a shorter age of the list (a version may join at any time after the read); asking for all boxes (one without power would stop all resumption while the log is away).

--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -94,7 +94,7 @@
 	g.metrics.scope.Tagged(map[string]string{"found": strconv.FormatBool(evidence.Found), "resumed": strconv.FormatBool(known)}).Counter("streams_resumed").Inc(1)
 	g.cfg.Logger.Info().Str("request", x.info.RequestID).Str("resumes", x.info.Resumes).Bool("found", evidence.Found).
 		Str("service", x.service.Name).Str("origin_service", evidence.Service).Str("software", evidence.Software).
-		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).
+		Strs("versions", evidence.Versions).Int("asked", evidence.Asked).Int("responded", evidence.Responded).Int("ended", evidence.Ended).
 		Dur("longest_uptime", evidence.LongestUptime).Bool("log_read", evidence.LogRead).
 		Bool("has_base", evidence.Base != nil).Str("base", evidence.BaseVersion()).Bool("resumed", known).Msg("stream_origin")
 }
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -31,7 +31,7 @@
 // not learned of a second one since, or has lost the origin. If no box knows of a second version, it is the one
 // that there is. Boxes that have not read of a new version yet ask others for that reason. A box that has just
 // started and knows of no server cannot tell, and boxes that have all started since a second version was withdrawn
-// know of it only from the log.
+// know of it only from the log. A box that reaches neither the log nor most other boxes may have missed it.
 func Decide(evidence Evidence, listAge time.Duration) (software string, known bool) {
 	software, known = evidence.decide(listAge)
 	if evidence.Unnamed && (len(evidence.Versions) != 1 || evidence.Versions[0] != software) {
@@ -55,7 +55,7 @@
 		return "", false
 	case e.Asked > 0 && e.Responded == 0 && listAge > maxListAge:
 		return "", false
-	case e.LogFailed && !e.coversStream():
+	case e.LogFailed && (!e.coversStream() || e.isIsolated()):
 		return "", false
 	default:
 		return e.Versions[0], true
@@ -88,6 +88,10 @@
 	return wasAway || hasDropped || e.Base.Era != e.LogEra
 }
 
+// isIsolated reports whether this box may be cut off from most boxes, alone or with some others. These may have read of
+// servers of another version since, and have begun the stream there.
+func (e *Evidence) isIsolated() bool { return 2*(e.Responded+e.Ended) < e.Asked }
+
 // coversStream reports whether this box or one that responded has been running since before the stream began,
 // or for as long as boxes remember versions, so that it knows all versions that can have begun the stream.
 func (e *Evidence) coversStream() bool {
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/baseversion"
@@ -27,8 +29,9 @@
 	// Unlisted reports that no box listed servers of the service before the log was read, which has only the
 	// versions of streams that were recorded.
 	Unlisted bool
-	// Asked and Responded count the other boxes.
-	Asked, Responded int
+	// Asked and Responded count the other boxes, and Ended those of them that refused the connection: their processes
+	// have ended. The rest are silent.
+	Asked, Responded, Ended int
 	// LongestUptime is how long this box or one of those that responded has been running at most. Streams that
 	// began earlier are unknown to all of them.
 	LongestUptime time.Duration
@@ -150,15 +153,19 @@
 func (o *Origins) askHolders(ctx context.Context, targets []Box, asked request, evidence *Evidence) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	responses := make(chan *response, len(targets))
+	responses := make(chan holderResponse, len(targets))
 	for _, box := range targets {
 		go o.runAsk(ctx, box, asked, responses)
 	}
 	evidence.Asked = len(targets)
 	for range targets {
-		if answer := <-responses; answer != nil {
+		received := <-responses
+		switch {
+		case received.err == nil:
 			evidence.Responded++
-			evidence.add(answer)
+			evidence.add(&received.response)
+		case errors.Is(received.err, syscall.ECONNREFUSED):
+			evidence.Ended++
 		}
 		if evidence.Found {
 			return
@@ -204,12 +211,15 @@
 	return targets, Origin{}, false
 }
 
-// runAsk asks a box for an origin and sends its response, nil if there is none.
-func (o *Origins) runAsk(ctx context.Context, box Box, asked request, responses chan<- *response) {
-	var answer response
-	if err := o.client.Exchange(ctx, box.Address, &asked, &answer, exchangeTimeout); err != nil {
-		responses <- nil
-		return
-	}
-	responses <- &answer
+// holderResponse is the response of a box, or the reason why there is none.
+type holderResponse struct {
+	response
+	err error
+}
+
+// runAsk asks a box for an origin and sends its response.
+func (o *Origins) runAsk(ctx context.Context, box Box, asked request, responses chan<- holderResponse) {
+	var received holderResponse
+	received.err = o.client.Exchange(ctx, box.Address, &asked, &received.response, exchangeTimeout)
+	responses <- received
 }
