Resume streams of the only version after a copy and a crash of all boxes

The store came back from a copy while all boxes were killed. Of 40 streams that were taken up at boxes in touch 0 went on, 40 of 40 new ones began, although the service had one version only.

Cause: after a return from a copy a stream without a record is resumed only if its service has no version but the base version, and that counted as known only from a box that has been running since before the stream began. After a crash of all boxes none has for 20 s.

Change: a list of servers that is current 2.5 s after its box first saw the new era counts as well. Servers that are running have written their entries again within 2 s of the return.

Ruled out: three heartbeats and 2 s (longer than callers try); no wait (servers of another version may not have written yet; the test of that earlier fault passes as it was).

--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -249,7 +249,7 @@
 	b.origins = streamorigin.New(streamorigin.Config{
 		Logger: b.logger, Self: streamorigin.Box{Name: b.settings.Box, Zone: b.settings.Zone, Address: b.OriginsAddress(), Process: shortIncarnation(b.incarnation), Cores: b.settings.Cores},
 		Others: b.originHolders, Versions: b.fleet.SoftwareVersions, Started: b.knowsFleet,
-		Writer: b.originWriter, Reader: originlog.NewReader(originlog.ReaderConfig{Log: b.log, Logger: b.logger}), LogEra: b.logEra,
+		Writer: b.originWriter, Reader: originlog.NewReader(originlog.ReaderConfig{Log: b.log, Logger: b.logger}), LogEra: b.logEra, LogEraSeenAt: b.logEraSeenAt,
 		Bases: b.baseVersions, Services: b.fleet.Services, Outages: b.log.Outages(),
 	})
 }
@@ -305,6 +305,12 @@
 	return era
 }
 
+// logEraSeenAt returns when this box first saw that era.
+func (b *Box) logEraSeenAt() time.Time {
+	_, seenAt := b.log.Eras().Newest()
+	return seenAt
+}
+
 // originHolders returns the other boxes, in the form that package streamorigin takes.
 func (b *Box) originHolders() []streamorigin.Box {
 	others := b.share.Candidates()
--- a/internal/streamorigin/copyalone_test.go
+++ b/internal/streamorigin/copyalone_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cometlock/cometlock/internal/baseversion"
+	"github.com/cometlock/cometlock/internal/logposition"
+	"github.com/cometlock/cometlock/internal/sharedlog"
 )
 
 // All boxes crash and the log comes back from a copy at once. A stream of another version, whose record the log has
@@ -33,3 +35,43 @@
 		g.Expect(known).To(BeFalse(), "it began at v2 and continues at %s", software)
 	})
 }
+
+// All boxes crash and the log comes back from a copy at once. All streams of a service with a single version were refused
+// until a box had been running for as long as callers resume streams.
+func TestStreamsOfTheOnlyVersionAreRefusedAfterTheLogCameBackAndAllBoxesCrashed(t *testing.T) {
+	tests := []struct {
+		name    string
+		waits   time.Duration
+		listAge time.Duration
+		known   bool
+	}{
+		{"at once", time.Second, 0, false},
+		{"when servers have written again", rewriteTime, 0, true},
+		{"by a list from before that", rewriteTime, time.Second, false},
+		{"by a list from after that", rewriteTime + time.Second, time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				b := startLoneBox(t, "v1")
+				putBase(g, b.log, baseversion.Base{Version: "v1", Present: true})
+				eras := &sharedlog.Eras{}
+				b.era = 1
+				eras.Note(logposition.New(1, 0))
+				b.cfg.LogEraSeenAt = func() time.Time {
+					_, seenAt := eras.Newest()
+					return seenAt
+				}
+				time.Sleep(test.waits)
+				evidence := b.Find(t.Context(), keyOfNumber(1), service)
+				evidence.Patience, evidence.MaxAge = 10*time.Second, 20*time.Second
+				software, known := Decide(evidence, test.listAge)
+				g.Expect(known).To(Equal(test.known))
+				if known {
+					g.Expect(software).To(Equal("v1"))
+				}
+			})
+		})
+	}
+}
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -17,6 +17,9 @@
 	// recordCoverage is how far back records must be complete. A stream in flight is recorded again each
 	// rerecordInterval; the rest is how long its boxes may be down until it is resumed.
 	recordCoverage = rerecordInterval + 5*time.Second
+	// rewriteTime is how long servers may take to write their entries again after the log came back from a copy. One that
+	// is missing then has left.
+	rewriteTime = 2500 * time.Millisecond
 )
 
 // Decide returns the software version that must serve a resumed stream. known is false if the stream may
@@ -48,7 +51,7 @@
 	case e.Ambiguous:
 		return "", false
 	case e.Base != nil && !e.Unlisted:
-		return e.decideByBase()
+		return e.decideByBase(listAge)
 	case e.Base == nil && e.LogEra > 0:
 		return "", false // a log that came back from a copy may have lost it
 	case e.Unlisted || len(e.Versions) != 1:
@@ -64,12 +67,13 @@
 
 // decideByBase returns the base version of the stream, unless it may have begun under another one, or its record may be
 // missing in the log. In the latter case a single known version is enough if it is the base version. After the log came
-// back from a copy, that must be known from a box that has been running since before the stream began: servers of the
-// stream's version may not have written to the log again yet.
-func (e *Evidence) decideByBase() (software string, known bool) {
+// back from a copy, that must be known from a box that has been running since before the stream began, or from a list in
+// which all servers that are running are again.
+func (e *Evidence) decideByBase(listAge time.Duration) (software string, known bool) {
 	base := e.Base
 	software, certain := base.ForBegun(e.Stream, base.Since.Add(e.BaseAge), e.maxAge())
-	isAlone := len(e.Versions) == 1 && e.Versions[0] == software && (base.Era == e.LogEra || e.coversStream())
+	isListComplete := base.Era == e.LogEra || e.EraSeenFor-listAge >= rewriteTime
+	isAlone := len(e.Versions) == 1 && e.Versions[0] == software && (isListComplete || e.coversStream())
 	if !base.Present || !certain || e.lacksRecords() && !isAlone || base.Replaced && e.MaxAge > versionMemory+e.BaseAge {
 		return "", false
 	}
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -46,6 +46,8 @@
 	BaseAge time.Duration
 	// LogEra is the newest era of the log that this box and the one that read it know of.
 	LogEra int64
+	// EraSeenFor is how long ago this box first saw that era; zero if it has not.
+	EraSeenFor time.Duration
 	// RecordsFrom is the position from which on all records were read, and RecordsFor how long ago the first of them
 	// was appended.
 	RecordsFrom int64
@@ -118,7 +120,11 @@
 		evidence.LogRead, evidence.LogFailed = false, true
 		return
 	}
-	evidence.LogEra = max(evidence.LogEra, o.cfg.LogEra())
+	era := o.cfg.LogEra()
+	if era > 0 && era >= evidence.LogEra && o.cfg.LogEraSeenAt != nil {
+		evidence.EraSeenFor = boottime.Since(o.cfg.LogEraSeenAt())
+	}
+	evidence.LogEra = max(evidence.LogEra, era)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !received.readAt().After(o.bases.readAt) {
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -107,10 +107,12 @@
 	// Versions returns the software versions of a service's servers now and in the last minute.
 	Versions func(service string) []string
 	// Writer and Reader record origins in the log and read them back, and LogEra returns the newest era of the
-	// log that this box knows of. Nil means that origins are not recorded.
-	Writer *originlog.Writer
-	Reader *originlog.Reader
-	LogEra func() int64
+	// log that this box knows of. Nil means that origins are not recorded. LogEraSeenAt returns when the box first saw
+	// that era; nil means that this is unknown.
+	Writer       *originlog.Writer
+	Reader       *originlog.Reader
+	LogEra       func() int64
+	LogEraSeenAt func() time.Time
 	// Bases reads the base versions, and Services returns the services that have servers. Without Bases the first
 	// event of a stream waits for no record.
 	Bases    *baseversion.Keeper
