A wait for a record that ends in vain counts as a failed record

Cause: the first streams of an outage wait for their records for 0.6 s. Where two boxes refuse to record one after the other, the record fails at the same moment. A stream whose wait ended first did not know that records fail, so it did not start over at its base version: the log has stream_records_changed and stream_not_recorded with begins 5 us apart.

Change: the end of the wait counts, unless the caller has left.

--- a/internal/baseversion/next.go
+++ b/internal/baseversion/next.go
@@ -72,9 +72,11 @@
 	case present.Present && observed.lacks(present.versions()):
 		next.Version, next.Present, next.Replaced, next.Shares, next.Earlier = "", false, true, nil, nil
 		return next, true
-	case present.Present:
+	case present.Present && observed.needsShares(present):
 		next.Shares = sharesOf(observed.Listed)
-		return next, observed.needsShares(present)
+		return next, true
+	case present.Present:
+		return next, false
 	case len(observed.Listed) > 0 && observed.KnownFor >= pauseTime:
 		next.Version, next.Present = mostCommon(observed.Listed), true
 		if isSkewed(next.shares(), observed.Listed) {
--- a/internal/streamorigin/announce.go
+++ b/internal/streamorigin/announce.go
@@ -105,7 +105,8 @@
 
 // AwaitAnnounced is AwaitRecord for a call whose servers' versions have been announced.
 func (o *Origins) AwaitAnnounced(ctx context.Context, announcement *Announcement, key Key, origin Origin) bool {
-	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
+	call := ctx
+	ctx, cancel := context.WithTimeout(call, awaitTimeout)
 	defer cancel()
 	batch, isOnly, isOnlyBesideBase := announcement.close(origin.Software)
 	switch {
@@ -117,6 +118,7 @@
 	case isOnlyBesideBase && batch.isRecent(ctx):
 		return true // it is not taken for the base version's, and its origin is recorded as it goes on
 	case ctx.Err() != nil:
+		o.noteWaitFailed(call, batch)
 		return false // the announcement will still be recorded
 	case isOnly && batch != nil:
 		// If the stream begins anew at another version, this record does not contradict that one's origin.
@@ -125,6 +127,7 @@
 		batch = o.joinBatch(ctx, key, origin)
 	}
 	if !batch.wait(ctx) {
+		o.noteWaitFailed(call, batch)
 		return false
 	}
 	o.noteAwaited(announcement, key, batch)
--- a/internal/streamorigin/unrecordable.go
+++ b/internal/streamorigin/unrecordable.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// noteWaitFailed records that a call has waited in vain for a record, which may still be under way. The call itself and
+// those after it need to know, and not only when the record has failed.
+func (o *Origins) noteWaitFailed(call context.Context, batch *awaitedBatch) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if call.Err() == nil && len(o.unrecordable.origins) == 0 && !batch.isRecorded() {
+		o.unrecordable = unrecordable{origins: batch.origins, triedAt: boottime.Now()}
+	}
+}
+
 // retryRecord tries again to record the origins whose record failed, so that the box notices when records succeed.
 func (o *Origins) retryRecord(ctx context.Context) {
 	o.mu.Lock()
--- a/internal/streamorigin/unrecordable_test.go
+++ b/internal/streamorigin/unrecordable_test.go
@@ -49,3 +49,30 @@
 		g.Expect(strings.Count(logged.String(), "stream_records_changed")).To(Equal(2), logged.String())
 	})
 }
+
+// The first calls of an outage wait for their records until these are about to fail. Those whose wait ended first began at
+// any version without a record.
+func TestAStreamWhoseWaitEndsBeforeItsRecordFailsBeginsAtAnyVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := startLoneBox(t, "v1", "v2")
+		b.keepBases(tableOf(g, baseversion.Base{Version: "v1", Present: true}, 0))
+		origin := originOf(1)
+		underWay := &awaitedBatch{done: make(chan struct{}), keys: []Key{keyOfNumber(1)}, origins: encodeToRecord(keyOfNumber(1), origin, time.Now())}
+		announcement := &Announcement{batches: map[string]*awaitedBatch{origin.Software: underWay}}
+		isPreferred := func() bool {
+			software, _, found := b.PreferredVersion(service, 0)
+			return found && software == "v1"
+		}
+		g.Expect(isPreferred()).To(BeFalse())
+		left, leave := context.WithCancel(t.Context())
+		leave()
+		g.Expect(b.AwaitAnnounced(left, announcement, keyOfNumber(1), origin)).To(BeFalse())
+		g.Expect(isPreferred()).To(BeFalse(), "the caller left")
+		g.Expect(b.AwaitAnnounced(t.Context(), announcement, keyOfNumber(1), origin)).To(BeFalse())
+		g.Expect(isPreferred()).To(BeTrue())
+		underWay.recorded = true
+		b.noteRecordResult(underWay)
+		g.Expect(isPreferred()).To(BeFalse(), "the record came late")
+	})
+}
