--- a/internal/handover/abort_test.go
+++ b/internal/handover/abort_test.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -74,8 +75,14 @@
 			return
 		}
 		defer connection.Close()
-		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
-		_, err = io.Copy(io.Discard, connection)
+		reader := bufio.NewReader(connection)
+		if _, err := http.ReadRequest(reader); err != nil {
+			ended <- err
+			return
+		}
+		if _, err = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"); err == nil {
+			_, err = io.Copy(io.Discard, reader)
+		}
 		ended <- err
 	}()
 	response, err := NewPool(PoolConfig{}).Send(t.Context(), Request{Address: listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
