--- a/internal/streamorigin/unrecordable.go
+++ b/internal/streamorigin/unrecordable.go
@@ -38,7 +38,7 @@
 func (o *Origins) noteWaitFailed(call context.Context, batch *awaitedBatch) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if call.Err() == nil && len(o.unrecordable.origins) == 0 && !batch.isRecorded() {
+	if call.Err() == nil && batch != nil && len(o.unrecordable.origins) == 0 && !batch.isRecorded() {
 		o.unrecordable = unrecordable{origins: batch.origins, triedAt: boottime.Now()}
 	}
 }
