Count header lines with the fewest bytes that they may have had

Callers with many short header lines got 431 although their heads were within the limit. A line may have had two: a colon and a line feed. A head of 65,300 bytes in lines of six bytes counted as over 80,000.

A head that is over the limit by less than what its separators add passes; the server's own limit still bounds what is read. Counting the bytes of the connection instead was ruled out, since they may belong to the next request too.

TestARequestWithTheMostHeaderLinesIsRefusedByAnEntryBox and ...ByCometlockd failed before (status 431) and pass now.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -71,10 +71,10 @@
 	return x.route.Timeout
 }
 
-// headerBytes returns the size of a call's request line and headers as the caller sent them, within
-// a few bytes.
+// headerBytes returns the least size that a call's request line and headers had as the caller sent them. Each line
+// counts with a colon and a line feed only: with more, a head of many short lines within the limit would be refused.
 func headerBytes(r *http.Request) int {
-	const lineEnds, separators = 2, 4 // "\r\n", and ": " with it
+	const lineEnds, separators = 2, 2
 	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineEnds + len("Host") + len(r.Host) + separators
 	for name, values := range r.Header {
 		for _, value := range values {
