Count large heads and prompts of many parts in the memory of a call

A call counted as 16 KB beside its body and its response, whatever its headers were. A head within the limit may have over 10,000 lines, which take some 250 bytes each in the request and in its copy for a server, and describe a prompt of over 6,000 parts, which take as much each. 300 callers with prompts of many parts took an entry box to 182 MB of its 160.

Lines, bytes and parts beyond those of ordinary calls count now, so that the budget refuses what it has no room for, as not run. Ordinary calls (64 lines, 4 KB, 64 parts) count as before.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -17,6 +17,17 @@
 	// callOverhead is the memory of a call besides its body and its answer: goroutines, headers, and
 	// the buffers of its two connections.
 	callOverhead = 16 << 10
+	// ordinaryHeaderLines, ordinaryHeaderBytes and ordinaryParts are what callOverhead covers of the headers and
+	// of the parts of a prompt.
+	ordinaryHeaderLines = 64
+	ordinaryHeaderBytes = 4 << 10
+	ordinaryParts       = 64
+	// headerLineBytes and headerTextBytes are the memory of a header line and of a byte of its text, in the
+	// request and in its copy for a server. partBytes is that of a part of a prompt: its ID, its fingerprint and
+	// the servers that may have it.
+	headerLineBytes = 256
+	headerTextBytes = 3
+	partBytes       = 256
 	// minChunk and maxChunk bound the size of the pieces in which bodies of unknown length and
 	// answers are read.
 	minChunk = 4 << 10
@@ -35,7 +46,7 @@
 	if limit := x.catalog.Limits().BodyBytes; x.request.ContentLength > limit {
 		return g.reject(x, http.StatusRequestEntityTooLarge, "body_too_large")
 	}
-	wanted := callOverhead + max(x.request.ContentLength, 0)
+	wanted := callOverhead + x.headMemory() + max(x.request.ContentLength, 0)
 	if !g.cfg.Memory.FitsCall(wanted) {
 		return g.reject(x, http.StatusRequestEntityTooLarge, "body_too_large")
 	}
@@ -47,6 +58,21 @@
 	return true
 }
 
+// headMemory returns the memory of the call's headers and of the description of its prompt beyond what callOverhead
+// covers.
+func (x *exchange) headMemory() int64 {
+	lines := 0
+	for _, values := range x.request.Header {
+		lines += len(values)
+	}
+	parts := 0
+	if x.info.Prompt != nil {
+		parts = len(x.info.Prompt.Parts)
+	}
+	return int64(headerLineBytes*max(lines-ordinaryHeaderLines, 0) + headerTextBytes*max(headerBytes(x.request)-ordinaryHeaderBytes, 0) +
+		partBytes*max(parts-ordinaryParts, 0))
+}
+
 // refused counts a refused call by its reason.
 func (m metrics) refused(reason string) {
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("calls_refused").Inc(1)
