Bound connections and unfinished requests of callers

What callers saw: an entry box ended for want of memory, or answered nobody, while clients sent heads of very many short lines or kept connections open.

Cause: each connection had limits, all of them together had none. The HTTP server parses a head as it arrives and holds it until the head, or the body of a request that is refused, is complete. A line takes three bytes or more on the wire and some 100 as an entry of a map, so 300 unfinished heads of 64 KB took 381 MB of 160. 700 connections that send nothing, or whose bodies never come, took 722 descriptors of 512.

The new package connlimit bounds both for ports that share a limit. A new connection over the limit takes the place of the one that has waited longest for its client; requests that are being served are never closed for it. If unfinished heads are over their limit, the connection with the largest one closes. Heads below 16 KB of memory never count, so that ordinary callers are served while large heads displace each other.

Ruled out: a limit of header lines, which requests within the platform's limits would meet; waiting instead of closing, since the heads of ordinary callers would wait with the others.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -79,6 +79,9 @@
 	headerExtended bool
 }
 
+// NetConn returns the connection that is wrapped.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 func (c *conn) track(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entrybox/entrybox.go
+++ b/internal/entrybox/entrybox.go
@@ -132,6 +132,7 @@
 	stop       context.CancelFunc
 	loops      sync.WaitGroup
 	ports      ports
+	limits     portLimits
 }
 
 // New returns a box with open ports. It does nothing before Run.
@@ -158,6 +159,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(b.settings.MemoryBytes)))
 	}
 	b.metrics = telemetry.NewMetrics(b.settings.Box, b.settings.Zone)
+	b.limits = b.newPortLimits()
 	b.log = sharedlog.NewMeasured(b.cfg.Log, b.metrics.Scope())
 	b.assembleState()
 	b.assembleQuarantine()
--- a/internal/entrybox/ports.go
+++ b/internal/entrybox/ports.go
@@ -14,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/cometlock/cometlock/internal/callerconn"
+	"github.com/cometlock/cometlock/internal/connlimit"
 )
 
 // Limits of callers' connections where the configuration sets none, and of the balancer's.
@@ -31,6 +32,21 @@
 	callers, ready, peers, readers, places, forward, origins, metrics net.Listener
 }
 
+// portLimits are the limits of what clients of the ports make the box hold.
+type portLimits struct {
+	callers, boxes *connlimit.Limiter
+}
+
+// newPortLimits returns the limits for the box's memory and descriptors.
+func (b *Box) newPortLimits() portLimits {
+	machine := connlimit.ThisMachine().Within(b.settings.MemoryBytes, b.settings.Descriptors)
+	limiter := func(cfg connlimit.Config) *connlimit.Limiter {
+		cfg.Logger, cfg.Scope = b.logger, b.metrics.Scope()
+		return connlimit.New(cfg)
+	}
+	return portLimits{callers: limiter(machine.Callers()), boxes: limiter(machine.Boxes(0))}
+}
+
 // openPorts opens all ports before anything runs, so that a port in use is reported as one clear
 // error.
 func (b *Box) openPorts() error {
@@ -106,13 +122,13 @@
 func (b *Box) assembleServers() {
 	b.callerServer = &http.Server{
 		Handler: http.HandlerFunc(b.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: callerconn.TrackState,
 	}
+	connlimit.Attach(b.callerServer, callerconn.TrackState)
 	if b.ports.forward != nil {
 		b.forwardServer = &http.Server{
 			Handler: http.HandlerFunc(b.serveForwarded), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeaderBytes,
-			ConnState: callerconn.TrackState,
 		}
+		connlimit.Attach(b.forwardServer, callerconn.TrackState)
 	}
 	b.readyServer = &http.Server{Handler: b.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	if b.ports.metrics != nil {
@@ -129,9 +145,11 @@
 	if b.forwardServer != nil {
 		// The idle time of callers' connections does not apply: it may be shorter than the time for
 		// which other boxes keep theirs.
-		b.serve(b.forwardServer, callerconn.Listener{Listener: b.ports.forward, Timeouts: func() callerconn.Timeouts { return callerconn.Timeouts{} }})
+		forward := b.limits.boxes.Listener(b.ports.forward, connlimit.HeadWeight)
+		b.serve(b.forwardServer, callerconn.Listener{Listener: forward, Timeouts: func() callerconn.Timeouts { return callerconn.Timeouts{} }})
 	}
-	b.serve(b.callerServer, callerconn.Listener{Listener: b.ports.callers, Timeouts: b.callerLimits})
+	callers := b.limits.callers.Listener(b.ports.callers, connlimit.HeadWeight)
+	b.serve(b.callerServer, callerconn.Listener{Listener: callers, Timeouts: b.callerLimits})
 }
 
 func (b *Box) serve(server *http.Server, listener net.Listener) {
--- a/internal/entrybox/settings.go
+++ b/internal/entrybox/settings.go
@@ -68,6 +68,8 @@
 	Cores float64
 	// MemoryBytes limits the memory of the process; 0 means no limit.
 	MemoryBytes int64
+	// Descriptors limits the open descriptors of the process; 0 means that of the operating system.
+	Descriptors int
 }
 
 // Defaults of Settings.
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -14,6 +14,7 @@
 
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/catalog"
+	"github.com/cometlock/cometlock/internal/connlimit"
 	"github.com/cometlock/cometlock/internal/fingerprint"
 )
 
@@ -125,6 +126,7 @@
 		x.body, x.bodyReadAt = body, boottime.Now()
 		x.fingerprint, x.parts = x.requestFingerprint(), x.partFingerprints()
 		_ = connection.SetReadDeadline(time.Time{}) // likewise
+		connlimit.Admitted(x.request.Context())
 		return true
 	}
 	if errors.Is(err, errNoMemory) {
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cometlock/cometlock/internal/connlimit"
 	"github.com/cometlock/cometlock/internal/membudget"
 )
 
@@ -17,17 +18,10 @@
 	// callOverhead is the memory of a call besides its body and its answer: goroutines, headers, and
 	// the buffers of its two connections.
 	callOverhead = 16 << 10
-	// ordinaryHeaderLines, ordinaryHeaderBytes and ordinaryParts are what callOverhead covers of the headers and
-	// of the parts of a prompt.
-	ordinaryHeaderLines = 64
-	ordinaryHeaderBytes = 4 << 10
-	ordinaryParts       = 64
-	// headerLineBytes and headerTextBytes are the memory of a header line and of a byte of its text, in the
-	// request and in its copy for a server. partBytes is that of a part of a prompt: its ID, its fingerprint and
-	// the servers that may have it.
-	headerLineBytes = 256
-	headerTextBytes = 3
-	partBytes       = 256
+	// ordinaryParts is the number of parts of a prompt that callOverhead covers, and partBytes the memory of a
+	// further one: its ID, its fingerprint and the servers that may have it.
+	ordinaryParts = 64
+	partBytes     = 256
 	// minChunk and maxChunk bound the size of the pieces in which bodies of unknown length and
 	// answers are read.
 	minChunk = 4 << 10
@@ -61,16 +55,11 @@
 // headMemory returns the memory of the call's headers and of the description of its prompt beyond what callOverhead
 // covers.
 func (x *exchange) headMemory() int64 {
-	lines := 0
-	for _, values := range x.request.Header {
-		lines += len(values)
-	}
 	parts := 0
 	if x.info.Prompt != nil {
 		parts = len(x.info.Prompt.Parts)
 	}
-	return int64(headerLineBytes*max(lines-ordinaryHeaderLines, 0) + headerTextBytes*max(headerBytes(x.request)-ordinaryHeaderBytes, 0) +
-		partBytes*max(parts-ordinaryParts, 0))
+	return connlimit.HeadMemory(x.request) + int64(partBytes*max(parts-ordinaryParts, 0))
 }
 
 // refused counts a refused call by its reason.
