Bound the ports for balancers and collectors of metrics

The servers for readiness checks and metrics had a limit of time for heads and no other: heads of up to 1 MB, idle connections and bodies that never come kept for good. 100 clients with short lines without end took 1311 MB of 160.

They share a limiter now, with heads of up to 64 KB, an idle timeout, and a bound of 10 s for a body that is not used.

TestReadinessChecksExhaustAnEntryBox and TestMetricsCollectorsExhaustAnEntryBox failed before (1311 and 1320 MB of 160, 721 descriptors of 512) and pass now (50 MB at most for readiness checks).

--- a/internal/entrybox/ports.go
+++ b/internal/entrybox/ports.go
@@ -34,7 +34,7 @@
 
 // portLimits are the limits of what clients of the ports make the box hold.
 type portLimits struct {
-	callers, boxes *connlimit.Limiter
+	callers, boxes, operators *connlimit.Limiter
 }
 
 // newPortLimits returns the limits for the box's memory and descriptors.
@@ -44,7 +44,7 @@
 		cfg.Logger, cfg.Scope = b.logger, b.metrics.Scope()
 		return connlimit.New(cfg)
 	}
-	return portLimits{callers: limiter(machine.Callers()), boxes: limiter(machine.Boxes(0))}
+	return portLimits{callers: limiter(machine.Callers()), boxes: limiter(machine.Boxes(0)), operators: limiter(machine.Operators())}
 }
 
 // openPorts opens all ports before anything runs, so that a port in use is reported as one clear
@@ -130,17 +130,26 @@
 		}
 		connlimit.Attach(b.forwardServer, callerconn.TrackState)
 	}
-	b.readyServer = &http.Server{Handler: b.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	b.readyServer = newOperatorServer(b.readyHandler())
 	if b.ports.metrics != nil {
-		b.metricsServer = &http.Server{Handler: b.metricsHandler(), ReadHeaderTimeout: headerTimeout}
+		b.metricsServer = newOperatorServer(b.metricsHandler())
 	}
 }
 
+// newOperatorServer returns a server for balancers and collectors of metrics, whose requests have no bodies.
+func newOperatorServer(handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler: connlimit.LimitBody(handler, headerTimeout), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	connlimit.Attach(server, nil)
+	return server
+}
+
 // serveAll starts serving all ports except those for other boxes, the callers' port last.
 func (b *Box) serveAll() {
-	b.serve(b.readyServer, b.ports.ready)
+	b.serve(b.readyServer, b.limits.operators.Listener(b.ports.ready, connlimit.HeadWeight))
 	if b.metricsServer != nil {
-		b.serve(b.metricsServer, b.ports.metrics)
+		b.serve(b.metricsServer, b.limits.operators.Listener(b.ports.metrics, connlimit.HeadWeight))
 	}
 	if b.forwardServer != nil {
 		// The idle time of callers' connections does not apply: it may be shorter than the time for
