Bound the ports for messages of other boxes

A process at the ports between boxes could hold any number of connections and of unfinished messages (203 MB of 160 with 300 of them, 722 descriptors of 512 with 700 silent connections). When there were no descriptors left, the accept loop ended and the port stayed closed until the next start of the box.

The ports share the limiter of other boxes. A reader of messages reports each valid message to its connection, so that boxes that have sent one keep theirs before those that have not. A message is read in segments that are joined at its end; a growing buffer left as much garbage as the message has bytes.

--- a/internal/entrybox/ports.go
+++ b/internal/entrybox/ports.go
@@ -15,6 +15,7 @@
 
 	"github.com/cometlock/cometlock/internal/callerconn"
 	"github.com/cometlock/cometlock/internal/connlimit"
+	"github.com/cometlock/cometlock/internal/loadshare"
 )
 
 // Limits of callers' connections where the configuration sets none, and of the balancer's.
@@ -44,7 +45,12 @@
 		cfg.Logger, cfg.Scope = b.logger, b.metrics.Scope()
 		return connlimit.New(cfg)
 	}
-	return portLimits{callers: limiter(machine.Callers()), boxes: limiter(machine.Boxes(0)), operators: limiter(machine.Operators())}
+	return portLimits{callers: limiter(machine.Callers()), boxes: limiter(machine.Boxes(loadshare.MaxMessageBytes)), operators: limiter(machine.Operators())}
+}
+
+// messages returns a listener for messages of other boxes.
+func (l portLimits) messages(inner net.Listener) net.Listener {
+	return l.boxes.Listener(inner, connlimit.MessageWeight)
 }
 
 // openPorts opens all ports before anything runs, so that a port in use is reported as one clear
--- a/internal/entrybox/run.go
+++ b/internal/entrybox/run.go
@@ -22,11 +22,11 @@
 	} {
 		b.loops.Go(func() { loop(b.background) })
 	}
-	b.loops.Go(func() { b.share.LoopAccept(b.background, b.ports.peers) })
-	b.loops.Go(func() { b.readers.LoopAccept(b.background, b.ports.readers) })
-	b.loops.Go(func() { b.places.LoopAccept(b.background, b.ports.places) })
+	b.loops.Go(func() { b.share.LoopAccept(b.background, b.limits.messages(b.ports.peers)) })
+	b.loops.Go(func() { b.readers.LoopAccept(b.background, b.limits.messages(b.ports.readers)) })
+	b.loops.Go(func() { b.places.LoopAccept(b.background, b.limits.messages(b.ports.places)) })
 	if b.ports.origins != nil {
-		b.loops.Go(func() { b.origins.LoopAccept(b.background, b.ports.origins) })
+		b.loops.Go(func() { b.origins.LoopAccept(b.background, b.limits.messages(b.ports.origins)) })
 	}
 	boottime.OnResume(b.onResume)
 	b.serveAll()
--- a/internal/frame/client_test.go
+++ b/internal/frame/client_test.go
@@ -1,7 +1,6 @@
 package frame_test
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync/atomic"
@@ -19,7 +18,7 @@
 func TestARequestIsLostOnAClosedIdleConnection(t *testing.T) {
 	g := NewWithT(t)
 	var served atomic.Int64
-	server := frame.NewServer(zerolog.Nop(), func(_ context.Context, connection net.Conn, reader *bufio.Reader) {
+	server := frame.NewServer(zerolog.Nop(), func(_ context.Context, connection net.Conn, reader *frame.Reader) {
 		var received testMessage
 		if frame.Read(reader, &received, maxBytes) == nil {
 			served.Add(1)
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -20,9 +20,8 @@
 // prefixBytes is the size of the length prefix.
 const prefixBytes = 4
 
-// maxInitialBuffer bounds the buffer that is allocated from the length prefix alone, before any of
-// the message has been received.
-const maxInitialBuffer = 64 << 10
+// maxSegment bounds the buffers that are allocated for a message before their bytes have been received.
+const maxSegment = 64 << 10
 
 // Encode returns a message with its length prefix.
 func Encode(message any) ([]byte, error) {
@@ -110,12 +109,33 @@
 	if size > maxBytes {
 		return nil, merry.Errorf("message of %d bytes is too large", size)
 	}
-	data := bytes.NewBuffer(make([]byte, 0, min(size, maxInitialBuffer)))
-	if _, err := io.CopyN(data, reader, int64(size)); err != nil {
+	data, err := readBytes(reader, int(size))
+	if err != nil {
 		return nil, err
 	}
-	if rest, err = safepack.UnmarshalFirst(data.Bytes(), message); err != nil {
+	if rest, err = safepack.UnmarshalFirst(data, message); err != nil {
 		return nil, merry.Prepend(err, "decode message")
 	}
+	if source, ok := reader.(*Reader); ok {
+		source.messageReceived()
+	}
 	return rest, nil
 }
+
+// readBytes reads a number of bytes. It allocates only as they are received, and joins the segments at the end: a
+// buffer that grows would leave as much garbage as the message has bytes.
+func readBytes(reader io.Reader, size int) ([]byte, error) {
+	var segments [][]byte
+	for received := 0; received < size; {
+		segment := make([]byte, min(size-received, maxSegment))
+		if _, err := io.ReadFull(reader, segment); err != nil {
+			return nil, err
+		}
+		segments = append(segments, segment)
+		received += len(segment)
+	}
+	if len(segments) == 1 {
+		return segments[0], nil
+	}
+	return bytes.Join(segments, nil), nil
+}
--- a/internal/frame/port_test.go
+++ b/internal/frame/port_test.go
@@ -1,7 +1,6 @@
 package frame_test
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"testing"
@@ -22,7 +21,7 @@
 	for range 2000 {
 		listener, err := port.Listen()
 		g.Expect(err).NotTo(HaveOccurred())
-		server := frame.NewServer(zerolog.Nop(), func(context.Context, net.Conn, *bufio.Reader) {})
+		server := frame.NewServer(zerolog.Nop(), func(context.Context, net.Conn, *frame.Reader) {})
 		ctx, stop := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
--- a/internal/frame/server.go
+++ b/internal/frame/server.go
@@ -4,7 +4,6 @@
 package frame
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -16,13 +15,13 @@
 type Server struct {
 	logger zerolog.Logger
 	// serve serves one connection, which it reads through the reader.
-	serve func(ctx context.Context, connection net.Conn, reader *bufio.Reader)
+	serve func(ctx context.Context, connection net.Conn, reader *Reader)
 	loops sync.WaitGroup
 }
 
 // NewServer returns a server that accepts no connections yet. When serve returns, its connection is
 // closed. When the context ends, all connections are closed, which unblocks serve.
-func NewServer(logger zerolog.Logger, serve func(ctx context.Context, connection net.Conn, reader *bufio.Reader)) *Server {
+func NewServer(logger zerolog.Logger, serve func(ctx context.Context, connection net.Conn, reader *Reader)) *Server {
 	return &Server{logger: logger, serve: serve}
 }
 
@@ -53,7 +52,7 @@
 func (s *Server) loopServe(ctx context.Context, connection net.Conn) {
 	defer context.AfterFunc(ctx, func() { _ = connection.Close() })() // the other box connects elsewhere
 	defer connection.Close()
-	s.serve(ctx, connection, bufio.NewReader(connection))
+	s.serve(ctx, connection, NewReader(connection))
 }
 
 // Wait waits until all connections have been served. LoopAccept must have returned before.
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -16,10 +16,10 @@
 	"github.com/cometlock/cometlock/internal/registry"
 )
 
-// maxMessageBytes bounds a message: about 20 bytes for each server, 50 for each box in a roster,
+// MaxMessageBytes bounds a message: about 20 bytes for each server, 50 for each box in a roster,
 // 16,000 for the uses of organisations, and the configuration for a box that needs it, which the log
 // bounds to a quarter of this.
-const maxMessageBytes = 1 << 20
+const MaxMessageBytes = 1 << 20
 
 // message reports the load of the sender, and of the boxes that it reports for to the receiver.
 type message struct {
@@ -102,7 +102,7 @@
 }
 
 func readMessage(reader io.Reader) (m message, err error) {
-	if err := frame.ReadExtended(reader, &m, &m.extension, maxMessageBytes); err != nil {
+	if err := frame.ReadExtended(reader, &m, &m.extension, MaxMessageBytes); err != nil {
 		return m, err
 	}
 	m.attachBrittle()
--- a/internal/loadshare/message_test.go
+++ b/internal/loadshare/message_test.go
@@ -76,7 +76,7 @@
 	sent.extension.Parts = []quarantine.RequestRecord{{Crashes: []quarantine.CrashRecord{{Incarnation: 1, Running: 12}, {Incarnation: 2}}}, {Crashes: []quarantine.CrashRecord{{Incarnation: 3, Running: 13}}}}
 	writeNew := func(connection net.Conn) { _ = (*Share)(nil).writeMessage(connection, sent) }
 	var old previousMessage
-	read(writeNew, func(r io.Reader) error { return frame.Read(r, &old, maxMessageBytes) })
+	read(writeNew, func(r io.Reader) error { return frame.Read(r, &old, MaxMessageBytes) })
 	var received message
 	readNew := func(r io.Reader) (err error) {
 		received, err = readMessage(r)
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -5,13 +5,13 @@
 package loadshare
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"time"
 
 	"github.com/cometlock/cometlock/internal/boottime"
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/waiting"
 )
 
@@ -69,7 +69,7 @@
 }
 
 // serve handles the messages of one connection.
-func (s *Share) serve(_ context.Context, connection net.Conn, reader *bufio.Reader) {
+func (s *Share) serve(_ context.Context, connection net.Conn, reader *frame.Reader) {
 	for {
 		if err := connection.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 			return
--- a/internal/places/serve.go
+++ b/internal/places/serve.go
@@ -3,7 +3,6 @@
 package places
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"time"
@@ -31,7 +30,7 @@
 func (p *Placer) Wait() { p.server.Wait() }
 
 // serve handles the requests on one connection.
-func (p *Placer) serve(ctx context.Context, connection net.Conn, reader *bufio.Reader) {
+func (p *Placer) serve(ctx context.Context, connection net.Conn, reader *frame.Reader) {
 	for ctx.Err() == nil {
 		if err := connection.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 			return
--- a/internal/streamorigin/await_test.go
+++ b/internal/streamorigin/await_test.go
@@ -1,7 +1,6 @@
 package streamorigin
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -129,16 +128,16 @@
 }
 
 // brokenRecorder is a box that takes part in the records of others in a way that is not of use.
-type brokenRecorder func(connection net.Conn, reader *bufio.Reader) bool
+type brokenRecorder func(connection net.Conn, reader *frame.Reader) bool
 
 var (
 	// dying reads a request and closes the connection.
-	dying brokenRecorder = func(_ net.Conn, reader *bufio.Reader) bool {
+	dying brokenRecorder = func(_ net.Conn, reader *frame.Reader) bool {
 		_ = frame.Read(reader, &request{}, maxRequestBytes)
 		return false
 	}
 	// earlier responds as an earlier version of the program, which knows of no base versions. It writes nothing.
-	earlier brokenRecorder = func(connection net.Conn, reader *bufio.Reader) bool {
+	earlier brokenRecorder = func(connection net.Conn, reader *frame.Reader) bool {
 		var received request
 		if frame.Read(reader, &received, maxRequestBytes) != nil {
 			return false
@@ -146,7 +145,7 @@
 		answer := response{Recorded: received.Record, LogRead: received.Recorded, Versions: []string{"v1", "v2"}}
 		return frame.Write(connection, &answer, exchangeTimeout) == nil
 	}
-	silent brokenRecorder = func(net.Conn, *bufio.Reader) bool { time.Sleep(time.Second); return false }
+	silent brokenRecorder = func(net.Conn, *frame.Reader) bool { time.Sleep(time.Second); return false }
 )
 
 func (r brokenRecorder) start(t *testing.T, g *WithT) Box {
@@ -154,7 +153,7 @@
 	listener, err := net.Listen("tcp", freePort)
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(t.Context())
-	server := frame.NewServer(zerolog.Nop(), func(_ context.Context, connection net.Conn, reader *bufio.Reader) {
+	server := frame.NewServer(zerolog.Nop(), func(_ context.Context, connection net.Conn, reader *frame.Reader) {
 		for r(connection, reader) {
 		}
 	})
@@ -235,7 +234,7 @@
 	loops.Go(func() { writer.Loop(ctx) })
 	t.Cleanup(loops.Wait)
 	t.Cleanup(stop)
-	writing := brokenRecorder(func(connection net.Conn, reader *bufio.Reader) bool {
+	writing := brokenRecorder(func(connection net.Conn, reader *frame.Reader) bool {
 		var received request
 		if frame.Read(reader, &received, maxRequestBytes) != nil {
 			return false
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -24,7 +24,6 @@
 package streamorigin
 
 import (
-	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
@@ -243,7 +242,7 @@
 func (o *Origins) Wait() { o.server.Wait() }
 
 // serve handles the requests on one connection.
-func (o *Origins) serve(ctx context.Context, connection net.Conn, reader *bufio.Reader) {
+func (o *Origins) serve(ctx context.Context, connection net.Conn, reader *frame.Reader) {
 	for ctx.Err() == nil {
 		if err := connection.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 			return
--- a/internal/zonereader/quarantine_test.go
+++ b/internal/zonereader/quarantine_test.go
@@ -1,7 +1,6 @@
 package zonereader
 
 import (
-	"bufio"
 	"net"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cometlock/cometlock/internal/fleet"
+	"github.com/cometlock/cometlock/internal/frame"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/quarantine"
 	"github.com/cometlock/cometlock/internal/quarantinelog"
@@ -66,7 +66,7 @@
 			}
 			near, far := net.Pipe()
 			defer near.Close()
-			go reader.serve(t.Context(), far, bufio.NewReader(far))
+			go reader.serve(t.Context(), far, frame.NewReader(far))
 			g.Expect(follower.poll(newSession(near, role{}))).To(Succeed())
 			g.Expect(follower.keeper.IsLoaded()).To(Equal(test.known))
 			held, _ := follower.requests.Counts()
--- a/internal/zonereader/serve.go
+++ b/internal/zonereader/serve.go
@@ -3,7 +3,6 @@
 package zonereader
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"time"
@@ -25,7 +24,7 @@
 func (m *Member) Wait() { m.server.Wait() }
 
 // serve answers the requests of one follower on one connection.
-func (m *Member) serve(ctx context.Context, connection net.Conn, reader *bufio.Reader) {
+func (m *Member) serve(ctx context.Context, connection net.Conn, reader *frame.Reader) {
 	m.addFollowers(1)
 	defer m.addFollowers(-1)
 	for ctx.Err() == nil {
