Bound connections, unfinished requests and bodies at cometlockd

cometlockd had the faults of the callers' ports of an entry box, and no bound on the memory of bodies at all: 100 unfinished bodies of 4 MB took 424 MB of 160, since the buffer for a body was allocated from its stated length and grew with what came.

Its ports for callers and forwarded calls use package connlimit, also behind TLS. Bodies count in the memory budget that entry boxes have (package membudget), three times: as they came, parsed, and as they are sent to an engine. A call without room is refused with 503 as not run, and with the time after which there may be room. A body of unknown length counts as it arrives.

--- a/internal/api/accept.go
+++ b/internal/api/accept.go
@@ -15,6 +15,7 @@
 
 	"github.com/cometlock/cometlock/internal/apierror"
 	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/connlimit"
 	"github.com/cometlock/cometlock/internal/engine"
 	"github.com/cometlock/cometlock/internal/flow"
 )
@@ -106,18 +107,29 @@
 // bodyTimeout bounds the time in which a caller sends the whole body.
 const bodyTimeout = 30 * time.Second
 
-// readBody reads the whole body. It returns an error if the body exceeds the limit or does not arrive
-// within the body timeout.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *apierror.Error) {
+// readBody reads the whole body of a call of an organisation. It returns an error if there is no memory for it, if
+// it exceeds the limit, or if it does not arrive within the body timeout.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, organisation string, limit int64) ([]byte, *apierror.Error) {
+	memory, refusal := s.admitMemory(r, organisation, limit)
+	if refusal != nil {
+		s.drain(w, r)
+		return nil, refusal
+	}
 	controller := http.NewResponseController(w)
 	// Only the response writers of tests do not support deadlines.
 	_ = controller.SetReadDeadline(time.Now().Add(s.bodyTimeout))
-	buffer := bytes.NewBuffer(make([]byte, 0, max(0, min(r.ContentLength, limit))+bytes.MinRead))
-	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	buffer := bytes.NewBuffer(make([]byte, 0, max(0, min(r.ContentLength, limit, firstBodyBytes))+bytes.MinRead))
+	var source io.Reader = http.MaxBytesReader(w, r.Body, limit)
+	if r.ContentLength < 0 {
+		source = growingReader{Reader: source, call: memory}
+	}
+	_, err := buffer.ReadFrom(source)
 	if tooLarge, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		refusal := apierror.BadRequest("body_too_large", "the body has more than %d bytes", tooLarge.Limit)
-		refusal.Status = http.StatusRequestEntityTooLarge
-		return nil, refusal
+		return nil, bodyTooLarge("the body has more than %d bytes", tooLarge.Limit)
+	}
+	if errors.Is(err, errNoMemory) {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		return nil, s.refuseMemory(organisation, callOverhead)
 	}
 	if err != nil {
 		refusal := apierror.BadRequest("body_not_read", "the body did not come in whole")
@@ -125,6 +137,7 @@
 		return nil, refusal
 	}
 	_ = controller.SetReadDeadline(time.Time{})
+	connlimit.Admitted(r.Context())
 	return buffer.Bytes(), nil
 }
 
@@ -265,6 +278,7 @@
 func (s *Server) dropBody(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		s.drain(c.Response(), c.Request())
+		connlimit.Serving(c.Request().Context())
 		return next(c)
 	}
 }
--- a/internal/api/models.go
+++ b/internal/api/models.go
@@ -59,10 +59,11 @@
 	}
 	request.Kind = flow.KindModel
 	request.Path = r.URL.Path
-	if _, refusal := authenticate.Organisation(request.Snapshot, request.APIKey); refusal != nil {
+	organisation, refusal := authenticate.Organisation(request.Snapshot, request.APIKey)
+	if refusal != nil {
 		return request, nil, refusal // before memory is allocated for the body
 	}
-	body, refusal := s.readBody(w, r, request.Snapshot.File().Limits.BodyBytes)
+	body, refusal := s.readBody(w, r, organisation.Name, request.Snapshot.File().Limits.BodyBytes)
 	if refusal != nil {
 		return request, nil, refusal
 	}
--- a/internal/api/responses.go
+++ b/internal/api/responses.go
@@ -57,7 +57,7 @@
 		s.refuse(w, request, refusal)
 		return nil
 	}
-	body, refusal := s.readBody(w, r, request.Snapshot.File().Limits.BodyBytes)
+	body, refusal := s.readBody(w, r, request.Organisation.Name, request.Snapshot.File().Limits.BodyBytes)
 	if refusal != nil {
 		s.refuse(w, request, refusal)
 		return nil
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -21,6 +21,7 @@
 	"github.com/cometlock/cometlock/internal/config"
 	"github.com/cometlock/cometlock/internal/dispatch"
 	"github.com/cometlock/cometlock/internal/kept"
+	"github.com/cometlock/cometlock/internal/membudget"
 	"github.com/cometlock/cometlock/internal/pipeline"
 	"github.com/cometlock/cometlock/internal/plainservice"
 	"github.com/cometlock/cometlock/internal/relay"
@@ -45,6 +46,8 @@
 	Zone       *zone.View
 	Offloader  *kept.Offloader
 	Budget     *retrybudget.Budget
+	// Memory bounds the memory that calls hold; nil means that there is no bound.
+	Memory *membudget.Budget
 	// BodyTimeout bounds the time in which a caller sends the body; 0 means 30 s.
 	BodyTimeout time.Duration
 }
@@ -63,6 +66,7 @@
 	zone        *zone.View
 	offloader   *kept.Offloader
 	budget      *retrybudget.Budget
+	memory      *membudget.Budget
 	bodyTimeout time.Duration
 	rotation    atomic.Int64
 }
@@ -75,9 +79,12 @@
 	if cfg.BodyTimeout == 0 {
 		cfg.BodyTimeout = bodyTimeout
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = membudget.New(membudget.Limits{})
+	}
 	return &Server{
 		snapshot: cfg.Snapshot, keys: cfg.Keys, pipeline: cfg.Pipeline, dispatcher: cfg.Dispatcher, relay: cfg.Relay,
-		settle: cfg.Settle, claims: cfg.Claims, reviews: cfg.Reviews, services: cfg.Services, zone: cfg.Zone, offloader: cfg.Offloader, budget: cfg.Budget, bodyTimeout: cfg.BodyTimeout,
+		settle: cfg.Settle, claims: cfg.Claims, reviews: cfg.Reviews, services: cfg.Services, zone: cfg.Zone, offloader: cfg.Offloader, budget: cfg.Budget, memory: cfg.Memory, bodyTimeout: cfg.BodyTimeout,
 	}
 }
 
@@ -86,6 +93,7 @@
 	router := echo.New()
 	router.HideBanner, router.HidePort = true, true
 	router.HTTPErrorHandler = s.handleRouteError
+	router.Use(releaseMemory)
 	router.POST("/v1/chat/completions", s.serveChat)
 	router.POST("/v1/completions", s.serveCompletion)
 	router.GET("/v1/models", s.serveModels, s.dropBody)
--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -15,6 +15,7 @@
 	"github.com/cometlock/cometlock/internal/authenticate"
 	"github.com/cometlock/cometlock/internal/claim"
 	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/connlimit"
 	"github.com/cometlock/cometlock/internal/flow"
 	"github.com/cometlock/cometlock/internal/plainservice"
 	"github.com/cometlock/cometlock/internal/relay"
@@ -99,10 +100,11 @@
 		call.body = http.MaxBytesReader(w, r.Body, limit)
 		return call, nil
 	}
-	if _, refusal := authenticate.Organisation(request.Snapshot, request.APIKey); refusal != nil {
+	organisation, refusal := authenticate.Organisation(request.Snapshot, request.APIKey)
+	if refusal != nil {
 		return nil, refusal // before memory is allocated for the body
 	}
-	body, refusal := s.readBody(w, r, limit)
+	body, refusal := s.readBody(w, r, organisation.Name, limit)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -121,6 +123,7 @@
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
+	connlimit.Serving(r.Context())
 	var saved responseCopy
 	complete := copyResponse(w, response, &saved)
 	if complete {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/cometlock/cometlock/internal/boxlist"
 	"github.com/cometlock/cometlock/internal/claim"
 	"github.com/cometlock/cometlock/internal/config"
+	"github.com/cometlock/cometlock/internal/connlimit"
 	"github.com/cometlock/cometlock/internal/decide"
 	"github.com/cometlock/cometlock/internal/dispatch"
 	"github.com/cometlock/cometlock/internal/engine"
@@ -90,6 +91,7 @@
 	stop       context.CancelFunc
 	loops      sync.WaitGroup
 	ports      ports
+	limits     limits
 }
 
 // ports holds the listeners of a box; forward is nil without an address of its own.
@@ -170,6 +172,7 @@
 		return err
 	}
 	d.metrics = telemetry.NewMetrics(d.settings.Box, d.settings.Zone)
+	d.limits = d.newLimits()
 	log := logservice.NewClient(logservice.ClientConfig{Address: d.settings.Log})
 
 	// Cached cluster state: the configuration, the peers and the zone's runners.
@@ -219,14 +222,15 @@
 	server = api.New(api.Config{
 		Snapshot: d.follower.Snapshot, Keys: keys, Pipeline: d.pipeline, Dispatcher: d.dispatcher, Relay: relayStage,
 		Settle: d.settle, Claims: d.claims, Reviews: d.reviews, Services: plainservice.NewClient(plainservice.ClientConfig{OnAdvisory: d.zoneView.ApplyAdvisory}),
-		Zone: d.zoneView, Offloader: d.offloader, Budget: d.budget,
+		Zone: d.zoneView, Offloader: d.offloader, Budget: d.budget, Memory: d.limits.calls,
 	})
 	d.router = routed.New(routed.Config{
 		Logger: d.logger, Scope: d.metrics.Scope(), Zone: d.settings.Zone, BoxCount: d.boxCount, Budget: d.budget, Next: server.Handler(),
 		LimitPosition: func(_, server string) advisory.Position { return d.gossiper.LimitPosition(server, false) },
-		Forwarding:    d.forwarding(),
+		Forwarding:    d.forwarding(), Memory: d.limits.calls,
 	})
 	d.callerServer = &http.Server{Handler: d.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	connlimit.Attach(d.callerServer, nil)
 	d.forwardServer = d.newForwardServer()
 	d.admin = &http.Server{Handler: d.newAdminServer().Handler(), ReadHeaderTimeout: headerTimeout}
 	return nil
--- a/internal/daemon/forwarding.go
+++ b/internal/daemon/forwarding.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net/http"
 
+	"github.com/cometlock/cometlock/internal/connlimit"
 	"github.com/cometlock/cometlock/internal/peerpath"
 	"github.com/cometlock/cometlock/internal/routed"
 )
@@ -41,9 +42,11 @@
 	if d.ports.forward == nil {
 		return nil
 	}
-	return &http.Server{
+	server := &http.Server{
 		Handler: http.HandlerFunc(d.serveForwarded), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeaderBytes,
 	}
+	connlimit.Attach(server, nil)
+	return server
 }
 
 // serveForwarded serves one call that another box forwards. While the box is leaving, each answer closes its
@@ -65,7 +68,7 @@
 		listener = tls.NewListener(listener, d.peerTLS.ServerConfig())
 	}
 	d.loops.Go(func() {
-		if err := d.forwardServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := d.forwardServer.Serve(limited(d.limits.boxes, listener)); !errors.Is(err, http.ErrServerClosed) {
 			d.logger.Error().Str("error", err.Error()).Msg("port_lost")
 		}
 	})
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cometlock/cometlock/internal/connlimit"
 	"github.com/cometlock/cometlock/internal/version"
 )
 
@@ -15,9 +16,9 @@
 // when the last request in flight is completed or the stop timeout has passed.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.startLoops()
-	d.serve(d.admin, d.ports.admin)
+	d.serve(d.admin, d.ports.admin, connlimit.New(connlimit.Config{}))
 	d.startForwardServer()
-	d.serve(d.callerServer, d.ports.caller)
+	d.serve(d.callerServer, d.ports.caller, d.limits.callers)
 	d.logger.Info().Str("version", version.Version).Str("callers", d.CallerAddress()).Str("admin", d.AdminAddress()).
 		Str("peers", d.PeerAddress()).Str("forward", d.ForwardAddress()).Str("incarnation", d.incarnation).Msg("started")
 	select {
@@ -40,12 +41,12 @@
 	d.loops.Go(func() { d.loopGauges(d.background) })
 }
 
-func (d *Daemon) serve(server *http.Server, listener net.Listener) {
+func (d *Daemon) serve(server *http.Server, listener net.Listener, limiter *connlimit.Limiter) {
 	if d.callerTLS != nil {
 		listener = tls.NewListener(listener, d.callerTLS.ServerConfig())
 	}
 	d.loops.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limited(limiter, listener)); !errors.Is(err, http.ErrServerClosed) {
 			d.logger.Error().Str("error", err.Error()).Msg("port_lost")
 		}
 	})
@@ -126,6 +127,8 @@
 		config := d.follower.Status()
 		scope.Gauge("config_version").Update(float64(config.Version))
 		scope.Gauge("log_reachable").Update(boolGauge(config.LogReachable))
+		d.limits.calls.Observe(time.Now())
+		scope.Gauge("memory_held_bytes").Update(float64(d.limits.calls.Held()))
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -23,6 +23,7 @@
 	"github.com/cometlock/cometlock/internal/fleet"
 	"github.com/cometlock/cometlock/internal/gateway"
 	"github.com/cometlock/cometlock/internal/handover"
+	"github.com/cometlock/cometlock/internal/membudget"
 	"github.com/cometlock/cometlock/internal/partindex"
 	"github.com/cometlock/cometlock/internal/reach"
 	"github.com/cometlock/cometlock/internal/registry"
@@ -45,6 +46,8 @@
 	LimitPosition func(zone, server string) advisory.Position
 	// Next serves the calls that match no route.
 	Next http.Handler
+	// Memory bounds the memory that calls hold; nil means that there is no bound.
+	Memory *membudget.Budget
 	// Forwarding is set if this box forwards calls and takes forwarded ones.
 	Forwarding *Forwarding
 }
@@ -81,7 +84,7 @@
 	gatewayConfig := gateway.Config{
 		Protocol: Headers{}, Pool: pool, Fleet: r.fleet, Parts: partindex.New(partindex.Config{}),
 		Budget: func(string) *retrybudget.Budget { return cfg.Budget }, BoxCount: cfg.BoxCount, Logger: cfg.Logger, Scope: cfg.Scope.SubScope("routed"), Zone: cfg.Zone,
-		Catalog: r.catalog.Load, Weights: emptyRegistry, IsResponsive: r.isResponsive,
+		Memory: cfg.Memory, Catalog: r.catalog.Load, Weights: emptyRegistry, IsResponsive: r.isResponsive,
 		Retire: retire.New(retire.Config{Registry: emptyRegistry, Peers: func() []retire.Peer { return nil }, Boxes: cfg.BoxCount}),
 	}
 	r.assembleForwarding(&gatewayConfig, pool)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,8 +41,10 @@
 	StopTimeout  time.Duration
 	RingCapacity int
 	Standins     string
-	PeerTLS      TLSFiles
-	CallerTLS    TLSFiles
+	// MemoryMB is the memory that the process may use, in MiB; 0 means that of the machine.
+	MemoryMB  int
+	PeerTLS   TLSFiles
+	CallerTLS TLSFiles
 }
 
 // TLSFiles holds the paths of the TLS files for one kind of connection; all are empty without TLS.
@@ -88,6 +90,7 @@
 		{"drain-delay", "2s", "time between turning unready and closing the caller port (duration)", duration(func(s *Settings) *time.Duration { return &s.DrainDelay })},
 		{"stop-timeout", "10m", "longest time to finish requests in flight at a stop (duration)", duration(func(s *Settings) *time.Duration { return &s.StopTimeout })},
 		{"ring-capacity", "1024", "requests that each ring between two stages holds (number)", setRingCapacity},
+		{"memory-mb", "0", "memory that the process may use, in MiB; 0: that of the machine (number)", setMemory},
 		{"standins", "", "configuration file whose backend servers, log and box list are started inside this process, for trying out", text(func(s *Settings) *string { return &s.Standins })},
 		{"peer-tls-cert", "", "certificate file for connections between entry boxes", text(func(s *Settings) *string { return &s.PeerTLS.Certificate })},
 		{"peer-tls-key", "", "key file for connections between entry boxes", text(func(s *Settings) *string { return &s.PeerTLS.Key })},
@@ -250,6 +253,15 @@
 	return nil
 }
 
+func setMemory(s *Settings, value string) error {
+	number, err := strconv.Atoi(value)
+	if err != nil || number < 0 {
+		return merry.Errorf("%q is not a number of 0 or more", value)
+	}
+	s.MemoryMB = number
+	return nil
+}
+
 func splitList(value string) []string {
 	return strings.FieldsFunc(value, func(r rune) bool { return r == ',' || r == ' ' })
 }
