Bound the operators' port of cometlockd

It had a limit of time for heads and no other, like the ports for balancers and metrics of an entry box: 100 clients with short lines without end took 2071 MB of 160.

It has a limiter of its own now, heads of up to 64 KB, an idle timeout, and a bound of 10 s for a body that is not used. A read timeout was ruled out: it would cancel profiles that take longer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -232,7 +232,7 @@
 	d.callerServer = &http.Server{Handler: d.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	connlimit.Attach(d.callerServer, nil)
 	d.forwardServer = d.newForwardServer()
-	d.admin = &http.Server{Handler: d.newAdminServer().Handler(), ReadHeaderTimeout: headerTimeout}
+	d.admin = newOperatorServer(d.newAdminServer().Handler())
 	return nil
 }
 
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"net/http"
 	"runtime/debug"
 
 	"github.com/cometlock/cometlock/internal/connlimit"
@@ -21,8 +22,8 @@
 
 // limits are the limits of the ports and of the calls.
 type limits struct {
-	callers, boxes *connlimit.Limiter
-	calls          *membudget.Budget
+	callers, boxes, operators *connlimit.Limiter
+	calls                     *membudget.Budget
 }
 
 // newLimits returns the limits for the memory and the descriptors of the process.
@@ -39,11 +40,20 @@
 	calls.PerOrganisation = int64(organisationFraction * float64(calls.Total))
 	calls.PerCall = calls.PerOrganisation
 	return limits{
-		callers: limiter(machine.Callers()), boxes: limiter(machine.Boxes(0)),
+		callers: limiter(machine.Callers()), boxes: limiter(machine.Boxes(0)), operators: limiter(machine.Operators()),
 		calls: membudget.New(calls),
 	}
 }
 
+// newOperatorServer returns the server for operators, whose requests have no bodies.
+func newOperatorServer(handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler: connlimit.LimitBody(handler, headerTimeout), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	connlimit.Attach(server, nil)
+	return server
+}
+
 // limited returns a listener of an HTTP server within the limits of a limiter.
 func limited(limiter *connlimit.Limiter, inner net.Listener) net.Listener {
 	return limiter.Listener(inner, connlimit.HeadWeight)
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -16,7 +16,7 @@
 // when the last request in flight is completed or the stop timeout has passed.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.startLoops()
-	d.serve(d.admin, d.ports.admin, connlimit.New(connlimit.Config{}))
+	d.serve(d.admin, d.ports.admin, d.limits.operators)
 	d.startForwardServer()
 	d.serve(d.callerServer, d.ports.caller, d.limits.callers)
 	d.logger.Info().Str("version", version.Version).Str("callers", d.CallerAddress()).Str("admin", d.AdminAddress()).
