Bound the port for other boxes of cometlockd

300 unfinished messages of up to 16 MB took 3009 MB of 160, and an error of accept closed the port for good without a log line. The port shares the limiter of forwarded calls; the limit of unfinished messages has room for the largest one.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -261,7 +261,7 @@
 	cfg := peer.Config{
 		Self:    peer.Status{Box: d.settings.Box, Zone: d.settings.Zone, Incarnation: d.incarnation, ForwardAddress: d.ForwardAddress()},
 		Address: d.PeerAddress(), Seeds: d.settings.Seeds, BoxList: boxlist.Static(nil),
-		Source: d.follower, Logger: d.logger, OnBoxList: d.applyBoxList, AdvisoryReports: d.advisoryReports, ApplyAdvisoryReports: d.applyAdvisoryReports,
+		Source: d.follower, Logger: d.logger, Limiter: d.limits.boxes, OnBoxList: d.applyBoxList, AdvisoryReports: d.advisoryReports, ApplyAdvisoryReports: d.applyAdvisoryReports,
 	}
 	if d.settings.BoxList != "" {
 		cfg.BoxList = boxlist.NewClient(d.settings.BoxList)
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -9,6 +9,7 @@
 
 	"github.com/cometlock/cometlock/internal/connlimit"
 	"github.com/cometlock/cometlock/internal/membudget"
+	"github.com/cometlock/cometlock/internal/peer"
 )
 
 const (
@@ -40,7 +41,7 @@
 	calls.PerOrganisation = int64(organisationFraction * float64(calls.Total))
 	calls.PerCall = calls.PerOrganisation
 	return limits{
-		callers: limiter(machine.Callers()), boxes: limiter(machine.Boxes(0)), operators: limiter(machine.Operators()),
+		callers: limiter(machine.Callers()), boxes: limiter(machine.Boxes(peer.MaxMessageBytes)), operators: limiter(machine.Operators()),
 		calls: membudget.New(calls),
 	}
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -45,8 +45,8 @@
 	State *configlog.State `msgpack:"f,omitempty"`
 }
 
-// maxMessageBytes is the maximum size of a message from a peer.
-const maxMessageBytes = 16 << 20
+// MaxMessageBytes is the maximum size of a message from a peer.
+const MaxMessageBytes = 16 << 20
 
 func writeMessage(writer io.Writer, message Message) (int, error) {
 	whole, err := frame.Encode(&message)
@@ -57,5 +57,5 @@
 }
 
 func readMessage(reader io.Reader) (message Message, err error) {
-	return message, frame.Read(reader, &message, maxMessageBytes)
+	return message, frame.Read(reader, &message, MaxMessageBytes)
 }
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -63,7 +63,7 @@
 	whole, err := frame.Encode(&sent)
 	g.Expect(err).NotTo(HaveOccurred())
 	var old previousMessage
-	g.Expect(frame.Read(bytes.NewReader(whole), &old, maxMessageBytes)).To(Succeed())
+	g.Expect(frame.Read(bytes.NewReader(whole), &old, MaxMessageBytes)).To(Succeed())
 	g.Expect(old).To(Equal(want))
 
 	whole, err = frame.Encode(&want)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 	"github.com/cometlock/cometlock/internal/advisory"
 	"github.com/cometlock/cometlock/internal/boxlist"
 	"github.com/cometlock/cometlock/internal/configlog"
+	"github.com/cometlock/cometlock/internal/connlimit"
 	"github.com/cometlock/cometlock/internal/follow"
 )
 
@@ -52,6 +53,8 @@
 	// Interval is the time between two rounds, Fanout the number of peers per round.
 	Interval time.Duration
 	Fanout   int
+	// Limiter bounds the connections that other boxes open; nil means no bound.
+	Limiter *connlimit.Limiter
 	// ServerTLS and ClientTLS, if set, enable TLS. ClientTLS is called for each dial,
 	// since the certificate files may have changed.
 	ServerTLS *tls.Config
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -3,11 +3,13 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
 	"net"
 	"time"
+
+	"github.com/cometlock/cometlock/internal/connlimit"
+	"github.com/cometlock/cometlock/internal/frame"
 )
 
 // handleMessage applies a peer's message and returns the reply.
@@ -27,6 +29,9 @@
 	if g.cfg.ServerTLS != nil {
 		listener = tls.NewListener(listener, g.cfg.ServerTLS)
 	}
+	if g.cfg.Limiter != nil {
+		listener = g.cfg.Limiter.Listener(listener, connlimit.MessageWeight)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	for {
@@ -52,7 +57,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	defer stop()
 	defer func() { _ = s.conn.Close() }()
-	reader := bufio.NewReader(s.conn)
+	reader := frame.NewReader(s.conn)
 	for {
 		if err := s.conn.SetDeadline(time.Now().Add(idleTimeout)); err != nil {
 			return
