Count elements of JSON before they are decoded

A body within its limit may consist of over a million fields, messages or parts, each of which takes some 50 to 100 bytes when decoded: 100 callers with bodies of 4 MB took 7779 to 15344 MB of 160, and a single body of 8 MB more than a small machine has.

Fields at the top of a body, messages of a request for a response and parts of a message are decoded one by one up to a bound: 1,000 fields, 65,536 messages and parts. More are rejected with 400, not run. The API has some 60 fields.

--- a/internal/api/accept.go
+++ b/internal/api/accept.go
@@ -157,8 +157,11 @@
 
 // parseModelRequest parses and validates the body of a chat or text completion.
 func parseModelRequest(body []byte, promptField string, request *flow.Request) (fields, *apierror.Error) {
-	var parsed fields
-	if err := json.Unmarshal(body, &parsed); err != nil || parsed == nil {
+	parsed, err := decodeFields(body)
+	if errors.Is(err, errTooManyElements) {
+		return nil, apierror.BadRequest("too_many_fields", "the body has more than %d fields", maxFields)
+	}
+	if err != nil {
 		return nil, apierror.BadRequest("invalid_json", "the body is not a JSON object")
 	}
 	if err := json.Unmarshal(parsed[fieldModel], &request.Model); err != nil || request.Model == "" {
--- a/internal/api/responses.go
+++ b/internal/api/responses.go
@@ -133,15 +133,20 @@
 		chat.Messages = append(chat.Messages, textMessage("user", text))
 		return chat, nil
 	}
-	var messages []chatMessage
-	if err := json.Unmarshal(r.Input, &messages); err != nil || len(messages) == 0 {
+	messages, err := decodeList[chatMessage](r.Input)
+	if errors.Is(err, errTooManyElements) {
+		return chat, apierror.BadRequest("too_many_messages", "the field input has more than %d messages", maxElements)
+	}
+	if err != nil || len(messages) == 0 {
 		return chat, apierror.BadRequest("invalid_input", "the field input is a text or a list of messages")
 	}
 	for _, message := range messages {
 		if message.Role == "" || len(message.Content) == 0 {
 			return chat, apierror.BadRequest("invalid_input", "each message of the input has a role and a content")
 		}
-		message.Content = chatContent(message.Content)
+		if message.Content, err = chatContent(message.Content); err != nil {
+			return chat, apierror.BadRequest("too_many_parts", "a message of the input has more than %d parts", maxElements)
+		}
 		chat.Messages = append(chat.Messages, message)
 	}
 	return chat, nil
@@ -162,11 +167,15 @@
 	Text string `json:"text"`
 }
 
-// chatContent converts the part types of a message to those of a chat completion.
-func chatContent(content json.RawMessage) json.RawMessage {
-	var parts []contentPart
-	if json.Unmarshal(content, &parts) != nil {
-		return content // plain text, or parts that the engine may support
+// chatContent converts the part types of a message to those of a chat completion. It returns an error if there are
+// too many parts.
+func chatContent(content json.RawMessage) (json.RawMessage, error) {
+	parts, err := decodeList[contentPart](content)
+	if errors.Is(err, errTooManyElements) {
+		return nil, err
+	}
+	if err != nil {
+		return content, nil // plain text, or parts that the engine may support
 	}
 	for i := range parts {
 		if parts[i].Type == "input_text" || parts[i].Type == "output_text" {
@@ -175,9 +184,9 @@
 	}
 	renamed, err := json.Marshal(parts)
 	if err != nil {
-		return content
+		return content, nil // cannot happen: the parts are text
 	}
-	return renamed
+	return renamed, nil
 }
 
 // reviewRefusal converts an error of package review to the error that the caller receives.
