--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,6 +41,7 @@
 		{"incomplete TLS files", []string{"--zone", "a", "--log", "127.0.0.1:1", "--peer-tls-cert", "x"}, "--peer-tls-cert, --peer-tls-key and --peer-tls-ca go together"},
 		{"a log retention that is too short", []string{"--zone", "a", "--log", "127.0.0.1:1", "--log-retention", "1h"}, "--log-retention (COMETLOCK_LOG_RETENTION): must be at least 4h0m0s, is 1h0m0s"},
 		{"a ring capacity of zero", []string{"--zone", "a", "--log", "127.0.0.1:1", "--ring-capacity", "0"}, `--ring-capacity (COMETLOCK_RING_CAPACITY): "0" is not a number above 0`},
+		{"a negative memory", []string{"--zone", "a", "--log", "127.0.0.1:1", "--memory-mb", "-1"}, `--memory-mb (COMETLOCK_MEMORY_MB): "-1" is not a number of 0 or more`},
 		{"an operators' key instead of its hash", []string{"--zone", "a", "--log", "127.0.0.1:1", "--operator-key-hash", "secret"}, "--operator-key-hash (COMETLOCK_OPERATOR_KEY_HASH): is not a SHA-256 in hexadecimal"},
 	}
 	for _, c := range cases {
