--- a/internal/e2e/hostile/hostile_test.go
+++ b/internal/e2e/hostile/hostile_test.go
@@ -4,12 +4,8 @@
 package hostile_test
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -97,53 +93,13 @@
 	return b
 }
 
-var client = &http.Client{Timeout: hangTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-
-// state requests the state from the operators' port and returns an error unless the response is 200.
-func (b *box) state() error {
-	response, err := client.Get("http://" + b.addresses[adminPort] + statePath)
-	if err != nil {
-		return err
-	}
-	return expectOK(response)
-}
-
 // serve sends an ordinary call and returns an error unless it is served.
 func (b *box) serve() error {
-	return b.send([]byte(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", chatRequest, len(chatBody), chatBody)))
+	return crowd.Send(b.addresses[callersPort], fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", chatRequest, len(chatBody), chatBody))
 }
 
-// send sends a whole request to the callers' port and returns an error unless the response is 200.
-func (b *box) send(request []byte) error {
-	connection, err := net.DialTimeout("tcp", b.addresses[callersPort], hangTimeout)
-	if err != nil {
-		return err
-	}
-	defer connection.Close()
-	if err := connection.SetDeadline(time.Now().Add(hangTimeout)); err != nil {
-		return err
-	}
-	if _, err := connection.Write(request); err != nil {
-		return err
-	}
-	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
-	if err != nil {
-		return err
-	}
-	return expectOK(response)
-}
-
-func expectOK(response *http.Response) error {
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d: %s", response.StatusCode, body)
-	}
-	return nil
-}
+// state requests the state from the operators' port and returns an error unless the response is 200.
+func (b *box) state() error { return crowd.Get("http://" + b.addresses[adminPort] + statePath) }
 
 // withstand checks the box while a crowd is connected to a port and after it has left.
 func withstand(t *testing.T, port int, behavior crowd.Behavior) {
@@ -246,6 +202,6 @@
 	g := NewWithT(t)
 	b := start(t, g)
 	largest := crowd.HTTPConfig{Request: routedRequest, HeadBytes: maxHeaderBytes}.LargestRequest()
-	g.Expect(b.send(largest)).To(Succeed())
-	g.Expect(b.send(largest)).To(Succeed())
+	g.Expect(crowd.Send(b.addresses[callersPort], largest)).To(Succeed())
+	g.Expect(crowd.Send(b.addresses[callersPort], largest)).To(Succeed())
 }
