Reject bodies over the limit before their memory is reserved

A body that states a length over the limit was refused with 503 while there was no memory for the largest one, and its caller told to return. It is rejected with 413 at once. A row of TestBodiesTakeMoreThanTheMemoryForCalls failed before.

--- a/internal/api/accept.go
+++ b/internal/api/accept.go
@@ -118,7 +118,7 @@
 	controller := http.NewResponseController(w)
 	// Only the response writers of tests do not support deadlines.
 	_ = controller.SetReadDeadline(time.Now().Add(s.bodyTimeout))
-	buffer := bytes.NewBuffer(make([]byte, 0, max(0, min(r.ContentLength, limit, firstBodyBytes))+bytes.MinRead))
+	buffer := bytes.NewBuffer(make([]byte, 0, max(0, min(r.ContentLength, firstBodyBytes))+bytes.MinRead))
 	var source io.Reader = http.MaxBytesReader(w, r.Body, limit)
 	if r.ContentLength < 0 {
 		source = growingReader{Reader: source, call: memory}
--- a/internal/api/memory.go
+++ b/internal/api/memory.go
@@ -46,7 +46,10 @@
 // admitMemory reserves the memory for a body of at most limit bytes; one of unknown length reserves it as it is
 // read. A call without room is refused before its body is read.
 func (s *Server) admitMemory(r *http.Request, organisation string, limit int64) (*membudget.Call, *apierror.Error) {
-	wanted := callOverhead + connlimit.HeadMemory(r) + bodyCopies*min(max(r.ContentLength, 0), limit)
+	if r.ContentLength > limit {
+		return nil, bodyTooLarge("the body has more than %d bytes", limit)
+	}
+	wanted := callOverhead + connlimit.HeadMemory(r) + bodyCopies*max(r.ContentLength, 0)
 	if !s.memory.FitsCall(wanted) {
 		return nil, bodyTooLarge("the body is larger than this entry box has memory for")
 	}
--- a/internal/api/memory_test.go
+++ b/internal/api/memory_test.go
@@ -33,6 +33,7 @@
 		{"fits, of unknown length", 2 * room, 0, -1, http.StatusOK},
 		{"no room beside another call", 2 * room, room, limit, http.StatusServiceUnavailable},
 		{"no room beside another call, of unknown length", 2 * room, room, -1, http.StatusServiceUnavailable},
+		{"over the limit", 2 * room, room, limit + 1, http.StatusRequestEntityTooLarge},
 		{"never fits", room, 0, limit, http.StatusRequestEntityTooLarge},
 	}
 	for _, test := range tests {
