--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -1,3 +1,5 @@
+// One connection: what its unfinished request weighs, and whether it waits for its client.
+
 package connlimit
 
 import (
@@ -13,7 +15,7 @@
 	net.Conn
 	limiter *Limiter
 	weight  Weight
-	// http is set for a connection of an HTTP server, whose states TrackState follows.
+	// http is set for a connection of an HTTP server, whose states track follows.
 	http bool
 	// inRequest is set while the bytes that arrive belong to an unfinished request, and held is its weight.
 	// lastWeight is that of the last bytes, which may belong to the next request too.
--- a/internal/e2e/hostile/hostile_test.go
+++ b/internal/e2e/hostile/hostile_test.go
@@ -185,13 +185,13 @@
 	withstandAll(t, forwardPort, httpBehaviors(routedRequest))
 }
 
-// The operators' port had no limits at all.
+// The operators' port bounded the time for a head and nothing else.
 func TestOperatorRequestsExhaustCometlockd(t *testing.T) {
 	withstandAll(t, adminPort, httpBehaviors("GET "+statePath+" HTTP/1.1\r\nHost: box\r\n"))
 }
 
-// The port for other boxes allocated what each message announced, and closed for good when there were no
-// descriptors.
+// The port for other boxes held any number of connections and of unfinished messages, and closed for good when
+// there were no descriptors.
 func TestMessagesExhaustCometlockd(t *testing.T) {
 	withstandAll(t, peersPort, crowd.FrameBehaviors())
 }
