Let servers close their direction of a limited connection

Found by reading: net/http closes its direction of a connection before it closes one with unread bytes, so that a refusal is not lost to a reset. Connections within a limiter had no CloseWrite, so the ports of cometlockd and those for operators no longer did so since the limits. They do again.

TestAConnectionCannotCloseItsWrites does not pass without the method.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -178,6 +178,16 @@
 	return socket.SyscallConn()
 }
 
+// CloseWrite closes the direction to the client, where the connection supports it. The HTTP server does so before
+// it closes a connection with unread bytes, since a reset could take the response away.
+func (c *conn) CloseWrite() error {
+	socket, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return syscall.EINVAL
+	}
+	return socket.CloseWrite()
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.limiter.mu.Lock()
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -278,6 +278,26 @@
 	g.Expect(isOpen(second)).To(BeTrue())
 }
 
+// The HTTP server could not end its direction before a close with unread bytes.
+func TestAConnectionCannotCloseItsWrites(t *testing.T) {
+	g := NewWithT(t)
+	port, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer port.Close()
+	client, err := net.Dial("tcp", port.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer client.Close()
+	server, err := newLimiter(1, 0).Listener(port, connlimit.HeadWeight).Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer server.Close()
+	closer, ok := server.(interface{ CloseWrite() error })
+	g.Expect(ok).To(BeTrue())
+	g.Expect(closer.CloseWrite()).To(Succeed())
+	content, err := io.ReadAll(client)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(content).To(BeEmpty())
+}
+
 // A context without a connection, as in tests of handlers, must not matter.
 func TestServingWithoutAConnection(*testing.T) { connlimit.Serving(context.Background()) }
 
